--- /dev/null
+++ b/Makefile
@@ -0,0 +1,35 @@
+# The commands of the project. On a machine with Go, gcc, make and apt, each works as the first one.
+
+LINT := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+# SKIP is a regular expression of the tests to pass over; .ci/run takes it from KNOWN-RED.txt.
+SKIP ?=
+GO_TEST_FLAGS := -race -count=1 -timeout 20m $(if $(SKIP),-skip '$(SKIP)')
+
+.PHONY: build demo test lint race model fuzz soak compare generate fmt
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo:
+	@./scripts/demo.sh
+
+# test runs every check; .ci/run calls it.
+test: lint build model race
+
+lint:
+	$(LINT) fmt --diff
+	$(LINT) run ./...
+
+race:
+	go test $(GO_TEST_FLAGS) ./...
+
+# model checks the specifications under model/ with Spin.
+model:
+	./scripts/model.sh
+
+fmt:
+	$(LINT) fmt
+
+# generate makes the committed code of io/peer/peerpb anew; it needs protoc.
+generate:
+	./scripts/generate.sh
--- /dev/null
+++ b/cmd/cicadavalve/entry.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"cicadavalve/core/roster"
+	"cicadavalve/io/config"
+	"cicadavalve/io/entry"
+)
+
+func newEntryCommand() *cobra.Command {
+	var path, addressFile string
+	cmd := &cobra.Command{
+		Use:   "entry --config FILE",
+		Short: "Run the entry daemon",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			settings, err := config.Load(path)
+			if err != nil {
+				return err
+			}
+			tokens, err := config.LoadTokens(settings.TokensFile)
+			if err != nil {
+				return err
+			}
+			log, err := newLogger(os.Stderr, settings.LogFormat, settings.LogLevel)
+			if err != nil {
+				return err
+			}
+			d := entry.NewDaemon(settings, tokens, entry.WithLogger(log), entry.WithStarted(func(m roster.Member) {
+				if err := writeAddresses(addressFile, m); err != nil {
+					log.Error("address_file_not_written", "error", err)
+				}
+			}))
+			d.Meter().Publish("cicadavalve")
+			return d.Run(cmd.Context())
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "", "the YAML file of the entry's settings")
+	cmd.Flags().StringVar(&addressFile, "address-file", "", "a file to write the caller and the peer address to")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+// writeAddresses writes the file in one step, so that a script can wait for it.
+func writeAddresses(path string, m roster.Member) (err error) {
+	if path == "" {
+		return nil
+	}
+	staged := path + ".new"
+	if err := os.WriteFile(staged, []byte(m.Address+" "+m.PeerAddress+"\n"), addressFileMode); err != nil {
+		return err
+	}
+	return os.Rename(staged, path)
+}
+
+const addressFileMode = 0o644
+
+func newLogger(w io.Writer, format, level string) (log *slog.Logger, err error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, errors.Wrap(err, "log_level")
+	}
+	options := &slog.HandlerOptions{Level: l}
+	if format == "text" {
+		return slog.New(slog.NewTextHandler(w, options)), nil
+	}
+	return slog.New(slog.NewJSONHandler(w, options)), nil
+}
--- /dev/null
+++ b/cmd/cvlab/load.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+	"github.com/goccy/go-yaml"
+	"github.com/spf13/cobra"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/io/load"
+	"cicadavalve/io/stand"
+)
+
+// loadCommand is one run of the load command.
+type loadCommand struct {
+	preset   string
+	entries  []string
+	tokens   string
+	apps     []string
+	stores   []string
+	straight []string
+	seed     uint64
+	rate     float64
+	length   time.Duration
+	json     bool
+	plot     string
+}
+
+func newLoadCommand() *cobra.Command {
+	l := &loadCommand{}
+	cmd := &cobra.Command{
+		Use:   "load --preset NAME --entries HOST:PORT,... --tokens FILE",
+		Short: "Offer open-loop load and check every answer",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return l.run(cmd.Context(), cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&l.preset, "preset", "otakou", "one of "+strings.Join(load.PresetNames(), ", "))
+	cmd.Flags().StringSliceVar(&l.entries, "entries", nil, "addresses of entries to ask first")
+	cmd.Flags().StringVar(&l.tokens, "tokens", "", "the YAML file of token: organisation")
+	cmd.Flags().StringSliceVar(&l.apps, "apps", nil, "addresses of app engines, whose runs are counted at the end")
+	cmd.Flags().StringSliceVar(&l.stores, "stores", nil, "addresses of KV stores, whose link bytes are counted")
+	cmd.Flags().StringSliceVar(&l.straight, "straight", nil, "engines that get half of the completions past the entries")
+	cmd.Flags().Uint64Var(&l.seed, "seed", 1, "the seed of the plan")
+	cmd.Flags().Float64Var(&l.rate, "rate", 40, "requests a second")
+	cmd.Flags().DurationVar(&l.length, "length", 10*time.Second, "for how long requests are offered")
+	cmd.Flags().BoolVar(&l.json, "json", false, "print JSON alone")
+	cmd.Flags().StringVar(&l.plot, "plot", "", "a PNG file to write the first-token times to")
+	_ = cmd.MarkFlagRequired("entries")
+	_ = cmd.MarkFlagRequired("tokens")
+	return cmd
+}
+
+func (l *loadCommand) run(ctx context.Context, w io.Writer) (err error) {
+	preset, found := load.FindPreset(l.preset)
+	if !found {
+		return errors.Newf("--preset: expected one of %s", strings.Join(load.PresetNames(), ", "))
+	}
+	tokens, err := readTokens(l.tokens)
+	if err != nil {
+		return err
+	}
+	options := []load.Option{
+		load.WithSeed(l.seed), load.WithRate(l.rate), load.WithLength(l.length), load.WithStraight(l.straight),
+	}
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		options = append(options, load.WithProgress(os.Stderr))
+	}
+	report := load.NewRunner(preset, tokens, l.entries, options...).Run(ctx)
+	if err := l.count(ctx, report); err != nil {
+		return err
+	}
+	if l.plot != "" {
+		if err := report.Plot(l.plot); err != nil {
+			return err
+		}
+	}
+	if err := l.print(w, report); err != nil {
+		return err
+	}
+	return verdict(report)
+}
+
+func readTokens(path string) (tokens map[ident.OrgID]string, err error) {
+	defer func() { err = errors.Wrapf(err, "tokens %s", path) }()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var orgs map[string]ident.OrgID
+	if err := yaml.Unmarshal(raw, &orgs); err != nil {
+		return nil, err
+	}
+	tokens = map[ident.OrgID]string{}
+	for token, org := range orgs {
+		tokens[org] = token
+	}
+	return tokens, nil
+}
+
+// count adds what the stand-ins counted themselves.
+func (l *loadCommand) count(ctx context.Context, report *load.Report) (err error) {
+	defer func() { err = errors.Wrap(err, "count at the stand-ins") }()
+	runs := map[string]int{}
+	for _, address := range l.apps {
+		var one map[string]int
+		if err := get(ctx, address, "/runs", &one); err != nil {
+			return err
+		}
+		for key, n := range one {
+			runs[key] += n
+		}
+	}
+	for _, n := range runs {
+		report.CallsRun++
+		report.DuplicateRuns += n - 1
+	}
+	for _, key := range report.NotRunKeys() {
+		report.FalseNotRun += runs[key]
+	}
+	for _, address := range l.stores {
+		var s stand.StoreStats
+		if err := get(ctx, address, "/stats", &s); err != nil {
+			return err
+		}
+		report.LinkBytes += s.LinkBytes
+	}
+	return nil
+}
+
+func get(ctx context.Context, address, path string, into any) (err error) {
+	req, err := sling.New().Get("http://" + address + path).Request()
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+func (l *loadCommand) print(w io.Writer, r *load.Report) (err error) {
+	if l.json {
+		return json.NewEncoder(w).Encode(r)
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	row := func(name string, value any) { _, _ = fmt.Fprintf(t, "%s\t%v\n", name, value) }
+	row("preset", r.Preset)
+	row("requests", r.Requests)
+	row("whole", r.Whole)
+	row("failed", r.Failed)
+	row("refused, not run", r.RefusedNotRun)
+	row("refusals and faults by code", r.Codes)
+	for _, c := range r.Classes {
+		row("first token, "+string(c.Class), times(c.FirstToken))
+		row("between tokens, "+string(c.Class), times(c.BetweenTokens))
+	}
+	if len(l.straight) > 0 {
+		row("first token, through entries", fmt.Sprintf("p50 %.1f ms  p95 %.1f ms", r.TTFTP50Ms, r.TTFTP95Ms))
+		row("first token, straight", fmt.Sprintf("p50 %.1f ms  p95 %.1f ms", r.StraightP50Ms, r.StraightP95Ms))
+	}
+	row("share recomputed", fmt.Sprintf("%.3f", r.RecomputedShare))
+	row("bytes over store links", r.LinkBytes)
+	row("calls sent / run / run twice", fmt.Sprintf("%d / %d / %d", r.CallsSent, r.CallsRun, r.DuplicateRuns))
+	row("calls said not to have run that ran", r.FalseNotRun)
+	return t.Flush()
+}
+
+func times(q load.Quantiles) string {
+	return fmt.Sprintf("p50 %.1f ms  p95 %.1f ms  p99 %.1f ms  (%d)", q.P50Ms, q.P95Ms, q.P99Ms, q.Count)
+}
+
+// verdict is an error unless every answer was whole and no call ran twice.
+func verdict(r *load.Report) error {
+	if r.Whole != r.Requests || r.DuplicateRuns > 0 || r.FalseNotRun > 0 {
+		return errors.Newf("%d of %d answers were whole, %d calls ran twice, %d ran though said not to have",
+			r.Whole, r.Requests, r.DuplicateRuns, r.FalseNotRun)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/cvlab/stand.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/stand"
+)
+
+// standFlags are the flags of every stand-in.
+type standFlags struct {
+	listen      string
+	addressFile string
+	listURL     string
+	id          string
+	zone        string
+	seed        uint64
+}
+
+func (f *standFlags) register(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&f.listen, "listen", "127.0.0.1:0", "host and port; port 0 takes a free one")
+	cmd.Flags().StringVar(&f.addressFile, "address-file", "", "a file to write the address to")
+	cmd.Flags().StringVar(&f.listURL, "list", "", "the URL of the VM list to register with")
+	cmd.Flags().StringVar(&f.id, "id", "", "the name on the VM list")
+	cmd.Flags().StringVar(&f.zone, "zone", "", "the availability zone")
+	cmd.Flags().Uint64Var(&f.seed, "seed", 1, "the seed of the random numbers")
+}
+
+// serve runs a stand-in until the context ends.
+func (f *standFlags) serve(ctx context.Context, h http.Handler, role sched.Role, services ...ident.ServiceName) (err error) {
+	s, err := stand.NewServer(f.listen, h)
+	if err != nil {
+		return err
+	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(s.Run)
+	if f.addressFile != "" {
+		if err := s.WriteAddress(f.addressFile); err != nil {
+			return err
+		}
+	}
+	if f.listURL != "" {
+		r := stand.NewRegistrar(f.listURL, sched.Upstream{
+			ID: ident.UpstreamID(f.id), Role: role, Address: s.Address(), Zone: ident.Zone(f.zone), Services: services,
+		})
+		group.Go(func() error { return r.Run(ctx) })
+	}
+	<-ctx.Done()
+	s.Close()
+	return group.Wait()
+}
+
+func newStandCommand() *cobra.Command {
+	cmd := &cobra.Command{Use: "stand", Short: "Run a stand-in as a process"}
+	cmd.AddCommand(
+		newLogStand(), newListStand(), newWeightsStand(), newStoreStand(), newEngineStand(), newAppStand(),
+	)
+	return cmd
+}
+
+func standCommand(use, short string, f *standFlags, run func(ctx context.Context) error) *cobra.Command {
+	cmd := &cobra.Command{
+		Use: use, Short: short, Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return run(cmd.Context()) },
+	}
+	f.register(cmd)
+	return cmd
+}
+
+func newLogStand() *cobra.Command {
+	var f standFlags
+	var s stand.LogSettings
+	cmd := standCommand("log", "The platform's log service", &f, func(ctx context.Context) error {
+		s.Seed = f.seed
+		return f.serve(ctx, stand.NewLog(s).Handler(), "")
+	})
+	cmd.Flags().Float64Var(&s.AppendsPerSecond, "appends", 300, "appends a second over all streams")
+	cmd.Flags().IntVar(&s.Retain, "retain", 0, "records kept per stream; 0 keeps all")
+	return cmd
+}
+
+func newListStand() *cobra.Command {
+	var f standFlags
+	var lag, expire time.Duration
+	cmd := standCommand("list", "The platform's list of VMs", &f, func(ctx context.Context) error {
+		return f.serve(ctx, stand.NewList(lag, expire).Handler(), "")
+	})
+	cmd.Flags().DurationVar(&lag, "lag", time.Second, "how late a change shows")
+	cmd.Flags().DurationVar(&expire, "expire", 5*time.Second, "how long a stopped VM still shows")
+	return cmd
+}
+
+func newWeightsStand() *cobra.Command {
+	var f standFlags
+	var takes time.Duration
+	cmd := standCommand("weights", "The rate-limited weight store", &f, func(ctx context.Context) error {
+		return f.serve(ctx, stand.NewWeights(takes).Handler(), "")
+	})
+	cmd.Flags().DurationVar(&takes, "takes", 800*time.Millisecond, "how long a load takes")
+	return cmd
+}
+
+func newStoreStand() *cobra.Command {
+	var f standFlags
+	var s stand.StoreSettings
+	cmd := standCommand("store", "A KV store with memory and disk behind a limited link", &f, func(ctx context.Context) error {
+		return f.serve(ctx, stand.NewStore(s).Handler(), sched.RoleStore)
+	})
+	cmd.Flags().Int64Var(&s.MemoryBytes, "memory", 64<<20, "bytes of memory")
+	cmd.Flags().Int64Var(&s.DiskBytes, "disk", 256<<20, "bytes of disk")
+	cmd.Flags().Float64Var(&s.LinkRate, "link", 64<<20, "bytes a second over the link")
+	cmd.Flags().Float64Var(&s.DiskRate, "disk-rate", 32<<20, "bytes a second from the disk")
+	return cmd
+}
+
+func newEngineStand() *cobra.Command {
+	var f standFlags
+	var s stand.EngineSettings
+	cmd := standCommand("engine", "A model engine with continuous batching", &f, func(ctx context.Context) error {
+		s.Seed = f.seed
+		e := stand.NewEngine(s)
+		group, ctx := errgroup.WithContext(ctx)
+		group.Go(func() error { return e.Run(ctx) })
+		group.Go(func() error { return f.serve(ctx, e.Handler(), sched.RoleEngine) })
+		return group.Wait()
+	})
+	cmd.Flags().StringVar((*string)(&s.Model), "model", "", "the model that it holds")
+	cmd.Flags().StringVar((*string)(&s.Version), "version", "v1", "the weight version that it holds")
+	cmd.Flags().Float64Var(&s.PrefillRate, "prefill-rate", 20000, "prompt tokens a second")
+	cmd.Flags().DurationVar(&s.StepTime, "step", 8*time.Millisecond, "the time of a decoding step")
+	cmd.Flags().DurationVar(&s.SequenceTime, "sequence", 300*time.Microsecond, "what each sequence adds to a step")
+	cmd.Flags().IntVar(&s.MaxBatch, "batch", 16, "sequences in a batch")
+	cmd.Flags().IntVar(&s.CacheBlocks, "cache", 64, "blocks of 1,024 tokens in the prefix cache")
+	cmd.Flags().DurationVar(&s.ColdTime, "cold-time", 2*time.Second, "how long it is cold after a boot")
+	cmd.Flags().IntVar(&s.ColdBears, "cold-bears", 2, "requests that it bears while cold; 0 is without limit")
+	cmd.Flags().DurationVar(&s.LoadLag, "load-lag", 200*time.Millisecond, "how late the load report is")
+	cmd.Flags().DurationVar(&s.EventLag, "event-lag", 500*time.Millisecond, "how late cache events are")
+	cmd.Flags().StringVar(&s.WeightsURL, "weights", "", "the URL of the weight store")
+	cmd.Flags().BoolVar(&s.IgnoreFencing, "ignore-fencing", false, "accept orders with an old fencing number")
+	return cmd
+}
+
+func newAppStand() *cobra.Command {
+	var f standFlags
+	var service string
+	cmd := standCommand("app", "An app engine whose calls count how often they ran", &f, func(ctx context.Context) error {
+		return f.serve(ctx, stand.NewApp(f.seed).Handler(), sched.RoleApp, ident.ServiceName(service))
+	})
+	cmd.Flags().StringVar(&service, "service", "booking", "the service that it runs")
+	return cmd
+}
--- /dev/null
+++ b/core/ident/ident.go
@@ -0,0 +1,62 @@
+// Package ident holds the identifiers that every other package shares.
+package ident
+
+import "slices"
+
+// OrgID names an organisation, the owner of prompts, cache and bookings.
+type OrgID string
+
+// RequestID names one request of one organisation.
+type RequestID string
+
+// UpstreamID names a model engine or an app engine.
+type UpstreamID string
+
+// EntryID names an entry daemon.
+type EntryID string
+
+// Zone names an availability zone.
+type Zone string
+
+// ModelName names a model that engines serve.
+type ModelName string
+
+// Version names one set of weights of a model.
+type Version string
+
+// ServiceName names a plain service that app engines serve.
+type ServiceName string
+
+// BootID changes each time a process starts.
+type BootID string
+
+// Class is the urgency of a request.
+type Class string
+
+// The classes of requests, the most urgent first.
+const (
+	Interactive Class = "interactive"
+	Standard    Class = "standard"
+	Deferred    Class = "deferred"
+)
+
+// Classes lists every class, the most urgent first.
+//
+//	for _, c := range ident.Classes() { fmt.Println(c) }
+func Classes() []Class {
+	return []Class{Interactive, Standard, Deferred}
+}
+
+// Rank is the class's place in [Classes]; an unknown class ranks as [Standard].
+func (c Class) Rank() int {
+	if i := slices.Index(Classes(), c); i >= 0 {
+		return i
+	}
+	return slices.Index(Classes(), Standard)
+}
+
+// Msg is an event that a decider reacts to.
+type Msg interface{}
+
+// Cmd is an action that a decider asks its caller to perform.
+type Cmd interface{}
--- /dev/null
+++ b/core/sched/options.go
@@ -0,0 +1,55 @@
+package sched
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/route"
+)
+
+// Option sets one property of a [Model].
+type Option func(*Model)
+
+// WithSeed seeds the model's random numbers.
+func WithSeed(seed uint64) Option {
+	return func(m *Model) { m.rng = rand.New(rand.NewPCG(seed, seed)) }
+}
+
+// WithZone tells the availability zone of the entry.
+func WithZone(zone ident.Zone) Option {
+	return func(m *Model) { m.zone = zone }
+}
+
+// WithPolicy names the routing policy; see [route.New]. An unknown name keeps the default.
+func WithPolicy(name string) Option {
+	return func(m *Model) { m.policyName = name }
+}
+
+// WithSilence sets how long a stream of a class may bring no byte.
+func WithSilence(class ident.Class, limit time.Duration) Option {
+	return func(m *Model) { m.silence[class] = limit }
+}
+
+// WithMaxAttempts sets how many times a repeatable request may be sent.
+func WithMaxAttempts(n int) Option {
+	return func(m *Model) { m.maxAttempts = n }
+}
+
+const (
+	defaultSeed        = 1
+	defaultMaxAttempts = 4
+	suspectTime        = 500 * time.Millisecond
+	retryAfter         = time.Second
+)
+
+func (m *Model) setDefaults() {
+	m.rng = rand.New(rand.NewPCG(defaultSeed, defaultSeed))
+	m.policyName = route.NameAffinity
+	m.maxAttempts = defaultMaxAttempts
+	m.silence = map[ident.Class]time.Duration{
+		ident.Interactive: 2 * time.Second,
+		ident.Standard:    4 * time.Second,
+		ident.Deferred:    15 * time.Second,
+	}
+}
--- /dev/null
+++ b/io/bench/entry.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/roster"
+	"cicadavalve/io/config"
+	"cicadavalve/io/entry"
+)
+
+// Entry is an entry that runs in this process.
+type Entry struct {
+	ID ident.EntryID
+	// Caller and Peer are the entry's addresses.
+	Caller string
+	Peer   string
+
+	daemon *entry.Daemon
+	stop   context.CancelFunc
+	ended  chan struct{}
+	err    error
+	// paused keeps the entry's loop from handling messages.
+	paused atomic.Bool
+	resume chan struct{}
+	mu     sync.Mutex
+}
+
+const startLimit = 5 * time.Second
+
+// AddEntry starts an entry and waits until its ports are open.
+func (c *Cluster) AddEntry(zone ident.Zone) (e *Entry, err error) {
+	defer func() { err = errors.Wrap(err, "add entry") }()
+	c.started++
+	id := fmt.Sprintf("entry-%d", c.started-1)
+	return c.AddNamedEntry(ident.EntryID(id), zone)
+}
+
+// AddNamedEntry starts an entry under a name; a name used before is a new incarnation.
+func (c *Cluster) AddNamedEntry(id ident.EntryID, zone ident.Zone) (e *Entry, err error) {
+	settings, tokens, err := c.entrySettings(id, zone)
+	if err != nil {
+		return nil, err
+	}
+	e = &Entry{ID: id, ended: make(chan struct{}), resume: make(chan struct{})}
+	started := make(chan roster.Member, 1)
+	e.daemon = entry.NewDaemon(settings, tokens, entry.WithLogger(c.log), entry.WithGate(e.gate),
+		entry.WithStarted(func(m roster.Member) { started <- m }))
+	ctx, stop := context.WithCancel(c.ctx)
+	e.stop = stop
+	c.running.Go(func() { e.run(ctx) })
+	c.entries = append(c.entries, e)
+	select {
+	case m := <-started:
+		e.Caller, e.Peer = m.Address, m.PeerAddress
+		return e, nil
+	case <-e.ended:
+		return nil, e.err
+	case <-time.After(startLimit):
+		return nil, errors.New("the entry did not start in time")
+	}
+}
+
+func (c *Cluster) entrySettings(id ident.EntryID, zone ident.Zone) (s config.Settings, t config.Tokens, err error) {
+	path, err := c.tokensFile()
+	if err != nil {
+		return s, t, err
+	}
+	t, err = config.LoadTokens(path)
+	if err != nil {
+		return s, t, err
+	}
+	text := fmt.Sprintf("entry: %s\nzone: %s\ncaller_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n"+
+		"log_url: %s/\nlist_url: %s/\ntokens_file: %s\nplaintext: true\nseed: %d\nadvice_hold: 300ms\nlist_interval: 100ms\n",
+		id, zone, c.logURL, c.listURL, path, c.started+1)
+	s, err = config.Parse([]byte(text))
+	c.settings(&s)
+	return s, t, err
+}
+
+func (e *Entry) run(ctx context.Context) {
+	e.err = e.daemon.Run(ctx)
+	close(e.ended)
+}
+
+// Stop stops the entry gracefully and waits for it.
+func (e *Entry) Stop() error {
+	e.stop()
+	<-e.ended
+	return e.err
+}
+
+// Kill ends the entry at once, as if its process had been killed.
+func (e *Entry) Kill() {
+	e.Resume()
+	e.daemon.Abort()
+	<-e.ended
+}
+
+// Pause keeps the entry from deciding anything until Resume.
+func (e *Entry) Pause() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.paused.Load() {
+		e.resume = make(chan struct{})
+		e.paused.Store(true)
+	}
+}
+
+// Resume lets a paused entry go on.
+func (e *Entry) Resume() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.paused.Load() {
+		e.paused.Store(false)
+		close(e.resume)
+	}
+}
+
+func (e *Entry) gate() {
+	if !e.paused.Load() {
+		return
+	}
+	e.mu.Lock()
+	resume := e.resume
+	e.mu.Unlock()
+	<-resume
+}
--- /dev/null
+++ b/io/bench/fault.go
@@ -0,0 +1,94 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+)
+
+// Fault replaces the faults of a stand-in at a URL or address; the body is one of
+// the Faults types of package stand.
+func Fault(ctx context.Context, at string, faults any) error {
+	return post(ctx, at, "/fault", faults)
+}
+
+// Post posts a body to a path of a stand-in.
+func Post(ctx context.Context, at, path string, body any) error { return post(ctx, at, path, body) }
+
+func post(ctx context.Context, at, path string, body any) (err error) {
+	defer func() { err = errors.Wrapf(err, "post %s", path) }()
+	if !strings.HasPrefix(at, "http") {
+		at = "http://" + at
+	}
+	req, err := sling.New().Post(at + path).BodyJSON(body).Request()
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// Answer is what a caller got.
+type Answer struct {
+	Status int
+	Body   []byte
+}
+
+// Call posts a request to an entry as an organisation; a connection that breaks is an error.
+func Call(ctx context.Context, e *Entry, token, path, key, body string) (a Answer, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Caller+path, strings.NewReader(body))
+	if err != nil {
+		return a, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	if key != "" {
+		req.Header["Idempotency-Key"] = []string{key}
+	}
+	req.GetBody = nil
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return a, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	a.Status = resp.StatusCode
+	a.Body, err = io.ReadAll(resp.Body)
+	return a, err
+}
+
+// Refused decodes the answer as a refusal.
+func (a Answer) Refused() (code string, notRun bool) {
+	var b struct {
+		Error struct {
+			Code   string `json:"code"`
+			NotRun bool   `json:"not_run"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal(a.Body, &b)
+	return b.Error.Code, b.Error.NotRun
+}
+
+const waitPoll = 5 * time.Millisecond
+
+// Wait polls until a condition holds, and is false where the context ends first.
+func Wait(ctx context.Context, holds func() bool) bool {
+	for ctx.Err() == nil {
+		if holds() {
+			return true
+		}
+		time.Sleep(waitPoll)
+	}
+	return false
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,223 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"log/slog"
+	"mime"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/sched"
+)
+
+const (
+	defaultMaxTokens = 128
+	mostMaxTokens    = 65536
+	maxHeaderValue   = 200
+)
+
+// Server is the callers' HTTP interface.
+type Server struct {
+	backend      Backend
+	maxBodyBytes int64
+	log          *slog.Logger
+	mux          *http.ServeMux
+}
+
+// NewServer is a server that hands requests to a backend.
+func NewServer(backend Backend, maxBodyBytes int64, log *slog.Logger) *Server {
+	s := &Server{backend: backend, maxBodyBytes: maxBodyBytes, log: log, mux: http.NewServeMux()}
+	s.mux.HandleFunc("POST /v1/completions", s.complete(false))
+	s.mux.HandleFunc("POST /v1/chat/completions", s.complete(true))
+	s.mux.HandleFunc("POST /v1/call/{service}/{path...}", s.call)
+	s.mux.HandleFunc("GET /v1/entries", s.entries)
+	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	s.mux.HandleFunc("GET /readyz", s.ready)
+	s.mux.Handle("GET /debug/vars", expvar.Handler())
+	return s
+}
+
+// ServeHTTP implements [http.Handler].
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+func badRequest(status int, code sched.Code, message string) *Refusal {
+	return &Refusal{Status: status, Code: code, Message: message, NotRun: true}
+}
+
+// The codes of refusals that the caller's own request causes.
+const (
+	codeUnauthenticated sched.Code = "unauthenticated"
+	codeBadRequest      sched.Code = "bad_request"
+	codeTooLarge        sched.Code = "body_too_large"
+	codeInternal        sched.Code = "internal"
+)
+
+// head is what the headers of every request tell.
+type head struct {
+	org       ident.OrgID
+	requestID string
+	class     ident.Class
+	deadline  time.Duration
+}
+
+func (s *Server) head(r *http.Request) (h head, err error) {
+	token, bearer := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	org, known := s.backend.Org(token)
+	if !bearer || !known {
+		return h, badRequest(http.StatusUnauthorized, codeUnauthenticated, "expected a known bearer token")
+	}
+	h = head{org: org, requestID: r.Header.Get("X-Request-Id"), class: ident.Class(r.Header.Get("X-Class"))}
+	if h.requestID == "" {
+		h.requestID = uuid.NewString()
+	}
+	if len(h.requestID) > maxHeaderValue {
+		return h, badRequest(http.StatusBadRequest, codeBadRequest, "X-Request-Id: expected at most 200 bytes")
+	}
+	if h.class != "" && ident.Classes()[h.class.Rank()] != h.class {
+		return h, badRequest(http.StatusBadRequest, codeBadRequest, "X-Class: expected interactive, standard or deferred")
+	}
+	h.deadline, err = deadline(r.Header.Get("X-Deadline-Ms"))
+	return h, err
+}
+
+func deadline(text string) (d time.Duration, err error) {
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseUint(text, 10, 31)
+	if err != nil || ms == 0 {
+		return 0, badRequest(http.StatusBadRequest, codeBadRequest, "X-Deadline-Ms: expected a whole number above 0")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (s *Server) body(w http.ResponseWriter, r *http.Request) (raw []byte, err error) {
+	raw, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, badRequest(http.StatusRequestEntityTooLarge, codeTooLarge, "the body is larger than this entry accepts")
+	}
+	if err != nil {
+		return nil, badRequest(http.StatusBadRequest, codeBadRequest, "the body could not be read")
+	}
+	return raw, nil
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request) (c Completion, stream bool, err error) {
+	h, err := s.head(r)
+	if err != nil {
+		return c, false, err
+	}
+	raw, err := s.body(w, r)
+	if err != nil {
+		return c, false, err
+	}
+	var b completionBody
+	if err := json.Unmarshal(raw, &b); err != nil {
+		return c, false, badRequest(http.StatusBadRequest, codeBadRequest, "the body is not the expected JSON")
+	}
+	prompt := b.text()
+	if b.MaxTokens == 0 {
+		b.MaxTokens = defaultMaxTokens
+	}
+	switch {
+	case b.Model == "":
+		err = badRequest(http.StatusBadRequest, codeBadRequest, "model: expected a name")
+	case prompt == "":
+		err = badRequest(http.StatusBadRequest, codeBadRequest, "prompt or messages: expected text")
+	case b.MaxTokens < 0 || b.MaxTokens > mostMaxTokens:
+		err = badRequest(http.StatusBadRequest, codeBadRequest, "max_tokens: expected 1 to 65536")
+	}
+	c = Completion{
+		Org: h.org, RequestID: h.requestID, Model: b.Model, Class: h.class,
+		Prompt: prompt, MaxTokens: b.MaxTokens, Deadline: h.deadline, Sampling: b.Sampling,
+	}
+	return c, b.Stream, err
+}
+
+func (s *Server) complete(chat bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, stream, err := s.completion(w, r)
+		if err != nil {
+			s.refuse(w, err)
+			return
+		}
+		w.Header().Set("X-Request-Id", c.RequestID)
+		sh := shape{id: c.RequestID, model: c.Model, chat: chat}
+		if stream {
+			s.stream(r.Context(), w, c, sh)
+			return
+		}
+		s.collect(r.Context(), w, c, sh)
+	}
+}
+
+func (s *Server) collect(ctx context.Context, w http.ResponseWriter, c Completion, sh shape) {
+	var text strings.Builder
+	answer, err := s.backend.Complete(ctx, c, func(token string) error {
+		text.WriteString(token)
+		return nil
+	})
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, sh.end(text.String(), false, answer))
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	h, err := s.head(r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	raw, err := s.body(w, r)
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	w.Header().Set("X-Request-Id", h.requestID)
+	reply, err := s.backend.Call(r.Context(), Call{
+		Org: h.org, RequestID: h.requestID, Class: h.class, Deadline: h.deadline,
+		Service: ident.ServiceName(r.PathValue("service")), Path: r.PathValue("path"),
+		Key: r.Header.Get("Idempotency-Key"), ContentType: r.Header.Get("Content-Type"), Body: raw,
+	})
+	if err != nil {
+		s.refuse(w, err)
+		return
+	}
+	if _, _, err := mime.ParseMediaType(reply.ContentType); err == nil {
+		w.Header().Set("Content-Type", reply.ContentType)
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body)
+}
+
+func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, s.backend.Entries(r.Context()))
+}
+
+func (s *Server) ready(w http.ResponseWriter, r *http.Request) {
+	if err := s.backend.Ready(r.Context()); err != nil {
+		s.refuse(w, err)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/io/config/config.go
@@ -0,0 +1,161 @@
+// Package config reads and checks the settings of a process.
+package config
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/route"
+)
+
+// ErrInvalid marks every fault in the settings.
+var ErrInvalid = errors.New("invalid settings")
+
+// Duration is a time.Duration that YAML writes as text such as 250ms.
+type Duration time.Duration
+
+// UnmarshalYAML reads text such as 250ms.
+func (d *Duration) UnmarshalYAML(raw []byte) (err error) {
+	var text string
+	if err := yaml.Unmarshal(raw, &text); err != nil {
+		return err
+	}
+	parsed, err := time.ParseDuration(text)
+	*d = Duration(parsed)
+	return err
+}
+
+// MarshalYAML writes text such as 250ms.
+func (d Duration) MarshalYAML() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Settings are the settings of an entry, as the YAML file holds them.
+type Settings struct {
+	// Entry names the daemon; it is unique among the entries.
+	Entry string `yaml:"entry"`
+	Zone  string `yaml:"zone"`
+	// CallerAddress is where callers connect, as host:port.
+	CallerAddress string `yaml:"caller_address"`
+	// PeerAddress is where other entries and operators connect, as host:port.
+	PeerAddress string `yaml:"peer_address"`
+	// LogURL and ListURL locate the platform's log service and VM list.
+	LogURL  string `yaml:"log_url"`
+	ListURL string `yaml:"list_url"`
+	// TokensFile maps bearer tokens to organisations.
+	TokensFile string `yaml:"tokens_file"`
+	// Plaintext must be true for the peer protocol to run without TLS.
+	Plaintext bool `yaml:"plaintext"`
+	// Policy names the routing policy.
+	Policy string `yaml:"policy"`
+	// Seed seeds the random numbers of the deciders; 0 takes a random seed.
+	Seed uint64 `yaml:"seed"`
+	// LogFormat is json or text; LogLevel is debug, info, warn or error.
+	LogFormat string `yaml:"log_format"`
+	LogLevel  string `yaml:"log_level"`
+	// MaxBodyBytes bounds a caller's request body.
+	MaxBodyBytes int64 `yaml:"max_body_bytes"`
+	// ProbeInterval is the time between load reports asked of an upstream.
+	ProbeInterval Duration `yaml:"probe_interval"`
+	// ListInterval is the time between readings of the VM list.
+	ListInterval Duration `yaml:"list_interval"`
+	// AdviceHold is how long callers may keep the answer of GET /v1/entries.
+	AdviceHold Duration `yaml:"advice_hold"`
+	// StopTimeout bounds a graceful shutdown.
+	StopTimeout Duration `yaml:"stop_timeout"`
+	// LogTimeout bounds one append or read of the log.
+	LogTimeout Duration `yaml:"log_timeout"`
+}
+
+func defaults() Settings {
+	return Settings{
+		Policy:        route.NameAffinity,
+		LogFormat:     "json",
+		LogLevel:      "info",
+		MaxBodyBytes:  4 << 20,
+		ProbeInterval: Duration(100 * time.Millisecond),
+		ListInterval:  Duration(500 * time.Millisecond),
+		AdviceHold:    Duration(2 * time.Second),
+		StopTimeout:   Duration(30 * time.Second),
+		LogTimeout:    Duration(2 * time.Second),
+	}
+}
+
+// Load reads and checks a settings file; an unknown key is an error.
+func Load(path string) (s Settings, err error) {
+	defer func() { err = errors.Wrapf(err, "settings %s", path) }()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	return Parse(raw)
+}
+
+// Parse reads and checks settings; an unknown key is an error.
+func Parse(raw []byte) (s Settings, err error) {
+	s = defaults()
+	if err := yaml.UnmarshalWithOptions(raw, &s, yaml.Strict()); err != nil {
+		return s, errors.Mark(err, ErrInvalid)
+	}
+	return s, s.check()
+}
+
+// check reports every fault at once.
+func (s *Settings) check() (err error) {
+	var faults []error
+	fault := func(bad bool, text string) {
+		if bad {
+			faults = append(faults, errors.Mark(errors.New(text), ErrInvalid))
+		}
+	}
+	fault(s.Entry == "", "entry: expected a name")
+	fault(s.Zone == "", "zone: expected an availability zone")
+	fault(!isAddress(s.CallerAddress), "caller_address: expected host:port")
+	fault(!isAddress(s.PeerAddress), "peer_address: expected host:port")
+	fault(s.LogURL == "", "log_url: expected the URL of the log service")
+	fault(s.ListURL == "", "list_url: expected the URL of the VM list")
+	fault(s.TokensFile == "", "tokens_file: expected the path of a YAML file")
+	fault(!s.Plaintext, "plaintext: expected true; TLS needs tls settings")
+	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
+	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
+	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
+	for name, d := range map[string]Duration{
+		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
+		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout,
+	} {
+		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
+	}
+	return errors.Join(faults...)
+}
+
+func isAddress(text string) bool {
+	_, _, err := net.SplitHostPort(text)
+	return err == nil
+}
+
+// Tokens maps bearer tokens to the organisations that hold them.
+type Tokens struct {
+	orgs map[string]ident.OrgID
+}
+
+// LoadTokens reads a YAML file of token: organisation.
+func LoadTokens(path string) (t Tokens, err error) {
+	defer func() { err = errors.Wrapf(err, "tokens %s", path) }()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return t, err
+	}
+	err = yaml.Unmarshal(raw, &t.orgs)
+	return t, err
+}
+
+// Org is the organisation of a token, and whether the token is known.
+func (t Tokens) Org(token string) (org ident.OrgID, known bool) {
+	org, known = t.orgs[token]
+	return org, known && org != ""
+}
--- /dev/null
+++ b/io/engine/client.go
@@ -0,0 +1,171 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+	"github.com/tmaxmax/go-sse"
+
+	"cicadavalve/core/sched"
+)
+
+// The faults of an attempt, one for each [sched.Cause].
+var (
+	ErrConnect = errors.New("no connection was made")
+	ErrRefused = errors.New("the upstream refused the request")
+	ErrBroken  = errors.New("the connection or the stream broke")
+	ErrSilent  = errors.New("the upstream sent no byte in time")
+)
+
+// maxReplyBytes bounds the kept answer of a plain service.
+const maxReplyBytes = 1 << 20
+
+// HTTPClient is a [Client] over HTTP.
+type HTTPClient struct {
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+// NewHTTPClient is a client with a pool of connections per upstream.
+func NewHTTPClient(connectTimeout time.Duration, idlePerHost int) *HTTPClient {
+	dialer := &net.Dialer{Timeout: connectTimeout}
+	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost}
+	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
+	return &HTTPClient{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+}
+
+// CloseIdle closes the connections that no request uses.
+func (c *HTTPClient) CloseIdle() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Cause classifies an error of an attempt.
+func Cause(err error) sched.Cause {
+	switch {
+	case errors.Is(err, ErrConnect):
+		return sched.CauseConnect
+	case errors.Is(err, ErrRefused):
+		return sched.CauseRefused
+	case errors.Is(err, ErrSilent):
+		return sched.CauseSilent
+	case errors.Is(err, ErrBroken):
+		return sched.CauseBroken
+	}
+	return sched.CauseInvalid
+}
+
+// Complete implements [Client].
+func (c *HTTPClient) Complete(ctx context.Context, t Target, body Completion, sink func(Event) error) (err error) {
+	defer func() { err = errors.Wrapf(err, "complete on %s", t.Address) }()
+	req, err := sling.New().Post("http://" + t.Address + "/v1/completions").BodyJSON(body).Request()
+	if err != nil {
+		return err
+	}
+	w := newWatchdog(ctx, t.Silence)
+	defer w.stop()
+	resp, err := c.send(w, t, req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readEvents(w, resp.Body, sink)
+}
+
+// Call implements [Client].
+func (c *HTTPClient) Call(ctx context.Context, t Target, call Call) (reply Reply, err error) {
+	defer func() { err = errors.Wrapf(err, "call on %s", t.Address) }()
+	url := "http://" + t.Address + "/call/" + string(call.Service) + "/" + call.Path
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(call.Body))
+	if err != nil {
+		return reply, err
+	}
+	// A request with GetBody or an idempotency key would be sent again by net/http itself.
+	req.GetBody = nil
+	req.Header.Set("Content-Type", call.ContentType)
+	if call.Key != "" {
+		req.Header.Set("X-Call-Key", call.Key)
+	}
+	w := newWatchdog(ctx, t.Silence)
+	defer w.stop()
+	resp, err := c.send(w, t, req)
+	if err != nil {
+		return reply, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return reply, w.mark(err)
+	}
+	return Reply{resp.StatusCode, resp.Header.Get("Content-Type"), raw}, nil
+}
+
+// Load implements [Client].
+func (c *HTTPClient) Load(ctx context.Context, address string) (load sched.Load, err error) {
+	defer func() { err = errors.Wrapf(err, "load of %s", address) }()
+	req, err := sling.New().Get("http://" + address + "/load").Request()
+	if err != nil {
+		return load, err
+	}
+	resp, err := c.pooled.Do(req.WithContext(ctx))
+	if err != nil {
+		return load, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return load, errors.Newf("status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(resp.Body).Decode(&load)
+	return load, err
+}
+
+// send marks a fault as ErrConnect only where no byte of the request can have been written.
+func (c *HTTPClient) send(w *watchdog, t Target, req *http.Request) (resp *http.Response, err error) {
+	client := c.pooled
+	if t.FreshConnection {
+		client = c.fresh
+	}
+	resp, err = client.Do(req.WithContext(w.ctx))
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return nil, errors.Mark(err, ErrConnect)
+	}
+	if err != nil {
+		return nil, w.mark(err)
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Not-Run") == "true" {
+		_ = resp.Body.Close()
+		return nil, ErrRefused
+	}
+	return resp, nil
+}
+
+func readEvents(w *watchdog, body io.Reader, sink func(Event) error) (err error) {
+	for raw, err := range sse.Read(body, nil) {
+		if err != nil {
+			return w.mark(err)
+		}
+		w.reset()
+		if raw.Data == doneMarker {
+			return nil
+		}
+		var e Event
+		if err := json.Unmarshal([]byte(raw.Data), &e); err != nil {
+			return errors.Mark(err, ErrBroken)
+		}
+		if err := sink(e); err != nil {
+			return err
+		}
+	}
+	return w.mark(io.ErrUnexpectedEOF)
+}
+
+// doneMarker is the data of the last server-sent event.
+const doneMarker = "[DONE]"
--- /dev/null
+++ b/io/entry/call.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/once"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/caller"
+	"cicadavalve/io/engine"
+)
+
+// call is one caller's call of a plain service while its handler runs it.
+type call struct {
+	d   *Daemon
+	req caller.Call
+	id  ident.RequestID
+	// once is true where the service's calls run at most once.
+	once bool
+	// attempt is the id of the start record of a once-only call.
+	attempt string
+	s       *session
+}
+
+// The codes of refusals that once-only calls add.
+const (
+	codeKeyRequired sched.Code = "idempotency_key_required"
+	codeKeyReused   sched.Code = "idempotency_key_reused"
+	codeInProgress  sched.Code = "in_progress"
+)
+
+// Call implements [caller.Backend].
+func (d *Daemon) Call(ctx context.Context, req caller.Call) (reply engine.Reply, err error) {
+	runsOnce, known := d.service(ctx, req.Service)
+	if !known {
+		return reply, &caller.Refusal{Code: sched.CodeUnknownService, Message: "no rule names this service", NotRun: true}
+	}
+	c := &call{d: d, req: req, id: ident.RequestID(uuid.NewString()), once: runsOnce, attempt: uuid.NewString()}
+	c.s = d.sessions.open(c.id)
+	defer d.finish(ctx, c.id)
+	if !runsOnce {
+		return c.send(ctx)
+	}
+	if req.Key == "" {
+		return reply, &caller.Refusal{
+			Status: http.StatusBadRequest, Code: codeKeyRequired, NotRun: true,
+			Message: "this service runs each call at most once: expected an Idempotency-Key header",
+		}
+	}
+	return c.runOnce(ctx)
+}
+
+func (d *Daemon) service(ctx context.Context, name ident.ServiceName) (runsOnce, known bool) {
+	d.inspect(ctx, func() { runsOnce, known = d.sched.Service(name) })
+	return runsOnce, known
+}
+
+func (c *call) digest() string {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(c.req.Service), []byte(c.req.Path), c.req.Body} {
+		sum := sha256.Sum256(part)
+		h.Write(sum[:])
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// runOnce sends the call only after its start record has won the key.
+func (c *call) runOnce(ctx context.Context) (reply engine.Reply, err error) {
+	key := once.Key{Org: c.req.Org, Key: c.req.Key}
+	c.d.post(ctx, once.CallMsg{Request: c.id, Key: key, Digest: c.digest(), Attempt: c.attempt})
+	for {
+		select {
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		case cmd := <-c.s.mailbox:
+			switch cmd := cmd.(type) {
+			case once.SendCmd:
+				c.sendOnce(ctx)
+			case once.AnswerCmd:
+				return c.answer(cmd)
+			}
+		}
+	}
+}
+
+// sendOnce goes on when the caller leaves, so that the outcome is kept.
+func (c *call) sendOnce(ctx context.Context) {
+	ctx = context.WithoutCancel(ctx)
+	reply, err := c.send(ctx)
+	var refused *caller.Refusal
+	switch {
+	case err == nil:
+		result := once.Result{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+		c.d.post(ctx, once.DoneMsg{Attempt: c.attempt, Result: &result})
+	case errors.As(err, &refused) && refused.NotRun:
+		c.d.post(ctx, once.NotRunMsg{Attempt: c.attempt})
+	default:
+		c.d.post(ctx, once.DoneMsg{Attempt: c.attempt})
+	}
+}
+
+func (c *call) answer(cmd once.AnswerCmd) (reply engine.Reply, err error) {
+	refused := &caller.Refusal{RetryAfter: retryAfter}
+	switch cmd.Answer {
+	case once.AnswerResult:
+		return engine.Reply{Status: cmd.Result.Status, ContentType: cmd.Result.ContentType, Body: cmd.Result.Body}, nil
+	case once.AnswerInProgress:
+		refused.Status, refused.Code = http.StatusConflict, codeInProgress
+		refused.Message = "another call with this key has started and not ended"
+	case once.AnswerMismatch:
+		refused.Status, refused.Code = http.StatusUnprocessableEntity, codeKeyReused
+		refused.Message = "this key was used before with another body"
+		refused.NotRun = true
+	case once.AnswerNotRun:
+		refused.Code, refused.Message, refused.NotRun = sched.CodeNoUpstream, "the call was not run; its key is free", true
+	default:
+		refused.Code, refused.Message = sched.CodeOutcomeUnknown, "the call may have run and will not be run again"
+	}
+	return reply, refused
+}
+
+// send asks the scheduler for an upstream and sends the call.
+func (c *call) send(ctx context.Context) (reply engine.Reply, err error) {
+	c.d.post(ctx, sched.ArriveMsg{Request: sched.Request{
+		ID: c.id, Org: c.req.Org, Service: c.req.Service, Class: c.class(),
+		Repeatable: !c.once, Deadline: c.req.Deadline,
+	}})
+	for {
+		select {
+		case <-ctx.Done():
+			return reply, ctx.Err()
+		case cmd := <-c.s.mailbox:
+			switch cmd := cmd.(type) {
+			case sched.RefuseCmd:
+				return reply, refusal(cmd)
+			case sched.SendCmd:
+				if reply, ok := c.attemptOn(ctx, cmd); ok {
+					return reply, nil
+				}
+			}
+		}
+	}
+}
+
+func (c *call) class() ident.Class {
+	if c.req.Class == "" {
+		return ident.Standard
+	}
+	return c.req.Class
+}
+
+func (c *call) attemptOn(ctx context.Context, cmd sched.SendCmd) (reply engine.Reply, ok bool) {
+	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
+	reply, err := c.d.engines.Call(ctx, target, engine.Call{
+		Service: c.req.Service, Path: c.req.Path, Key: c.req.Key, ContentType: c.req.ContentType, Body: c.req.Body,
+	})
+	if err != nil {
+		c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "error", err)
+		c.d.post(ctx, sched.FailMsg{Request: c.id, Attempt: cmd.Attempt, Cause: engine.Cause(err)})
+		return reply, false
+	}
+	c.d.post(ctx, sched.EndMsg{Request: c.id, Attempt: cmd.Attempt})
+	c.d.meter.Count("calls_whole", 1)
+	return reply, true
+}
--- /dev/null
+++ b/io/entry/complete.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/retry"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/caller"
+	"cicadavalve/io/engine"
+	"cicadavalve/io/meter"
+)
+
+const (
+	bytesPerToken  = 4
+	blockTokens    = 1024
+	blockBytes     = blockTokens * bytesPerToken
+	cacheSaltLabel = "cicadavalve cache"
+)
+
+// completion is one caller's completion while its handler runs it.
+type completion struct {
+	d    *Daemon
+	req  caller.Completion
+	id   ident.RequestID
+	sink func(string) error
+	seq  *retry.Sequence
+	// prior is the text that the caller already has.
+	prior strings.Builder
+	usage engine.Usage
+	// class is the class in force, which the first sending tells.
+	class   ident.Class
+	started time.Time
+	last    time.Time
+}
+
+// Complete implements [caller.Backend].
+func (d *Daemon) Complete(
+	ctx context.Context, req caller.Completion, sink func(string) error,
+) (answer caller.Answer, err error) {
+	id := ident.RequestID(uuid.NewString())
+	c := &completion{d: d, req: req, id: id, sink: sink, seq: retry.NewSequence(string(id)), started: time.Now()}
+	c.last = c.started
+	s := d.sessions.open(id)
+	defer d.finish(ctx, id)
+	d.post(ctx, sched.ArriveMsg{Request: c.describe()})
+	if err := c.run(ctx, s); err != nil {
+		return answer, err
+	}
+	return caller.Answer{Version: c.usage.Version, Usage: c.usage}, nil
+}
+
+// finish forgets a request; the scheduler hears of it even when the caller went away.
+func (d *Daemon) finish(ctx context.Context, id ident.RequestID) {
+	d.sessions.close(id)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+	defer cancel()
+	d.post(ctx, sched.GoneMsg{Request: id})
+}
+
+func (c *completion) describe() sched.Request {
+	root := c.req.Prompt[:min(len(c.req.Prompt), blockBytes)]
+	return sched.Request{
+		ID: c.id, Org: c.req.Org, Model: c.req.Model, Class: c.req.Class,
+		PromptRoot: xxhash.Sum64String(root), PromptTokens: promptTokens(c.req.Prompt),
+		MaxTokens: c.req.MaxTokens, Repeatable: true, Deadline: c.req.Deadline,
+	}
+}
+
+func promptTokens(prompt string) int {
+	return (len(prompt) + bytesPerToken - 1) / bytesPerToken
+}
+
+// run performs the request's commands until its final answer.
+func (c *completion) run(ctx context.Context, s *session) (err error) {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case cmd := <-s.mailbox:
+			switch cmd := cmd.(type) {
+			case sched.RefuseCmd:
+				return refusal(cmd)
+			case sched.SendCmd:
+				if whole, err := c.attempt(ctx, cmd); whole || err != nil {
+					return err
+				}
+			}
+		}
+	}
+}
+
+func refusal(cmd sched.RefuseCmd) *caller.Refusal {
+	return &caller.Refusal{Code: cmd.Code, Message: cmd.Message, NotRun: cmd.NotRun, RetryAfter: cmd.RetryAfter}
+}
+
+// errCaller marks a fault on the caller's side, which no other upstream can mend.
+var errCaller = errors.New("the caller's connection broke")
+
+func (c *completion) attempt(ctx context.Context, cmd sched.SendCmd) (whole bool, err error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	c.d.sessions.begin(c.id, cmd.Attempt, stop)
+	c.class = cmd.Class
+	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
+	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
+	if err == nil && !c.seq.Whole() {
+		err = retry.ErrIncomplete
+	}
+	if errors.Is(err, errCaller) {
+		return false, err
+	}
+	if err != nil {
+		c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "error", err)
+		c.d.post(ctx, sched.FailMsg{
+			Request: c.id, Attempt: cmd.Attempt, Cause: engine.Cause(err), Delivered: c.seq.Next(),
+		})
+		return false, nil
+	}
+	c.d.post(ctx, sched.EndMsg{Request: c.id, Attempt: cmd.Attempt, CachedTokens: c.usage.CachedTokens})
+	c.observe(meter.WholeAnswer, time.Since(c.started))
+	c.count()
+	return true, nil
+}
+
+func (c *completion) body(cmd sched.SendCmd) engine.Completion {
+	return engine.Completion{
+		RequestID: string(c.id), Model: c.req.Model, Version: cmd.Version, Prompt: c.req.Prompt,
+		MaxTokens: c.req.MaxTokens, Priority: cmd.Priority, CacheSalt: c.d.cacheSalt(c.req.Org),
+		ResumeFrom: c.seq.Next(), Prior: c.prior.String(), Sampling: c.req.Sampling,
+	}
+}
+
+// cacheSalt keeps organisations' prefix caches apart; it is the same on every entry.
+func (d *Daemon) cacheSalt(org ident.OrgID) string {
+	mac := hmac.New(sha256.New, []byte(cacheSaltLabel))
+	mac.Write([]byte(org))
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+func (c *completion) event(ctx context.Context, cmd sched.SendCmd, e engine.Event) (err error) {
+	if e.Finish != "" {
+		if e.Usage != nil {
+			c.usage = *e.Usage
+		}
+		return c.seq.End(e.ID, e.Seq)
+	}
+	deliver, err := c.seq.Accept(e.ID, e.Seq)
+	if err != nil || !deliver {
+		return err
+	}
+	c.clock(ctx, cmd)
+	c.prior.WriteString(e.Text)
+	if err := c.sink(e.Text); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	return nil
+}
+
+// clock observes the time to the first token and the times between tokens.
+func (c *completion) clock(ctx context.Context, cmd sched.SendCmd) {
+	now := time.Now()
+	measure := meter.BetweenTokens
+	if c.seq.Next() == 1 {
+		measure = meter.FirstToken
+		c.d.post(ctx, sched.FirstMsg{Request: c.id, Attempt: cmd.Attempt})
+	}
+	c.observe(measure, now.Sub(c.last))
+	c.last = now
+}
+
+func (c *completion) observe(m meter.Measure, d time.Duration) {
+	c.d.meter.Observe(meter.Key{Org: c.req.Org, Class: c.class, Measure: m}, d)
+}
+
+func (c *completion) count() {
+	c.d.meter.Count("completions_whole", 1)
+	c.d.meter.Count("prompt_tokens", int64(c.usage.PromptTokens))
+	c.d.meter.Count("cached_tokens", int64(c.usage.CachedTokens))
+}
--- /dev/null
+++ b/io/entry/daemon.go
@@ -0,0 +1,273 @@
+// Package entry assembles the entry daemon: it turns outside events into
+// messages for the deciders of core and performs their commands.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/once"
+	"cicadavalve/core/roster"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/caller"
+	"cicadavalve/io/config"
+	"cicadavalve/io/engine"
+	"cicadavalve/io/logsvc"
+	"cicadavalve/io/meter"
+	"cicadavalve/io/peer"
+	"cicadavalve/io/vmlist"
+)
+
+const (
+	connectTimeout   = 500 * time.Millisecond
+	idlePerUpstream  = 64
+	inboxSize        = 1024
+	readHeaderLimit  = 5 * time.Second
+	tickInterval     = 50 * time.Millisecond
+	proposalDeadline = 10 * time.Second
+)
+
+// Daemon is one entry.
+type Daemon struct {
+	settings    config.Settings
+	tokens      config.Tokens
+	log         *slog.Logger
+	incarnation ident.BootID
+	self        roster.Member
+	// started is called once the ports are open.
+	started func(roster.Member)
+	// gate is called before each message that the loop handles.
+	gate func()
+	// aborted is closed to stop without a graceful shutdown.
+	aborted   chan struct{}
+	abortOnce sync.Once
+
+	engines *engine.HTTPClient
+	logs    logsvc.Service
+	list    vmlist.List
+	meter   *meter.Meter
+
+	inbox    chan work
+	sessions *sessions
+	appender *appender
+	prober   *prober
+
+	// The deciders belong to the loop alone; others look at them through inspect.
+	config *ledger.Config
+	roster *roster.Roster
+	once   *once.Model
+	sched  *sched.Model
+	// leaving is set by the loop once a graceful shutdown has begun.
+	leaving bool
+}
+
+// NewDaemon is an entry that is not running yet.
+func NewDaemon(settings config.Settings, tokens config.Tokens, options ...Option) *Daemon {
+	incarnation := ident.BootID(uuid.NewString())
+	id := ident.EntryID(settings.Entry)
+	d := &Daemon{
+		settings: settings, tokens: tokens, log: slog.Default(), incarnation: incarnation,
+		started: func(roster.Member) {}, gate: func() {}, aborted: make(chan struct{}),
+		engines:  engine.NewHTTPClient(connectTimeout, idlePerUpstream),
+		logs:     logsvc.NewClient(settings.LogURL, &http.Client{}),
+		list:     vmlist.NewClient(settings.ListURL, &http.Client{Timeout: time.Duration(settings.LogTimeout)}),
+		meter:    meter.NewMeter(),
+		inbox:    make(chan work, inboxSize),
+		sessions: newSessions(),
+		config:   ledger.NewConfig(),
+		roster:   roster.NewRoster(),
+		once:     once.NewModel(id, incarnation),
+		sched: sched.NewModel(
+			sched.WithSeed(seed(settings.Seed)), sched.WithZone(ident.Zone(settings.Zone)), sched.WithPolicy(settings.Policy),
+		),
+	}
+	for _, o := range options {
+		o(d)
+	}
+	d.log = d.log.With("entry", settings.Entry)
+	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
+	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
+	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
+	return d
+}
+
+func seed(setting uint64) uint64 {
+	if setting != 0 {
+		return setting
+	}
+	return rand.Uint64()
+}
+
+// Meter holds the entry's figures.
+func (d *Daemon) Meter() *meter.Meter { return d.meter }
+
+// listeners are the entry's two open ports.
+type listeners struct {
+	caller net.Listener
+	peer   net.Listener
+}
+
+func (d *Daemon) listen() (l listeners, err error) {
+	defer func() { err = errors.Wrap(err, "listen") }()
+	l.caller, err = net.Listen("tcp", d.settings.CallerAddress)
+	if err != nil {
+		return l, err
+	}
+	l.peer, err = net.Listen("tcp", d.settings.PeerAddress)
+	if err != nil {
+		_ = l.caller.Close()
+		return l, err
+	}
+	d.self.Address = l.caller.Addr().String()
+	d.self.PeerAddress = l.peer.Addr().String()
+	return l, nil
+}
+
+// Run serves until the context ends, and then stops gracefully: it leaves the
+// roster, serves on until no caller's address advice names it, and cuts no request.
+//
+//	d := entry.NewDaemon(settings, tokens, entry.WithLogger(log))
+//	err := d.Run(ctx)
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "entry %s", d.settings.Entry) }()
+	l, err := d.listen()
+	if err != nil {
+		return err
+	}
+	// The loops outlive ctx, so that the requests in flight can end.
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLoops()
+	group, loops := errgroup.WithContext(loops)
+	d.startLoops(loops, group)
+	callers := newServer(caller.NewServer(d, d.settings.MaxBodyBytes, d.log), l.caller)
+	peers := newServer(peer.NewHandler(d), l.peer)
+	group.Go(callers.run)
+	group.Go(peers.run)
+	d.log.Info("entry_started", "caller_address", d.self.Address, "peer_address", d.self.PeerAddress)
+	d.started(d.self)
+	d.join(loops)
+	select {
+	case <-ctx.Done():
+	case <-d.aborted:
+	case <-loops.Done():
+	}
+	d.stop(loops, callers, peers)
+	stopLoops()
+	err = group.Wait()
+	d.engines.CloseIdle()
+	d.log.Info("entry_stopped")
+	return err
+}
+
+// Abort stops at once: it leaves no roster and cuts the requests in flight.
+func (d *Daemon) Abort() {
+	d.abortOnce.Do(func() { close(d.aborted) })
+}
+
+// stop ends the servers gracefully, or at once after Abort.
+func (d *Daemon) stop(ctx context.Context, callers, peers *server) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.settings.StopTimeout))
+	defer cancel()
+	ending := &stopper{d: d, cancel: cancel, done: make(chan struct{})}
+	go ending.run()
+	d.leave(ctx)
+	callers.stop(ctx)
+	peers.stop(ctx)
+	close(ending.done)
+}
+
+// stopper cuts a graceful shutdown short when the daemon is aborted.
+type stopper struct {
+	d      *Daemon
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func (s *stopper) run() {
+	select {
+	case <-s.d.aborted:
+		s.cancel()
+	case <-s.done:
+	}
+}
+
+func (d *Daemon) startLoops(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return d.loop(ctx) })
+	group.Go(func() error { return d.appender.run(ctx) })
+	group.Go(func() error { return d.prober.run(ctx) })
+	group.Go(func() error { return d.lister().run(ctx) })
+	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
+		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), d.postBatch, d.log)
+		group.Go(func() error { return f.Run(ctx) })
+	}
+}
+
+func (d *Daemon) postBatch(ctx context.Context, batch ledger.BatchMsg) { d.post(ctx, batch) }
+
+// server is an HTTP server on an open port.
+type server struct {
+	http *http.Server
+	on   net.Listener
+}
+
+func newServer(h http.Handler, on net.Listener) *server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &server{http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderLimit, Protocols: protocols}, on: on}
+}
+
+func (s *server) run() error {
+	err := s.http.Serve(s.on)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// stop waits for the requests in flight until the context ends.
+func (s *server) stop(ctx context.Context) {
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
+
+func (d *Daemon) join(ctx context.Context) {
+	d.appendMember(ctx, roster.KindJoin)
+}
+
+func (d *Daemon) leave(ctx context.Context) {
+	select {
+	case <-d.aborted:
+		return
+	default:
+	}
+	d.inspect(ctx, func() { d.leaving = true })
+	d.appendMember(ctx, roster.KindLeave)
+	timer := time.NewTimer(time.Duration(d.settings.AdviceHold))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Daemon) appendMember(ctx context.Context, kind ledger.Kind) {
+	rec, err := ledger.NewRecord(uuid.NewString(), kind, d.settings.Entry, d.self)
+	if err != nil {
+		d.log.Error("record_not_encoded", "error", err)
+		return
+	}
+	d.appender.add(ctx, ledger.StreamRoster, rec)
+}
--- /dev/null
+++ b/io/entry/daemon_test.go
@@ -0,0 +1,167 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/io/bench"
+	"cicadavalve/io/stand"
+)
+
+const testRules = `
+route model m class interactive  # asked by: test
+serve model m version v1  # asked by: test
+route service booking runs once  # asked by: test
+route service lookup runs repeatable  # asked by: test
+`
+
+func engineSettings() stand.EngineSettings {
+	return stand.EngineSettings{
+		Model: "m", Version: "v1", PrefillRate: 200000, StepTime: time.Millisecond, MaxBatch: 16, CacheBlocks: 64, Seed: 1,
+	}
+}
+
+// startCluster runs entries before two engines and one app engine, and waits until all are ready.
+func startCluster(t *testing.T, entries int, options ...bench.Option) (*bench.Cluster, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	c, err := bench.Start(append([]bench.Option{bench.WithRules(testRules)}, options...)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	for range 2 {
+		if _, err := c.AddEngine("dunedin", engineSettings()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.AddApp("dunedin", "booking"); err != nil {
+		t.Fatal(err)
+	}
+	for range entries {
+		e, err := c.AddEntry("dunedin")
+		if err != nil {
+			t.Fatal(err)
+		}
+		waitServing(ctx, t, e)
+	}
+	return c, ctx
+}
+
+// waitServing waits until an entry answers both a completion and a call.
+func waitServing(ctx context.Context, t *testing.T, e *bench.Entry) {
+	t.Helper()
+	n := 0
+	serving := bench.Wait(ctx, func() bool {
+		n++
+		a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody("ready?", 1))
+		b, err2 := bench.Call(ctx, e, bench.Token, "/v1/call/booking/x", fmt.Sprintf("ready-%s-%s-%d", e.ID, e.Caller, n), "{}")
+		return err == nil && err2 == nil && a.Status == http.StatusOK && b.Status == http.StatusOK
+	})
+	if !serving {
+		t.Fatal("the entry did not come to serve")
+	}
+}
+
+func completionBody(prompt string, tokens int) string {
+	raw, _ := json.Marshal(map[string]any{"model": "m", "prompt": prompt, "max_tokens": tokens})
+	return string(raw)
+}
+
+func answerText(t *testing.T, a bench.Answer) string {
+	t.Helper()
+	var b struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(a.Body, &b); err != nil || len(b.Choices) != 1 {
+		t.Fatalf("status %d, body %s: %v", a.Status, a.Body, err)
+	}
+	return b.Choices[0].Text
+}
+
+func wholeAnswer(prompt string, version ident.Version, tokens int) (text string) {
+	for i := range tokens {
+		text += stand.Token(prompt, version, i)
+	}
+	return text
+}
+
+func TestCompletionIsWhole(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	t.Run("run", func(t *testing.T) {
+		c, ctx := startCluster(t, 1)
+		a, err := bench.Call(ctx, c.Entries()[0], bench.Token, "/v1/completions", "", completionBody("hello", 9))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(wholeAnswer("hello", "v1", 9), answerText(t, a)); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestBadInputReachesNoUpstream(t *testing.T) {
+	c, ctx := startCluster(t, 1)
+	e := c.Entries()[0]
+	before := c.Engines()[0].Stats().Completions + c.Engines()[1].Stats().Completions + c.Apps()[0].Stats().Runs
+	type refusal struct {
+		Status int
+		Code   string
+		NotRun bool
+	}
+	cases := []struct {
+		token, path, key, body string
+		want                   refusal
+	}{
+		{"wrong", "/v1/completions", "", completionBody("x", 1), refusal{401, "unauthenticated", true}},
+		{bench.Token, "/v1/completions", "", "{", refusal{400, "bad_request", true}},
+		{bench.Token, "/v1/completions", "", `{"model":"m"}`, refusal{400, "bad_request", true}},
+		{bench.Token, "/v1/completions", "", completionBody("x", -1), refusal{400, "bad_request", true}},
+		{bench.Token, "/v1/completions", "", `{"model":"nope","prompt":"x"}`, refusal{404, "unknown_model", true}},
+		{bench.Token, "/v1/call/nope/x", "k", "{}", refusal{404, "unknown_service", true}},
+		{bench.Token, "/v1/call/booking/x", "", "{}", refusal{400, "idempotency_key_required", true}},
+		{bench.Token, "/v1/completions", "", string(make([]byte, 5<<20)), refusal{413, "body_too_large", true}},
+	}
+	for _, tc := range cases {
+		a, err := bench.Call(ctx, e, tc.token, tc.path, tc.key, tc.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		code, notRun := a.Refused()
+		if diff := cmp.Diff(tc.want, refusal{a.Status, code, notRun}); diff != "" {
+			t.Errorf("%s %.40s (-want +got):\n%s", tc.path, tc.body, diff)
+		}
+	}
+	after := c.Engines()[0].Stats().Completions + c.Engines()[1].Stats().Completions + c.Apps()[0].Stats().Runs
+	if diff := cmp.Diff(before, after); diff != "" {
+		t.Errorf("requests at the upstreams (-want +got):\n%s", diff)
+	}
+}
+
+func TestBrokenStreamIsResumedWhole(t *testing.T) {
+	c, ctx := startCluster(t, 1)
+	if err := bench.Fault(ctx, c.Engines()[0].Address, stand.EngineFaults{DropShare: 1}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 12 {
+		prompt := fmt.Sprintf("prompt %d", i)
+		a, err := bench.Call(ctx, c.Entries()[0], bench.Token, "/v1/completions", "", completionBody(prompt, 8))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(wholeAnswer(prompt, "v1", 8), answerText(t, a)); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+	}
+}
--- /dev/null
+++ b/io/load/preset.go
@@ -0,0 +1,79 @@
+// Package load offers open-loop load to entries and checks every answer.
+package load
+
+import (
+	"slices"
+
+	"cicadavalve/core/ident"
+)
+
+// Stream is one kind of completion in a preset.
+type Stream struct {
+	Model ident.ModelName
+	Class ident.Class
+	// Weight is the stream's share of the completions.
+	Weight float64
+	// MaxTokens is the length of an answer.
+	MaxTokens int
+	// LeastBlocks and MostBlocks bound the length of a new prompt, in blocks of 1,024 tokens.
+	LeastBlocks int
+	MostBlocks  int
+}
+
+// Preset is the load of one user.
+type Preset struct {
+	Name    string
+	Streams []Stream
+	Orgs    []ident.OrgID
+	Service ident.ServiceName
+	// ReturnShare is the share of completions whose prompt comes back, longer by a little.
+	ReturnShare float64
+	// CallShare is the share of requests that are once-only calls.
+	CallShare float64
+}
+
+var presets = []Preset{
+	{
+		Name: "otakou",
+		Streams: []Stream{
+			{Model: "wear-summary", Class: ident.Interactive, Weight: 0.4, MaxTokens: 24, LeastBlocks: 2, MostBlocks: 8},
+			{Model: "span-check", Class: ident.Interactive, Weight: 0.4, MaxTokens: 4, LeastBlocks: 1, MostBlocks: 4},
+			{Model: "defect-writeup", Class: ident.Deferred, Weight: 0.2, MaxTokens: 64, LeastBlocks: 2, MostBlocks: 8},
+		},
+		Orgs: []ident.OrgID{
+			"otago-lines", "tram-depot", "harbour-wire", "hill-crew", "port-feeder",
+			"north-span", "south-span", "survey", "council", "stores",
+		},
+		Service: "ticket", ReturnShare: 0.6, CallShare: 0.1,
+	},
+	{
+		Name: "kompostfenster",
+		Streams: []Stream{
+			{Model: "soil-notes", Class: ident.Interactive, Weight: 0.6, MaxTokens: 24, LeastBlocks: 1, MostBlocks: 6},
+			{Model: "slot-window", Class: ident.Interactive, Weight: 0.3, MaxTokens: 12, LeastBlocks: 1, MostBlocks: 4},
+			{Model: "season-report", Class: ident.Deferred, Weight: 0.1, MaxTokens: 64, LeastBlocks: 2, MostBlocks: 8},
+		},
+		Orgs: []ident.OrgID{
+			"graz-west", "graz-ost", "leibnitz", "leoben", "bruck",
+			"weiz", "hartberg", "murau", "liezen", "voitsberg",
+		},
+		Service: "booking", ReturnShare: 0.6, CallShare: 0.3,
+	},
+}
+
+// PresetNames lists the presets.
+func PresetNames() (names []string) {
+	for _, p := range presets {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
+// FindPreset is the preset of a name, and whether there is one.
+func FindPreset(name string) (p Preset, found bool) {
+	i := slices.IndexFunc(presets, func(p Preset) bool { return p.Name == name })
+	if i < 0 {
+		return p, false
+	}
+	return presets[i], true
+}
--- /dev/null
+++ b/io/logsvc/logsvc.go
@@ -0,0 +1,83 @@
+// Package logsvc reads and appends to the platform's log service.
+package logsvc
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/dghubble/sling"
+
+	"cicadavalve/core/ledger"
+)
+
+// ErrUnavailable says that the log did not take the records; they may have taken effect all the same.
+var ErrUnavailable = errors.New("log service unavailable")
+
+// Service is the platform's log.
+type Service interface {
+	// Append adds records to a stream in order. After an error they may have been added.
+	Append(ctx context.Context, stream ledger.Stream, records []ledger.Record) error
+	// Read returns the records of a stream from an offset, and waits up to wait for the first.
+	Read(ctx context.Context, stream ledger.Stream, from int64, wait time.Duration) (ledger.BatchMsg, error)
+}
+
+// AppendRequest is the body of POST /append.
+type AppendRequest struct {
+	Stream  ledger.Stream   `json:"stream"`
+	Records []ledger.Record `json:"records"`
+}
+
+// ReadQuery is the query of GET /read.
+type ReadQuery struct {
+	Stream ledger.Stream `url:"stream"`
+	From   int64         `url:"from"`
+	WaitMs int64         `url:"wait_ms"`
+}
+
+// Client is a [Service] over HTTP.
+type Client struct {
+	base   *sling.Sling
+	client *http.Client
+}
+
+// NewClient is a client of the log at a URL; a nil http.Client means the default one.
+func NewClient(url string, client *http.Client) *Client {
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return &Client{base: sling.New().Base(url).Client(client), client: client}
+}
+
+// Append implements [Service].
+func (c *Client) Append(ctx context.Context, stream ledger.Stream, records []ledger.Record) (err error) {
+	defer func() { err = errors.Wrapf(err, "append to %s", stream) }()
+	body := AppendRequest{stream, records}
+	return c.do(ctx, c.base.New().Post("append").BodyJSON(body), nil)
+}
+
+// Read implements [Service].
+func (c *Client) Read(
+	ctx context.Context, stream ledger.Stream, from int64, wait time.Duration,
+) (batch ledger.BatchMsg, err error) {
+	defer func() { err = errors.Wrapf(err, "read %s", stream) }()
+	query := ReadQuery{stream, from, wait.Milliseconds()}
+	err = c.do(ctx, c.base.New().Get("read").QueryStruct(query), &batch)
+	return batch, err
+}
+
+func (c *Client) do(ctx context.Context, s *sling.Sling, into any) (err error) {
+	req, err := s.Request()
+	if err != nil {
+		return err
+	}
+	resp, err := s.Do(req.WithContext(ctx), into, nil)
+	if err != nil {
+		return errors.Mark(err, ErrUnavailable)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Mark(errors.Newf("status %d", resp.StatusCode), ErrUnavailable)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/roster"
+	"cicadavalve/io/peer/peerpb"
+	"cicadavalve/io/peer/peerpb/peerpbconnect"
+)
+
+// Client asks one entry.
+type Client struct {
+	address  string
+	operator peerpbconnect.OperatorClient
+}
+
+// NewClient is a client of the entry at a peer address, host and port.
+func NewClient(client *http.Client, address string) *Client {
+	return &Client{address: address, operator: peerpbconnect.NewOperatorClient(client, "http://"+address)}
+}
+
+// Propose asks the entry to put a configuration in force; a verdict of
+// [VerdictNotKnownYet] may still become accepted.
+func (c *Client) Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, err error) {
+	defer func() { err = errors.Wrapf(err, "propose at %s", c.address) }()
+	req := peerpb.ProposeRequest_builder{Id: id, Base: body.Base, Operator: body.Operator, Text: body.Text}.Build()
+	resp, err := c.operator.Propose(ctx, connect.NewRequest(req))
+	if err != nil {
+		return o, err
+	}
+	return ledger.Outcome{
+		Verdict: ledger.Verdict(resp.Msg.GetVerdict()), Version: resp.Msg.GetVersion(), Winner: resp.Msg.GetWinner(),
+	}, nil
+}
+
+// Status asks what is in force on the entry.
+func (c *Client) Status(ctx context.Context) (s Status, err error) {
+	defer func() { err = errors.Wrapf(err, "status of %s", c.address) }()
+	resp, err := c.operator.Status(ctx, connect.NewRequest(&peerpb.StatusRequest{}))
+	if err != nil {
+		return s, err
+	}
+	m := resp.Msg
+	s = Status{
+		Entry: ident.EntryID(m.GetEntry()), Zone: ident.Zone(m.GetZone()), Version: m.GetVersion(),
+		Operator: m.GetOperator(), Text: m.GetText(), Digest: m.GetDigest(), Ready: m.GetReady(),
+	}
+	for _, member := range m.GetMembers() {
+		s.Members = append(s.Members, roster.Member{
+			Entry: ident.EntryID(member.GetEntry()), Incarnation: ident.BootID(member.GetIncarnation()),
+			Address: member.GetAddress(), PeerAddress: member.GetPeerAddress(), Zone: ident.Zone(member.GetZone()),
+		})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/io/peer/server.go
@@ -0,0 +1,98 @@
+// Package peer is the protocol between entries and from operators to entries.
+package peer
+
+import (
+	"context"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/roster"
+	"cicadavalve/core/rules"
+	"cicadavalve/io/peer/peerpb"
+	"cicadavalve/io/peer/peerpb/peerpbconnect"
+)
+
+// Status is what an entry tells of itself.
+type Status struct {
+	Entry    ident.EntryID
+	Zone     ident.Zone
+	Version  int64
+	Operator string
+	Text     string
+	Digest   uint64
+	Ready    bool
+	Members  []roster.Member
+}
+
+// Backend performs the operator's commands.
+type Backend interface {
+	// Propose appends a configuration; folded is false where the outcome is not known yet.
+	Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error)
+	// Status tells what is in force.
+	Status(ctx context.Context) (Status, error)
+}
+
+// VerdictNotKnownYet answers a proposal that the fold has not met in time.
+const VerdictNotKnownYet = "not_known_yet"
+
+// handler serves the protocol; embedding answers calls that are not implemented.
+type handler struct {
+	peerpbconnect.UnimplementedOperatorHandler
+	backend Backend
+}
+
+// NewHandler serves the protocol over HTTP.
+func NewHandler(backend Backend) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}))
+	return mux
+}
+
+// Propose implements the Operator service.
+func (h *handler) Propose(
+	ctx context.Context, req *connect.Request[peerpb.ProposeRequest],
+) (resp *connect.Response[peerpb.ProposeResponse], err error) {
+	if _, faults := rules.Parse(req.Msg.GetText()); len(faults) > 0 {
+		return nil, connect.NewError(connect.CodeInvalidArgument, faults[0])
+	}
+	if req.Msg.GetId() == "" || req.Msg.GetOperator() == "" {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("expected an id and an operator"))
+	}
+	body := ledger.ConfigBody{Base: req.Msg.GetBase(), Operator: req.Msg.GetOperator(), Text: req.Msg.GetText()}
+	outcome, folded, err := h.backend.Propose(ctx, req.Msg.GetId(), body)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	verdict := string(outcome.Verdict)
+	if !folded {
+		verdict = VerdictNotKnownYet
+	}
+	return connect.NewResponse(peerpb.ProposeResponse_builder{
+		Verdict: verdict, Version: outcome.Version, Winner: outcome.Winner,
+	}.Build()), nil
+}
+
+// Status implements the Operator service.
+func (h *handler) Status(
+	ctx context.Context, _ *connect.Request[peerpb.StatusRequest],
+) (resp *connect.Response[peerpb.StatusResponse], err error) {
+	s, err := h.backend.Status(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	var members []*peerpb.Member
+	for _, m := range s.Members {
+		members = append(members, peerpb.Member_builder{
+			Entry: string(m.Entry), Incarnation: string(m.Incarnation), Address: m.Address,
+			PeerAddress: m.PeerAddress, Zone: string(m.Zone),
+		}.Build())
+	}
+	return connect.NewResponse(peerpb.StatusResponse_builder{
+		Entry: string(s.Entry), Zone: string(s.Zone), Version: s.Version, Operator: s.Operator,
+		Text: s.Text, Digest: s.Digest, Ready: s.Ready, Members: members,
+	}.Build()), nil
+}
--- /dev/null
+++ b/io/stand/app.go
@@ -0,0 +1,154 @@
+package stand
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/sched"
+)
+
+// AppFaults are the faults of an app engine.
+type AppFaults struct {
+	// DelayMs is how long a call takes, in milliseconds.
+	DelayMs int `json:"delay_ms"`
+	// DropBefore is the share of calls whose connection breaks before they run, DropAfter after.
+	DropBefore float64 `json:"drop_before"`
+	DropAfter  float64 `json:"drop_after"`
+	// Refuse is the share of calls refused with proof that they did not run.
+	Refuse float64 `json:"refuse"`
+	// Silent keeps calls open without an answer after they ran.
+	Silent bool `json:"silent"`
+}
+
+// App is a stand-in for an app engine, whose calls count how often they ran.
+type App struct {
+	faults box[AppFaults]
+	boot   ident.BootID
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	running int
+	// runs counts the runs of each call by its key.
+	runs map[string]int
+}
+
+// NewApp is an app engine that has run nothing.
+func NewApp(seed uint64) *App {
+	return &App{
+		boot: ident.BootID(uuid.NewString()), rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{},
+	}
+}
+
+// AppStats counts the calls of an app engine.
+type AppStats struct {
+	// Runs counts all runs, Keys the distinct keys that ran, and Duplicates the runs beyond the first of a key.
+	Runs       int `json:"runs"`
+	Keys       int `json:"keys"`
+	Duplicates int `json:"duplicates"`
+}
+
+// Handler serves the calls, the load report, the faults and the figures.
+func (a *App) Handler() http.Handler {
+	mux := http.NewServeMux()
+	a.faults.handle(mux)
+	mux.HandleFunc("POST /call/{service}/{path...}", a.call)
+	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		reply(w, sched.Load{BootID: a.boot, Running: a.running})
+	})
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { reply(w, a.Stats()) })
+	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { reply(w, a.Runs()) })
+	return mux
+}
+
+// Stats counts the calls so far.
+func (a *App) Stats() AppStats {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	s := AppStats{Keys: len(a.runs)}
+	for _, n := range a.runs {
+		s.Runs += n
+		s.Duplicates += n - 1
+	}
+	return s
+}
+
+// Runs copies the count of runs by key.
+func (a *App) Runs() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	runs := make(map[string]int, len(a.runs))
+	for k, n := range a.runs {
+		runs[k] = n
+	}
+	return runs
+}
+
+func (a *App) chance(share float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.rng.Float64() < share
+}
+
+func (a *App) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	f := a.faults.get()
+	if a.chance(f.Refuse) {
+		w.Header().Set("X-Not-Run", "true")
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return
+	}
+	if a.chance(f.DropBefore) {
+		panic(http.ErrAbortHandler)
+	}
+	key := r.Header.Get("X-Call-Key")
+	if key == "" {
+		key = "unkeyed/" + uuid.NewString()
+	}
+	n := a.run(key, time.Duration(f.DelayMs)*time.Millisecond)
+	if f.Silent {
+		<-r.Context().Done()
+		return
+	}
+	if a.chance(f.DropAfter) {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, AppReply{
+		Service: r.PathValue("service"), Path: r.PathValue("path"), Key: key, Run: n,
+		Receipt: fmt.Sprintf("%d bytes", len(body)),
+	})
+}
+
+// AppReply is the answer to a call.
+type AppReply struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Key     string `json:"key"`
+	// Run is how often the key has run, this time included.
+	Run     int    `json:"run"`
+	Receipt string `json:"receipt"`
+}
+
+func (a *App) run(key string, takes time.Duration) (n int) {
+	a.mu.Lock()
+	a.running++
+	a.runs[key]++
+	n = a.runs[key]
+	a.mu.Unlock()
+	time.Sleep(takes)
+	a.mu.Lock()
+	a.running--
+	a.mu.Unlock()
+	return n
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,139 @@
+#!/usr/bin/env bash
+# Runs the whole system as separate processes on free loopback ports, offers load
+# and prints what callers saw. PRESET=otakou|kompostfenster, SECONDS_OF_LOAD, RATE,
+# ENTRIES and SEED set the run; JSON=1 prints JSON alone on standard output.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+preset=${PRESET:-otakou}
+length=${SECONDS_OF_LOAD:-10}
+entries=${ENTRIES:-3}
+seed=${SEED:-1}
+json=${JSON:-}
+
+case "$preset" in
+otakou)
+  zones=(dunedin mosgiel oamaru) models=(wear-summary span-check defect-writeup) service=ticket
+  classes=(interactive interactive deferred) per_model=4 load_time=800ms rate=${RATE:-40}
+  orgs="otago-lines tram-depot harbour-wire hill-crew port-feeder north-span south-span survey council stores" ;;
+kompostfenster)
+  zones=(graz-nord graz-sued leoben) models=(soil-notes slot-window season-report) service=booking
+  classes=(interactive interactive deferred) per_model=3 load_time=200ms rate=${RATE:-40}
+  orgs="graz-west graz-ost leibnitz leoben bruck weiz hartberg murau liezen voitsberg" ;;
+*) echo "PRESET: expected otakou or kompostfenster, not $preset" >&2; exit 1 ;;
+esac
+
+run=$(mktemp -d)
+pids=()
+stop_all() {
+  local status=$?
+  trap - EXIT INT TERM
+  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  if [ "$status" -ne 0 ] && [ -n "${KEEP_LOGS:-}" ]; then cp -r "$run" "$KEEP_LOGS"; fi
+  rm -rf "$run"
+  exit "$status"
+}
+trap stop_all EXIT
+trap 'exit 130' INT
+trap 'exit 143' TERM
+
+say() { if [ -z "$json" ]; then echo "$@"; fi; }
+
+say "building"
+mkdir -p bin
+go build -o bin/ ./cmd/cicadavalve ./cmd/cvlab
+
+# wait_for FILE PID: waits until a process has written its address.
+wait_for() {
+  for _ in $(seq 200); do
+    [ -s "$1" ] && return 0
+    kill -0 "$2" 2>/dev/null || { echo "a process ended early; its log:" >&2; cat "${1%.address}.log" >&2; return 1; }
+    sleep 0.05
+  done
+  echo "no address in $1 after 10 s" >&2
+  return 1
+}
+
+# stand NAME KIND ARGS...: starts a stand-in; its address comes in $run/NAME.address.
+stand() {
+  local name=$1 kind=$2
+  shift 2
+  bin/cvlab stand "$kind" --address-file "$run/$name.address" "$@" >"$run/$name.log" 2>&1 &
+  pids+=($!)
+  wait_for "$run/$name.address" "$!"
+}
+address() { cat "$run/$1.address"; }
+
+say "starting the stand-ins"
+stand log log --appends 300 --seed "$seed"
+stand list list --lag 200ms
+stand weights weights --takes "$load_time"
+list="http://$(address list)"
+stores=() apps=()
+for i in 0 1; do
+  stand "store-$i" store --list "$list" --id "store-$i" --zone "${zones[$i]}"
+  stores+=("$(address "store-$i")")
+done
+n=0
+for m in "${!models[@]}"; do
+  for _ in $(seq "$per_model"); do
+    stand "engine-$n" engine --list "$list" --id "engine-$n" --zone "${zones[$((n % 3))]}" \
+      --model "${models[$m]}" --seed "$((seed + n))" --weights "http://$(address weights)" --cold-time 1s --cold-bears 4
+    n=$((n + 1))
+  done
+done
+for i in 0 1 2; do
+  stand "app-$i" app --list "$list" --id "app-$i" --zone "${zones[$i]}" --service "$service" --seed "$((seed + i))"
+  apps+=("$(address "app-$i")")
+done
+
+for org in $orgs; do echo "token-$org: $org"; done >"$run/tokens.yaml"
+{
+  for m in "${!models[@]}"; do
+    echo "route model ${models[$m]} class ${classes[$m]}  # asked by: demo"
+    echo "serve model ${models[$m]} version v1  # asked by: demo"
+  done
+  echo "route service $service runs once  # asked by: demo"
+  echo "bears upstream engine-* cold 4  # asked by: demo"
+} >"$run/rules.txt"
+
+say "starting $entries entries"
+callers=() peers=()
+for i in $(seq 0 $((entries - 1))); do
+  cat >"$run/entry-$i.yaml" <<YAML
+entry: entry-$i
+zone: ${zones[$((i % 3))]}
+caller_address: 127.0.0.1:0
+peer_address: 127.0.0.1:0
+log_url: http://$(address log)/
+list_url: $list/
+tokens_file: $run/tokens.yaml
+plaintext: true
+seed: $((seed + i))
+YAML
+  bin/cicadavalve entry --config "$run/entry-$i.yaml" --address-file "$run/entry-$i.address" 2>"$run/entry-$i.log" &
+  pids+=($!)
+  wait_for "$run/entry-$i.address" "$!"
+  read -r caller peer <"$run/entry-$i.address"
+  callers+=("$caller") peers+=("$peer")
+done
+
+say "checking and applying the rules"
+bin/cicadavalve check "$run/rules.txt" >"$run/check.out"
+bin/cicadavalve apply "$run/rules.txt" --entry "${peers[0]}" --operator demo >"$run/apply.out"
+say "$(cat "$run/check.out" "$run/apply.out")"
+sleep 2 # The engines warm up and the entries learn of them.
+
+say "offering load for $length s"
+join() { local IFS=,; echo "$*"; }
+flags=(--preset "$preset" --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
+  --apps "$(join "${apps[@]}")" --stores "$(join "${stores[@]}")" --rate "$rate" --length "${length}s" --seed "$seed")
+if [ -n "$json" ]; then flags+=(--json); fi
+if [ -n "${PLOT:-}" ]; then flags+=(--plot "$PLOT"); fi
+if [ -n "${STRAIGHT:-}" ]; then
+  engines=()
+  for i in $(seq 0 $((n - 1))); do engines+=("$(address "engine-$i")"); done
+  flags+=(--straight "$(join "${engines[@]}")")
+fi
+bin/cvlab load "${flags[@]}"
