Join the deciders of an entry in core/node

Cause: a replay must run the same deciders in the same way as the entry did, and their assembly stood in io/entry. core/node routes messages to the deciders and forwards between them; io/entry keeps the loop and performs commands. Conclusion: a new decider is added in core/node, and a replay has it at once.

--- a/io/entry/backend.go
+++ b/io/entry/backend.go
@@ -28,7 +28,7 @@
 func (d *Daemon) Entries(ctx context.Context) caller.Advice {
 	advice := caller.Advice{HoldMs: time.Duration(d.settings.AdviceHold).Milliseconds()}
 	d.inspect(ctx, func() {
-		for _, m := range d.roster.Members() {
+		for _, m := range d.node.Roster().Members() {
 			if d.leaving && m.Entry == d.self.Entry {
 				continue
 			}
@@ -54,7 +54,7 @@
 }
 
 // isReady is for the loop alone.
-func (d *Daemon) isReady() bool { return d.sched.RulesVersion() > 0 && !d.leaving }
+func (d *Daemon) isReady() bool { return d.node.Sched().RulesVersion() > 0 && !d.leaving }
 
 // appendFailed tells the decider of a record that the log did not take it in time.
 func (d *Daemon) appendFailed(ctx context.Context, p pending) {
@@ -86,7 +86,7 @@
 		case <-ctx.Done():
 			return o, false, nil
 		case <-ticker.C:
-			d.inspect(ctx, func() { o, folded = d.config.Outcome(id) })
+			d.inspect(ctx, func() { o, folded = d.node.Config().Outcome(id) })
 		}
 	}
 	return o, true, nil
@@ -96,8 +96,8 @@
 func (d *Daemon) Status(ctx context.Context) (s peer.Status, err error) {
 	ran := d.inspect(ctx, func() {
 		s = peer.Status{
-			Entry: d.self.Entry, Zone: d.self.Zone, Version: d.config.Version(), Operator: d.config.Operator(),
-			Text: d.config.Text(), Digest: d.config.Digest(), Ready: d.isReady(), Members: d.roster.Members(),
+			Entry: d.self.Entry, Zone: d.self.Zone, Version: d.node.Config().Version(), Operator: d.node.Config().Operator(),
+			Text: d.node.Config().Text(), Digest: d.node.Config().Digest(), Ready: d.isReady(), Members: d.node.Roster().Members(),
 		}
 	})
 	if !ran {
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -57,7 +57,7 @@
 }
 
 func (d *Daemon) service(ctx context.Context, name ident.ServiceName) (runsOnce, known bool) {
-	d.inspect(ctx, func() { runsOnce, known = d.sched.Service(name) })
+	d.inspect(ctx, func() { runsOnce, known = d.node.Sched().Service(name) })
 	return runsOnce, known
 }
 
--- /dev/null
+++ b/io/entry/clock.go
@@ -0,0 +1,16 @@
+package entry
+
+import "time"
+
+// clock gives the deciders times that never go back: the wall clock at the start
+// plus the monotonic time since. Its times carry no monotonic reading, so that a
+// journal keeps them whole.
+type clock struct {
+	start time.Time
+}
+
+func newClock() clock { return clock{start: time.Now()} }
+
+func (c clock) now() time.Time {
+	return c.start.Round(0).Add(time.Since(c.start))
+}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -17,9 +17,9 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/node"
 	"cicadavalve/core/once"
 	"cicadavalve/core/roster"
-	"cicadavalve/core/sched"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/config"
 	"cicadavalve/io/engine"
@@ -63,11 +63,9 @@
 	appender *appender
 	prober   *prober
 
-	// The deciders belong to the loop alone; others look at them through inspect.
-	config *ledger.Config
-	roster *roster.Roster
-	once   *once.Model
-	sched  *sched.Model
+	clock    clock
+	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
+	node *node.Node
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 }
@@ -85,12 +83,11 @@
 		meter:    meter.NewMeter(),
 		inbox:    make(chan work, inboxSize),
 		sessions: newSessions(),
-		config:   ledger.NewConfig(),
-		roster:   roster.NewRoster(),
-		once:     once.NewModel(id, incarnation),
-		sched: sched.NewModel(
-			sched.WithSeed(seed(settings.Seed)), sched.WithZone(ident.Zone(settings.Zone)), sched.WithPolicy(settings.Policy),
-		),
+		clock:    newClock(),
+		node: node.NewNode(node.Settings{
+			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
+			Seed: seed(settings.Seed), Policy: settings.Policy,
+		}),
 	}
 	for _, o := range options {
 		o(d)
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -64,42 +64,22 @@
 		w.look()
 		return
 	}
-	d.update(ctx, time.Now(), w.msg)
+	d.update(ctx, d.clock.now(), w.msg)
 }
 
-// update hands a message to the decider that it is for and performs the commands.
+// update hands a message to the deciders and performs their commands.
 func (d *Daemon) update(ctx context.Context, now time.Time, msg ident.Msg) {
-	for _, cmd := range d.decide(now, msg) {
-		d.perform(ctx, now, cmd)
+	cmds := d.node.Update(now, msg)
+	for _, cmd := range cmds {
+		d.perform(ctx, cmd)
 	}
 }
 
-func (d *Daemon) decide(now time.Time, msg ident.Msg) []ident.Cmd {
-	switch msg := msg.(type) {
-	case ledger.BatchMsg:
-		return d.fold(now, msg)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
-		return d.once.Update(now, msg)
-	}
-	return d.sched.Update(now, msg)
-}
-
-func (d *Daemon) fold(now time.Time, batch ledger.BatchMsg) []ident.Cmd {
-	switch batch.Stream {
-	case ledger.StreamConfig:
-		return d.config.Update(now, batch)
-	case ledger.StreamRoster:
-		return d.roster.Update(now, batch)
-	}
-	return d.once.Update(now, batch)
-}
-
 // perform never blocks on anything but the loop's own channels.
-func (d *Daemon) perform(ctx context.Context, now time.Time, cmd ident.Cmd) {
+func (d *Daemon) perform(ctx context.Context, cmd ident.Cmd) {
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
-		d.update(ctx, now, sched.RulesMsg{Version: cmd.Version, Text: cmd.Text})
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case once.AppendCmd:
