--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -63,7 +63,7 @@
 	appender *appender
 	prober   *prober
 
-	clock    clock
+	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
 	node *node.Node
 	// leaving is set by the loop once a graceful shutdown has begun.
