--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -173,12 +174,19 @@
 
 // snapshot appends the state when a snapshot is due; a fold that seeks one or is behind appends none.
 func (c *Config) snapshot(now time.Time) []ident.Cmd {
-	if !c.current || c.Wanted() > c.next || !c.snapshots.isDue(now, c.first, c.next) {
+	if !c.current || c.Wanted() > c.next || !c.snapshots.isDue(now, c.progress()) {
 		return nil
 	}
 	return []ident.Cmd{c.snapshots.record(now, c.State())}
 }
 
+func (c *Config) progress() progress {
+	after, _ := slices.BinarySearchFunc(c.kept, c.snapshots.covered, func(k KeptOutcome, offset int64) int {
+		return cmp.Compare(k.Offset, offset)
+	})
+	return progress{first: c.first, next: c.next, proposals: len(c.kept) - after}
+}
+
 // foldBatch refuses a batch that starts beyond the next offset, unless it holds a snapshot to go on from.
 func (c *Config) foldBatch(now time.Time, batch BatchMsg) (cmds []ident.Cmd) {
 	c.first = max(c.first, batch.First)
@@ -206,7 +214,7 @@
 	c.wanted = max(batch.First, batch.end())
 }
 
-// restoreFrom takes the newest snapshot of a batch from which the retained records go on.
+// restoreFrom takes the newest snapshot of a batch; the records may go on from it or still be missing.
 func (c *Config) restoreFrom(batch BatchMsg) {
 	for i := len(batch.Entries) - 1; i >= 0; i-- {
 		rec := batch.Entries[i].Record
@@ -214,7 +222,7 @@
 			continue
 		}
 		s, err := DecodeState(rec.Body)
-		if err == nil && s.Next >= batch.First && c.Restore(s) {
+		if err == nil && c.Restore(s) {
 			return
 		}
 	}
@@ -242,7 +250,7 @@
 	if err != nil {
 		return nil
 	}
-	c.snapshots.seen(now, s.Next)
+	c.snapshots.seen(now, s.Next, c.current)
 	if s.Next != c.next || s.Digest == c.State().Digest {
 		return nil
 	}
