Record every decision and run it again

Cause: operators trust only what they can replay, and nothing kept what the deciders were told.

Proof: TestReplayFindsNoDifferenceAndThenAFlippedDecision (80 requests with faults: 0 differences; one flipped upstream: exactly that step), TestReplayRefusesAJournalWithAGap.

--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -5,103 +5,114 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"cicadavalve/core/ident"
-	"cicadavalve/core/rules"
+	"cicadavalve/core/roster"
 	"cicadavalve/io/peer"
 )
 
-// entryRow is one entry as the show command prints it.
-type entryRow struct {
-	Entry   ident.EntryID `json:"entry"`
-	Zone    ident.Zone    `json:"zone"`
-	Address string        `json:"address"`
-	Version int64         `json:"version"`
-	Digest  string        `json:"digest"`
-	Ready   bool          `json:"ready"`
-	Error   string        `json:"error,omitempty"`
-}
-
-// ruleRow is one rule as the show command prints it.
-type ruleRow struct {
-	Line    int    `json:"line"`
-	Kind    string `json:"kind"`
-	Subject string `json:"subject"`
-	Comment string `json:"comment"`
-}
-
 // shower is one run of the show command.
 type shower struct {
 	out    output
 	entry  string
+	watch  time.Duration
+	plot   string
 	client *http.Client
 }
 
+// view prints one subject.
+type view func(ctx context.Context, s *shower, w io.Writer, args []string) error
+
+// views are the subjects of the show command.
+var views = map[string]view{
+	"entries":   showEntries,
+	"rules":     showRules,
+	"upstreams": showUpstreams,
+	"requests":  showRequests,
+	"latency":   showLatency,
+	"why":       showWhy,
+}
+
+func viewNames() (names []string) {
+	for name := range views {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
 func newShowCommand() *cobra.Command {
 	s := &shower{client: &http.Client{}}
+	names := viewNames()
 	cmd := &cobra.Command{
-		Use:       "show entries|rules --entry HOST:PORT",
-		Short:     "Show what is in force and why",
-		Args:      cobra.MatchAll(cobra.ExactArgs(1), cobra.OnlyValidArgs),
-		ValidArgs: []cobra.Completion{"entries", "rules"},
+		Use:   "show " + strings.Join(names, "|") + " --entry HOST:PORT",
+		Short: "Show what is in force, what the system does, and why",
+		Long: "Shows one subject as a table or as JSON.\n" +
+			"show why REQUEST lists the decisions about a request, named by its X-Request-Id, from every entry.",
+		Args:      cobra.RangeArgs(1, 2),
+		ValidArgs: names,
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return s.run(cmd.Context(), cmd.OutOrStdout(), args[0])
+			return s.run(cmd.Context(), cmd.OutOrStdout(), args)
 		},
 	}
 	s.out.register(cmd)
 	cmd.Flags().StringVar(&s.entry, "entry", "", "the peer address of any entry")
+	cmd.Flags().DurationVar(&s.watch, "watch", 0, "show again after each interval, until interrupted")
+	cmd.Flags().StringVar(&s.plot, "plot", "", "with latency: a PNG file to draw the quantiles in")
 	_ = cmd.MarkFlagRequired("entry")
 	return cmd
 }
 
-func (s *shower) run(ctx context.Context, w io.Writer, subject string) (err error) {
-	status, err := peer.NewClient(s.client, s.entry).Status(ctx)
-	if err != nil {
-		return err
+func (s *shower) run(ctx context.Context, w io.Writer, args []string) (err error) {
+	show, known := views[args[0]]
+	if !known {
+		return fmt.Errorf("expected one of %s, not %q", strings.Join(viewNames(), ", "), args[0])
 	}
-	if subject == "rules" {
-		return s.rules(w, status)
+	for {
+		if err := show(ctx, s, w, args[1:]); err != nil || s.watch <= 0 {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(s.watch):
+		}
 	}
-	return s.entries(ctx, w, status)
 }
 
-func (s *shower) rules(w io.Writer, status peer.Status) (err error) {
-	set, faults := rules.Parse(status.Text)
-	if len(faults) > 0 {
-		return errors.Wrap(faults[0], "the entry's rules are newer than this program")
-	}
-	rows := []ruleRow{}
-	for _, r := range set.Rules() {
-		rows = append(rows, ruleRow{r.Line(), string(r.Kind()), r.Subject(), r.Comment()})
-	}
-	return s.out.print(w, rows, func(w io.Writer) {
-		_, _ = fmt.Fprintln(w, "LINE\tKIND\tSUBJECT\tASKED BY")
-		for _, r := range rows {
-			_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", r.Line, r.Kind, r.Subject, r.Comment)
-		}
-	})
+// members lists the entries that the asked one knows.
+func (s *shower) members(ctx context.Context) (members []roster.Member, err error) {
+	status, err := peer.NewClient(s.client, s.entry).Status(ctx)
+	return status.Members, err
 }
 
-func (s *shower) entries(ctx context.Context, w io.Writer, status peer.Status) (err error) {
-	rows := []entryRow{}
-	for _, m := range status.Members {
-		row := entryRow{Entry: m.Entry, Zone: m.Zone, Address: m.Address}
+// answered is what one entry answered.
+type answered[T any] struct {
+	Entry    ident.EntryID `json:"entry"`
+	Document T             `json:"document"`
+	// Error is set where the entry did not answer.
+	Error string `json:"error,omitempty"`
+}
+
+// askAll asks every member for a subject.
+func askAll[T any](ctx context.Context, s *shower, subject, argument string) (answers []answered[T], err error) {
+	members, err := s.members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range members {
+		answer := answered[T]{Entry: m.Entry}
 		asking, cancel := context.WithTimeout(ctx, statusLimit)
-		if one, err := peer.NewClient(s.client, m.PeerAddress).Status(asking); err == nil {
-			row.Version, row.Ready, row.Digest = one.Version, one.Ready, fmt.Sprintf("%016x", one.Digest)
-		} else {
-			row.Error = "unreachable"
+		if err := peer.NewClient(s.client, m.PeerAddress).Show(asking, subject, argument, &answer.Document); err != nil {
+			answer.Error = err.Error()
 		}
 		cancel()
-		rows = append(rows, row)
+		answers = append(answers, answer)
 	}
-	return s.out.print(w, rows, func(w io.Writer) {
-		_, _ = fmt.Fprintln(w, "ENTRY\tZONE\tADDRESS\tVERSION\tDIGEST\tREADY\tERROR")
-		for _, r := range rows {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%t\t%s\n", r.Entry, r.Zone, r.Address, r.Version, r.Digest, r.Ready, r.Error)
-		}
-	})
+	return answers, nil
 }
--- /dev/null
+++ b/cmd/cicadavalve/views.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/rules"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/entry"
+	"cicadavalve/io/meter"
+	"cicadavalve/io/peer"
+)
+
+// entryRow is one entry as the show command prints it.
+type entryRow struct {
+	Entry   ident.EntryID `json:"entry"`
+	Zone    ident.Zone    `json:"zone"`
+	Address string        `json:"address"`
+	Version int64         `json:"version"`
+	Digest  string        `json:"digest"`
+	Ready   bool          `json:"ready"`
+	Error   string        `json:"error,omitempty"`
+}
+
+// ruleRow is one rule as the show command prints it.
+type ruleRow struct {
+	Line    int    `json:"line"`
+	Kind    string `json:"kind"`
+	Subject string `json:"subject"`
+	Comment string `json:"comment"`
+}
+
+func showRules(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	status, err := peer.NewClient(s.client, s.entry).Status(ctx)
+	if err != nil {
+		return err
+	}
+	set, faults := rules.Parse(status.Text)
+	if len(faults) > 0 {
+		return errors.Wrap(faults[0], "the entry's rules are newer than this program")
+	}
+	rows := []ruleRow{}
+	for _, r := range set.Rules() {
+		rows = append(rows, ruleRow{r.Line(), string(r.Kind()), r.Subject(), r.Comment()})
+	}
+	return s.out.print(w, rows, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "LINE\tKIND\tSUBJECT\tASKED BY")
+		for _, r := range rows {
+			_, _ = fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", r.Line, r.Kind, r.Subject, r.Comment)
+		}
+	})
+}
+
+func showEntries(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	members, err := s.members(ctx)
+	if err != nil {
+		return err
+	}
+	rows := []entryRow{}
+	for _, m := range members {
+		row := entryRow{Entry: m.Entry, Zone: m.Zone, Address: m.Address}
+		asking, cancel := context.WithTimeout(ctx, statusLimit)
+		if one, err := peer.NewClient(s.client, m.PeerAddress).Status(asking); err == nil {
+			row.Version, row.Ready, row.Digest = one.Version, one.Ready, fmt.Sprintf("%016x", one.Digest)
+		} else {
+			row.Error = "unreachable"
+		}
+		cancel()
+		rows = append(rows, row)
+	}
+	return s.out.print(w, rows, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tZONE\tADDRESS\tVERSION\tDIGEST\tREADY\tERROR")
+		for _, r := range rows {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%t\t%s\n", r.Entry, r.Zone, r.Address, r.Version, r.Digest, r.Ready, r.Error)
+		}
+	})
+}
+
+func showUpstreams(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	var rows []sched.UpstreamView
+	if err := peer.NewClient(s.client, s.entry).Show(ctx, "upstreams", "", &rows); err != nil {
+		return err
+	}
+	return s.out.print(w, rows, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "UPSTREAM\tROLE\tZONE\tLOADED\tOURS\tRUNNING\tWAITING\tNEW WORK\tWHY NOT")
+		for _, r := range rows {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%d\t%d\t%t\t%s\n",
+				r.Upstream, r.Role, r.Zone, r.Loaded, r.Outstanding, r.Running, r.Waiting, r.NewWork, r.Reason)
+		}
+	})
+}
+
+func showRequests(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	answers, err := askAll[[]sched.RequestView](ctx, s, "requests", "")
+	if err != nil {
+		return err
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tREQUEST\tORGANISATION\tMODEL OR SERVICE\tCLASS\tVERSION\tUPSTREAM\tATTEMPT\tAGE")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			for _, r := range a.Document {
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s%s\t%s\t%s\t%s\t%d\t%d ms\n", a.Entry, r.CallerID, r.Org,
+					r.Model, r.Service, r.Class, r.Version, r.Upstream, r.Attempt, r.AgeMs)
+			}
+		}
+	})
+}
+
+func unanswered(w io.Writer, id ident.EntryID, fault string) {
+	if fault != "" {
+		_, _ = fmt.Fprintf(w, "%s\tdid not answer: %s\n", id, fault)
+	}
+}
+
+func showLatency(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	answers, err := askAll[[]meter.Summary](ctx, s, "latency", "")
+	if err != nil {
+		return err
+	}
+	if s.plot != "" {
+		if err := plotLatency(s.plot, answers); err != nil {
+			return err
+		}
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tORGANISATION\tCLASS\tMEASURE\tCOUNT\tP50\tP95\tP99\tMAX")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			for _, r := range a.Document {
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.1f ms\t%.1f ms\t%.1f ms\t%.1f ms\n", a.Entry,
+					r.Organisation, r.Class, r.Measure, r.Count, r.P50Ms, r.P95Ms, r.P99Ms, r.MaxMs)
+			}
+		}
+	})
+}
+
+func showWhy(ctx context.Context, s *shower, w io.Writer, args []string) (err error) {
+	if len(args) != 1 {
+		return errors.New("expected show why REQUEST")
+	}
+	answers, err := askAll[[]entry.Step](ctx, s, "why", args[0])
+	if err != nil {
+		return err
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tSTEP\tAT\tEVENT OR DECISION")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			for _, step := range a.Document {
+				_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s %s\n", a.Entry, step.Seq, step.At.Format("15:04:05.000"), step.Msg.Type, step.Msg.Body)
+				for _, c := range step.Cmds {
+					_, _ = fmt.Fprintf(w, "\t\t\t  -> %s %s\n", c.Type, c.Body)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/node/journal.go
@@ -0,0 +1,31 @@
+package node
+
+import (
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/once"
+	"cicadavalve/core/record"
+	"cicadavalve/core/roster"
+	"cicadavalve/core/sched"
+)
+
+// OpenMsg is the first step of an incarnation's journal.
+type OpenMsg struct {
+	Settings Settings `json:"settings"`
+}
+
+// NewRegistry knows every message and command that passes through a node.
+func NewRegistry() *record.Registry {
+	return record.NewRegistry(
+		record.TypeOf[OpenMsg](),
+		record.TypeOf[ledger.BatchMsg](), record.TypeOf[ledger.InForceCmd](),
+		record.TypeOf[roster.ChangedCmd](),
+		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
+		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
+		record.TypeOf[once.AnswerCmd](),
+		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
+		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
+		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
+		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
+		record.TypeOf[sched.CancelCmd](),
+	)
+}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -11,6 +11,8 @@
 	// ID is unique within the entry: the entry makes it, not the caller.
 	ID  ident.RequestID `json:"id"`
 	Org ident.OrgID     `json:"org"`
+	// CallerID is the caller's own name of the request, as X-Request-Id gave it.
+	CallerID string `json:"caller_id"`
 	// Model is set for a completion, Service for a call; never both.
 	Model        ident.ModelName   `json:"model,omitempty"`
 	Service      ident.ServiceName `json:"service,omitempty"`
--- /dev/null
+++ b/core/sched/view.go
@@ -0,0 +1,90 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"cicadavalve/core/ident"
+)
+
+// UpstreamView is what an entry knows of one upstream and whether it gets new work.
+type UpstreamView struct {
+	Upstream    ident.UpstreamID `json:"upstream"`
+	Role        Role             `json:"role"`
+	Zone        ident.Zone       `json:"zone"`
+	Address     string           `json:"address"`
+	Loaded      []Loaded         `json:"loaded"`
+	Outstanding int              `json:"outstanding"`
+	Running     int              `json:"running"`
+	Waiting     int              `json:"waiting"`
+	// NewWork is true where the upstream may get new work now; Reason tells why not.
+	NewWork bool   `json:"new_work"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// Upstreams lists the upstreams by id.
+func (m *Model) Upstreams(now time.Time) []UpstreamView {
+	views := []UpstreamView{}
+	for _, id := range m.order {
+		u := m.upstreams[id]
+		reason := m.refusal(now, u)
+		views = append(views, UpstreamView{
+			Upstream: id, Role: u.listed.Role, Zone: u.listed.Zone, Address: u.listed.Address, Loaded: u.load.Loaded,
+			Outstanding: u.outstanding, Running: u.load.Running, Waiting: u.load.Waiting,
+			NewWork: reason == "", Reason: reason,
+		})
+	}
+	return views
+}
+
+// refusal tells why an upstream gets no new work, or is empty.
+func (m *Model) refusal(now time.Time, u *upstream) string {
+	switch {
+	case m.rules == nil:
+		return "no configuration is in force"
+	case u.listed.Leaving:
+		return "leaving by the VM list"
+	case m.rules.Drained(u.listed.ID, u.listed.Zone):
+		return "drained by a rule"
+	case !u.seen:
+		return "no load report yet"
+	case u.misses >= probeMisses:
+		return "did not answer the last probes"
+	case now.Before(u.suspectUntil):
+		return "suspect after a failed attempt"
+	}
+	return ""
+}
+
+// RequestView is a request without a final answer.
+type RequestView struct {
+	Request  ident.RequestID   `json:"request"`
+	CallerID string            `json:"caller_id"`
+	Org      ident.OrgID       `json:"organisation"`
+	Model    ident.ModelName   `json:"model,omitempty"`
+	Service  ident.ServiceName `json:"service,omitempty"`
+	Class    ident.Class       `json:"class"`
+	Version  ident.Version     `json:"version,omitempty"`
+	Upstream ident.UpstreamID  `json:"upstream"`
+	Attempt  int               `json:"attempt"`
+	AgeMs    int64             `json:"age_ms"`
+}
+
+// Requests lists the requests in flight, the oldest first.
+func (m *Model) Requests(now time.Time) []RequestView {
+	views := []RequestView{}
+	for _, r := range m.requests {
+		views = append(views, RequestView{
+			Request: r.ID, CallerID: r.CallerID, Org: r.Org, Model: r.Model, Service: r.Service, Class: r.Class,
+			Version: r.version, Upstream: r.on, Attempt: r.attempt, AgeMs: now.Sub(r.arrived).Milliseconds(),
+		})
+	}
+	slices.SortFunc(views, func(a, b RequestView) int {
+		if a.AgeMs != b.AgeMs {
+			return int(b.AgeMs - a.AgeMs)
+		}
+		return strings.Compare(string(a.Request), string(b.Request))
+	})
+	return views
+}
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -68,6 +68,11 @@
 	AdviceHold Duration `yaml:"advice_hold"`
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout Duration `yaml:"stop_timeout"`
+	// JournalBytes bounds the journal in memory, JournalRate what goes to the log, in bytes a second.
+	JournalBytes int   `yaml:"journal_bytes"`
+	JournalRate  int64 `yaml:"journal_rate"`
+	// JournalInterval is the time between two journal records in the log.
+	JournalInterval Duration `yaml:"journal_interval"`
 	// LogTimeout bounds one append or read of the log.
 	LogTimeout Duration `yaml:"log_timeout"`
 }
@@ -83,6 +88,10 @@
 		AdviceHold:    Duration(2 * time.Second),
 		StopTimeout:   Duration(30 * time.Second),
 		LogTimeout:    Duration(2 * time.Second),
+
+		JournalBytes:    16 << 20,
+		JournalRate:     16 << 10,
+		JournalInterval: Duration(5 * time.Second),
 	}
 }
 
@@ -124,9 +133,11 @@
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
+	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
+	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
-		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout,
+		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -128,7 +128,7 @@
 // send asks the scheduler for an upstream and sends the call.
 func (c *call) send(ctx context.Context) (reply engine.Reply, err error) {
 	c.d.post(ctx, sched.ArriveMsg{Request: sched.Request{
-		ID: c.id, Org: c.req.Org, Service: c.req.Service, Class: c.class(),
+		ID: c.id, CallerID: c.req.RequestID, Org: c.req.Org, Service: c.req.Service, Class: c.class(),
 		Repeatable: !c.once, Deadline: c.req.Deadline,
 	}})
 	for {
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -70,7 +70,7 @@
 func (c *completion) describe() sched.Request {
 	root := c.req.Prompt[:min(len(c.req.Prompt), blockBytes)]
 	return sched.Request{
-		ID: c.id, Org: c.req.Org, Model: c.req.Model, Class: c.req.Class,
+		ID: c.id, CallerID: c.req.RequestID, Org: c.req.Org, Model: c.req.Model, Class: c.req.Class,
 		PromptRoot: xxhash.Sum64String(root), PromptTokens: promptTokens(c.req.Prompt),
 		MaxTokens: c.req.MaxTokens, Repeatable: true, Deadline: c.req.Deadline,
 	}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -62,6 +62,7 @@
 	sessions *sessions
 	appender *appender
 	prober   *prober
+	journal  *journaler
 
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
@@ -96,6 +97,8 @@
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
 	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
+	d.journal = newJournaler(d)
+	d.journal.open(d.clock.now())
 	return d
 }
 
@@ -203,6 +206,7 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
+	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), d.postBatch, d.log)
--- a/io/entry/daemon_test.go
+++ b/io/entry/daemon_test.go
@@ -100,13 +100,15 @@
 func TestCompletionIsWhole(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	t.Run("run", func(t *testing.T) {
-		c, ctx := startCluster(t, 1)
-		a, err := bench.Call(ctx, c.Entries()[0], bench.Token, "/v1/completions", "", completionBody("hello", 9))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if diff := cmp.Diff(wholeAnswer("hello", "v1", 9), answerText(t, a)); diff != "" {
-			t.Errorf("answer (-want +got):\n%s", diff)
+		c, ctx := startCluster(t, 2)
+		for _, e := range c.Entries() {
+			a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody("hello", 9))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(wholeAnswer("hello", "v1", 9), answerText(t, a)); diff != "" {
+				t.Errorf("answer of %s (-want +got):\n%s", e.ID, diff)
+			}
 		}
 	})
 }
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -70,6 +70,7 @@
 // update hands a message to the deciders and performs their commands.
 func (d *Daemon) update(ctx context.Context, now time.Time, msg ident.Msg) {
 	cmds := d.node.Update(now, msg)
+	d.journal.note(now, msg, cmds)
 	for _, cmd := range cmds {
 		d.perform(ctx, cmd)
 	}
--- /dev/null
+++ b/io/entry/replay_test.go
@@ -0,0 +1,101 @@
+package entry_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/record"
+	"cicadavalve/core/replay"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/bench"
+	"cicadavalve/io/peer"
+	"cicadavalve/io/stand"
+)
+
+// recordedRun runs requests with faults and returns the entry's journal.
+func recordedRun(t *testing.T, requests int) []record.Entry {
+	t.Helper()
+	c, ctx := startCluster(t, 1)
+	faults := stand.EngineFaults{DropShare: 0.3, RepeatShare: 0.1}
+	if err := bench.Fault(ctx, c.Engines()[0].Address, faults); err != nil {
+		t.Fatal(err)
+	}
+	e := c.Entries()[0]
+	for i := range requests {
+		if _, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody(fmt.Sprintf("p%d", i), 4)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := bench.Call(ctx, e, bench.Token, "/v1/call/booking/x", fmt.Sprintf("k%d", i), "{}"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var segment record.Segment
+	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "journal", "", &segment); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := segment.Entries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
+
+func replayAll(t *testing.T, entries []record.Entry) replay.Report {
+	t.Helper()
+	r := replay.NewReplayer()
+	for _, e := range entries {
+		if err := r.Step(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return r.Report()
+}
+
+func TestReplayFindsNoDifferenceAndThenAFlippedDecision(t *testing.T) {
+	entries := recordedRun(t, 40)
+	report := replayAll(t, entries)
+	if diff := cmp.Diff([]replay.Difference(nil), report.Differences); diff != "" {
+		t.Fatalf("differences of an untouched journal (-want +got):\n%s", diff)
+	}
+	flipped := flipOne(t, entries)
+	var got []int64
+	for _, d := range replayAll(t, entries).Differences {
+		got = append(got, d.Seq)
+	}
+	if diff := cmp.Diff([]int64{flipped}, got); diff != "" {
+		t.Errorf("differences after a flipped decision (-want +got):\n%s", diff)
+	}
+}
+
+// flipOne changes the upstream of one recorded decision and returns its step.
+func flipOne(t *testing.T, entries []record.Entry) int64 {
+	t.Helper()
+	for i := len(entries) / 2; i < len(entries); i++ {
+		for j, c := range entries[i].Cmds {
+			var cmd sched.SendCmd
+			if c.Type != "sched.SendCmd" || json.Unmarshal(c.Body, &cmd) != nil {
+				continue
+			}
+			cmd.Upstream += "-flipped"
+			entries[i].Cmds[j].Body, _ = json.Marshal(cmd)
+			return entries[i].Seq
+		}
+	}
+	t.Fatal("the journal holds no sending to flip")
+	return 0
+}
+
+func TestReplayRefusesAJournalWithAGap(t *testing.T) {
+	entries := recordedRun(t, 2)
+	r := replay.NewReplayer()
+	if err := r.Step(entries[0]); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Step(entries[2]); err == nil {
+		t.Error("a journal without its second step was replayed")
+	}
+}
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -109,3 +109,8 @@
 		P50Ms: ms(50), P95Ms: ms(95), P99Ms: ms(99), MaxMs: float64(h.Max()) / 1000,
 	}
 }
+
+// SortKey orders summaries by organisation, class and measure.
+func (s Summary) SortKey() string {
+	return string(s.Organisation) + "\x00" + string(s.Class) + "\x00" + string(s.Measure)
+}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -59,3 +60,14 @@
 	}
 	return s, nil
 }
+
+// Show asks for a document about one subject and decodes it.
+func (c *Client) Show(ctx context.Context, subject, argument string, into any) (err error) {
+	defer func() { err = errors.Wrapf(err, "show %s of %s", subject, c.address) }()
+	req := peerpb.ShowRequest_builder{Subject: subject, Argument: argument}.Build()
+	resp, err := c.operator.Show(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(resp.Msg.GetJson(), into)
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -34,8 +35,13 @@
 	Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error)
 	// Status tells what is in force.
 	Status(ctx context.Context) (Status, error)
+	// Show is a document about one subject; ErrUnknownSubject where there is none such.
+	Show(ctx context.Context, subject, argument string) (document any, err error)
 }
 
+// ErrUnknownSubject says that an entry can't show what was asked.
+var ErrUnknownSubject = errors.New("unknown subject")
+
 // VerdictNotKnownYet answers a proposal that the fold has not met in time.
 const VerdictNotKnownYet = "not_known_yet"
 
@@ -76,6 +82,24 @@
 	}.Build()), nil
 }
 
+// Show implements the Operator service.
+func (h *handler) Show(
+	ctx context.Context, req *connect.Request[peerpb.ShowRequest],
+) (resp *connect.Response[peerpb.ShowResponse], err error) {
+	document, err := h.backend.Show(ctx, req.Msg.GetSubject(), req.Msg.GetArgument())
+	if errors.Is(err, ErrUnknownSubject) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	raw, err := json.Marshal(document)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(peerpb.ShowResponse_builder{Json: raw}.Build()), nil
+}
+
 // Status implements the Operator service.
 func (h *handler) Status(
 	ctx context.Context, _ *connect.Request[peerpb.StatusRequest],
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -137,3 +137,8 @@
   flags+=(--straight "$(join "${engines[@]}")")
 fi
 bin/cvlab load "${flags[@]}"
+
+if [ -z "$json" ]; then
+  echo "running each entry's recorded decisions again"
+  for peer in "${peers[@]}"; do bin/cicadavalve replay --entry "$peer"; done
+fi
