Keep the histograms of 1,300 organisations within the control budget

Cause: one HdrHistogram of ten minutes and two digits takes some 24 KB; three measures of 1,300 organisations and one class would take 96 MB of a budget of 64 MB.

Only the 128 histograms used last stand at full size, the others are packed.

The times between the tokens of an answer are observed together at its end, so that one answer costs at most three unpackings.

--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -41,6 +41,8 @@
 	class   ident.Class
 	started time.Time
 	last    time.Time
+	// gaps are the times between tokens, observed together at the end.
+	gaps []time.Duration
 }
 
 // Complete implements [caller.Backend].
@@ -52,6 +54,7 @@
 	c.last = c.started
 	s := d.sessions.open(id)
 	defer d.finish(ctx, id)
+	defer func() { c.observe(meter.BetweenTokens, c.gaps...) }()
 	d.post(ctx, sched.ArriveMsg{Request: c.describe()})
 	if err := c.run(ctx, s); err != nil {
 		return answer, err
@@ -169,17 +172,17 @@
 // clock observes the time to the first token and the times between tokens.
 func (c *completion) clock(ctx context.Context, cmd sched.SendCmd) {
 	now := time.Now()
-	measure := meter.BetweenTokens
 	if c.seq.Next() == 1 {
-		measure = meter.FirstToken
+		c.observe(meter.FirstToken, now.Sub(c.last))
 		c.d.post(ctx, sched.FirstMsg{Request: c.id, Attempt: cmd.Attempt})
+	} else {
+		c.gaps = append(c.gaps, now.Sub(c.last))
 	}
-	c.observe(measure, now.Sub(c.last))
 	c.last = now
 }
 
-func (c *completion) observe(m meter.Measure, d time.Duration) {
-	c.d.meter.Observe(meter.Key{Org: c.req.Org, Class: c.class, Measure: m}, d)
+func (c *completion) observe(m meter.Measure, d ...time.Duration) {
+	c.d.meter.Observe(meter.Key{Org: c.req.Org, Class: c.class, Measure: m}, d...)
 }
 
 func (c *completion) count() {
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -21,12 +21,6 @@
 	WholeAnswer   Measure = "whole_answer"
 )
 
-const (
-	lowestMicros  = 1
-	highestMicros = int64(10 * time.Minute / time.Microsecond)
-	digits        = 2
-)
-
 // Key names one histogram.
 type Key struct {
 	Org     ident.OrgID
@@ -46,16 +40,19 @@
 	MaxMs        float64     `json:"max_ms"`
 }
 
+// mostHot is how many histograms stand in memory at full size.
+const mostHot = 128
+
 // Meter holds the figures of one process.
 type Meter struct {
-	mu         sync.Mutex
-	histograms map[Key]*hdrhistogram.Histogram
-	counters   map[string]int64
+	mu       sync.Mutex
+	cells    *cells
+	counters map[string]int64
 }
 
 // NewMeter is an empty meter.
 func NewMeter() *Meter {
-	return &Meter{histograms: map[Key]*hdrhistogram.Histogram{}, counters: map[string]int64{}}
+	return &Meter{cells: newCells(mostHot), counters: map[string]int64{}}
 }
 
 // Publish shows the meter under a name at /debug/vars.
@@ -63,16 +60,17 @@
 	expvar.Publish(name, expvar.Func(func() any { return m.Snapshot() }))
 }
 
-// Observe adds a duration to a histogram.
-func (m *Meter) Observe(k Key, d time.Duration) {
+// Observe adds durations to a histogram; a longer one than ten minutes counts as that.
+func (m *Meter) Observe(k Key, durations ...time.Duration) {
+	if len(durations) == 0 {
+		return
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	h, ok := m.histograms[k]
-	if !ok {
-		h = hdrhistogram.New(lowestMicros, highestMicros, digits)
-		m.histograms[k] = h
+	h := m.cells.use(k)
+	for _, d := range durations {
+		_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
 	}
-	_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros))
 }
 
 // Count adds to a counter.
@@ -96,9 +94,10 @@
 	for name, n := range m.counters {
 		p.Counters[name] = n
 	}
-	for k, h := range m.histograms {
+	m.cells.each(func(k Key, h *hdrhistogram.Histogram) {
 		p.Histograms = append(p.Histograms, summarise(k, h))
-	}
+	})
+	p.Counters["histogram_faults"] = m.cells.faults
 	return p
 }
 
