Let a versioner choose the version of each new request

The scheduler took the version from the operator's file alone, so a move between versions had no place to act. A request asks once, at its arrival, and keeps the answer over all attempts.

--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -47,6 +47,7 @@
 	m.rng = rand.New(rand.NewPCG(defaultSeed, defaultSeed))
 	m.policyName = route.NameAffinity
 	m.maxAttempts = defaultMaxAttempts
+	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
 		ident.Standard:    4 * time.Second,
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -40,6 +40,7 @@
 	policy      route.Policy
 	maxAttempts int
 	silence     map[ident.Class]time.Duration
+	versions    Versioner
 
 	// rules is nil until the first version is in force; every request is refused before.
 	rules     *rules.Set
@@ -155,7 +156,7 @@
 	if r.Class == "" {
 		r.Class = class
 	}
-	r.version = m.rules.ServedVersion(r.Model)
+	r.version = m.chooseVersion(r)
 	if !known || r.version == "" {
 		return r.refuse(CodeUnknownModel, "no rule routes and serves this model"), true
 	}
