--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -31,20 +31,39 @@
 type HTTPClient struct {
 	pooled *http.Client
 	fresh  *http.Client
+	// control asks for load reports.
+	control *http.Client
+}
+
+// Option sets one property of an [HTTPClient].
+type Option func(*HTTPClient)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithControlDialer sets how connections for load reports are opened.
+func WithControlDialer(dial DialFunc) Option {
+	return func(c *HTTPClient) { c.control = &http.Client{Transport: &http.Transport{DialContext: dial}} }
 }
 
 // NewHTTPClient is a client with a pool of connections per upstream.
-func NewHTTPClient(connectTimeout time.Duration, idlePerHost int) *HTTPClient {
+func NewHTTPClient(connectTimeout time.Duration, idlePerHost int, options ...Option) *HTTPClient {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost}
 	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	return &HTTPClient{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+	c := &HTTPClient{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+	c.control = c.pooled
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // CloseIdle closes the connections that no request uses.
 func (c *HTTPClient) CloseIdle() {
 	c.pooled.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
+	c.control.CloseIdleConnections()
 }
 
 // Cause classifies an error of an attempt.
@@ -114,7 +133,7 @@
 	if err != nil {
 		return load, err
 	}
-	resp, err := c.pooled.Do(req.WithContext(ctx))
+	resp, err := c.control.Do(req.WithContext(ctx))
 	if err != nil {
 		return load, err
 	}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -55,6 +55,8 @@
 
 	engines *engine.HTTPClient
 	logs    logsvc.Service
+	// control carries what the entry asks of the platform.
+	control *http.Transport
 	list    vmlist.List
 	meter   *meter.Meter
 
@@ -76,13 +78,17 @@
 func NewDaemon(settings config.Settings, tokens config.Tokens, options ...Option) *Daemon {
 	incarnation := ident.BootID(uuid.NewString())
 	id := ident.EntryID(settings.Entry)
+	figures := meter.NewMeter()
+	dial := meter.NewDialer(figures, connectTimeout).DialContext
+	control := &http.Transport{DialContext: dial}
 	d := &Daemon{
 		settings: settings, tokens: tokens, log: slog.Default(), incarnation: incarnation,
 		started: func(roster.Member) {}, gate: func() {}, aborted: make(chan struct{}),
-		engines:  engine.NewHTTPClient(connectTimeout, idlePerUpstream),
-		logs:     logsvc.NewClient(settings.LogURL, &http.Client{}),
-		list:     vmlist.NewClient(settings.ListURL, &http.Client{Timeout: time.Duration(settings.LogTimeout)}),
-		meter:    meter.NewMeter(),
+		engines:  engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(dial)),
+		control:  control,
+		logs:     logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
+		list:     vmlist.NewClient(settings.ListURL, &http.Client{Transport: control, Timeout: time.Duration(settings.LogTimeout)}),
+		meter:    figures,
 		inbox:    make(chan work, inboxSize),
 		sessions: newSessions(),
 		clock:    newClock(),
@@ -132,6 +138,7 @@
 		_ = l.caller.Close()
 		return l, err
 	}
+	l.peer = meter.NewListener(d.meter, l.peer)
 	d.self.Address = l.caller.Addr().String()
 	d.self.PeerAddress = l.peer.Addr().String()
 	return l, nil
@@ -169,6 +176,7 @@
 	stopLoops()
 	err = group.Wait()
 	d.engines.CloseIdle()
+	d.control.CloseIdleConnections()
 	d.log.Info("entry_stopped")
 	return err
 }
