--- a/io/config/config.go
+++ b/io/config/config.go
@@ -71,6 +71,11 @@
 	AdviceHold Duration `yaml:"advice_hold"`
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout Duration `yaml:"stop_timeout"`
+	// JournalBytes bounds the journal in memory, JournalRate what goes to the log, in bytes a second.
+	JournalBytes int   `yaml:"journal_bytes"`
+	JournalRate  int64 `yaml:"journal_rate"`
+	// JournalInterval is the time between two journal records in the log.
+	JournalInterval Duration `yaml:"journal_interval"`
 	// LogTimeout bounds one append or read of the log.
 	LogTimeout Duration `yaml:"log_timeout"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot of the
@@ -91,6 +96,9 @@
 		StopTimeout:   Duration(30 * time.Second),
 		LogTimeout:    Duration(2 * time.Second),
 
+		JournalBytes:     16 << 20,
+		JournalRate:      16 << 10,
+		JournalInterval:  Duration(5 * time.Second),
 		SnapshotRecords:  64,
 		SnapshotInterval: Duration(10 * time.Minute),
 	}
@@ -134,11 +142,14 @@
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
+	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
+	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
 	fault(!areAddresses(s.Peers), "peers: expected a list of host:port")
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
-		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "snapshot_interval": s.SnapshotInterval,
+		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
+		"snapshot_interval": s.SnapshotInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
