Settle a proposal by its id and answer at once where the log fails

An entry kept an operator waiting for 10 s after its own appender had dropped the record after 2 s. The fold now takes the proposal, its failed append and its deadline as messages. The appender still drops the record: to repeat it for longer would keep the operator without an answer, and the id makes asking again safe.

A proposal is appended only once the entry has folded the version that it is based on, so no record precedes its base; that keeps the window of outcomes safe. An id used for another file is refused.

An entry tells the version that it serves by, not the one that its fold is passing.

--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -39,6 +39,10 @@
 	// Expired is the verdict on a proposal so old that it may have been folded before and been
 	// forgotten; this record of it is not accepted.
 	Expired Verdict = "expired"
+	// NotKnownYet answers an asking whose proposal the fold has not met; it may still be accepted.
+	NotKnownYet Verdict = "not_known_yet"
+	// IDReused answers an asking whose id was used for another file.
+	IDReused Verdict = "id_reused"
 )
 
 // Outcome is what the fold decided about one proposal.
@@ -75,6 +79,8 @@
 	first     int64
 	snapshots snapshots
 	asking    asking
+	// waiters are the open askings in the order they came.
+	waiters []*waiter
 }
 
 // Option sets one property of a [Config].
@@ -153,6 +159,10 @@
 			return nil
 		}
 		cmds = c.foldBatch(now, msg)
+	case ProposeMsg:
+		c.propose(now, msg)
+	case AppendFailedMsg:
+		c.appendFailed(msg.ID)
 	case PeerStatesMsg:
 		c.takePeers(msg)
 	case ReadFailedMsg:
@@ -161,6 +171,7 @@
 		}
 	}
 	cmds = append(cmds, c.tellInForce()...)
+	cmds = append(cmds, c.settle(now)...)
 	return append(cmds, c.snapshot(now)...)
 }
 
--- a/core/ledger/config_test.go
+++ b/core/ledger/config_test.go
@@ -97,6 +97,8 @@
 	interval time.Duration
 	// alone keeps entries from asking each other.
 	alone bool
+	// leastAppends is how often an append takes effect at the least.
+	leastAppends int
 }
 
 func newWorld(t *rapid.T, bound int64) *world {
@@ -157,7 +159,7 @@
 	for _, cmd := range f.Update(w.now, msg) {
 		switch cmd := cmd.(type) {
 		case ledger.AppendCmd:
-			for range rapid.IntRange(0, 2).Draw(w.t, "appended") {
+			for range rapid.IntRange(w.leastAppends, 2).Draw(w.t, "appended") {
 				w.append(cmd.Record)
 			}
 		case ledger.AskPeersCmd:
@@ -228,7 +230,7 @@
 func TestSnapshotPrecedesRetention(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t, 1000)
-		w.interval, w.alone = time.Hour, true
+		w.interval, w.alone, w.leastAppends = time.Hour, true, 1
 		for range 20 {
 			w.propose()
 			w.now = w.now.Add(3 * time.Second)
--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -20,6 +20,7 @@
 		record.TypeOf[ledger.BatchMsg](), record.TypeOf[ledger.InForceCmd](),
 		record.TypeOf[ledger.ReadFailedMsg](), record.TypeOf[ledger.PeerStatesMsg](), record.TypeOf[ledger.AppendCmd](),
 		record.TypeOf[ledger.AskPeersCmd](), record.TypeOf[ledger.DivergedCmd](),
+		record.TypeOf[ledger.ProposeMsg](), record.TypeOf[ledger.AppendFailedMsg](), record.TypeOf[ledger.VerdictCmd](),
 		record.TypeOf[roster.ChangedCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
 		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -79,7 +79,7 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
-	case ledger.ReadFailedMsg, ledger.PeerStatesMsg:
+	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
 		return append(n.config.Update(now, ledger.TickMsg{}), n.sched.Update(now, msg)...)
--- a/io/entry/backend.go
+++ b/io/entry/backend.go
@@ -18,7 +18,6 @@
 const (
 	retryAfter    = time.Second
 	addressWeight = 100
-	foldPoll      = 5 * time.Millisecond
 )
 
 // Org implements [caller.Backend].
@@ -58,6 +57,9 @@
 
 // appendFailed tells the decider of a record that the log did not take it in time.
 func (d *Daemon) appendFailed(ctx context.Context, p pending) {
+	if p.stream == ledger.StreamConfig {
+		d.post(ctx, ledger.AppendFailedMsg{ID: p.record.ID})
+	}
 	if p.stream != once.StreamOnce {
 		return
 	}
@@ -69,34 +71,11 @@
 	d.post(ctx, once.AppendFailedMsg{Attempt: body.Attempt, Kind: p.record.Kind})
 }
 
-// Propose implements [peer.Backend]: it believes the fold alone, never the answer to the append.
-func (d *Daemon) Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error) {
-	defer func() { err = errors.Wrap(err, "propose") }()
-	ctx, cancel := context.WithTimeout(ctx, proposalDeadline)
-	defer cancel()
-	rec, err := ledger.NewRecord(id, ledger.KindConfig, d.settings.Entry, body)
-	if err != nil {
-		return o, false, err
-	}
-	d.appender.add(ctx, ledger.StreamConfig, rec)
-	ticker := time.NewTicker(foldPoll)
-	defer ticker.Stop()
-	for !folded {
-		select {
-		case <-ctx.Done():
-			return o, false, nil
-		case <-ticker.C:
-			d.inspect(ctx, func() { o, folded = d.node.Config().Outcome(id) })
-		}
-	}
-	return o, true, nil
-}
-
 // Status implements [peer.Backend].
 func (d *Daemon) Status(ctx context.Context) (s peer.Status, err error) {
 	ran := d.inspect(ctx, func() {
 		s = peer.Status{
-			Entry: d.self.Entry, Zone: d.self.Zone, Version: d.node.Config().Version(), Operator: d.node.Config().Operator(),
+			Entry: d.self.Entry, Zone: d.self.Zone, Version: d.node.Sched().RulesVersion(), Operator: d.node.Config().Operator(),
 			Text: d.node.Config().Text(), Digest: d.node.Config().Digest(), Ready: d.isReady(), Members: d.node.Roster().Members(),
 		}
 	})
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -30,12 +30,11 @@
 )
 
 const (
-	connectTimeout   = 500 * time.Millisecond
-	idlePerUpstream  = 64
-	inboxSize        = 1024
-	readHeaderLimit  = 5 * time.Second
-	tickInterval     = 50 * time.Millisecond
-	proposalDeadline = 10 * time.Second
+	connectTimeout  = 500 * time.Millisecond
+	idlePerUpstream = 64
+	inboxSize       = 1024
+	readHeaderLimit = 5 * time.Second
+	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -85,6 +85,8 @@
 		d.appender.add(ctx, cmd.Stream, cmd.Record)
 	case ledger.AskPeersCmd:
 		d.stater.ask(cmd)
+	case ledger.VerdictCmd:
+		d.sessions.deliver(cmd.Request, cmd)
 	case ledger.DivergedCmd:
 		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -31,7 +31,7 @@
 }
 
 // Propose asks the entry to put a configuration in force; a verdict of
-// [VerdictNotKnownYet] may still become accepted.
+// [ledger.NotKnownYet] may still become accepted.
 func (c *Client) Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, err error) {
 	defer func() { err = errors.Wrapf(err, "propose at %s", c.address) }()
 	req := peerpb.ProposeRequest_builder{Id: id, Base: body.Base, Operator: body.Operator, Text: body.Text}.Build()
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -19,8 +19,9 @@
 
 // Status is what an entry tells of itself.
 type Status struct {
-	Entry    ident.EntryID
-	Zone     ident.Zone
+	Entry ident.EntryID
+	Zone  ident.Zone
+	// Version is the one in force, or 0 before the entry has caught up with the log.
 	Version  int64
 	Operator string
 	Text     string
@@ -31,8 +32,8 @@
 
 // Backend performs the operator's commands.
 type Backend interface {
-	// Propose appends a configuration; folded is false where the outcome is not known yet.
-	Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error)
+	// Propose appends a configuration and answers with what the fold decided, or [ledger.NotKnownYet].
+	Propose(ctx context.Context, id string, body ledger.ConfigBody) (ledger.Outcome, error)
 	// Status tells what is in force.
 	Status(ctx context.Context) (Status, error)
 	// Show is a document about one subject; ErrUnknownSubject where there is none such.
@@ -44,9 +45,6 @@
 // ErrUnknownSubject says that an entry can't show what was asked.
 var ErrUnknownSubject = errors.New("unknown subject")
 
-// VerdictNotKnownYet answers a proposal that the fold has not met in time.
-const VerdictNotKnownYet = "not_known_yet"
-
 // handler serves the protocol; embedding answers calls that are not implemented.
 type handler struct {
 	peerpbconnect.UnimplementedOperatorHandler
@@ -72,16 +70,12 @@
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("expected an id and an operator"))
 	}
 	body := ledger.ConfigBody{Base: req.Msg.GetBase(), Operator: req.Msg.GetOperator(), Text: req.Msg.GetText()}
-	outcome, folded, err := h.backend.Propose(ctx, req.Msg.GetId(), body)
+	outcome, err := h.backend.Propose(ctx, req.Msg.GetId(), body)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	verdict := string(outcome.Verdict)
-	if !folded {
-		verdict = VerdictNotKnownYet
-	}
 	return connect.NewResponse(peerpb.ProposeResponse_builder{
-		Verdict: verdict, Version: outcome.Version, Winner: outcome.Winner,
+		Verdict: string(outcome.Verdict), Version: outcome.Version, Winner: outcome.Winner,
 	}.Build()), nil
 }
 
