--- a/io/config/config.go
+++ b/io/config/config.go
@@ -63,8 +63,11 @@
 	LogLevel  string `yaml:"log_level"`
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// ProbeInterval is the time between load reports asked of an upstream.
-	ProbeInterval Duration `yaml:"probe_interval"`
+	// ProbeRate is the load reports asked a second over all upstreams; the time between two of one
+	// upstream follows from it, within ProbeInterval and ProbeIntervalMax.
+	ProbeRate        float64  `yaml:"probe_rate"`
+	ProbeInterval    Duration `yaml:"probe_interval"`
+	ProbeIntervalMax Duration `yaml:"probe_interval_max"`
 	// ListInterval is the time between readings of the VM list.
 	ListInterval Duration `yaml:"list_interval"`
 	// AdviceHold is how long callers may keep the answer of GET /v1/entries.
@@ -90,11 +93,15 @@
 		LogFormat:     "json",
 		LogLevel:      "info",
 		MaxBodyBytes:  4 << 20,
+		ProbeRate:     40,
 		ProbeInterval: Duration(100 * time.Millisecond),
-		ListInterval:  Duration(500 * time.Millisecond),
-		AdviceHold:    Duration(2 * time.Second),
-		StopTimeout:   Duration(30 * time.Second),
-		LogTimeout:    Duration(2 * time.Second),
+
+		ProbeIntervalMax: Duration(5 * time.Second),
+
+		ListInterval: Duration(500 * time.Millisecond),
+		AdviceHold:   Duration(2 * time.Second),
+		StopTimeout:  Duration(30 * time.Second),
+		LogTimeout:   Duration(2 * time.Second),
 
 		JournalBytes:     16 << 20,
 		JournalRate:      16 << 10,
@@ -142,6 +149,8 @@
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
+	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
+	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -105,7 +105,7 @@
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
 	d.stater = newStater(d)
-	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
+	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
 	return d
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -3,32 +3,46 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/sched"
+	"cicadavalve/io/config"
 	"cicadavalve/io/engine"
 	"cicadavalve/io/vmlist"
 )
 
-// prober asks every listed upstream for its load report.
+// prober asks every listed upstream for its load report, at a bounded rate over all of them.
 type prober struct {
-	client   engine.Client
-	interval time.Duration
+	client engine.Client
+	// shortest and longest bound the time between two probes of one upstream.
+	shortest time.Duration
+	longest  time.Duration
+	// rate is the probes a second over all upstreams, as long as longest allows.
+	rate     float64
+	watching atomic.Int64
 	post     func(context.Context, ident.Msg)
 	lists    chan []sched.Upstream
 	watches  map[ident.UpstreamID]*watch
 }
 
-func newProber(client engine.Client, interval time.Duration, post func(context.Context, ident.Msg)) *prober {
+func newProber(client engine.Client, s config.Settings, post func(context.Context, ident.Msg)) *prober {
 	return &prober{
-		client: client, interval: interval, post: post,
+		client: client, shortest: time.Duration(s.ProbeInterval), longest: time.Duration(s.ProbeIntervalMax),
+		rate: s.ProbeRate, post: post,
 		lists: make(chan []sched.Upstream), watches: map[ident.UpstreamID]*watch{},
 	}
 }
 
+// interval grows with the number of upstreams, so that their probes together keep the rate.
+func (p *prober) interval() time.Duration {
+	shared := time.Duration(float64(p.watching.Load()) / p.rate * float64(time.Second))
+	return min(max(shared, p.shortest), p.longest)
+}
+
 // watch probes one upstream.
 type watch struct {
 	p        *prober
@@ -69,6 +83,7 @@
 			p.drop(id)
 		}
 	}
+	p.watching.Store(int64(len(p.watches)))
 }
 
 func (p *prober) drop(id ident.UpstreamID) {
@@ -79,23 +94,24 @@
 }
 
 func (w *watch) run(ctx context.Context) error {
-	ticker := time.NewTicker(w.p.interval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		w.probe(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		w.probe(ctx)
+		timer.Reset(w.p.interval())
 	}
 }
 
-// probeTimeouts is how many intervals a probe may take.
-const probeTimeouts = 3
+// probeTimeouts is how many of the shortest intervals a probe may take.
+const probeTimeouts = 5
 
 func (w *watch) probe(ctx context.Context) {
-	probing, cancel := context.WithTimeout(ctx, probeTimeouts*w.p.interval)
+	probing, cancel := context.WithTimeout(ctx, probeTimeouts*w.p.shortest)
 	defer cancel()
 	load, err := w.p.client.Load(probing, w.upstream.Address)
 	if err != nil {
