Limit repeated log events and count what is left out

Cause: an outage of the log makes every entry log each failed read and append, several a second and stream. At most 50 records of an event in 10 s reach the log; the next window's first one carries the number left out. Ruled out: a limit over all events, which would let one hide the others. Conclusion: a long outage costs a bounded number of log lines and none silently.

--- a/cmd/cicadavalve/entry.go
+++ b/cmd/cicadavalve/entry.go
@@ -4,6 +4,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -11,6 +12,7 @@
 	"cicadavalve/core/roster"
 	"cicadavalve/io/config"
 	"cicadavalve/io/entry"
+	"cicadavalve/io/events"
 )
 
 func newEntryCommand() *cobra.Command {
@@ -67,8 +69,15 @@
 		return nil, errors.Wrap(err, "log_level")
 	}
 	options := &slog.HandlerOptions{Level: l}
+	var h slog.Handler = slog.NewJSONHandler(w, options)
 	if format == "text" {
-		return slog.New(slog.NewTextHandler(w, options)), nil
+		h = slog.NewTextHandler(w, options)
 	}
-	return slog.New(slog.NewJSONHandler(w, options)), nil
+	return slog.New(events.NewHandler(h, mostRepeats, repeatWindow)), nil
 }
+
+// An event is logged at most mostRepeats times in each repeatWindow.
+const (
+	mostRepeats  = 50
+	repeatWindow = 10 * time.Second
+)
