--- /dev/null
+++ b/cmd/cicadavalve/diff.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"cicadavalve/core/ledger"
+	"cicadavalve/io/logsvc"
+)
+
+// configVersion is a version of the operator's file as the log tells of it.
+type configVersion struct {
+	Version  int64  `json:"version"`
+	Operator string `json:"operator"`
+	Text     string `json:"text"`
+}
+
+// diffReport is what the diff command prints.
+type diffReport struct {
+	From configVersion `json:"from"`
+	To   configVersion `json:"to"`
+	// Added and Removed are whole lines, with the comments that name who asked.
+	Added   []string `json:"added"`
+	Removed []string `json:"removed"`
+}
+
+func newDiffCommand() *cobra.Command {
+	var out output
+	var logURL string
+	cmd := &cobra.Command{
+		Use:   "diff V1 V2 --log URL",
+		Short: "Show which rules two versions differ by, and who asked",
+		Long:  "Reads the versions from the platform's log, so it works when every entry is gone. The log keeps them for a limited time.",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) (err error) {
+			report, err := diffVersions(cmd.Context(), logURL, args[0], args[1])
+			if err != nil {
+				return err
+			}
+			return out.print(cmd.OutOrStdout(), report, report.text)
+		},
+	}
+	out.register(cmd)
+	cmd.Flags().StringVar(&logURL, "log", "", "the URL of the platform's log")
+	_ = cmd.MarkFlagRequired("log")
+	return cmd
+}
+
+func diffVersions(ctx context.Context, logURL, from, to string) (report diffReport, err error) {
+	defer func() { err = errors.Wrap(err, "diff") }()
+	versions, err := readVersions(ctx, logURL)
+	if err != nil {
+		return report, err
+	}
+	if report.From, err = findVersion(versions, from); err != nil {
+		return report, err
+	}
+	if report.To, err = findVersion(versions, to); err != nil {
+		return report, err
+	}
+	report.Added = missing(report.To.Text, report.From.Text)
+	report.Removed = missing(report.From.Text, report.To.Text)
+	return report, nil
+}
+
+// readVersions folds the configuration stream and notes each version that was accepted.
+func readVersions(ctx context.Context, logURL string) (versions []configVersion, err error) {
+	logs := logsvc.NewClient(logURL+"/", &http.Client{})
+	fold := ledger.NewConfig()
+	for {
+		next := fold.Wanted()
+		batch, err := logs.Read(ctx, ledger.StreamConfig, next, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, one := range single(batch) {
+			before := fold.Version()
+			fold.Update(time.Time{}, one)
+			if fold.Version() != before {
+				versions = append(versions, configVersion{fold.Version(), fold.Operator(), fold.Text()})
+			}
+		}
+		if fold.Wanted() == next {
+			return versions, nil
+		}
+	}
+}
+
+// single splits a batch into one for each record, so that no version between is passed over.
+func single(batch ledger.BatchMsg) (batches []ledger.BatchMsg) {
+	for i := range batch.Entries {
+		one := batch
+		one.Entries = batch.Entries[i : i+1]
+		batches = append(batches, one)
+	}
+	return batches
+}
+
+func findVersion(versions []configVersion, text string) (v configVersion, err error) {
+	number, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return v, errors.Newf("expected the number of a version, not %q", text)
+	}
+	for _, v := range versions {
+		if v.Version == number {
+			return v, nil
+		}
+	}
+	return v, errors.Newf("the log does not hold version %d", number)
+}
+
+// missing lists the lines of one text that the other one lacks.
+func missing(text, other string) (lines []string) {
+	has := map[string]bool{}
+	for line := range strings.Lines(other) {
+		has[strings.TrimSpace(line)] = true
+	}
+	lines = []string{}
+	for line := range strings.Lines(text) {
+		if line = strings.TrimSpace(line); line != "" && !has[line] {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
+func (r diffReport) text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "version %d by %s -> version %d by %s\n", r.From.Version, r.From.Operator, r.To.Version, r.To.Operator)
+	for _, line := range r.Removed {
+		_, _ = fmt.Fprintf(w, "- %s\n", line)
+	}
+	for _, line := range r.Added {
+		_, _ = fmt.Fprintf(w, "+ %s\n", line)
+	}
+}
--- a/cmd/cvlab/main.go
+++ b/cmd/cvlab/main.go
@@ -30,6 +30,6 @@
 	root := &cobra.Command{
 		Use: "cvlab", Short: "Stand-ins and load for cicadavalve", SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(newStandCommand(), newLoadCommand(), newGetCommand())
+	root.AddCommand(newStandCommand(), newLoadCommand(), newReportCommand(), newGetCommand())
 	return root
 }
