Decide about once-only calls by state charts

A start that landed after its not_run took the key for good, and a start that landed twice after a not_run took it again; nothing bounded the time between winning and sending; nobody ended the attempts of a dead entry; the fold kept every key for ever; the loop could wait for the appender's full queue while the appender waited for the loop.

The fold of keys and the life of an attempt now follow key.yaml and attempt.yaml. A not_run makes its attempt void. A winner sends within 5 s of the call's arrival or gives the attempt up. A start without an end is closed as unknown after 40 s, by the first entry of a staggered set, and an unknown key never becomes free. Ends are appended until the fold shows them. Keys are kept for a window of records; a UUIDv7 up to the latest forgotten one of its organisation never runs. Results above 4 KiB are not kept. Each stream is appended by itself and the loop never waits for a queue.

The clock takes part in no fold: the age of an abandoned start only says when to append the unknown record.

--- a/core/node/node.go
+++ b/core/node/node.go
@@ -75,7 +75,7 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
+	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg, once.TickMsg:
 		return n.once.Update(now, msg)
 	}
 	return n.sched.Update(now, msg)
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -1,188 +1,179 @@
 package once
 
 import (
-	"encoding/json"
 	"time"
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 )
 
-// state of a key in the fold.
-type state string
-
-const (
-	started state = "started"
-	done    state = "done"
-	unknown state = "unknown"
-)
-
-// keyState is what the log says about one key.
-type keyState struct {
-	state state
-	// attempt is the start record that won the key; it never changes while the key is held.
-	attempt string
-	digest  string
-	result  *Result
-}
-
-// call is a caller that waits on this entry.
-type call struct {
-	msg CallMsg
-	// sent is true once the entry was allowed to send; it is never allowed twice.
-	sent bool
-}
-
 // Model decides about the once-only calls of one entry.
+//
+//	m := once.NewModel("entry-1", boot)
+//	cmds := m.Update(now, once.CallMsg{Request: id, Key: key, Digest: digest, Attempt: attempt})
 type Model struct {
-	entry       ident.EntryID
-	incarnation ident.BootID
-	next        int64
-	keys        map[Key]*keyState
-	// calls holds the waiting callers by attempt.
-	calls map[string]*call
+	entry         ident.EntryID
+	incarnation   ident.BootID
+	sendLimit     time.Duration
+	abandonAge    time.Duration
+	window        int64
+	snapshotEvery int64
+
+	keys *keys
+	// caughtUp is true once the fold has reached the end of the stream without a gap.
+	caughtUp bool
+	// gap holds what was read since records were found missing; nil where none are.
+	gap *gap
+	// snapshotted is the offset that the newest snapshot in the log or on its way covers.
+	snapshotted int64
+	// batchAt is when the last batch came.
+	batchAt time.Time
+	// downAt is when the log was last found down; zero where it takes appends.
+	downAt time.Time
+
+	// attempts holds the attempts that have not ended; one that sends is never allowed to send again.
+	attempts map[string]*attempt
+	// asked lists attempts in the order of arrival; ended ones are dropped at ticks.
+	asked []*attempt
+	// ends holds the ends not folded yet by record id, endOrder in the order of their appends.
+	ends     map[string]*end
+	endOrder []string
+	// open lists the keys that the fold holds as started, in the order of offsets; others are dropped at ticks.
+	open []*keyState
 }
 
 // NewModel is a model for one incarnation of an entry.
-func NewModel(entry ident.EntryID, incarnation ident.BootID) *Model {
-	return &Model{entry: entry, incarnation: incarnation, keys: map[Key]*keyState{}, calls: map[string]*call{}}
+func NewModel(entry ident.EntryID, incarnation ident.BootID, options ...Option) *Model {
+	m := &Model{
+		entry: entry, incarnation: incarnation, attempts: map[string]*attempt{}, ends: map[string]*end{},
+		snapshotted: -1,
+	}
+	m.setDefaults()
+	for _, o := range options {
+		o(m)
+	}
+	m.keys = newKeys(m.window)
+	return m
 }
 
 // Next is the offset of the first record not folded yet.
-func (m *Model) Next() int64 { return m.next }
+func (m *Model) Next() int64 { return m.keys.next }
+
+// Known reports whether the entry knows which keys are taken.
+func (m *Model) Known() bool { return m.caughtUp && m.gap == nil }
 
 // Update takes a message and returns the commands that follow from it.
-func (m *Model) Update(_ time.Time, msg ident.Msg) []ident.Cmd {
+func (m *Model) Update(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
 	case CallMsg:
-		return m.start(msg)
+		return m.call(now, msg)
 	case NotRunMsg:
-		return m.end(msg.Attempt, KindNotRun, nil)
+		return m.event(now, msg.Attempt, cause{event: "not_run", reason: msg.Reason, retryAfter: msg.RetryAfter})
 	case DoneMsg:
-		return m.end(msg.Attempt, KindDone, msg.Result)
+		return m.done(now, msg)
 	case AppendFailedMsg:
-		return m.appendFailed(msg)
+		return m.appendFailed(now, msg)
+	case LogMsg:
+		return m.logState(now, msg)
+	case TickMsg:
+		return m.tick(now)
 	case ledger.BatchMsg:
-		return m.fold(msg)
+		return m.fold(now, msg)
 	}
 	return nil
 }
 
-func (m *Model) start(msg CallMsg) []ident.Cmd {
-	if k, held := m.keys[msg.Key]; held {
-		return []ident.Cmd{k.answer(msg)}
+func (m *Model) call(now time.Time, msg CallMsg) []ident.Cmd {
+	if k, held := m.keys.held[msg.Key]; held && m.gap == nil {
+		return append(m.abandon(now, k, 0), k.answer(msg.Request, msg.Digest))
+	}
+	if m.keys.expired(msg.Key) {
+		return []ident.Cmd{AnswerCmd{Request: msg.Request, Answer: AnswerExpired}}
+	}
+	if reason := m.refusal(now); reason != "" {
+		return []ident.Cmd{AnswerCmd{
+			Request: msg.Request, Answer: AnswerNotRun, Reason: reason, RetryAfter: logRetryAfter,
+		}}
 	}
-	m.calls[msg.Attempt] = &call{msg: msg}
-	return []ident.Cmd{m.appendCmd(msg.Attempt, KindStart, msg, nil)}
+	body := Body{Key: msg.Key, Digest: msg.Digest, Attempt: msg.Attempt, Entry: m.entry, Incarnation: m.incarnation}
+	a := &attempt{body: body, request: msg.Request, state: attemptChart.Initial(), asked: now}
+	m.attempts[msg.Attempt] = a
+	m.asked = append(m.asked, a)
+	return []ident.Cmd{AppendCmd{m.record(KindStart, body)}}
 }
 
-func (k *keyState) answer(msg CallMsg) AnswerCmd {
-	cmd := AnswerCmd{Request: msg.Request, Result: k.result}
+// refusal is why a call can't be started now, or empty; nothing has been appended for it.
+func (m *Model) refusal(now time.Time) Reason {
 	switch {
-	case k.digest != msg.Digest:
-		return AnswerCmd{Request: msg.Request, Answer: AnswerMismatch}
-	case k.state == started:
-		cmd.Answer = AnswerInProgress
-	case k.state == unknown:
-		cmd.Answer = AnswerUnknown
-	default:
-		cmd.Answer = AnswerResult
+	case !m.Known():
+		return ReasonNotKnown
+	case !m.downAt.IsZero() && now.Sub(m.downAt) < logRetryAfter:
+		return ReasonLog
+	case now.Sub(m.batchAt) > staleAfter:
+		return ReasonLog
+	case len(m.attempts) >= mostWaiting || len(m.ends) >= mostEnds:
+		return ReasonBusy
 	}
-	return cmd
+	return ""
 }
 
-// appendCmd keeps the start record's id equal to the attempt, so that repeated appends fold once.
-func (m *Model) appendCmd(attempt string, kind ledger.Kind, msg CallMsg, result *Result) AppendCmd {
-	id := attempt
-	if kind != KindStart {
-		id = attempt + "/" + string(kind)
-	}
-	body := Body{msg.Key, msg.Digest, attempt, m.entry, m.incarnation, result}
-	raw, err := json.Marshal(body)
-	if err != nil {
-		panic(err) // Body holds only strings and bytes.
+func (m *Model) event(now time.Time, id string, c cause) []ident.Cmd {
+	a, live := m.attempts[id]
+	if !live {
+		return nil
 	}
-	return AppendCmd{ledger.Record{ID: id, Kind: kind, Writer: string(m.entry), Body: raw}}
+	return m.step(now, a, c)
 }
 
-func (m *Model) end(attempt string, kind ledger.Kind, result *Result) (cmds []ident.Cmd) {
-	c, ok := m.calls[attempt]
-	if !ok {
-		return nil
+func (m *Model) done(now time.Time, msg DoneMsg) []ident.Cmd {
+	if msg.Result == nil {
+		return m.event(now, msg.Attempt, cause{event: "unknown"})
 	}
-	delete(m.calls, attempt)
-	answer := AnswerCmd{Request: c.msg.Request, Answer: AnswerResult, Result: result}
-	switch {
-	case kind == KindNotRun:
-		answer.Answer = AnswerNotRun
-	case result == nil:
-		answer.Answer = AnswerUnknown
-	}
-	return []ident.Cmd{m.appendCmd(attempt, kind, c.msg, result), answer}
+	return m.event(now, msg.Attempt, cause{event: "done", result: msg.Result})
 }
 
-// appendFailed answers the caller; the start may still have taken effect, and the
-// fold then frees its key with a not_run record.
-func (m *Model) appendFailed(msg AppendFailedMsg) []ident.Cmd {
-	c, ok := m.calls[msg.Attempt]
-	if !ok || msg.Kind != KindStart || c.sent {
+// appendFailed gives up an attempt whose start failed. The start may take effect
+// all the same, and the not_run record makes it void.
+func (m *Model) appendFailed(now time.Time, msg AppendFailedMsg) []ident.Cmd {
+	if msg.Kind != KindStart {
 		return nil
 	}
-	return m.end(msg.Attempt, KindNotRun, nil)
+	return m.event(now, msg.Attempt, cause{event: "give_up", reason: ReasonLog, retryAfter: logRetryAfter})
 }
 
-func (m *Model) fold(batch ledger.BatchMsg) (cmds []ident.Cmd) {
-	if batch.Stream != StreamOnce {
+// logState gives up every attempt that still waits once the log is found down.
+func (m *Model) logState(now time.Time, msg LogMsg) []ident.Cmd {
+	if msg.Up {
+		m.downAt = time.Time{}
 		return nil
 	}
-	for _, e := range batch.Entries {
-		if e.Offset < m.next {
-			continue
-		}
-		m.next = e.Offset + 1
-		var body Body
-		if err := json.Unmarshal(e.Record.Body, &body); err != nil {
-			continue
-		}
-		cmds = append(cmds, m.foldRecord(e.Record.Kind, body)...)
-	}
-	return cmds
+	m.downAt = now
+	return m.giveUp(now, 0, ReasonLog)
 }
 
-func (m *Model) foldRecord(kind ledger.Kind, body Body) []ident.Cmd {
-	k, held := m.keys[body.Key]
-	switch {
-	case kind == KindStart && !held:
-		m.keys[body.Key] = &keyState{state: started, attempt: body.Attempt, digest: body.Digest}
-		return m.won(body)
-	case kind == KindStart:
-		return m.lost(k, body)
-	case !held || k.attempt != body.Attempt:
-		return nil
-	case kind == KindNotRun:
-		delete(m.keys, body.Key)
-	case body.Result != nil:
-		k.state, k.result = done, body.Result
-	default:
-		k.state = unknown
+// giveUp ends the attempts that have waited for at least an age.
+func (m *Model) giveUp(now time.Time, age time.Duration, reason Reason) (cmds []ident.Cmd) {
+	for _, a := range m.asked {
+		if now.Sub(a.asked) >= age {
+			cmds = append(cmds, m.step(now, a, cause{event: "give_up", reason: reason, retryAfter: logRetryAfter})...)
+		}
 	}
-	return nil
+	return cmds
 }
 
-func (m *Model) won(body Body) []ident.Cmd {
-	c, mine := m.calls[body.Attempt]
-	if !mine || c.sent {
-		return nil
-	}
-	c.sent = true
-	return []ident.Cmd{SendCmd{c.msg.Request, body.Attempt}}
+func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
+	cmds = m.giveUp(now, m.sendLimit, ReasonLate)
+	m.asked = compact(m.asked, func(a *attempt) bool { return a.state != stateEnded })
+	cmds = append(cmds, m.resend(now)...)
+	return append(cmds, m.abandonAll(now)...)
 }
 
-func (m *Model) lost(k *keyState, body Body) []ident.Cmd {
-	c, mine := m.calls[body.Attempt]
-	if !mine || k.attempt == body.Attempt {
-		return nil
+// compact keeps the elements that a condition keeps, in order.
+func compact[T any](list []T, keep func(T) bool) (kept []T) {
+	for _, v := range list {
+		if keep(v) {
+			kept = append(kept, v)
+		}
 	}
-	delete(m.calls, body.Attempt)
-	return []ident.Cmd{k.answer(c.msg)}
+	return kept
 }
--- /dev/null
+++ b/core/once/once_test.go
@@ -0,0 +1,300 @@
+package once
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"cicadavalve/core/chart"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+)
+
+func decodeBody(rec ledger.Record) (body Body) {
+	_ = json.Unmarshal(rec.Body, &body)
+	return body
+}
+
+func plainKeys(n int) (keys []Key) {
+	for i := range n {
+		keys = append(keys, Key{"one", fmt.Sprintf("key-%d", i)})
+	}
+	return keys
+}
+
+func TestEachKeyRunsAtMostOnceOverAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, plainKeys(1))
+		s.run(t, s.steps())
+		s.settle(t)
+	})
+}
+
+func TestEachKeyRunsAtMostOnceWhileTheLogForgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, plainKeys(1), WithSnapshotEvery(4))
+		steps := s.steps()
+		steps["retain"] = step{func(t *rapid.T) {
+			s.first = max(s.first, s.next-rapid.Int64Range(0, 8).Draw(t, "kept"))
+		}, 2}
+		s.run(t, steps)
+	})
+}
+
+// keyAt is a UUID of version 7 that tells its own time.
+func keyAt(ms int64, n int) Key {
+	id := uuid.UUID{6: 0x70, 8: 0x80, 15: byte(n)}
+	for i := range timeBytes {
+		id[i] = byte(ms >> (8 * (timeBytes - 1 - i)))
+	}
+	return Key{"one", id.String()}
+}
+
+func TestKeysOlderThanTheWindowNeverRunAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var keys []Key
+		for i := range 4 {
+			keys = append(keys, keyAt(int64(1000*i), i))
+		}
+		s := newSim(t, keys, WithWindow(6), WithAbandonAge(time.Second))
+		steps := s.steps()
+		// A record that was on its way for longer than the window is out of its bounds.
+		steps["land"] = step{s.landInOrder, 10}
+		s.run(t, steps)
+		s.settle(t)
+	})
+}
+
+// landInOrder puts the oldest record on its way into the log.
+func (s *sim) landInOrder(*rapid.T) {
+	if len(s.wire) > 0 {
+		s.log = append(s.log, ledger.Entry{Offset: s.next, Record: s.wire[0]})
+		s.next++
+		s.wire = s.wire[1:]
+	}
+}
+
+// follow reads the whole log on an entry, and again what it appends itself.
+func (s *sim) follow(e *simEntry) {
+	for range 4 {
+		for len(s.wire) > 0 {
+			s.landInOrder(nil)
+		}
+		s.readOn(e, 100)
+	}
+}
+
+// startSim is a simulation without random steps: every entry has caught up.
+func startSim(options ...Option) *sim {
+	s := newSim(nil, plainKeys(1), options...)
+	for _, e := range s.entries {
+		s.readOn(e, 1)
+	}
+	return s
+}
+
+// got collects the answers and sends of a message.
+func (s *sim) got(e *simEntry, msg ident.Msg) (cmds []string) {
+	for _, cmd := range e.model.Update(s.now, msg) {
+		switch cmd := cmd.(type) {
+		case AppendCmd:
+			s.wire = append(s.wire, cmd.Record)
+			cmds = append(cmds, "append "+string(cmd.Record.Kind))
+		case SendCmd:
+			cmds = append(cmds, "send")
+		case AnswerCmd:
+			cmds = append(cmds, strings.TrimSpace(fmt.Sprintf("%s %s", cmd.Answer, cmd.Reason)))
+		}
+	}
+	return cmds
+}
+
+func (s *sim) callMsg(attempt string) CallMsg {
+	return CallMsg{Request: ident.RequestID(attempt), Key: s.keys[0], Digest: "digest", Attempt: attempt}
+}
+
+func (s *sim) batch(from int64) ledger.BatchMsg {
+	return ledger.BatchMsg{Stream: StreamOnce, Entries: s.log[from:], First: s.first, Next: s.next}
+}
+
+func (s *sim) expect(t *testing.T, what string, want, got []string) {
+	t.Helper()
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("%s (-want +got):\n%s", what, diff)
+	}
+}
+
+func TestStartThatLandsAfterItsNotRunTakesNoKey(t *testing.T) {
+	s := startSim()
+	e := s.entries[0]
+	s.expect(t, "call", []string{"append start"}, s.got(e, s.callMsg("a")))
+	start := s.wire[0]
+	s.expect(t, "failed append", []string{"append not_run", "not_run log_unavailable"},
+		s.got(e, AppendFailedMsg{Attempt: "a", Kind: KindStart}))
+	s.wire = []ledger.Record{s.wire[1], start, start}
+	for range 3 {
+		s.landInOrder(nil)
+	}
+	s.expect(t, "fold", nil, s.got(e, s.batch(0)))
+	s.expect(t, "second call", []string{"append start"}, s.got(e, s.callMsg("b")))
+}
+
+func TestDoubledStartDoesNotEndAnAttemptThatRan(t *testing.T) {
+	s := startSim()
+	e := s.entries[0]
+	s.got(e, s.callMsg("a"))
+	s.wire = append(s.wire, s.wire[0])
+	s.landInOrder(nil)
+	s.expect(t, "won", []string{"send"}, s.got(e, s.batch(0)))
+	s.expect(t, "done", []string{"append done", "result"}, s.got(e, DoneMsg{Attempt: "a", Result: &Result{Status: 200}}))
+	s.landInOrder(nil)
+	s.expect(t, "doubled start", nil, s.got(e, s.batch(1)))
+}
+
+func TestPausedWinnerGivesUp(t *testing.T) {
+	s := startSim()
+	e := s.entries[0]
+	s.got(e, s.callMsg("a"))
+	s.landInOrder(nil)
+	s.now = s.now.Add(defaultSendLimit + time.Millisecond)
+	s.expect(t, "late fold", []string{"append not_run", "not_run log_slow"}, s.got(e, s.batch(0)))
+}
+
+func TestWinnerWhoseAttemptWasEndedByAnotherEntryDoesNotSend(t *testing.T) {
+	s := startSim(WithSendLimit(time.Hour))
+	winner, other := s.entries[0], s.entries[1]
+	s.got(winner, s.callMsg("a"))
+	s.landInOrder(nil)
+	s.got(other, s.batch(0))
+	s.now = s.now.Add(defaultAbandonAge)
+	s.expect(t, "call elsewhere", []string{"append unknown", "in_progress"}, s.got(other, s.callMsg("b")))
+	s.landInOrder(nil)
+	s.expect(t, "fold of both", []string{"outcome_unknown"}, s.got(winner, s.batch(0)))
+}
+
+func TestAbandonedAttemptEndsAsUnknown(t *testing.T) {
+	s := startSim()
+	s.got(s.entries[0], s.callMsg("a"))
+	s.landInOrder(nil)
+	s.got(s.entries[0], s.batch(0))
+	s.boot(0)
+	s.got(s.entries[1], s.batch(0))
+	s.expect(t, "at once", []string{"in_progress"}, s.got(s.entries[1], s.callMsg("b")))
+	s.now = s.now.Add(defaultAbandonAge + abandonSpread)
+	s.expect(t, "later", []string{"append unknown"}, s.got(s.entries[1], TickMsg{}))
+	s.landInOrder(nil)
+	s.got(s.entries[1], s.batch(1))
+	s.expect(t, "after the end", []string{"outcome_unknown"}, s.got(s.entries[1], s.callMsg("c")))
+	s.got(s.entries[2], s.batch(0))
+	s.now = s.now.Add(time.Hour)
+	s.expect(t, "another entry", nil, s.got(s.entries[2], TickMsg{}))
+}
+
+func TestLogDownRefusesAtOnce(t *testing.T) {
+	s := startSim()
+	e := s.entries[0]
+	s.got(e, s.callMsg("a"))
+	s.expect(t, "down", []string{"append not_run", "not_run log_unavailable"}, s.got(e, LogMsg{}))
+	s.expect(t, "call", []string{"not_run log_unavailable"}, s.got(e, s.callMsg("b")))
+	s.expect(t, "up", nil, s.got(e, LogMsg{Up: true}))
+	s.expect(t, "call", []string{"append start"}, s.got(e, s.callMsg("c")))
+}
+
+func TestEndIsAppendedUntilItIsFolded(t *testing.T) {
+	s := startSim()
+	e := s.entries[0]
+	s.got(e, s.callMsg("a"))
+	s.follow(e)
+	s.got(e, DoneMsg{Attempt: "a", Result: &Result{Status: 200}})
+	for range 3 {
+		s.wire = nil
+		s.now = s.now.Add(resendAfter)
+		s.expect(t, "tick", []string{"append done"}, s.got(e, TickMsg{}))
+	}
+	s.follow(e)
+	s.now = s.now.Add(resendAfter)
+	s.expect(t, "tick after the fold", nil, s.got(e, TickMsg{}))
+}
+
+func TestRepeatedCallGetsTheKeptResult(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		size   int
+		digest string
+		want   []string
+	}{
+		{"small", 10, "digest", []string{"result"}},
+		{"too large", mostKeptBytes + 1, "digest", []string{"result_not_kept"}},
+		{"other body", 10, "other", []string{"key_reused"}},
+	} {
+		s := startSim()
+		s.got(s.entries[0], s.callMsg("a"))
+		s.follow(s.entries[0])
+		s.got(s.entries[0], DoneMsg{Attempt: "a", Result: &Result{Status: 200, Body: make([]byte, tc.size)}})
+		s.follow(s.entries[1])
+		msg := s.callMsg("b")
+		msg.Digest = tc.digest
+		s.expect(t, tc.name, tc.want, s.got(s.entries[1], msg))
+	}
+}
+
+func TestEntryWithoutEarlierRecordsRefusesUntilASnapshot(t *testing.T) {
+	s := startSim(WithSnapshotEvery(1000))
+	s.got(s.entries[0], s.callMsg("a"))
+	s.follow(s.entries[0])
+	s.got(s.entries[0], DoneMsg{Attempt: "a", Result: &Result{Status: 200}})
+	s.follow(s.entries[0])
+	s.first = s.next
+	s.boot(1)
+	s.readOn(s.entries[1], 100)
+	s.expect(t, "before", []string{"not_run not_ready"}, s.got(s.entries[1], s.callMsg("b")))
+	s.follow(s.entries[0])
+	s.follow(s.entries[1])
+	s.expect(t, "after", []string{"result"}, s.got(s.entries[1], s.callMsg("c")))
+}
+
+// TestChartsAreDrawnFromTheirFiles draws every transition that the code can take.
+func TestChartsAreDrawnFromTheirFiles(t *testing.T) {
+	page, err := os.ReadFile("../../docs/design/once.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []*chart.Chart{keyChart, attemptChart} {
+		if !strings.Contains(string(page), c.Dot()) {
+			t.Errorf("docs/design/once.md lacks this drawing of %s:\n%s", c.Name(), c.Dot())
+		}
+	}
+}
+
+// TestCodeNamesOnlyWhatTheChartsHold finds actions and guards that one side lacks.
+func TestCodeNamesOnlyWhatTheChartsHold(t *testing.T) {
+	for file, c := range map[string]*chart.Chart{"key.go": keyChart, "attempt.go": attemptChart} {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		inChart, inCode := map[string]bool{}, map[string]bool{}
+		for _, tr := range c.Transitions() {
+			if tr.Guard != "" {
+				inChart[string(tr.Guard)] = true
+			}
+			for _, a := range tr.Actions {
+				inChart[string(a)] = true
+			}
+		}
+		for _, m := range regexp.MustCompile(`case "(\w+)":|g == "(\w+)"`).FindAllStringSubmatch(string(source), -1) {
+			inCode[m[1]+m[2]] = true
+		}
+		if diff := cmp.Diff(inChart, inCode); diff != "" {
+			t.Errorf("%s (-chart +code):\n%s", file, diff)
+		}
+	}
+}
--- /dev/null
+++ b/core/once/options.go
@@ -0,0 +1,47 @@
+package once
+
+import "time"
+
+// Option sets one property of a [Model].
+type Option func(*Model)
+
+// WithSendLimit bounds the time between an attempt's arrival and the beginning of its sending.
+func WithSendLimit(d time.Duration) Option { return func(m *Model) { m.sendLimit = d } }
+
+// WithAbandonAge sets for how long a start without an end holds its key as in
+// progress, counted on each entry from when it folded the start. It must exceed
+// the send limit and the longest call, and be the same on all entries.
+func WithAbandonAge(d time.Duration) Option { return func(m *Model) { m.abandonAge = d } }
+
+// WithWindow sets for how many records of the stream a key is kept. It must be the same on all entries.
+func WithWindow(records int64) Option { return func(m *Model) { m.window = records } }
+
+// WithSnapshotEvery sets how many records lie between two snapshots.
+func WithSnapshotEvery(records int64) Option { return func(m *Model) { m.snapshotEvery = records } }
+
+const (
+	defaultSendLimit     = 5 * time.Second
+	defaultAbandonAge    = 40 * time.Second
+	defaultWindow        = 100_000
+	defaultSnapshotEvery = 20_000
+	// abandonSpread spreads the entries that would all end the same abandoned attempt.
+	abandonSpread = 10 * time.Second
+	// resendAfter exceeds the time that one append may take.
+	resendAfter = 3 * time.Second
+	// staleAfter exceeds the time between two batches of an idle stream.
+	staleAfter = 5 * time.Second
+	// logRetryAfter is how long calls are refused at once after the log was found down.
+	logRetryAfter = time.Second
+	// mostWaiting bounds the attempts that wait for their start, and mostEnds the ends not folded yet.
+	mostWaiting = 4096
+	mostEnds    = 4096
+	// mostKeptBytes bounds a kept result.
+	mostKeptBytes = 4 << 10
+)
+
+func (m *Model) setDefaults() {
+	m.sendLimit = defaultSendLimit
+	m.abandonAge = defaultAbandonAge
+	m.window = defaultWindow
+	m.snapshotEvery = defaultSnapshotEvery
+}
--- /dev/null
+++ b/core/once/sim_test.go
@@ -0,0 +1,306 @@
+package once
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+)
+
+// simEntry is a model with the handlers of its calls.
+type simEntry struct {
+	model *Model
+	boot  ident.BootID
+	// permitted and written list the attempts that may be sent, and those that were and have no end yet.
+	permitted []string
+	written   []string
+	waiting   []string
+}
+
+// sim runs several models over one log whose appends get lost, delayed and doubled.
+type sim struct {
+	t       *rapid.T
+	now     time.Time
+	entries []*simEntry
+	options []Option
+	// wire holds the records that may still land.
+	wire  []ledger.Record
+	log   []ledger.Entry
+	first int64
+	next  int64
+	calls int
+	keys  []Key
+	// keyOf, runs and notRun count by attempt and key what the upstream ran and what callers were told.
+	keyOf  map[string]Key
+	sends  map[string]int
+	writes map[string]int
+	runs   map[Key]int
+	notRun map[string]bool
+	answer map[string]int
+}
+
+func newSim(t *rapid.T, keys []Key, options ...Option) *sim {
+	s := &sim{
+		t: t, now: time.Unix(1_700_000_000, 0), keys: keys, options: options, keyOf: map[string]Key{},
+		sends: map[string]int{}, writes: map[string]int{}, runs: map[Key]int{}, notRun: map[string]bool{},
+		answer: map[string]int{},
+	}
+	for range 3 {
+		s.entries = append(s.entries, &simEntry{})
+		s.boot(len(s.entries) - 1)
+	}
+	return s
+}
+
+// boot replaces an entry by a new incarnation; what its handlers had written stays written.
+func (s *sim) boot(i int) {
+	s.calls++
+	boot := ident.BootID(fmt.Sprintf("boot-%d", s.calls))
+	id := ident.EntryID(fmt.Sprintf("entry-%d", i))
+	*s.entries[i] = simEntry{model: NewModel(id, boot, s.options...), boot: boot}
+	s.readOn(s.entries[i], mostSimRead)
+}
+
+// mostSimRead exceeds the records of a run.
+const mostSimRead = 1000
+
+func (s *sim) pick() *simEntry { return rapid.SampledFrom(s.entries).Draw(s.t, "entry") }
+
+func (s *sim) update(e *simEntry, msg ident.Msg) {
+	for _, cmd := range e.model.Update(s.now, msg) {
+		switch cmd := cmd.(type) {
+		case AppendCmd:
+			s.wire = append(s.wire, cmd.Record)
+		case SendCmd:
+			s.sends[cmd.Attempt]++
+			e.permitted = append(e.permitted, cmd.Attempt)
+		case AnswerCmd:
+			s.answered(cmd)
+		}
+	}
+}
+
+func (s *sim) answered(cmd AnswerCmd) {
+	id := string(cmd.Request)
+	s.answer[id]++
+	switch cmd.Answer {
+	case AnswerNotRun:
+		s.notRun[id] = true
+	case AnswerResult:
+		if s.runs[s.keyOf[id]] != 1 {
+			s.t.Fatalf("a result was answered for a key that ran %d times", s.runs[s.keyOf[id]])
+		}
+	}
+}
+
+// take removes one element at random.
+func take(t *rapid.T, list *[]string) (v string, ok bool) {
+	if len(*list) == 0 {
+		return "", false
+	}
+	i := rapid.IntRange(0, len(*list)-1).Draw(t, "which")
+	v = (*list)[i]
+	*list = append((*list)[:i:i], (*list)[i+1:]...)
+	return v, true
+}
+
+func (s *sim) call(*rapid.T) {
+	e := s.pick()
+	s.calls++
+	id := fmt.Sprintf("attempt-%d", s.calls)
+	key := rapid.SampledFrom(s.keys).Draw(s.t, "key")
+	s.keyOf[id] = key
+	e.waiting = append(e.waiting, id)
+	s.update(e, CallMsg{Request: ident.RequestID(id), Key: key, Digest: "digest", Attempt: id})
+}
+
+// land puts a record into the log; it may land again later.
+func (s *sim) land(*rapid.T) {
+	if len(s.wire) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(s.wire)-1).Draw(s.t, "record")
+	s.log = append(s.log, ledger.Entry{Offset: s.next, Record: s.wire[i]})
+	s.next++
+	if rapid.IntRange(0, 3).Draw(s.t, "again") > 0 {
+		s.wire = append(s.wire[:i:i], s.wire[i+1:]...)
+	}
+}
+
+func (s *sim) lose(*rapid.T) {
+	if len(s.wire) > 0 {
+		i := rapid.IntRange(0, len(s.wire)-1).Draw(s.t, "record")
+		s.wire = append(s.wire[:i:i], s.wire[i+1:]...)
+	}
+}
+
+// fail reports a record as failed, which may land all the same.
+func (s *sim) fail(*rapid.T) {
+	if len(s.wire) == 0 {
+		return
+	}
+	rec := rapid.SampledFrom(s.wire).Draw(s.t, "record")
+	for _, e := range s.entries {
+		if string(e.model.entry) == rec.Writer && rec.Kind != KindSnapshot {
+			s.update(e, AppendFailedMsg{Attempt: decodeBody(rec).Attempt, Kind: rec.Kind})
+		}
+	}
+}
+
+func (s *sim) read(*rapid.T) {
+	s.readOn(s.pick(), rapid.SampledFrom([]int{1, 3, mostSimRead}).Draw(s.t, "most"))
+}
+
+func (s *sim) readOn(e *simEntry, most int) {
+	from := e.model.Next()
+	if e.model.gap != nil && len(e.model.gap.entries) > 0 {
+		from = e.model.gap.entries[len(e.model.gap.entries)-1].Offset + 1
+	}
+	batch := ledger.BatchMsg{Stream: StreamOnce, First: s.first, Next: s.next}
+	for at := max(from, s.first); at < s.next && len(batch.Entries) < most; at++ {
+		batch.Entries = append(batch.Entries, s.log[at])
+	}
+	s.update(e, batch)
+}
+
+// write sends a permitted attempt, which the upstream runs.
+func (s *sim) write(*rapid.T) {
+	e := s.pick()
+	id, ok := take(s.t, &e.permitted)
+	if !ok {
+		return
+	}
+	e.written = append(e.written, id)
+	s.writes[id]++
+	s.runs[s.keyOf[id]]++
+}
+
+// refuse gives a permitted attempt up before a byte is written.
+func (s *sim) refuse(*rapid.T) {
+	e := s.pick()
+	if id, ok := take(s.t, &e.permitted); ok {
+		s.update(e, NotRunMsg{Attempt: id})
+	}
+}
+
+// withdraw lets a caller go away: its handler sends nothing from then on.
+func (s *sim) withdraw(*rapid.T) {
+	e := s.pick()
+	id, ok := take(s.t, &e.waiting)
+	if !ok || s.writes[id] > 0 {
+		return
+	}
+	for i, p := range e.permitted {
+		if p == id {
+			e.permitted = append(e.permitted[:i:i], e.permitted[i+1:]...)
+			break
+		}
+	}
+	s.update(e, NotRunMsg{Attempt: id, Reason: ReasonGone})
+}
+
+func (s *sim) end(*rapid.T) {
+	e := s.pick()
+	id, ok := take(s.t, &e.written)
+	if !ok {
+		return
+	}
+	var result *Result
+	if rapid.Bool().Draw(s.t, "known") {
+		result = &Result{Status: 200, Body: []byte(id)}
+	}
+	s.update(e, DoneMsg{Attempt: id, Result: result})
+}
+
+func (s *sim) tick(*rapid.T) {
+	s.now = s.now.Add(rapid.SampledFrom([]time.Duration{
+		0, 0, 0, time.Second, time.Second, 3 * time.Second, 3 * time.Second, time.Minute,
+	}).Draw(s.t, "for"))
+	s.update(s.pick(), TickMsg{})
+}
+
+func (s *sim) logDown(*rapid.T) { s.update(s.pick(), LogMsg{Up: rapid.Bool().Draw(s.t, "up")}) }
+
+func (s *sim) kill(*rapid.T) { s.boot(rapid.IntRange(0, len(s.entries)-1).Draw(s.t, "killed")) }
+
+// check holds after each step.
+func (s *sim) check(t *rapid.T) {
+	for k, n := range s.runs {
+		if n > 1 {
+			t.Fatalf("key %s ran %d times", k.Key, n)
+		}
+	}
+	for id, n := range s.sends {
+		if n > 1 {
+			t.Fatalf("%s was permitted to send %d times", id, n)
+		}
+	}
+	for id := range s.notRun {
+		if s.writes[id] > 0 {
+			t.Fatalf("%s was answered not_run and written", id)
+		}
+	}
+	for id, n := range s.answer {
+		if n > 1 {
+			t.Fatalf("%s was answered %d times", id, n)
+		}
+	}
+}
+
+// settle lets every entry read the whole log and compares the folds.
+func (s *sim) settle(t *rapid.T) {
+	folds := make([]map[Key]string, len(s.entries))
+	for i, e := range s.entries {
+		for e.model.Next() < s.next && e.model.gap == nil {
+			s.readOn(e, 100)
+		}
+		if e.model.gap != nil {
+			continue
+		}
+		folds[i] = map[Key]string{}
+		for k, held := range e.model.keys.held {
+			folds[i][k] = string(held.state) + " " + held.attempt
+		}
+	}
+	var want map[Key]string
+	for _, f := range folds {
+		if f == nil {
+			continue
+		}
+		if want == nil {
+			want = f
+		}
+		if diff := cmp.Diff(want, f); diff != "" {
+			t.Fatalf("folds of the same records (-first +other):\n%s", diff)
+		}
+	}
+}
+
+// step is a kind of step with how often it comes.
+type step struct {
+	run    func(*rapid.T)
+	weight int
+}
+
+func (s *sim) steps() map[string]step {
+	return map[string]step{
+		"call": {s.call, 4}, "land": {s.land, 10}, "lose": {s.lose, 1}, "fail": {s.fail, 2}, "read": {s.read, 10},
+		"write": {s.write, 4}, "refuse": {s.refuse, 1}, "withdraw": {s.withdraw, 1}, "end": {s.end, 4},
+		"tick": {s.tick, 4}, "log": {s.logDown, 1}, "kill": {s.kill, 1},
+	}
+}
+
+// run takes random steps and checks after each.
+func (s *sim) run(t *rapid.T, steps map[string]step) {
+	actions := map[string]func(*rapid.T){"": s.check}
+	for name, st := range steps {
+		for i := range st.weight {
+			actions[fmt.Sprintf("%s %d", name, i)] = st.run
+		}
+	}
+	t.Repeat(actions)
+}
--- a/io/entry/backend.go
+++ b/io/entry/backend.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
-	"cicadavalve/core/once"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/peer"
@@ -56,19 +54,6 @@
 // isReady is for the loop alone.
 func (d *Daemon) isReady() bool { return d.node.Sched().RulesVersion() > 0 && !d.leaving }
 
-// appendFailed tells the decider of a record that the log did not take it in time.
-func (d *Daemon) appendFailed(ctx context.Context, p pending) {
-	if p.stream != once.StreamOnce {
-		return
-	}
-	var body once.Body
-	if err := json.Unmarshal(p.record.Body, &body); err != nil {
-		d.log.Error("record_not_decoded", "error", err)
-		return
-	}
-	d.post(ctx, once.AppendFailedMsg{Attempt: body.Attempt, Kind: p.record.Kind})
-}
-
 // Propose implements [peer.Backend]: it believes the fold alone, never the answer to the append.
 func (d *Daemon) Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error) {
 	defer func() { err = errors.Wrap(err, "propose") }()
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
@@ -26,22 +27,18 @@
 	// attempt is the id of the start record of a once-only call.
 	attempt string
 	s       *session
+	// arrived is when the call came; a once-only call is not sent later than within after it.
+	arrived time.Time
+	within  time.Duration
 }
 
-// The codes of refusals that once-only calls add.
-const (
-	codeKeyRequired sched.Code = "idempotency_key_required"
-	codeKeyReused   sched.Code = "idempotency_key_reused"
-	codeInProgress  sched.Code = "in_progress"
-)
-
 // Call implements [caller.Backend].
 func (d *Daemon) Call(ctx context.Context, req caller.Call) (reply engine.Reply, err error) {
 	runsOnce, known := d.service(ctx, req.Service)
 	if !known {
 		return reply, &caller.Refusal{Code: sched.CodeUnknownService, Message: "no rule names this service", NotRun: true}
 	}
-	c := &call{d: d, req: req, id: ident.RequestID(uuid.NewString()), once: runsOnce, attempt: uuid.NewString()}
+	c := &call{d: d, req: req, id: ident.RequestID(uuid.NewString()), once: runsOnce, attempt: uuid.NewString(), arrived: time.Now()}
 	c.s = d.sessions.open(c.id)
 	defer d.finish(ctx, c.id)
 	if !runsOnce {
@@ -77,11 +74,12 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.withdraw(ctx)
 			return reply, ctx.Err()
 		case cmd := <-c.s.mailbox:
 			switch cmd := cmd.(type) {
 			case once.SendCmd:
-				c.sendOnce(ctx)
+				c.sendOnce(ctx, cmd)
 			case once.AnswerCmd:
 				return c.answer(cmd)
 			}
@@ -89,40 +87,54 @@
 	}
 }
 
+// withdraw frees the key of a call whose caller went away before it was sent. This
+// handler alone sends the call, so that none is sent after it.
+func (c *call) withdraw(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportLimit)
+	defer cancel()
+	c.d.post(ctx, once.NotRunMsg{Attempt: c.attempt, Reason: once.ReasonGone, RetryAfter: retryAfter})
+}
+
+const (
+	// reportLimit bounds the wait for a loop that has stopped.
+	reportLimit = time.Second
+	// mostCallTime bounds a call that its caller no longer waits for.
+	mostCallTime = 20 * time.Second
+)
+
 // sendOnce goes on when the caller leaves, so that the outcome is kept.
-func (c *call) sendOnce(ctx context.Context) {
-	ctx = context.WithoutCancel(ctx)
+func (c *call) sendOnce(ctx context.Context, permission once.SendCmd) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), mostCallTime)
+	defer cancel()
+	c.within = permission.Within
 	reply, err := c.send(ctx)
+	ctx, cancelReport := context.WithTimeout(context.WithoutCancel(ctx), reportLimit)
+	defer cancelReport()
 	var refused *caller.Refusal
 	switch {
 	case err == nil:
 		result := once.Result{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
 		c.d.post(ctx, once.DoneMsg{Attempt: c.attempt, Result: &result})
 	case errors.As(err, &refused) && refused.NotRun:
-		c.d.post(ctx, once.NotRunMsg{Attempt: c.attempt})
+		c.d.post(ctx, once.NotRunMsg{
+			Attempt: c.attempt, Reason: once.Reason(refused.Code), RetryAfter: refused.RetryAfter,
+		})
 	default:
 		c.d.post(ctx, once.DoneMsg{Attempt: c.attempt})
 	}
 }
 
 func (c *call) answer(cmd once.AnswerCmd) (reply engine.Reply, err error) {
-	refused := &caller.Refusal{RetryAfter: retryAfter}
-	switch cmd.Answer {
-	case once.AnswerResult:
+	if cmd.Answer == once.AnswerResult {
 		return engine.Reply{Status: cmd.Result.Status, ContentType: cmd.Result.ContentType, Body: cmd.Result.Body}, nil
-	case once.AnswerInProgress:
-		refused.Status, refused.Code = http.StatusConflict, codeInProgress
-		refused.Message = "another call with this key has started and not ended"
-	case once.AnswerMismatch:
-		refused.Status, refused.Code = http.StatusUnprocessableEntity, codeKeyReused
-		refused.Message = "this key was used before with another body"
-		refused.NotRun = true
-	case once.AnswerNotRun:
-		refused.Code, refused.Message, refused.NotRun = sched.CodeNoUpstream, "the call was not run; its key is free", true
-	default:
-		refused.Code, refused.Message = sched.CodeOutcomeUnknown, "the call may have run and will not be run again"
 	}
-	return reply, refused
+	refused := onceRefusals[cmd.Answer]
+	refused.RetryAfter = cmd.RetryAfter
+	if cmd.Answer == once.AnswerNotRun {
+		refused.Code = sched.Code(cmd.Reason)
+		refused.Status = notRunStatuses[cmd.Reason]
+	}
+	return reply, &refused
 }
 
 // send asks the scheduler for an upstream and sends the call.
@@ -140,6 +152,9 @@
 			case sched.RefuseCmd:
 				return reply, refusal(cmd)
 			case sched.SendCmd:
+				if c.once && c.expired(time.Now()) {
+					return reply, errLate
+				}
 				if reply, ok := c.attemptOn(ctx, cmd); ok {
 					return reply, nil
 				}
@@ -148,6 +163,12 @@
 	}
 }
 
+// expired takes the larger of what the monotonic and the wall clock say, since the
+// first stands still while a VM is frozen.
+func (c *call) expired(now time.Time) bool {
+	return max(now.Sub(c.arrived), now.Round(0).Sub(c.arrived.Round(0))) > c.within
+}
+
 func (c *call) class() ident.Class {
 	if c.req.Class == "" {
 		return ident.Standard
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -94,7 +94,7 @@
 	}
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
-	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
+	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
 	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
 	return d
 }
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -54,6 +54,7 @@
 			d.handle(ctx, w)
 		case <-ticker.C:
 			d.handle(ctx, work{msg: sched.TickMsg{}})
+			d.handle(ctx, work{msg: once.TickMsg{}})
 		}
 	}
 }
@@ -83,7 +84,7 @@
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case once.AppendCmd:
-		d.appender.add(ctx, once.StreamOnce, cmd.Record)
+		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	case sched.RefuseCmd:
--- /dev/null
+++ b/io/entry/oncelog.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/once"
+)
+
+func (d *Daemon) appendEvents() appendEvents {
+	return appendEvents{failed: d.appendFailed, state: d.logState}
+}
+
+// appendOnce tells the decider at once of a record that the full queue does not take.
+func (d *Daemon) appendOnce(ctx context.Context, cmd once.AppendCmd) {
+	if d.appender.offer(once.StreamOnce, cmd.Record) {
+		return
+	}
+	if msg, ok := d.failedMsg(cmd.Record); ok {
+		d.update(ctx, d.clock.now(), msg)
+	}
+}
+
+// appendFailed tells the decider of a record that the log did not take in time.
+func (d *Daemon) appendFailed(ctx context.Context, p pending) {
+	if p.stream != once.StreamOnce {
+		return
+	}
+	if msg, ok := d.failedMsg(p.record); ok {
+		d.post(ctx, msg)
+	}
+}
+
+func (d *Daemon) failedMsg(rec ledger.Record) (msg once.AppendFailedMsg, ok bool) {
+	var body once.Body
+	if err := json.Unmarshal(rec.Body, &body); err != nil {
+		d.log.Error("record_not_decoded", "error", err)
+		return msg, false
+	}
+	return once.AppendFailedMsg{Attempt: body.Attempt, Kind: rec.Kind}, true
+}
+
+// logState tells the decider whether the log takes the records of once-only calls.
+func (d *Daemon) logState(ctx context.Context, stream ledger.Stream, up bool) {
+	if stream == once.StreamOnce {
+		d.post(ctx, once.LogMsg{Up: up})
+	}
+}
--- /dev/null
+++ b/io/entry/oncerefusal.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"net/http"
+
+	"cicadavalve/core/once"
+	"cicadavalve/core/sched"
+	"cicadavalve/io/caller"
+)
+
+// The codes of refusals that once-only calls add.
+const (
+	codeKeyRequired   sched.Code = "idempotency_key_required"
+	codeKeyReused     sched.Code = "idempotency_key_reused"
+	codeKeyExpired    sched.Code = "idempotency_key_expired"
+	codeInProgress    sched.Code = "in_progress"
+	codeResultNotKept sched.Code = "result_not_kept"
+)
+
+// onceRefusals holds the refusal of each answer but the result. Only the answers
+// that prove it say that the request has not run.
+var onceRefusals = map[once.Answer]caller.Refusal{
+	once.AnswerNotRun: {
+		Message: "the call was not sent to any upstream; ask again with the same key", NotRun: true,
+	},
+	once.AnswerInProgress: {
+		Status: http.StatusConflict, Code: codeInProgress,
+		Message: "another call with this key has started and not ended; ask again with the same key",
+	},
+	once.AnswerUnknown: {
+		Code: sched.CodeOutcomeUnknown, Message: "the call may have run and will not be run again",
+	},
+	once.AnswerNotKept: {
+		Status: http.StatusConflict, Code: codeResultNotKept,
+		Message: "the call has run; its result was too large to keep",
+	},
+	once.AnswerMismatch: {
+		Status: http.StatusUnprocessableEntity, Code: codeKeyReused, NotRun: true,
+		Message: "this key was used before with another body; this body was not run",
+	},
+	once.AnswerExpired: {
+		Status: http.StatusGone, Code: codeKeyExpired,
+		Message: "this key is older than the time for which keys are kept; a call with it may have run before",
+	},
+}
+
+// notRunStatuses holds the HTTP statuses of the reasons that no scheduler's code covers.
+var notRunStatuses = map[once.Reason]int{
+	once.ReasonLog:      http.StatusServiceUnavailable,
+	once.ReasonLate:     http.StatusServiceUnavailable,
+	once.ReasonNotKnown: http.StatusServiceUnavailable,
+}
+
+// errLate refuses a call whose permission to be sent has expired.
+var errLate = &caller.Refusal{
+	Code: sched.Code(once.ReasonLate), Message: "the permission to send has expired", NotRun: true, RetryAfter: retryAfter,
+}
