--- a/core/once/fold.go
+++ b/core/once/fold.go
@@ -16,8 +16,8 @@
 		return nil
 	}
 	m.batchAt = now
-	if batch.First > m.keys.next && m.gap == nil {
-		cmds = append(cmds, m.openGap(now)...)
+	if m.gap == nil && batch.Gap(m.keys.next) {
+		cmds = append(cmds, m.openGap(now, batch.First)...)
 	}
 	var own []Body
 	for _, e := range batch.Entries {
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -56,8 +56,13 @@
 	return m
 }
 
-// Next is the offset of the first record not folded yet.
-func (m *Model) Next() int64 { return m.keys.next }
+// Next is the offset of the record to read next.
+func (m *Model) Next() int64 {
+	if m.gap != nil {
+		return m.gap.next
+	}
+	return m.keys.next
+}
 
 // Known reports whether the entry knows which keys are taken.
 func (m *Model) Known() bool { return m.caughtUp && m.gap == nil }
--- a/core/once/sim_test.go
+++ b/core/once/sim_test.go
@@ -157,9 +157,6 @@
 
 func (s *sim) readOn(e *simEntry, most int) {
 	from := e.model.Next()
-	if e.model.gap != nil && len(e.model.gap.entries) > 0 {
-		from = e.model.gap.entries[len(e.model.gap.entries)-1].Offset + 1
-	}
 	batch := ledger.BatchMsg{Stream: StreamOnce, First: s.first, Next: s.next}
 	for at := max(from, s.first); at < s.next && len(batch.Entries) < most; at++ {
 		batch.Entries = append(batch.Entries, s.log[at])
--- a/core/once/snapshot.go
+++ b/core/once/snapshot.go
@@ -49,24 +49,30 @@
 
 // gap is what an entry has read since it found records missing.
 type gap struct {
-	// entries holds the records from the first retained one on.
+	// next is the offset of the record to read next; it never decreases.
+	next int64
+	// entries holds what was read without a further gap, up to next.
 	entries []ledger.Entry
 	// parts holds the parts read of each snapshot.
 	parts map[string][]snapshotPart
 }
 
 // openGap forgets the fold: a key may have been taken by a record that is no longer retained.
-func (m *Model) openGap(now time.Time) []ident.Cmd {
-	m.gap, m.caughtUp = &gap{parts: map[string][]snapshotPart{}}, false
+func (m *Model) openGap(now time.Time, first int64) []ident.Cmd {
+	m.gap, m.caughtUp = &gap{next: first, parts: map[string][]snapshotPart{}}, false
 	return m.giveUp(now, 0, ReasonNotKnown)
 }
 
 // takeInGap keeps a record until a snapshot is whole, and then folds what follows it.
 func (m *Model) takeInGap(now time.Time, e ledger.Entry) (own []Body) {
 	g := m.gap
-	if n := len(g.entries); n > 0 && e.Offset <= g.entries[n-1].Offset {
+	if e.Offset < g.next {
 		return nil
 	}
+	if e.Offset > g.next {
+		g.entries = nil
+	}
+	g.next = e.Offset + 1
 	g.entries = append(g.entries, e)
 	delete(m.ends, e.Record.ID)
 	parts := g.add(e.Record)
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -54,7 +54,6 @@
 			d.handle(ctx, w)
 		case <-ticker.C:
 			d.handle(ctx, work{msg: sched.TickMsg{}})
-			d.handle(ctx, work{msg: once.TickMsg{}})
 		}
 	}
 }
@@ -71,6 +70,7 @@
 // update hands a message to the deciders and performs their commands.
 func (d *Daemon) update(ctx context.Context, now time.Time, msg ident.Msg) {
 	cmds := d.node.Update(now, msg)
+	d.journal.note(now, msg, cmds)
 	for _, cmd := range cmds {
 		d.perform(ctx, cmd)
 	}
@@ -81,6 +81,12 @@
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
+	case ledger.AppendCmd:
+		d.offer(cmd)
+	case ledger.AskPeersCmd:
+		d.stater.ask(cmd)
+	case ledger.DivergedCmd:
+		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case once.AppendCmd:
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -18,11 +19,15 @@
 type Client struct {
 	address  string
 	operator peerpbconnect.OperatorClient
+	peer     peerpbconnect.PeerClient
 }
 
 // NewClient is a client of the entry at a peer address, host and port.
 func NewClient(client *http.Client, address string) *Client {
-	return &Client{address: address, operator: peerpbconnect.NewOperatorClient(client, "http://"+address)}
+	url := "http://" + address
+	return &Client{
+		address: address, operator: peerpbconnect.NewOperatorClient(client, url), peer: peerpbconnect.NewPeerClient(client, url),
+	}
 }
 
 // Propose asks the entry to put a configuration in force; a verdict of
@@ -59,3 +64,14 @@
 	}
 	return s, nil
 }
+
+// Show asks for a document about one subject and decodes it.
+func (c *Client) Show(ctx context.Context, subject, argument string, into any) (err error) {
+	defer func() { err = errors.Wrapf(err, "show %s of %s", subject, c.address) }()
+	req := peerpb.ShowRequest_builder{Subject: subject, Argument: argument}.Build()
+	resp, err := c.operator.Show(ctx, connect.NewRequest(req))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(resp.Msg.GetJson(), into)
+}
