--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -22,7 +22,7 @@
 		record.TypeOf[ledger.AskPeersCmd](), record.TypeOf[ledger.DivergedCmd](),
 		record.TypeOf[roster.ChangedCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
-		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
+		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
 		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -82,7 +82,7 @@
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
 	case ledger.AppendCmd:
-		d.appender.add(ctx, cmd.Stream, cmd.Record)
+		d.offer(cmd)
 	case ledger.AskPeersCmd:
 		d.stater.ask(cmd)
 	case ledger.DivergedCmd:
@@ -90,7 +90,7 @@
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case once.AppendCmd:
-		d.appender.add(ctx, once.StreamOnce, cmd.Record)
+		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	case sched.RefuseCmd:
