Let the load set its shares of returns and calls

Cause: the entry's own cost could not be told from the cache's effect while prompts returned. With RETURNS=0 CALLS=0 both halves of a STRAIGHT=1 run have new prompts alone.

--- a/cmd/cvlab/load.go
+++ b/cmd/cvlab/load.go
@@ -32,10 +32,15 @@
 	seed     uint64
 	rate     float64
 	length   time.Duration
+	returns  float64
+	calls    float64
 	json     bool
 	plot     string
 }
 
+// presetShare leaves a share as the preset has it.
+const presetShare = -1
+
 func newLoadCommand() *cobra.Command {
 	l := &loadCommand{}
 	cmd := &cobra.Command{
@@ -55,6 +60,8 @@
 	cmd.Flags().Uint64Var(&l.seed, "seed", 1, "the seed of the plan")
 	cmd.Flags().Float64Var(&l.rate, "rate", 40, "requests a second")
 	cmd.Flags().DurationVar(&l.length, "length", 10*time.Second, "for how long requests are offered")
+	cmd.Flags().Float64Var(&l.returns, "returns", presetShare, "the share of completions whose prompt comes back; -1 is the preset's")
+	cmd.Flags().Float64Var(&l.calls, "calls", presetShare, "the share of requests that are once-only calls; -1 is the preset's")
 	cmd.Flags().BoolVar(&l.json, "json", false, "print JSON alone")
 	cmd.Flags().StringVar(&l.plot, "plot", "", "a PNG file to write the first-token times to")
 	_ = cmd.MarkFlagRequired("entries")
@@ -74,6 +81,12 @@
 	options := []load.Option{
 		load.WithSeed(l.seed), load.WithRate(l.rate), load.WithLength(l.length), load.WithStraight(l.straight),
 	}
+	if l.returns >= 0 {
+		options = append(options, load.WithReturnShare(l.returns))
+	}
+	if l.calls >= 0 {
+		options = append(options, load.WithCallShare(l.calls))
+	}
 	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
 		options = append(options, load.WithProgress(os.Stderr))
 	}
--- a/io/load/runner.go
+++ b/io/load/runner.go
@@ -47,6 +47,12 @@
 // WithStraight sends half of the completions straight to these engines.
 func WithStraight(engines []string) Option { return func(r *Runner) { r.straight = engines } }
 
+// WithReturnShare sets the share of completions whose prompt comes back, in place of the preset's.
+func WithReturnShare(share float64) Option { return func(r *Runner) { r.preset.ReturnShare = share } }
+
+// WithCallShare sets the share of requests that are once-only calls, in place of the preset's.
+func WithCallShare(share float64) Option { return func(r *Runner) { r.preset.CallShare = share } }
+
 // WithProgress writes a progress line.
 func WithProgress(w io.Writer) Option { return func(r *Runner) { r.progress = w } }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the whole system as separate processes on free loopback ports, offers load
 # and prints what callers saw. PRESET=otakou|kompostfenster, SECONDS_OF_LOAD, RATE,
-# ENTRIES and SEED set the run; JSON=1 prints JSON alone on standard output.
+# ENTRIES, RETURNS, CALLS and SEED set the run; JSON=1 prints JSON alone on standard output.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -130,6 +130,8 @@
 flags=(--preset "$preset" --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
   --apps "$(join "${apps[@]}")" --stores "$(join "${stores[@]}")" --rate "$rate" --length "${length}s" --seed "$seed")
 if [ -n "$json" ]; then flags+=(--json); fi
+if [ -n "${RETURNS:-}" ]; then flags+=(--returns "$RETURNS"); fi
+if [ -n "${CALLS:-}" ]; then flags+=(--calls "$CALLS"); fi
 if [ -n "${PLOT:-}" ]; then flags+=(--plot "$PLOT"); fi
 if [ -n "${STRAIGHT:-}" ]; then
   engines=()
