--- a/core/node/node.go
+++ b/core/node/node.go
@@ -82,8 +82,9 @@
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
-		return append(n.config.Update(now, ledger.TickMsg{}), n.sched.Update(now, msg)...)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
+		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
+		return append(cmds, n.sched.Update(now, msg)...)
+	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
 		return n.once.Update(now, msg)
 	}
 	return n.sched.Update(now, msg)
--- a/io/entry/backend.go
+++ b/io/entry/backend.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
-	"cicadavalve/core/ledger"
-	"cicadavalve/core/once"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/peer"
@@ -55,22 +52,6 @@
 // isReady is for the loop alone.
 func (d *Daemon) isReady() bool { return d.node.Sched().RulesVersion() > 0 && !d.leaving }
 
-// appendFailed tells the decider of a record that the log did not take it in time.
-func (d *Daemon) appendFailed(ctx context.Context, p pending) {
-	if p.stream == ledger.StreamConfig {
-		d.post(ctx, ledger.AppendFailedMsg{ID: p.record.ID})
-	}
-	if p.stream != once.StreamOnce {
-		return
-	}
-	var body once.Body
-	if err := json.Unmarshal(p.record.Body, &body); err != nil {
-		d.log.Error("record_not_decoded", "error", err)
-		return
-	}
-	d.post(ctx, once.AppendFailedMsg{Attempt: body.Attempt, Kind: p.record.Kind})
-}
-
 // Status implements [peer.Backend].
 func (d *Daemon) Status(ctx context.Context) (s peer.Status, err error) {
 	ran := d.inspect(ctx, func() {
