--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -19,11 +19,14 @@
 # check FILE: prints the states and 'holds' or 'refuted'.
 check() {
   local out="$work/$(basename "$1").out"
-  (cd "$work" && rm -f pan pan.* ./*.trail && spin -a "$OLDPWD/$1" >/dev/null &&
-    gcc -O2 -w -DSAFETY -DCOLLAPSE -DVECTORSZ=4096 -o pan pan.c && ./pan -m1000000 -w24 >"$out" 2>&1)
+  (cd "$work" && rm -f pan pan.* ./*.trail && spin -a "$OLDPWD/$1" >"$out" &&
+    gcc -O2 -w -DSAFETY -DCOLLAPSE -DVECTORSZ=4096 -o pan pan.c) || { echo "not built: $(head -1 "$out")"; return; }
+  (cd "$work" && ./pan -m1000000 -w24 >"$out" 2>&1) || true
   grep -q 'max search depth too small' "$out" && { echo "incomplete"; return; }
   states=$(awk '/states, stored/ {print $1; exit}' "$out")
-  if grep -q 'errors: 0' "$out"; then echo "holds ($states states)"; else echo "refuted ($states states)"; fi
+  if grep -q 'errors: 0' "$out"; then echo "holds ($states states)"; return; fi
+  grep -Eq 'assertion violated|invalid end state' "$out" || { echo "not checked: $(head -1 "$out")"; return; }
+  echo "refuted ($states states)"
 }
 
 for model in model/*.pml; do
