--- a/io/entry/oncelog.go
+++ b/io/entry/oncelog.go
@@ -31,7 +31,12 @@
 
 // appendFailed tells the decider of a record that the log did not take in time.
 func (d *Daemon) appendFailed(ctx context.Context, p pending) {
-	if p.stream != once.StreamOnce {
+	switch p.stream {
+	case ledger.StreamConfig:
+		d.post(ctx, ledger.AppendFailedMsg{ID: p.record.ID})
+		return
+	case once.StreamOnce:
+	default:
 		return
 	}
 	if msg, ok := d.failedMsg(p.record); ok {
