Drop crossed and late events and bound retries

Cause: an event under another id failed its attempt, so that crossed events on every engine ended in "no upstream"; an answer of another weight version than the one asked for was shown as whole; retries had no bound per organisation and the cache salt had a constant key.

Each attempt now has an id of its own on the engine, so that a late event of an earlier attempt is told apart even where the same engine runs both. Crossed and repeated events are dropped and counted, and do not count as progress; a gap, another version or a stream without progress ends the attempt, which is resumed by sequence number on another upstream over a new connection. A lost attempt is cancelled on its engine. Attempts beyond the first come out of a token bucket per organisation; the final answer tells an exponential time to come back.

Ruled out: one id over all attempts with the connection as the only guard, since a resume on the same engine may be fed by the old attempt's job.

With one salt for all organisations TestOrganisationsShareNoKeptContext fails: the other organisation finds 2048 cached tokens in place of 0.

--- a/cmd/cicadavalve/entry.go
+++ b/cmd/cicadavalve/entry.go
@@ -28,11 +28,15 @@
 			if err != nil {
 				return err
 			}
+			secret, err := config.LoadSecret(settings.CacheSecretFile)
+			if err != nil {
+				return err
+			}
 			log, err := newLogger(os.Stderr, settings.LogFormat, settings.LogLevel)
 			if err != nil {
 				return err
 			}
-			d := entry.NewDaemon(settings, tokens, entry.WithLogger(log), entry.WithStarted(func(m roster.Member) {
+			d := entry.NewDaemon(settings, tokens, entry.WithLogger(log), entry.WithCacheSecret(secret), entry.WithStarted(func(m roster.Member) {
 				if err := writeAddresses(addressFile, m); err != nil {
 					log.Error("address_file_not_written", "error", err)
 				}
--- a/core/retry/sequence.go
+++ b/core/retry/sequence.go
@@ -4,27 +4,50 @@
 
 import "github.com/cockroachdb/errors"
 
-// The faults of an answer.
+// The faults of an answer that end the attempt at it.
 var (
-	ErrCrossed    = errors.New("event belongs to another request")
 	ErrGap        = errors.New("event out of sequence")
 	ErrIncomplete = errors.New("answer ended without its final marker")
+	ErrVersion    = errors.New("event is of another weight version")
 )
 
+// Dropped counts the events that were left out of an answer.
+type Dropped struct {
+	// Crossed events carried the id of another request, or of an earlier attempt at this one.
+	Crossed int
+	// Repeated events had been delivered before.
+	Repeated int
+}
+
 // Sequence checks the events of one answer over all attempts at it.
 //
-//	seq := retry.NewSequence("req-1")
-//	deliver, err := seq.Accept("req-1", 0)
+//	seq := retry.NewSequence()
+//	seq.Begin("req-1/1", "v6")
+//	deliver, err := seq.Accept("req-1/1", "v6", 0)
 type Sequence struct {
+	// id is the current attempt's; no two attempts share one.
 	id string
+	// version is fixed by the first attempt.
+	version string
 	// next is the number of the first event not delivered yet; it never decreases.
 	next int
 	// ended is true once the final marker was accepted.
-	ended bool
+	ended   bool
+	dropped Dropped
 }
 
 // NewSequence is the checker of one request's answer.
-func NewSequence(id string) *Sequence { return &Sequence{id: id} }
+func NewSequence() *Sequence { return &Sequence{} }
+
+// Begin starts an attempt; events under any other id are dropped from now on. An
+// attempt on another weight version than the first is an error.
+func (s *Sequence) Begin(id, version string) (err error) {
+	if s.id != "" && version != s.version {
+		return ErrVersion
+	}
+	s.id, s.version = id, version
+	return nil
+}
 
 // Next is the number of the first event not delivered yet.
 func (s *Sequence) Next() int { return s.next }
@@ -32,28 +55,39 @@
 // Whole reports whether the answer is whole, with its final marker.
 func (s *Sequence) Whole() bool { return s.ended }
 
-// Accept reports whether an event is to be delivered; one that was delivered before is dropped.
-func (s *Sequence) Accept(id string, seq int) (deliver bool, err error) {
+// Dropped counts the events left out so far.
+func (s *Sequence) Dropped() Dropped { return s.dropped }
+
+// Accept reports whether an event is to be delivered. A crossed or repeated event is
+// dropped and counted; a gap or another weight version is an error.
+func (s *Sequence) Accept(id, version string, seq int) (deliver bool, err error) {
 	switch {
 	case id != s.id:
-		return false, ErrCrossed
+		s.dropped.Crossed++
+		return false, nil
+	case version != s.version:
+		return false, ErrVersion
 	case seq > s.next:
 		return false, ErrGap
-	case seq < s.next:
+	case seq < s.next || s.ended:
+		s.dropped.Repeated++
 		return false, nil
 	}
 	s.next++
 	return true, nil
 }
 
-// End accepts the final marker, which must follow the last event.
-func (s *Sequence) End(id string, seq int) (err error) {
+// End accepts the final marker, which must follow the last event; a crossed one is dropped.
+func (s *Sequence) End(id, version string, seq int) (ended bool, err error) {
 	switch {
 	case id != s.id:
-		return ErrCrossed
+		s.dropped.Crossed++
+		return false, nil
+	case version != s.version:
+		return false, ErrVersion
 	case seq != s.next:
-		return ErrGap
+		return false, ErrGap
 	}
 	s.ended = true
-	return nil
+	return true, nil
 }
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 )
 
@@ -36,6 +37,11 @@
 	return func(m *Model) { m.maxAttempts = n }
 }
 
+// WithRetryBudget sets how many attempts beyond the first each organisation earns a second and can save up.
+func WithRetryBudget(perSecond float64, burst int) Option {
+	return func(m *Model) { m.budgets = retry.NewBudgets(retry.WithRate(perSecond, burst)) }
+}
+
 const (
 	defaultSeed        = 1
 	defaultMaxAttempts = 4
@@ -46,6 +52,7 @@
 func (m *Model) setDefaults() {
 	m.rng = rand.New(rand.NewPCG(defaultSeed, defaultSeed))
 	m.policyName = route.NameAffinity
+	m.budgets = retry.NewBudgets()
 	m.maxAttempts = defaultMaxAttempts
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
--- /dev/null
+++ b/core/sched/resend.go
@@ -0,0 +1,63 @@
+package sched
+
+import (
+	"time"
+
+	"cicadavalve/core/ident"
+)
+
+// fail ends an attempt and sends the request again where that is allowed.
+func (m *Model) fail(now time.Time, msg FailMsg) []ident.Cmd {
+	r, known := m.requests[msg.Request]
+	if !known || r.attempt != msg.Attempt {
+		return nil
+	}
+	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
+		u.suspectUntil = now.Add(suspectTime)
+	}
+	r.tried = append(r.tried, r.on)
+	m.release(r)
+	untouched := msg.Cause == CauseConnect || msg.Cause == CauseRefused
+	r.touched = r.touched || !untouched
+	switch {
+	case r.touched && !r.Repeatable:
+		return m.giveUp(now, r, CodeOutcomeUnknown, "the upstream may have run the request")
+	case r.attempt >= m.maxAttempts:
+		return m.giveUp(now, r, CodeUpstreamFailed, "every upstream that was tried failed")
+	case !m.budgets.Withdraw(now, r.Org):
+		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
+	}
+	return m.resend(now, r, msg.Delivered)
+}
+
+func (m *Model) resend(now time.Time, r *request, delivered int) []ident.Cmd {
+	cmds := m.send(now, r)
+	if cmd, ok := cmds[0].(SendCmd); ok {
+		cmd.ResumeFrom = delivered
+		cmds[0] = cmd
+	}
+	return cmds
+}
+
+// find fills candidates with the upstreams of the highest trust that there are, and among
+// them with those that the request has not tried where there are any.
+func (m *Model) find(now time.Time, r *request) bool {
+	for least := trusted; least >= unreachable; least-- {
+		m.collect(now, r, r.tried, least)
+		if len(m.candidates) == 0 && len(r.tried) > 0 {
+			m.collect(now, r, nil, least)
+		}
+		if len(m.candidates) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// giveUp ends a request with its final answer at once, and tells when to come back.
+func (m *Model) giveUp(now time.Time, r *request, code Code, message string) []ident.Cmd {
+	delete(m.requests, r.ID)
+	refusal := r.refuse(code, message)
+	refusal.RetryAfter = m.budgets.Backoff(now, r.Org, m.rng)
+	return []ident.Cmd{refusal}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 	"cicadavalve/core/rules"
 )
@@ -40,6 +41,8 @@
 	policy      route.Policy
 	maxAttempts int
 	silence     map[ident.Class]time.Duration
+	// budgets bounds the attempts beyond the first, per organisation.
+	budgets *retry.Budgets
 
 	// rules is nil until the first version is in force; every request is refused before.
 	rules     *rules.Set
@@ -85,7 +88,7 @@
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case EndMsg:
-		m.end(msg.Request, msg.Attempt)
+		m.end(msg)
 	case FailMsg:
 		return m.fail(now, msg)
 	case GoneMsg:
@@ -166,19 +169,9 @@
 	return RefuseCmd{Request: r.ID, Code: code, Message: message, NotRun: !r.touched, RetryAfter: retryAfter}
 }
 
-// giveUp ends a request with its final answer.
-func (m *Model) giveUp(r *request, code Code, message string) []ident.Cmd {
-	delete(m.requests, r.ID)
-	return []ident.Cmd{r.refuse(code, message)}
-}
-
 func (m *Model) send(now time.Time, r *request) []ident.Cmd {
-	m.collect(now, r, r.tried)
-	if len(m.candidates) == 0 {
-		m.collect(now, r, nil)
-	}
-	if len(m.candidates) == 0 {
-		return m.giveUp(r, CodeNoUpstream, "no upstream can take the request now")
+	if !m.find(now, r) {
+		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
 	}
 	need := route.Need{
 		Org: r.Org, Class: r.Class, Zone: m.zone, Version: r.version,
@@ -201,18 +194,18 @@
 }
 
 // collect fills candidates with the upstreams that may take the request.
-func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID) {
+func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID, least trust) {
 	m.candidates = m.candidates[:0]
 	for _, id := range m.order {
 		u := m.upstreams[id]
-		if m.eligible(now, u, r) && !slices.Contains(avoid, id) {
+		if m.eligible(now, u, r, least) && !slices.Contains(avoid, id) {
 			m.candidates = append(m.candidates, u.candidate())
 		}
 	}
 }
 
-func (m *Model) eligible(now time.Time, u *upstream, r *request) bool {
-	if !u.usable(now) || m.rules.Drained(u.listed.ID, u.listed.Zone) {
+func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
+	if !u.open() || u.trust(now) < least || m.rules.Drained(u.listed.ID, u.listed.Zone) {
 		return false
 	}
 	if r.Service != "" {
@@ -229,43 +222,14 @@
 	r.on = ""
 }
 
-func (m *Model) end(id ident.RequestID, attempt int) {
-	r, known := m.requests[id]
-	if !known || r.attempt != attempt {
-		return
-	}
-	m.release(r)
-	delete(m.requests, id)
-}
-
-func (m *Model) fail(now time.Time, msg FailMsg) []ident.Cmd {
+func (m *Model) end(msg EndMsg) {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
-		return nil
-	}
-	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
-		u.suspectUntil = now.Add(suspectTime)
+		return
 	}
-	r.tried = append(r.tried, r.on)
 	m.release(r)
-	untouched := msg.Cause == CauseConnect || msg.Cause == CauseRefused
-	r.touched = r.touched || !untouched
-	if r.touched && !r.Repeatable {
-		return m.giveUp(r, CodeOutcomeUnknown, "the upstream may have run the request")
-	}
-	if r.attempt >= m.maxAttempts {
-		return m.giveUp(r, CodeUpstreamFailed, "every upstream that was tried failed")
-	}
-	return m.resend(now, r, msg.Delivered)
-}
-
-func (m *Model) resend(now time.Time, r *request, delivered int) []ident.Cmd {
-	cmds := m.send(now, r)
-	if cmd, ok := cmds[0].(SendCmd); ok {
-		cmd.ResumeFrom = delivered
-		cmds[0] = cmd
-	}
-	return cmds
+	m.budgets.Succeeded(r.Org)
+	delete(m.requests, r.ID)
 }
 
 func (m *Model) gone(msg GoneMsg) []ident.Cmd {
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -8,7 +8,7 @@
 	"cicadavalve/core/route"
 )
 
-// probeMisses is how many probes in a row an upstream may miss before it gets no new work.
+// probeMisses is how many probes in a row an upstream may miss before it counts as unreachable.
 const probeMisses = 2
 
 // upstream is what this entry knows of one upstream.
@@ -25,8 +25,29 @@
 	suspectUntil time.Time
 }
 
-func (u *upstream) usable(now time.Time) bool {
-	return u.seen && !u.listed.Leaving && u.misses < probeMisses && !now.Before(u.suspectUntil)
+// trust ranks upstreams by what the last probes and attempts tell; the entry's own
+// trouble can make every upstream look bad, so a low rank is only a reason to prefer others.
+type trust int
+
+const (
+	// unreachable upstreams missed their last probes.
+	unreachable trust = iota
+	// suspected upstreams failed an attempt a moment ago.
+	suspected
+	trusted
+)
+
+// open reports whether an upstream may get new work at all.
+func (u *upstream) open() bool { return u.seen && !u.listed.Leaving }
+
+func (u *upstream) trust(now time.Time) trust {
+	switch {
+	case u.misses >= probeMisses:
+		return unreachable
+	case now.Before(u.suspectUntil):
+		return suspected
+	}
+	return trusted
 }
 
 func (u *upstream) holds(model ident.ModelName, version ident.Version) bool {
--- a/io/bench/entry.go
+++ b/io/bench/entry.go
@@ -13,6 +13,7 @@
 	"cicadavalve/core/roster"
 	"cicadavalve/io/config"
 	"cicadavalve/io/entry"
+	"cicadavalve/io/meter"
 )
 
 // Entry is an entry that runs in this process.
@@ -32,7 +33,11 @@
 	mu     sync.Mutex
 }
 
-const startLimit = 5 * time.Second
+const (
+	startLimit = 5 * time.Second
+	// cacheSecret is what every entry of a cluster has.
+	cacheSecret = "bench secret of thirty-two bytes"
+)
 
 // AddEntry starts an entry and waits until its ports are open.
 func (c *Cluster) AddEntry(zone ident.Zone) (e *Entry, err error) {
@@ -50,7 +55,7 @@
 	}
 	e = &Entry{ID: id, ended: make(chan struct{}), resume: make(chan struct{})}
 	started := make(chan roster.Member, 1)
-	e.daemon = entry.NewDaemon(settings, tokens, entry.WithLogger(c.log), entry.WithGate(e.gate),
+	e.daemon = entry.NewDaemon(settings, tokens, entry.WithLogger(c.log), entry.WithGate(e.gate), entry.WithCacheSecret([]byte(cacheSecret)),
 		entry.WithStarted(func(m roster.Member) { started <- m }))
 	ctx, stop := context.WithCancel(c.ctx)
 	e.stop = stop
@@ -77,7 +82,7 @@
 		return s, t, err
 	}
 	text := fmt.Sprintf("entry: %s\nzone: %s\ncaller_address: 127.0.0.1:0\npeer_address: 127.0.0.1:0\n"+
-		"log_url: %s/\nlist_url: %s/\ntokens_file: %s\nplaintext: true\nseed: %d\nadvice_hold: 300ms\nlist_interval: 100ms\n",
+		"log_url: %s/\nlist_url: %s/\ntokens_file: %s\ncache_secret_file: unused\nplaintext: true\nseed: %d\nadvice_hold: 300ms\nlist_interval: 100ms\n",
 		id, zone, c.logURL, c.listURL, path, c.started+1)
 	s, err = config.Parse([]byte(text))
 	c.settings(&s)
@@ -89,6 +94,9 @@
 	close(e.ended)
 }
 
+// Meter holds the entry's figures.
+func (e *Entry) Meter() *meter.Meter { return e.daemon.Meter() }
+
 // Stop stops the entry gracefully and waits for it.
 func (e *Entry) Stop() error {
 	e.stop()
--- a/io/bench/fault.go
+++ b/io/bench/fault.go
@@ -49,14 +49,25 @@
 
 // Call posts a request to an entry as an organisation; a connection that breaks is an error.
 func Call(ctx context.Context, e *Entry, token, path, key, body string) (a Answer, err error) {
+	header := http.Header{}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	return call(ctx, e, token, path, header, body)
+}
+
+// CallWithID posts a completion under a request id of the caller's.
+func CallWithID(ctx context.Context, e *Entry, token, id, body string) (a Answer, err error) {
+	return call(ctx, e, token, "/v1/completions", http.Header{"X-Request-Id": []string{id}}, body)
+}
+
+func call(ctx context.Context, e *Entry, token, path string, header http.Header, body string) (a Answer, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Caller+path, strings.NewReader(body))
 	if err != nil {
 		return a, err
 	}
+	req.Header = header
 	req.Header.Set("Authorization", "Bearer "+token)
-	if key != "" {
-		req.Header["Idempotency-Key"] = []string{key}
-	}
 	req.GetBody = nil
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
@@ -80,6 +91,21 @@
 	return b.Error.Code, b.Error.NotRun
 }
 
+// Get reads a URL.
+func Get(ctx context.Context, url string) (body []byte, err error) {
+	defer func() { err = errors.Wrap(err, "get") }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return io.ReadAll(resp.Body)
+}
+
 const waitPoll = 5 * time.Millisecond
 
 // Wait polls until a condition holds, and is false where the context ends first.
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -49,6 +49,8 @@
 	ListURL string `yaml:"list_url"`
 	// TokensFile maps bearer tokens to organisations.
 	TokensFile string `yaml:"tokens_file"`
+	// CacheSecretFile holds the key of the organisations' cache salts; it is the same on every entry.
+	CacheSecretFile string `yaml:"cache_secret_file"`
 	// Plaintext must be true for the peer protocol to run without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// Policy names the routing policy.
@@ -120,6 +122,7 @@
 	fault(s.LogURL == "", "log_url: expected the URL of the log service")
 	fault(s.ListURL == "", "list_url: expected the URL of the VM list")
 	fault(s.TokensFile == "", "tokens_file: expected the path of a YAML file")
+	fault(s.CacheSecretFile == "", "cache_secret_file: expected the path of a file, the same on every entry")
 	fault(!s.Plaintext, "plaintext: expected true; TLS needs tls settings")
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -21,9 +21,12 @@
 	ErrConnect = errors.New("no connection was made")
 	ErrRefused = errors.New("the upstream refused the request")
 	ErrBroken  = errors.New("the connection or the stream broke")
-	ErrSilent  = errors.New("the upstream sent no byte in time")
+	ErrSilent  = errors.New("the upstream sent no event of the answer in time")
 )
 
+// ErrDropped is a sink's answer to an event that is no part of the answer; the stream goes on.
+var ErrDropped = errors.New("the event is no part of the answer")
+
 // maxReplyBytes bounds the kept answer of a plain service.
 const maxReplyBytes = 1 << 20
 
@@ -76,7 +79,16 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readEvents(w, resp.Body, sink)
+	err = readEvents(w, resp.Body, sink)
+	c.distrust(err)
+	return err
+}
+
+// distrust closes the idle connections after a silent one: what lost track of it may have lost them too.
+func (c *HTTPClient) distrust(err error) {
+	if errors.Is(err, ErrSilent) {
+		c.pooled.CloseIdleConnections()
+	}
 }
 
 // Call implements [Client].
@@ -126,6 +138,25 @@
 	return load, err
 }
 
+// cancelBody is the body of POST /v1/cancel on a model engine.
+type cancelBody struct {
+	RequestID string `json:"request_id"`
+}
+
+// Cancel implements [Client]; it uses a connection of its own, since the answer's may be lost.
+func (c *HTTPClient) Cancel(ctx context.Context, address, id string) (err error) {
+	defer func() { err = errors.Wrapf(err, "cancel on %s", address) }()
+	req, err := sling.New().Post("http://" + address + "/v1/cancel").BodyJSON(cancelBody{id}).Request()
+	if err != nil {
+		return err
+	}
+	resp, err := c.fresh.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 // send marks a fault as ErrConnect only where no byte of the request can have been written.
 func (c *HTTPClient) send(w *watchdog, t Target, req *http.Request) (resp *http.Response, err error) {
 	client := c.pooled
@@ -138,7 +169,9 @@
 		return nil, errors.Mark(err, ErrConnect)
 	}
 	if err != nil {
-		return nil, w.mark(err)
+		err = w.mark(err)
+		c.distrust(err)
+		return nil, err
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Not-Run") == "true" {
 		_ = resp.Body.Close()
@@ -152,7 +185,6 @@
 		if err != nil {
 			return w.mark(err)
 		}
-		w.reset()
 		if raw.Data == doneMarker {
 			return nil
 		}
@@ -160,9 +192,14 @@
 		if err := json.Unmarshal([]byte(raw.Data), &e); err != nil {
 			return errors.Mark(err, ErrBroken)
 		}
-		if err := sink(e); err != nil {
+		err := sink(e)
+		if errors.Is(err, ErrDropped) {
+			continue
+		}
+		if err != nil {
 			return err
 		}
+		w.reset()
 	}
 	return w.mark(io.ErrUnexpectedEOF)
 }
--- a/io/engine/wire.go
+++ b/io/engine/wire.go
@@ -41,6 +41,8 @@
 	// Seq numbers the tokens from 0; the final marker has the number after the last.
 	Seq  int    `json:"seq"`
 	Text string `json:"text"`
+	// Version is the weight version that made the token.
+	Version ident.Version `json:"version"`
 	// Finish is set on the final marker alone.
 	Finish string `json:"finish_reason,omitempty"`
 	Usage  *Usage `json:"usage,omitempty"`
@@ -72,10 +74,13 @@
 
 // Client is what the entry asks of engines.
 type Client interface {
-	// Complete runs a completion and hands each event to sink until the final marker.
+	// Complete runs a completion and hands each event to sink until the final marker. Sink
+	// returns [ErrDropped] for an event that does not count as progress.
 	Complete(ctx context.Context, t Target, c Completion, sink func(Event) error) error
 	// Call runs a call of a plain service.
 	Call(ctx context.Context, t Target, c Call) (Reply, error)
+	// Cancel stops the completion of an id.
+	Cancel(ctx context.Context, address, id string) error
 	// Load asks for the load report.
 	Load(ctx context.Context, address string) (sched.Load, error)
 }
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -5,6 +5,7 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,10 +22,9 @@
 )
 
 const (
-	bytesPerToken  = 4
-	blockTokens    = 1024
-	blockBytes     = blockTokens * bytesPerToken
-	cacheSaltLabel = "cicadavalve cache"
+	bytesPerToken = 4
+	blockTokens   = 1024
+	blockBytes    = blockTokens * bytesPerToken
 )
 
 // completion is one caller's completion while its handler runs it.
@@ -48,10 +48,11 @@
 	ctx context.Context, req caller.Completion, sink func(string) error,
 ) (answer caller.Answer, err error) {
 	id := ident.RequestID(uuid.NewString())
-	c := &completion{d: d, req: req, id: id, sink: sink, seq: retry.NewSequence(string(id)), started: time.Now()}
+	c := &completion{d: d, req: req, id: id, sink: sink, seq: retry.NewSequence(), started: time.Now()}
 	c.last = c.started
 	s := d.sessions.open(id)
 	defer d.finish(ctx, id)
+	defer c.countDropped()
 	d.post(ctx, sched.ArriveMsg{Request: c.describe()})
 	if err := c.run(ctx, s); err != nil {
 		return answer, err
@@ -111,19 +112,12 @@
 	defer stop()
 	c.d.sessions.begin(c.id, cmd.Attempt, stop)
 	c.class = cmd.Class
-	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
-	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
-	if err == nil && !c.seq.Whole() {
-		err = retry.ErrIncomplete
-	}
+	err = c.stream(ctx, cmd)
 	if errors.Is(err, errCaller) {
 		return false, err
 	}
 	if err != nil {
-		c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "error", err)
-		c.d.post(ctx, sched.FailMsg{
-			Request: c.id, Attempt: cmd.Attempt, Cause: engine.Cause(err), Delivered: c.seq.Next(),
-		})
+		c.failed(ctx, cmd, err)
 		return false, nil
 	}
 	c.d.post(ctx, sched.EndMsg{Request: c.id, Attempt: cmd.Attempt, CachedTokens: c.usage.CachedTokens})
@@ -132,32 +126,62 @@
 	return true, nil
 }
 
+// stream runs one attempt; it fails unless the answer came to its final marker.
+func (c *completion) stream(ctx context.Context, cmd sched.SendCmd) (err error) {
+	if err := c.seq.Begin(c.attemptID(cmd), string(cmd.Version)); err != nil {
+		return err
+	}
+	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
+	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
+	if err == nil && !c.seq.Whole() {
+		err = retry.ErrIncomplete
+	}
+	return err
+}
+
+func (c *completion) failed(ctx context.Context, cmd sched.SendCmd, err error) {
+	cause := engine.Cause(err)
+	c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "cause", cause, "error", err)
+	c.d.meter.Count("attempts_failed_"+string(cause), 1)
+	if cause != sched.CauseConnect && cause != sched.CauseRefused {
+		c.d.canceller.add(cancellation{cmd.Address, c.attemptID(cmd)})
+	}
+	c.d.post(ctx, sched.FailMsg{Request: c.id, Attempt: cmd.Attempt, Cause: cause, Delivered: c.seq.Next()})
+}
+
+// attemptID names an attempt to the engine. Each has a name of its own, so that an event of
+// an earlier one is told apart even where the same engine runs both.
+func (c *completion) attemptID(cmd sched.SendCmd) string {
+	return string(c.id) + "/" + strconv.Itoa(cmd.Attempt)
+}
+
 func (c *completion) body(cmd sched.SendCmd) engine.Completion {
 	return engine.Completion{
-		RequestID: string(c.id), Model: c.req.Model, Version: cmd.Version, Prompt: c.req.Prompt,
+		RequestID: c.attemptID(cmd), Model: c.req.Model, Version: cmd.Version, Prompt: c.req.Prompt,
 		MaxTokens: c.req.MaxTokens, Priority: cmd.Priority, CacheSalt: c.d.cacheSalt(c.req.Org),
 		ResumeFrom: c.seq.Next(), Prior: c.prior.String(), Sampling: c.req.Sampling,
 	}
 }
 
-// cacheSalt keeps organisations' prefix caches apart; it is the same on every entry.
+// cacheSalt keeps organisations' prefix caches apart; it is the same on every entry, and
+// none but the holder of the secret can work it out.
 func (d *Daemon) cacheSalt(org ident.OrgID) string {
-	mac := hmac.New(sha256.New, []byte(cacheSaltLabel))
+	mac := hmac.New(sha256.New, d.cacheSecret)
 	mac.Write([]byte(org))
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
 func (c *completion) event(ctx context.Context, cmd sched.SendCmd, e engine.Event) (err error) {
 	if e.Finish != "" {
-		if e.Usage != nil {
-			c.usage = *e.Usage
-		}
-		return c.seq.End(e.ID, e.Seq)
+		return c.end(e)
 	}
-	deliver, err := c.seq.Accept(e.ID, e.Seq)
-	if err != nil || !deliver {
+	deliver, err := c.seq.Accept(e.ID, string(e.Version), e.Seq)
+	if err != nil {
 		return err
 	}
+	if !deliver {
+		return engine.ErrDropped
+	}
 	c.clock(ctx, cmd)
 	c.prior.WriteString(e.Text)
 	if err := c.sink(e.Text); err != nil {
@@ -166,6 +190,21 @@
 	return nil
 }
 
+func (c *completion) end(e engine.Event) (err error) {
+	ended, err := c.seq.End(e.ID, string(e.Version), e.Seq)
+	if err != nil {
+		return err
+	}
+	if !ended {
+		return engine.ErrDropped
+	}
+	if e.Usage != nil {
+		c.usage = *e.Usage
+	}
+	c.usage.Version = e.Version
+	return nil
+}
+
 // clock observes the time to the first token and the times between tokens.
 func (c *completion) clock(ctx context.Context, cmd sched.SendCmd) {
 	now := time.Now()
@@ -187,3 +226,9 @@
 	c.d.meter.Count("prompt_tokens", int64(c.usage.PromptTokens))
 	c.d.meter.Count("cached_tokens", int64(c.usage.CachedTokens))
 }
+
+func (c *completion) countDropped() {
+	dropped := c.seq.Dropped()
+	c.d.meter.Count("events_crossed", int64(dropped.Crossed))
+	c.d.meter.Count("events_repeated", int64(dropped.Repeated))
+}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -62,6 +62,10 @@
 	sessions *sessions
 	appender *appender
 	prober   *prober
+	// canceller ends lost attempts on their engines.
+	canceller *canceller
+	// cacheSecret keys what is derived from an organisation's name or requests.
+	cacheSecret []byte
 
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
@@ -95,6 +99,7 @@
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
+	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
 	return d
 }
@@ -203,6 +208,7 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
+	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), d.postBatch, d.log)
--- a/io/entry/options.go
+++ b/io/entry/options.go
@@ -23,3 +23,8 @@
 func WithStarted(started func(roster.Member)) Option {
 	return func(d *Daemon) { d.started = started }
 }
+
+// WithCacheSecret sets the key of the organisations' cache salts; every entry has the same one.
+func WithCacheSecret(secret []byte) Option {
+	return func(d *Daemon) { d.cacheSecret = secret }
+}
--- /dev/null
+++ b/io/entry/whole_test.go
@@ -0,0 +1,143 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/io/bench"
+	"cicadavalve/io/stand"
+)
+
+// askMany sends completions side by side and checks that each gets the whole answer to its own prompt.
+func askMany(ctx context.Context, t *testing.T, e *bench.Entry, requests, tokens int) {
+	t.Helper()
+	var pending sync.WaitGroup
+	for i := range requests {
+		prompt := fmt.Sprintf("%s, prompt %d", t.Name(), i)
+		pending.Go(func() {
+			a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody(prompt, tokens))
+			if err != nil || a.Status != http.StatusOK {
+				t.Errorf("%s: status %d, body %s, error %v", prompt, a.Status, a.Body, err)
+				return
+			}
+			if diff := cmp.Diff(wholeAnswer(prompt, "v1", tokens), answerText(t, a)); diff != "" {
+				t.Errorf("%s (-want +got):\n%s", prompt, diff)
+			}
+		})
+	}
+	pending.Wait()
+}
+
+// TestWholeAnswersUnderEngineFaults puts each fault on one of two engines; crossed, late
+// and repeated events come from both, so that no other engine can stand in.
+func TestWholeAnswersUnderEngineFaults(t *testing.T) {
+	cases := map[string]struct {
+		faults stand.EngineFaults
+		both   bool
+	}{
+		"drop":           {stand.EngineFaults{DropShare: 1}, false},
+		"cross":          {stand.EngineFaults{CrossShare: 0.3}, true},
+		"late":           {stand.EngineFaults{LateShare: 0.3}, true},
+		"repeat":         {stand.EngineFaults{RepeatShare: 0.3}, true},
+		"gap":            {stand.EngineFaults{GapShare: 0.2}, false},
+		"refuse":         {stand.EngineFaults{Refuse: true}, false},
+		"wrong version":  {stand.EngineFaults{AnswerVersion: "v0"}, false},
+		"all of a piece": {stand.EngineFaults{CrossShare: 0.2, LateShare: 0.2, RepeatShare: 0.2, DropShare: 0.5}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			c, ctx := startCluster(t, 1)
+			for i, e := range c.Engines() {
+				if i > 0 && !tc.both {
+					break
+				}
+				if err := bench.Fault(ctx, e.Address, tc.faults); err != nil {
+					t.Fatal(err)
+				}
+			}
+			askMany(ctx, t, c.Entries()[0], 16, 24)
+		})
+	}
+}
+
+// TestWholeAnswersWhenAnEngineIsLost loses an engine while answers stream from it.
+func TestWholeAnswersWhenAnEngineIsLost(t *testing.T) {
+	losses := map[string]func(ctx context.Context, e *bench.Engine) error{
+		"mute":  func(ctx context.Context, e *bench.Engine) error { return bench.Post(ctx, e.Address, "/mute", nil) },
+		"crash": func(ctx context.Context, e *bench.Engine) error { return bench.Post(ctx, e.Address, "/crash", nil) },
+		"kill":  func(_ context.Context, e *bench.Engine) error { e.Kill(); return nil },
+	}
+	for name, lose := range losses {
+		t.Run(name, func(t *testing.T) {
+			c, ctx := startCluster(t, 1)
+			var pending sync.WaitGroup
+			pending.Go(func() { askMany(ctx, t, c.Entries()[0], 16, 400) })
+			before := c.Engines()[0].Stats().Completions
+			if !bench.Wait(ctx, func() bool { return c.Engines()[0].Stats().Completions >= before+4 }) {
+				t.Fatal("no work reached the engine")
+			}
+			if err := lose(ctx, c.Engines()[0]); err != nil {
+				t.Fatal(err)
+			}
+			pending.Wait()
+		})
+	}
+}
+
+// TestAnswerIsOfOneVersion serves another version while answers stream from engines that
+// hold both and whose streams break.
+func TestAnswerIsOfOneVersion(t *testing.T) {
+	c, ctx := startCluster(t, 1)
+	for _, e := range c.Engines() {
+		order := stand.Order{Action: "load", Model: "m", Version: "v2", Fence: 1}
+		if err := bench.Post(ctx, e.Address, "/order", order); err != nil {
+			t.Fatal(err)
+		}
+		if err := bench.Fault(ctx, e.Address, stand.EngineFaults{DropShare: 0.3}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e := c.Entries()[0]
+	seen := map[ident.Version]int{}
+	var mu sync.Mutex
+	var pending sync.WaitGroup
+	for i := range 24 {
+		prompt := fmt.Sprintf("prompt %d", i)
+		pending.Go(func() {
+			a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody(prompt, 100))
+			if err != nil || a.Status != http.StatusOK {
+				return // An answer that was given up is no whole one.
+			}
+			for _, v := range []ident.Version{"v1", "v2"} {
+				if answerText(t, a) == wholeAnswer(prompt, v, 100) {
+					mu.Lock()
+					seen[v]++
+					mu.Unlock()
+					return
+				}
+			}
+			t.Errorf("%s: the answer is of no one version: %s", prompt, a.Body)
+		})
+		if i == 12 {
+			moved := strings.Replace(testRules, "version v1", "version v2", 1)
+			if err := c.Apply(ctx, e, moved); err != nil {
+				t.Fatal(err)
+			}
+			bench.Wait(ctx, func() bool {
+				status, err := c.Status(ctx, e)
+				return err == nil && status.Text == moved
+			})
+		}
+	}
+	pending.Wait()
+	if seen["v1"] == 0 || seen["v2"] == 0 {
+		t.Errorf("whole answers by version: %v", seen)
+	}
+}
--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"iter"
 	"net/http"
 	"strings"
 	"sync"
@@ -56,6 +57,12 @@
 	CrossShare float64 `json:"cross_share"`
 	// RepeatShare is the share of events that come twice.
 	RepeatShare float64 `json:"repeat_share"`
+	// GapShare is the share of events that are lost, LateShare the share of events before
+	// which an event of another answer comes in.
+	GapShare  float64 `json:"gap_share"`
+	LateShare float64 `json:"late_share"`
+	// AnswerVersion is the version that the engine answers with in place of the one asked for.
+	AnswerVersion ident.Version `json:"answer_version"`
 	// EventGaps is the share of cache events that are lost.
 	EventGaps float64 `json:"event_gaps"`
 	// BadVersion fails or slows the requests of one version.
@@ -105,6 +112,8 @@
 	reports   []loadAt
 	wake      chan struct{}
 	events    []CacheEvent
+	// last is the event sent last, of whichever answer.
+	last engine.Event
 }
 
 type loadAt struct {
@@ -219,7 +228,7 @@
 	defer e.drop(j)
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
-	for ev := range j.events {
+	for ev := range j.follow(r.Context()) {
 		if writeEvent(w, ev) != nil || flush.Flush() != nil {
 			return
 		}
@@ -231,6 +240,22 @@
 	panic(http.ErrAbortHandler)
 }
 
+// follow yields the job's events until the job is aborted or the client is gone.
+func (j *job) follow(ctx context.Context) iter.Seq[engine.Event] {
+	return func(yield func(engine.Event) bool) {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case ev, open := <-j.events:
+				if !open || !yield(ev) {
+					return
+				}
+			}
+		}
+	}
+}
+
 func writeEvent(w http.ResponseWriter, ev engine.Event) (err error) {
 	raw, err := json.Marshal(ev)
 	if err != nil {
--- a/io/stand/engine_loop.go
+++ b/io/stand/engine_loop.go
@@ -176,23 +176,39 @@
 		e.forget(j)
 		return
 	}
-	ev := engine.Event{ID: j.c.RequestID, Seq: j.next}
+	version := j.c.Version
+	if f.AnswerVersion != "" {
+		version = f.AnswerVersion
+	}
+	ev := engine.Event{ID: j.c.RequestID, Seq: j.next, Version: version}
 	if j.next >= j.c.MaxTokens {
 		ev.Finish = "stop"
 		ev.Usage = &engine.Usage{
-			Version: j.c.Version, PromptTokens: tokenCount(j.c.Prompt), CachedTokens: j.cached, CompletionTokens: j.next,
+			Version: version, PromptTokens: tokenCount(j.c.Prompt), CachedTokens: j.cached, CompletionTokens: j.next,
 		}
 		j.emit(ev)
 		e.forget(j)
 		return
 	}
-	ev.Text = Token(j.c.Prompt, j.c.Version, j.next)
+	ev.Text = Token(j.c.Prompt, version, j.next)
 	j.next++
+	e.emitFaulty(j, ev, f)
+}
+
+// emitFaulty sends an event as the faults have it: with a crossed or late one before it, lost, or twice.
+func (e *Engine) emitFaulty(j *job, ev engine.Event, f EngineFaults) {
 	if e.rng.Float64() < f.CrossShare {
 		crossed := ev
 		crossed.ID = "crossed/" + ev.ID
 		j.emit(crossed)
 	}
+	if e.rng.Float64() < f.LateShare && e.last.ID != "" {
+		j.emit(e.last)
+	}
+	e.last = ev
+	if e.rng.Float64() < f.GapShare {
+		return
+	}
 	j.emit(ev)
 	if e.rng.Float64() < f.RepeatShare {
 		j.emit(ev)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -89,6 +89,7 @@
 done
 
 for org in $orgs; do echo "token-$org: $org"; done >"$run/tokens.yaml"
+head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run/cache.secret"
 {
   for m in "${!models[@]}"; do
     echo "route model ${models[$m]} class ${classes[$m]}  # asked by: demo"
@@ -109,6 +110,7 @@
 log_url: http://$(address log)/
 list_url: $list/
 tokens_file: $run/tokens.yaml
+cache_secret_file: $run/cache.secret
 plaintext: true
 seed: $((seed + i))
 YAML
