Quarantine requests that crash their upstreams

Cause: a prompt that crashes the engine that runs it was sent to four upstreams at each sending, on each entry, for as long as its caller sent it.

core/poison counts the upstreams lost with a request, shares the losses through the stream verdict, has a suspect run alone on one entry at a time, and quarantines it everywhere when it loses that upstream too. The losses that it explains are taken off the requests that were beside it. A known digest of organisation and content names the request.

Bound: 3 upstreams for each request, one sending after another over all entries; for each entry while the log is away.

--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -3,6 +3,7 @@
 import (
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
@@ -26,6 +27,6 @@
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
-		record.TypeOf[sched.CancelCmd](),
+		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
 	)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -41,7 +41,9 @@
 		config:   ledger.NewConfig(),
 		roster:   roster.NewRoster(),
 		once:     once.NewModel(s.Entry, s.Incarnation),
-		sched:    sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy)),
+		sched: sched.NewModel(
+			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+		),
 	}
 }
 
@@ -88,6 +90,8 @@
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
 		return n.roster.Update(now, batch)
+	case ledger.StreamVerdict:
+		return n.sched.Update(now, batch)
 	}
 	return n.once.Update(now, batch)
 }
--- /dev/null
+++ b/core/sched/alone.go
@@ -0,0 +1,175 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
+	"cicadavalve/core/route"
+)
+
+const (
+	// mostAloneWait is how long a suspect request may wait for an upstream of its own.
+	mostAloneWait = 5 * time.Second
+	// aloneShare is the part of the upstreams, as a divisor, that suspect requests may hold at once.
+	aloneShare = 4
+	// mostTrialWait is how long a suspect request waits for the log to show its trial.
+	mostTrialWait = 500 * time.Millisecond
+)
+
+// lost tells of a request whose upstream went away under it.
+func (m *Model) lost(now time.Time, r *request, cause Cause) []ident.Cmd {
+	u, known := m.upstreams[r.on]
+	if !known || (cause != CauseBroken && cause != CauseSilent) {
+		return nil
+	}
+	return m.poison.Lost(now, r.Digest, poison.Loss{Upstream: r.on, Boot: u.load.BootID}, r.alone)
+}
+
+// sendAlone reserves an upstream for a suspect request, and sends once nothing else of
+// this entry runs there.
+func (m *Model) sendAlone(now time.Time, r *request) []ident.Cmd {
+	if m.poison.TriedElsewhere(r.Digest, r.trial.ID) {
+		return m.giveUp(now, r, CodeQuarantined, "the request crashed upstreams and another sending of it is on trial")
+	}
+	if !m.find(now, r) {
+		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
+	}
+	if m.reserved() == 0 && m.countOpen(now, r) < 2 {
+		return m.giveUp(now, r, CodeUpstreamFailed, "no upstream can be kept free to run the request alone")
+	}
+	if r.aloneSince.IsZero() {
+		r.aloneSince = now
+	}
+	if !slices.Contains(m.parked, r.ID) {
+		m.parked = append(m.parked, r.ID)
+	}
+	m.reserve(r)
+	return m.startAlone(now, r)
+}
+
+// reserve keeps new work from the least loaded candidate, unless too many are reserved.
+func (m *Model) reserve(r *request) {
+	if len(m.candidates) == 0 || m.reserved() >= max(1, len(m.order)/aloneShare) || m.runsAlone(r.Digest) {
+		return
+	}
+	need := route.Need{Org: r.Org, Version: r.version, PromptRoot: r.PromptRoot}
+	best := slices.MinFunc(m.candidates, func(a, b route.Candidate) int {
+		if d := a.Outstanding + a.Reported - b.Outstanding - b.Reported; d != 0 {
+			return d
+		}
+		if route.Weight(need, a.ID) > route.Weight(need, b.ID) {
+			return -1
+		}
+		return 1
+	})
+	m.upstreams[best.ID].reservedFor = r.ID
+	r.reserved = best.ID
+}
+
+// countOpen counts the upstreams that could run a request, those that it tried included.
+func (m *Model) countOpen(now time.Time, r *request) (n int) {
+	for _, id := range m.order {
+		if m.eligible(now, m.upstreams[id], r, unreachable) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Model) reserved() (n int) {
+	for _, id := range m.order {
+		if m.upstreams[id].reservedFor != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// runsAlone reports whether another copy of a suspect request has an upstream of its own.
+func (m *Model) runsAlone(d poison.Digest) bool {
+	for _, id := range m.order {
+		if r, open := m.requests[m.upstreams[id].reservedFor]; open && r.Digest == d {
+			return true
+		}
+	}
+	return false
+}
+
+// startAlone sends a suspect request when its upstream is free and the log shows its trial,
+// or after a while without the log.
+func (m *Model) startAlone(now time.Time, r *request) []ident.Cmd {
+	u, held := m.upstreams[r.reserved]
+	if !held || u.outstanding > 0 || !m.eligible(now, u, r, unreachable) {
+		return nil
+	}
+	if r.trial.ID == "" {
+		r.trials++
+		r.trial = poison.TrialBody{Digest: r.Digest, ID: fmt.Sprintf("%s/%d", r.ID, r.trials), Upstream: r.reserved}
+		r.trialSince = now
+		return m.poison.Trial(r.trial)
+	}
+	if !m.poison.Granted(r.Digest, r.trial.ID) && now.Sub(r.trialSince) < mostTrialWait {
+		return nil
+	}
+	m.parked = slices.DeleteFunc(m.parked, func(id ident.RequestID) bool { return id == r.ID })
+	r.alone = true
+	return []ident.Cmd{m.start(r, u)}
+}
+
+// endTrial ends the trial of a request that goes no further on its own upstream.
+func (m *Model) endTrial(r *request) []ident.Cmd {
+	m.unreserve(r)
+	if r.trial.ID == "" {
+		return nil
+	}
+	ended := r.trial
+	r.trial = poison.TrialBody{}
+	return m.poison.EndTrial(ended)
+}
+
+// keptFree reports whether an upstream is kept for another request on trial.
+func (m *Model) keptFree(u *upstream, r *request) bool {
+	return (u.reservedFor != "" && u.reservedFor != r.ID) || m.poison.Occupied(u.listed.ID, r.trial.ID)
+}
+
+// unreserve gives a request's own upstream back.
+func (m *Model) unreserve(r *request) {
+	if u, held := m.upstreams[r.reserved]; held && u.reservedFor == r.ID {
+		u.reservedFor = ""
+	}
+	r.reserved, r.alone = "", false
+	m.parked = slices.DeleteFunc(m.parked, func(id ident.RequestID) bool { return id == r.ID })
+}
+
+// wake tries the suspect requests that wait, the oldest first.
+func (m *Model) wake(now time.Time) (cmds []ident.Cmd) {
+	for _, id := range slices.Clone(m.parked) {
+		r, open := m.requests[id]
+		switch {
+		case !open:
+			m.parked = slices.DeleteFunc(m.parked, func(p ident.RequestID) bool { return p == id })
+		case now.Sub(r.aloneSince) >= mostAloneWait:
+			cmds = append(cmds, m.giveUp(now, r, CodeUpstreamFailed, "no upstream was free to run the request alone")...)
+		default:
+			cmds = append(cmds, m.wakeOne(now, r)...)
+		}
+	}
+	return cmds
+}
+
+// wakeOne looks for another upstream where the reserved one may no longer be used.
+func (m *Model) wakeOne(now time.Time, r *request) []ident.Cmd {
+	u, held := m.upstreams[r.reserved]
+	if held && m.mayTry(now, r) && m.eligible(now, u, r, suspected) {
+		return m.startAlone(now, r)
+	}
+	cmds := m.endTrial(r)
+	return append(m.send(now, r), cmds...)
+}
+
+func (m *Model) mayTry(now time.Time, r *request) bool {
+	return m.poison.Standing(now, r.Digest) == poison.Suspect && !m.poison.TriedElsewhere(r.Digest, r.trial.ID)
+}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
 )
 
 // Request is what the scheduler knows of a caller's request; it holds no prompt.
@@ -22,6 +23,8 @@
 	MaxTokens    int               `json:"max_tokens"`
 	// Repeatable is false where a second sending may run the request twice.
 	Repeatable bool `json:"repeatable"`
+	// Digest is a keyed hash of the organisation and the request.
+	Digest poison.Digest `json:"digest,omitempty"`
 	// Deadline is how long after its arrival the answer is of no more use; 0 means never.
 	Deadline time.Duration `json:"deadline"`
 }
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 )
@@ -22,6 +23,11 @@
 	return func(m *Model) { m.zone = zone }
 }
 
+// WithEntry names the entry, as the writer of records.
+func WithEntry(entry ident.EntryID) Option {
+	return func(m *Model) { m.poison = poison.NewModel(entry) }
+}
+
 // WithPolicy names the routing policy; see [route.New]. An unknown name keeps the default.
 func WithPolicy(name string) Option {
 	return func(m *Model) { m.policyName = name }
@@ -53,6 +59,7 @@
 	m.rng = rand.New(rand.NewPCG(defaultSeed, defaultSeed))
 	m.policyName = route.NameAffinity
 	m.budgets = retry.NewBudgets()
+	m.poison = poison.NewModel("")
 	m.maxAttempts = defaultMaxAttempts
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -16,8 +16,16 @@
 		u.suspectUntil = now.Add(suspectTime)
 	}
 	r.tried = append(r.tried, r.on)
+	r.delivered = msg.Delivered
+	cmds := m.lost(now, r, msg.Cause)
 	m.release(r)
-	untouched := msg.Cause == CauseConnect || msg.Cause == CauseRefused
+	cmds = append(cmds, m.endTrial(r)...)
+	return append(m.afterFail(now, r, msg.Cause), cmds...)
+}
+
+// afterFail sends the request again or gives it up.
+func (m *Model) afterFail(now time.Time, r *request, cause Cause) []ident.Cmd {
+	untouched := cause == CauseConnect || cause == CauseRefused
 	r.touched = r.touched || !untouched
 	switch {
 	case r.touched && !r.Repeatable:
@@ -27,16 +35,7 @@
 	case !m.budgets.Withdraw(now, r.Org):
 		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
 	}
-	return m.resend(now, r, msg.Delivered)
-}
-
-func (m *Model) resend(now time.Time, r *request, delivered int) []ident.Cmd {
-	cmds := m.send(now, r)
-	if cmd, ok := cmds[0].(SendCmd); ok {
-		cmd.ResumeFrom = delivered
-		cmds[0] = cmd
-	}
-	return cmds
+	return m.send(now, r)
 }
 
 // find fills candidates with the upstreams of the highest trust that there are, and among
@@ -59,5 +58,5 @@
 	delete(m.requests, r.ID)
 	refusal := r.refuse(code, message)
 	refusal.RetryAfter = m.budgets.Backoff(now, r.Org, m.rng)
-	return []ident.Cmd{refusal}
+	return append([]ident.Cmd{refusal}, m.endTrial(r)...)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 	"cicadavalve/core/rules"
@@ -28,6 +30,18 @@
 	version ident.Version
 	// touched is true once an upstream may have run the request.
 	touched bool
+	// delivered counts the tokens that the caller has.
+	delivered int
+	// reserved is the upstream held for a suspect request, and alone is true while it runs there.
+	reserved ident.UpstreamID
+	alone    bool
+	// aloneSince is when the request first waited for an upstream of its own.
+	aloneSince time.Time
+	// trial is the one asked for since trialSince; its id is empty where there is none.
+	trial      poison.TrialBody
+	trialSince time.Time
+	// trials counts the trials asked for.
+	trials int
 }
 
 // Model is the scheduler of one entry.
@@ -43,6 +57,9 @@
 	silence     map[ident.Class]time.Duration
 	// budgets bounds the attempts beyond the first, per organisation.
 	budgets *retry.Budgets
+	poison  *poison.Model
+	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
+	parked []ident.RequestID
 
 	// rules is nil until the first version is in force; every request is refused before.
 	rules     *rules.Set
@@ -76,23 +93,35 @@
 
 // Update takes a message and returns the commands that follow from it.
 func (m *Model) Update(now time.Time, msg ident.Msg) []ident.Cmd {
+	cmds := m.update(now, msg)
+	if len(m.parked) > 0 {
+		cmds = append(cmds, m.wake(now)...)
+	}
+	return cmds
+}
+
+func (m *Model) update(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
 	case UpstreamsMsg:
 		m.setUpstreams(msg)
 	case LoadMsg:
-		m.setLoad(msg)
+		return m.setLoad(now, msg)
 	case UnreachableMsg:
-		m.miss(msg)
+		return m.miss(now, msg)
 	case RulesMsg:
 		m.setRules(msg)
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case EndMsg:
-		m.end(msg)
+		return m.end(msg)
 	case FailMsg:
 		return m.fail(now, msg)
 	case GoneMsg:
 		return m.gone(msg)
+	case TickMsg:
+		return m.poison.Tick(now)
+	case ledger.BatchMsg:
+		m.poison.Fold(now, msg)
 	}
 	return nil
 }
@@ -112,16 +141,25 @@
 	m.order = slices.Sorted(maps.Keys(m.upstreams))
 }
 
-func (m *Model) setLoad(msg LoadMsg) {
-	if u, known := m.upstreams[msg.Upstream]; known {
-		u.load, u.seen, u.misses = msg.Load, true, 0
+func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
+	u, known := m.upstreams[msg.Upstream]
+	if !known {
+		return nil
 	}
+	u.load, u.seen, u.misses = msg.Load, true, 0
+	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
 }
 
-func (m *Model) miss(msg UnreachableMsg) {
-	if u, known := m.upstreams[msg.Upstream]; known {
-		u.misses++
+func (m *Model) miss(now time.Time, msg UnreachableMsg) []ident.Cmd {
+	u, known := m.upstreams[msg.Upstream]
+	if !known {
+		return nil
 	}
+	u.misses++
+	if u.misses < probeMisses {
+		return nil
+	}
+	return m.poison.Unreachable(now, msg.Upstream)
 }
 
 // setRules never goes back to an older version.
@@ -170,6 +208,12 @@
 }
 
 func (m *Model) send(now time.Time, r *request) []ident.Cmd {
+	switch m.poison.Standing(now, r.Digest) {
+	case poison.Quarantined:
+		return m.giveUp(now, r, CodeQuarantined, "the request crashes the upstreams that run it")
+	case poison.Suspect:
+		return m.sendAlone(now, r)
+	}
 	if !m.find(now, r) {
 		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
 	}
@@ -178,18 +222,22 @@
 		PromptRoot: r.PromptRoot, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
 	}
 	chosen := m.candidates[m.policy.Pick(now, need, m.candidates)]
-	u := m.upstreams[chosen.ID]
+	return []ident.Cmd{m.start(r, m.upstreams[chosen.ID])}
+}
+
+// start begins an attempt on an upstream.
+func (m *Model) start(r *request, u *upstream) SendCmd {
 	u.outstanding++
 	r.attempt++
-	r.on = chosen.ID
-	return []ident.Cmd{m.sendCmd(r, u)}
+	r.on = u.listed.ID
+	return m.sendCmd(r, u)
 }
 
 func (m *Model) sendCmd(r *request, u *upstream) SendCmd {
 	return SendCmd{
 		Request: r.ID, Attempt: r.attempt, Upstream: u.listed.ID, Address: u.listed.Address,
 		Version: r.version, Priority: r.Class.Rank(), Class: r.Class, Silence: m.silence[r.Class],
-		FreshConnection: r.attempt > 1,
+		ResumeFrom: r.delivered, FreshConnection: r.attempt > 1,
 	}
 }
 
@@ -205,7 +253,7 @@
 }
 
 func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
-	if !u.open() || u.trust(now) < least || m.rules.Drained(u.listed.ID, u.listed.Zone) {
+	if !u.open() || m.keptFree(u, r) || u.trust(now) < least || m.rules.Drained(u.listed.ID, u.listed.Zone) {
 		return false
 	}
 	if r.Service != "" {
@@ -222,14 +270,15 @@
 	r.on = ""
 }
 
-func (m *Model) end(msg EndMsg) {
+func (m *Model) end(msg EndMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
-		return
+		return nil
 	}
 	m.release(r)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
+	return m.endTrial(r)
 }
 
 func (m *Model) gone(msg GoneMsg) []ident.Cmd {
@@ -240,7 +289,7 @@
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
 	m.release(r)
 	delete(m.requests, r.ID)
-	return []ident.Cmd{cancel}
+	return append(m.endTrial(r), cancel)
 }
 
 // Service reports whether the rules in force name a service, and whether its calls run at most once.
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -23,6 +23,8 @@
 	outstanding int
 	// suspectUntil keeps new work away after a failed attempt.
 	suspectUntil time.Time
+	// reservedFor is the suspect request that runs there alone, or empty.
+	reservedFor ident.RequestID
 }
 
 // trust ranks upstreams by what the last probes and attempts tell; the entry's own
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -130,6 +130,7 @@
 	c.d.post(ctx, sched.ArriveMsg{Request: sched.Request{
 		ID: c.id, CallerID: c.req.RequestID, Org: c.req.Org, Service: c.req.Service, Class: c.class(),
 		Repeatable: !c.once, Deadline: c.req.Deadline,
+		Digest: c.d.digest(c.req.Org, string(c.req.Service), c.req.Path, string(c.req.Body)),
 	}})
 	for {
 		select {
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
 	"strconv"
 	"strings"
 	"time"
@@ -74,6 +71,7 @@
 		ID: c.id, CallerID: c.req.RequestID, Org: c.req.Org, Model: c.req.Model, Class: c.req.Class,
 		PromptRoot: xxhash.Sum64String(root), PromptTokens: promptTokens(c.req.Prompt),
 		MaxTokens: c.req.MaxTokens, Repeatable: true, Deadline: c.req.Deadline,
+		Digest: c.d.digest(c.req.Org, string(c.req.Model), c.req.Prompt),
 	}
 }
 
@@ -163,14 +161,6 @@
 	}
 }
 
-// cacheSalt keeps organisations' prefix caches apart; it is the same on every entry, and
-// none but the holder of the secret can work it out.
-func (d *Daemon) cacheSalt(org ident.OrgID) string {
-	mac := hmac.New(sha256.New, d.cacheSecret)
-	mac.Write([]byte(org))
-	return hex.EncodeToString(mac.Sum(nil))
-}
-
 func (c *completion) event(ctx context.Context, cmd sched.SendCmd, e engine.Event) (err error) {
 	if e.Finish != "" {
 		return c.end(e)
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -214,7 +214,9 @@
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
-	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
+	for _, stream := range []ledger.Stream{
+		ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce,
+	} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), d.postBatch, d.log)
 		group.Go(func() error { return f.Run(ctx) })
 	}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -7,6 +7,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -85,6 +86,8 @@
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case once.AppendCmd:
 		d.appender.add(ctx, once.StreamOnce, cmd.Record)
+	case poison.AppendCmd:
+		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
 	case sched.SendCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	case sched.RefuseCmd:
--- /dev/null
+++ b/io/entry/poison_test.go
@@ -0,0 +1,125 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/poison"
+	"cicadavalve/io/bench"
+	"cicadavalve/io/stand"
+)
+
+func crashes(c *bench.Cluster) (n int) {
+	for _, e := range c.Engines() {
+		n += e.Stats().Crashes
+	}
+	return n
+}
+
+// startPoisonCluster runs entries before six engines, with retry budgets that the innocents do not spend.
+func startPoisonCluster(t *testing.T, entries int) (*bench.Cluster, context.Context) {
+	t.Helper()
+	c, ctx := startCluster(t, entries)
+	for range 4 {
+		if _, err := c.AddEngine("mosgiel", engineSettings()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, e := range c.Entries() {
+		waitRouting(ctx, t, c, e)
+	}
+	return c, ctx
+}
+
+// waitRouting waits until an entry sends work to every engine.
+func waitRouting(ctx context.Context, t *testing.T, c *bench.Cluster, e *bench.Entry) {
+	t.Helper()
+	before := map[*bench.Engine]int{}
+	for _, engine := range c.Engines() {
+		before[engine] = engine.Stats().Completions
+	}
+	n := 0
+	if !bench.Wait(ctx, func() bool {
+		n++
+		_, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody(fmt.Sprint("to each engine ", n), 1))
+		for engine, done := range before {
+			if engine.Stats().Completions == done {
+				return false
+			}
+		}
+		return err == nil
+	}) {
+		t.Fatal("the entry does not use every engine")
+	}
+}
+
+// sendPoison sends the crashing prompt again and again, from entry to entry, and returns the last refusal.
+func sendPoison(ctx context.Context, t *testing.T, c *bench.Cluster, times int) (code string, notRun bool) {
+	t.Helper()
+	for i := range times {
+		e := c.Entries()[i%len(c.Entries())]
+		a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody(stand.CrashMarker, 4))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if a.Status == http.StatusOK {
+			t.Fatalf("the crashing prompt got an answer: %s", a.Body)
+		}
+		code, notRun = a.Refused()
+	}
+	return code, notRun
+}
+
+// TestPoisonIsQuarantinedEverywhere sends a crashing prompt twelve times over three entries
+// beside a flow of innocents: few upstreams are lost, and every innocent gets its whole answer.
+func TestPoisonIsQuarantinedEverywhere(t *testing.T) {
+	c, ctx := startPoisonCluster(t, 3)
+	var stopped atomic.Bool
+	var pending sync.WaitGroup
+	for i := range 6 {
+		e := c.Entries()[i%3]
+		pending.Go(func() {
+			for n := 0; !stopped.Load(); n++ {
+				prompt := fmt.Sprintf("innocent %d of %d", n, i)
+				a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody(prompt, 60))
+				if err != nil || a.Status != http.StatusOK {
+					t.Errorf("%s: status %d, body %s, error %v", prompt, a.Status, a.Body, err)
+					return
+				}
+				if diff := cmp.Diff(wholeAnswer(prompt, "v1", 60), answerText(t, a)); diff != "" {
+					t.Errorf("%s (-want +got):\n%s", prompt, diff)
+				}
+			}
+		})
+	}
+	code, notRun := sendPoison(ctx, t, c, 12)
+	stopped.Store(true)
+	pending.Wait()
+	if n := crashes(c); n > poison.MostLosses {
+		t.Errorf("%d upstreams were lost, the bound is %d", n, poison.MostLosses)
+	}
+	if diff := cmp.Diff([]any{"quarantined", true}, []any{code, notRun}); diff != "" {
+		t.Errorf("last refusal (-want +got):\n%s", diff)
+	}
+}
+
+// TestPoisonIsStoppedWithoutTheLog sends a crashing prompt to one entry during an outage of the log.
+func TestPoisonIsStoppedWithoutTheLog(t *testing.T) {
+	c, ctx := startPoisonCluster(t, 1)
+	if err := bench.Fault(ctx, c.LogURL(), stand.LogFaults{Outage: true}); err != nil {
+		t.Fatal(err)
+	}
+	code, _ := sendPoison(ctx, t, c, 6)
+	if n := crashes(c); n > poison.MostLosses {
+		t.Errorf("%d upstreams were lost, the bound is %d", n, poison.MostLosses)
+	}
+	if diff := cmp.Diff("quarantined", code); diff != "" {
+		t.Errorf("last refusal (-want +got):\n%s", diff)
+	}
+}
--- a/io/entry/whole_test.go
+++ b/io/entry/whole_test.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// answers reports whether an entry answers with a version.
+func answers(ctx context.Context, t *testing.T, e *bench.Entry, version ident.Version) bool {
+	t.Helper()
+	a, err := bench.Call(ctx, e, bench.Token, "/v1/completions", "", completionBody("which?", 2))
+	return err == nil && a.Status == http.StatusOK && answerText(t, a) == wholeAnswer("which?", version, 2)
+}
+
 // TestAnswerIsOfOneVersion serves another version while answers stream from engines that
 // hold both and whose streams break.
 func TestAnswerIsOfOneVersion(t *testing.T) {
@@ -130,10 +137,9 @@
 			if err := c.Apply(ctx, e, moved); err != nil {
 				t.Fatal(err)
 			}
-			bench.Wait(ctx, func() bool {
-				status, err := c.Status(ctx, e)
-				return err == nil && status.Text == moved
-			})
+			if !bench.Wait(ctx, func() bool { return answers(ctx, t, e, "v2") }) {
+				t.Fatal("the new version did not come to serve")
+			}
 		}
 	}
 	pending.Wait()
