--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -86,8 +86,12 @@
 	return cmds
 }
 
-// Fold takes a batch of [ledger.StreamVerdict].
+// Next is the offset of the first record not folded yet.
+func (m *Model) Next() int64 { return m.next }
+
+// Fold takes a batch of [ledger.StreamVerdict]; what the log no longer keeps is passed over.
 func (m *Model) Fold(now time.Time, batch ledger.BatchMsg) {
+	m.next = max(m.next, batch.First)
 	for _, e := range batch.Entries {
 		if e.Offset < m.next {
 			continue
--- a/core/sched/alone.go
+++ b/core/sched/alone.go
@@ -19,6 +19,9 @@
 	mostTrialWait = 500 * time.Millisecond
 )
 
+// VerdictNext is the offset of the first record of [ledger.StreamVerdict] not folded yet.
+func (m *Model) VerdictNext() int64 { return m.poison.Next() }
+
 // lost tells of a request whose upstream went away under it.
 func (m *Model) lost(now time.Time, r *request, cause Cause) []ident.Cmd {
 	u, known := m.upstreams[r.on]
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -61,6 +61,7 @@
 	m.budgets = retry.NewBudgets()
 	m.poison = poison.NewModel("")
 	m.maxAttempts = defaultMaxAttempts
+	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
 		ident.Standard:    4 * time.Second,
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -59,7 +59,8 @@
 	budgets *retry.Budgets
 	poison  *poison.Model
 	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
-	parked []ident.RequestID
+	parked   []ident.RequestID
+	versions Versioner
 
 	// rules is nil until the first version is in force; every request is refused before.
 	rules     *rules.Set
@@ -196,7 +197,7 @@
 	if r.Class == "" {
 		r.Class = class
 	}
-	r.version = m.rules.ServedVersion(r.Model)
+	r.version = m.chooseVersion(r)
 	if !known || r.version == "" {
 		return r.refuse(CodeUnknownModel, "no rule routes and serves this model"), true
 	}
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	CallerAddress string `yaml:"caller_address"`
 	// PeerAddress is where other entries and operators connect, as host:port.
 	PeerAddress string `yaml:"peer_address"`
+	// Peers are the peer addresses of other entries, as host:port, for a start while the log is away.
+	Peers []string `yaml:"peers"`
 	// LogURL and ListURL locate the platform's log service and VM list.
 	LogURL  string `yaml:"log_url"`
 	ListURL string `yaml:"list_url"`
@@ -62,8 +65,11 @@
 	LogLevel  string `yaml:"log_level"`
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// ProbeInterval is the time between load reports asked of an upstream.
-	ProbeInterval Duration `yaml:"probe_interval"`
+	// ProbeRate is the load reports asked a second over all upstreams; the time between two of one
+	// upstream follows from it, within ProbeInterval and ProbeIntervalMax.
+	ProbeRate        float64  `yaml:"probe_rate"`
+	ProbeInterval    Duration `yaml:"probe_interval"`
+	ProbeIntervalMax Duration `yaml:"probe_interval_max"`
 	// ListInterval is the time between readings of the VM list.
 	ListInterval Duration `yaml:"list_interval"`
 	// AdviceHold is how long callers may keep the answer of GET /v1/entries.
@@ -77,6 +83,10 @@
 	JournalInterval Duration `yaml:"journal_interval"`
 	// LogTimeout bounds one append or read of the log.
 	LogTimeout Duration `yaml:"log_timeout"`
+	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot of the
+	// configuration; each must be well below what the log service keeps.
+	SnapshotRecords  int64    `yaml:"snapshot_records"`
+	SnapshotInterval Duration `yaml:"snapshot_interval"`
 }
 
 func defaults() Settings {
@@ -85,15 +95,21 @@
 		LogFormat:     "json",
 		LogLevel:      "info",
 		MaxBodyBytes:  4 << 20,
+		ProbeRate:     40,
 		ProbeInterval: Duration(100 * time.Millisecond),
-		ListInterval:  Duration(500 * time.Millisecond),
-		AdviceHold:    Duration(2 * time.Second),
-		StopTimeout:   Duration(30 * time.Second),
-		LogTimeout:    Duration(2 * time.Second),
-
-		JournalBytes:    16 << 20,
-		JournalRate:     16 << 10,
-		JournalInterval: Duration(5 * time.Second),
+
+		ProbeIntervalMax: Duration(5 * time.Second),
+
+		ListInterval: Duration(500 * time.Millisecond),
+		AdviceHold:   Duration(2 * time.Second),
+		StopTimeout:  Duration(30 * time.Second),
+		LogTimeout:   Duration(2 * time.Second),
+
+		JournalBytes:     16 << 20,
+		JournalRate:      16 << 10,
+		JournalInterval:  Duration(5 * time.Second),
+		SnapshotRecords:  64,
+		SnapshotInterval: Duration(10 * time.Minute),
 	}
 }
 
@@ -136,17 +152,26 @@
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
+	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
+	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
+	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
+	fault(!areAddresses(s.Peers), "peers: expected a list of host:port")
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
+		"snapshot_interval": s.SnapshotInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
 	return errors.Join(faults...)
 }
 
+func areAddresses(texts []string) bool {
+	return !slices.ContainsFunc(texts, func(text string) bool { return !isAddress(text) })
+}
+
 func isAddress(text string) bool {
 	_, _, err := net.SplitHostPort(text)
 	return err == nil
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -27,27 +27,52 @@
 // ErrDropped is a sink's answer to an event that is no part of the answer; the stream goes on.
 var ErrDropped = errors.New("the event is no part of the answer")
 
-// maxReplyBytes bounds the kept answer of a plain service.
+// maxReplyBytes bounds the answer of a plain service; a larger one is not whole.
 const maxReplyBytes = 1 << 20
 
 // HTTPClient is a [Client] over HTTP.
 type HTTPClient struct {
 	pooled *http.Client
 	fresh  *http.Client
+	// control asks for load reports.
+	control *http.Client
+}
+
+// Option sets one property of an [HTTPClient].
+type Option func(*HTTPClient)
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// WithControlDialer sets how connections for load reports are opened.
+func WithControlDialer(dial DialFunc) Option {
+	return func(c *HTTPClient) { c.control = &http.Client{Transport: &http.Transport{DialContext: dial}} }
 }
 
 // NewHTTPClient is a client with a pool of connections per upstream.
-func NewHTTPClient(connectTimeout time.Duration, idlePerHost int) *HTTPClient {
+func NewHTTPClient(connectTimeout time.Duration, idlePerHost int, options ...Option) *HTTPClient {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost}
 	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	return &HTTPClient{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+	c := &HTTPClient{pooled: newClient(pooled), fresh: newClient(fresh)}
+	c.control = c.pooled
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
+
+// newClient follows no redirect: that would send a call again.
+func newClient(t http.RoundTripper) *http.Client {
+	keep := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: t, CheckRedirect: keep}
 }
 
 // CloseIdle closes the connections that no request uses.
 func (c *HTTPClient) CloseIdle() {
 	c.pooled.CloseIdleConnections()
 	c.fresh.CloseIdleConnections()
+	c.control.CloseIdleConnections()
 }
 
 // Cause classifies an error of an attempt.
@@ -112,7 +137,10 @@
 		return reply, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(raw) > maxReplyBytes {
+		err = errors.Newf("the reply is larger than %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return reply, w.mark(err)
 	}
@@ -126,7 +154,7 @@
 	if err != nil {
 		return load, err
 	}
-	resp, err := c.pooled.Do(req.WithContext(ctx))
+	resp, err := c.control.Do(req.WithContext(ctx))
 	if err != nil {
 		return load, err
 	}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -82,12 +82,18 @@
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
+	case ledger.AppendCmd:
+		d.offer(cmd)
+	case ledger.AskPeersCmd:
+		d.stater.ask(cmd)
+	case ledger.DivergedCmd:
+		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
-	case once.AppendCmd:
-		d.appender.add(ctx, once.StreamOnce, cmd.Record)
 	case poison.AppendCmd:
 		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+	case once.AppendCmd:
+		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	case sched.RefuseCmd:
