--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -83,7 +83,7 @@
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
 	case ledger.AppendCmd:
-		d.offer(cmd)
+		d.offer(ctx, cmd)
 	case ledger.AskPeersCmd:
 		d.stater.ask(cmd)
 	case ledger.VerdictCmd:
