Model the once-only start

scripts/model.sh took a model that did not compile for a refuted one: all five counted as refuted while none compiled. It now reports 'not checked' unless Spin names a violated assertion, end state or claim.

--- /dev/null
+++ b/model/once.broken-append.pml
@@ -0,0 +1,3 @@
+/* The writer believes the answer to its append and not the order of the log. */
+#define BELIEVE_APPEND
+#include "once.pml"
--- /dev/null
+++ b/model/once.broken-owner.pml
@@ -0,0 +1,4 @@
+/* A not_run record frees the key whichever attempt holds it. */
+#define ANY_NOT_RUN
+#define ATTEMPTS 3
+#include "once.pml"
--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -19,11 +19,18 @@
 # check FILE: prints the states and 'holds' or 'refuted'.
 check() {
   local out="$work/$(basename "$1").out"
-  (cd "$work" && rm -f pan pan.* ./*.trail && spin -a "$OLDPWD/$1" >/dev/null &&
+  : >"$out"
+  (cd "$work" && rm -f pan pan.* ./*.trail && spin -a "$OLDPWD/$1" >&2 &&
     gcc -O2 -w -DSAFETY -DCOLLAPSE -DVECTORSZ=4096 -o pan pan.c && ./pan -m1000000 -w24 >"$out" 2>&1)
   grep -q 'max search depth too small' "$out" && { echo "incomplete"; return; }
   states=$(awk '/states, stored/ {print $1; exit}' "$out")
-  if grep -q 'errors: 0' "$out"; then echo "holds ($states states)"; else echo "refuted ($states states)"; fi
+  if grep -q 'errors: 0' "$out"; then
+    echo "holds ($states states)"
+  elif grep -q 'assertion violated\|invalid end state\|claim violated' "$out"; then
+    echo "refuted ($states states)"
+  else
+    echo "not checked"
+  fi
 }
 
 for model in model/*.pml; do
