--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -3,6 +3,7 @@
 import (
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
@@ -20,6 +21,7 @@
 		record.TypeOf[ledger.BatchMsg](), record.TypeOf[ledger.InForceCmd](),
 		record.TypeOf[ledger.ReadFailedMsg](), record.TypeOf[ledger.PeerStatesMsg](), record.TypeOf[ledger.AppendCmd](),
 		record.TypeOf[ledger.AskPeersCmd](), record.TypeOf[ledger.DivergedCmd](),
+		record.TypeOf[ledger.ProposeMsg](), record.TypeOf[ledger.AppendFailedMsg](), record.TypeOf[ledger.VerdictCmd](),
 		record.TypeOf[roster.ChangedCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
 		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
@@ -28,6 +30,6 @@
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
-		record.TypeOf[sched.CancelCmd](),
+		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
 	)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,7 +45,9 @@
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
 		roster: roster.NewRoster(),
 		once:   once.NewModel(s.Entry, s.Incarnation),
-		sched:  sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy)),
+		sched: sched.NewModel(
+			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+		),
 	}
 }
 
@@ -79,7 +81,7 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
-	case ledger.ReadFailedMsg, ledger.PeerStatesMsg:
+	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
 		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
@@ -97,6 +99,8 @@
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
 		return n.roster.Update(now, batch)
+	case ledger.StreamVerdict:
+		return n.sched.Update(now, batch)
 	}
 	return n.once.Update(now, batch)
 }
