--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -7,6 +7,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -91,6 +92,8 @@
 		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
+	case poison.AppendCmd:
+		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
