--- a/Makefile
+++ b/Makefile
@@ -33,3 +33,7 @@
 # generate makes the committed code of io/peer/peerpb anew; it needs protoc.
 generate:
 	./scripts/generate.sh
+
+# soak runs the long histories; each prints its seed.
+soak:
+	CICADAVALVE_SOAK=1 go test -count=1 -timeout 60m -v -run Soak ./...
--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -75,6 +75,8 @@
 	told int64
 	// wanted is the offset to read next: next itself, or a later one while a snapshot is sought.
 	wanted int64
+	// away is true from a failed read of the log to the next batch.
+	away bool
 	// first is the lowest offset that the log was last seen to keep.
 	first     int64
 	snapshots snapshots
@@ -167,6 +169,7 @@
 		c.takePeers(msg)
 	case ReadFailedMsg:
 		if msg.Stream == StreamConfig {
+			c.away = true
 			cmds = c.askPeers(now)
 		}
 	}
@@ -183,9 +186,10 @@
 	return []ident.Cmd{InForceCmd{Version: c.version, Text: c.text}}
 }
 
-// snapshot appends the state when a snapshot is due; a fold that seeks one or is behind appends none.
+// snapshot appends the state when a snapshot is due; a fold that seeks one, or that can't read
+// whether another entry has appended one, appends none.
 func (c *Config) snapshot(now time.Time) []ident.Cmd {
-	if !c.current || c.Wanted() > c.next || !c.snapshots.isDue(now, c.progress()) {
+	if !c.current || c.away || c.Wanted() > c.next || !c.snapshots.isDue(now, c.progress()) {
 		return nil
 	}
 	return []ident.Cmd{c.snapshots.record(now, c.State())}
@@ -200,6 +204,7 @@
 
 // foldBatch refuses a batch that starts beyond the next offset, unless it holds a snapshot to go on from.
 func (c *Config) foldBatch(now time.Time, batch BatchMsg) (cmds []ident.Cmd) {
+	c.away = false
 	c.first = max(c.first, batch.First)
 	if batch.Gap(c.next) {
 		c.restoreFrom(batch)
--- a/core/ledger/config_test.go
+++ b/core/ledger/config_test.go
@@ -276,6 +276,33 @@
 	}
 }
 
+// TestNoSnapshotWithoutReads keeps the log from answering reads while it takes appends.
+func TestNoSnapshotWithoutReads(t *testing.T) {
+	log := &fakeLog{}
+	log.append(proposal(t, "p", 0, "# p"))
+	f := ledger.NewConfig(ledger.WithEntry("e", 1), ledger.WithSnapshots(1, time.Minute))
+	f.Update(start, log.read(0, 10))
+	appended := 0
+	count := func(now time.Time, msg ident.Msg) {
+		for _, cmd := range f.Update(now, msg) {
+			if _, ok := cmd.(ledger.AppendCmd); ok {
+				appended++
+			}
+		}
+	}
+	count(start, ledger.ReadFailedMsg{Stream: ledger.StreamConfig})
+	for second := range 100 {
+		count(start.Add(time.Duration(second)*time.Second), ledger.TickMsg{})
+	}
+	if diff := cmp.Diff(0, appended); diff != "" {
+		t.Errorf("snapshots while the log is away (-want +got):\n%s", diff)
+	}
+	count(start.Add(100*time.Second), log.read(f.Wanted(), 10))
+	if diff := cmp.Diff(1, appended); diff != "" {
+		t.Errorf("snapshots after it is back (-want +got):\n%s", diff)
+	}
+}
+
 // TestFewSnapshotsAfterBurst makes a snapshot due on many entries at once; each append shows 50 ms later.
 func TestFewSnapshotsAfterBurst(t *testing.T) {
 	const entries, latency, most = 100, 5, 20
--- a/io/apply/apply.go
+++ b/io/apply/apply.go
@@ -35,6 +35,8 @@
 	Winner string `json:"winner,omitempty"`
 	// InForceMs is how long it took until the version was in force on every entry.
 	InForceMs int64 `json:"in_force_ms"`
+	// InForce lists the entries that have answered with the version or a later one.
+	InForce []ident.EntryID `json:"in_force"`
 	// Waiting lists the entries on which it is not known to be in force.
 	Waiting []ident.EntryID `json:"waiting"`
 }
@@ -78,11 +80,12 @@
 	}
 	start := time.Now()
 	o, err := a.propose(ctx, ledger.ConfigBody{Base: a.base, Operator: a.operator, Text: text})
-	r = Report{ID: a.id, Base: a.base, Verdict: o.Verdict, Version: o.Version, Winner: o.Winner, Waiting: []ident.EntryID{}}
+	r = Report{ID: a.id, Base: a.base, Verdict: o.Verdict, Version: o.Version, Winner: o.Winner}
+	r.InForce, r.Waiting = []ident.EntryID{}, []ident.EntryID{}
 	if err != nil || o.Verdict != ledger.Accepted {
 		return r, err
 	}
-	r.Waiting = a.wait(ctx, o.Version)
+	r.InForce, r.Waiting = a.wait(ctx, o.Version)
 	r.InForceMs = time.Since(start).Milliseconds()
 	return r, nil
 }
--- a/io/apply/wait.go
+++ b/io/apply/wait.go
@@ -16,23 +16,28 @@
 	statusLimit = time.Second
 )
 
-// wait returns the members on which a version is not known to be in force when the context
-// ends. A member that leaves the roster meanwhile is no longer waited for.
-func (a *Applier) wait(ctx context.Context, version int64) (waiting []ident.EntryID) {
+// wait splits the members into those on which a version is in force and those on which that
+// is not known when the context ends. A member that leaves the roster meanwhile is no longer waited for.
+func (a *Applier) wait(ctx context.Context, version int64) (inForce, waiting []ident.EntryID) {
 	p := &poll{a: a, version: version, inForce: map[ident.BootID]bool{}}
 	for ctx.Err() == nil {
 		p.refresh(ctx)
 		p.ask(ctx)
 		if len(p.members) > 0 && len(p.open()) == 0 {
-			return []ident.EntryID{}
+			break
 		}
 		sleep(ctx, statusPoll)
 	}
-	waiting = []ident.EntryID{}
-	for _, m := range p.open() {
-		waiting = append(waiting, m.Entry)
+	inForce, waiting = []ident.EntryID{}, []ident.EntryID{}
+	open := p.open()
+	for _, m := range p.members {
+		if slices.Contains(open, m) {
+			waiting = append(waiting, m.Entry)
+			continue
+		}
+		inForce = append(inForce, m.Entry)
 	}
-	return waiting
+	return inForce, waiting
 }
 
 // poll asks the members in rounds.
--- a/io/stand/log.go
+++ b/io/stand/log.go
@@ -18,6 +18,8 @@
 type LogFaults struct {
 	// Outage refuses every append and read.
 	Outage bool `json:"outage"`
+	// ReadOutage refuses every read and takes appends.
+	ReadOutage bool `json:"read_outage"`
 	// LoseAnswers is the share of appends that take effect without an answer.
 	LoseAnswers float64 `json:"lose_answers"`
 	// DelayMs delays each append and read, in milliseconds.
@@ -138,6 +140,10 @@
 	if !l.meet(w) {
 		return
 	}
+	if l.faults.get().ReadOutage {
+		http.Error(w, "outage", http.StatusServiceUnavailable)
+		return
+	}
 	q := r.URL.Query()
 	from, err := strconv.ParseInt(q.Get("from"), 10, 64)
 	waitMs, err2 := strconv.ParseInt(q.Get("wait_ms"), 10, 64)
