Move work off closed upstreams and ramp those that come back

Cause: a drained zone got no new work, but its running work stayed for as long as it lasted, nothing had shown that retries keep out, and a zone that came back idle drew nearly every new request.

Running work has a grace by class and is then cancelled and resumed elsewhere, a few requests at each tick; one that no other upstream can take stays. An upstream that comes back gets a share that grows from 5% to all in 10 s, chosen by the rendezvous weight of the prompt, so that all entries send the same prompts back first. Drained upstreams have no fall-back.

A loss now counts again on one boot only where the request was sent after the earlier loss: a prompt sent to two entries over breaking streams was suspect before, and refused for want of an upstream of its own in the case "streams break".

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -31,8 +31,8 @@
 type Loss struct {
 	Upstream ident.UpstreamID `json:"upstream"`
 	Boot     ident.BootID     `json:"boot"`
-	// Again counts the request's earlier losses there under this boot: an entry may send
-	// again before it learns of the new boot.
+	// Again counts the request's losses there under this boot before it was sent: an entry
+	// may send again before it learns of the new boot.
 	Again int `json:"again,omitempty"`
 }
 
@@ -118,13 +118,13 @@
 	return c.confirmed || now.Sub(c.since) < confirmWithin
 }
 
-// Lost notes that an attempt broke off, and tells the other entries.
-func (m *Model) Lost(now time.Time, d Digest, loss Loss, alone bool) []ident.Cmd {
+// Lost notes that an attempt broke off that had started at a time, and tells the other entries.
+func (m *Model) Lost(now, started time.Time, d Digest, loss Loss, alone bool) []ident.Cmd {
 	if d == "" {
 		return nil
 	}
 	for _, c := range m.claims[d] {
-		if c.loss.Upstream == loss.Upstream && c.loss.Boot == loss.Boot {
+		if c.loss.Upstream == loss.Upstream && c.loss.Boot == loss.Boot && c.since.Before(started) {
 			loss.Again++
 		}
 	}
--- a/core/sched/alone.go
+++ b/core/sched/alone.go
@@ -28,7 +28,7 @@
 	if !known || (cause != CauseBroken && cause != CauseSilent) {
 		return nil
 	}
-	return m.poison.Lost(now, r.Digest, poison.Loss{Upstream: r.on, Boot: u.load.BootID}, r.alone)
+	return m.poison.Lost(now, r.sent, r.Digest, poison.Loss{Upstream: r.on, Boot: u.load.BootID}, r.alone)
 }
 
 // sendAlone reserves an upstream for a suspect request, and sends once nothing else of
@@ -37,12 +37,10 @@
 	if m.poison.TriedElsewhere(r.Digest, r.trial.ID) {
 		return m.giveUp(now, r, CodeQuarantined, "the request crashed upstreams and another sending of it is on trial")
 	}
-	if !m.find(now, r) {
-		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
-	}
-	if m.reserved() == 0 && m.countOpen(now, r) < 2 {
+	if m.countOpen(r) < 2 {
 		return m.giveUp(now, r, CodeUpstreamFailed, "no upstream can be kept free to run the request alone")
 	}
+	m.find(now, r)
 	if r.aloneSince.IsZero() {
 		r.aloneSince = now
 	}
@@ -72,19 +70,20 @@
 	r.reserved = best.ID
 }
 
-// countOpen counts the upstreams that could run a request, those that it tried included.
-func (m *Model) countOpen(now time.Time, r *request) (n int) {
+// countOpen counts the upstreams that could run a request, those kept free for others included.
+func (m *Model) countOpen(r *request) (n int) {
 	for _, id := range m.order {
-		if m.eligible(now, m.upstreams[id], r, unreachable) {
+		if m.serves(m.upstreams[id], r) {
 			n++
 		}
 	}
 	return n
 }
 
+// reserved counts the upstreams kept free for suspect requests of any entry.
 func (m *Model) reserved() (n int) {
 	for _, id := range m.order {
-		if m.upstreams[id].reservedFor != "" {
+		if m.upstreams[id].reservedFor != "" || m.poison.Occupied(id, "") {
 			n++
 		}
 	}
@@ -119,7 +118,7 @@
 	}
 	m.parked = slices.DeleteFunc(m.parked, func(id ident.RequestID) bool { return id == r.ID })
 	r.alone = true
-	return []ident.Cmd{m.start(r, u)}
+	return []ident.Cmd{m.start(now, r, u)}
 }
 
 // endTrial ends the trial of a request that goes no further on its own upstream.
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -30,7 +30,7 @@
 	switch {
 	case r.touched && !r.Repeatable:
 		return m.giveUp(now, r, CodeOutcomeUnknown, "the upstream may have run the request")
-	case r.attempt >= m.maxAttempts:
+	case r.attempt-r.moves >= m.maxAttempts:
 		return m.giveUp(now, r, CodeUpstreamFailed, "every upstream that was tried failed")
 	case !m.budgets.Withdraw(now, r.Org):
 		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -22,8 +22,12 @@
 	arrived time.Time
 	// attempt numbers the sendings from 1; an event of an earlier one is ignored.
 	attempt int
+	// moves counts the attempts that were moved rather than failed.
+	moves int
 	// on is the upstream of the current attempt, or empty.
 	on ident.UpstreamID
+	// sent is when the current attempt began.
+	sent time.Time
 	// tried lists the upstreams of the failed attempts.
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
@@ -105,12 +109,14 @@
 	switch msg := msg.(type) {
 	case UpstreamsMsg:
 		m.setUpstreams(msg)
+		m.noteClosed(now)
 	case LoadMsg:
 		return m.setLoad(now, msg)
 	case UnreachableMsg:
 		return m.miss(now, msg)
 	case RulesMsg:
 		m.setRules(msg)
+		m.noteClosed(now)
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case EndMsg:
@@ -120,7 +126,7 @@
 	case GoneMsg:
 		return m.gone(msg)
 	case TickMsg:
-		return m.poison.Tick(now)
+		return append(m.poison.Tick(now), m.move(now)...)
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
@@ -147,6 +153,9 @@
 	if !known {
 		return nil
 	}
+	if u.misses >= outageMisses {
+		u.backSince = now
+	}
 	u.load, u.seen, u.misses = msg.Load, true, 0
 	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
 }
@@ -223,14 +232,15 @@
 		PromptRoot: r.PromptRoot, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
 	}
 	chosen := m.candidates[m.policy.Pick(now, need, m.candidates)]
-	return []ident.Cmd{m.start(r, m.upstreams[chosen.ID])}
+	return []ident.Cmd{m.start(now, r, m.upstreams[chosen.ID])}
 }
 
 // start begins an attempt on an upstream.
-func (m *Model) start(r *request, u *upstream) SendCmd {
+func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
 	u.outstanding++
 	r.attempt++
 	r.on = u.listed.ID
+	r.sent = now
 	return m.sendCmd(r, u)
 }
 
@@ -254,7 +264,12 @@
 }
 
 func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
-	if !u.open() || m.keptFree(u, r) || u.trust(now) < least || m.rules.Drained(u.listed.ID, u.listed.Zone) {
+	return m.serves(u, r) && !m.keptFree(u, r) && u.trust(now, r) >= least
+}
+
+// serves reports whether an upstream may get new work and holds what the request needs.
+func (m *Model) serves(u *upstream, r *request) bool {
+	if !u.seen || m.closed(u) {
 		return false
 	}
 	if r.Service != "" {
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -11,6 +11,9 @@
 // probeMisses is how many probes in a row an upstream may miss before it counts as unreachable.
 const probeMisses = 2
 
+// outageMisses is how many missed probes in a row make an upstream come back by a ramp.
+const outageMisses = 20
+
 // upstream is what this entry knows of one upstream.
 type upstream struct {
 	listed Upstream
@@ -23,6 +26,10 @@
 	outstanding int
 	// suspectUntil keeps new work away after a failed attempt.
 	suspectUntil time.Time
+	// closedSince is when it stopped to get new work by rule or because it leaves, or zero.
+	closedSince time.Time
+	// backSince is when it last came back from that or from an outage, or zero.
+	backSince time.Time
 	// reservedFor is the suspect request that runs there alone, or empty.
 	reservedFor ident.RequestID
 }
@@ -36,18 +43,19 @@
 	unreachable trust = iota
 	// suspected upstreams failed an attempt a moment ago.
 	suspected
+	// returning upstreams came back a moment ago and are not due for the request yet.
+	returning
 	trusted
 )
 
-// open reports whether an upstream may get new work at all.
-func (u *upstream) open() bool { return u.seen && !u.listed.Leaving }
-
-func (u *upstream) trust(now time.Time) trust {
+func (u *upstream) trust(now time.Time, r *request) trust {
 	switch {
 	case u.misses >= probeMisses:
 		return unreachable
 	case now.Before(u.suspectUntil):
 		return suspected
+	case u.held(now, r):
+		return returning
 	}
 	return trusted
 }
--- a/io/bench/fault.go
+++ b/io/bench/fault.go
@@ -10,6 +10,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/dghubble/sling"
+
+	"cicadavalve/core/ident"
 )
 
 // Fault replaces the faults of a stand-in at a URL or address; the body is one of
@@ -61,6 +63,11 @@
 	return call(ctx, e, token, "/v1/completions", http.Header{"X-Request-Id": []string{id}}, body)
 }
 
+// CallAs posts a completion of a class.
+func CallAs(ctx context.Context, e *Entry, token string, class ident.Class, body string) (a Answer, err error) {
+	return call(ctx, e, token, "/v1/completions", http.Header{"X-Class": []string{string(class)}}, body)
+}
+
 func call(ctx context.Context, e *Entry, token, path string, header http.Header, body string) (a Answer, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Caller+path, strings.NewReader(body))
 	if err != nil {
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -141,6 +141,10 @@
 }
 
 func (c *completion) failed(ctx context.Context, cmd sched.SendCmd, err error) {
+	if ctx.Err() != nil {
+		c.cancelled(cmd)
+		return
+	}
 	cause := engine.Cause(err)
 	c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "cause", cause, "error", err)
 	c.d.meter.Count("attempts_failed_"+string(cause), 1)
@@ -150,6 +154,12 @@
 	c.d.post(ctx, sched.FailMsg{Request: c.id, Attempt: cmd.Attempt, Cause: cause, Delivered: c.seq.Next()})
 }
 
+// cancelled ends an attempt that was moved, whose next command tells where to go on, or whose caller left.
+func (c *completion) cancelled(cmd sched.SendCmd) {
+	c.d.meter.Count("attempts_cancelled", 1)
+	c.d.canceller.add(cancellation{cmd.Address, c.attemptID(cmd)})
+}
+
 // attemptID names an attempt to the engine. Each has a name of its own, so that an event of
 // an earlier one is told apart even where the same engine runs both.
 func (c *completion) attemptID(cmd sched.SendCmd) string {
--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -172,6 +172,13 @@
 	return s
 }
 
+// Running counts the requests that the engine has now.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.jobs)
+}
+
 // turnCold loses the warmth without a new boot and without a word.
 func (e *Engine) turnCold() {
 	e.mu.Lock()
