--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -83,9 +83,11 @@
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
 	case ledger.AppendCmd:
-		d.offer(cmd)
+		d.offer(ctx, cmd)
 	case ledger.AskPeersCmd:
 		d.stater.ask(cmd)
+	case ledger.VerdictCmd:
+		d.sessions.deliver(cmd.Request, cmd)
 	case ledger.DivergedCmd:
 		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
