Give the scripts one set of functions and the demonstration a place in the tests

Cause: a new required setting broke make demo, and no check ran it. scripts/lib.sh starts stand-ins and entries for every script; make test now runs the demonstration for 3 s at 10/s, which failed before the setting was written and passes after. Conclusion: a change of the settings that a fresh start needs is seen by the tests.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SKIP ?=
 GO_TEST_FLAGS := -race -count=1 -timeout 20m $(if $(SKIP),-skip '$(SKIP)')
 
-.PHONY: build demo test lint race model fuzz soak compare generate fmt
+.PHONY: build demo test lint race smoke model fuzz soak compare generate fmt
 
 build:
 	go build -o bin/ ./cmd/...
@@ -14,7 +14,7 @@
 	@./scripts/demo.sh
 
 # test runs every check; .ci/run calls it.
-test: lint build model race
+test: lint build model race smoke
 
 lint:
 	$(LINT) fmt --diff
@@ -23,6 +23,10 @@
 race:
 	go test $(GO_TEST_FLAGS) ./...
 
+# smoke runs the demonstration for a few seconds at a low rate.
+smoke:
+	@RATE=10 SECONDS_OF_LOAD=3 ./scripts/demo.sh
+
 # model checks the specifications under model/ with Spin.
 model:
 	./scripts/model.sh
--- a/scripts/control-cost.sh
+++ b/scripts/control-cost.sh
@@ -3,36 +3,11 @@
 # as the mean over the entries. ENTRIES, ENGINES and SECONDS_IDLE set the run; one line a run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 entries=${ENTRIES:-3} engines=${ENGINES:-12} idle=${SECONDS_IDLE:-10}
+entry_pids=()
 
-run=$(mktemp -d)
-pids=() entry_pids=()
-stop_all() {
-  local status=$?
-  trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$run"
-  exit "$status"
-}
-trap stop_all EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
-
-mkdir -p bin
-go build -o bin/ ./cmd/cicadavalve ./cmd/cvlab
-wait_for() {
-  for _ in $(seq 200); do [ -s "$1" ] && return 0; sleep 0.05; done
-  echo "no address in $1 after 10 s" >&2
-  return 1
-}
-stand() {
-  local name=$1 kind=$2
-  shift 2
-  bin/cvlab stand "$kind" --address-file "$run/$name.address" "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
-  wait_for "$run/$name.address"
-}
+start_run
 stand log log
 stand list list --lag 0s
 list="http://$(cat "$run/list.address")"
@@ -42,21 +17,8 @@
 echo "token: org" >"$run/tokens.yaml"
 printf 'route model m class interactive # asked by: bench\nserve model m version v1 # asked by: bench\n' >"$run/rules.txt"
 for i in $(seq "$entries"); do
-  cat >"$run/entry-$i.yaml" <<YAML
-entry: entry-$i
-zone: zone-$((i % 3))
-caller_address: 127.0.0.1:0
-peer_address: 127.0.0.1:0
-log_url: http://$(cat "$run/log.address")/
-list_url: $list/
-tokens_file: $run/tokens.yaml
-plaintext: true
-log_level: error
-${EXTRA_SETTINGS:-}
-YAML
-  bin/cicadavalve entry --config "$run/entry-$i.yaml" --address-file "$run/entry-$i.address" 2>"$run/entry-$i.log" &
-  pids+=($!) entry_pids+=($!)
-  wait_for "$run/entry-$i.address"
+  entry "entry-$i" "zone-$((i % 3))" <<<"log_level: error"
+  entry_pids+=("$entry_pid")
 done
 read -r caller peer <"$run/entry-1.address"
 bin/cicadavalve apply "$run/rules.txt" --entry "$peer" --operator bench >/dev/null
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,6 +4,7 @@
 # ENTRIES, RETURNS, CALLS and SEED set the run; JSON=1 prints JSON alone on standard output.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. scripts/lib.sh
 
 preset=${PRESET:-otakou}
 length=${SECONDS_OF_LOAD:-10}
@@ -23,47 +24,10 @@
 *) echo "PRESET: expected otakou or kompostfenster, not $preset" >&2; exit 1 ;;
 esac
 
-run=$(mktemp -d)
-pids=()
-stop_all() {
-  local status=$?
-  trap - EXIT INT TERM
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  if [ "$status" -ne 0 ] && [ -n "${KEEP_LOGS:-}" ]; then cp -r "$run" "$KEEP_LOGS"; fi
-  rm -rf "$run"
-  exit "$status"
-}
-trap stop_all EXIT
-trap 'exit 130' INT
-trap 'exit 143' TERM
-
 say() { if [ -z "$json" ]; then echo "$@"; fi; }
 
 say "building"
-mkdir -p bin
-go build -o bin/ ./cmd/cicadavalve ./cmd/cvlab
-
-# wait_for FILE PID: waits until a process has written its address.
-wait_for() {
-  for _ in $(seq 200); do
-    [ -s "$1" ] && return 0
-    kill -0 "$2" 2>/dev/null || { echo "a process ended early; its log:" >&2; cat "${1%.address}.log" >&2; return 1; }
-    sleep 0.05
-  done
-  echo "no address in $1 after 10 s" >&2
-  return 1
-}
-
-# stand NAME KIND ARGS...: starts a stand-in; its address comes in $run/NAME.address.
-stand() {
-  local name=$1 kind=$2
-  shift 2
-  bin/cvlab stand "$kind" --address-file "$run/$name.address" "$@" >"$run/$name.log" 2>&1 &
-  pids+=($!)
-  wait_for "$run/$name.address" "$!"
-}
-address() { cat "$run/$1.address"; }
+start_run
 
 say "starting the stand-ins"
 stand log log --appends 300 --seed "$seed"
@@ -102,22 +66,7 @@
 say "starting $entries entries"
 callers=() peers=()
 for i in $(seq 0 $((entries - 1))); do
-  cat >"$run/entry-$i.yaml" <<YAML
-entry: entry-$i
-zone: ${zones[$((i % 3))]}
-caller_address: 127.0.0.1:0
-peer_address: 127.0.0.1:0
-log_url: http://$(address log)/
-list_url: $list/
-tokens_file: $run/tokens.yaml
-cache_secret_file: $run/cache.secret
-plaintext: true
-seed: $((seed + i))
-YAML
-  bin/cicadavalve entry --config "$run/entry-$i.yaml" --address-file "$run/entry-$i.address" 2>"$run/entry-$i.log" &
-  pids+=($!)
-  wait_for "$run/entry-$i.address" "$!"
-  read -r caller peer <"$run/entry-$i.address"
+  entry "entry-$i" "${zones[$((i % 3))]}" <<<"seed: $((seed + i))"
   callers+=("$caller") peers+=("$peer")
 done
 
@@ -128,7 +77,6 @@
 sleep 2 # The engines warm up and the entries learn of them.
 
 say "offering load for $length s"
-join() { local IFS=,; echo "$*"; }
 flags=(--preset "$preset" --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
   --apps "$(join "${apps[@]}")" --stores "$(join "${stores[@]}")" --rate "$rate" --length "${length}s" --seed "$seed")
 if [ -n "$json" ]; then flags+=(--json); fi
