Give members a lease and split the slots of cold upstreams

Cause: a member that was killed stayed in the roster for ever, a late join of an old process could replace a newer one, and nothing bounded what several entries together sent to an upstream in a cold start.

core/roster: joins are compare-and-set on the version of the entry's name, removals on the epoch; a lease runs from before a read of the log that reached its end, so that renewing costs no append; three entries on a ring of names watch each, and two must miss it before it is removed. core/limit splits `bears` over the members by rendezvous hash; a gained slot waits until the loser has said that it settled, or for lease, margin and hold. The peer protocol gets Ping, Leave and Settle, and can run over mutual TLS. A leaving entry asks every member to drop it from the advice before its hold begins.

Ruled out: leases renewed by appends (360 entries at one a second are the whole log's rate). Not measured yet.

--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -4,7 +4,10 @@
 // in the same order with the same pure functions.
 package ledger
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Stream names one sequence of records in the log, with offsets of its own.
 type Stream string
@@ -44,6 +47,8 @@
 	First int64 `json:"first"`
 	// Next is the offset after the last one that the log has.
 	Next int64 `json:"next"`
+	// Asked is when the read began; the log's records of that time are below Next.
+	Asked time.Time `json:"asked"`
 }
 
 // NewRecord encodes a body into a record.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -7,6 +7,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
@@ -20,13 +21,16 @@
 	// Seed seeds every random number that the deciders draw.
 	Seed   uint64 `json:"seed"`
 	Policy string `json:"policy"`
+	// Slots holds the lease of the entry and the durations that cold slots rest on.
+	Slots        limit.Timing  `json:"slots"`
+	PingInterval time.Duration `json:"ping_interval"`
 }
 
 // Node is the set of deciders of one entry.
 type Node struct {
 	settings Settings
 	config   *ledger.Config
-	roster   *roster.Roster
+	members  *roster.Membership
 	once     *once.Model
 	sched    *sched.Model
 }
@@ -39,9 +43,10 @@
 	return &Node{
 		settings: s,
 		config:   ledger.NewConfig(),
-		roster:   roster.NewRoster(),
+		members:  roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
 		once:     once.NewModel(s.Entry, s.Incarnation),
-		sched:    sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy)),
+		sched: sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+			sched.WithSlotTiming(s.Slots)),
 	}
 }
 
@@ -52,7 +57,10 @@
 func (n *Node) Config() *ledger.Config { return n.config }
 
 // Roster is the fold of the members.
-func (n *Node) Roster() *roster.Roster { return n.roster }
+func (n *Node) Roster() *roster.Roster { return n.members.Roster() }
+
+// Members is the entry's own place in the roster.
+func (n *Node) Members() *roster.Membership { return n.members }
 
 // Once decides about once-only calls.
 func (n *Node) Once() *once.Model { return n.once }
@@ -75,6 +83,8 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
+	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg, roster.TickMsg:
+		return n.members.Update(now, msg)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
 		return n.once.Update(now, msg)
 	}
@@ -87,15 +97,20 @@
 	case ledger.StreamConfig:
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
-		return n.roster.Update(now, batch)
+		return n.members.Update(now, batch)
 	}
 	return n.once.Update(now, batch)
 }
 
 // forward turns a command of one decider into a message for another.
 func (n *Node) forward(now time.Time, cmd ident.Cmd) []ident.Cmd {
-	if cmd, ok := cmd.(ledger.InForceCmd); ok {
+	switch cmd := cmd.(type) {
+	case ledger.InForceCmd:
 		return n.sched.Update(now, sched.RulesMsg{Version: cmd.Version, Text: cmd.Text})
+	case roster.ChangedCmd:
+		return n.sched.Update(now, membersMsg(cmd))
+	case roster.LeaseCmd:
+		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
 	}
 	return nil
 }
--- /dev/null
+++ b/core/roster/membership.go
@@ -0,0 +1,198 @@
+package roster
+
+import (
+	"fmt"
+	"time"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+)
+
+// Membership is this entry's own place in the roster: it joins when the entry is fit,
+// leaves on a planned stop, renews the lease, and joins anew after a removal.
+//
+//	m := roster.NewMembership(roster.WithLease(3 * time.Second))
+//	cmds := m.Update(now, batch)
+type Membership struct {
+	roster *Roster
+	watch  *Watch
+	lease  time.Duration
+	self   Member
+	// boot is the incarnation of the process; the later ones add a number to it.
+	boot ident.BootID
+	// generation counts the removals of this process.
+	generation int
+	wanted     bool
+	// caughtUp is true once a read has reached the end of the log.
+	caughtUp bool
+	// base is the version of this entry's name when the end was first reached.
+	base int64
+	// until ends the lease; it is set from the time before a read that reached the log's end.
+	until time.Time
+	// joined is true once this incarnation has been a member.
+	joined     bool
+	superseded bool
+	// retry is when the next join or leave may be appended.
+	retry   time.Time
+	backoff time.Duration
+	// records numbers the records of this process.
+	records int
+}
+
+// Option sets one property of a [Membership].
+type Option func(*Membership)
+
+// WithLease sets how long a read of the log that reached its end lets the entry act as a member.
+func WithLease(d time.Duration) Option { return func(m *Membership) { m.lease = d } }
+
+// WithPingInterval sets how often each watched entry is pinged.
+func WithPingInterval(d time.Duration) Option { return func(m *Membership) { m.watch.interval = d } }
+
+const (
+	defaultLease     = 3 * time.Second
+	firstJoinBackoff = time.Second
+	mostJoinBackoff  = 30 * time.Second
+)
+
+// NewMembership is an entry that knows neither itself nor others.
+func NewMembership(options ...Option) *Membership {
+	m := &Membership{roster: NewRoster(), watch: newWatch(), lease: defaultLease, backoff: firstJoinBackoff}
+	for _, o := range options {
+		o(m)
+	}
+	return m
+}
+
+// Roster is the fold of the members.
+func (m *Membership) Roster() *Roster { return m.roster }
+
+// Watch is what this entry knows of the reach of others.
+func (m *Membership) Watch() *Watch { return m.watch }
+
+// Self is this entry with its current incarnation.
+func (m *Membership) Self() Member { return m.self }
+
+// IsMember reports whether the roster, as far as it is folded, holds this incarnation.
+func (m *Membership) IsMember() bool {
+	current, known := m.roster.Member(m.self.Entry)
+	return known && m.self.Entry != "" && current.Incarnation == m.self.Incarnation
+}
+
+// Holds reports whether this entry may act as a member now.
+func (m *Membership) Holds(now time.Time) bool { return m.IsMember() && now.Before(m.until) }
+
+// CaughtUp reports whether a read has reached the end of the log.
+func (m *Membership) CaughtUp() bool { return m.caughtUp }
+
+// Superseded reports whether another process has joined under this entry's name.
+func (m *Membership) Superseded() bool { return m.superseded }
+
+// Update takes a message and returns the commands that follow from it.
+func (m *Membership) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	switch msg := msg.(type) {
+	case ledger.BatchMsg:
+		return m.read(now, msg)
+	case SelfMsg:
+		m.self, m.boot = msg.Member, msg.Member.Incarnation
+	case WantMsg:
+		m.wanted, m.retry = msg.Member, now
+		return m.settle(now)
+	case HeardMsg:
+		m.watch.hear(now, msg)
+	case PingFailedMsg:
+		m.watch.miss(now, m.self.Entry, msg.To)
+	case TickMsg:
+		return append(m.settle(now), m.look(now)...)
+	}
+	return nil
+}
+
+// read folds a batch. The lease runs from before the read began: a record that the read
+// does not hold was appended after that time.
+func (m *Membership) read(now time.Time, batch ledger.BatchMsg) (cmds []ident.Cmd) {
+	cmds = m.roster.Update(now, batch)
+	if len(cmds) > 0 {
+		m.watch.setMembers(now, m.self.Entry, m.roster.Members())
+	}
+	cmds = append(cmds, m.meetOwn(now)...)
+	if batch.Stream == ledger.StreamRoster && m.roster.Next() >= batch.Next && !batch.Asked.IsZero() {
+		m.catchUp()
+		m.until = batch.Asked.Add(m.lease)
+	}
+	if !m.IsMember() {
+		m.until = time.Time{}
+	}
+	cmds = append(cmds, LeaseCmd{Member: m.self, Until: m.until})
+	return append(cmds, m.settle(now)...)
+}
+
+func (m *Membership) catchUp() {
+	if !m.caughtUp {
+		m.caughtUp, m.base = true, m.roster.Version(m.self.Entry)
+	}
+}
+
+// meetOwn compares the roster's record of this entry's name with this incarnation.
+func (m *Membership) meetOwn(now time.Time) []ident.Cmd {
+	current, known := m.roster.Member(m.self.Entry)
+	switch {
+	case m.self.Entry == "" || m.superseded:
+		return nil
+	case known && current.Incarnation == m.self.Incarnation:
+		m.joined = true
+		return nil
+	case known && m.caughtUp && m.roster.Version(m.self.Entry) > m.base:
+		m.superseded = true
+		return []ident.Cmd{SupersededCmd{By: current.Incarnation}}
+	case !known && m.joined && m.wanted:
+		m.renew(now)
+	}
+	return nil
+}
+
+// renew takes a new incarnation after a removal; each removal doubles the wait before the join.
+func (m *Membership) renew(now time.Time) {
+	m.generation++
+	m.self.Incarnation = ident.BootID(fmt.Sprintf("%s/%d", m.boot, m.generation))
+	m.joined = false
+	m.retry = now.Add(m.backoff)
+	m.backoff = min(2*m.backoff, mostJoinBackoff)
+}
+
+// settle appends what brings the roster to what is wanted.
+func (m *Membership) settle(now time.Time) []ident.Cmd {
+	if !m.caughtUp || m.self.Entry == "" || m.superseded || now.Before(m.retry) || m.wanted == m.IsMember() {
+		return nil
+	}
+	m.retry = now.Add(firstJoinBackoff)
+	if m.wanted {
+		return m.record(KindJoin, JoinBody{m.self, m.roster.Version(m.self.Entry)})
+	}
+	return m.record(KindLeave, m.self)
+}
+
+func (m *Membership) record(kind ledger.Kind, body any) []ident.Cmd {
+	m.records++
+	id := fmt.Sprintf("%s/roster/%d", m.boot, m.records)
+	rec, err := ledger.NewRecord(id, kind, string(m.self.Entry), body)
+	if err != nil {
+		return nil
+	}
+	return []ident.Cmd{AppendCmd{Record: rec}}
+}
+
+// look pings the entries that this one watches, and removes one that enough of them accuse.
+func (m *Membership) look(now time.Time) (cmds []ident.Cmd) {
+	if !m.IsMember() {
+		return nil
+	}
+	cmds = m.watch.pings(now, m.self.Entry)
+	if !m.Holds(now) || !m.wanted {
+		return cmds
+	}
+	if lost, found := m.watch.lost(now); found {
+		body := RemoveBody{Entry: lost.Entry, Incarnation: lost.Incarnation, Epoch: m.roster.Epoch()}
+		cmds = append(cmds, m.record(KindRemove, body)...)
+	}
+	return cmds
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,8 +1,10 @@
-// Package roster folds the records by which entries join and leave.
+// Package roster decides which entries are members: the fold of the records by which
+// entries join, leave and are removed, the lease of this entry, and the watch over others.
 package roster
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -13,14 +15,15 @@
 
 // The kinds of records in the roster stream.
 const (
-	KindJoin  ledger.Kind = "join"
-	KindLeave ledger.Kind = "leave"
+	KindJoin   ledger.Kind = "join"
+	KindLeave  ledger.Kind = "leave"
+	KindRemove ledger.Kind = "remove"
 )
 
 // Member is an entry as the roster stream tells of it.
 type Member struct {
 	Entry ident.EntryID `json:"entry"`
-	// Incarnation is new at each start of the entry's process.
+	// Incarnation is new at each start of the entry's process, and after each removal.
 	Incarnation ident.BootID `json:"incarnation"`
 	// Address is where callers connect, host and port.
 	Address string `json:"address"`
@@ -29,10 +32,28 @@
 	Zone        ident.Zone `json:"zone"`
 }
 
-// ChangedCmd says that the set of members changed.
+// JoinBody makes an entry a member.
+type JoinBody struct {
+	Member
+	// Base is the version of the entry's name that the writer has folded; the record
+	// counts only while that is still the version.
+	Base int64 `json:"base"`
+}
+
+// RemoveBody ends the membership of an entry that did not leave.
+type RemoveBody struct {
+	Entry       ident.EntryID `json:"entry"`
+	Incarnation ident.BootID  `json:"incarnation"`
+	// Epoch is the one that the writer has folded; the record counts only in that epoch.
+	Epoch int64 `json:"epoch"`
+}
+
+// ChangedCmd says that the set of members changed; one comes for each epoch, in order.
 type ChangedCmd struct {
 	Epoch   int64    `json:"epoch"`
 	Members []Member `json:"members"`
+	// Cut is true where the log no longer keeps the records before.
+	Cut bool `json:"cut"`
 }
 
 // Roster is the fold of the roster stream.
@@ -42,11 +63,15 @@
 	// epoch is the offset after the last record that changed the members.
 	epoch   int64
 	members map[ident.EntryID]Member
+	// versions holds, for each name, the offset after the last record that counted for it.
+	versions map[ident.EntryID]int64
+	// cut is true until the first change is told, where records before were not folded.
+	cut bool
 }
 
 // NewRoster is a fold that has seen no record.
 func NewRoster() *Roster {
-	return &Roster{members: map[ident.EntryID]Member{}}
+	return &Roster{members: map[ident.EntryID]Member{}, versions: map[ident.EntryID]int64{}}
 }
 
 // Next is the offset of the first record not folded yet.
@@ -55,6 +80,15 @@
 // Epoch numbers the current set of members.
 func (r *Roster) Epoch() int64 { return r.epoch }
 
+// Member is the member of a name, and whether there is one.
+func (r *Roster) Member(id ident.EntryID) (m Member, known bool) {
+	m, known = r.members[id]
+	return m, known
+}
+
+// Version is what a join of a name must be based on.
+func (r *Roster) Version(id ident.EntryID) int64 { return r.versions[id] }
+
 // Members lists the members by entry id.
 func (r *Roster) Members() (members []Member) {
 	for _, m := range r.members {
@@ -64,52 +98,107 @@
 	return members
 }
 
+// State is what a snapshot keeps of the fold.
+type State struct {
+	Next     int64                   `json:"next"`
+	Epoch    int64                   `json:"epoch"`
+	Members  []Member                `json:"members"`
+	Versions map[ident.EntryID]int64 `json:"versions"`
+}
+
+// State copies the fold.
+func (r *Roster) State() State {
+	return State{r.next, r.epoch, r.Members(), maps.Clone(r.versions)}
+}
+
+// Restore replaces the fold by a newer one, and reports the members that it has.
+func (r *Roster) Restore(s State) (cmds []ident.Cmd) {
+	if s.Next <= r.next {
+		return nil
+	}
+	r.next, r.epoch, r.versions = s.Next, s.Epoch, maps.Clone(s.Versions)
+	if r.versions == nil {
+		r.versions = map[ident.EntryID]int64{}
+	}
+	r.members = map[ident.EntryID]Member{}
+	for _, m := range s.Members {
+		r.members[m.Entry] = m
+	}
+	r.cut = true
+	return []ident.Cmd{r.changed()}
+}
+
 // Update folds a [ledger.BatchMsg] of the roster stream.
 func (r *Roster) Update(_ time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	batch, ok := msg.(ledger.BatchMsg)
 	if !ok || batch.Stream != ledger.StreamRoster {
 		return nil
 	}
-	before := r.epoch
+	r.cut = r.cut || batch.First > r.next
 	for _, e := range batch.Entries {
+		before := r.epoch
 		r.fold(e)
-	}
-	if r.epoch != before {
-		cmds = append(cmds, ChangedCmd{Epoch: r.epoch, Members: r.Members()})
+		if r.epoch != before {
+			cmds = append(cmds, r.changed())
+		}
 	}
 	return cmds
 }
 
+func (r *Roster) changed() ChangedCmd {
+	cmd := ChangedCmd{Epoch: r.epoch, Members: r.Members(), Cut: r.cut}
+	r.cut = false
+	return cmd
+}
+
 func (r *Roster) fold(e ledger.Entry) {
 	if e.Offset < r.next {
 		return
 	}
 	r.next = e.Offset + 1
-	var m Member
-	if err := json.Unmarshal(e.Record.Body, &m); err != nil {
-		return
-	}
 	switch e.Record.Kind {
 	case KindJoin:
-		r.join(e.Offset, m)
+		fold(e, r.join)
 	case KindLeave:
-		r.leave(e.Offset, m)
+		fold(e, r.leave)
+	case KindRemove:
+		fold(e, r.remove)
+	}
+}
+
+// fold decodes a record's body; one that can't be decoded does not count.
+func fold[B any](e ledger.Entry, apply func(int64, B)) {
+	var body B
+	if json.Unmarshal(e.Record.Body, &body) == nil {
+		apply(e.Offset, body)
 	}
 }
 
-func (r *Roster) join(offset int64, m Member) {
-	if r.members[m.Entry] == m {
+// join ignores a record whose writer did not know the last one about its name, such as
+// one of an older incarnation that reached the log late or twice.
+func (r *Roster) join(offset int64, b JoinBody) {
+	if b.Base != r.versions[b.Entry] {
 		return
 	}
-	r.members[m.Entry] = m
-	r.epoch = offset + 1
+	r.members[b.Entry] = b.Member
+	r.count(offset, b.Entry)
 }
 
-// leave ignores a record of an earlier incarnation than the one that joined last.
+// leave ignores a record of another incarnation than the member's.
 func (r *Roster) leave(offset int64, m Member) {
-	if r.members[m.Entry].Incarnation != m.Incarnation {
-		return
+	if current, known := r.members[m.Entry]; known && current.Incarnation == m.Incarnation {
+		delete(r.members, m.Entry)
+		r.count(offset, m.Entry)
+	}
+}
+
+func (r *Roster) remove(offset int64, b RemoveBody) {
+	if b.Epoch == r.epoch {
+		r.leave(offset, Member{Entry: b.Entry, Incarnation: b.Incarnation})
 	}
-	delete(r.members, m.Entry)
+}
+
+func (r *Roster) count(offset int64, id ident.EntryID) {
 	r.epoch = offset + 1
+	r.versions[id] = offset + 1
 }
--- /dev/null
+++ b/core/sched/cold.go
@@ -0,0 +1,32 @@
+package sched
+
+import (
+	"time"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/limit"
+)
+
+// Slots are the entry's shares of cold upstreams.
+func (m *Model) Slots() *limit.Slots { return m.slots }
+
+// bears is how many requests an upstream bears while cold, and whether a rule says so.
+func (m *Model) bears(id ident.UpstreamID) (n int, known bool) {
+	if m.rules == nil {
+		return 0, false
+	}
+	return m.rules.ColdLimit(id)
+}
+
+// bearsOneMore reports whether an upstream that may be cold has a slot of this entry free.
+func (m *Model) bearsOneMore(now time.Time, id ident.UpstreamID) bool {
+	n, known := m.bears(id)
+	return !known || m.slots.Free(now, id, n)
+}
+
+// acquire takes the slot that bearsOneMore has found free.
+func (m *Model) acquire(now time.Time, r *request) {
+	if n, known := m.bears(r.on); known {
+		m.slots.Acquire(now, r.on, n, r.ID)
+	}
+}
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/route"
 )
 
@@ -36,6 +37,11 @@
 	return func(m *Model) { m.maxAttempts = n }
 }
 
+// WithSlotTiming sets the durations that the slots of cold upstreams rest on.
+func WithSlotTiming(t limit.Timing) Option {
+	return func(m *Model) { m.slots = limit.NewSlots(t) }
+}
+
 const (
 	defaultSeed        = 1
 	defaultMaxAttempts = 4
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/route"
 	"cicadavalve/core/rules"
 )
@@ -46,14 +47,19 @@
 	version   int64
 	upstreams map[ident.UpstreamID]*upstream
 	// order holds the ids of upstreams, sorted, so that decisions do not depend on map order.
-	order      []ident.UpstreamID
+	order []ident.UpstreamID
+	// listed is true once a list has come.
+	listed     bool
 	requests   map[ident.RequestID]*request
 	candidates []route.Candidate
+	// slots bound the requests on cold upstreams.
+	slots *limit.Slots
 }
 
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
 	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}}
+	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -73,11 +79,17 @@
 
 // Update takes a message and returns the commands that follow from it.
 func (m *Model) Update(now time.Time, msg ident.Msg) []ident.Cmd {
+	return append(m.update(now, msg), m.slots.Asks()...)
+}
+
+func (m *Model) update(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
+	case limit.MembersMsg, limit.LeaseMsg, limit.SettledMsg:
+		return m.slots.Update(now, msg)
 	case UpstreamsMsg:
-		m.setUpstreams(msg)
+		m.setUpstreams(now, msg)
 	case LoadMsg:
-		m.setLoad(msg)
+		m.setLoad(now, msg)
 	case UnreachableMsg:
 		m.miss(msg)
 	case RulesMsg:
@@ -85,16 +97,16 @@
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case EndMsg:
-		m.end(msg.Request, msg.Attempt)
+		m.end(now, msg.Request, msg.Attempt)
 	case FailMsg:
 		return m.fail(now, msg)
 	case GoneMsg:
-		return m.gone(msg)
+		return m.gone(now, msg)
 	}
 	return nil
 }
 
-func (m *Model) setUpstreams(msg UpstreamsMsg) {
+func (m *Model) setUpstreams(now time.Time, msg UpstreamsMsg) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, l := range msg.Upstreams {
 		listed[l.ID] = true
@@ -105,12 +117,19 @@
 		}
 		u.listed = l
 	}
-	maps.DeleteFunc(m.upstreams, func(id ident.UpstreamID, _ *upstream) bool { return !listed[id] })
+	for _, id := range m.order {
+		if !listed[id] {
+			m.slots.Forget(now, id)
+			delete(m.upstreams, id)
+		}
+	}
 	m.order = slices.Sorted(maps.Keys(m.upstreams))
+	m.listed = true
 }
 
-func (m *Model) setLoad(msg LoadMsg) {
+func (m *Model) setLoad(now time.Time, msg LoadMsg) {
 	if u, known := m.upstreams[msg.Upstream]; known {
+		m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
 		u.load, u.seen, u.misses = msg.Load, true, 0
 	}
 }
@@ -189,6 +208,7 @@
 	u.outstanding++
 	r.attempt++
 	r.on = chosen.ID
+	m.acquire(now, r)
 	return []ident.Cmd{m.sendCmd(r, u)}
 }
 
@@ -212,29 +232,28 @@
 }
 
 func (m *Model) eligible(now time.Time, u *upstream, r *request) bool {
-	if !u.usable(now) || m.rules.Drained(u.listed.ID, u.listed.Zone) {
+	if !u.usable(now) || m.rules.Drained(u.listed.ID, u.listed.Zone) || !u.runs(r) {
 		return false
 	}
-	if r.Service != "" {
-		return u.listed.Role == RoleApp && u.serves(r.Service)
-	}
-	return u.listed.Role == RoleEngine && u.holds(r.Model, r.version)
+	return m.bearsOneMore(now, u.listed.ID)
 }
 
-// release takes the current attempt off its upstream.
-func (m *Model) release(r *request) {
+// release takes the current attempt off its upstream; ended is true where the upstream is known not to run it.
+func (m *Model) release(now time.Time, r *request, ended bool) {
+	m.slots.Release(now, r.ID, ended)
 	if u, known := m.upstreams[r.on]; known && u.outstanding > 0 {
 		u.outstanding--
 	}
 	r.on = ""
 }
 
-func (m *Model) end(id ident.RequestID, attempt int) {
+func (m *Model) end(now time.Time, id ident.RequestID, attempt int) {
 	r, known := m.requests[id]
 	if !known || r.attempt != attempt {
 		return
 	}
-	m.release(r)
+	m.slots.Succeeded(now, r.on)
+	m.release(now, r, true)
 	delete(m.requests, id)
 }
 
@@ -247,8 +266,8 @@
 		u.suspectUntil = now.Add(suspectTime)
 	}
 	r.tried = append(r.tried, r.on)
-	m.release(r)
 	untouched := msg.Cause == CauseConnect || msg.Cause == CauseRefused
+	m.release(now, r, untouched)
 	r.touched = r.touched || !untouched
 	if r.touched && !r.Repeatable {
 		return m.giveUp(r, CodeOutcomeUnknown, "the upstream may have run the request")
@@ -268,13 +287,13 @@
 	return cmds
 }
 
-func (m *Model) gone(msg GoneMsg) []ident.Cmd {
+func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known {
 		return nil
 	}
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(r)
+	m.release(now, r, false)
 	delete(m.requests, r.ID)
 	return []ident.Cmd{cancel}
 }
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -37,6 +37,14 @@
 	return slices.Contains(u.listed.Services, service)
 }
 
+// runs reports whether the upstream serves what the request is for.
+func (u *upstream) runs(r *request) bool {
+	if r.Service != "" {
+		return u.listed.Role == RoleApp && u.serves(r.Service)
+	}
+	return u.listed.Role == RoleEngine && u.holds(r.Model, r.version)
+}
+
 func (u *upstream) candidate() route.Candidate {
 	return route.Candidate{
 		ID:          u.listed.ID,
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -70,6 +70,16 @@
 	StopTimeout Duration `yaml:"stop_timeout"`
 	// LogTimeout bounds one append or read of the log.
 	LogTimeout Duration `yaml:"log_timeout"`
+	// Lease is how long a read of the log lets the entry act as a member; it is the same on all entries.
+	Lease Duration `yaml:"lease"`
+	// LeaseMargin covers clocks that run at different rates; it is the same on all entries.
+	LeaseMargin Duration `yaml:"lease_margin"`
+	// SlotHold is the longest that one request keeps a slot of a cold upstream; it is the same on all entries.
+	SlotHold Duration `yaml:"slot_hold"`
+	// ColdTime is the longest that an upstream stays cold after a boot.
+	ColdTime Duration `yaml:"cold_time"`
+	// PingInterval is the time between pings to another entry.
+	PingInterval Duration `yaml:"ping_interval"`
 }
 
 func defaults() Settings {
@@ -83,6 +93,11 @@
 		AdviceHold:    Duration(2 * time.Second),
 		StopTimeout:   Duration(30 * time.Second),
 		LogTimeout:    Duration(2 * time.Second),
+		Lease:         Duration(3 * time.Second),
+		LeaseMargin:   Duration(500 * time.Millisecond),
+		SlotHold:      Duration(10 * time.Second),
+		ColdTime:      Duration(5 * time.Second),
+		PingInterval:  Duration(time.Second),
 	}
 }
 
@@ -127,6 +142,8 @@
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout,
+		"lease": s.Lease, "lease_margin": s.LeaseMargin, "slot_hold": s.SlotHold, "cold_time": s.ColdTime,
+		"ping_interval": s.PingInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
--- a/io/entry/backend.go
+++ b/io/entry/backend.go
@@ -24,11 +24,12 @@
 // Org implements [caller.Backend].
 func (d *Daemon) Org(token string) (org ident.OrgID, known bool) { return d.tokens.Org(token) }
 
-// Entries implements [caller.Backend]. An entry that leaves does not advise its own address.
+// Entries implements [caller.Backend]. It advises neither this entry while it leaves, nor others
+// that leave or are out of reach.
 func (d *Daemon) Entries(ctx context.Context) caller.Advice {
 	advice := caller.Advice{HoldMs: time.Duration(d.settings.AdviceHold).Milliseconds()}
 	d.inspect(ctx, func() {
-		for _, m := range d.node.Roster().Members() {
+		for _, m := range d.node.Members().Watch().Advised(d.clock.now()) {
 			if d.leaving && m.Entry == d.self.Entry {
 				continue
 			}
--- a/io/entry/clock.go
+++ b/io/entry/clock.go
@@ -12,5 +12,10 @@
 func newClock() clock { return clock{start: time.Now()} }
 
 func (c clock) now() time.Time {
-	return c.start.Round(0).Add(time.Since(c.start))
+	return c.at(time.Now())
+}
+
+// at is the time of a moment that time.Now gave.
+func (c clock) at(t time.Time) time.Time {
+	return c.start.Round(0).Add(t.Sub(c.start))
 }
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +18,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/node"
 	"cicadavalve/core/once"
 	"cicadavalve/core/roster"
@@ -49,6 +51,8 @@
 	started func(roster.Member)
 	// gate is called before each message that the loop handles.
 	gate func()
+	// keys secure the peer protocol; nil means plain text.
+	keys *peer.Keys
 	// aborted is closed to stop without a graceful shutdown.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -62,12 +66,20 @@
 	sessions *sessions
 	appender *appender
 	prober   *prober
+	peers    *peers
 
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
 	node *node.Node
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
+	// configRead is set by the loop once a read has reached the end of the config stream.
+	configRead bool
+	// farewell is true while a graceful shutdown runs.
+	farewell atomic.Bool
+	// superseded is closed once another process has joined under this entry's name.
+	superseded     chan struct{}
+	supersededOnce sync.Once
 }
 
 // NewDaemon is an entry that is not running yet.
@@ -77,16 +89,18 @@
 	d := &Daemon{
 		settings: settings, tokens: tokens, log: slog.Default(), incarnation: incarnation,
 		started: func(roster.Member) {}, gate: func() {}, aborted: make(chan struct{}),
-		engines:  engine.NewHTTPClient(connectTimeout, idlePerUpstream),
-		logs:     logsvc.NewClient(settings.LogURL, &http.Client{}),
-		list:     vmlist.NewClient(settings.ListURL, &http.Client{Timeout: time.Duration(settings.LogTimeout)}),
-		meter:    meter.NewMeter(),
-		inbox:    make(chan work, inboxSize),
-		sessions: newSessions(),
-		clock:    newClock(),
+		superseded: make(chan struct{}),
+		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream),
+		logs:       logsvc.NewClient(settings.LogURL, &http.Client{}),
+		list:       vmlist.NewClient(settings.ListURL, &http.Client{Timeout: time.Duration(settings.LogTimeout)}),
+		meter:      meter.NewMeter(),
+		inbox:      make(chan work, inboxSize),
+		sessions:   newSessions(),
+		clock:      newClock(),
 		node: node.NewNode(node.Settings{
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
+			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 		}),
 	}
 	for _, o := range options {
@@ -95,10 +109,18 @@
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
+	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
 	return d
 }
 
+func slotTiming(s config.Settings) limit.Timing {
+	return limit.Timing{
+		Lease: time.Duration(s.Lease), Margin: time.Duration(s.LeaseMargin), Hold: time.Duration(s.SlotHold),
+		Cold: time.Duration(s.ColdTime),
+	}
+}
+
 func seed(setting uint64) uint64 {
 	if setting != 0 {
 		return setting
@@ -147,15 +169,17 @@
 	defer stopLoops()
 	group, loops := errgroup.WithContext(loops)
 	d.startLoops(loops, group)
-	callers := newServer(caller.NewServer(d, d.settings.MaxBodyBytes, d.log), l.caller)
+	callers := newServer(&farewell{d, caller.NewServer(d, d.settings.MaxBodyBytes, d.log)}, l.caller)
 	peers := newServer(peer.NewHandler(d), l.peer)
+	d.secure(peers)
 	group.Go(callers.run)
 	group.Go(peers.run)
 	d.log.Info("entry_started", "caller_address", d.self.Address, "peer_address", d.self.PeerAddress)
 	d.started(d.self)
-	d.join(loops)
+	d.post(loops, roster.SelfMsg{Member: d.self})
 	select {
 	case <-ctx.Done():
+	case <-d.superseded:
 	case <-d.aborted:
 	case <-loops.Done():
 	}
@@ -178,6 +202,7 @@
 	defer cancel()
 	ending := &stopper{d: d, cancel: cancel, done: make(chan struct{})}
 	go ending.run()
+	d.farewell.Store(true)
 	d.leave(ctx)
 	callers.stop(ctx)
 	peers.stop(ctx)
@@ -204,13 +229,19 @@
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
+	group.Go(func() error { return d.peers.run(ctx) })
+	group.Go(func() error { return (&joiner{d}).run(ctx) })
 	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), d.postBatch, d.log)
 		group.Go(func() error { return f.Run(ctx) })
 	}
 }
 
-func (d *Daemon) postBatch(ctx context.Context, batch ledger.BatchMsg) { d.post(ctx, batch) }
+// postBatch tells the time of the read in the deciders' clock.
+func (d *Daemon) postBatch(ctx context.Context, batch ledger.BatchMsg) {
+	batch.Asked = d.clock.at(batch.Asked)
+	d.post(ctx, batch)
+}
 
 // server is an HTTP server on an open port.
 type server struct {
@@ -221,50 +252,29 @@
 func newServer(h http.Handler, on net.Listener) *server {
 	protocols := &http.Protocols{}
 	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &server{http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderLimit, Protocols: protocols}, on: on}
 }
 
 func (s *server) run() error {
-	err := s.http.Serve(s.on)
+	err := s.serve()
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
+func (s *server) serve() error {
+	if s.http.TLSConfig != nil {
+		return s.http.ServeTLS(s.on, "", "")
+	}
+	return s.http.Serve(s.on)
+}
+
 // stop waits for the requests in flight until the context ends.
 func (s *server) stop(ctx context.Context) {
 	if s.http.Shutdown(ctx) != nil {
 		_ = s.http.Close()
 	}
 }
-
-func (d *Daemon) join(ctx context.Context) {
-	d.appendMember(ctx, roster.KindJoin)
-}
-
-func (d *Daemon) leave(ctx context.Context) {
-	select {
-	case <-d.aborted:
-		return
-	default:
-	}
-	d.inspect(ctx, func() { d.leaving = true })
-	d.appendMember(ctx, roster.KindLeave)
-	timer := time.NewTimer(time.Duration(d.settings.AdviceHold))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-func (d *Daemon) appendMember(ctx context.Context, kind ledger.Kind) {
-	rec, err := ledger.NewRecord(uuid.NewString(), kind, d.settings.Entry, d.self)
-	if err != nil {
-		d.log.Error("record_not_encoded", "error", err)
-		return
-	}
-	d.appender.add(ctx, ledger.StreamRoster, rec)
-}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -6,6 +6,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
@@ -54,6 +55,7 @@
 			d.handle(ctx, w)
 		case <-ticker.C:
 			d.handle(ctx, work{msg: sched.TickMsg{}})
+			d.handle(ctx, work{msg: roster.TickMsg{}})
 		}
 	}
 }
@@ -70,6 +72,9 @@
 // update hands a message to the deciders and performs their commands.
 func (d *Daemon) update(ctx context.Context, now time.Time, msg ident.Msg) {
 	cmds := d.node.Update(now, msg)
+	if batch, ok := msg.(ledger.BatchMsg); ok && batch.Stream == ledger.StreamConfig {
+		d.configRead = d.configRead || d.node.Config().Next() >= batch.Next
+	}
 	for _, cmd := range cmds {
 		d.perform(ctx, cmd)
 	}
@@ -82,6 +87,13 @@
 		d.log.Info("config_in_force", "version", cmd.Version)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
+	case roster.AppendCmd:
+		d.appender.add(ctx, ledger.StreamRoster, cmd.Record)
+	case roster.PingCmd, limit.AskCmd:
+		d.peers.add(cmd)
+	case roster.SupersededCmd:
+		d.log.Error("entry_superseded", "by", cmd.By)
+		d.supersededOnce.Do(func() { close(d.superseded) })
 	case once.AppendCmd:
 		d.appender.add(ctx, once.StreamOnce, cmd.Record)
 	case sched.SendCmd:
--- /dev/null
+++ b/io/entry/secure.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"net/http"
+
+	"cicadavalve/io/peer"
+)
+
+// WithKeys secures the peer protocol with mutual TLS; without it the protocol is plain text.
+func WithKeys(keys *peer.Keys) Option {
+	return func(d *Daemon) { d.keys = keys }
+}
+
+// peerClient is the client for the peer ports of other entries.
+func (d *Daemon) peerClient() *http.Client {
+	if d.keys == nil {
+		return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	}
+	return &http.Client{Transport: peer.NewTLSTransport(d.keys)}
+}
+
+func (d *Daemon) secure(s *server) {
+	if d.keys != nil {
+		s.http.TLSConfig = d.keys.ServerConfig()
+	}
+}
--- a/io/logsvc/follow.go
+++ b/io/logsvc/follow.go
@@ -45,6 +45,7 @@
 func (f *Follower) step(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+f.timeout)
 	defer cancel()
+	asked := time.Now()
 	batch, err := f.service.Read(ctx, f.stream, f.next, followWait)
 	if err != nil {
 		return err
@@ -52,6 +53,7 @@
 	if n := len(batch.Entries); n > 0 {
 		f.next = batch.Entries[n-1].Offset + 1
 	}
+	batch.Asked = asked
 	f.post(ctx, batch)
 	return nil
 }
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -9,7 +9,6 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
-	"cicadavalve/core/roster"
 	"cicadavalve/io/peer/peerpb"
 	"cicadavalve/io/peer/peerpb/peerpbconnect"
 )
@@ -18,11 +17,21 @@
 type Client struct {
 	address  string
 	operator peerpbconnect.OperatorClient
+	peer     peerpbconnect.PeerClient
 }
 
-// NewClient is a client of the entry at a peer address, host and port.
+// NewClient is a client of the entry at a peer address, host and port. It uses TLS where the
+// transport of client is a [TLSTransport].
 func NewClient(client *http.Client, address string) *Client {
-	return &Client{address: address, operator: peerpbconnect.NewOperatorClient(client, "http://"+address)}
+	url := "http://" + address
+	if _, secured := client.Transport.(*TLSTransport); secured {
+		url = "https://" + address
+	}
+	return &Client{
+		address:  address,
+		operator: peerpbconnect.NewOperatorClient(client, url),
+		peer:     peerpbconnect.NewPeerClient(client, url),
+	}
 }
 
 // Propose asks the entry to put a configuration in force; a verdict of
@@ -52,10 +61,7 @@
 		Operator: m.GetOperator(), Text: m.GetText(), Digest: m.GetDigest(), Ready: m.GetReady(),
 	}
 	for _, member := range m.GetMembers() {
-		s.Members = append(s.Members, roster.Member{
-			Entry: ident.EntryID(member.GetEntry()), Incarnation: ident.BootID(member.GetIncarnation()),
-			Address: member.GetAddress(), PeerAddress: member.GetPeerAddress(), Zone: ident.Zone(member.GetZone()),
-		})
+		s.Members = append(s.Members, decodeMember(member))
 	}
 	return s, nil
 }
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -23,6 +23,8 @@
 const (
 	// OperatorName is the fully-qualified name of the Operator service.
 	OperatorName = "cicadavalve.peer.Operator"
+	// PeerName is the fully-qualified name of the Peer service.
+	PeerName = "cicadavalve.peer.Peer"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -39,6 +41,12 @@
 	OperatorStatusProcedure = "/cicadavalve.peer.Operator/Status"
 	// OperatorShowProcedure is the fully-qualified name of the Operator's Show RPC.
 	OperatorShowProcedure = "/cicadavalve.peer.Operator/Show"
+	// PeerPingProcedure is the fully-qualified name of the Peer's Ping RPC.
+	PeerPingProcedure = "/cicadavalve.peer.Peer/Ping"
+	// PeerLeaveProcedure is the fully-qualified name of the Peer's Leave RPC.
+	PeerLeaveProcedure = "/cicadavalve.peer.Peer/Leave"
+	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
+	PeerSettleProcedure = "/cicadavalve.peer.Peer/Settle"
 )
 
 // OperatorClient is a client for the cicadavalve.peer.Operator service.
@@ -168,3 +176,131 @@
 func (UnimplementedOperatorHandler) Show(context.Context, *connect.Request[peerpb.ShowRequest]) (*connect.Response[peerpb.ShowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Operator.Show is not implemented"))
 }
+
+// PeerClient is a client for the cicadavalve.peer.Peer service.
+type PeerClient interface {
+	// Ping tells that the caller is alive, and asks the same of the entry.
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+	// Leave tells that the caller is leaving: the answer says that the entry no longer advises its address.
+	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
+	// Settle asks whether the entry has given up the slots that it lost.
+	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
+}
+
+// NewPeerClient constructs a client for the cicadavalve.peer.Peer service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewPeerClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) PeerClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
+	return &peerClient{
+		ping: connect.NewClient[peerpb.PingRequest, peerpb.PingResponse](
+			httpClient,
+			baseURL+PeerPingProcedure,
+			connect.WithSchema(peerMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
+		leave: connect.NewClient[peerpb.LeaveRequest, peerpb.LeaveResponse](
+			httpClient,
+			baseURL+PeerLeaveProcedure,
+			connect.WithSchema(peerMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[peerpb.SettleRequest, peerpb.SettleResponse](
+			httpClient,
+			baseURL+PeerSettleProcedure,
+			connect.WithSchema(peerMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// peerClient implements PeerClient.
+type peerClient struct {
+	ping   *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
+	leave  *connect.Client[peerpb.LeaveRequest, peerpb.LeaveResponse]
+	settle *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
+}
+
+// Ping calls cicadavalve.peer.Peer.Ping.
+func (c *peerClient) Ping(ctx context.Context, req *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return c.ping.CallUnary(ctx, req)
+}
+
+// Leave calls cicadavalve.peer.Peer.Leave.
+func (c *peerClient) Leave(ctx context.Context, req *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
+// Settle calls cicadavalve.peer.Peer.Settle.
+func (c *peerClient) Settle(ctx context.Context, req *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
+// PeerHandler is an implementation of the cicadavalve.peer.Peer service.
+type PeerHandler interface {
+	// Ping tells that the caller is alive, and asks the same of the entry.
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+	// Leave tells that the caller is leaving: the answer says that the entry no longer advises its address.
+	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
+	// Settle asks whether the entry has given up the slots that it lost.
+	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
+}
+
+// NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewPeerHandler(svc PeerHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
+	peerPingHandler := connect.NewUnaryHandler(
+		PeerPingProcedure,
+		svc.Ping,
+		connect.WithSchema(peerMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerLeaveHandler := connect.NewUnaryHandler(
+		PeerLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(peerMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerSettleHandler := connect.NewUnaryHandler(
+		PeerSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(peerMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/cicadavalve.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case PeerPingProcedure:
+			peerPingHandler.ServeHTTP(w, r)
+		case PeerLeaveProcedure:
+			peerLeaveHandler.ServeHTTP(w, r)
+		case PeerSettleProcedure:
+			peerSettleHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedPeerHandler returns CodeUnimplemented from all methods.
+type UnimplementedPeerHandler struct{}
+
+func (UnimplementedPeerHandler) Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Ping is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Leave is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Settle is not implemented"))
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -34,6 +34,7 @@
 	Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error)
 	// Status tells what is in force.
 	Status(ctx context.Context) (Status, error)
+	Neighbour
 }
 
 // VerdictNotKnownYet answers a proposal that the fold has not met in time.
@@ -49,6 +50,7 @@
 func NewHandler(backend Backend) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}))
+	mux.Handle(peerpbconnect.NewPeerHandler(&neighbours{backend: backend}))
 	return mux
 }
 
@@ -86,10 +88,7 @@
 	}
 	var members []*peerpb.Member
 	for _, m := range s.Members {
-		members = append(members, peerpb.Member_builder{
-			Entry: string(m.Entry), Incarnation: string(m.Incarnation), Address: m.Address,
-			PeerAddress: m.PeerAddress, Zone: string(m.Zone),
-		}.Build())
+		members = append(members, encodeMember(m))
 	}
 	return connect.NewResponse(peerpb.StatusResponse_builder{
 		Entry: string(s.Entry), Zone: string(s.Zone), Version: s.Version, Operator: s.Operator,
