--- a/core/node/node.go
+++ b/core/node/node.go
@@ -83,8 +83,10 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
-	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg, roster.TickMsg:
+	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
 		return n.members.Update(now, msg)
+	case sched.TickMsg:
+		return append(n.members.Update(now, roster.TickMsg{}), n.sched.Update(now, msg)...)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
 		return n.once.Update(now, msg)
 	}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -67,6 +67,7 @@
 	appender *appender
 	prober   *prober
 	peers    *peers
+	journal  *journaler
 
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
@@ -111,6 +112,8 @@
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
+	d.journal = newJournaler(d)
+	d.journal.open(d.clock.now())
 	return d
 }
 
@@ -228,6 +231,7 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
+	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
 	group.Go(func() error { return (&joiner{d}).run(ctx) })
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -55,7 +55,6 @@
 			d.handle(ctx, w)
 		case <-ticker.C:
 			d.handle(ctx, work{msg: sched.TickMsg{}})
-			d.handle(ctx, work{msg: roster.TickMsg{}})
 		}
 	}
 }
@@ -75,6 +74,7 @@
 	if batch, ok := msg.(ledger.BatchMsg); ok && batch.Stream == ledger.StreamConfig {
 		d.configRead = d.configRead || d.node.Config().Next() >= batch.Next
 	}
+	d.journal.note(now, msg, cmds)
 	for _, cmd := range cmds {
 		d.perform(ctx, cmd)
 	}
