Yield slots that a request keeps too long

Cause: a gained slot waits for Hold, so no request may keep a slot for longer; and a cancelled attempt could fail to say so, since it told the loop under its own cancelled context.

--- a/core/limit/slots.go
+++ b/core/limit/slots.go
@@ -238,6 +238,18 @@
 	return msg
 }
 
+// Overdue lists the requests that have kept a slot of a cold upstream for as long as Hold; they
+// are to be stopped there and run elsewhere.
+func (s *Slots) Overdue(now time.Time) (requests []ident.RequestID) {
+	for r, g := range s.running {
+		if s.get(now, g.upstream).level < warmLevel && now.Sub(g.since) >= s.timing.Hold {
+			requests = append(requests, r)
+		}
+	}
+	slices.Sort(requests)
+	return requests
+}
+
 func (s *Slots) owned(id ident.UpstreamID, slots int) (n int) {
 	holders := s.history[len(s.history)-1].holders
 	for k := range slots {
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -30,3 +30,14 @@
 		m.slots.Acquire(now, r.on, n, r.ID)
 	}
 }
+
+// yield stops the requests that have kept a slot for too long; each is sent again once its attempt
+// has failed. One that may not be repeated runs on.
+func (m *Model) yield(now time.Time) (cmds []ident.Cmd) {
+	for _, id := range m.slots.Overdue(now) {
+		if r, known := m.requests[id]; known && r.Repeatable {
+			cmds = append(cmds, CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on})
+		}
+	}
+	return cmds
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -100,6 +100,8 @@
 		m.end(now, msg.Request, msg.Attempt)
 	case FailMsg:
 		return m.fail(now, msg)
+	case TickMsg:
+		return m.yield(now)
 	case GoneMsg:
 		return m.gone(now, msg)
 	}
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -107,12 +107,12 @@
 var errCaller = errors.New("the caller's connection broke")
 
 func (c *completion) attempt(ctx context.Context, cmd sched.SendCmd) (whole bool, err error) {
-	ctx, stop := context.WithCancel(ctx)
+	running, stop := context.WithCancel(ctx)
 	defer stop()
 	c.d.sessions.begin(c.id, cmd.Attempt, stop)
 	c.class = cmd.Class
 	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
-	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
+	err = c.d.engines.Complete(running, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
 	if err == nil && !c.seq.Whole() {
 		err = retry.ErrIncomplete
 	}
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -16,6 +16,8 @@
 	leavePoll  = 50 * time.Millisecond
 	leaveAsks  = 16
 	leaveLimit = time.Second
+	// foldLimit bounds the wait for the log, which may be down.
+	foldLimit = 5 * time.Second
 	// adviceGrace covers the way of an answer to a caller, and of the caller's last request.
 	adviceGrace = 200 * time.Millisecond
 )
@@ -64,30 +66,33 @@
 	pauseFor(ctx, time.Duration(d.settings.AdviceHold)+adviceGrace)
 }
 
-// tellAll tells every other member, until each has answered or is no member any more.
+// tellAll tells every other member, until each has answered or is no member any more, and until
+// the leave is folded: an entry that joins after it does not learn of this one as a member.
 func (d *Daemon) tellAll(ctx context.Context) {
 	told := map[ident.BootID]bool{}
+	folding, cancel := context.WithTimeout(ctx, foldLimit)
+	defer cancel()
 	for ctx.Err() == nil {
-		waiting := d.others(ctx, told)
-		if len(waiting) == 0 {
+		waiting, left := d.others(ctx, told)
+		if len(waiting) == 0 && (left || folding.Err() != nil) {
 			return
 		}
 		d.tell(ctx, waiting, told)
-		if len(d.others(ctx, told)) > 0 {
-			pauseFor(ctx, leavePoll)
-		}
+		pauseFor(ctx, leavePoll)
 	}
 }
 
-func (d *Daemon) others(ctx context.Context, told map[ident.BootID]bool) (others []roster.Member) {
+// others lists the members that are not told yet; left is true once this entry is no member.
+func (d *Daemon) others(ctx context.Context, told map[ident.BootID]bool) (others []roster.Member, left bool) {
 	d.inspect(ctx, func() {
+		left = !d.node.Members().IsMember()
 		for _, m := range d.node.Roster().Members() {
 			if m.Entry != d.self.Entry && !told[m.Incarnation] {
 				others = append(others, m)
 			}
 		}
 	})
-	return others
+	return others, left
 }
 
 func (d *Daemon) tell(ctx context.Context, others []roster.Member, told map[ident.BootID]bool) {
