--- a/core/node/node.go
+++ b/core/node/node.go
@@ -24,6 +24,9 @@
 	// Slots holds the lease of the entry and the durations that cold slots rest on.
 	Slots        limit.Timing  `json:"slots"`
 	PingInterval time.Duration `json:"ping_interval"`
+	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
+	SnapshotRecords  int64         `json:"snapshot_records"`
+	SnapshotInterval time.Duration `json:"snapshot_interval"`
 }
 
 // Node is the set of deciders of one entry.
@@ -42,9 +45,10 @@
 func NewNode(s Settings) *Node {
 	return &Node{
 		settings: s,
-		config:   ledger.NewConfig(),
-		members:  roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
-		once:     once.NewModel(s.Entry, s.Incarnation),
+		config: ledger.NewConfig(
+			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
+		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
+		once:    once.NewModel(s.Entry, s.Incarnation),
 		sched: sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
 			sched.WithSlotTiming(s.Slots)),
 	}
@@ -85,14 +89,23 @@
 		return n.fold(now, msg)
 	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
 		return n.members.Update(now, msg)
+	case ledger.ReadFailedMsg, ledger.PeerStatesMsg:
+		return n.config.Update(now, msg)
 	case sched.TickMsg:
-		return append(n.members.Update(now, roster.TickMsg{}), n.sched.Update(now, msg)...)
+		return n.tick(now, msg)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
 		return n.once.Update(now, msg)
 	}
 	return n.sched.Update(now, msg)
 }
 
+// tick lets time pass for each decider that acts on it.
+func (n *Node) tick(now time.Time, msg sched.TickMsg) (cmds []ident.Cmd) {
+	cmds = n.config.Update(now, ledger.TickMsg{})
+	cmds = append(cmds, n.members.Update(now, roster.TickMsg{})...)
+	return append(cmds, n.sched.Update(now, msg)...)
+}
+
 // fold picks the fold of a stream.
 func (n *Node) fold(now time.Time, batch ledger.BatchMsg) []ident.Cmd {
 	switch batch.Stream {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -59,12 +59,15 @@
 
 	engines *engine.HTTPClient
 	logs    logsvc.Service
+	// control carries what the entry asks of the platform.
+	control *http.Transport
 	list    vmlist.List
 	meter   *meter.Meter
 
 	inbox    chan work
 	sessions *sessions
 	appender *appender
+	stater   *stater
 	prober   *prober
 	peers    *peers
 	journal  *journaler
@@ -74,8 +77,6 @@
 	node *node.Node
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
-	// configRead is set by the loop once a read has reached the end of the config stream.
-	configRead bool
 	// farewell is true while a graceful shutdown runs.
 	farewell atomic.Bool
 	// superseded is closed once another process has joined under this entry's name.
@@ -87,14 +88,18 @@
 func NewDaemon(settings config.Settings, tokens config.Tokens, options ...Option) *Daemon {
 	incarnation := ident.BootID(uuid.NewString())
 	id := ident.EntryID(settings.Entry)
+	figures := meter.NewMeter()
+	dial := meter.NewDialer(figures, connectTimeout).DialContext
+	control := &http.Transport{DialContext: dial}
 	d := &Daemon{
 		settings: settings, tokens: tokens, log: slog.Default(), incarnation: incarnation,
 		started: func(roster.Member) {}, gate: func() {}, aborted: make(chan struct{}),
 		superseded: make(chan struct{}),
-		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream),
-		logs:       logsvc.NewClient(settings.LogURL, &http.Client{}),
-		list:       vmlist.NewClient(settings.ListURL, &http.Client{Timeout: time.Duration(settings.LogTimeout)}),
-		meter:      meter.NewMeter(),
+		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(dial)),
+		control:    control,
+		logs:       logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
+		list:       vmlist.NewClient(settings.ListURL, &http.Client{Transport: control, Timeout: time.Duration(settings.LogTimeout)}),
+		meter:      figures,
 		inbox:      make(chan work, inboxSize),
 		sessions:   newSessions(),
 		clock:      newClock(),
@@ -102,6 +107,7 @@
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
+			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
 		}),
 	}
 	for _, o := range options {
@@ -111,6 +117,7 @@
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
+	d.stater = newStater(d)
 	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
@@ -151,6 +158,7 @@
 		_ = l.caller.Close()
 		return l, err
 	}
+	l.peer = meter.NewListener(d.meter, l.peer)
 	d.self.Address = l.caller.Addr().String()
 	d.self.PeerAddress = l.peer.Addr().String()
 	return l, nil
@@ -190,6 +198,7 @@
 	stopLoops()
 	err = group.Wait()
 	d.engines.CloseIdle()
+	d.control.CloseIdleConnections()
 	d.log.Info("entry_stopped")
 	return err
 }
@@ -230,23 +239,18 @@
 func (d *Daemon) startLoops(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
+	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
 	group.Go(func() error { return (&joiner{d}).run(ctx) })
 	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
-		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), d.postBatch, d.log)
+		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), folds{d}, d.log)
 		group.Go(func() error { return f.Run(ctx) })
 	}
 }
 
-// postBatch tells the time of the read in the deciders' clock.
-func (d *Daemon) postBatch(ctx context.Context, batch ledger.BatchMsg) {
-	batch.Asked = d.clock.at(batch.Asked)
-	d.post(ctx, batch)
-}
-
 // server is an HTTP server on an open port.
 type server struct {
 	http *http.Server
--- a/io/entry/leave.go
+++ b/io/entry/leave.go
@@ -45,7 +45,7 @@
 
 // canServe reports whether the configuration has been read and the upstreams have been probed.
 func (d *Daemon) canServe(ctx context.Context) (can bool) {
-	d.inspect(ctx, func() { can = d.configRead && d.node.Sched().Settled() && !d.leaving })
+	d.inspect(ctx, func() { can = d.node.Config().Current() && d.node.Sched().Settled() && !d.leaving })
 	return can
 }
 
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -71,9 +71,6 @@
 // update hands a message to the deciders and performs their commands.
 func (d *Daemon) update(ctx context.Context, now time.Time, msg ident.Msg) {
 	cmds := d.node.Update(now, msg)
-	if batch, ok := msg.(ledger.BatchMsg); ok && batch.Stream == ledger.StreamConfig {
-		d.configRead = d.configRead || d.node.Config().Next() >= batch.Next
-	}
 	d.journal.note(now, msg, cmds)
 	for _, cmd := range cmds {
 		d.perform(ctx, cmd)
@@ -85,6 +82,12 @@
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
+	case ledger.AppendCmd:
+		d.appender.add(ctx, cmd.Stream, cmd.Record)
+	case ledger.AskPeersCmd:
+		d.stater.ask(cmd)
+	case ledger.DivergedCmd:
+		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case roster.AppendCmd:
--- a/io/entry/secure.go
+++ b/io/entry/secure.go
@@ -14,9 +14,9 @@
 // peerClient is the client for the peer ports of other entries.
 func (d *Daemon) peerClient() *http.Client {
 	if d.keys == nil {
-		return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+		return &http.Client{Transport: d.control}
 	}
-	return &http.Client{Transport: peer.NewTLSTransport(d.keys)}
+	return &http.Client{Transport: peer.NewTLSTransport(d.keys, d.control.DialContext)}
 }
 
 func (d *Daemon) secure(s *server) {
--- a/io/peer/neighbour.go
+++ b/io/peer/neighbour.go
@@ -10,7 +10,6 @@
 	"cicadavalve/core/limit"
 	"cicadavalve/core/roster"
 	"cicadavalve/io/peer/peerpb"
-	"cicadavalve/io/peer/peerpb/peerpbconnect"
 )
 
 // Neighbour answers the other entries.
@@ -21,20 +20,14 @@
 	Settled(ctx context.Context, upstream ident.UpstreamID) (limit.SettledMsg, error)
 }
 
-// neighbours serves the protocol between entries.
-type neighbours struct {
-	peerpbconnect.UnimplementedPeerHandler
-	backend Neighbour
-}
-
 // Ping implements the Peer service.
-func (n *neighbours) Ping(
+func (h *peerHandler) Ping(
 	ctx context.Context, req *connect.Request[peerpb.PingRequest],
 ) (resp *connect.Response[peerpb.PingResponse], err error) {
 	told := roster.HeardMsg{
 		From: decodeMember(req.Msg.GetFrom()), Accusations: decodeAccusations(req.Msg.GetAccusations()),
 	}
-	own, err := n.backend.Hear(ctx, told)
+	own, err := h.backend.Hear(ctx, told)
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -44,10 +37,10 @@
 }
 
 // Leave implements the Peer service.
-func (n *neighbours) Leave(
+func (h *peerHandler) Leave(
 	ctx context.Context, req *connect.Request[peerpb.LeaveRequest],
 ) (resp *connect.Response[peerpb.LeaveResponse], err error) {
-	_, err = n.backend.Hear(ctx, roster.HeardMsg{From: decodeMember(req.Msg.GetFrom()), Leaving: true})
+	_, err = h.backend.Hear(ctx, roster.HeardMsg{From: decodeMember(req.Msg.GetFrom()), Leaving: true})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
@@ -55,10 +48,10 @@
 }
 
 // Settle implements the Peer service.
-func (n *neighbours) Settle(
+func (h *peerHandler) Settle(
 	ctx context.Context, req *connect.Request[peerpb.SettleRequest],
 ) (resp *connect.Response[peerpb.SettleResponse], err error) {
-	s, err := n.backend.Settled(ctx, ident.UpstreamID(req.Msg.GetUpstream()))
+	s, err := h.backend.Settled(ctx, ident.UpstreamID(req.Msg.GetUpstream()))
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -47,6 +47,8 @@
 	PeerLeaveProcedure = "/cicadavalve.peer.Peer/Leave"
 	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
 	PeerSettleProcedure = "/cicadavalve.peer.Peer/Settle"
+	// PeerStateProcedure is the fully-qualified name of the Peer's State RPC.
+	PeerStateProcedure = "/cicadavalve.peer.Peer/State"
 )
 
 // OperatorClient is a client for the cicadavalve.peer.Operator service.
@@ -185,6 +187,8 @@
 	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
 	// Settle asks whether the entry has given up the slots that it lost.
 	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
+	// State returns the agreed state that the entry has folded.
+	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
 }
 
 // NewPeerClient constructs a client for the cicadavalve.peer.Peer service. By default, it uses the
@@ -216,6 +220,12 @@
 			connect.WithSchema(peerMethods.ByName("Settle")),
 			connect.WithClientOptions(opts...),
 		),
+		state: connect.NewClient[peerpb.StateRequest, peerpb.StateResponse](
+			httpClient,
+			baseURL+PeerStateProcedure,
+			connect.WithSchema(peerMethods.ByName("State")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -224,6 +234,7 @@
 	ping   *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
 	leave  *connect.Client[peerpb.LeaveRequest, peerpb.LeaveResponse]
 	settle *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
+	state  *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
 }
 
 // Ping calls cicadavalve.peer.Peer.Ping.
@@ -241,6 +252,11 @@
 	return c.settle.CallUnary(ctx, req)
 }
 
+// State calls cicadavalve.peer.Peer.State.
+func (c *peerClient) State(ctx context.Context, req *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
+	return c.state.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the cicadavalve.peer.Peer service.
 type PeerHandler interface {
 	// Ping tells that the caller is alive, and asks the same of the entry.
@@ -249,6 +265,8 @@
 	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
 	// Settle asks whether the entry has given up the slots that it lost.
 	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
+	// State returns the agreed state that the entry has folded.
+	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -276,6 +294,12 @@
 		connect.WithSchema(peerMethods.ByName("Settle")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerStateHandler := connect.NewUnaryHandler(
+		PeerStateProcedure,
+		svc.State,
+		connect.WithSchema(peerMethods.ByName("State")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cicadavalve.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerPingProcedure:
@@ -284,6 +308,8 @@
 			peerLeaveHandler.ServeHTTP(w, r)
 		case PeerSettleProcedure:
 			peerSettleHandler.ServeHTTP(w, r)
+		case PeerStateProcedure:
+			peerStateHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -304,3 +330,7 @@
 func (UnimplementedPeerHandler) Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Settle is not implemented"))
 }
+
+func (UnimplementedPeerHandler) State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.State is not implemented"))
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -38,6 +38,8 @@
 	Neighbour
 	// Show is a document about one subject; ErrUnknownSubject where there is none such.
 	Show(ctx context.Context, subject, argument string) (document any, err error)
+	// ConfigState is the state of the configuration's fold; current is false on an entry that must not pass it on.
+	ConfigState(ctx context.Context) (s ledger.State, current bool)
 }
 
 // ErrUnknownSubject says that an entry can't show what was asked.
@@ -56,7 +58,7 @@
 func NewHandler(backend Backend) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}))
-	mux.Handle(peerpbconnect.NewPeerHandler(&neighbours{backend: backend}))
+	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}))
 	return mux
 }
 
--- a/io/peer/tls.go
+++ b/io/peer/tls.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -96,14 +98,20 @@
 // TLSTransport sends requests over TLS with the keys' present certificate and authorities.
 type TLSTransport struct {
 	keys *Keys
+	dial DialFunc
 
 	mu   sync.Mutex
 	pool *x509.CertPool
 	http *http.Transport
 }
 
+// DialFunc opens connections; nil means the default.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewTLSTransport is a transport that proves itself with the keys.
-func NewTLSTransport(keys *Keys) *TLSTransport { return &TLSTransport{keys: keys} }
+func NewTLSTransport(keys *Keys, dial DialFunc) *TLSTransport {
+	return &TLSTransport{keys: keys, dial: dial}
+}
 
 // RoundTrip implements [http.RoundTripper].
 func (t *TLSTransport) RoundTrip(r *http.Request) (*http.Response, error) {
@@ -127,7 +135,7 @@
 	}
 	t.pool = pool
 	t.http = &http.Transport{
-		ForceAttemptHTTP2: true,
+		ForceAttemptHTTP2: true, DialContext: t.dial,
 		TLSClientConfig: &tls.Config{
 			MinVersion: tls.VersionTLS13, RootCAs: pool,
 			GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
