--- a/cmd/cicadavalve/entry.go
+++ b/cmd/cicadavalve/entry.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"os"
@@ -44,6 +45,9 @@
 				}
 			}))
 			d.Meter().Publish("cicadavalve")
+			running, ended := context.WithCancel(context.WithoutCancel(cmd.Context()))
+			defer ended()
+			go newAborter(d).run(running)
 			return d.Run(cmd.Context())
 		},
 	}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -7,6 +7,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
@@ -20,6 +21,9 @@
 	// Seed seeds every random number that the deciders draw.
 	Seed   uint64 `json:"seed"`
 	Policy string `json:"policy"`
+	// Slots holds the lease of the entry and the durations that cold slots rest on.
+	Slots        limit.Timing  `json:"slots"`
+	PingInterval time.Duration `json:"ping_interval"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
@@ -29,7 +33,7 @@
 type Node struct {
 	settings Settings
 	config   *ledger.Config
-	roster   *roster.Roster
+	members  *roster.Membership
 	once     *once.Model
 	sched    *sched.Model
 }
@@ -43,10 +47,11 @@
 		settings: s,
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
-		roster: roster.NewRoster(),
-		once:   once.NewModel(s.Entry, s.Incarnation),
+		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
+		once:    once.NewModel(s.Entry, s.Incarnation),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+			sched.WithSlotTiming(s.Slots),
 		),
 	}
 }
@@ -58,7 +63,10 @@
 func (n *Node) Config() *ledger.Config { return n.config }
 
 // Roster is the fold of the members.
-func (n *Node) Roster() *roster.Roster { return n.roster }
+func (n *Node) Roster() *roster.Roster { return n.members.Roster() }
+
+// Members is the entry's own place in the roster.
+func (n *Node) Members() *roster.Membership { return n.members }
 
 // Once decides about once-only calls.
 func (n *Node) Once() *once.Model { return n.once }
@@ -81,24 +89,33 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
+	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
+		return n.members.Update(now, msg)
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
-		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
-		return append(cmds, n.sched.Update(now, msg)...)
+		return n.tick(now, msg)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
 		return n.once.Update(now, msg)
 	}
 	return n.sched.Update(now, msg)
 }
 
+// tick lets time pass for each decider that acts on it.
+func (n *Node) tick(now time.Time, msg sched.TickMsg) (cmds []ident.Cmd) {
+	cmds = n.config.Update(now, ledger.TickMsg{})
+	cmds = append(cmds, n.members.Update(now, roster.TickMsg{})...)
+	cmds = append(cmds, n.once.Update(now, once.TickMsg{})...)
+	return append(cmds, n.sched.Update(now, msg)...)
+}
+
 // fold picks the fold of a stream.
 func (n *Node) fold(now time.Time, batch ledger.BatchMsg) []ident.Cmd {
 	switch batch.Stream {
 	case ledger.StreamConfig:
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
-		return n.roster.Update(now, batch)
+		return n.members.Update(now, batch)
 	case ledger.StreamVerdict:
 		return n.sched.Update(now, batch)
 	}
@@ -107,8 +124,13 @@
 
 // forward turns a command of one decider into a message for another.
 func (n *Node) forward(now time.Time, cmd ident.Cmd) []ident.Cmd {
-	if cmd, ok := cmd.(ledger.InForceCmd); ok {
+	switch cmd := cmd.(type) {
+	case ledger.InForceCmd:
 		return n.sched.Update(now, sched.RulesMsg{Version: cmd.Version, Text: cmd.Text})
+	case roster.ChangedCmd:
+		return n.sched.Update(now, membersMsg(cmd))
+	case roster.LeaseCmd:
+		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
 	}
 	return nil
 }
--- a/core/sched/drain.go
+++ b/core/sched/drain.go
@@ -112,8 +112,13 @@
 	if r.alone || !m.find(now, r) {
 		return nil
 	}
+	return m.resendElsewhere(now, r)
+}
+
+// resendElsewhere stops a request's attempt and sends it again, which costs it no retry.
+func (m *Model) resendElsewhere(now time.Time, r *request) []ident.Cmd {
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(r)
+	m.release(now, r, false)
 	r.moves++
 	return append([]ident.Cmd{cancel}, m.send(now, r)...)
 }
