Move versions by agreed steps and take bad ones back

A move had a rule and no effect. core/roll now decides it: the share is a hash of organisation and prompt root against the agreed step; steps, take-backs, evidence and the two weight-load tokens are records of the verdict stream, each void unless it follows what is folded. A version is judged by Wald's sequential test (1947) for a step up and Page's cumulative sum (1954) for a take-back, on failures and on times above twice the old version's median, against the old version in the same minutes, per route and organisation. A take-back needs no log; the record makes it last.

Ruled out: the 95th percentile as the limit of slowness. A slow version on an engine slows the old version's requests beside it, so the control's tail moves with it; its median does not until half of the requests are slow.

--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -4,6 +4,7 @@
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
 	"cicadavalve/core/record"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -29,5 +30,8 @@
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
 		record.TypeOf[sched.CancelCmd](),
+		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
+		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
+		record.TypeOf[roll.ChangedCmd](), record.TypeOf[roll.LateCmd](),
 	)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -8,6 +8,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -23,6 +24,11 @@
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
+	// MoveDwell, WeightLease, UnloadGrace and KeepInterval are those of [roll.Option]; 0 takes the default.
+	MoveDwell    time.Duration `json:"move_dwell"`
+	WeightLease  time.Duration `json:"weight_lease"`
+	UnloadGrace  time.Duration `json:"unload_grace"`
+	KeepInterval time.Duration `json:"keep_interval"`
 }
 
 // Node is the set of deciders of one entry.
@@ -32,6 +38,7 @@
 	roster   *roster.Roster
 	once     *once.Model
 	sched    *sched.Model
+	roll     *roll.Model
 }
 
 // NewNode builds the deciders.
@@ -39,16 +46,24 @@
 //	n := node.NewNode(node.Settings{Entry: "entry-0", Seed: 7})
 //	cmds := n.Update(now, msg)
 func NewNode(s Settings) *Node {
+	moves := newMoves(s)
 	return &Node{
+		roll:     moves,
 		settings: s,
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
 		roster: roster.NewRoster(),
 		once:   once.NewModel(s.Entry, s.Incarnation),
-		sched:  sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy)),
+		sched: sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+			sched.WithVersions(moves)),
 	}
 }
 
+func newMoves(s Settings) *roll.Model {
+	return roll.NewModel(s.Entry, s.Incarnation, roll.WithMinDwell(s.MoveDwell),
+		roll.WithWeightLease(s.WeightLease), roll.WithUnloadGrace(s.UnloadGrace), roll.WithKeepInterval(s.KeepInterval))
+}
+
 // Settings are the settings that the node was built from.
 func (n *Node) Settings() Settings { return n.settings }
 
@@ -61,6 +76,9 @@
 // Once decides about once-only calls.
 func (n *Node) Once() *once.Model { return n.once }
 
+// Roll decides about version moves.
+func (n *Node) Roll() *roll.Model { return n.roll }
+
 // Sched is the scheduler.
 func (n *Node) Sched() *sched.Model { return n.sched }
 
@@ -83,11 +101,14 @@
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
 		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
-		return append(cmds, n.sched.Update(now, msg)...)
+		cmds = append(cmds, n.sched.Update(now, msg)...)
+		return append(cmds, n.roll.Update(now, msg)...)
+	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
+		return n.roll.Update(now, msg)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
 		return n.once.Update(now, msg)
 	}
-	return n.sched.Update(now, msg)
+	return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
 }
 
 // fold picks the fold of a stream.
@@ -97,14 +118,20 @@
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
 		return n.roster.Update(now, batch)
+	case ledger.StreamVerdict:
+		return n.roll.Update(now, batch)
 	}
 	return n.once.Update(now, batch)
 }
 
 // forward turns a command of one decider into a message for another.
 func (n *Node) forward(now time.Time, cmd ident.Cmd) []ident.Cmd {
-	if cmd, ok := cmd.(ledger.InForceCmd); ok {
-		return n.sched.Update(now, sched.RulesMsg{Version: cmd.Version, Text: cmd.Text})
+	switch cmd := cmd.(type) {
+	case ledger.InForceCmd:
+		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
+		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
+	case roster.ChangedCmd:
+		return n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})
 	}
 	return nil
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -261,6 +261,7 @@
 }
 
 func (m *Model) resend(now time.Time, r *request, delivered int) []ident.Cmd {
+	m.chooseAgain(r, delivered)
 	cmds := m.send(now, r)
 	if cmd, ok := cmds[0].(SendCmd); ok {
 		cmd.ResumeFrom = delivered
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -85,6 +85,15 @@
 	// configuration; each must be well below what the log service keeps.
 	SnapshotRecords  int64    `yaml:"snapshot_records"`
 	SnapshotInterval Duration `yaml:"snapshot_interval"`
+	// MoveDwell is how long each step of a version move lasts at least.
+	MoveDwell Duration `yaml:"move_dwell"`
+	// WeightLease is how long a claim on a weight load lasts; it must exceed the longest load.
+	WeightLease Duration `yaml:"weight_lease"`
+	// UnloadGrace is how long an old version stays loaded after its move; it must exceed the longest request.
+	UnloadGrace Duration `yaml:"unload_grace"`
+	// KeepInterval is how often the state of each version move is appended anew; it must
+	// be below half of the log's retention.
+	KeepInterval Duration `yaml:"keep_interval"`
 }
 
 func defaults() Settings {
@@ -108,6 +117,10 @@
 		JournalInterval:  Duration(5 * time.Second),
 		SnapshotRecords:  64,
 		SnapshotInterval: Duration(10 * time.Minute),
+		MoveDwell:        Duration(5 * time.Second),
+		WeightLease:      Duration(30 * time.Second),
+		UnloadGrace:      Duration(10 * time.Minute),
+		KeepInterval:     Duration(5 * time.Minute),
 	}
 }
 
@@ -159,6 +172,7 @@
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 		"snapshot_interval": s.SnapshotInterval,
+		"move_dwell":        s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -115,10 +115,15 @@
 	c.d.sessions.begin(c.id, cmd.Attempt, stop)
 	c.class = cmd.Class
 	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
-	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
+	watch := newAttemptWatch(c, cmd)
+	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error {
+		watch.event(e)
+		return c.event(ctx, cmd, e)
+	})
 	if err == nil && !c.seq.Whole() {
 		err = retry.ErrIncomplete
 	}
+	watch.end(ctx, err)
 	if errors.Is(err, errCaller) {
 		return false, err
 	}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/node"
 	"cicadavalve/core/once"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/config"
@@ -70,6 +71,8 @@
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
 	node *node.Node
+	// orders hands the orders to engines to the workers that send them.
+	orders chan roll.OrderCmd
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 }
@@ -96,8 +99,11 @@
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
+			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
+	d.orders = make(chan roll.OrderCmd, orderQueue)
 	for _, o := range options {
 		o(d)
 	}
@@ -220,7 +226,8 @@
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
-	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
+	d.startMoves(ctx, group)
+	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), folds{d}, d.log)
 		group.Go(func() error { return f.Run(ctx) })
 	}
--- a/io/entry/fold.go
+++ b/io/entry/fold.go
@@ -32,6 +32,8 @@
 		return d.node.Config().Wanted()
 	case ledger.StreamRoster:
 		return d.node.Roster().Next()
+	case ledger.StreamVerdict:
+		return d.node.Roll().Next()
 	}
 	return d.node.Once().Next()
 }
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -101,5 +101,7 @@
 		d.sessions.deliver(cmd.Request, cmd)
 	case once.AnswerCmd:
 		d.sessions.deliver(cmd.Request, cmd)
+	default:
+		d.performMove(cmd)
 	}
 }
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -11,6 +11,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/record"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
@@ -23,6 +24,7 @@
 	subjectLatency   = "latency"
 	subjectWhy       = "why"
 	subjectJournal   = "journal"
+	subjectMoves     = "moves"
 )
 
 // Show implements [peer.Backend].
@@ -34,6 +36,8 @@
 		return look(ctx, d, func() []sched.UpstreamView { return d.node.Sched().Upstreams(now) })
 	case subjectRequests:
 		return look(ctx, d, func() []sched.RequestView { return d.node.Sched().Requests(now) })
+	case subjectMoves:
+		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
 	case subjectLatency:
 		return d.latency(), nil
 	case subjectWhy:
