--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
+	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 )
 
@@ -21,6 +23,11 @@
 	return func(m *Model) { m.zone = zone }
 }
 
+// WithEntry names the entry, as the writer of records.
+func WithEntry(entry ident.EntryID) Option {
+	return func(m *Model) { m.poison = poison.NewModel(entry) }
+}
+
 // WithPolicy names the routing policy; see [route.New]. An unknown name keeps the default.
 func WithPolicy(name string) Option {
 	return func(m *Model) { m.policyName = name }
@@ -36,6 +43,11 @@
 	return func(m *Model) { m.maxAttempts = n }
 }
 
+// WithRetryBudget sets how many attempts beyond the first each organisation earns a second and can save up.
+func WithRetryBudget(perSecond float64, burst int) Option {
+	return func(m *Model) { m.budgets = retry.NewBudgets(retry.WithRate(perSecond, burst)) }
+}
+
 const (
 	defaultSeed        = 1
 	defaultMaxAttempts = 4
@@ -46,6 +58,8 @@
 func (m *Model) setDefaults() {
 	m.rng = rand.New(rand.NewPCG(defaultSeed, defaultSeed))
 	m.policyName = route.NameAffinity
+	m.budgets = retry.NewBudgets()
+	m.poison = poison.NewModel("")
 	m.maxAttempts = defaultMaxAttempts
 	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -8,9 +8,12 @@
 	"cicadavalve/core/route"
 )
 
-// probeMisses is how many probes in a row an upstream may miss before it gets no new work.
+// probeMisses is how many probes in a row an upstream may miss before it counts as unreachable.
 const probeMisses = 2
 
+// outageMisses is how many missed probes in a row make an upstream come back by a ramp.
+const outageMisses = 20
+
 // upstream is what this entry knows of one upstream.
 type upstream struct {
 	listed Upstream
@@ -23,10 +26,38 @@
 	outstanding int
 	// suspectUntil keeps new work away after a failed attempt.
 	suspectUntil time.Time
+	// closedSince is when it stopped to get new work by rule or because it leaves, or zero.
+	closedSince time.Time
+	// backSince is when it last came back from that or from an outage, or zero.
+	backSince time.Time
+	// reservedFor is the suspect request that runs there alone, or empty.
+	reservedFor ident.RequestID
 }
 
-func (u *upstream) usable(now time.Time) bool {
-	return u.seen && !u.listed.Leaving && u.misses < probeMisses && !now.Before(u.suspectUntil)
+// trust ranks upstreams by what the last probes and attempts tell; the entry's own
+// trouble can make every upstream look bad, so a low rank is only a reason to prefer others.
+type trust int
+
+const (
+	// unreachable upstreams missed their last probes.
+	unreachable trust = iota
+	// suspected upstreams failed an attempt a moment ago.
+	suspected
+	// returning upstreams came back a moment ago and are not due for the request yet.
+	returning
+	trusted
+)
+
+func (u *upstream) trust(now time.Time, r *request) trust {
+	switch {
+	case u.misses >= probeMisses:
+		return unreachable
+	case now.Before(u.suspectUntil):
+		return suspected
+	case u.held(now, r):
+		return returning
+	}
+	return trusted
 }
 
 func (u *upstream) holds(model ident.ModelName, version ident.Version) bool {
--- a/core/sched/versions.go
+++ b/core/sched/versions.go
@@ -30,8 +30,8 @@
 }
 
 // chooseAgain may change the version of a request whose caller has no token yet.
-func (m *Model) chooseAgain(r *request, delivered int) {
-	if delivered == 0 && r.Model != "" {
+func (m *Model) chooseAgain(r *request) {
+	if r.delivered == 0 && r.Model != "" {
 		r.version = m.versions.Again(r.Model, r.version)
 	}
 }
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -21,10 +21,13 @@
 	ErrConnect = errors.New("no connection was made")
 	ErrRefused = errors.New("the upstream refused the request")
 	ErrBroken  = errors.New("the connection or the stream broke")
-	ErrSilent  = errors.New("the upstream sent no byte in time")
+	ErrSilent  = errors.New("the upstream sent no event of the answer in time")
 )
 
-// maxReplyBytes bounds the kept answer of a plain service.
+// ErrDropped is a sink's answer to an event that is no part of the answer; the stream goes on.
+var ErrDropped = errors.New("the event is no part of the answer")
+
+// maxReplyBytes bounds the answer of a plain service; a larger one is not whole.
 const maxReplyBytes = 1 << 20
 
 // HTTPClient is a [Client] over HTTP.
@@ -51,7 +54,7 @@
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost}
 	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	c := &HTTPClient{pooled: &http.Client{Transport: pooled}, fresh: &http.Client{Transport: fresh}}
+	c := &HTTPClient{pooled: newClient(pooled), fresh: newClient(fresh)}
 	c.control = c.pooled
 	for _, o := range options {
 		o(c)
@@ -59,6 +62,12 @@
 	return c
 }
 
+// newClient follows no redirect: that would send a call again.
+func newClient(t http.RoundTripper) *http.Client {
+	keep := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &http.Client{Transport: t, CheckRedirect: keep}
+}
+
 // CloseIdle closes the connections that no request uses.
 func (c *HTTPClient) CloseIdle() {
 	c.pooled.CloseIdleConnections()
@@ -95,7 +104,16 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return readEvents(w, resp.Body, sink)
+	err = readEvents(w, resp.Body, sink)
+	c.distrust(err)
+	return err
+}
+
+// distrust closes the idle connections after a silent one: what lost track of it may have lost them too.
+func (c *HTTPClient) distrust(err error) {
+	if errors.Is(err, ErrSilent) {
+		c.pooled.CloseIdleConnections()
+	}
 }
 
 // Call implements [Client].
@@ -119,7 +137,10 @@
 		return reply, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes+1))
+	if err == nil && len(raw) > maxReplyBytes {
+		err = errors.Newf("the reply is larger than %d bytes", maxReplyBytes)
+	}
 	if err != nil {
 		return reply, w.mark(err)
 	}
@@ -145,6 +166,25 @@
 	return load, err
 }
 
+// cancelBody is the body of POST /v1/cancel on a model engine.
+type cancelBody struct {
+	RequestID string `json:"request_id"`
+}
+
+// Cancel implements [Client]; it uses a connection of its own, since the answer's may be lost.
+func (c *HTTPClient) Cancel(ctx context.Context, address, id string) (err error) {
+	defer func() { err = errors.Wrapf(err, "cancel on %s", address) }()
+	req, err := sling.New().Post("http://" + address + "/v1/cancel").BodyJSON(cancelBody{id}).Request()
+	if err != nil {
+		return err
+	}
+	resp, err := c.fresh.Do(req.WithContext(ctx))
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
 // send marks a fault as ErrConnect only where no byte of the request can have been written.
 func (c *HTTPClient) send(w *watchdog, t Target, req *http.Request) (resp *http.Response, err error) {
 	client := c.pooled
@@ -157,7 +197,9 @@
 		return nil, errors.Mark(err, ErrConnect)
 	}
 	if err != nil {
-		return nil, w.mark(err)
+		err = w.mark(err)
+		c.distrust(err)
+		return nil, err
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("X-Not-Run") == "true" {
 		_ = resp.Body.Close()
@@ -171,7 +213,6 @@
 		if err != nil {
 			return w.mark(err)
 		}
-		w.reset()
 		if raw.Data == doneMarker {
 			return nil
 		}
@@ -179,9 +220,14 @@
 		if err := json.Unmarshal([]byte(raw.Data), &e); err != nil {
 			return errors.Mark(err, ErrBroken)
 		}
-		if err := sink(e); err != nil {
+		err := sink(e)
+		if errors.Is(err, ErrDropped) {
+			continue
+		}
+		if err != nil {
 			return err
 		}
+		w.reset()
 	}
 	return w.mark(io.ErrUnexpectedEOF)
 }
--- a/io/entry/backend.go
+++ b/io/entry/backend.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
-	"cicadavalve/core/ledger"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/peer"
@@ -16,7 +15,6 @@
 const (
 	retryAfter    = time.Second
 	addressWeight = 100
-	foldPoll      = 5 * time.Millisecond
 )
 
 // Org implements [caller.Backend].
@@ -54,34 +52,11 @@
 // isReady is for the loop alone.
 func (d *Daemon) isReady() bool { return d.node.Sched().RulesVersion() > 0 && !d.leaving }
 
-// Propose implements [peer.Backend]: it believes the fold alone, never the answer to the append.
-func (d *Daemon) Propose(ctx context.Context, id string, body ledger.ConfigBody) (o ledger.Outcome, folded bool, err error) {
-	defer func() { err = errors.Wrap(err, "propose") }()
-	ctx, cancel := context.WithTimeout(ctx, proposalDeadline)
-	defer cancel()
-	rec, err := ledger.NewRecord(id, ledger.KindConfig, d.settings.Entry, body)
-	if err != nil {
-		return o, false, err
-	}
-	d.appender.add(ctx, ledger.StreamConfig, rec)
-	ticker := time.NewTicker(foldPoll)
-	defer ticker.Stop()
-	for !folded {
-		select {
-		case <-ctx.Done():
-			return o, false, nil
-		case <-ticker.C:
-			d.inspect(ctx, func() { o, folded = d.node.Config().Outcome(id) })
-		}
-	}
-	return o, true, nil
-}
-
 // Status implements [peer.Backend].
 func (d *Daemon) Status(ctx context.Context) (s peer.Status, err error) {
 	ran := d.inspect(ctx, func() {
 		s = peer.Status{
-			Entry: d.self.Entry, Zone: d.self.Zone, Version: d.node.Config().Version(), Operator: d.node.Config().Operator(),
+			Entry: d.self.Entry, Zone: d.self.Zone, Version: d.node.Sched().RulesVersion(), Operator: d.node.Config().Operator(),
 			Text: d.node.Config().Text(), Digest: d.node.Config().Digest(), Ready: d.isReady(), Members: d.node.Roster().Members(),
 		}
 	})
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/hmac"
-	"crypto/sha256"
-	"encoding/hex"
+	"strconv"
 	"strings"
 	"time"
 
@@ -21,10 +19,9 @@
 )
 
 const (
-	bytesPerToken  = 4
-	blockTokens    = 1024
-	blockBytes     = blockTokens * bytesPerToken
-	cacheSaltLabel = "cicadavalve cache"
+	bytesPerToken = 4
+	blockTokens   = 1024
+	blockBytes    = blockTokens * bytesPerToken
 )
 
 // completion is one caller's completion while its handler runs it.
@@ -34,6 +31,8 @@
 	id   ident.RequestID
 	sink func(string) error
 	seq  *retry.Sequence
+	// version is the weight version of the last attempt.
+	version ident.Version
 	// prior is the text that the caller already has.
 	prior strings.Builder
 	usage engine.Usage
@@ -50,10 +49,11 @@
 	ctx context.Context, req caller.Completion, sink func(string) error,
 ) (answer caller.Answer, err error) {
 	id := ident.RequestID(uuid.NewString())
-	c := &completion{d: d, req: req, id: id, sink: sink, seq: retry.NewSequence(string(id)), started: time.Now()}
+	c := &completion{d: d, req: req, id: id, sink: sink, seq: retry.NewSequence(), started: time.Now()}
 	c.last = c.started
 	s := d.sessions.open(id)
 	defer d.finish(ctx, id)
+	defer c.countDropped()
 	defer func() { c.observe(meter.BetweenTokens, c.gaps...) }()
 	d.post(ctx, sched.ArriveMsg{Request: c.describe()})
 	if err := c.run(ctx, s); err != nil {
@@ -76,6 +76,7 @@
 		ID: c.id, CallerID: c.req.RequestID, Org: c.req.Org, Model: c.req.Model, Class: c.req.Class,
 		PromptRoot: xxhash.Sum64String(root), PromptTokens: promptTokens(c.req.Prompt),
 		MaxTokens: c.req.MaxTokens, Repeatable: true, Deadline: c.req.Deadline,
+		Digest: c.d.digest(c.req.Org, string(c.req.Model), c.req.Prompt),
 	}
 }
 
@@ -114,6 +115,26 @@
 	defer stop()
 	c.d.sessions.begin(c.id, cmd.Attempt, stop)
 	c.class = cmd.Class
+	err = c.stream(ctx, cmd)
+	if errors.Is(err, errCaller) {
+		return false, err
+	}
+	if err != nil {
+		c.failed(ctx, cmd, err)
+		return false, nil
+	}
+	c.d.post(ctx, sched.EndMsg{Request: c.id, Attempt: cmd.Attempt, CachedTokens: c.usage.CachedTokens})
+	c.observe(meter.WholeAnswer, time.Since(c.started))
+	c.count()
+	return true, nil
+}
+
+// stream runs one attempt; it fails unless the answer came to its final marker.
+func (c *completion) stream(ctx context.Context, cmd sched.SendCmd) (err error) {
+	c.checkFrom(cmd)
+	if err := c.seq.Begin(c.attemptID(cmd), string(cmd.Version)); err != nil {
+		return err
+	}
 	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
 	watch := newAttemptWatch(c, cmd)
 	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error {
@@ -124,48 +145,54 @@
 		err = retry.ErrIncomplete
 	}
 	watch.end(ctx, err)
-	if errors.Is(err, errCaller) {
-		return false, err
+	return err
+}
+
+func (c *completion) failed(ctx context.Context, cmd sched.SendCmd, err error) {
+	if ctx.Err() != nil {
+		c.cancelled(cmd)
+		return
 	}
-	if err != nil {
-		c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "error", err)
-		c.d.post(ctx, sched.FailMsg{
-			Request: c.id, Attempt: cmd.Attempt, Cause: engine.Cause(err), Delivered: c.seq.Next(),
-		})
-		return false, nil
+	cause := engine.Cause(err)
+	c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "cause", cause, "error", err)
+	c.d.meter.Count("attempts_failed_"+string(cause), 1)
+	if cause != sched.CauseConnect && cause != sched.CauseRefused {
+		c.d.canceller.add(cancellation{cmd.Address, c.attemptID(cmd)})
 	}
-	c.d.post(ctx, sched.EndMsg{Request: c.id, Attempt: cmd.Attempt, CachedTokens: c.usage.CachedTokens})
-	c.observe(meter.WholeAnswer, time.Since(c.started))
-	c.count()
-	return true, nil
+	c.d.post(ctx, sched.FailMsg{Request: c.id, Attempt: cmd.Attempt, Cause: cause, Delivered: c.seq.Next()})
+}
+
+// cancelled ends an attempt that was moved, whose next command tells where to go on, or whose caller left.
+func (c *completion) cancelled(cmd sched.SendCmd) {
+	c.d.meter.Count("attempts_cancelled", 1)
+	c.d.canceller.add(cancellation{cmd.Address, c.attemptID(cmd)})
+}
+
+// attemptID names an attempt to the engine. Each has a name of its own, so that an event of
+// an earlier one is told apart even where the same engine runs both.
+func (c *completion) attemptID(cmd sched.SendCmd) string {
+	return string(c.id) + "/" + strconv.Itoa(cmd.Attempt)
 }
 
 func (c *completion) body(cmd sched.SendCmd) engine.Completion {
 	return engine.Completion{
-		RequestID: string(c.id), Model: c.req.Model, Version: cmd.Version, Prompt: c.req.Prompt,
+		RequestID: c.attemptID(cmd), Model: c.req.Model, Version: cmd.Version, Prompt: c.req.Prompt,
 		MaxTokens: c.req.MaxTokens, Priority: cmd.Priority, CacheSalt: c.d.cacheSalt(c.req.Org),
 		ResumeFrom: c.seq.Next(), Prior: c.prior.String(), Sampling: c.req.Sampling,
 	}
 }
 
-// cacheSalt keeps organisations' prefix caches apart; it is the same on every entry.
-func (d *Daemon) cacheSalt(org ident.OrgID) string {
-	mac := hmac.New(sha256.New, []byte(cacheSaltLabel))
-	mac.Write([]byte(org))
-	return hex.EncodeToString(mac.Sum(nil))
-}
-
 func (c *completion) event(ctx context.Context, cmd sched.SendCmd, e engine.Event) (err error) {
 	if e.Finish != "" {
-		if e.Usage != nil {
-			c.usage = *e.Usage
-		}
-		return c.seq.End(e.ID, e.Seq)
+		return c.end(e)
 	}
-	deliver, err := c.seq.Accept(e.ID, e.Seq)
-	if err != nil || !deliver {
+	deliver, err := c.seq.Accept(e.ID, string(e.Version), e.Seq)
+	if err != nil {
 		return err
 	}
+	if !deliver {
+		return engine.ErrDropped
+	}
 	c.clock(ctx, cmd)
 	c.prior.WriteString(e.Text)
 	if err := c.sink(e.Text); err != nil {
@@ -174,6 +201,21 @@
 	return nil
 }
 
+func (c *completion) end(e engine.Event) (err error) {
+	ended, err := c.seq.End(e.ID, string(e.Version), e.Seq)
+	if err != nil {
+		return err
+	}
+	if !ended {
+		return engine.ErrDropped
+	}
+	if e.Usage != nil {
+		c.usage = *e.Usage
+	}
+	c.usage.Version = e.Version
+	return nil
+}
+
 // clock observes the time to the first token and the times between tokens.
 func (c *completion) clock(ctx context.Context, cmd sched.SendCmd) {
 	now := time.Now()
@@ -195,3 +237,9 @@
 	c.d.meter.Count("prompt_tokens", int64(c.usage.PromptTokens))
 	c.d.meter.Count("cached_tokens", int64(c.usage.CachedTokens))
 }
+
+func (c *completion) countDropped() {
+	dropped := c.seq.Dropped()
+	c.d.meter.Count("events_crossed", int64(dropped.Crossed))
+	c.d.meter.Count("events_repeated", int64(dropped.Repeated))
+}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -31,12 +31,11 @@
 )
 
 const (
-	connectTimeout   = 500 * time.Millisecond
-	idlePerUpstream  = 64
-	inboxSize        = 1024
-	readHeaderLimit  = 5 * time.Second
-	tickInterval     = 50 * time.Millisecond
-	proposalDeadline = 10 * time.Second
+	connectTimeout  = 500 * time.Millisecond
+	idlePerUpstream = 64
+	inboxSize       = 1024
+	readHeaderLimit = 5 * time.Second
+	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
@@ -66,7 +65,11 @@
 	appender *appender
 	stater   *stater
 	prober   *prober
-	journal  *journaler
+	// canceller ends lost attempts on their engines.
+	canceller *canceller
+	// cacheSecret keys what is derived from an organisation's name or requests.
+	cacheSecret []byte
+	journal     *journaler
 
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
@@ -111,6 +114,7 @@
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
 	d.stater = newStater(d)
+	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
@@ -224,10 +228,13 @@
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
+	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	d.startMoves(ctx, group)
-	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce} {
+	for _, stream := range []ledger.Stream{
+		ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce,
+	} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), folds{d}, d.log)
 		group.Go(func() error { return f.Run(ctx) })
 	}
--- a/io/entry/fold.go
+++ b/io/entry/fold.go
@@ -33,7 +33,7 @@
 	case ledger.StreamRoster:
 		return d.node.Roster().Next()
 	case ledger.StreamVerdict:
-		return d.node.Roll().Next()
+		return min(d.node.Sched().VerdictNext(), d.node.Roll().Next())
 	}
 	return d.node.Once().Next()
 }
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -7,6 +7,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -82,13 +83,17 @@
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
 	case ledger.AppendCmd:
-		d.offer(cmd)
+		d.offer(ctx, cmd)
 	case ledger.AskPeersCmd:
 		d.stater.ask(cmd)
+	case ledger.VerdictCmd:
+		d.sessions.deliver(cmd.Request, cmd)
 	case ledger.DivergedCmd:
 		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
+	case poison.AppendCmd:
+		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
@@ -102,6 +107,6 @@
 	case once.AnswerCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	default:
-		d.performMove(cmd)
+		d.performMove(ctx, cmd)
 	}
 }
--- a/io/entry/moves.go
+++ b/io/entry/moves.go
@@ -9,6 +9,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/retry"
 	"cicadavalve/core/roll"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/engine"
@@ -21,10 +22,10 @@
 )
 
 // performMove performs the commands of version moves.
-func (d *Daemon) performMove(cmd ident.Cmd) {
+func (d *Daemon) performMove(ctx context.Context, cmd ident.Cmd) {
 	switch cmd := cmd.(type) {
 	case roll.AppendCmd:
-		d.offer(ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
 	case roll.OrderCmd:
 		select {
 		case d.orders <- cmd:
@@ -78,6 +79,15 @@
 	w.d.post(ctx, roll.OrderedMsg{Fence: cmd.Fence, Known: err == nil || errors.Is(err, engine.ErrOrderRefused)})
 }
 
+// checkFrom starts the checks of the answer anew for an attempt on another version, as
+// long as the caller has no token: what was delivered is never spliced over versions.
+func (c *completion) checkFrom(cmd sched.SendCmd) {
+	if c.seq.Next() == 0 && c.version != cmd.Version {
+		c.seq = retry.NewSequence()
+	}
+	c.version = cmd.Version
+}
+
 // attemptWatch times one attempt as evidence about its version.
 type attemptWatch struct {
 	c      *completion
--- a/io/entry/oncelog.go
+++ b/io/entry/oncelog.go
@@ -23,14 +23,18 @@
 }
 
 // offer drops a record that the full queue does not take; its decider appends it again where it is needed.
-func (d *Daemon) offer(cmd ledger.AppendCmd) {
+func (d *Daemon) offer(ctx context.Context, cmd ledger.AppendCmd) {
 	if !d.appender.offer(cmd.Stream, cmd.Record) {
 		d.log.Warn("append_dropped", "stream", cmd.Stream, "kind", cmd.Record.Kind)
+		d.update(ctx, d.clock.now(), ledger.AppendFailedMsg{ID: cmd.Record.ID})
 	}
 }
 
 // appendFailed tells the decider of a record that the log did not take in time.
 func (d *Daemon) appendFailed(ctx context.Context, p pending) {
+	if p.stream == ledger.StreamConfig {
+		d.post(ctx, ledger.AppendFailedMsg{ID: p.record.ID})
+	}
 	if p.stream != once.StreamOnce {
 		return
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs the whole system as separate processes on free loopback ports, offers load
 # and prints what callers saw. PRESET=otakou|kompostfenster, SECONDS_OF_LOAD, RATE,
-# ENTRIES and SEED set the run; JSON=1 prints JSON alone on standard output.
+# ENTRIES, RETURNS, CALLS and SEED set the run; JSON=1 prints JSON alone on standard output.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -89,6 +89,7 @@
 done
 
 for org in $orgs; do echo "token-$org: $org"; done >"$run/tokens.yaml"
+head -c 32 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$run/cache.secret"
 {
   for m in "${!models[@]}"; do
     echo "route model ${models[$m]} class ${classes[$m]}  # asked by: demo"
@@ -109,6 +110,7 @@
 log_url: http://$(address log)/
 list_url: $list/
 tokens_file: $run/tokens.yaml
+cache_secret_file: $run/cache.secret
 plaintext: true
 seed: $((seed + i))
 YAML
@@ -130,6 +132,8 @@
 flags=(--preset "$preset" --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
   --apps "$(join "${apps[@]}")" --stores "$(join "${stores[@]}")" --rate "$rate" --length "${length}s" --seed "$seed")
 if [ -n "$json" ]; then flags+=(--json); fi
+if [ -n "${RETURNS:-}" ]; then flags+=(--returns "$RETURNS"); fi
+if [ -n "${CALLS:-}" ]; then flags+=(--calls "$CALLS"); fi
 if [ -n "${PLOT:-}" ]; then flags+=(--plot "$PLOT"); fi
 if [ -n "${STRAIGHT:-}" ]; then
   engines=()
