--- a/core/node/node.go
+++ b/core/node/node.go
@@ -9,6 +9,7 @@
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -27,6 +28,11 @@
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
+	// MoveDwell, WeightLease, UnloadGrace and KeepInterval are those of [roll.Option]; 0 takes the default.
+	MoveDwell    time.Duration `json:"move_dwell"`
+	WeightLease  time.Duration `json:"weight_lease"`
+	UnloadGrace  time.Duration `json:"unload_grace"`
+	KeepInterval time.Duration `json:"keep_interval"`
 }
 
 // Node is the set of deciders of one entry.
@@ -36,6 +42,7 @@
 	members  *roster.Membership
 	once     *once.Model
 	sched    *sched.Model
+	roll     *roll.Model
 }
 
 // NewNode builds the deciders.
@@ -43,7 +50,9 @@
 //	n := node.NewNode(node.Settings{Entry: "entry-0", Seed: 7})
 //	cmds := n.Update(now, msg)
 func NewNode(s Settings) *Node {
+	moves := newMoves(s)
 	return &Node{
+		roll:     moves,
 		settings: s,
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
@@ -52,10 +61,16 @@
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
 			sched.WithSlotTiming(s.Slots),
+			sched.WithVersions(moves),
 		),
 	}
 }
 
+func newMoves(s Settings) *roll.Model {
+	return roll.NewModel(s.Entry, s.Incarnation, roll.WithMinDwell(s.MoveDwell),
+		roll.WithWeightLease(s.WeightLease), roll.WithUnloadGrace(s.UnloadGrace), roll.WithKeepInterval(s.KeepInterval))
+}
+
 // Settings are the settings that the node was built from.
 func (n *Node) Settings() Settings { return n.settings }
 
@@ -71,6 +86,9 @@
 // Once decides about once-only calls.
 func (n *Node) Once() *once.Model { return n.once }
 
+// Roll decides about version moves.
+func (n *Node) Roll() *roll.Model { return n.roll }
+
 // Sched is the scheduler.
 func (n *Node) Sched() *sched.Model { return n.sched }
 
@@ -94,11 +112,13 @@
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
-		return n.tick(now, msg)
+		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
+	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
+		return n.roll.Update(now, msg)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
 		return n.once.Update(now, msg)
 	}
-	return n.sched.Update(now, msg)
+	return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
 }
 
 // tick lets time pass for each decider that acts on it.
@@ -117,7 +137,7 @@
 	case ledger.StreamRoster:
 		return n.members.Update(now, batch)
 	case ledger.StreamVerdict:
-		return n.sched.Update(now, batch)
+		return append(n.sched.Update(now, batch), n.roll.Update(now, batch)...)
 	}
 	return n.once.Update(now, batch)
 }
@@ -126,9 +146,11 @@
 func (n *Node) forward(now time.Time, cmd ident.Cmd) []ident.Cmd {
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
-		return n.sched.Update(now, sched.RulesMsg{Version: cmd.Version, Text: cmd.Text})
+		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
+		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
 	case roster.ChangedCmd:
-		return n.sched.Update(now, membersMsg(cmd))
+		cmds := n.sched.Update(now, membersMsg(cmd))
+		return append(cmds, n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})...)
 	case roster.LeaseCmd:
 		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
 	}
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -35,6 +35,7 @@
 	case !m.budgets.Withdraw(now, r.Org):
 		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
 	}
+	m.chooseAgain(r)
 	return m.send(now, r)
 }
 
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -31,6 +31,8 @@
 	id   ident.RequestID
 	sink func(string) error
 	seq  *retry.Sequence
+	// version is the weight version of the last attempt.
+	version ident.Version
 	// prior is the text that the caller already has.
 	prior strings.Builder
 	usage engine.Usage
@@ -129,14 +131,20 @@
 
 // stream runs one attempt; it fails unless the answer came to its final marker.
 func (c *completion) stream(ctx context.Context, cmd sched.SendCmd) (err error) {
+	c.checkFrom(cmd)
 	if err := c.seq.Begin(c.attemptID(cmd), string(cmd.Version)); err != nil {
 		return err
 	}
 	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
-	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
+	watch := newAttemptWatch(c, cmd)
+	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error {
+		watch.event(e)
+		return c.event(ctx, cmd, e)
+	})
 	if err == nil && !c.seq.Whole() {
 		err = retry.ErrIncomplete
 	}
+	watch.end(ctx, err)
 	return err
 }
 
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -21,6 +21,7 @@
 	"cicadavalve/core/limit"
 	"cicadavalve/core/node"
 	"cicadavalve/core/once"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/config"
@@ -78,6 +79,8 @@
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
 	node *node.Node
+	// orders hands the orders to engines to the workers that send them.
+	orders chan roll.OrderCmd
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 	// farewell is true while a graceful shutdown runs.
@@ -111,8 +114,11 @@
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
+			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
+	d.orders = make(chan roll.OrderCmd, orderQueue)
 	for _, o := range options {
 		o(d)
 	}
@@ -250,6 +256,7 @@
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
 	group.Go(func() error { return (&joiner{d}).run(ctx) })
+	d.startMoves(ctx, group)
 	for _, stream := range []ledger.Stream{
 		ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce,
 	} {
