--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -2,9 +2,11 @@
 
 import (
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -22,7 +24,10 @@
 		record.TypeOf[ledger.ReadFailedMsg](), record.TypeOf[ledger.PeerStatesMsg](), record.TypeOf[ledger.AppendCmd](),
 		record.TypeOf[ledger.AskPeersCmd](), record.TypeOf[ledger.DivergedCmd](),
 		record.TypeOf[ledger.ProposeMsg](), record.TypeOf[ledger.AppendFailedMsg](), record.TypeOf[ledger.VerdictCmd](),
-		record.TypeOf[roster.ChangedCmd](),
+		record.TypeOf[roster.ChangedCmd](), record.TypeOf[roster.LeaseCmd](), record.TypeOf[roster.SelfMsg](),
+		record.TypeOf[roster.WantMsg](), record.TypeOf[roster.HeardMsg](), record.TypeOf[roster.PingFailedMsg](),
+		record.TypeOf[roster.PingCmd](), record.TypeOf[roster.AppendCmd](), record.TypeOf[roster.SupersededCmd](),
+		record.TypeOf[limit.SettledMsg](), record.TypeOf[limit.AskCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
 		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
@@ -31,5 +36,8 @@
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
 		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
+		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
+		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
+		record.TypeOf[roll.ChangedCmd](), record.TypeOf[roll.LateCmd](),
 	)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -7,7 +7,9 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -20,18 +22,27 @@
 	// Seed seeds every random number that the deciders draw.
 	Seed   uint64 `json:"seed"`
 	Policy string `json:"policy"`
+	// Slots holds the lease of the entry and the durations that cold slots rest on.
+	Slots        limit.Timing  `json:"slots"`
+	PingInterval time.Duration `json:"ping_interval"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
+	// MoveDwell, WeightLease, UnloadGrace and KeepInterval are those of [roll.Option]; 0 takes the default.
+	MoveDwell    time.Duration `json:"move_dwell"`
+	WeightLease  time.Duration `json:"weight_lease"`
+	UnloadGrace  time.Duration `json:"unload_grace"`
+	KeepInterval time.Duration `json:"keep_interval"`
 }
 
 // Node is the set of deciders of one entry.
 type Node struct {
 	settings Settings
 	config   *ledger.Config
-	roster   *roster.Roster
+	members  *roster.Membership
 	once     *once.Model
 	sched    *sched.Model
+	roll     *roll.Model
 }
 
 // NewNode builds the deciders.
@@ -39,18 +50,27 @@
 //	n := node.NewNode(node.Settings{Entry: "entry-0", Seed: 7})
 //	cmds := n.Update(now, msg)
 func NewNode(s Settings) *Node {
+	moves := newMoves(s)
 	return &Node{
+		roll:     moves,
 		settings: s,
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
-		roster: roster.NewRoster(),
-		once:   once.NewModel(s.Entry, s.Incarnation),
+		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
+		once:    once.NewModel(s.Entry, s.Incarnation),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+			sched.WithSlotTiming(s.Slots),
+			sched.WithVersions(moves),
 		),
 	}
 }
 
+func newMoves(s Settings) *roll.Model {
+	return roll.NewModel(s.Entry, s.Incarnation, roll.WithMinDwell(s.MoveDwell),
+		roll.WithWeightLease(s.WeightLease), roll.WithUnloadGrace(s.UnloadGrace), roll.WithKeepInterval(s.KeepInterval))
+}
+
 // Settings are the settings that the node was built from.
 func (n *Node) Settings() Settings { return n.settings }
 
@@ -58,11 +78,17 @@
 func (n *Node) Config() *ledger.Config { return n.config }
 
 // Roster is the fold of the members.
-func (n *Node) Roster() *roster.Roster { return n.roster }
+func (n *Node) Roster() *roster.Roster { return n.members.Roster() }
+
+// Members is the entry's own place in the roster.
+func (n *Node) Members() *roster.Membership { return n.members }
 
 // Once decides about once-only calls.
 func (n *Node) Once() *once.Model { return n.once }
 
+// Roll decides about version moves.
+func (n *Node) Roll() *roll.Model { return n.roll }
+
 // Sched is the scheduler.
 func (n *Node) Sched() *sched.Model { return n.sched }
 
@@ -81,15 +107,26 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
+	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
+		return n.members.Update(now, msg)
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
-		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
-		return append(cmds, n.sched.Update(now, msg)...)
+		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
+	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
+		return n.roll.Update(now, msg)
 	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
 		return n.once.Update(now, msg)
 	}
-	return n.sched.Update(now, msg)
+	return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
+}
+
+// tick lets time pass for each decider that acts on it.
+func (n *Node) tick(now time.Time, msg sched.TickMsg) (cmds []ident.Cmd) {
+	cmds = n.config.Update(now, ledger.TickMsg{})
+	cmds = append(cmds, n.members.Update(now, roster.TickMsg{})...)
+	cmds = append(cmds, n.once.Update(now, once.TickMsg{})...)
+	return append(cmds, n.sched.Update(now, msg)...)
 }
 
 // fold picks the fold of a stream.
@@ -98,17 +135,24 @@
 	case ledger.StreamConfig:
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
-		return n.roster.Update(now, batch)
+		return n.members.Update(now, batch)
 	case ledger.StreamVerdict:
-		return n.sched.Update(now, batch)
+		return append(n.sched.Update(now, batch), n.roll.Update(now, batch)...)
 	}
 	return n.once.Update(now, batch)
 }
 
 // forward turns a command of one decider into a message for another.
 func (n *Node) forward(now time.Time, cmd ident.Cmd) []ident.Cmd {
-	if cmd, ok := cmd.(ledger.InForceCmd); ok {
-		return n.sched.Update(now, sched.RulesMsg{Version: cmd.Version, Text: cmd.Text})
+	switch cmd := cmd.(type) {
+	case ledger.InForceCmd:
+		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
+		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
+	case roster.ChangedCmd:
+		cmds := n.sched.Update(now, membersMsg(cmd))
+		return append(cmds, n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})...)
+	case roster.LeaseCmd:
+		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
 	}
 	return nil
 }
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -18,7 +18,7 @@
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
 	cmds := m.lost(now, r, msg.Cause)
-	m.release(r)
+	m.release(now, r, msg.Cause == CauseConnect || msg.Cause == CauseRefused)
 	cmds = append(cmds, m.endTrial(r)...)
 	return append(m.afterFail(now, r, msg.Cause), cmds...)
 }
@@ -30,11 +30,12 @@
 	switch {
 	case r.touched && !r.Repeatable:
 		return m.giveUp(now, r, CodeOutcomeUnknown, "the upstream may have run the request")
-	case r.attempt >= m.maxAttempts:
+	case r.attempt-r.moves >= m.maxAttempts:
 		return m.giveUp(now, r, CodeUpstreamFailed, "every upstream that was tried failed")
 	case !m.budgets.Withdraw(now, r.Org):
 		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
 	}
+	m.chooseAgain(r)
 	return m.send(now, r)
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -10,6 +10,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
@@ -22,8 +23,12 @@
 	arrived time.Time
 	// attempt numbers the sendings from 1; an event of an earlier one is ignored.
 	attempt int
+	// moves counts the attempts that were moved rather than failed.
+	moves int
 	// on is the upstream of the current attempt, or empty.
 	on ident.UpstreamID
+	// sent is when the current attempt began.
+	sent time.Time
 	// tried lists the upstreams of the failed attempts.
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
@@ -67,14 +72,19 @@
 	version   int64
 	upstreams map[ident.UpstreamID]*upstream
 	// order holds the ids of upstreams, sorted, so that decisions do not depend on map order.
-	order      []ident.UpstreamID
+	order []ident.UpstreamID
+	// listed is true once a list has come.
+	listed     bool
 	requests   map[ident.RequestID]*request
 	candidates []route.Candidate
+	// slots bound the requests on cold upstreams.
+	slots *limit.Slots
 }
 
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
 	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}}
+	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -98,36 +108,47 @@
 	if len(m.parked) > 0 {
 		cmds = append(cmds, m.wake(now)...)
 	}
-	return cmds
+	return append(cmds, m.slots.Asks()...)
 }
 
 func (m *Model) update(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
+	case limit.MembersMsg, limit.LeaseMsg, limit.SettledMsg:
+		return m.slots.Update(now, msg)
 	case UpstreamsMsg:
-		m.setUpstreams(msg)
+		m.setUpstreams(now, msg)
+		m.noteClosed(now)
 	case LoadMsg:
 		return m.setLoad(now, msg)
 	case UnreachableMsg:
 		return m.miss(now, msg)
 	case RulesMsg:
 		m.setRules(msg)
+		m.noteClosed(now)
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case EndMsg:
-		return m.end(msg)
+		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
-	case GoneMsg:
-		return m.gone(msg)
 	case TickMsg:
-		return m.poison.Tick(now)
+		return m.tick(now)
+	case GoneMsg:
+		return m.gone(now, msg)
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
 	return nil
 }
 
-func (m *Model) setUpstreams(msg UpstreamsMsg) {
+// tick lets time pass.
+func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
+	cmds = append(cmds, m.poison.Tick(now)...)
+	cmds = append(cmds, m.move(now)...)
+	return append(cmds, m.yield(now)...)
+}
+
+func (m *Model) setUpstreams(now time.Time, msg UpstreamsMsg) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, l := range msg.Upstreams {
 		listed[l.ID] = true
@@ -138,8 +159,14 @@
 		}
 		u.listed = l
 	}
-	maps.DeleteFunc(m.upstreams, func(id ident.UpstreamID, _ *upstream) bool { return !listed[id] })
+	for _, id := range m.order {
+		if !listed[id] {
+			m.slots.Forget(now, id)
+			delete(m.upstreams, id)
+		}
+	}
 	m.order = slices.Sorted(maps.Keys(m.upstreams))
+	m.listed = true
 }
 
 func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
@@ -147,6 +174,10 @@
 	if !known {
 		return nil
 	}
+	if u.misses >= outageMisses {
+		u.backSince = now
+	}
+	m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
 	u.load, u.seen, u.misses = msg.Load, true, 0
 	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
 }
@@ -223,14 +254,16 @@
 		PromptRoot: r.PromptRoot, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
 	}
 	chosen := m.candidates[m.policy.Pick(now, need, m.candidates)]
-	return []ident.Cmd{m.start(r, m.upstreams[chosen.ID])}
+	return []ident.Cmd{m.start(now, r, m.upstreams[chosen.ID])}
 }
 
 // start begins an attempt on an upstream.
-func (m *Model) start(r *request, u *upstream) SendCmd {
+func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
 	u.outstanding++
 	r.attempt++
 	r.on = u.listed.ID
+	r.sent = now
+	m.acquire(now, r)
 	return m.sendCmd(r, u)
 }
 
@@ -254,41 +287,45 @@
 }
 
 func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
-	if !u.open() || m.keptFree(u, r) || u.trust(now) < least || m.rules.Drained(u.listed.ID, u.listed.Zone) {
+	return m.serves(u, r) && !m.keptFree(u, r) && u.trust(now, r) >= least && m.bearsOneMore(now, u.listed.ID)
+}
+
+// serves reports whether an upstream may get new work and holds what the request needs.
+func (m *Model) serves(u *upstream, r *request) bool {
+	if !u.seen || m.closed(u) {
 		return false
 	}
-	if r.Service != "" {
-		return u.listed.Role == RoleApp && u.serves(r.Service)
-	}
-	return u.listed.Role == RoleEngine && u.holds(r.Model, r.version)
+	return u.runs(r)
 }
 
-// release takes the current attempt off its upstream.
-func (m *Model) release(r *request) {
+// release takes the current attempt off its upstream; ended is true where the upstream is known not to run it.
+func (m *Model) release(now time.Time, r *request, ended bool) {
+	m.slots.Release(now, r.ID, ended)
 	if u, known := m.upstreams[r.on]; known && u.outstanding > 0 {
 		u.outstanding--
 	}
 	r.on = ""
 }
 
-func (m *Model) end(msg EndMsg) []ident.Cmd {
+func (m *Model) end(now time.Time, msg EndMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
 		return nil
 	}
-	m.release(r)
+	m.slots.Succeeded(now, r.on)
+	m.release(now, r, true)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
 	return m.endTrial(r)
 }
 
-func (m *Model) gone(msg GoneMsg) []ident.Cmd {
+func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known {
 		return nil
 	}
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(r)
+	m.release(now, r, false)
 	delete(m.requests, r.ID)
 	return append(m.endTrial(r), cancel)
 }
--- /dev/null
+++ b/io/bench/advice.go
@@ -0,0 +1,27 @@
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/io/caller"
+)
+
+// Advice asks an entry which entries callers are to use.
+func Advice(ctx context.Context, e *Entry) (advice caller.Advice, err error) {
+	defer func() { err = errors.Wrapf(err, "advice of %s", e.ID) }()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Caller+"/v1/entries", nil)
+	if err != nil {
+		return advice, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return advice, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	err = json.NewDecoder(resp.Body).Decode(&advice)
+	return advice, err
+}
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -31,6 +31,8 @@
 	id   ident.RequestID
 	sink func(string) error
 	seq  *retry.Sequence
+	// version is the weight version of the last attempt.
+	version ident.Version
 	// prior is the text that the caller already has.
 	prior strings.Builder
 	usage engine.Usage
@@ -129,18 +131,28 @@
 
 // stream runs one attempt; it fails unless the answer came to its final marker.
 func (c *completion) stream(ctx context.Context, cmd sched.SendCmd) (err error) {
+	c.checkFrom(cmd)
 	if err := c.seq.Begin(c.attemptID(cmd), string(cmd.Version)); err != nil {
 		return err
 	}
 	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
-	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error { return c.event(ctx, cmd, e) })
+	watch := newAttemptWatch(c, cmd)
+	err = c.d.engines.Complete(ctx, target, c.body(cmd), func(e engine.Event) error {
+		watch.event(e)
+		return c.event(ctx, cmd, e)
+	})
 	if err == nil && !c.seq.Whole() {
 		err = retry.ErrIncomplete
 	}
+	watch.end(ctx, err)
 	return err
 }
 
 func (c *completion) failed(ctx context.Context, cmd sched.SendCmd, err error) {
+	if ctx.Err() != nil {
+		c.cancelled(cmd)
+		return
+	}
 	cause := engine.Cause(err)
 	c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "cause", cause, "error", err)
 	c.d.meter.Count("attempts_failed_"+string(cause), 1)
@@ -150,6 +162,12 @@
 	c.d.post(ctx, sched.FailMsg{Request: c.id, Attempt: cmd.Attempt, Cause: cause, Delivered: c.seq.Next()})
 }
 
+// cancelled ends an attempt that was moved, whose next command tells where to go on, or whose caller left.
+func (c *completion) cancelled(cmd sched.SendCmd) {
+	c.d.meter.Count("attempts_cancelled", 1)
+	c.d.canceller.add(cancellation{cmd.Address, c.attemptID(cmd)})
+}
+
 // attemptID names an attempt to the engine. Each has a name of its own, so that an event of
 // an earlier one is told apart even where the same engine runs both.
 func (c *completion) attemptID(cmd sched.SendCmd) string {
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -6,6 +6,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
@@ -94,6 +95,13 @@
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
 		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+	case roster.AppendCmd:
+		d.appender.add(ctx, ledger.StreamRoster, cmd.Record)
+	case roster.PingCmd, limit.AskCmd:
+		d.peers.add(cmd)
+	case roster.SupersededCmd:
+		d.log.Error("entry_superseded", "by", cmd.By)
+		d.supersededOnce.Do(func() { close(d.superseded) })
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
@@ -106,5 +114,7 @@
 		d.sessions.deliver(cmd.Request, cmd)
 	case once.AnswerCmd:
 		d.sessions.deliver(cmd.Request, cmd)
+	default:
+		d.performMove(ctx, cmd)
 	}
 }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -36,6 +36,7 @@
 	Propose(ctx context.Context, id string, body ledger.ConfigBody) (ledger.Outcome, error)
 	// Status tells what is in force.
 	Status(ctx context.Context) (Status, error)
+	Neighbour
 	// Show is a document about one subject; ErrUnknownSubject where there is none such.
 	Show(ctx context.Context, subject, argument string) (document any, err error)
 	// ConfigState is the state of the configuration's fold; current is false on an entry that must not pass it on.
@@ -107,10 +108,7 @@
 	}
 	var members []*peerpb.Member
 	for _, m := range s.Members {
-		members = append(members, peerpb.Member_builder{
-			Entry: string(m.Entry), Incarnation: string(m.Incarnation), Address: m.Address,
-			PeerAddress: m.PeerAddress, Zone: string(m.Zone),
-		}.Build())
+		members = append(members, encodeMember(m))
 	}
 	return connect.NewResponse(peerpb.StatusResponse_builder{
 		Entry: string(s.Entry), Zone: string(s.Zone), Version: s.Version, Operator: s.Operator,
