Choose upstreams by the expected wait for the first token

Cause: the bounded-load rule walked every upstream and every rule for each request, knew nothing of prompt length or kept context, and sent a prompt that spilled to yet another upstream each time.

A request now compares the first two upstreams of the rendezvous hash, those known to hold the prompt and two drawn at random, by prompt tokens ahead of it. Open upstreams are kept in pools by what they serve. `cvlab compare` runs the policies in one process.

--- /dev/null
+++ b/cmd/cvlab/compare.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"cicadavalve/io/load"
+	"cicadavalve/io/versus"
+)
+
+// compareCommand is one run of the compare command.
+type compareCommand struct {
+	preset   string
+	scenario string
+	plan     versus.Plan
+	json     bool
+	plot     string
+}
+
+func newCompareCommand() *cobra.Command {
+	c := &compareCommand{}
+	cmd := &cobra.Command{
+		Use:   "compare --preset NAME --scenario NAME",
+		Short: "Offer the same load to each routing policy, entries and engines in this process",
+		Args:  cobra.NoArgs,
+		RunE:  func(cmd *cobra.Command, _ []string) error { return c.run(cmd.Context(), cmd.OutOrStdout()) },
+	}
+	cmd.Flags().StringVar(&c.preset, "preset", "otakou", "one of "+strings.Join(load.PresetNames(), ", "))
+	cmd.Flags().StringVar(&c.scenario, "scenario", string(versus.Return), fmt.Sprintf("one of %v", versus.Scenarios()))
+	cmd.Flags().Uint64Var(&c.plan.Seed, "seed", 1, "the seed of the plan, the engines and the entries")
+	cmd.Flags().Float64Var(&c.plan.Rate, "rate", 40, "requests a second; the scenario overload doubles it")
+	cmd.Flags().DurationVar(&c.plan.Length, "length", 12*time.Second, "for how long each policy is offered requests")
+	cmd.Flags().StringSliceVar(&c.plan.Policies, "policies", versus.Policies(), "the policies to run, in order")
+	cmd.Flags().BoolVar(&c.json, "json", false, "print JSON alone")
+	cmd.Flags().StringVar(&c.plot, "plot", "", "a PNG file to write the first-token times to")
+	return cmd
+}
+
+func (c *compareCommand) run(ctx context.Context, w io.Writer) (err error) {
+	preset, found := load.FindPreset(c.preset)
+	if !found {
+		return errors.Newf("--preset: expected one of %s", strings.Join(load.PresetNames(), ", "))
+	}
+	c.plan.Preset, c.plan.Scenario = preset, versus.Scenario(c.scenario)
+	result, err := c.plan.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if c.plot != "" {
+		if err := result.Plot(c.plot); err != nil {
+			return err
+		}
+	}
+	if c.json {
+		return json.NewEncoder(w).Encode(result)
+	}
+	return printComparison(w, result)
+}
+
+func printComparison(w io.Writer, r versus.Result) error {
+	_, _ = fmt.Fprintf(w, "%s, %s, seed %d, %.0f requests a second, %d entries and %d engines in one process\n",
+		r.Preset, r.Scenario, r.Seed, r.Rate, r.Entries, r.Engines)
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tw, "policy\tfirst token p50\tp95\tp99 ms\tbetween tokens p95 ms\tgoodput/s\trecomputed\twhole\tother ends")
+	for _, o := range r.Outcomes {
+		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.3f\t%d of %d\t%v\n", o.Policy,
+			o.FirstToken.P50Ms, o.FirstToken.P95Ms, o.FirstToken.P99Ms, o.BetweenTokens.P95Ms,
+			o.Goodput, o.RecomputedShare, o.Whole, o.Requests, o.Codes)
+	}
+	return tw.Flush()
+}
--- a/cmd/cvlab/main.go
+++ b/cmd/cvlab/main.go
@@ -1,4 +1,4 @@
-// Command cvlab is the workbench: the stand-ins and the load.
+// Command cvlab is the workbench: the stand-ins, the load and the comparison of policies.
 package main
 
 import (
@@ -30,6 +30,6 @@
 	root := &cobra.Command{
 		Use: "cvlab", Short: "Stand-ins and load for cicadavalve", SilenceUsage: true, SilenceErrors: true,
 	}
-	root.AddCommand(newStandCommand(), newLoadCommand(), newReportCommand(), newGetCommand())
+	root.AddCommand(newStandCommand(), newLoadCommand(), newReportCommand(), newGetCommand(), newCompareCommand())
 	return root
 }
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -54,6 +54,9 @@
 	return open && holder != id
 }
 
+// Trials counts the open trials.
+func (m *Model) Trials() int { return len(m.trials) }
+
 // EndTrial tells that the run is over, whatever became of it.
 func (m *Model) EndTrial(body TrialBody) []ident.Cmd {
 	m.outbox = slices.DeleteFunc(m.outbox, func(r ledger.Record) bool { return r.ID == "trial/"+body.ID })
--- a/core/route/policy.go
+++ b/core/route/policy.go
@@ -3,11 +3,8 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"cicadavalve/core/ident"
 )
 
@@ -18,30 +15,41 @@
 	Zone  ident.Zone
 	// Version is the weight version that the request must run on.
 	Version ident.Version
-	// PromptRoot is the hash of the prompt's first block.
-	PromptRoot   uint64
+	// Key is the hash of the prompt's kept context; see [Key].
+	Key          uint64
 	PromptTokens int
 	MaxTokens    int
+	// Kept lists the upstreams that are known to have held the prompt; unused ones are zero.
+	Kept [MostKept]Kept
+}
+
+// MostKept is how many upstreams a request can name as holders of its prompt.
+const MostKept = 2
+
+// Kept is an upstream that held a part of the prompt.
+type Kept struct {
+	// Hash is [HashID] of the upstream.
+	Hash   uint64
+	Tokens int
 }
 
 // Candidate is an upstream that may take the request, as the deciding entry sees it.
 type Candidate struct {
-	ID   ident.UpstreamID
+	ID ident.UpstreamID
+	// Hash is [HashID] of ID.
+	Hash uint64
 	Zone ident.Zone
 	// Outstanding counts the requests that this entry has in flight there.
 	Outstanding int
-	// Reported counts the requests that the upstream's last load report told of, running and waiting.
-	Reported int
-	// CachedTokens is how much of the prompt the upstream is expected to hold.
-	CachedTokens int
+	// Others counts the requests there that are not this entry's, by the last load report.
+	Others int
+	// Backlog is the prompt tokens that are expected to be computed there before the request's.
+	Backlog int
 }
 
-// load is the candidate's number of requests as far as the entry knows.
-func (c *Candidate) load() int { return max(c.Outstanding, c.Reported) }
-
 // Policy picks one of the candidates, which are never empty, by index.
 type Policy interface {
-	Pick(now time.Time, need Need, candidates []Candidate) int
+	Pick(now time.Time, need Need, candidates []*Candidate) int
 }
 
 // Names of the policies, as the settings give them.
@@ -76,7 +84,7 @@
 type Random struct{ rng *rand.Rand }
 
 // Pick implements [Policy].
-func (p *Random) Pick(_ time.Time, _ Need, candidates []Candidate) int {
+func (p *Random) Pick(_ time.Time, _ Need, candidates []*Candidate) int {
 	return p.rng.IntN(len(candidates))
 }
 
@@ -84,7 +92,7 @@
 type RoundRobin struct{ turn int }
 
 // Pick implements [Policy].
-func (p *RoundRobin) Pick(_ time.Time, _ Need, candidates []Candidate) int {
+func (p *RoundRobin) Pick(_ time.Time, _ Need, candidates []*Candidate) int {
 	p.turn++
 	return p.turn % len(candidates)
 }
@@ -93,7 +101,7 @@
 type LeastOutstanding struct{ rng *rand.Rand }
 
 // Pick implements [Policy].
-func (p *LeastOutstanding) Pick(_ time.Time, _ Need, candidates []Candidate) int {
+func (p *LeastOutstanding) Pick(_ time.Time, _ Need, candidates []*Candidate) int {
 	first := p.rng.IntN(len(candidates))
 	best := first
 	for i := range candidates {
@@ -109,53 +117,12 @@
 type PrefixHash struct{}
 
 // Pick implements [Policy].
-func (*PrefixHash) Pick(_ time.Time, need Need, candidates []Candidate) int {
+func (*PrefixHash) Pick(_ time.Time, need Need, candidates []*Candidate) int {
 	best, highest := 0, uint64(0)
 	for i := range candidates {
-		if w := Weight(need, candidates[i].ID); w >= highest {
-			best, highest = i, w
-		}
-	}
-	return best
-}
-
-// Weight is the rendezvous weight of an upstream for a request's kept context.
-func Weight(need Need, upstream ident.UpstreamID) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	for _, s := range [...]string{string(need.Org), string(need.Version), string(upstream)} {
-		_, _ = d.WriteString(s)
-		_, _ = d.WriteString("\x00")
-	}
-	var root [20]byte
-	_, _ = d.Write(strconv.AppendUint(root[:0], need.PromptRoot, 36))
-	return d.Sum64()
-}
-
-// loadFactor bounds how far above the mean load the preferred upstream may be.
-const loadFactor = 1.25
-
-// Affinity picks by rendezvous hash among the candidates whose load is within a bound of the mean.
-type Affinity struct{ rng *rand.Rand }
-
-// Pick implements [Policy].
-func (p *Affinity) Pick(_ time.Time, need Need, candidates []Candidate) int {
-	total := 0
-	for i := range candidates {
-		total += candidates[i].load()
-	}
-	bound := loadFactor*float64(total+1)/float64(len(candidates)) + 1
-	best, highest := -1, uint64(0)
-	for i := range candidates {
-		if float64(candidates[i].load()) >= bound {
-			continue
-		}
-		if w := Weight(need, candidates[i].ID); best < 0 || w > highest {
+		if w := Weight(need.Key, candidates[i].Hash); w >= highest {
 			best, highest = i, w
 		}
 	}
-	if best < 0 {
-		return p.rng.IntN(len(candidates))
-	}
 	return best
 }
--- a/core/sched/alone.go
+++ b/core/sched/alone.go
@@ -22,10 +22,11 @@
 // VerdictNext is the offset of the first record of [ledger.StreamVerdict] not folded yet.
 func (m *Model) VerdictNext() int64 { return m.poison.Next() }
 
-// lost tells of a request whose upstream went away under it.
+// lost tells of a request whose upstream broke off under it. A silent upstream is no sign of
+// a crash: it may only be busy.
 func (m *Model) lost(now time.Time, r *request, cause Cause) []ident.Cmd {
 	u, known := m.upstreams[r.on]
-	if !known || (cause != CauseBroken && cause != CauseSilent) {
+	if !known || cause != CauseBroken {
 		return nil
 	}
 	return m.poison.Lost(now, r.sent, r.Digest, poison.Loss{Upstream: r.on, Boot: u.load.BootID}, r.alone)
@@ -56,28 +57,23 @@
 	if len(m.candidates) == 0 || m.reserved() >= max(1, len(m.order)/aloneShare) || m.runsAlone(r.Digest) {
 		return
 	}
-	need := route.Need{Org: r.Org, Version: r.version, PromptRoot: r.PromptRoot}
-	best := slices.MinFunc(m.candidates, func(a, b route.Candidate) int {
-		if d := a.Outstanding + a.Reported - b.Outstanding - b.Reported; d != 0 {
+	best := slices.MinFunc(m.candidates, func(a, b *route.Candidate) int {
+		if d := a.Outstanding + a.Others - b.Outstanding - b.Others; d != 0 {
 			return d
 		}
-		if route.Weight(need, a.ID) > route.Weight(need, b.ID) {
+		if route.Weight(r.key, a.Hash) > route.Weight(r.key, b.Hash) {
 			return -1
 		}
 		return 1
 	})
-	m.upstreams[best.ID].reservedFor = r.ID
+	u := m.upstreams[best.ID]
+	u.reservedFor, u.special = r.ID, true
 	r.reserved = best.ID
 }
 
 // countOpen counts the upstreams that could run a request, those kept free for others included.
-func (m *Model) countOpen(r *request) (n int) {
-	for _, id := range m.order {
-		if m.serves(m.upstreams[id], r) {
-			n++
-		}
-	}
-	return n
+func (m *Model) countOpen(r *request) int {
+	return len(m.pool(r))
 }
 
 // reserved counts the upstreams kept free for suspect requests of any entry.
@@ -104,7 +100,7 @@
 // or after a while without the log.
 func (m *Model) startAlone(now time.Time, r *request) []ident.Cmd {
 	u, held := m.upstreams[r.reserved]
-	if !held || u.outstanding > 0 || !m.eligible(now, u, r, unreachable) {
+	if !held || u.candidate.Outstanding > 0 || !m.eligible(now, u, r, unreachable) {
 		return nil
 	}
 	if r.trial.ID == "" {
--- a/core/sched/drain.go
+++ b/core/sched/drain.go
@@ -26,24 +26,23 @@
 }
 
 // closed reports whether an upstream gets no new work by rule or because it leaves.
-func (m *Model) closed(u *upstream) bool {
-	return u.listed.Leaving || m.rules.Drained(u.listed.ID, u.listed.Zone)
-}
+func (u *upstream) closed() bool { return !u.closedSince.IsZero() }
 
 // noteClosed keeps when each upstream closed, and begins the ramp of one that opens again.
 func (m *Model) noteClosed(now time.Time) {
 	if m.rules == nil {
 		return
 	}
+	m.pools = nil
 	for _, id := range m.order {
 		u := m.upstreams[id]
-		closed := m.closed(u)
+		closed := u.listed.Leaving || m.rules.Drained(u.listed.ID, u.listed.Zone)
 		switch {
-		case closed && u.closedSince.IsZero():
+		case closed && !u.closed():
 			u.closedSince = now
-		case !closed && !u.closedSince.IsZero():
+		case !closed && u.closed():
 			u.closedSince = time.Time{}
-			u.backSince = now
+			u.backSince, u.special = now, true
 		}
 	}
 }
@@ -64,8 +63,7 @@
 	if share >= 1 {
 		return false
 	}
-	need := route.Need{Org: r.Org, Version: r.version, PromptRoot: r.PromptRoot}
-	return float64(route.Weight(need, u.listed.ID)) >= share*math.MaxUint64
+	return float64(route.Weight(r.key, u.candidate.Hash)) >= share*math.MaxUint64
 }
 
 // move takes running requests off the closed upstreams once their grace is over, a few at each
@@ -84,7 +82,7 @@
 	}
 	for _, r := range m.requests {
 		u, known := m.upstreams[r.on]
-		if known && r.Repeatable && !u.closedSince.IsZero() && now.Sub(u.closedSince) >= graces[r.Class] {
+		if known && r.Repeatable && u.closed() && now.Sub(u.closedSince) >= graces[r.Class] {
 			moving = append(moving, r)
 		}
 	}
@@ -101,7 +99,7 @@
 
 func (m *Model) anyClosedBusy() bool {
 	for _, id := range m.order {
-		if u := m.upstreams[id]; u.outstanding > 0 && !u.closedSince.IsZero() {
+		if u := m.upstreams[id]; u.candidate.Outstanding > 0 && u.closed() {
 			return true
 		}
 	}
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -13,7 +13,7 @@
 		return nil
 	}
 	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
-		u.suspectUntil = now.Add(suspectTime)
+		u.suspectUntil, u.special = now.Add(suspectTime), true
 	}
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
--- a/core/sched/resend_test.go
+++ b/core/sched/resend_test.go
@@ -111,3 +111,23 @@
 		t.Errorf("final answer (-want +got):\n%s", diff)
 	}
 }
+
+// TestSilenceIsNoCrash lets one request find upstream after upstream silent.
+func TestSilenceIsNoCrash(t *testing.T) {
+	m := newModel(6)
+	for i := range 3 {
+		msg := ask(fmt.Sprintf("r%d", i), "one")
+		msg.Request.Digest = "d"
+		cmds := m.Update(start, msg)
+		for attempt := 1; len(cmds) > 0; attempt++ {
+			send, sent := cmds[0].(sched.SendCmd)
+			if !sent {
+				break
+			}
+			cmds = m.Update(start, sched.FailMsg{Request: send.Request, Attempt: attempt, Cause: sched.CauseSilent})
+		}
+		if diff := cmp.Diff(sched.CodeUpstreamFailed, cmds[0].(sched.RefuseCmd).Code); diff != "" {
+			t.Errorf("sending %d: final answer (-want +got):\n%s", i, diff)
+		}
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -28,6 +28,10 @@
 	on ident.UpstreamID
 	// sent is when the current attempt began.
 	sent time.Time
+	// key names the kept context that the request may find.
+	key uint64
+	// missing is the prompt tokens that the current attempt adds to its upstream's backlog.
+	missing int
 	// tried lists the upstreams of the failed attempts.
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
@@ -71,14 +75,18 @@
 	version   int64
 	upstreams map[ident.UpstreamID]*upstream
 	// order holds the ids of upstreams, sorted, so that decisions do not depend on map order.
-	order      []ident.UpstreamID
-	requests   map[ident.RequestID]*request
-	candidates []route.Candidate
+	order    []ident.UpstreamID
+	requests map[ident.RequestID]*request
+	// pools holds the open upstreams by what they serve; nil until it is needed.
+	pools map[poolKey][]*upstream
+	// kept remembers where this entry sent each prompt.
+	kept       *kept
+	candidates []*route.Candidate
 }
 
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
-	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}}
+	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}, kept: newKept()}
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -119,6 +127,8 @@
 		m.noteClosed(now)
 	case ArriveMsg:
 		return m.arrive(now, msg)
+	case FirstMsg:
+		m.first(msg)
 	case EndMsg:
 		return m.end(msg)
 	case FailMsg:
@@ -139,13 +149,15 @@
 		listed[l.ID] = true
 		u, known := m.upstreams[l.ID]
 		if !known || u.listed.Address != l.Address {
-			u = &upstream{}
+			u = &upstream{candidate: route.Candidate{ID: l.ID, Hash: route.HashID(l.ID)}}
 			m.upstreams[l.ID] = u
 		}
 		u.listed = l
+		u.candidate.Zone = l.Zone
 	}
 	maps.DeleteFunc(m.upstreams, func(id ident.UpstreamID, _ *upstream) bool { return !listed[id] })
 	m.order = slices.Sorted(maps.Keys(m.upstreams))
+	m.pools = nil
 }
 
 func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
@@ -154,9 +166,13 @@
 		return nil
 	}
 	if u.misses >= outageMisses {
-		u.backSince = now
+		u.backSince, u.special = now, true
+	}
+	if !u.seen || !slices.Equal(u.load.Loaded, msg.Load.Loaded) {
+		m.pools = nil
 	}
 	u.load, u.seen, u.misses = msg.Load, true, 0
+	u.report(msg.Load)
 	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
 }
 
@@ -166,6 +182,7 @@
 		return nil
 	}
 	u.misses++
+	u.special = true
 	if u.misses < probeMisses {
 		return nil
 	}
@@ -189,6 +206,7 @@
 	if refusal, refused := m.admit(r); refused {
 		return []ident.Cmd{refusal}
 	}
+	r.key = route.Key(r.Org, r.version, r.PromptRoot)
 	m.requests[r.ID] = r
 	return m.send(now, r)
 }
@@ -227,17 +245,15 @@
 	if !m.find(now, r) {
 		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
 	}
-	need := route.Need{
-		Org: r.Org, Class: r.Class, Zone: m.zone, Version: r.version,
-		PromptRoot: r.PromptRoot, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
-	}
-	chosen := m.candidates[m.policy.Pick(now, need, m.candidates)]
-	return []ident.Cmd{m.start(now, r, m.upstreams[chosen.ID])}
+	u := m.upstreams[m.choose(now, r)]
+	return []ident.Cmd{m.start(now, r, u)}
 }
 
 // start begins an attempt on an upstream.
 func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
-	u.outstanding++
+	u.candidate.Outstanding++
+	r.missing = max(0, r.PromptTokens-m.kept.tokens(r.key, u))
+	u.candidate.Backlog += r.missing
 	r.attempt++
 	r.on = u.listed.ID
 	r.sent = now
@@ -252,36 +268,11 @@
 	}
 }
 
-// collect fills candidates with the upstreams that may take the request.
-func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID, least trust) {
-	m.candidates = m.candidates[:0]
-	for _, id := range m.order {
-		u := m.upstreams[id]
-		if m.eligible(now, u, r, least) && !slices.Contains(avoid, id) {
-			m.candidates = append(m.candidates, u.candidate())
-		}
-	}
-}
-
-func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
-	return m.serves(u, r) && !m.keptFree(u, r) && u.trust(now, r) >= least
-}
-
-// serves reports whether an upstream may get new work and holds what the request needs.
-func (m *Model) serves(u *upstream, r *request) bool {
-	if !u.seen || m.closed(u) {
-		return false
-	}
-	if r.Service != "" {
-		return u.listed.Role == RoleApp && u.serves(r.Service)
-	}
-	return u.listed.Role == RoleEngine && u.holds(r.Model, r.version)
-}
-
 // release takes the current attempt off its upstream.
 func (m *Model) release(r *request) {
-	if u, known := m.upstreams[r.on]; known && u.outstanding > 0 {
-		u.outstanding--
+	if u, known := m.upstreams[r.on]; known && u.candidate.Outstanding > 0 {
+		u.candidate.Outstanding--
+		u.settle(r)
 	}
 	r.on = ""
 }
@@ -297,6 +288,18 @@
 	return m.endTrial(r)
 }
 
+// first notes that the prompt of an attempt is computed.
+func (m *Model) first(msg FirstMsg) {
+	r, known := m.requests[msg.Request]
+	if !known || r.attempt != msg.Attempt {
+		return
+	}
+	if u, listed := m.upstreams[r.on]; listed {
+		u.settle(r)
+		m.kept.add(r.key, u, r.PromptTokens)
+	}
+}
+
 func (m *Model) gone(msg GoneMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known {
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"slices"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -18,12 +17,16 @@
 type upstream struct {
 	listed Upstream
 	load   Load
+	// candidate is the upstream as a policy sees it. Its Outstanding counts this entry's attempts in
+	// flight and its Backlog their prompt tokens without a first token; neither is ever negative.
+	candidate route.Candidate
+	// special is true where the upstream may not be a candidate for every request; it may be
+	// true for longer than needed.
+	special bool
 	// seen is true once a load report has come; no request is sent before.
 	seen bool
 	// misses counts probes without an answer since the last answer.
 	misses int
-	// outstanding counts this entry's attempts in flight; it is never negative.
-	outstanding int
 	// suspectUntil keeps new work away after a failed attempt.
 	suspectUntil time.Time
 	// closedSince is when it stopped to get new work by rule or because it leaves, or zero.
@@ -60,19 +63,14 @@
 	return trusted
 }
 
-func (u *upstream) holds(model ident.ModelName, version ident.Version) bool {
-	return slices.Contains(u.load.Loaded, Loaded{model, version})
+// settle takes what is left of a request's prompt off the backlog.
+func (u *upstream) settle(r *request) {
+	u.candidate.Backlog = max(0, u.candidate.Backlog-r.missing)
+	r.missing = 0
 }
 
-func (u *upstream) serves(service ident.ServiceName) bool {
-	return slices.Contains(u.listed.Services, service)
-}
-
-func (u *upstream) candidate() route.Candidate {
-	return route.Candidate{
-		ID:          u.listed.ID,
-		Zone:        u.listed.Zone,
-		Outstanding: u.outstanding,
-		Reported:    u.load.Running + u.load.Waiting,
-	}
+// report takes the requests of other entries out of a load report; this entry's own are known better.
+func (u *upstream) report(load Load) {
+	others := max(0, load.Running+load.Waiting-u.candidate.Outstanding)
+	u.candidate.Others = others
 }
--- a/core/sched/view.go
+++ b/core/sched/view.go
@@ -31,7 +31,7 @@
 		reason := m.refusal(now, u)
 		views = append(views, UpstreamView{
 			Upstream: id, Role: u.listed.Role, Zone: u.listed.Zone, Address: u.listed.Address, Loaded: u.load.Loaded,
-			Outstanding: u.outstanding, Running: u.load.Running, Waiting: u.load.Waiting,
+			Outstanding: u.candidate.Outstanding, Running: u.load.Running, Waiting: u.load.Waiting,
 			NewWork: reason == "", Reason: reason,
 		})
 	}
