--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
@@ -22,7 +23,10 @@
 		record.TypeOf[ledger.ReadFailedMsg](), record.TypeOf[ledger.PeerStatesMsg](), record.TypeOf[ledger.AppendCmd](),
 		record.TypeOf[ledger.AskPeersCmd](), record.TypeOf[ledger.DivergedCmd](),
 		record.TypeOf[ledger.ProposeMsg](), record.TypeOf[ledger.AppendFailedMsg](), record.TypeOf[ledger.VerdictCmd](),
-		record.TypeOf[roster.ChangedCmd](),
+		record.TypeOf[roster.ChangedCmd](), record.TypeOf[roster.LeaseCmd](), record.TypeOf[roster.SelfMsg](),
+		record.TypeOf[roster.WantMsg](), record.TypeOf[roster.HeardMsg](), record.TypeOf[roster.PingFailedMsg](),
+		record.TypeOf[roster.PingCmd](), record.TypeOf[roster.AppendCmd](), record.TypeOf[roster.SupersededCmd](),
+		record.TypeOf[limit.SettledMsg](), record.TypeOf[limit.AskCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
 		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
--- /dev/null
+++ b/core/sched/cold.go
@@ -0,0 +1,42 @@
+package sched
+
+import (
+	"time"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/limit"
+)
+
+// Slots are the entry's shares of cold upstreams.
+func (m *Model) Slots() *limit.Slots { return m.slots }
+
+// bears is how many requests an upstream bears while cold, and whether a rule says so.
+func (m *Model) bears(id ident.UpstreamID) (n int, known bool) {
+	if m.rules == nil {
+		return 0, false
+	}
+	return m.rules.ColdLimit(id)
+}
+
+// bearsOneMore reports whether an upstream that may be cold has a slot of this entry free.
+func (m *Model) bearsOneMore(now time.Time, u *upstream) bool {
+	return !u.bearsKnown || m.slots.Free(now, u.listed.ID, u.bears)
+}
+
+// acquire takes the slot that bearsOneMore has found free.
+func (m *Model) acquire(now time.Time, r *request) {
+	if n, known := m.bears(r.on); known {
+		m.slots.Acquire(now, r.on, n, r.ID)
+	}
+}
+
+// yield stops the requests that have kept a slot for too long and sends each again. One that may
+// not be repeated runs on.
+func (m *Model) yield(now time.Time) (cmds []ident.Cmd) {
+	for _, id := range m.slots.Overdue(now) {
+		if r, known := m.requests[id]; known && r.Repeatable {
+			cmds = append(cmds, m.resendElsewhere(now, r)...)
+		}
+	}
+	return cmds
+}
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -34,6 +34,7 @@
 	m.pools = map[poolKey][]*upstream{}
 	for _, id := range m.order {
 		u := m.upstreams[id]
+		u.bears, u.bearsKnown = m.bears(id)
 		if !u.seen || u.closed() {
 			continue
 		}
@@ -74,8 +75,10 @@
 
 // admits looks at what is special about an upstream, and notes when nothing is any more.
 func (m *Model) admits(now time.Time, u *upstream, r *request, least trust) bool {
-	u.special = u.reservedFor != "" || u.misses > 0 || now.Before(u.suspectUntil) || u.ramp(now) < 1
-	return !m.keptFree(u, r) && u.trust(now, r) >= least
+	bears := m.bearsOneMore(now, u)
+	u.special = u.reservedFor != "" || u.misses > 0 || now.Before(u.suspectUntil) || u.ramp(now) < 1 ||
+		(u.bearsKnown && !m.slots.Warm(u.listed.ID))
+	return bears && !m.keptFree(u, r) && u.trust(now, r) >= least
 }
 
 // eligible reports whether an upstream may take a request.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -10,6 +10,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
@@ -75,18 +76,23 @@
 	version   int64
 	upstreams map[ident.UpstreamID]*upstream
 	// order holds the ids of upstreams, sorted, so that decisions do not depend on map order.
-	order    []ident.UpstreamID
+	order []ident.UpstreamID
+	// listed is true once a list has come.
+	listed   bool
 	requests map[ident.RequestID]*request
 	// pools holds the open upstreams by what they serve; nil until it is needed.
 	pools map[poolKey][]*upstream
 	// kept remembers where this entry sent each prompt.
 	kept       *kept
 	candidates []*route.Candidate
+	// slots bound the requests on cold upstreams.
+	slots *limit.Slots
 }
 
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
 	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}, kept: newKept()}
+	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -110,13 +116,15 @@
 	if len(m.parked) > 0 {
 		cmds = append(cmds, m.wake(now)...)
 	}
-	return cmds
+	return append(cmds, m.slots.Asks()...)
 }
 
 func (m *Model) update(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
+	case limit.MembersMsg, limit.LeaseMsg, limit.SettledMsg:
+		return m.slots.Update(now, msg)
 	case UpstreamsMsg:
-		m.setUpstreams(msg)
+		m.setUpstreams(now, msg)
 		m.noteClosed(now)
 	case LoadMsg:
 		return m.setLoad(now, msg)
@@ -130,34 +138,47 @@
 	case FirstMsg:
 		m.first(msg)
 	case EndMsg:
-		return m.end(msg)
+		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
-	case GoneMsg:
-		return m.gone(msg)
 	case TickMsg:
-		return append(m.poison.Tick(now), m.move(now)...)
+		return m.tick(now)
+	case GoneMsg:
+		return m.gone(now, msg)
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
 	return nil
 }
 
-func (m *Model) setUpstreams(msg UpstreamsMsg) {
+// tick lets time pass.
+func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
+	cmds = append(cmds, m.poison.Tick(now)...)
+	cmds = append(cmds, m.move(now)...)
+	return append(cmds, m.yield(now)...)
+}
+
+func (m *Model) setUpstreams(now time.Time, msg UpstreamsMsg) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, l := range msg.Upstreams {
 		listed[l.ID] = true
 		u, known := m.upstreams[l.ID]
 		if !known || u.listed.Address != l.Address {
-			u = &upstream{candidate: route.Candidate{ID: l.ID, Hash: route.HashID(l.ID)}}
+			u = &upstream{special: true, candidate: route.Candidate{ID: l.ID, Hash: route.HashID(l.ID)}}
 			m.upstreams[l.ID] = u
 		}
 		u.listed = l
 		u.candidate.Zone = l.Zone
 	}
-	maps.DeleteFunc(m.upstreams, func(id ident.UpstreamID, _ *upstream) bool { return !listed[id] })
+	for _, id := range m.order {
+		if !listed[id] {
+			m.slots.Forget(now, id)
+			delete(m.upstreams, id)
+		}
+	}
 	m.order = slices.Sorted(maps.Keys(m.upstreams))
 	m.pools = nil
+	m.listed = true
 }
 
 func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
@@ -171,6 +192,8 @@
 	if !u.seen || !slices.Equal(u.load.Loaded, msg.Load.Loaded) {
 		m.pools = nil
 	}
+	u.special = u.special || u.load.BootID != msg.Load.BootID
+	m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
 	u.load, u.seen, u.misses = msg.Load, true, 0
 	u.report(msg.Load)
 	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
@@ -257,6 +280,7 @@
 	r.attempt++
 	r.on = u.listed.ID
 	r.sent = now
+	m.acquire(now, r)
 	return m.sendCmd(r, u)
 }
 
@@ -268,8 +292,9 @@
 	}
 }
 
-// release takes the current attempt off its upstream.
-func (m *Model) release(r *request) {
+// release takes the current attempt off its upstream; ended is true where the upstream is known not to run it.
+func (m *Model) release(now time.Time, r *request, ended bool) {
+	m.slots.Release(now, r.ID, ended)
 	if u, known := m.upstreams[r.on]; known && u.candidate.Outstanding > 0 {
 		u.candidate.Outstanding--
 		u.settle(r)
@@ -277,12 +302,13 @@
 	r.on = ""
 }
 
-func (m *Model) end(msg EndMsg) []ident.Cmd {
+func (m *Model) end(now time.Time, msg EndMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
 		return nil
 	}
-	m.release(r)
+	m.slots.Succeeded(now, r.on)
+	m.release(now, r, true)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
 	return m.endTrial(r)
@@ -300,13 +326,13 @@
 	}
 }
 
-func (m *Model) gone(msg GoneMsg) []ident.Cmd {
+func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known {
 		return nil
 	}
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(r)
+	m.release(now, r, false)
 	delete(m.requests, r.ID)
 	return append(m.endTrial(r), cancel)
 }
--- a/core/sched/upstream.go
+++ b/core/sched/upstream.go
@@ -20,6 +20,9 @@
 	// candidate is the upstream as a policy sees it. Its Outstanding counts this entry's attempts in
 	// flight and its Backlog their prompt tokens without a first token; neither is ever negative.
 	candidate route.Candidate
+	// bears is how many requests it bears while cold; it counts only where a rule tells.
+	bears      int
+	bearsKnown bool
 	// special is true where the upstream may not be a candidate for every request; it may be
 	// true for longer than needed.
 	special bool
--- /dev/null
+++ b/io/entry/rolling_test.go
@@ -0,0 +1,166 @@
+package entry_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/io/bench"
+	"cicadavalve/io/caller"
+	"cicadavalve/io/config"
+	"cicadavalve/io/load"
+	"cicadavalve/io/stand"
+)
+
+// rollingPreset has short streams, and some that last for longer than callers keep the advice.
+func rollingPreset() load.Preset {
+	return load.Preset{
+		Name: "rolling",
+		Streams: []load.Stream{
+			{Model: "m", Class: ident.Interactive, Weight: 0.95, MaxTokens: 40, LeastBlocks: 1, MostBlocks: 2},
+			{Model: "m", Class: ident.Interactive, Weight: 0.05, MaxTokens: 1500, LeastBlocks: 1, MostBlocks: 2},
+		},
+		Orgs: []ident.OrgID{bench.Org}, Service: "booking", ReturnShare: 0.6, CallShare: 0.2,
+	}
+}
+
+// slowCallers lets callers keep the advice for long enough that many would use an address that stopped too early.
+func slowCallers(s *config.Settings) {
+	s.AdviceHold = config.Duration(time.Second)
+	s.ProbeInterval = config.Duration(time.Second)
+}
+
+// offer offers load while change runs, and checks that every answer was whole.
+func offer(ctx context.Context, t *testing.T, p load.Preset, entries []*bench.Entry, change func() error) {
+	t.Helper()
+	var seeds []string
+	for _, e := range entries {
+		seeds = append(seeds, e.Caller)
+	}
+	runner := load.NewRunner(p, map[ident.OrgID]string{bench.Org: bench.Token}, seeds,
+		load.WithSeed(5), load.WithRate(12), load.WithLength(8*time.Second))
+	changed := make(chan error, 1)
+	go func() { changed <- change() }()
+	report := runner.Run(ctx)
+	if err := <-changed; err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(report.Requests, report.Whole); diff != "" {
+		t.Errorf("whole answers (-want +got):\n%s\ncodes %v", diff, report.Codes)
+	}
+	t.Logf("%d requests, %d whole", report.Requests, report.Whole)
+}
+
+// TestRollingReplacementCutsNoRequest replaces each of three entries under load: a new one joins, then the old one stops.
+func TestRollingReplacementCutsNoRequest(t *testing.T) {
+	c, ctx := startCluster(t, 3, bench.WithSettings(slowCallers))
+	old := c.Entries()
+	waitAdvised(ctx, t, old...)
+	offer(ctx, t, rollingPreset(), old, func() error { return replaceAll(ctx, c, old) })
+}
+
+// TestStopDuringALogOutageCutsNoRequest stops an entry whose leave can't be recorded.
+func TestStopDuringALogOutageCutsNoRequest(t *testing.T) {
+	c, ctx := startCluster(t, 3, bench.WithSettings(slowCallers))
+	old := c.Entries()
+	waitAdvised(ctx, t, old...)
+	p := rollingPreset()
+	p.CallShare = 0
+	offer(ctx, t, p, old, func() error {
+		if err := bench.Fault(ctx, c.LogURL(), stand.LogFaults{Outage: true}); err != nil {
+			return err
+		}
+		return old[1].Stop()
+	})
+}
+
+func replaceAll(ctx context.Context, c *bench.Cluster, old []*bench.Entry) (err error) {
+	for i, e := range old {
+		fresh, err := c.AddNamedEntry(ident.EntryID(fmt.Sprintf("new-%d", i)), "dunedin")
+		if err != nil {
+			return err
+		}
+		if !bench.Wait(ctx, func() bool { return advises(ctx, fresh, fresh) }) {
+			return errors.New("the new entry did not join")
+		}
+		if err := e.Stop(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// advises reports whether an entry tells callers to use all the others.
+func advises(ctx context.Context, at *bench.Entry, wanted ...*bench.Entry) bool {
+	advice, err := bench.Advice(ctx, at)
+	if err != nil {
+		return false
+	}
+	return !slices.ContainsFunc(wanted, func(e *bench.Entry) bool { return !names(advice, e) })
+}
+
+func names(advice caller.Advice, e *bench.Entry) bool {
+	return slices.ContainsFunc(advice.Entries, func(a caller.Address) bool { return a.Address == e.Caller })
+}
+
+func waitAdvised(ctx context.Context, t *testing.T, entries ...*bench.Entry) {
+	t.Helper()
+	for _, e := range entries {
+		if !bench.Wait(ctx, func() bool { return advises(ctx, e, entries...) }) {
+			t.Fatalf("%s does not advise every entry", e.ID)
+		}
+	}
+}
+
+// TestLeavingEntryServesWhileAnyAdviceNamesIt uses a leaving entry for as long as another one's advice lets callers do so.
+func TestLeavingEntryServesWhileAnyAdviceNamesIt(t *testing.T) {
+	for name, outage := range map[string]bool{"log_up": false, "log_down": true} {
+		t.Run(name, func(t *testing.T) {
+			c, ctx := startCluster(t, 2, bench.WithSettings(slowCallers))
+			other, leaving := c.Entries()[0], c.Entries()[1]
+			waitAdvised(ctx, t, other, leaving)
+			if err := bench.Fault(ctx, c.LogURL(), stand.LogFaults{Outage: outage}); err != nil {
+				t.Fatal(err)
+			}
+			stopped := make(chan error, 1)
+			go func() { stopped <- leaving.Stop() }()
+			served := useWhileAdvised(ctx, t, other, leaving)
+			if err := <-stopped; err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(false, advises(ctx, other, leaving)); diff != "" {
+				t.Errorf("advice names an entry that stopped (-want +got):\n%s", diff)
+			}
+			t.Logf("%d requests served", served)
+		})
+	}
+}
+
+// callSlack is for a call to reach the entry before the advice ends.
+const callSlack = 300 * time.Millisecond
+
+func useWhileAdvised(ctx context.Context, t *testing.T, other, leaving *bench.Entry) (served int) {
+	t.Helper()
+	defer http.DefaultClient.CloseIdleConnections()
+	until := time.Now()
+	for ok := true; ok; ok = time.Now().Before(until.Add(-callSlack)) {
+		asked := time.Now()
+		if advice, err := bench.Advice(ctx, other); err == nil && names(advice, leaving) {
+			until = asked.Add(time.Duration(advice.HoldMs) * time.Millisecond)
+		}
+		http.DefaultClient.CloseIdleConnections()
+		a, err := bench.Call(ctx, leaving, bench.Token, "/v1/completions", "", completionBody("x", 1))
+		if err != nil || a.Status != http.StatusOK {
+			t.Fatalf("after %d requests: status %d, %v", served, a.Status, err)
+		}
+		served++
+	}
+	return served
+}
