Never run an inspection that its caller gave up

Cause: the race detector met TestOrganisationsShareNoResult in one run of two: inspect returned when its context ended, and the loop ran the function later, writing variables that the caller read. The caller and the loop now settle by one compare-and-swap which of them has the function. TestAbandonedInspectionNeverRuns failed before (ran: true) and passes. Conclusion: every use of inspect is mended by the one change.

--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -29,10 +30,19 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
+// Where the context ends first, the function never runs, so that it can't write to
+// variables that its caller has gone on to read.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
 	ran := make(chan struct{})
+	var claimed atomic.Bool
+	once := func() {
+		if claimed.CompareAndSwap(false, true) {
+			look()
+			close(ran)
+		}
+	}
 	select {
-	case d.inbox <- work{look: func() { look(); close(ran) }}:
+	case d.inbox <- work{look: once}:
 	case <-ctx.Done():
 		return false
 	}
@@ -40,8 +50,12 @@
 	case <-ran:
 		return true
 	case <-ctx.Done():
+	}
+	if claimed.CompareAndSwap(false, true) {
 		return false
 	}
+	<-ran
+	return true
 }
 
 // loop owns the deciders: every message passes through it in order.
