Say not_run only where no member may have sent the key

A call answered with its result was answered not_run when its caller asked another entry 200 ms later in a log outage: the other entry's fold lacked the start. The refusal was true of that request and false of the booking.

An entry that can't order a start now asks the members up to where they have folded the once-only calls, one question for all calls that came before it. An entry sends only what it has folded, so that not_run is known where no member is ahead, each has answered and none knows of another member. Otherwise the refusal has not_run false and the code of its cause, and the caller asks again with the key. Ruled out: a read of the log (it is what failed), sending later (a lag has no bound), and not_run of the single request alone, on which a caller would book elsewhere.

Settings once_send_limit, once_abandon_age and once_window bound the calls.

--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -24,7 +24,7 @@
 		record.TypeOf[ledger.ProposeMsg](), record.TypeOf[ledger.AppendFailedMsg](), record.TypeOf[ledger.VerdictCmd](),
 		record.TypeOf[roster.ChangedCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
-		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
+		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.PositionsMsg](), record.TypeOf[once.AskCmd](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
 		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -23,6 +23,8 @@
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
+	// OnceLimits bound once-only calls.
+	OnceLimits once.Limits `json:"once_limits"`
 }
 
 // Node is the set of deciders of one entry.
@@ -44,7 +46,7 @@
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
 		roster: roster.NewRoster(),
-		once:   once.NewModel(s.Entry, s.Incarnation),
+		once:   once.NewModel(s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits)),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
 		),
@@ -86,7 +88,7 @@
 	case sched.TickMsg:
 		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
 		return append(cmds, n.sched.Update(now, msg)...)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
+	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg, once.PositionsMsg:
 		return n.once.Update(now, msg)
 	}
 	return n.sched.Update(now, msg)
--- a/core/once/attempt.go
+++ b/core/once/attempt.go
@@ -22,6 +22,8 @@
 	body    Body
 	request ident.RequestID
 	state   chart.State
+	// reason is why it was given up.
+	reason Reason
 	// asked is when the start was handed to the log at the earliest.
 	asked time.Time
 }
@@ -65,27 +67,40 @@
 		body := a.body
 		body.Result = c.result.kept()
 		return m.appendEnd(now, KindDone, body)
+	case "ask":
+		a.reason = c.reason
+		return m.ask(now, a)
+	case "answer_doubt":
+		answer = m.answerHeld(a, AnswerDoubt, c)
 	case "answer_not_run":
-		answer.Answer, answer.Reason, answer.RetryAfter = AnswerNotRun, c.reason, c.retryAfter
+		answer = m.answerHeld(a, AnswerNotRun, c)
 	case "answer_unknown":
 		answer.Answer = AnswerUnknown
 	case "answer_result":
 		answer.Answer, answer.Result = AnswerResult, c.result
 	case "answer_key":
-		answer = m.answerLost(a)
+		answer = m.answerKey(a)
 	}
 	return []ident.Cmd{answer}
 }
 
-// answerLost answers an attempt whose start took no key.
-func (m *Model) answerLost(a *attempt) AnswerCmd {
-	if k, held := m.keys.held[a.body.Key]; held {
+// answerHeld gives an answer unless the fold holds another attempt with the key or may have forgotten one.
+func (m *Model) answerHeld(a *attempt, answer Answer, c cause) AnswerCmd {
+	if k, held := m.keys.held[a.body.Key]; held && k.attempt != a.body.Attempt {
 		return k.answer(a.request, a.body.Digest)
 	}
 	if m.keys.expired(a.body.Key) {
 		return AnswerCmd{Request: a.request, Answer: AnswerExpired}
 	}
-	return AnswerCmd{Request: a.request, Answer: AnswerNotRun, Reason: ReasonLate, RetryAfter: logRetryAfter}
+	return AnswerCmd{Request: a.request, Answer: answer, Reason: c.reason, RetryAfter: c.retryAfter}
+}
+
+// answerKey answers an attempt whose start took no key, or whose key was ended before it was sent.
+func (m *Model) answerKey(a *attempt) AnswerCmd {
+	if k, held := m.keys.held[a.body.Key]; held {
+		return k.answer(a.request, a.body.Digest)
+	}
+	return m.answerHeld(a, AnswerDoubt, cause{reason: ReasonLate, retryAfter: logRetryAfter})
 }
 
 // kept is the part of a result that the log keeps.
--- a/core/once/messages.go
+++ b/core/once/messages.go
@@ -89,6 +89,20 @@
 	Up bool `json:"up"`
 }
 
+// AskCmd asks the other members which records they have folded.
+type AskCmd struct {
+	Round int64 `json:"round"`
+}
+
+// PositionsMsg answers an [AskCmd].
+type PositionsMsg struct {
+	Round int64 `json:"round"`
+	// All is true where each member of the roster answered, knows its keys and knows of no other member.
+	All bool `json:"all"`
+	// Next is the highest offset that any of them wants to fold next.
+	Next int64 `json:"next"`
+}
+
 // TickMsg lets time-outs be noticed; it comes at a steady interval.
 type TickMsg struct{}
 
@@ -118,18 +132,20 @@
 	AnswerInProgress Answer = "in_progress"
 	// AnswerUnknown means that the call may have run; it will not be run again.
 	AnswerUnknown Answer = "outcome_unknown"
-	// AnswerNotRun means that this attempt was not sent and never will be.
+	// AnswerNotRun means that this attempt was not sent and never will be, and that no earlier one was.
 	AnswerNotRun Answer = "not_run"
+	// AnswerDoubt means that this attempt was not sent and never will be, and that an earlier one may have been.
+	AnswerDoubt Answer = "not_known"
 	// AnswerMismatch means that the key was used before with another body.
 	AnswerMismatch Answer = "key_reused"
 	// AnswerExpired means that the key is older than the window; it is not run.
 	AnswerExpired Answer = "key_expired"
 )
 
-// Reason is why a call was not run.
+// Reason is why a call was not sent.
 type Reason string
 
-// The reasons of [AnswerNotRun] that the model itself finds.
+// The reasons that the model itself finds.
 const (
 	// ReasonLog means that the log does not take records.
 	ReasonLog Reason = "log_unavailable"
@@ -148,7 +164,7 @@
 	Request ident.RequestID `json:"request"`
 	Answer  Answer          `json:"answer"`
 	Result  *Result         `json:"result,omitempty"`
-	// Reason is set for AnswerNotRun alone.
+	// Reason is set for AnswerNotRun and AnswerDoubt alone.
 	Reason Reason `json:"reason,omitempty"`
 	// RetryAfter is when to ask again with the same key; 0 where asking again changes nothing.
 	RetryAfter time.Duration `json:"retry_after"`
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -35,6 +35,8 @@
 	attempts map[string]*attempt
 	// asked lists attempts in the order of arrival; ended ones are dropped at ticks.
 	asked []*attempt
+	// asks holds the attempts that wait for the other members.
+	asks asks
 	// ends holds the ends not folded yet by record id, endOrder in the order of their appends.
 	ends     map[string]*end
 	endOrder []string
@@ -78,6 +80,8 @@
 		return m.done(now, msg)
 	case AppendFailedMsg:
 		return m.appendFailed(now, msg)
+	case PositionsMsg:
+		return m.positions(now, msg)
 	case LogMsg:
 		return m.logState(now, msg)
 	case TickMsg:
@@ -95,15 +99,13 @@
 	if m.keys.expired(msg.Key) {
 		return []ident.Cmd{AnswerCmd{Request: msg.Request, Answer: AnswerExpired}}
 	}
-	if reason := m.refusal(now); reason != "" {
-		return []ident.Cmd{AnswerCmd{
-			Request: msg.Request, Answer: AnswerNotRun, Reason: reason, RetryAfter: logRetryAfter,
-		}}
-	}
 	body := Body{Key: msg.Key, Digest: msg.Digest, Attempt: msg.Attempt, Entry: m.entry, Incarnation: m.incarnation}
 	a := &attempt{body: body, request: msg.Request, state: attemptChart.Initial(), asked: now}
 	m.attempts[msg.Attempt] = a
 	m.asked = append(m.asked, a)
+	if reason := m.refusal(now); reason != "" {
+		return m.step(now, a, cause{event: "refuse", reason: reason})
+	}
 	return []ident.Cmd{AppendCmd{m.record(KindStart, body)}}
 }
 
@@ -169,6 +171,7 @@
 func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
 	cmds = m.giveUp(now, m.sendLimit, ReasonLate)
 	m.asked = compact(m.asked, func(a *attempt) bool { return a.state != stateEnded })
+	cmds = append(cmds, m.expireRound(now)...)
 	cmds = append(cmds, m.resend(now)...)
 	return append(cmds, m.abandonAll(now)...)
 }
--- a/core/once/options.go
+++ b/core/once/options.go
@@ -1,6 +1,9 @@
 package once
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Option sets one property of a [Model].
 type Option func(*Model)
@@ -19,6 +22,25 @@
 // WithSnapshotEvery sets how many records lie between two snapshots.
 func WithSnapshotEvery(records int64) Option { return func(m *Model) { m.snapshotEvery = records } }
 
+// Limits are the bounds of once-only calls that an operator may set; 0 takes the default.
+type Limits struct {
+	// SendLimit is for [WithSendLimit].
+	SendLimit time.Duration `json:"send_limit"`
+	// AbandonAge is for [WithAbandonAge].
+	AbandonAge time.Duration `json:"abandon_age"`
+	// Window is for [WithWindow].
+	Window int64 `json:"window"`
+}
+
+// WithLimits sets the bounds that are not 0.
+func WithLimits(l Limits) Option {
+	return func(m *Model) {
+		m.sendLimit = cmp.Or(l.SendLimit, m.sendLimit)
+		m.abandonAge = cmp.Or(l.AbandonAge, m.abandonAge)
+		m.window = cmp.Or(l.Window, m.window)
+	}
+}
+
 const (
 	defaultSendLimit     = 5 * time.Second
 	defaultAbandonAge    = 40 * time.Second
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -79,6 +79,11 @@
 	// JournalBytes bounds the journal in memory, JournalRate what goes to the log, in bytes a second.
 	JournalBytes int   `yaml:"journal_bytes"`
 	JournalRate  int64 `yaml:"journal_rate"`
+	// OnceSendLimit, OnceAbandonAge and OnceWindow bound once-only calls; they must be the same on all
+	// entries, and 0 takes the default. The age must exceed the limit by the longest call.
+	OnceSendLimit  Duration `yaml:"once_send_limit"`
+	OnceAbandonAge Duration `yaml:"once_abandon_age"`
+	OnceWindow     int64    `yaml:"once_window"`
 	// JournalInterval is the time between two journal records in the log.
 	JournalInterval Duration `yaml:"journal_interval"`
 	// LogTimeout bounds one append or read of the log.
@@ -155,6 +160,9 @@
 	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
 	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
+	fault(s.OnceSendLimit < 0, "once_send_limit: expected a duration of at least 0")
+	fault(s.OnceAbandonAge < 0, "once_abandon_age: expected a duration of at least 0")
+	fault(s.OnceWindow < 0, "once_window: expected a number of at least 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
 	fault(!areAddresses(s.Peers), "peers: expected a list of host:port")
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -130,7 +130,7 @@
 	}
 	refused := onceRefusals[cmd.Answer]
 	refused.RetryAfter = cmd.RetryAfter
-	if cmd.Answer == once.AnswerNotRun {
+	if cmd.Answer == once.AnswerNotRun || cmd.Answer == once.AnswerDoubt {
 		refused.Code = sched.Code(cmd.Reason)
 		refused.Status = notRunStatuses[cmd.Reason]
 	}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -63,6 +63,7 @@
 	sessions *sessions
 	appender *appender
 	stater   *stater
+	asker    *asker
 	prober   *prober
 	// canceller ends lost attempts on their engines.
 	canceller *canceller
@@ -99,6 +100,7 @@
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
+			OnceLimits: onceLimits(settings),
 		}),
 	}
 	for _, o := range options {
@@ -108,6 +110,7 @@
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
 	d.stater = newStater(d)
+	d.asker = newAsker(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
@@ -221,6 +224,7 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
+	group.Go(func() error { return d.asker.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -94,6 +94,8 @@
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
 		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+	case once.AskCmd:
+		d.asker.ask(cmd)
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
--- /dev/null
+++ b/io/entry/onceask.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/once"
+	"cicadavalve/core/roster"
+	"cicadavalve/io/peer"
+)
+
+// positionTimeout bounds the wait for one member.
+const positionTimeout = 300 * time.Millisecond
+
+// asker asks the other members how far they have folded the once-only calls.
+type asker struct {
+	d *Daemon
+	// rounds takes one question: the decider asks the next one only after the answers to the last.
+	rounds chan once.AskCmd
+}
+
+func newAsker(d *Daemon) *asker { return &asker{d: d, rounds: make(chan once.AskCmd, 1)} }
+
+// ask never waits; a question that finds no place is answered by the decider's own time limit.
+func (a *asker) ask(cmd once.AskCmd) {
+	select {
+	case a.rounds <- cmd:
+	default:
+	}
+}
+
+func (a *asker) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case cmd := <-a.rounds:
+			a.d.post(ctx, a.collect(ctx, cmd))
+		}
+	}
+}
+
+func (a *asker) collect(ctx context.Context, cmd once.AskCmd) (msg once.PositionsMsg) {
+	msg = once.PositionsMsg{Round: cmd.Round}
+	others, epoch, joined := a.members(ctx)
+	answers := make(chan *peer.Position, len(others))
+	for _, m := range others {
+		go (&positionQuestion{a, m.PeerAddress, answers}).run(ctx)
+	}
+	msg.All = joined
+	for range others {
+		p := <-answers
+		if p == nil || !p.Known || p.Epoch > epoch {
+			msg.All = false
+			continue
+		}
+		msg.Next = max(msg.Next, p.Next)
+	}
+	return msg
+}
+
+// members are the other entries of the roster; joined is false while the roster lacks this entry.
+func (a *asker) members(ctx context.Context) (others []roster.Member, epoch int64, joined bool) {
+	a.d.inspect(ctx, func() {
+		epoch = a.d.node.Roster().Epoch()
+		for _, m := range a.d.node.Roster().Members() {
+			if m.Entry == ident.EntryID(a.d.settings.Entry) {
+				joined = true
+				continue
+			}
+			others = append(others, m)
+		}
+	})
+	return others, epoch, joined
+}
+
+// positionQuestion asks one member.
+type positionQuestion struct {
+	a       *asker
+	address string
+	answers chan<- *peer.Position
+}
+
+func (q *positionQuestion) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, positionTimeout)
+	defer cancel()
+	p, err := peer.NewClient(q.a.d.stater.client, q.address).OncePosition(ctx)
+	if err != nil {
+		q.a.d.log.Warn("once_position_failed", "address", q.address, "error", err)
+		q.answers <- nil
+		return
+	}
+	q.answers <- &p
+}
+
+// OncePosition implements [peer.Backend].
+func (d *Daemon) OncePosition(ctx context.Context) (p peer.Position, err error) {
+	ran := d.inspect(ctx, func() {
+		p = peer.Position{Next: d.node.Once().Next(), Known: d.node.Once().Known(), Epoch: d.node.Roster().Epoch()}
+	})
+	if !ran {
+		return p, errors.Wrap(ctx.Err(), "once position")
+	}
+	return p, nil
+}
--- a/io/entry/oncelog.go
+++ b/io/entry/oncelog.go
@@ -3,11 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/once"
+	"cicadavalve/io/config"
 )
 
+func onceLimits(s config.Settings) once.Limits {
+	return once.Limits{
+		SendLimit: time.Duration(s.OnceSendLimit), AbandonAge: time.Duration(s.OnceAbandonAge), Window: s.OnceWindow,
+	}
+}
+
 func (d *Daemon) appendEvents() appendEvents {
 	return appendEvents{failed: d.appendFailed, state: d.logState}
 }
--- a/io/entry/oncerefusal.go
+++ b/io/entry/oncerefusal.go
@@ -21,7 +21,10 @@
 // that prove it say that the request has not run.
 var onceRefusals = map[once.Answer]caller.Refusal{
 	once.AnswerNotRun: {
-		Message: "the call was not sent to any upstream; ask again with the same key", NotRun: true,
+		Message: "no call with this key was sent to any upstream; ask again with the same key", NotRun: true,
+	},
+	once.AnswerDoubt: {
+		Message: "this request was not sent, but an earlier one with the key may have run; ask again with the same key",
 	},
 	once.AnswerInProgress: {
 		Status: http.StatusConflict, Code: codeInProgress,
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -20,6 +20,7 @@
 	address  string
 	operator peerpbconnect.OperatorClient
 	peer     peerpbconnect.PeerClient
+	once     peerpbconnect.OnceClient
 }
 
 // NewClient is a client of the entry at a peer address, host and port.
@@ -27,6 +28,7 @@
 	url := "http://" + address
 	return &Client{
 		address: address, operator: peerpbconnect.NewOperatorClient(client, url), peer: peerpbconnect.NewPeerClient(client, url),
+		once: peerpbconnect.NewOnceClient(client, url),
 	}
 }
 
--- /dev/null
+++ b/io/peer/once.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/io/peer/peerpb"
+	"cicadavalve/io/peer/peerpb/peerpbconnect"
+)
+
+// Position tells up to where an entry has folded the once-only calls.
+type Position struct {
+	// Next is the offset of the first record not folded; an entry sends only calls that it has folded.
+	Next int64
+	// Known is false while the entry doesn't know which keys are taken.
+	Known bool
+	// Epoch numbers the set of members that the entry has folded.
+	Epoch int64
+}
+
+// onceHandler serves other entries; embedding answers calls that are not implemented.
+type onceHandler struct {
+	peerpbconnect.UnimplementedOnceHandler
+	backend Backend
+}
+
+// Position implements the Once service.
+func (h *onceHandler) Position(
+	ctx context.Context, _ *connect.Request[peerpb.PositionRequest],
+) (resp *connect.Response[peerpb.PositionResponse], err error) {
+	p, err := h.backend.OncePosition(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(peerpb.PositionResponse_builder{Next: p.Next, Known: p.Known, Epoch: p.Epoch}.Build()), nil
+}
+
+// OncePosition asks the entry how far it has folded the once-only calls.
+func (c *Client) OncePosition(ctx context.Context) (p Position, err error) {
+	defer func() { err = errors.Wrapf(err, "once position of %s", c.address) }()
+	resp, err := c.once.Position(ctx, connect.NewRequest(&peerpb.PositionRequest{}))
+	if err != nil {
+		return p, err
+	}
+	return Position{resp.Msg.GetNext(), resp.Msg.GetKnown(), resp.Msg.GetEpoch()}, nil
+}
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -25,6 +25,8 @@
 	OperatorName = "cicadavalve.peer.Operator"
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "cicadavalve.peer.Peer"
+	// OnceName is the fully-qualified name of the Once service.
+	OnceName = "cicadavalve.peer.Once"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -43,6 +45,8 @@
 	OperatorShowProcedure = "/cicadavalve.peer.Operator/Show"
 	// PeerStateProcedure is the fully-qualified name of the Peer's State RPC.
 	PeerStateProcedure = "/cicadavalve.peer.Peer/State"
+	// OncePositionProcedure is the fully-qualified name of the Once's Position RPC.
+	OncePositionProcedure = "/cicadavalve.peer.Once/Position"
 )
 
 // OperatorClient is a client for the cicadavalve.peer.Operator service.
@@ -244,3 +248,75 @@
 func (UnimplementedPeerHandler) State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.State is not implemented"))
 }
+
+// OnceClient is a client for the cicadavalve.peer.Once service.
+type OnceClient interface {
+	// Position tells up to where the entry has folded the once-only calls.
+	Position(context.Context, *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error)
+}
+
+// NewOnceClient constructs a client for the cicadavalve.peer.Once service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewOnceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) OnceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	onceMethods := peerpb.File_peer_proto.Services().ByName("Once").Methods()
+	return &onceClient{
+		position: connect.NewClient[peerpb.PositionRequest, peerpb.PositionResponse](
+			httpClient,
+			baseURL+OncePositionProcedure,
+			connect.WithSchema(onceMethods.ByName("Position")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// onceClient implements OnceClient.
+type onceClient struct {
+	position *connect.Client[peerpb.PositionRequest, peerpb.PositionResponse]
+}
+
+// Position calls cicadavalve.peer.Once.Position.
+func (c *onceClient) Position(ctx context.Context, req *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error) {
+	return c.position.CallUnary(ctx, req)
+}
+
+// OnceHandler is an implementation of the cicadavalve.peer.Once service.
+type OnceHandler interface {
+	// Position tells up to where the entry has folded the once-only calls.
+	Position(context.Context, *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error)
+}
+
+// NewOnceHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewOnceHandler(svc OnceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	onceMethods := peerpb.File_peer_proto.Services().ByName("Once").Methods()
+	oncePositionHandler := connect.NewUnaryHandler(
+		OncePositionProcedure,
+		svc.Position,
+		connect.WithSchema(onceMethods.ByName("Position")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/cicadavalve.peer.Once/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case OncePositionProcedure:
+			oncePositionHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedOnceHandler returns CodeUnimplemented from all methods.
+type UnimplementedOnceHandler struct{}
+
+func (UnimplementedOnceHandler) Position(context.Context, *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Once.Position is not implemented"))
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -40,6 +40,8 @@
 	Show(ctx context.Context, subject, argument string) (document any, err error)
 	// ConfigState is the state of the configuration's fold; current is false on an entry that must not pass it on.
 	ConfigState(ctx context.Context) (s ledger.State, current bool)
+	// OncePosition tells up to where the entry has folded the once-only calls.
+	OncePosition(ctx context.Context) (Position, error)
 }
 
 // ErrUnknownSubject says that an entry can't show what was asked.
@@ -56,6 +58,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}))
 	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}))
+	mux.Handle(peerpbconnect.NewOnceHandler(&onceHandler{backend: backend}))
 	return mux
 }
 
