Call no booking not run before the first configuration

It answers not_ready, with not_run true only where the call has no key. An entry whose own incarnation the roster lacks no longer counts the members as complete.

append_batch bounds the records of an append.

--- a/io/config/config.go
+++ b/io/config/config.go
@@ -79,6 +79,8 @@
 	// JournalBytes bounds the journal in memory, JournalRate what goes to the log, in bytes a second.
 	JournalBytes int   `yaml:"journal_bytes"`
 	JournalRate  int64 `yaml:"journal_rate"`
+	// AppendBatch bounds the records of one append to the log.
+	AppendBatch int `yaml:"append_batch"`
 	// OnceSendLimit, OnceAbandonAge and OnceWindow bound once-only calls; they must be the same on all
 	// entries, and 0 takes the default. The age must exceed the limit by the longest call.
 	OnceSendLimit  Duration `yaml:"once_send_limit"`
@@ -112,6 +114,7 @@
 
 		JournalBytes:     16 << 20,
 		JournalRate:      16 << 10,
+		AppendBatch:      256,
 		JournalInterval:  Duration(5 * time.Second),
 		SnapshotRecords:  64,
 		SnapshotInterval: Duration(10 * time.Minute),
@@ -160,6 +163,7 @@
 	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
 	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
+	fault(s.AppendBatch <= 0, "append_batch: expected a number above 0")
 	fault(s.OnceSendLimit < 0, "once_send_limit: expected a duration of at least 0")
 	fault(s.OnceAbandonAge < 0, "once_abandon_age: expected a duration of at least 0")
 	fault(s.OnceWindow < 0, "once_window: expected a number of at least 0")
--- a/io/entry/appender.go
+++ b/io/entry/appender.go
@@ -15,7 +15,6 @@
 const (
 	appendQueue    = 4096
 	appendBackoff  = 50 * time.Millisecond
-	mostBatch      = 256
 	mostBatchBytes = 1 << 20
 	// downAfter is how many failed tries in a row say that the log takes no appends.
 	downAfter = 3
@@ -41,7 +40,9 @@
 	state func(ctx context.Context, stream ledger.Stream, up bool)
 }
 
-func newAppender(service logsvc.Service, deadline time.Duration, events appendEvents, log *slog.Logger) *appender {
+func newAppender(
+	service logsvc.Service, deadline time.Duration, mostBatch int, events appendEvents, log *slog.Logger,
+) *appender {
 	a := &appender{lanes: map[ledger.Stream]*lane{}}
 	for _, stream := range []ledger.Stream{
 		ledger.StreamConfig, ledger.StreamVerdict, ledger.StreamRoster, once.StreamOnce,
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -35,6 +35,9 @@
 // Call implements [caller.Backend].
 func (d *Daemon) Call(ctx context.Context, req caller.Call) (reply engine.Reply, err error) {
 	runsOnce, known := d.service(ctx, req.Service)
+	if !known && !d.hasRules(ctx) {
+		return reply, notReady(req)
+	}
 	if !known {
 		return reply, &caller.Refusal{Code: sched.CodeUnknownService, Message: "no rule names this service", NotRun: true}
 	}
@@ -53,6 +56,18 @@
 	return c.runOnce(ctx)
 }
 
+func (d *Daemon) hasRules(ctx context.Context) (has bool) {
+	d.inspect(ctx, func() { has = d.node.Sched().RulesVersion() > 0 })
+	return has
+}
+
+// notReady refuses a call before the first configuration; another entry may have run one with its key.
+func notReady(req caller.Call) *caller.Refusal {
+	return &caller.Refusal{
+		Code: sched.CodeNotReady, Message: "no configuration is in force yet", NotRun: req.Key == "", RetryAfter: retryAfter,
+	}
+}
+
 func (d *Daemon) service(ctx context.Context, name ident.ServiceName) (runsOnce, known bool) {
 	d.inspect(ctx, func() { runsOnce, known = d.node.Sched().Service(name) })
 	return runsOnce, known
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -108,7 +108,7 @@
 	}
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
-	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
+	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
 	d.stater = newStater(d)
 	d.asker = newAsker(d)
 	d.canceller = newCanceller(d.engines)
--- /dev/null
+++ b/io/entry/once_bench_test.go
@@ -0,0 +1,92 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cicadavalve/io/bench"
+	"cicadavalve/io/config"
+	"cicadavalve/io/stand"
+)
+
+// BenchmarkBookings offers calls from 256 callers to one entry before a log of 300
+// appends a second, with one record an append and with batches.
+func BenchmarkBookings(b *testing.B) {
+	for _, most := range []int{1, 256} {
+		b.Run(fmt.Sprintf("batch=%d", most), func(b *testing.B) { bookings(b, most) })
+	}
+}
+
+const (
+	bookingCallers = 256
+	bookingTime    = 6 * time.Second
+)
+
+func bookings(b *testing.B, most int) {
+	c, err := bench.Start(bench.WithRules(testRules), bench.WithLog(stand.LogSettings{AppendsPerSecond: 300, Seed: 1}),
+		bench.WithSettings(func(s *config.Settings) { s.AppendBatch = most }))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.AddApp("dunedin", "booking"); err != nil {
+		b.Fatal(err)
+	}
+	e, err := c.AddEntry("dunedin")
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+	defer cancel()
+	ready := bench.Wait(ctx, func() bool {
+		a, err := bench.Call(ctx, e, bench.Token, "/v1/call/booking/x", fmt.Sprintf("ready-%d", time.Now().UnixNano()), "{}")
+		return err == nil && a.Status == http.StatusOK
+	})
+	if !ready {
+		b.Fatal("the entry did not come to serve")
+	}
+	before := logStats(b, c)
+	booked, refused := offerBookings(ctx, e)
+	appends := float64(logStats(b, c).Appends - before.Appends)
+	b.ReportMetric(float64(booked)/bookingTime.Seconds(), "bookings/s")
+	b.ReportMetric(appends/float64(max(booked, 1)), "appends/booking")
+	b.ReportMetric(float64(refused)/bookingTime.Seconds(), "refusals/s")
+}
+
+// offerBookings counts the calls that got a result and those that were refused.
+func offerBookings(ctx context.Context, e *bench.Entry) (booked, refused int64) {
+	var all, whole atomic.Int64
+	var callers sync.WaitGroup
+	end := time.Now().Add(bookingTime)
+	for n := range bookingCallers {
+		callers.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				a, err := bench.Call(ctx, e, bench.Token, "/v1/call/booking/x", fmt.Sprintf("key-%d-%d", n, i), "{}")
+				all.Add(1)
+				if err == nil && a.Status == http.StatusOK {
+					whole.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	return whole.Load(), all.Load() - whole.Load()
+}
+
+func logStats(b *testing.B, c *bench.Cluster) (s stand.LogStats) {
+	resp, err := http.Get(c.LogURL() + "/stats")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
--- a/io/entry/once_history_test.go
+++ b/io/entry/once_history_test.go
@@ -133,7 +133,7 @@
 		bench.WithLog(stand.LogSettings{AppendsPerSecond: 300, Seed: seed}),
 		bench.WithSettings(func(s *config.Settings) {
 			s.OnceSendLimit = config.Duration(time.Second)
-			s.OnceAbandonAge = config.Duration(3 * time.Second)
+			s.OnceAbandonAge = config.Duration(2 * time.Second)
 		}))
 	return &campaign{
 		t: t, c: c, ctx: ctx, faults: f, start: time.Now(), entries: c.Entries(), stopped: make(chan struct{}),
@@ -174,16 +174,21 @@
 	for i := range next {
 		key := fmt.Sprintf("key-%d", i)
 		for range campaignTries {
-			if p.try(rng, key) {
+			ended := p.try(rng, key)
+			if ended == endedResult || ended == endedUnknown {
 				break
 			}
-			time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+			most := 200
+			if ended == endedInProgress {
+				most = 1200
+			}
+			time.Sleep(time.Duration(rng.IntN(most)) * time.Millisecond)
 		}
 	}
 }
 
-// try asks one entry and reports whether the answer is final.
-func (p *campaign) try(rng *rand.Rand, key string) (final bool) {
+// try asks one entry.
+func (p *campaign) try(rng *rand.Rand, key string) ending {
 	p.mu.Lock()
 	e := p.entries[rng.IntN(len(p.entries))]
 	p.mu.Unlock()
@@ -196,7 +201,7 @@
 		out = readTry(key, a)
 	}
 	p.add(out, called)
-	return out.ended == endedResult || out.ended == endedUnknown
+	return out.ended
 }
 
 func readTry(key string, a bench.Answer) try {
--- a/io/entry/once_test.go
+++ b/io/entry/once_test.go
@@ -5,6 +5,9 @@
 	"os"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/io/bench"
 	"cicadavalve/io/stand"
 )
 
@@ -47,3 +50,23 @@
 		}
 	}
 }
+
+func TestCallBeforeTheFirstConfigurationMayHaveRunElsewhere(t *testing.T) {
+	c, err := bench.Start()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	e, err := c.AddEntry("dunedin")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := bench.Call(t.Context(), e, bench.Token, "/v1/call/booking/x", "key", "{}")
+	if err != nil {
+		t.Fatal(err)
+	}
+	code, notRun := a.Refused()
+	if diff := cmp.Diff([]any{"not_ready", false}, []any{code, notRun}); diff != "" {
+		t.Errorf("code and not_run (-want +got):\n%s", diff)
+	}
+}
--- a/io/entry/onceask.go
+++ b/io/entry/onceask.go
@@ -62,13 +62,13 @@
 	return msg
 }
 
-// members are the other entries of the roster; joined is false while the roster lacks this entry.
+// members are the other entries of the roster; joined is false while the roster lacks this incarnation.
 func (a *asker) members(ctx context.Context) (others []roster.Member, epoch int64, joined bool) {
 	a.d.inspect(ctx, func() {
 		epoch = a.d.node.Roster().Epoch()
 		for _, m := range a.d.node.Roster().Members() {
 			if m.Entry == ident.EntryID(a.d.settings.Entry) {
-				joined = true
+				joined = m.Incarnation == a.d.incarnation
 				continue
 			}
 			others = append(others, m)
