--- a/io/entry/appender.go
+++ b/io/entry/appender.go
@@ -55,14 +55,6 @@
 	return a
 }
 
-// add queues a record and waits while the queue is full; the loop uses offer instead.
-func (a *appender) add(ctx context.Context, stream ledger.Stream, rec ledger.Record) {
-	select {
-	case a.lanes[stream].queue <- pending{stream, rec}:
-	case <-ctx.Done():
-	}
-}
-
 // offer queues a record, or reports at once that the queue is full. It never waits, so
 // that the loop can't wait for the appender while the appender waits for the loop.
 func (a *appender) offer(stream ledger.Stream, rec ledger.Record) (queued bool) {
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -6,6 +6,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
@@ -93,9 +94,16 @@
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
-		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
 	case once.AskCmd:
 		d.asker.ask(cmd)
+	case roster.AppendCmd:
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamRoster, Record: cmd.Record})
+	case roster.PingCmd, limit.AskCmd:
+		d.peers.add(cmd)
+	case roster.SupersededCmd:
+		d.log.Error("entry_superseded", "by", cmd.By)
+		d.supersededOnce.Do(func() { close(d.superseded) })
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
--- /dev/null
+++ b/io/entry/secure.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"net/http"
+
+	"cicadavalve/io/peer"
+)
+
+// WithKeys secures the peer protocol with mutual TLS; without it the protocol is plain text.
+func WithKeys(keys *peer.Keys) Option {
+	return func(d *Daemon) { d.keys = keys }
+}
+
+// peerClient is the client for the peer ports of other entries.
+func (d *Daemon) peerClient() *http.Client {
+	if d.keys == nil {
+		return &http.Client{Transport: d.control}
+	}
+	return &http.Client{Transport: peer.NewTLSTransport(d.keys, d.control.DialContext)}
+}
+
+func (d *Daemon) secure(s *server) {
+	if d.keys != nil {
+		s.http.TLSConfig = d.keys.ServerConfig()
+	}
+}
--- a/io/logsvc/follow.go
+++ b/io/logsvc/follow.go
@@ -32,6 +32,8 @@
 	log     *slog.Logger
 	// next is the offset to read from; the fold alone sets it, so that no record is skipped.
 	next int64
+	// wait is 0 for the first read, so that a start does not wait for a record to come.
+	wait time.Duration
 	// gaps counts the reads that met records missing.
 	gaps int64
 }
@@ -79,7 +81,10 @@
 func (f *Follower) read(ctx context.Context) (batch ledger.BatchMsg, err error) {
 	ctx, cancel := context.WithTimeout(ctx, followWait+f.timeout)
 	defer cancel()
-	return f.service.Read(ctx, f.stream, f.next, followWait)
+	asked := time.Now()
+	batch, err = f.service.Read(ctx, f.stream, f.next, f.wait)
+	f.wait, batch.Asked = followWait, asked
+	return batch, err
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -10,7 +10,6 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
-	"cicadavalve/core/roster"
 	"cicadavalve/io/peer/peerpb"
 	"cicadavalve/io/peer/peerpb/peerpbconnect"
 )
@@ -23,12 +22,18 @@
 	once     peerpbconnect.OnceClient
 }
 
-// NewClient is a client of the entry at a peer address, host and port.
+// NewClient is a client of the entry at a peer address, host and port. It uses TLS where the
+// transport of client is a [TLSTransport].
 func NewClient(client *http.Client, address string) *Client {
 	url := "http://" + address
+	if _, secured := client.Transport.(*TLSTransport); secured {
+		url = "https://" + address
+	}
 	return &Client{
-		address: address, operator: peerpbconnect.NewOperatorClient(client, url), peer: peerpbconnect.NewPeerClient(client, url),
-		once: peerpbconnect.NewOnceClient(client, url),
+		address:  address,
+		operator: peerpbconnect.NewOperatorClient(client, url),
+		peer:     peerpbconnect.NewPeerClient(client, url),
+		once:     peerpbconnect.NewOnceClient(client, url),
 	}
 }
 
@@ -59,10 +64,7 @@
 		Operator: m.GetOperator(), Text: m.GetText(), Digest: m.GetDigest(), Ready: m.GetReady(),
 	}
 	for _, member := range m.GetMembers() {
-		s.Members = append(s.Members, roster.Member{
-			Entry: ident.EntryID(member.GetEntry()), Incarnation: ident.BootID(member.GetIncarnation()),
-			Address: member.GetAddress(), PeerAddress: member.GetPeerAddress(), Zone: ident.Zone(member.GetZone()),
-		})
+		s.Members = append(s.Members, decodeMember(member))
 	}
 	return s, nil
 }
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -43,6 +43,12 @@
 	OperatorStatusProcedure = "/cicadavalve.peer.Operator/Status"
 	// OperatorShowProcedure is the fully-qualified name of the Operator's Show RPC.
 	OperatorShowProcedure = "/cicadavalve.peer.Operator/Show"
+	// PeerPingProcedure is the fully-qualified name of the Peer's Ping RPC.
+	PeerPingProcedure = "/cicadavalve.peer.Peer/Ping"
+	// PeerLeaveProcedure is the fully-qualified name of the Peer's Leave RPC.
+	PeerLeaveProcedure = "/cicadavalve.peer.Peer/Leave"
+	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
+	PeerSettleProcedure = "/cicadavalve.peer.Peer/Settle"
 	// PeerStateProcedure is the fully-qualified name of the Peer's State RPC.
 	PeerStateProcedure = "/cicadavalve.peer.Peer/State"
 	// OncePositionProcedure is the fully-qualified name of the Once's Position RPC.
@@ -179,6 +185,12 @@
 
 // PeerClient is a client for the cicadavalve.peer.Peer service.
 type PeerClient interface {
+	// Ping tells that the caller is alive, and asks the same of the entry.
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+	// Leave tells that the caller is leaving: the answer says that the entry no longer advises its address.
+	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
+	// Settle asks whether the entry has given up the slots that it lost.
+	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
 }
@@ -194,6 +206,24 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
 	return &peerClient{
+		ping: connect.NewClient[peerpb.PingRequest, peerpb.PingResponse](
+			httpClient,
+			baseURL+PeerPingProcedure,
+			connect.WithSchema(peerMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
+		leave: connect.NewClient[peerpb.LeaveRequest, peerpb.LeaveResponse](
+			httpClient,
+			baseURL+PeerLeaveProcedure,
+			connect.WithSchema(peerMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[peerpb.SettleRequest, peerpb.SettleResponse](
+			httpClient,
+			baseURL+PeerSettleProcedure,
+			connect.WithSchema(peerMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
 		state: connect.NewClient[peerpb.StateRequest, peerpb.StateResponse](
 			httpClient,
 			baseURL+PeerStateProcedure,
@@ -205,7 +235,25 @@
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	state *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
+	ping   *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
+	leave  *connect.Client[peerpb.LeaveRequest, peerpb.LeaveResponse]
+	settle *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
+	state  *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
+}
+
+// Ping calls cicadavalve.peer.Peer.Ping.
+func (c *peerClient) Ping(ctx context.Context, req *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return c.ping.CallUnary(ctx, req)
+}
+
+// Leave calls cicadavalve.peer.Peer.Leave.
+func (c *peerClient) Leave(ctx context.Context, req *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
+// Settle calls cicadavalve.peer.Peer.Settle.
+func (c *peerClient) Settle(ctx context.Context, req *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
 }
 
 // State calls cicadavalve.peer.Peer.State.
@@ -215,6 +263,12 @@
 
 // PeerHandler is an implementation of the cicadavalve.peer.Peer service.
 type PeerHandler interface {
+	// Ping tells that the caller is alive, and asks the same of the entry.
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+	// Leave tells that the caller is leaving: the answer says that the entry no longer advises its address.
+	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
+	// Settle asks whether the entry has given up the slots that it lost.
+	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
 }
@@ -226,6 +280,24 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerHandler(svc PeerHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
+	peerPingHandler := connect.NewUnaryHandler(
+		PeerPingProcedure,
+		svc.Ping,
+		connect.WithSchema(peerMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerLeaveHandler := connect.NewUnaryHandler(
+		PeerLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(peerMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerSettleHandler := connect.NewUnaryHandler(
+		PeerSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(peerMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerStateHandler := connect.NewUnaryHandler(
 		PeerStateProcedure,
 		svc.State,
@@ -234,6 +306,12 @@
 	)
 	return "/cicadavalve.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case PeerPingProcedure:
+			peerPingHandler.ServeHTTP(w, r)
+		case PeerLeaveProcedure:
+			peerLeaveHandler.ServeHTTP(w, r)
+		case PeerSettleProcedure:
+			peerSettleHandler.ServeHTTP(w, r)
 		case PeerStateProcedure:
 			peerStateHandler.ServeHTTP(w, r)
 		default:
@@ -245,6 +323,18 @@
 // UnimplementedPeerHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerHandler struct{}
 
+func (UnimplementedPeerHandler) Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Ping is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Leave is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Settle is not implemented"))
+}
+
 func (UnimplementedPeerHandler) State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.State is not implemented"))
 }
