--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -68,6 +68,7 @@
 	sessions *sessions
 	appender *appender
 	stater   *stater
+	asker    *asker
 	prober   *prober
 	peers    *peers
 	// canceller ends lost attempts on their engines.
@@ -116,6 +117,7 @@
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
 			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
 			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
+			OnceLimits: onceLimits(settings),
 		}),
 	}
 	d.orders = make(chan roll.OrderCmd, orderQueue)
@@ -124,9 +126,10 @@
 	}
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
-	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
+	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.stater = newStater(d)
+	d.asker = newAsker(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
@@ -250,6 +253,7 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
+	group.Go(func() error { return d.asker.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -108,9 +108,11 @@
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
-		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
+	case once.AskCmd:
+		d.asker.ask(cmd)
 	case roster.AppendCmd:
-		d.appender.add(ctx, ledger.StreamRoster, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamRoster, Record: cmd.Record})
 	case roster.PingCmd, limit.AskCmd:
 		d.peers.add(cmd)
 	case roster.SupersededCmd:
