--- a/cmd/cicadavalve/entry.go
+++ b/cmd/cicadavalve/entry.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
@@ -12,6 +13,7 @@
 	"cicadavalve/core/roster"
 	"cicadavalve/io/config"
 	"cicadavalve/io/entry"
+	"cicadavalve/io/events"
 )
 
 func newEntryCommand() *cobra.Command {
@@ -29,11 +31,15 @@
 			if err != nil {
 				return err
 			}
+			secret, err := config.LoadSecret(settings.CacheSecretFile)
+			if err != nil {
+				return err
+			}
 			log, err := newLogger(os.Stderr, settings.LogFormat, settings.LogLevel)
 			if err != nil {
 				return err
 			}
-			d := entry.NewDaemon(settings, tokens, entry.WithLogger(log), entry.WithStarted(func(m roster.Member) {
+			d := entry.NewDaemon(settings, tokens, entry.WithLogger(log), entry.WithCacheSecret(secret), entry.WithStarted(func(m roster.Member) {
 				if err := writeAddresses(addressFile, m); err != nil {
 					log.Error("address_file_not_written", "error", err)
 				}
@@ -71,8 +77,15 @@
 		return nil, errors.Wrap(err, "log_level")
 	}
 	options := &slog.HandlerOptions{Level: l}
+	var h slog.Handler = slog.NewJSONHandler(w, options)
 	if format == "text" {
-		return slog.New(slog.NewTextHandler(w, options)), nil
+		h = slog.NewTextHandler(w, options)
 	}
-	return slog.New(slog.NewJSONHandler(w, options)), nil
+	return slog.New(events.NewHandler(h, mostRepeats, repeatWindow)), nil
 }
+
+// An event is logged at most mostRepeats times in each repeatWindow.
+const (
+	mostRepeats  = 50
+	repeatWindow = 10 * time.Second
+)
--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -4,6 +4,7 @@
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
@@ -23,13 +24,16 @@
 		record.TypeOf[roster.WantMsg](), record.TypeOf[roster.HeardMsg](), record.TypeOf[roster.PingFailedMsg](),
 		record.TypeOf[roster.PingCmd](), record.TypeOf[roster.AppendCmd](), record.TypeOf[roster.SupersededCmd](),
 		record.TypeOf[limit.SettledMsg](), record.TypeOf[limit.AskCmd](),
+		record.TypeOf[ledger.ReadFailedMsg](), record.TypeOf[ledger.PeerStatesMsg](), record.TypeOf[ledger.AppendCmd](),
+		record.TypeOf[ledger.AskPeersCmd](), record.TypeOf[ledger.DivergedCmd](),
+		record.TypeOf[ledger.ProposeMsg](), record.TypeOf[ledger.AppendFailedMsg](), record.TypeOf[ledger.VerdictCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
-		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
+		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
 		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
-		record.TypeOf[sched.CancelCmd](),
+		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
 	)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -49,8 +49,10 @@
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
 		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
 		once:    once.NewModel(s.Entry, s.Incarnation),
-		sched: sched.NewModel(sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
-			sched.WithSlotTiming(s.Slots)),
+		sched: sched.NewModel(
+			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+			sched.WithSlotTiming(s.Slots),
+		),
 	}
 }
 
@@ -89,11 +91,11 @@
 		return n.fold(now, msg)
 	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
 		return n.members.Update(now, msg)
-	case ledger.ReadFailedMsg, ledger.PeerStatesMsg:
+	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
 		return n.tick(now, msg)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg:
+	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
 		return n.once.Update(now, msg)
 	}
 	return n.sched.Update(now, msg)
@@ -103,6 +105,7 @@
 func (n *Node) tick(now time.Time, msg sched.TickMsg) (cmds []ident.Cmd) {
 	cmds = n.config.Update(now, ledger.TickMsg{})
 	cmds = append(cmds, n.members.Update(now, roster.TickMsg{})...)
+	cmds = append(cmds, n.once.Update(now, once.TickMsg{})...)
 	return append(cmds, n.sched.Update(now, msg)...)
 }
 
@@ -113,6 +116,8 @@
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
 		return n.members.Update(now, batch)
+	case ledger.StreamVerdict:
+		return n.sched.Update(now, batch)
 	}
 	return n.once.Update(now, batch)
 }
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -6,6 +6,8 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/limit"
+	"cicadavalve/core/poison"
+	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 )
 
@@ -22,6 +24,11 @@
 	return func(m *Model) { m.zone = zone }
 }
 
+// WithEntry names the entry, as the writer of records.
+func WithEntry(entry ident.EntryID) Option {
+	return func(m *Model) { m.poison = poison.NewModel(entry) }
+}
+
 // WithPolicy names the routing policy; see [route.New]. An unknown name keeps the default.
 func WithPolicy(name string) Option {
 	return func(m *Model) { m.policyName = name }
@@ -37,6 +44,11 @@
 	return func(m *Model) { m.maxAttempts = n }
 }
 
+// WithRetryBudget sets how many attempts beyond the first each organisation earns a second and can save up.
+func WithRetryBudget(perSecond float64, burst int) Option {
+	return func(m *Model) { m.budgets = retry.NewBudgets(retry.WithRate(perSecond, burst)) }
+}
+
 // WithSlotTiming sets the durations that the slots of cold upstreams rest on.
 func WithSlotTiming(t limit.Timing) Option {
 	return func(m *Model) { m.slots = limit.NewSlots(t) }
@@ -52,6 +64,9 @@
 func (m *Model) setDefaults() {
 	m.rng = rand.New(rand.NewPCG(defaultSeed, defaultSeed))
 	m.policyName = route.NameAffinity
+	m.budgets = retry.NewBudgets()
+	m.poison = poison.NewModel("")
+	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.maxAttempts = defaultMaxAttempts
 	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -9,7 +9,10 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
+	"cicadavalve/core/poison"
+	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
 	"cicadavalve/core/rules"
 )
@@ -20,14 +23,30 @@
 	arrived time.Time
 	// attempt numbers the sendings from 1; an event of an earlier one is ignored.
 	attempt int
+	// moves counts the attempts that were moved rather than failed.
+	moves int
 	// on is the upstream of the current attempt, or empty.
 	on ident.UpstreamID
+	// sent is when the current attempt began.
+	sent time.Time
 	// tried lists the upstreams of the failed attempts.
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
 	version ident.Version
 	// touched is true once an upstream may have run the request.
 	touched bool
+	// delivered counts the tokens that the caller has.
+	delivered int
+	// reserved is the upstream held for a suspect request, and alone is true while it runs there.
+	reserved ident.UpstreamID
+	alone    bool
+	// aloneSince is when the request first waited for an upstream of its own.
+	aloneSince time.Time
+	// trial is the one asked for since trialSince; its id is empty where there is none.
+	trial      poison.TrialBody
+	trialSince time.Time
+	// trials counts the trials asked for.
+	trials int
 }
 
 // Model is the scheduler of one entry.
@@ -41,7 +60,14 @@
 	policy      route.Policy
 	maxAttempts int
 	silence     map[ident.Class]time.Duration
-	versions    Versioner
+	// budgets bounds the attempts beyond the first, per organisation.
+	budgets *retry.Budgets
+	poison  *poison.Model
+	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
+	parked   []ident.RequestID
+	versions Versioner
+	// slots bound the requests on cold upstreams.
+	slots *limit.Slots
 
 	// rules is nil until the first version is in force; every request is refused before.
 	rules     *rules.Set
@@ -53,14 +79,11 @@
 	listed     bool
 	requests   map[ident.RequestID]*request
 	candidates []route.Candidate
-	// slots bound the requests on cold upstreams.
-	slots *limit.Slots
 }
 
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
 	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}}
-	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -80,7 +103,11 @@
 
 // Update takes a message and returns the commands that follow from it.
 func (m *Model) Update(now time.Time, msg ident.Msg) []ident.Cmd {
-	return append(m.update(now, msg), m.slots.Asks()...)
+	cmds := m.update(now, msg)
+	if len(m.parked) > 0 {
+		cmds = append(cmds, m.wake(now)...)
+	}
+	return append(cmds, m.slots.Asks()...)
 }
 
 func (m *Model) update(now time.Time, msg ident.Msg) []ident.Cmd {
@@ -89,22 +116,26 @@
 		return m.slots.Update(now, msg)
 	case UpstreamsMsg:
 		m.setUpstreams(now, msg)
+		m.noteClosed(now)
 	case LoadMsg:
-		m.setLoad(now, msg)
+		return m.setLoad(now, msg)
 	case UnreachableMsg:
-		m.miss(msg)
+		return m.miss(now, msg)
 	case RulesMsg:
 		m.setRules(msg)
+		m.noteClosed(now)
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case EndMsg:
-		m.end(now, msg.Request, msg.Attempt)
+		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
-	case TickMsg:
-		return m.yield(now)
 	case GoneMsg:
 		return m.gone(now, msg)
+	case TickMsg:
+		return slices.Concat(m.poison.Tick(now), m.move(now), m.yield(now))
+	case ledger.BatchMsg:
+		m.poison.Fold(now, msg)
 	}
 	return nil
 }
@@ -130,17 +161,30 @@
 	m.listed = true
 }
 
-func (m *Model) setLoad(now time.Time, msg LoadMsg) {
-	if u, known := m.upstreams[msg.Upstream]; known {
-		m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
-		u.load, u.seen, u.misses = msg.Load, true, 0
+func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
+	u, known := m.upstreams[msg.Upstream]
+	if !known {
+		return nil
 	}
+	if u.misses >= outageMisses {
+		u.backSince = now
+	}
+	u.load, u.seen, u.misses = msg.Load, true, 0
+	m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
+	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
 }
 
-func (m *Model) miss(msg UnreachableMsg) {
-	if u, known := m.upstreams[msg.Upstream]; known {
-		u.misses++
+func (m *Model) miss(now time.Time, msg UnreachableMsg) []ident.Cmd {
+	u, known := m.upstreams[msg.Upstream]
+	if !known {
+		return nil
+	}
+	u.misses++
+	if u.misses < probeMisses {
+		return nil
 	}
+	m.slots.Doubt(now, msg.Upstream)
+	return m.poison.Unreachable(now, msg.Upstream)
 }
 
 // setRules never goes back to an older version.
@@ -188,106 +232,87 @@
 	return RefuseCmd{Request: r.ID, Code: code, Message: message, NotRun: !r.touched, RetryAfter: retryAfter}
 }
 
-// giveUp ends a request with its final answer.
-func (m *Model) giveUp(r *request, code Code, message string) []ident.Cmd {
-	delete(m.requests, r.ID)
-	return []ident.Cmd{r.refuse(code, message)}
-}
-
 func (m *Model) send(now time.Time, r *request) []ident.Cmd {
-	m.collect(now, r, r.tried)
-	if len(m.candidates) == 0 {
-		m.collect(now, r, nil)
+	switch m.poison.Standing(now, r.Digest) {
+	case poison.Quarantined:
+		return m.giveUp(now, r, CodeQuarantined, "the request crashes the upstreams that run it")
+	case poison.Suspect:
+		return m.sendAlone(now, r)
 	}
-	if len(m.candidates) == 0 {
-		return m.giveUp(r, CodeNoUpstream, "no upstream can take the request now")
+	if !m.find(now, r) {
+		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
 	}
 	need := route.Need{
 		Org: r.Org, Class: r.Class, Zone: m.zone, Version: r.version,
 		PromptRoot: r.PromptRoot, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
 	}
 	chosen := m.candidates[m.policy.Pick(now, need, m.candidates)]
-	u := m.upstreams[chosen.ID]
+	return []ident.Cmd{m.start(now, r, m.upstreams[chosen.ID])}
+}
+
+// start begins an attempt on an upstream.
+func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
 	u.outstanding++
 	r.attempt++
-	r.on = chosen.ID
+	r.on = u.listed.ID
+	r.sent = now
 	m.acquire(now, r)
-	return []ident.Cmd{m.sendCmd(r, u)}
+	return m.sendCmd(r, u)
 }
 
 func (m *Model) sendCmd(r *request, u *upstream) SendCmd {
 	return SendCmd{
 		Request: r.ID, Attempt: r.attempt, Upstream: u.listed.ID, Address: u.listed.Address,
 		Version: r.version, Priority: r.Class.Rank(), Class: r.Class, Silence: m.silence[r.Class],
-		FreshConnection: r.attempt > 1,
+		ResumeFrom: r.delivered, FreshConnection: r.attempt > 1,
 	}
 }
 
 // collect fills candidates with the upstreams that may take the request.
-func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID) {
+func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID, least trust) {
 	m.candidates = m.candidates[:0]
 	for _, id := range m.order {
 		u := m.upstreams[id]
-		if m.eligible(now, u, r) && !slices.Contains(avoid, id) {
+		if m.eligible(now, u, r, least) && !slices.Contains(avoid, id) {
 			m.candidates = append(m.candidates, u.candidate())
 		}
 	}
 }
 
-func (m *Model) eligible(now time.Time, u *upstream, r *request) bool {
-	if !u.usable(now) || m.rules.Drained(u.listed.ID, u.listed.Zone) || !u.runs(r) {
+func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
+	return m.serves(u, r) && !m.keptFree(u, r) && u.trust(now, r) >= least && m.bearsOneMore(now, u.listed.ID)
+}
+
+// serves reports whether an upstream may get new work and holds what the request needs.
+func (m *Model) serves(u *upstream, r *request) bool {
+	if !u.seen || m.closed(u) {
 		return false
 	}
-	return m.bearsOneMore(now, u.listed.ID)
+	if r.Service != "" {
+		return u.listed.Role == RoleApp && u.serves(r.Service)
+	}
+	return u.listed.Role == RoleEngine && u.holds(r.Model, r.version)
 }
 
-// release takes the current attempt off its upstream; ended is true where the upstream is known not to run it.
-func (m *Model) release(now time.Time, r *request, ended bool) {
-	m.slots.Release(now, r.ID, ended)
+// release takes the current attempt off its upstream.
+func (m *Model) release(r *request) {
 	if u, known := m.upstreams[r.on]; known && u.outstanding > 0 {
 		u.outstanding--
 	}
 	r.on = ""
 }
 
-func (m *Model) end(now time.Time, id ident.RequestID, attempt int) {
-	r, known := m.requests[id]
-	if !known || r.attempt != attempt {
-		return
-	}
-	m.slots.Succeeded(now, r.on)
-	m.release(now, r, true)
-	delete(m.requests, id)
-}
-
-func (m *Model) fail(now time.Time, msg FailMsg) []ident.Cmd {
+func (m *Model) end(now time.Time, msg EndMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
 		return nil
 	}
-	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
-		u.suspectUntil = now.Add(suspectTime)
-	}
-	r.tried = append(r.tried, r.on)
-	untouched := msg.Cause == CauseConnect || msg.Cause == CauseRefused
-	m.release(now, r, untouched)
-	r.touched = r.touched || !untouched
-	if r.touched && !r.Repeatable {
-		return m.giveUp(r, CodeOutcomeUnknown, "the upstream may have run the request")
-	}
-	if r.attempt >= m.maxAttempts {
-		return m.giveUp(r, CodeUpstreamFailed, "every upstream that was tried failed")
-	}
-	return m.resend(now, r, msg.Delivered)
-}
-
-func (m *Model) resend(now time.Time, r *request, delivered int) []ident.Cmd {
-	cmds := m.send(now, r)
-	if cmd, ok := cmds[0].(SendCmd); ok {
-		cmd.ResumeFrom = delivered
-		cmds[0] = cmd
-	}
-	return cmds
+	m.slots.Succeeded(now, r.on)
+	m.slots.Release(now, r.ID, true)
+	m.release(r)
+	m.budgets.Succeeded(r.Org)
+	delete(m.requests, r.ID)
+	return m.endTrial(r)
 }
 
 func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
@@ -296,9 +321,10 @@
 		return nil
 	}
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(now, r, false)
+	m.slots.Release(now, r.ID, false)
+	m.release(r)
 	delete(m.requests, r.ID)
-	return []ident.Cmd{cancel}
+	return append(m.endTrial(r), cancel)
 }
 
 // Service reports whether the rules in force name a service, and whether its calls run at most once.
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -52,6 +52,8 @@
 	ListURL string `yaml:"list_url"`
 	// TokensFile maps bearer tokens to organisations.
 	TokensFile string `yaml:"tokens_file"`
+	// CacheSecretFile holds the key of the organisations' cache salts; it is the same on every entry.
+	CacheSecretFile string `yaml:"cache_secret_file"`
 	// Plaintext must be true for the peer protocol to run without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// Policy names the routing policy.
@@ -63,8 +65,11 @@
 	LogLevel  string `yaml:"log_level"`
 	// MaxBodyBytes bounds a caller's request body.
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
-	// ProbeInterval is the time between load reports asked of an upstream.
-	ProbeInterval Duration `yaml:"probe_interval"`
+	// ProbeRate is the load reports asked a second over all upstreams; the time between two of one
+	// upstream follows from it, within ProbeInterval and ProbeIntervalMax.
+	ProbeRate        float64  `yaml:"probe_rate"`
+	ProbeInterval    Duration `yaml:"probe_interval"`
+	ProbeIntervalMax Duration `yaml:"probe_interval_max"`
 	// ListInterval is the time between readings of the VM list.
 	ListInterval Duration `yaml:"list_interval"`
 	// AdviceHold is how long callers may keep the answer of GET /v1/entries.
@@ -86,6 +91,8 @@
 	SlotHold Duration `yaml:"slot_hold"`
 	// ColdTime is the longest that an upstream stays cold after a boot.
 	ColdTime Duration `yaml:"cold_time"`
+	// ReportLag is the longest that an upstream's report lags.
+	ReportLag Duration `yaml:"report_lag"`
 	// PingInterval is the time between pings to another entry.
 	PingInterval Duration `yaml:"ping_interval"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot of the
@@ -100,16 +107,22 @@
 		LogFormat:     "json",
 		LogLevel:      "info",
 		MaxBodyBytes:  4 << 20,
+		ProbeRate:     40,
 		ProbeInterval: Duration(100 * time.Millisecond),
-		ListInterval:  Duration(500 * time.Millisecond),
-		AdviceHold:    Duration(2 * time.Second),
-		StopTimeout:   Duration(30 * time.Second),
-		LogTimeout:    Duration(2 * time.Second),
-		Lease:         Duration(3 * time.Second),
-		LeaseMargin:   Duration(500 * time.Millisecond),
-		SlotHold:      Duration(10 * time.Second),
-		ColdTime:      Duration(5 * time.Second),
-		PingInterval:  Duration(time.Second),
+
+		ProbeIntervalMax: Duration(5 * time.Second),
+
+		ListInterval: Duration(500 * time.Millisecond),
+		AdviceHold:   Duration(2 * time.Second),
+		StopTimeout:  Duration(30 * time.Second),
+		LogTimeout:   Duration(2 * time.Second),
+
+		Lease:        Duration(3 * time.Second),
+		LeaseMargin:  Duration(500 * time.Millisecond),
+		SlotHold:     Duration(10 * time.Second),
+		ColdTime:     Duration(5 * time.Second),
+		ReportLag:    Duration(time.Second),
+		PingInterval: Duration(time.Second),
 
 		JournalBytes:     16 << 20,
 		JournalRate:      16 << 10,
@@ -153,10 +166,13 @@
 	fault(s.LogURL == "", "log_url: expected the URL of the log service")
 	fault(s.ListURL == "", "list_url: expected the URL of the VM list")
 	fault(s.TokensFile == "", "tokens_file: expected the path of a YAML file")
+	fault(s.CacheSecretFile == "", "cache_secret_file: expected the path of a file, the same on every entry")
 	fault(!s.Plaintext, "plaintext: expected true; TLS needs tls settings")
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
+	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
+	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
@@ -164,8 +180,8 @@
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
 		"lease": s.Lease, "lease_margin": s.LeaseMargin, "slot_hold": s.SlotHold, "cold_time": s.ColdTime,
-		"ping_interval": s.PingInterval,
-		"stop_timeout":  s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
+		"ping_interval": s.PingInterval, "report_lag": s.ReportLag,
+		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 		"snapshot_interval": s.SnapshotInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -32,12 +32,11 @@
 )
 
 const (
-	connectTimeout   = 500 * time.Millisecond
-	idlePerUpstream  = 64
-	inboxSize        = 1024
-	readHeaderLimit  = 5 * time.Second
-	tickInterval     = 50 * time.Millisecond
-	proposalDeadline = 10 * time.Second
+	connectTimeout  = 500 * time.Millisecond
+	idlePerUpstream = 64
+	inboxSize       = 1024
+	readHeaderLimit = 5 * time.Second
+	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
@@ -70,7 +69,11 @@
 	stater   *stater
 	prober   *prober
 	peers    *peers
-	journal  *journaler
+	// canceller ends lost attempts on their engines.
+	canceller *canceller
+	// cacheSecret keys what is derived from an organisation's name or requests.
+	cacheSecret []byte
+	journal     *journaler
 
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
@@ -115,10 +118,11 @@
 	}
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
-	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendFailed, d.log)
+	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.stater = newStater(d)
-	d.prober = newProber(d.engines, time.Duration(settings.ProbeInterval), d.post)
+	d.canceller = newCanceller(d.engines)
+	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
 	return d
@@ -127,7 +131,7 @@
 func slotTiming(s config.Settings) limit.Timing {
 	return limit.Timing{
 		Lease: time.Duration(s.Lease), Margin: time.Duration(s.LeaseMargin), Hold: time.Duration(s.SlotHold),
-		Cold: time.Duration(s.ColdTime),
+		Cold: time.Duration(s.ColdTime), ReportLag: time.Duration(s.ReportLag),
 	}
 }
 
@@ -241,11 +245,14 @@
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
+	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
 	group.Go(func() error { return (&joiner{d}).run(ctx) })
-	for _, stream := range []ledger.Stream{ledger.StreamConfig, ledger.StreamRoster, once.StreamOnce} {
+	for _, stream := range []ledger.Stream{
+		ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce,
+	} {
 		f := logsvc.NewFollower(d.logs, stream, time.Duration(d.settings.LogTimeout), folds{d}, d.log)
 		group.Go(func() error { return f.Run(ctx) })
 	}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -28,10 +30,18 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
+// A function that has not begun when the context ends never runs.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
+	var claimed atomic.Bool
 	ran := make(chan struct{})
+	guarded := func() {
+		if claimed.CompareAndSwap(false, true) {
+			look()
+			close(ran)
+		}
+	}
 	select {
-	case d.inbox <- work{look: func() { look(); close(ran) }}:
+	case d.inbox <- work{look: guarded}:
 	case <-ctx.Done():
 		return false
 	}
@@ -39,8 +49,12 @@
 	case <-ran:
 		return true
 	case <-ctx.Done():
+	}
+	if claimed.CompareAndSwap(false, true) {
 		return false
 	}
+	<-ran
+	return true
 }
 
 // loop owns the deciders: every message passes through it in order.
@@ -83,9 +97,11 @@
 	case ledger.InForceCmd:
 		d.log.Info("config_in_force", "version", cmd.Version)
 	case ledger.AppendCmd:
-		d.appender.add(ctx, cmd.Stream, cmd.Record)
+		d.offer(ctx, cmd)
 	case ledger.AskPeersCmd:
 		d.stater.ask(cmd)
+	case ledger.VerdictCmd:
+		d.sessions.deliver(cmd.Request, cmd)
 	case ledger.DivergedCmd:
 		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
@@ -97,8 +113,10 @@
 	case roster.SupersededCmd:
 		d.log.Error("entry_superseded", "by", cmd.By)
 		d.supersededOnce.Do(func() { close(d.superseded) })
+	case poison.AppendCmd:
+		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
 	case once.AppendCmd:
-		d.appender.add(ctx, once.StreamOnce, cmd.Record)
+		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	case sched.RefuseCmd:
