--- a/io/config/config.go
+++ b/io/config/config.go
@@ -98,6 +98,8 @@
 	SlotHold Duration `yaml:"slot_hold"`
 	// ColdTime is the longest that an upstream stays cold after a boot.
 	ColdTime Duration `yaml:"cold_time"`
+	// ReportLag is the longest that an upstream's report lags.
+	ReportLag Duration `yaml:"report_lag"`
 	// PingInterval is the time between pings to another entry.
 	PingInterval Duration `yaml:"ping_interval"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot of the
@@ -134,6 +136,7 @@
 		LeaseMargin:  Duration(500 * time.Millisecond),
 		SlotHold:     Duration(10 * time.Second),
 		ColdTime:     Duration(5 * time.Second),
+		ReportLag:    Duration(time.Second),
 		PingInterval: Duration(time.Second),
 
 		JournalBytes:     16 << 20,
@@ -201,8 +204,8 @@
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
 		"lease": s.Lease, "lease_margin": s.LeaseMargin, "slot_hold": s.SlotHold, "cold_time": s.ColdTime,
-		"ping_interval": s.PingInterval,
-		"stop_timeout":  s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
+		"ping_interval": s.PingInterval, "report_lag": s.ReportLag,
+		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 		"snapshot_interval": s.SnapshotInterval,
 		"move_dwell":        s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
 	} {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -140,7 +140,7 @@
 func slotTiming(s config.Settings) limit.Timing {
 	return limit.Timing{
 		Lease: time.Duration(s.Lease), Margin: time.Duration(s.LeaseMargin), Hold: time.Duration(s.SlotHold),
-		Cold: time.Duration(s.ColdTime),
+		Cold: time.Duration(s.ColdTime), ReportLag: time.Duration(s.ReportLag),
 	}
 }
 
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -30,19 +30,18 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
-// Where the context ends first, the function never runs, so that it can't write to
-// variables that its caller has gone on to read.
+// A function that has not begun when the context ends never runs.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
-	ran := make(chan struct{})
 	var claimed atomic.Bool
-	once := func() {
+	ran := make(chan struct{})
+	guarded := func() {
 		if claimed.CompareAndSwap(false, true) {
 			look()
 			close(ran)
 		}
 	}
 	select {
-	case d.inbox <- work{look: once}:
+	case d.inbox <- work{look: guarded}:
 	case <-ctx.Done():
 		return false
 	}
