Never run an inspection that its caller has given up

The race detector met Status reading its result while the loop still wrote it: the caller's context had ended between.

--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -29,19 +30,45 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
+// A function that has not begun when the context ends never runs, so that it can't write what
+// its caller reads.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
-	ran := make(chan struct{})
+	l := &inspection{look: look, ran: make(chan struct{})}
 	select {
-	case d.inbox <- work{look: func() { look(); close(ran) }}:
+	case d.inbox <- work{look: l.begin}:
 	case <-ctx.Done():
 		return false
 	}
 	select {
-	case <-ran:
+	case <-l.ran:
 		return true
 	case <-ctx.Done():
-		return false
+		return !l.cancel()
+	}
+}
+
+// inspection is a function that waits for the loop.
+type inspection struct {
+	look func()
+	// claimed is set once, by the loop that runs the function or by the caller that gives up.
+	claimed atomic.Bool
+	ran     chan struct{}
+}
+
+func (l *inspection) begin() {
+	if l.claimed.CompareAndSwap(false, true) {
+		l.look()
+		close(l.ran)
+	}
+}
+
+// cancel reports whether the function never runs; one that has begun is waited for.
+func (l *inspection) cancel() bool {
+	if l.claimed.CompareAndSwap(false, true) {
+		return true
 	}
+	<-l.ran
+	return false
 }
 
 // loop owns the deciders: every message passes through it in order.
