--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -19,9 +19,8 @@
 }
 
 // bearsOneMore reports whether an upstream that may be cold has a slot of this entry free.
-func (m *Model) bearsOneMore(now time.Time, id ident.UpstreamID) bool {
-	n, known := m.bears(id)
-	return !known || m.slots.Free(now, id, n)
+func (m *Model) bearsOneMore(now time.Time, u *upstream) bool {
+	return !u.bearsKnown || m.slots.Free(now, u.listed.ID, u.bears)
 }
 
 // acquire takes the slot that bearsOneMore has found free.
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -30,45 +30,32 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
-// A function that has not begun when the context ends never runs, so that it can't write what
-// its caller reads.
+// Where the context ends first, the function never runs, so that it can't write to
+// variables that its caller has gone on to read.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
-	l := &inspection{look: look, ran: make(chan struct{})}
+	ran := make(chan struct{})
+	var claimed atomic.Bool
+	once := func() {
+		if claimed.CompareAndSwap(false, true) {
+			look()
+			close(ran)
+		}
+	}
 	select {
-	case d.inbox <- work{look: l.begin}:
+	case d.inbox <- work{look: once}:
 	case <-ctx.Done():
 		return false
 	}
 	select {
-	case <-l.ran:
+	case <-ran:
 		return true
 	case <-ctx.Done():
-		return !l.cancel()
-	}
-}
-
-// inspection is a function that waits for the loop.
-type inspection struct {
-	look func()
-	// claimed is set once, by the loop that runs the function or by the caller that gives up.
-	claimed atomic.Bool
-	ran     chan struct{}
-}
-
-func (l *inspection) begin() {
-	if l.claimed.CompareAndSwap(false, true) {
-		l.look()
-		close(l.ran)
 	}
-}
-
-// cancel reports whether the function never runs; one that has begun is waited for.
-func (l *inspection) cancel() bool {
-	if l.claimed.CompareAndSwap(false, true) {
-		return true
+	if claimed.CompareAndSwap(false, true) {
+		return false
 	}
-	<-l.ran
-	return false
+	<-ran
+	return true
 }
 
 // loop owns the deciders: every message passes through it in order.
