--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -35,6 +35,8 @@
 	// ColdTime is how long the engine stays cold after a boot, and ColdBears how many requests it bears then.
 	ColdTime  time.Duration
 	ColdBears int
+	// BootTime is how long the engine answers nothing after a crash that POST /crash orders.
+	BootTime time.Duration
 	// LoadLag delays the load report, EventLag the cache events.
 	LoadLag  time.Duration
 	EventLag time.Duration
@@ -106,12 +108,14 @@
 	jobs  []*job
 	// coldUntil ends the cold time of the current boot.
 	coldUntil time.Time
-	loaded    []sched.Loaded
-	fence     int64
-	stats     EngineStats
-	reports   []loadAt
-	wake      chan struct{}
-	events    []CacheEvent
+	// upAt ends the time in which the engine boots and answers nothing.
+	upAt    time.Time
+	loaded  []sched.Loaded
+	fence   int64
+	stats   EngineStats
+	reports []loadAt
+	wake    chan struct{}
+	events  []CacheEvent
 	// last is the event sent last, of whichever answer.
 	last engine.Event
 }
@@ -145,9 +149,9 @@
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
 	e.faults.handle(mux)
-	mux.HandleFunc("POST /v1/completions", e.complete)
+	mux.HandleFunc("POST /v1/completions", e.whenUp(e.complete))
 	mux.HandleFunc("POST /v1/cancel", e.cancel)
-	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.report(time.Now())) })
+	mux.HandleFunc("GET /load", e.whenUp(func(w http.ResponseWriter, _ *http.Request) { reply(w, e.report(time.Now())) }))
 	mux.HandleFunc("GET /events", e.handleEvents)
 	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) { reply(w, e.Stats()) })
 	mux.HandleFunc("POST /order", e.order)
@@ -190,7 +194,21 @@
 func (e *Engine) crash() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.reboot(time.Now())
+	e.upAt = time.Now().Add(e.settings.BootTime)
+	e.reboot(e.upAt)
+}
+
+// whenUp breaks the connection of each request while the engine boots.
+func (e *Engine) whenUp(serve http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		up := !time.Now().Before(e.upAt)
+		e.mu.Unlock()
+		if !up {
+			panic(http.ErrAbortHandler)
+		}
+		serve(w, r)
+	}
 }
 
 // mute keeps the streams that run now open without another byte.
