Credit the first choice of the hash with more than the prompt

Credits of 150% and 50% of the prompt in place of 50% and 25%, and a smaller allowance for requests in flight.

TestStaleViewDrawsNoCrowd fails with the least wait of all upstreams (1200 of 1200 requests on one) and passes with the draw.

--- a/core/route/affinity.go
+++ b/core/route/affinity.go
@@ -7,16 +7,17 @@
 
 const (
 	// loadTokens is what a request in flight adds to the wait for a first token, in prompt tokens.
-	loadTokens = 192
+	loadTokens = 16
 	// othersTokens is what a request of another entry adds besides, for the prompt that it may
 	// still have to compute.
-	othersTokens = 512
+	othersTokens = 384
 	// zoneTokens is what another availability zone adds.
 	zoneTokens = 64
-	// homeShare and nextShare divide the prompt into what the first and the second choice of the
-	// rendezvous hash are expected to hold, since other entries may have sent it there.
-	homeShare = 2
-	nextShare = 4
+	// homePercent and nextPercent are how much of a prompt the first and the second choice of the
+	// rendezvous hash are credited with, since other entries may have sent it there and since a
+	// prompt that goes elsewhere takes room from others.
+	homePercent = 150
+	nextPercent = 50
 	// samples is how many upstreams are drawn besides.
 	samples = 2
 )
@@ -30,13 +31,13 @@
 // Pick implements [Policy].
 func (p *Affinity) Pick(_ time.Time, need Need, candidates []*Candidate) int {
 	home, next := ranked(need, candidates)
-	best, least := home, need.wait(candidates[home], need.PromptTokens/homeShare)
-	consider := func(i, expected int) {
-		if w := need.wait(candidates[i], expected); w < least {
+	best, least := home, need.wait(candidates[home], need.PromptTokens*homePercent/100)
+	consider := func(i, credit int) {
+		if w := need.wait(candidates[i], credit); w < least {
 			best, least = i, w
 		}
 	}
-	consider(next, need.PromptTokens/nextShare)
+	consider(next, need.PromptTokens*nextPercent/100)
 	for _, k := range need.Kept {
 		if i := find(candidates, k.Hash); i >= 0 {
 			consider(i, 0)
@@ -86,10 +87,11 @@
 	return 0
 }
 
-// wait is the expected time to the first token, in prompt tokens to be computed.
-func (n Need) wait(c *Candidate, expected int) int {
-	missing := n.PromptTokens - max(n.cached(c), expected)
-	wait := c.Backlog + max(0, missing) + loadTokens*c.Outstanding + (loadTokens+othersTokens)*c.Others
+// wait is the expected time to the first token, in prompt tokens to be computed, less what the
+// upstream is credited with.
+func (n Need) wait(c *Candidate, credit int) int {
+	wait := c.Backlog + n.PromptTokens - max(n.cached(c), credit)
+	wait += loadTokens*c.Outstanding + (loadTokens+othersTokens)*c.Others
 	if c.Zone != n.Zone {
 		wait += zoneTokens
 	}
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -51,7 +51,8 @@
 	overloadFactor = 2
 	engineBlocks   = 64
 	plentyOfBlocks = 1 << 20
-	settleTime     = 500 * time.Millisecond
+	// settleTime outlasts the time for which entries take an engine for cold.
+	settleTime = 6 * time.Second
 )
 
 // Plan is one comparison.
