--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -6,6 +6,7 @@
 	"cicadavalve/core/once"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 )
@@ -28,12 +29,15 @@
 		record.TypeOf[roster.PingCmd](), record.TypeOf[roster.AppendCmd](), record.TypeOf[roster.SupersededCmd](),
 		record.TypeOf[limit.SettledMsg](), record.TypeOf[limit.AskCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
-		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
+		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.PositionsMsg](), record.TypeOf[once.AskCmd](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
 		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
 		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
+		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
+		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
+		record.TypeOf[roll.ChangedCmd](), record.TypeOf[roll.LateCmd](),
 	)
 }
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -21,6 +21,7 @@
 	"cicadavalve/core/limit"
 	"cicadavalve/core/node"
 	"cicadavalve/core/once"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/config"
@@ -67,6 +68,7 @@
 	sessions *sessions
 	appender *appender
 	stater   *stater
+	asker    *asker
 	prober   *prober
 	peers    *peers
 	// canceller ends lost attempts on their engines.
@@ -78,6 +80,8 @@
 	clock clock
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
 	node *node.Node
+	// orders hands the orders to engines to the workers that send them.
+	orders chan roll.OrderCmd
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 	// farewell is true while a graceful shutdown runs.
@@ -111,16 +115,21 @@
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
+			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
+			OnceLimits: onceLimits(settings),
 		}),
 	}
+	d.orders = make(chan roll.OrderCmd, orderQueue)
 	for _, o := range options {
 		o(d)
 	}
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
-	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
+	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.stater = newStater(d)
+	d.asker = newAsker(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
@@ -244,12 +253,14 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
+	group.Go(func() error { return d.asker.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
 	group.Go(func() error { return (&joiner{d}).run(ctx) })
+	d.startMoves(ctx, group)
 	for _, stream := range []ledger.Stream{
 		ledger.StreamConfig, ledger.StreamRoster, ledger.StreamVerdict, once.StreamOnce,
 	} {
