--- a/io/entry/once_test.go
+++ b/io/entry/once_test.go
@@ -17,7 +17,7 @@
 // campaigns are the sets of faults under which calls run at most once.
 var campaigns = map[string]faults{
 	"lost_answers": {log: stand.LogFaults{LoseAnswers: 0.3}},
-	"kills":        {log: stand.LogFaults{LoseAnswers: 0.1}, kill: true},
+	"kills":        {log: stand.LogFaults{LoseAnswers: 0.1}, app: stand.AppFaults{DelayMs: 150}, kill: true},
 	"pauses":       {pause: true, log: stand.LogFaults{DelayMs: 20}},
 	"outages":      {outage: true},
 	"upstream":     {app: stand.AppFaults{DropBefore: 0.1, DropAfter: 0.1, Refuse: 0.2, DelayMs: 5}, silent: true},
