--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -13,7 +13,7 @@
 		return nil
 	}
 	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
-		u.suspectUntil = now.Add(suspectTime)
+		u.suspectUntil, u.special = now.Add(suspectTime), true
 	}
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
@@ -35,6 +35,7 @@
 	case !m.budgets.Withdraw(now, r.Org):
 		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
 	}
+	m.chooseAgain(r)
 	return m.send(now, r)
 }
 
--- a/io/entry/onceask.go
+++ b/io/entry/onceask.go
@@ -15,24 +15,26 @@
 // positionTimeout bounds the wait for one member.
 const positionTimeout = 300 * time.Millisecond
 
-// asker asks the other members how far they have folded the once-only calls.
-type asker struct {
+// memberAsker asks the other members how far they have folded the once-only calls.
+type memberAsker struct {
 	d *Daemon
 	// rounds takes one question: the decider asks the next one only after the answers to the last.
 	rounds chan once.AskCmd
 }
 
-func newAsker(d *Daemon) *asker { return &asker{d: d, rounds: make(chan once.AskCmd, 1)} }
+func newMemberAsker(d *Daemon) *memberAsker {
+	return &memberAsker{d: d, rounds: make(chan once.AskCmd, 1)}
+}
 
 // ask never waits; a question that finds no place is answered by the decider's own time limit.
-func (a *asker) ask(cmd once.AskCmd) {
+func (a *memberAsker) ask(cmd once.AskCmd) {
 	select {
 	case a.rounds <- cmd:
 	default:
 	}
 }
 
-func (a *asker) run(ctx context.Context) error {
+func (a *memberAsker) run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -43,7 +45,7 @@
 	}
 }
 
-func (a *asker) collect(ctx context.Context, cmd once.AskCmd) (msg once.PositionsMsg) {
+func (a *memberAsker) collect(ctx context.Context, cmd once.AskCmd) (msg once.PositionsMsg) {
 	msg = once.PositionsMsg{Round: cmd.Round}
 	others, epoch, joined := a.members(ctx)
 	answers := make(chan *peer.Position, len(others))
@@ -63,7 +65,7 @@
 }
 
 // members are the other entries of the roster; joined is false while the roster lacks this incarnation.
-func (a *asker) members(ctx context.Context) (others []roster.Member, epoch int64, joined bool) {
+func (a *memberAsker) members(ctx context.Context) (others []roster.Member, epoch int64, joined bool) {
 	a.d.inspect(ctx, func() {
 		epoch = a.d.node.Roster().Epoch()
 		for _, m := range a.d.node.Roster().Members() {
@@ -79,7 +81,7 @@
 
 // positionQuestion asks one member.
 type positionQuestion struct {
-	a       *asker
+	a       *memberAsker
 	address string
 	answers chan<- *peer.Position
 }
