Let requests wait for room in place of refusing them at once

Cause: a request that met only cold upstreams without a free slot, or full ones, was refused at once; make demo lost 2 of 27 answers in its first seconds (no_upstream), and 11 of 399 over 10 s. Ruled out: more slots, which the upstreams do not bear.

A request now waits at the entry for up to its class's limit or its deadline, then gets its refusal with not_run and when to come back. Room goes to the most urgent class first, in it to the organisation with the least in flight for its share. An upstream takes at most 32 requests as far as the entry knows, so that what is offered beyond capacity waits here or is refused early. TestWaitingHoldsItsBounds found refused requests still counted as waiting; mended.

--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -39,6 +39,16 @@
 	return func(m *Model) { m.silence[class] = limit }
 }
 
+// WithWait sets how long a request of a class may wait for an upstream.
+func WithWait(class ident.Class, limit time.Duration) Option {
+	return func(m *Model) { m.waits[class] = limit }
+}
+
+// WithMostPerUpstream bounds the requests on one upstream, as far as the entry knows of them.
+func WithMostPerUpstream(n int) Option {
+	return func(m *Model) { m.mostPerUpstream = n }
+}
+
 // WithMaxAttempts sets how many times a repeatable request may be sent.
 func WithMaxAttempts(n int) Option {
 	return func(m *Model) { m.maxAttempts = n }
@@ -68,6 +78,9 @@
 	m.poison = poison.NewModel("")
 	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.maxAttempts = defaultMaxAttempts
+	m.waits = defaultWaits()
+	m.running = map[ident.OrgID]int{}
+	m.mostPerUpstream = defaultMostPerUpstream
 	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -66,6 +66,9 @@
 		if (u.special || trials) && !m.admits(now, u, r, least) {
 			continue
 		}
+		if u.candidate.Outstanding+u.candidate.Others >= m.mostPerUpstream {
+			continue
+		}
 		if len(avoid) > 0 && slices.Contains(avoid, u.listed.ID) {
 			continue
 		}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -51,6 +51,8 @@
 	trialSince time.Time
 	// trials counts the trials asked for.
 	trials int
+	// waitSince is when the request began to wait for room on an upstream.
+	waitSince time.Time
 }
 
 // Model is the scheduler of one entry.
@@ -68,8 +70,16 @@
 	budgets *retry.Budgets
 	poison  *poison.Model
 	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
-	parked   []ident.RequestID
-	versions Versioner
+	parked []ident.RequestID
+	// waiting lists the requests that wait for room on an upstream; at most mostWaiting.
+	waiting []ident.RequestID
+	// waits is how long a request of a class may wait.
+	waits map[ident.Class]time.Duration
+	// running counts the requests in flight by organisation; it holds no zero.
+	running map[ident.OrgID]int
+	// mostPerUpstream bounds the requests on one upstream.
+	mostPerUpstream int
+	versions        Versioner
 
 	// rules is nil until the first version is in force; every request is refused before.
 	rules     *rules.Set
@@ -115,6 +125,9 @@
 	if len(m.parked) > 0 {
 		cmds = append(cmds, m.wake(now)...)
 	}
+	if len(m.waiting) > 0 {
+		cmds = append(cmds, m.admitWaiting(now)...)
+	}
 	return append(cmds, m.slots.Asks()...)
 }
 
@@ -259,7 +272,7 @@
 		return m.sendAlone(now, r)
 	}
 	if !m.find(now, r) {
-		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
+		return m.wait(now, r)
 	}
 	u := m.upstreams[m.choose(now, r)]
 	return []ident.Cmd{m.start(now, r, u)}
@@ -268,6 +281,7 @@
 // start begins an attempt on an upstream.
 func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
 	u.candidate.Outstanding++
+	m.running[r.Org]++
 	r.missing = max(0, r.PromptTokens-m.kept.tokens(r.key, u))
 	u.candidate.Backlog += r.missing
 	r.attempt++
@@ -291,9 +305,20 @@
 		u.candidate.Outstanding--
 		u.settle(r)
 	}
+	if r.on != "" {
+		m.forgetRunning(r.Org)
+	}
 	r.on = ""
 }
 
+// forgetRunning takes a request off its organisation's count.
+func (m *Model) forgetRunning(org ident.OrgID) {
+	m.running[org]--
+	if m.running[org] <= 0 {
+		delete(m.running, org)
+	}
+}
+
 func (m *Model) end(now time.Time, msg EndMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
