--- a/io/config/config.go
+++ b/io/config/config.go
@@ -154,12 +154,26 @@
 // Parse reads and checks settings; an unknown key is an error.
 func Parse(raw []byte) (s Settings, err error) {
 	s = defaults()
-	if err := yaml.UnmarshalWithOptions(raw, &s, yaml.Strict()); err != nil {
-		return s, errors.Mark(err, ErrInvalid)
+	if err := decode(raw, &s); err != nil {
+		return s, err
 	}
 	return s, s.check()
 }
 
+// decode refuses text on which the YAML library panics, such as a list with a tag and no value.
+func decode(raw []byte, into any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = errors.Wrapf(ErrInvalid, "not decoded: %v", p)
+		}
+	}()
+	err = yaml.UnmarshalWithOptions(raw, into, yaml.Strict())
+	if err != nil {
+		return errors.Mark(err, ErrInvalid)
+	}
+	return nil
+}
+
 // check reports every fault at once.
 func (s *Settings) check() (err error) {
 	var faults []error
@@ -220,8 +234,7 @@
 	if err != nil {
 		return t, err
 	}
-	err = yaml.Unmarshal(raw, &t.orgs)
-	return t, err
+	return t, decode(raw, &t.orgs)
 }
 
 // Org is the organisation of a token, and whether the token is known.
