--- a/core/limit/slots.go
+++ b/core/limit/slots.go
@@ -50,6 +50,8 @@
 	Hold time.Duration
 	// Cold is the longest that an upstream stays cold after a boot.
 	Cold time.Duration
+	// ReportLag is the longest that an upstream's report lags.
+	ReportLag time.Duration
 }
 
 // Wait is how long an entry leaves a slot alone that another one held before.
@@ -57,7 +59,10 @@
 
 // DefaultTiming is what an entry uses unless its settings say otherwise.
 func DefaultTiming() Timing {
-	return Timing{Lease: 3 * time.Second, Margin: 500 * time.Millisecond, Hold: 10 * time.Second, Cold: 5 * time.Second}
+	return Timing{
+		Lease: 3 * time.Second, Margin: 500 * time.Millisecond, Hold: 10 * time.Second, Cold: 5 * time.Second,
+		ReportLag: time.Second,
+	}
 }
 
 const (
@@ -171,14 +176,14 @@
 	u := s.get(now, id)
 	u.bears = bears
 	u.warmUp(now, s.timing)
-	if u.level >= warmLevel {
+	if u.step() >= warmLevel {
 		return true
 	}
 	if !now.Before(s.lease) || now.Before(s.blocked) || len(s.history) == 0 {
 		return false
 	}
 	usable, used := 0, u.used(now)
-	for k := range bears << u.level {
+	for k := range bears << u.step() {
 		if s.usable(now, id, k) {
 			usable++
 		}
@@ -222,7 +227,7 @@
 // on some upstream than the slots that it owns now.
 func (s *Slots) Settled(now time.Time, id ident.UpstreamID) (msg SettledMsg) {
 	msg = SettledMsg{From: s.self, Upstream: id}
-	if u, known := s.upstreams[id]; known && u.level >= warmLevel {
+	if u, known := s.upstreams[id]; known && u.step() >= warmLevel {
 		msg.Boot = u.boot
 	}
 	n := len(s.history)
@@ -230,7 +235,7 @@
 		return msg
 	}
 	for id, u := range s.upstreams {
-		if u.level < warmLevel && u.used(now) > s.owned(id, u.bears<<u.level) {
+		if u.step() < warmLevel && u.used(now) > s.owned(id, u.bears<<u.step()) {
 			return msg
 		}
 	}
@@ -238,11 +243,11 @@
 	return msg
 }
 
-// Overdue lists the requests that have kept a slot of a cold upstream for as long as Hold; they
+// Overdue lists the requests that have nearly kept a slot of a cold upstream for as long as Hold; they
 // are to be stopped there and run elsewhere.
 func (s *Slots) Overdue(now time.Time) (requests []ident.RequestID) {
 	for r, g := range s.running {
-		if s.get(now, g.upstream).level < warmLevel && now.Sub(g.since) >= s.timing.Hold {
+		if s.get(now, g.upstream).step() < warmLevel && now.Sub(g.since) >= s.timing.Hold-s.timing.Margin {
 			requests = append(requests, r)
 		}
 	}
--- a/core/limit/slots_warmth.go
+++ b/core/limit/slots_warmth.go
@@ -20,12 +20,23 @@
 	// successes counts the whole answers since then.
 	successes int
 	bears     int
+	// doubt is until when reports may be from before a boot that this entry suspects; the first report
+	// after it settles the matter. It is zero where nothing is suspected.
+	doubt time.Time
 	// running counts this entry's requests on the upstream, warm or cold; it is never negative.
 	running int
 	// lingering holds until when each request may run on that ended here and perhaps not there.
 	lingering []time.Time
 }
 
+// step is the level that counts now.
+func (u *warmth) step() int {
+	if !u.doubt.IsZero() {
+		return 0
+	}
+	return u.level
+}
+
 // grant is what one request has acquired.
 type grant struct {
 	upstream ident.UpstreamID
@@ -58,7 +69,11 @@
 
 // Seen takes the boot id of an upstream's report; a new one begins a cold start.
 func (s *Slots) Seen(now time.Time, id ident.UpstreamID, boot ident.BootID) {
-	if u := s.get(now, id); u.boot != boot {
+	u := s.get(now, id)
+	if !now.Before(u.doubt) {
+		u.doubt = time.Time{}
+	}
+	if u.boot != boot {
 		u.boot, u.level, u.since, u.successes = boot, 0, now, 0
 		u.lingering = nil
 	}
@@ -67,7 +82,7 @@
 // Warm reports whether an upstream takes every request until it is seen under another boot or chilled.
 func (s *Slots) Warm(id ident.UpstreamID) bool {
 	u, known := s.upstreams[id]
-	return known && u.level >= warmLevel
+	return known && u.step() >= warmLevel
 }
 
 // Chill says that an upstream may be cold although its boot id is the same.
@@ -76,19 +91,25 @@
 	u.level, u.since, u.successes = 0, now, 0
 }
 
+// Doubt says that an upstream may have gone; it counts as cold until a report that comes
+// ReportLag later.
+func (s *Slots) Doubt(now time.Time, id ident.UpstreamID) {
+	s.get(now, id).doubt = now.Add(s.timing.ReportLag)
+}
+
 // Succeeded counts a whole answer of an upstream.
 func (s *Slots) Succeeded(now time.Time, id ident.UpstreamID) { s.get(now, id).successes++ }
 
 // Excess is how many more requests this entry runs on an upstream than its slots allow.
 func (s *Slots) Excess(now time.Time, id ident.UpstreamID) int {
 	u, known := s.upstreams[id]
-	if !known || u.level >= warmLevel {
+	if !known || u.step() >= warmLevel {
 		return 0
 	}
 	if len(s.history) == 0 {
 		return u.used(now)
 	}
-	return max(0, u.used(now)-s.owned(id, u.bears<<u.level))
+	return max(0, u.used(now)-s.owned(id, u.bears<<u.step()))
 }
 
 // Forget drops an upstream that the platform's list no longer shows.
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -33,6 +33,8 @@
 	WeightLease  time.Duration `json:"weight_lease"`
 	UnloadGrace  time.Duration `json:"unload_grace"`
 	KeepInterval time.Duration `json:"keep_interval"`
+	// OnceLimits bound once-only calls.
+	OnceLimits once.Limits `json:"once_limits"`
 }
 
 // Node is the set of deciders of one entry.
@@ -57,7 +59,7 @@
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
 		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
-		once:    once.NewModel(s.Entry, s.Incarnation),
+		once:    once.NewModel(s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits)),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
 			sched.WithSlotTiming(s.Slots),
@@ -115,7 +117,7 @@
 		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
 	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
 		return n.roll.Update(now, msg)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
+	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg, once.PositionsMsg:
 		return n.once.Update(now, msg)
 	}
 	return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -30,13 +30,30 @@
 	}
 }
 
-// yield stops the requests that have kept a slot for too long and sends each again. One that may
-// not be repeated runs on.
+// yield stops the requests that have kept a slot for too long, and sends them elsewhere. One that
+// may not be repeated runs on.
 func (m *Model) yield(now time.Time) (cmds []ident.Cmd) {
 	for _, id := range m.slots.Overdue(now) {
-		if r, known := m.requests[id]; known && r.Repeatable {
-			cmds = append(cmds, m.resendElsewhere(now, r)...)
+		r, known := m.requests[id]
+		if !known || !r.Repeatable {
+			continue
 		}
+		cmds = append(cmds, CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on})
+		m.slots.Release(now, r.ID, false)
+		m.release(r)
+		r.touched = true
+		r.moves++
+		cmds = append(cmds, m.endTrial(r)...)
+		cmds = append(cmds, m.send(now, r)...)
 	}
 	return cmds
 }
+
+// failed gives back the slot of an attempt that failed. Where the upstream may have gone, it counts
+// as cold until its reports tell.
+func (m *Model) failed(now time.Time, r *request, cause Cause) {
+	m.slots.Release(now, r.ID, cause == CauseConnect || cause == CauseRefused)
+	if cause != CauseRefused && cause != CauseInvalid {
+		m.slots.Doubt(now, r.on)
+	}
+}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -30,19 +30,18 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
-// Where the context ends first, the function never runs, so that it can't write to
-// variables that its caller has gone on to read.
+// A function that has not begun when the context ends never runs.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
-	ran := make(chan struct{})
 	var claimed atomic.Bool
-	once := func() {
+	ran := make(chan struct{})
+	guarded := func() {
 		if claimed.CompareAndSwap(false, true) {
 			look()
 			close(ran)
 		}
 	}
 	select {
-	case d.inbox <- work{look: once}:
+	case d.inbox <- work{look: guarded}:
 	case <-ctx.Done():
 		return false
 	}
@@ -108,9 +107,11 @@
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
-		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
+	case once.AskCmd:
+		d.asker.ask(cmd)
 	case roster.AppendCmd:
-		d.appender.add(ctx, ledger.StreamRoster, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamRoster, Record: cmd.Record})
 	case roster.PingCmd, limit.AskCmd:
 		d.peers.add(cmd)
 	case roster.SupersededCmd:
