--- a/io/load/client.go
+++ b/io/load/client.go
@@ -220,7 +220,7 @@
 )
 
 // call runs one once-only call; it asks again with the same key where it was told that the call has
-// not run, that it is in progress, or where the connection broke.
+// not run, that it is in progress or not known, or where the connection broke.
 func (r *Runner) call(ctx context.Context, it item, due time.Time) (o outcome) {
 	for try := range mostCallRetries {
 		o = outcome{item: it, retries: try}
@@ -243,7 +243,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		o.refused(resp.Body)
-		return o.notRun || o.code == "in_progress"
+		return o.notRun || o.code == "in_progress" || resp.StatusCode == http.StatusServiceUnavailable
 	}
 	var answer stand.AppReply
 	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
