--- a/core/node/node.go
+++ b/core/node/node.go
@@ -28,13 +28,13 @@
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
-	// OnceLimits bound once-only calls.
-	OnceLimits once.Limits `json:"once_limits"`
 	// MoveDwell, WeightLease, UnloadGrace and KeepInterval are those of [roll.Option]; 0 takes the default.
 	MoveDwell    time.Duration `json:"move_dwell"`
 	WeightLease  time.Duration `json:"weight_lease"`
 	UnloadGrace  time.Duration `json:"unload_grace"`
 	KeepInterval time.Duration `json:"keep_interval"`
+	// OnceLimits bound once-only calls.
+	OnceLimits once.Limits `json:"once_limits"`
 }
 
 // Node is the set of deciders of one entry.
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -66,6 +66,7 @@
 	m.policyName = route.NameAffinity
 	m.budgets = retry.NewBudgets()
 	m.poison = poison.NewModel("")
+	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.maxAttempts = defaultMaxAttempts
 	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -18,7 +18,8 @@
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
 	cmds := m.lost(now, r, msg.Cause)
-	m.release(now, r, msg.Cause == CauseConnect || msg.Cause == CauseRefused)
+	m.failed(now, r, msg.Cause)
+	m.release(r)
 	cmds = append(cmds, m.endTrial(r)...)
 	return append(m.afterFail(now, r, msg.Cause), cmds...)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -92,7 +92,6 @@
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
 	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}, kept: newKept()}
-	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -141,23 +140,16 @@
 		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
-	case TickMsg:
-		return m.tick(now)
 	case GoneMsg:
 		return m.gone(now, msg)
+	case TickMsg:
+		return slices.Concat(m.poison.Tick(now), m.move(now), m.yield(now))
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
 	return nil
 }
 
-// tick lets time pass.
-func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
-	cmds = append(cmds, m.poison.Tick(now)...)
-	cmds = append(cmds, m.move(now)...)
-	return append(cmds, m.yield(now)...)
-}
-
 func (m *Model) setUpstreams(now time.Time, msg UpstreamsMsg) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, l := range msg.Upstreams {
@@ -209,6 +201,7 @@
 	if u.misses < probeMisses {
 		return nil
 	}
+	m.slots.Doubt(now, msg.Upstream)
 	return m.poison.Unreachable(now, msg.Upstream)
 }
 
@@ -292,9 +285,8 @@
 	}
 }
 
-// release takes the current attempt off its upstream; ended is true where the upstream is known not to run it.
-func (m *Model) release(now time.Time, r *request, ended bool) {
-	m.slots.Release(now, r.ID, ended)
+// release takes the current attempt off its upstream.
+func (m *Model) release(r *request) {
 	if u, known := m.upstreams[r.on]; known && u.candidate.Outstanding > 0 {
 		u.candidate.Outstanding--
 		u.settle(r)
@@ -308,7 +300,8 @@
 		return nil
 	}
 	m.slots.Succeeded(now, r.on)
-	m.release(now, r, true)
+	m.slots.Release(now, r.ID, true)
+	m.release(r)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
 	return m.endTrial(r)
@@ -332,7 +325,8 @@
 		return nil
 	}
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(now, r, false)
+	m.slots.Release(now, r.ID, false)
+	m.release(r)
 	delete(m.requests, r.ID)
 	return append(m.endTrial(r), cancel)
 }
--- a/io/entry/inspect_test.go
+++ b/io/entry/inspect_test.go
@@ -13,7 +13,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ran := false
 	ended := make(chan bool)
-	asking := &asker{d: d, ended: ended, look: func() { ran = true }}
+	asking := &inspector{d: d, ended: ended, look: func() { ran = true }}
 	go asking.run(ctx)
 	w := <-d.inbox
 	cancel()
@@ -25,11 +25,11 @@
 	}
 }
 
-// asker inspects a daemon.
-type asker struct {
+// inspector inspects a daemon.
+type inspector struct {
 	d     *Daemon
 	look  func()
 	ended chan<- bool
 }
 
-func (a *asker) run(ctx context.Context) { a.ended <- a.d.inspect(ctx, a.look) }
+func (a *inspector) run(ctx context.Context) { a.ended <- a.d.inspect(ctx, a.look) }
