--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -19,9 +19,8 @@
 }
 
 // bearsOneMore reports whether an upstream that may be cold has a slot of this entry free.
-func (m *Model) bearsOneMore(now time.Time, id ident.UpstreamID) bool {
-	n, known := m.bears(id)
-	return !known || m.slots.Free(now, id, n)
+func (m *Model) bearsOneMore(now time.Time, u *upstream) bool {
+	return !u.bearsKnown || m.slots.Free(now, u.listed.ID, u.bears)
 }
 
 // acquire takes the slot that bearsOneMore has found free.
@@ -31,29 +30,20 @@
 	}
 }
 
-// yield stops the requests that have kept a slot for too long, and sends them elsewhere. One that
-// may not be repeated runs on.
+// yield stops the requests that have kept a slot for too long and sends each again. One that may
+// not be repeated runs on.
 func (m *Model) yield(now time.Time) (cmds []ident.Cmd) {
 	for _, id := range m.slots.Overdue(now) {
-		r, known := m.requests[id]
-		if !known || !r.Repeatable {
-			continue
+		if r, known := m.requests[id]; known && r.Repeatable {
+			r.touched = true
+			cmds = append(cmds, m.resendElsewhere(now, r)...)
 		}
-		cmds = append(cmds, CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on})
-		m.slots.Release(now, r.ID, false)
-		m.release(r)
-		r.touched = true
-		r.moves++
-		cmds = append(cmds, m.endTrial(r)...)
-		cmds = append(cmds, m.send(now, r)...)
 	}
 	return cmds
 }
 
-// failed gives back the slot of an attempt that failed. Where the upstream may have gone, it counts
-// as cold until its reports tell.
-func (m *Model) failed(now time.Time, r *request, cause Cause) {
-	m.slots.Release(now, r.ID, cause == CauseConnect || cause == CauseRefused)
+// doubt counts the upstream of a failed attempt as cold until its reports tell, where it may have gone.
+func (m *Model) doubt(now time.Time, r *request, cause Cause) {
 	if cause != CauseRefused && cause != CauseInvalid {
 		m.slots.Doubt(now, r.on)
 	}
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -13,13 +13,13 @@
 		return nil
 	}
 	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
-		u.suspectUntil = now.Add(suspectTime)
+		u.suspectUntil, u.special = now.Add(suspectTime), true
 	}
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
 	cmds := m.lost(now, r, msg.Cause)
-	m.failed(now, r, msg.Cause)
-	m.release(r)
+	m.doubt(now, r, msg.Cause)
+	m.release(now, r, msg.Cause == CauseConnect || msg.Cause == CauseRefused)
 	cmds = append(cmds, m.endTrial(r)...)
 	return append(m.afterFail(now, r, msg.Cause), cmds...)
 }
@@ -36,6 +36,7 @@
 	case !m.budgets.Withdraw(now, r.Org):
 		return m.giveUp(now, r, CodeUpstreamFailed, "the organisation's retry budget is spent")
 	}
+	m.chooseAgain(r)
 	return m.send(now, r)
 }
 
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -79,6 +79,13 @@
 	// JournalBytes bounds the journal in memory, JournalRate what goes to the log, in bytes a second.
 	JournalBytes int   `yaml:"journal_bytes"`
 	JournalRate  int64 `yaml:"journal_rate"`
+	// AppendBatch bounds the records of one append to the log.
+	AppendBatch int `yaml:"append_batch"`
+	// OnceSendLimit, OnceAbandonAge and OnceWindow bound once-only calls; they must be the same on all
+	// entries, and 0 takes the default. The age must exceed the limit by the longest call.
+	OnceSendLimit  Duration `yaml:"once_send_limit"`
+	OnceAbandonAge Duration `yaml:"once_abandon_age"`
+	OnceWindow     int64    `yaml:"once_window"`
 	// JournalInterval is the time between two journal records in the log.
 	JournalInterval Duration `yaml:"journal_interval"`
 	// LogTimeout bounds one append or read of the log.
@@ -99,6 +106,15 @@
 	// configuration; each must be well below what the log service keeps.
 	SnapshotRecords  int64    `yaml:"snapshot_records"`
 	SnapshotInterval Duration `yaml:"snapshot_interval"`
+	// MoveDwell is how long each step of a version move lasts at least.
+	MoveDwell Duration `yaml:"move_dwell"`
+	// WeightLease is how long a claim on a weight load lasts; it must exceed the longest load.
+	WeightLease Duration `yaml:"weight_lease"`
+	// UnloadGrace is how long an old version stays loaded after its move; it must exceed the longest request.
+	UnloadGrace Duration `yaml:"unload_grace"`
+	// KeepInterval is how often the state of each version move is appended anew; it must
+	// be below half of the log's retention.
+	KeepInterval Duration `yaml:"keep_interval"`
 }
 
 func defaults() Settings {
@@ -126,9 +142,14 @@
 
 		JournalBytes:     16 << 20,
 		JournalRate:      16 << 10,
+		AppendBatch:      256,
 		JournalInterval:  Duration(5 * time.Second),
 		SnapshotRecords:  64,
 		SnapshotInterval: Duration(10 * time.Minute),
+		MoveDwell:        Duration(5 * time.Second),
+		WeightLease:      Duration(30 * time.Second),
+		UnloadGrace:      Duration(10 * time.Minute),
+		KeepInterval:     Duration(5 * time.Minute),
 	}
 }
 
@@ -174,6 +195,10 @@
 	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
 	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
+	fault(s.AppendBatch <= 0, "append_batch: expected a number above 0")
+	fault(s.OnceSendLimit < 0, "once_send_limit: expected a duration of at least 0")
+	fault(s.OnceAbandonAge < 0, "once_abandon_age: expected a duration of at least 0")
+	fault(s.OnceWindow < 0, "once_window: expected a number of at least 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
 	fault(!areAddresses(s.Peers), "peers: expected a list of host:port")
@@ -183,6 +208,7 @@
 		"ping_interval": s.PingInterval, "report_lag": s.ReportLag,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 		"snapshot_interval": s.SnapshotInterval,
+		"move_dwell":        s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -30,18 +30,19 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
-// A function that has not begun when the context ends never runs.
+// Where the context ends first, the function never runs, so that it can't write to
+// variables that its caller has gone on to read.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
-	var claimed atomic.Bool
 	ran := make(chan struct{})
-	guarded := func() {
+	var claimed atomic.Bool
+	once := func() {
 		if claimed.CompareAndSwap(false, true) {
 			look()
 			close(ran)
 		}
 	}
 	select {
-	case d.inbox <- work{look: guarded}:
+	case d.inbox <- work{look: once}:
 	case <-ctx.Done():
 		return false
 	}
@@ -106,15 +107,17 @@
 		d.log.Error("config_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
+	case poison.AppendCmd:
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
+	case once.AskCmd:
+		d.asker.ask(cmd)
 	case roster.AppendCmd:
-		d.appender.add(ctx, ledger.StreamRoster, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamRoster, Record: cmd.Record})
 	case roster.PingCmd, limit.AskCmd:
 		d.peers.add(cmd)
 	case roster.SupersededCmd:
 		d.log.Error("entry_superseded", "by", cmd.By)
 		d.supersededOnce.Do(func() { close(d.superseded) })
-	case poison.AppendCmd:
-		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
@@ -127,5 +130,7 @@
 		d.sessions.deliver(cmd.Request, cmd)
 	case once.AnswerCmd:
 		d.sessions.deliver(cmd.Request, cmd)
+	default:
+		d.performMove(ctx, cmd)
 	}
 }
