Model the hand-over of a cold upstream's slot

Cause: random runs of core/limit show no proof over every order of pauses and late messages.

model/slots.pml: two entries, one slot, two changes of owner: holds, 12,384,085 states in 64 s with the machine at four times its cores' load. Refuted with a guard out: the wait (347,695 states), the lease from before the read (280,123), the settled answer's epoch (1,652,020), the check at the sending (379,180). Ruled out for size: three entries and eight points of time, which did not end in 100 s; with five points of time the base did not end in 90 s.

Conclusion: the rule is safe at this size; the last variant is what upstreams without fencing leave open.

--- /dev/null
+++ b/model/slots.pml
@@ -0,0 +1,139 @@
+/* One slot of a cold upstream that changes hands: entries that pause between any two steps, reads
+ * and answers that arrive late, and epochs that change at any time. docs/MODEL.md maps it to the code.
+ */
+
+#define ENTRIES 2
+#define NONE 2     /* the owner while no entry owns the slot */
+#define CHANGES 2  /* changes of the owner, in all */
+#define END 4      /* the last time */
+#define LEASE 2
+#define HOLD 1
+#define WAIT (LEASE + HOLD)
+
+byte now;
+byte owner[CHANGES + 1]; /* by epoch */
+byte tail;               /* the newest epoch in the log */
+
+typedef Entry {
+  byte epoch;            /* the newest one folded */
+  byte until;            /* the end of the lease */
+  bool reading;
+  byte asked;            /* when the read began */
+  byte got;              /* the epoch that the read brings */
+  byte lostAt[ENTRIES];  /* when this entry folded that another one lost the slot, plus 1 */
+  byte lostIn[ENTRIES];  /* the epoch of that */
+  byte heard[ENTRIES];   /* the newest epoch in which another one said that it had settled */
+  bool using;
+  byte since;
+  bool decided;          /* only where the check comes before the pause */
+};
+
+Entry e[ENTRIES];
+byte answer[ENTRIES]; /* the settled answer of an entry on its way to the other, plus 1 */
+byte users;
+
+/* free is true where each earlier owner has settled or the wait has passed. */
+#ifdef BROKEN_WAIT
+#define gone(i, j) (true)
+#else
+#define gone(i, j) (e[i].lostAt[j] == 0 || now >= e[i].lostAt[j] - 1 + WAIT || e[i].heard[j] >= e[i].lostIn[j])
+#endif
+#define free(i) gone(i, (1 - i))
+#define may(i) (owner[e[i].epoch] == i && now < e[i].until && free(i))
+
+inline begin(i) {
+  e[i].using = true;
+  e[i].since = now;
+  users++;
+  assert(users <= 1)
+}
+
+/* fold takes the epochs that a read brought, one after another. */
+inline fold(i) {
+  do
+  :: e[i].epoch < e[i].got ->
+    if
+    :: owner[e[i].epoch] != NONE && owner[e[i].epoch] != owner[e[i].epoch + 1] ->
+      e[i].lostAt[owner[e[i].epoch]] = now + 1;
+      e[i].lostIn[owner[e[i].epoch]] = e[i].epoch + 1
+    :: else
+    fi;
+    e[i].epoch++
+  :: else -> break
+  od;
+#ifdef BROKEN_LEASE
+  e[i].until = now + LEASE;
+#else
+  e[i].until = e[i].asked + LEASE;
+#endif
+  e[i].reading = false;
+  e[i].asked = 0;
+  e[i].got = 0
+}
+
+proctype entry(byte i) {
+end:
+  do
+  :: d_step { !e[i].reading -> e[i].reading = true; e[i].asked = now; e[i].got = tail }
+  :: d_step { e[i].reading -> fold(i) }
+#ifdef BROKEN_CHECK
+  :: d_step { !e[i].using && !e[i].decided && may(i) -> e[i].decided = true }
+  :: d_step { e[i].decided -> e[i].decided = false; begin(i) }
+#else
+  :: d_step { !e[i].using && may(i) -> begin(i) }
+#endif
+  :: d_step { /* answer the other entry, once this one has folded that it lost the slot and uses it no more */
+      !e[i].using && owner[e[i].epoch] != i && answer[i] == 0 ->
+#ifdef BROKEN_SETTLED
+      answer[i] = tail + 1
+#else
+      answer[i] = e[i].epoch + 1
+#endif
+    }
+  :: d_step { /* take an answer that arrives */
+      answer[1 - i] > 0 ->
+      if
+      :: answer[1 - i] - 1 > e[i].heard[1 - i] -> e[i].heard[1 - i] = answer[1 - i] - 1
+      :: else
+      fi;
+      answer[1 - i] = 0
+    }
+  od
+}
+
+/* upstream ends requests, at the latest after HOLD, whether their entry is paused or not. */
+proctype upstream() {
+end:
+  do
+  :: d_step { e[0].using -> e[0].using = false; e[0].since = 0; users-- }
+  :: d_step { e[1].using -> e[1].using = false; e[1].since = 0; users-- }
+  od
+}
+
+#define overdue(i) (e[i].using && now >= e[i].since + HOLD)
+
+proctype clock() {
+end:
+  do
+  :: d_step { now < END && !overdue(0) && !overdue(1) -> now++ }
+  od
+}
+
+/* roster changes the owner at any time. */
+proctype roster() {
+  byte next;
+end:
+  do
+  :: atomic { tail < CHANGES -> select(next : 0 .. 2); owner[tail + 1] = next; tail++; next = 0 }
+  od
+}
+
+init {
+  atomic {
+    run entry(0);
+    run entry(1);
+    run upstream();
+    run clock();
+    run roster()
+  }
+}
