--- a/core/limit/slots_warmth.go
+++ b/core/limit/slots_warmth.go
@@ -82,7 +82,7 @@
 // Warm reports whether an upstream takes every request until it is seen under another boot or chilled.
 func (s *Slots) Warm(id ident.UpstreamID) bool {
 	u, known := s.upstreams[id]
-	return known && u.level >= warmLevel
+	return known && u.step() >= warmLevel
 }
 
 // Chill says that an upstream may be cold although its boot id is the same.
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -68,7 +68,7 @@
 	sessions *sessions
 	appender *appender
 	stater   *stater
-	asker    *asker
+	asker    *memberAsker
 	prober   *prober
 	peers    *peers
 	// canceller ends lost attempts on their engines.
@@ -115,9 +115,9 @@
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
-			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
-			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 			OnceLimits: onceLimits(settings),
+			MoveDwell:  time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
 	d.orders = make(chan roll.OrderCmd, orderQueue)
@@ -129,7 +129,7 @@
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.stater = newStater(d)
-	d.asker = newAsker(d)
+	d.asker = newMemberAsker(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
