--- a/io/config/config.go
+++ b/io/config/config.go
@@ -132,6 +132,7 @@
 		AdviceHold:   Duration(2 * time.Second),
 		StopTimeout:  Duration(30 * time.Second),
 		LogTimeout:   Duration(2 * time.Second),
+
 		Lease:        Duration(3 * time.Second),
 		LeaseMargin:  Duration(500 * time.Millisecond),
 		SlotHold:     Duration(10 * time.Second),
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -30,18 +30,19 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
-// A function that has not begun when the context ends never runs.
+// Where the context ends first, the function never runs, so that it can't write to
+// variables that its caller has gone on to read.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
-	var claimed atomic.Bool
 	ran := make(chan struct{})
-	guarded := func() {
+	var claimed atomic.Bool
+	once := func() {
 		if claimed.CompareAndSwap(false, true) {
 			look()
 			close(ran)
 		}
 	}
 	select {
-	case d.inbox <- work{look: guarded}:
+	case d.inbox <- work{look: once}:
 	case <-ctx.Done():
 		return false
 	}
