--- a/core/roll/model.go
+++ b/core/roll/model.go
@@ -90,6 +90,9 @@
 	judge  *judge
 	speeds *speeds
 	report report
+	// slice holds the attempts that are not judged yet, the oldest from sliceAt.
+	slice   map[Cell]*CellEvidence
+	sliceAt time.Time
 	// proposed is when the last record about the move's state was appended.
 	proposed time.Time
 	// lateSaid is true once the move was said to be late, and expected is the last estimate.
--- a/core/roll/move_test.go
+++ b/core/roll/move_test.go
@@ -190,3 +190,14 @@
 		}
 	})
 }
+
+// TestStallsTakeNoGoodVersionBack makes all attempts of a moment slow at a high rate, so that they are not independent.
+func TestStallsTakeNoGoodVersionBack(t *testing.T) {
+	onSeeds(t, 10, 30*time.Second, good, func(t *testing.T, s *sim) {
+		s.stalls, s.rate = true, simPeak
+		s.until(time.Minute, func() bool { return s.all(roll.Complete) || s.all(roll.TakenBack) })
+		if diff := cmp.Diff([]roll.Phase{roll.Complete, roll.Complete, roll.Complete}, s.phases()); diff != "" {
+			s.pinned(t, diff)
+		}
+	})
+}
--- a/core/roll/report.go
+++ b/core/roll/report.go
@@ -78,7 +78,7 @@
 	return true
 }
 
-// attempt judges an attempt at once and keeps it for the next record.
+// attempt keeps an attempt for this entry's judge and for the next record.
 func (m *Model) attempt(now time.Time, a AttemptMsg) []ident.Cmd {
 	mv, moving := m.moves[a.Model]
 	if !moving || ended(m.phase(mv.ID)) || a.Version != mv.From && a.Version != mv.To {
@@ -92,10 +92,36 @@
 		if isOld {
 			c = CellEvidence{Cell: cell, Old: counts}
 		}
-		e.judge.add(now, m.number(mv.ID), c)
+		e.gather(now, c)
 		e.report.add(c)
 	}
-	return m.review(mv.ID)
+	return m.settle(now, mv.ID)
+}
+
+func (e *effort) gather(now time.Time, c CellEvidence) {
+	if len(e.slice) == 0 {
+		e.slice, e.sliceAt = map[Cell]*CellEvidence{}, now
+	}
+	known, ok := e.slice[c.Cell]
+	if !ok {
+		known = &CellEvidence{Cell: c.Cell}
+		e.slice[c.Cell] = known
+	}
+	known.Old.add(c.Old)
+	known.New.add(c.New)
+}
+
+// settle judges the attempts of a slice once it is over.
+func (m *Model) settle(now time.Time, id MoveID) []ident.Cmd {
+	e := m.effort(id)
+	if len(e.slice) == 0 || now.Sub(e.sliceAt) < sliceTime {
+		return nil
+	}
+	for _, c := range sortedCells(e.slice) {
+		e.judge.add(now, m.number(id), *e.slice[c])
+	}
+	e.slice = nil
+	return m.review(id)
 }
 
 // reports appends the evidence that is due.
--- a/core/roll/steps.go
+++ b/core/roll/steps.go
@@ -10,18 +10,20 @@
 )
 
 const (
-	// shareGrowth multiplies the share at each step, up to lastTrial; the step after it is the full share.
+	// shareGrowth multiplies the share at each step, up to lastTrial. The step after it has
+	// watchShare: the rest stays on the old version, so that there is a control until the end.
 	shareGrowth = 2
 	lastTrial   = 0.5
-	// timeUsed is how much of the time up to the deadline the steps are spread over.
-	timeUsed = 0.8
+	watchShare  = 0.9
+	// reserveSteps is how many steps' time the plan leaves free before the deadline.
+	reserveSteps = 2
 	// spareCapacity is how much of the engines that a share calls for may still lack the version.
 	spareCapacity = 0.25
 	// keepJitter spreads the entries' keep records, so that one is mostly enough.
 	keepJitter = 0.5
 )
 
-// ladder lists the shares of a move's steps; the last one is 1.
+// ladder lists the shares of a move's steps up to its completion.
 func ladder(first float64) (shares []float64) {
 	for s := first; s < lastTrial; s *= shareGrowth {
 		shares = append(shares, s)
@@ -29,7 +31,7 @@
 	if first <= lastTrial {
 		shares = append(shares, lastTrial)
 	}
-	return append(shares, 1)
+	return append(shares, watchShare)
 }
 
 func (mv Move) versions() Versions { return Versions{mv.Model, mv.From, mv.To} }
@@ -42,6 +44,7 @@
 		if ended(m.phase(mv.ID)) {
 			continue
 		}
+		cmds = append(cmds, m.settle(now, mv.ID)...)
 		cmds = append(cmds, m.reports(now, mv.ID)...)
 		if body, stopped := m.stopped[mv.ID]; stopped {
 			cmds = append(cmds, m.repeatTakeBack(now, mv.ID, body)...)
@@ -75,7 +78,7 @@
 	case b.Number > len(shares):
 		b.Event, b.Phase, b.Share = EventComplete, Complete, 1
 	case b.Number == len(shares):
-		b.Event, b.Phase, b.Share = EventFull, Watching, 1
+		b.Event, b.Phase, b.Share = EventFull, Watching, watchShare
 	default:
 		b.Share = shares[b.Number-1]
 	}
@@ -87,8 +90,7 @@
 
 // dwell is how long the current step lasts at least: the time left is spread over the steps left.
 func (m *Model) dwell(mv Move, s *state) time.Duration {
-	left := float64(mv.By.Sub(s.since)) * timeUsed / float64(max(m.stepsLeft(mv), 1))
-	return max(m.minDwell, time.Duration(left))
+	return max(m.minDwell, mv.By.Sub(s.since)/time.Duration(m.stepsLeft(mv)+reserveSteps))
 }
 
 // capable reports whether enough engines hold the new version for a share.
--- a/io/bench/cluster.go
+++ b/io/bench/cluster.go
@@ -214,6 +214,11 @@
 	c.running.Go(r.run)
 }
 
+// AddWeights starts a weight store whose loads take a given time, and returns its URL.
+func (c *Cluster) AddWeights(takes time.Duration) (url string, err error) {
+	return c.serve(stand.NewWeights(takes).Handler())
+}
+
 // AddEngine starts an engine and puts it on the list.
 func (c *Cluster) AddEngine(zone ident.Zone, s stand.EngineSettings) (e *Engine, err error) {
 	e = &Engine{Engine: stand.NewEngine(s), ID: ident.UpstreamID(fmt.Sprintf("engine-%d", len(c.engines)))}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -76,6 +76,7 @@
 	node *node.Node
 	// orders hands the orders to engines to the workers that send them.
 	orders chan roll.OrderCmd
+	teller *teller
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 }
@@ -114,6 +115,7 @@
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), d.appendEvents(), d.log)
 	d.stater = newStater(d)
+	d.teller = newTeller(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
--- a/io/entry/moves.go
+++ b/io/entry/moves.go
@@ -33,6 +33,7 @@
 			d.log.Error("order_queue_full", "upstream", cmd.Task.Upstream)
 		}
 	case roll.TellCmd:
+		d.teller.tell(cmd.Body)
 		d.log.Warn("version_taken_back", "move", cmd.Body.Move, "class", cmd.Body.Reason.Cell.Class,
 			"indicator", cmd.Body.Reason.Indicator, "old", cmd.Body.Reason.Old, "new", cmd.Body.Reason.New)
 	case roll.ChangedCmd:
@@ -43,6 +44,7 @@
 }
 
 func (d *Daemon) startMoves(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return d.teller.run(ctx) })
 	for range orderWorkers {
 		w := &orderWorker{d}
 		group.Go(func() error { return w.run(ctx) })
--- /dev/null
+++ b/io/entry/moves_test.go
@@ -0,0 +1,234 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/roll"
+	"cicadavalve/io/bench"
+	"cicadavalve/io/config"
+	"cicadavalve/io/peer"
+	"cicadavalve/io/stand"
+)
+
+const (
+	moveWorkers = 24
+	moveTokens  = 6
+	moveRoots   = 1000
+	moveEngines = 4
+)
+
+// moveLoad sends completions to random entries until it is stopped.
+type moveLoad struct {
+	t       *testing.T
+	ctx     context.Context
+	c       *bench.Cluster
+	stopped atomic.Bool
+	done    sync.WaitGroup
+	// wrong counts the answers that are not the whole answer of one version, and refused the others.
+	whole, wrong, refused atomic.Int64
+}
+
+func startLoad(ctx context.Context, t *testing.T, c *bench.Cluster) *moveLoad {
+	l := &moveLoad{t: t, ctx: ctx, c: c}
+	for i := range moveWorkers {
+		rng := rand.New(rand.NewPCG(uint64(i), 1))
+		l.done.Go(func() { l.run(rng) })
+	}
+	return l
+}
+
+func (l *moveLoad) run(rng *rand.Rand) {
+	for !l.stopped.Load() && l.ctx.Err() == nil {
+		e := l.c.Entries()[rng.IntN(len(l.c.Entries()))]
+		prompt := fmt.Sprintf("prompt %d", rng.IntN(moveRoots))
+		a, err := bench.Call(l.ctx, e, bench.Token, "/v1/completions", "", completionBody(prompt, moveTokens))
+		if err != nil || a.Status != http.StatusOK {
+			l.refused.Add(1)
+			l.t.Logf("refused: status %d, %s, %v", a.Status, a.Body, err)
+			continue
+		}
+		switch answerText(l.t, a) {
+		case wholeAnswer(prompt, "v1", moveTokens), wholeAnswer(prompt, "v2", moveTokens):
+			l.whole.Add(1)
+		default:
+			l.wrong.Add(1)
+		}
+	}
+}
+
+func (l *moveLoad) stop() {
+	l.stopped.Store(true)
+	l.done.Wait()
+}
+
+// startMove runs three entries before engines that load v2 by order, with a move in force.
+func startMove(t *testing.T, by time.Duration) (*bench.Cluster, context.Context, string) {
+	t.Helper()
+	rules := testRules + "move model m from v1 to v2 by " + time.Now().Add(by).UTC().Format(time.RFC3339) +
+		" share 5%  # asked by: test\n"
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+	t.Cleanup(cancel)
+	c, err := bench.Start(bench.WithRules(rules), bench.WithSettings(func(s *config.Settings) {
+		s.MoveDwell, s.WeightLease = config.Duration(500*time.Millisecond), config.Duration(4*time.Second)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	weights, err := c.AddWeights(200 * time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range moveEngines {
+		s := engineSettings()
+		s.WeightsURL = weights
+		if _, err := c.AddEngine("dunedin", s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.AddApp("dunedin", "booking"); err != nil {
+		t.Fatal(err)
+	}
+	for range 3 {
+		e, err := c.AddEntry("dunedin")
+		if err != nil {
+			t.Fatal(err)
+		}
+		waitServing(ctx, t, e)
+	}
+	return c, ctx, weights
+}
+
+// moves asks an entry for its moves; it is the zero status where the entry does not answer.
+func moves(ctx context.Context, e *bench.Entry) (s roll.Status) {
+	var list []roll.Status
+	err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "moves", "", &list)
+	if err != nil || len(list) != 1 {
+		return s
+	}
+	return list[0]
+}
+
+func onEvery(ctx context.Context, c *bench.Cluster, holds func(roll.Status) bool) func() bool {
+	return func() bool {
+		return !slices.ContainsFunc(c.Entries(), func(e *bench.Entry) bool { return !holds(moves(ctx, e)) })
+	}
+}
+
+func startedOn(c *bench.Cluster, v ident.Version) (n int) {
+	for _, e := range c.Engines() {
+		n += e.Stats().Started[v]
+	}
+	return n
+}
+
+func faultAll(ctx context.Context, t *testing.T, c *bench.Cluster, f stand.EngineFaults) {
+	t.Helper()
+	for _, e := range c.Engines() {
+		if err := bench.Fault(ctx, e.Address, f); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestGoodVersionIsMoved(t *testing.T) {
+	c, ctx, weights := startMove(t, time.Minute)
+	l := startLoad(ctx, t, c)
+	ended := onEvery(ctx, c, func(s roll.Status) bool { return s.Phase == roll.Complete || s.Phase == roll.TakenBack })
+	bench.Wait(ctx, ended)
+	if s := moves(ctx, c.Entries()[0]); s.Phase != roll.Complete {
+		t.Fatalf("the move is not complete: %+v, reason %+v", s, s.Reason)
+	}
+	l.stop()
+	old, before := startedOn(c, "v1"), time.Now()
+	l = startLoad(ctx, t, c)
+	bench.Wait(ctx, func() bool { return l.whole.Load() > 300 })
+	l.stop()
+	t.Logf("complete %v before its time", moves(ctx, c.Entries()[0]).Move.By.Sub(before))
+	type result struct {
+		Wrong, Refused int64
+		Old            int
+		MostAtOnce     int
+	}
+	want := result{MostAtOnce: 2}
+	if diff := cmp.Diff(want, result{l.wrong.Load(), l.refused.Load(), startedOn(c, "v1") - old, mostAtOnce(t, weights)}); diff != "" {
+		t.Errorf("after the move (-want +got):\n%s", diff)
+	}
+}
+
+func mostAtOnce(t *testing.T, weights string) int {
+	t.Helper()
+	resp, err := http.Get(weights + "/stats")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var s stand.WeightsStats
+	if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+		t.Fatal(err)
+	}
+	return s.MostAtOnce
+}
+
+func TestBadVersionIsTakenBackOnEveryEntry(t *testing.T) {
+	cases := map[string]struct {
+		fault stand.EngineFaults
+		// outage takes the log away before the version turns bad.
+		outage bool
+	}{
+		"fails":               {fault: stand.EngineFaults{BadFail: 0.5}},
+		"slow":                {fault: stand.EngineFaults{BadSlowBy: 5}},
+		"fails under load":    {fault: stand.EngineFaults{BadFail: 0.8, BadAbove: 3}},
+		"fails on one route":  {fault: stand.EngineFaults{BadFail: 0.8, BadPriority: ident.Interactive.Rank()}},
+		"fails without a log": {fault: stand.EngineFaults{BadFail: 0.5}, outage: true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) { takeBackCase(t, tc.fault, tc.outage) })
+	}
+}
+
+func takeBackCase(t *testing.T, fault stand.EngineFaults, outage bool) {
+	c, ctx, _ := startMove(t, 2*time.Minute)
+	l := startLoad(ctx, t, c)
+	if !bench.Wait(ctx, func() bool { return startedOn(c, "v2") > 5 }) {
+		t.Fatal("the new version got no request")
+	}
+	if outage {
+		if err := bench.Fault(ctx, c.LogURL(), stand.LogFaults{Outage: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fault.BadVersion = "v2"
+	faultAll(ctx, t, c, fault)
+	began, old, bad := time.Now(), startedOn(c, "v1"), startedOn(c, "v2")
+	if !bench.Wait(ctx, onEvery(ctx, c, func(s roll.Status) bool { return s.Stopped })) {
+		t.Fatalf("an entry did not stop: %+v", moves(ctx, c.Entries()[0]))
+	}
+	took, got := time.Since(began), startedOn(c, "v2")-bad
+	l.stop()
+	t.Logf("taken back on every entry after %v; it got %d of %d requests; callers: %d whole, %d refused",
+		took, got, got+startedOn(c, "v1")-old, l.whole.Load(), l.refused.Load())
+	bad = startedOn(c, "v2")
+	after := startLoad(ctx, t, c)
+	bench.Wait(ctx, func() bool { return after.whole.Load() > 300 })
+	after.stop()
+	type result struct {
+		New            int
+		Wrong, Refused int64
+	}
+	if diff := cmp.Diff(result{}, result{startedOn(c, "v2") - bad, l.wrong.Load() + after.wrong.Load(), after.refused.Load()}); diff != "" {
+		t.Errorf("after the take-back (-want +got):\n%s", diff)
+	}
+}
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -43,6 +43,8 @@
 	OperatorShowProcedure = "/cicadavalve.peer.Operator/Show"
 	// PeerStateProcedure is the fully-qualified name of the Peer's State RPC.
 	PeerStateProcedure = "/cicadavalve.peer.Peer/State"
+	// PeerTakeBackProcedure is the fully-qualified name of the Peer's TakeBack RPC.
+	PeerTakeBackProcedure = "/cicadavalve.peer.Peer/TakeBack"
 )
 
 // OperatorClient is a client for the cicadavalve.peer.Operator service.
@@ -177,6 +179,8 @@
 type PeerClient interface {
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
+	// TakeBack tells of a weight version that the asking entry has taken back.
+	TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error)
 }
 
 // NewPeerClient constructs a client for the cicadavalve.peer.Peer service. By default, it uses the
@@ -196,12 +200,19 @@
 			connect.WithSchema(peerMethods.ByName("State")),
 			connect.WithClientOptions(opts...),
 		),
+		takeBack: connect.NewClient[peerpb.TakeBackRequest, peerpb.TakeBackResponse](
+			httpClient,
+			baseURL+PeerTakeBackProcedure,
+			connect.WithSchema(peerMethods.ByName("TakeBack")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	state *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
+	state    *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
+	takeBack *connect.Client[peerpb.TakeBackRequest, peerpb.TakeBackResponse]
 }
 
 // State calls cicadavalve.peer.Peer.State.
@@ -209,10 +220,17 @@
 	return c.state.CallUnary(ctx, req)
 }
 
+// TakeBack calls cicadavalve.peer.Peer.TakeBack.
+func (c *peerClient) TakeBack(ctx context.Context, req *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error) {
+	return c.takeBack.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the cicadavalve.peer.Peer service.
 type PeerHandler interface {
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
+	// TakeBack tells of a weight version that the asking entry has taken back.
+	TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -228,10 +246,18 @@
 		connect.WithSchema(peerMethods.ByName("State")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTakeBackHandler := connect.NewUnaryHandler(
+		PeerTakeBackProcedure,
+		svc.TakeBack,
+		connect.WithSchema(peerMethods.ByName("TakeBack")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cicadavalve.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerStateProcedure:
 			peerStateHandler.ServeHTTP(w, r)
+		case PeerTakeBackProcedure:
+			peerTakeBackHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -244,3 +270,7 @@
 func (UnimplementedPeerHandler) State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.State is not implemented"))
 }
+
+func (UnimplementedPeerHandler) TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.TakeBack is not implemented"))
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -11,6 +11,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/rules"
 	"cicadavalve/io/peer/peerpb"
@@ -40,6 +41,8 @@
 	Show(ctx context.Context, subject, argument string) (document any, err error)
 	// ConfigState is the state of the configuration's fold; current is false on an entry that must not pass it on.
 	ConfigState(ctx context.Context) (s ledger.State, current bool)
+	// TakenBack hears of a weight version that a peer has taken back.
+	TakenBack(ctx context.Context, body roll.TakeBackBody)
 }
 
 // ErrUnknownSubject says that an entry can't show what was asked.
