--- a/core/node/node.go
+++ b/core/node/node.go
@@ -7,6 +7,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
@@ -21,6 +22,9 @@
 	// Seed seeds every random number that the deciders draw.
 	Seed   uint64 `json:"seed"`
 	Policy string `json:"policy"`
+	// Slots holds the lease of the entry and the durations that cold slots rest on.
+	Slots        limit.Timing  `json:"slots"`
+	PingInterval time.Duration `json:"ping_interval"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot; 0 takes the default.
 	SnapshotRecords  int64         `json:"snapshot_records"`
 	SnapshotInterval time.Duration `json:"snapshot_interval"`
@@ -29,13 +33,15 @@
 	WeightLease  time.Duration `json:"weight_lease"`
 	UnloadGrace  time.Duration `json:"unload_grace"`
 	KeepInterval time.Duration `json:"keep_interval"`
+	// OnceLimits bound once-only calls.
+	OnceLimits once.Limits `json:"once_limits"`
 }
 
 // Node is the set of deciders of one entry.
 type Node struct {
 	settings Settings
 	config   *ledger.Config
-	roster   *roster.Roster
+	members  *roster.Membership
 	once     *once.Model
 	sched    *sched.Model
 	roll     *roll.Model
@@ -52,10 +58,11 @@
 		settings: s,
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
-		roster: roster.NewRoster(),
-		once:   once.NewModel(s.Entry, s.Incarnation),
+		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
+		once:    once.NewModel(s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits)),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
+			sched.WithSlotTiming(s.Slots),
 			sched.WithVersions(moves),
 		),
 	}
@@ -73,7 +80,10 @@
 func (n *Node) Config() *ledger.Config { return n.config }
 
 // Roster is the fold of the members.
-func (n *Node) Roster() *roster.Roster { return n.roster }
+func (n *Node) Roster() *roster.Roster { return n.members.Roster() }
+
+// Members is the entry's own place in the roster.
+func (n *Node) Members() *roster.Membership { return n.members }
 
 // Once decides about once-only calls.
 func (n *Node) Once() *once.Model { return n.once }
@@ -99,27 +109,35 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
+	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
+		return n.members.Update(now, msg)
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
-		cmds := append(n.config.Update(now, ledger.TickMsg{}), n.once.Update(now, once.TickMsg{})...)
-		cmds = append(cmds, n.sched.Update(now, msg)...)
-		return append(cmds, n.roll.Update(now, msg)...)
+		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
 	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
 		return n.roll.Update(now, msg)
-	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg:
+	case once.CallMsg, once.NotRunMsg, once.DoneMsg, once.AppendFailedMsg, once.LogMsg, once.PositionsMsg:
 		return n.once.Update(now, msg)
 	}
 	return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
 }
 
+// tick lets time pass for each decider that acts on it.
+func (n *Node) tick(now time.Time, msg sched.TickMsg) (cmds []ident.Cmd) {
+	cmds = n.config.Update(now, ledger.TickMsg{})
+	cmds = append(cmds, n.members.Update(now, roster.TickMsg{})...)
+	cmds = append(cmds, n.once.Update(now, once.TickMsg{})...)
+	return append(cmds, n.sched.Update(now, msg)...)
+}
+
 // fold picks the fold of a stream.
 func (n *Node) fold(now time.Time, batch ledger.BatchMsg) []ident.Cmd {
 	switch batch.Stream {
 	case ledger.StreamConfig:
 		return n.config.Update(now, batch)
 	case ledger.StreamRoster:
-		return n.roster.Update(now, batch)
+		return n.members.Update(now, batch)
 	case ledger.StreamVerdict:
 		return append(n.sched.Update(now, batch), n.roll.Update(now, batch)...)
 	}
@@ -133,7 +151,10 @@
 		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
 		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
 	case roster.ChangedCmd:
-		return n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})
+		cmds := n.sched.Update(now, membersMsg(cmd))
+		return append(cmds, n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})...)
+	case roster.LeaseCmd:
+		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
 	}
 	return nil
 }
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
@@ -48,6 +49,11 @@
 	return func(m *Model) { m.budgets = retry.NewBudgets(retry.WithRate(perSecond, burst)) }
 }
 
+// WithSlotTiming sets the durations that the slots of cold upstreams rest on.
+func WithSlotTiming(t limit.Timing) Option {
+	return func(m *Model) { m.slots = limit.NewSlots(t) }
+}
+
 const (
 	defaultSeed        = 1
 	defaultMaxAttempts = 4
@@ -60,6 +66,7 @@
 	m.policyName = route.NameAffinity
 	m.budgets = retry.NewBudgets()
 	m.poison = poison.NewModel("")
+	m.slots = limit.NewSlots(limit.DefaultTiming())
 	m.maxAttempts = defaultMaxAttempts
 	m.versions = servedOnly{}
 	m.silence = map[ident.Class]time.Duration{
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -13,11 +13,12 @@
 		return nil
 	}
 	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
-		u.suspectUntil = now.Add(suspectTime)
+		u.suspectUntil, u.special = now.Add(suspectTime), true
 	}
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
 	cmds := m.lost(now, r, msg.Cause)
+	m.failed(now, r, msg.Cause)
 	m.release(r)
 	cmds = append(cmds, m.endTrial(r)...)
 	return append(m.afterFail(now, r, msg.Cause), cmds...)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -10,6 +10,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/route"
@@ -28,6 +29,10 @@
 	on ident.UpstreamID
 	// sent is when the current attempt began.
 	sent time.Time
+	// key names the kept context that the request may find.
+	key uint64
+	// missing is the prompt tokens that the current attempt adds to its upstream's backlog.
+	missing int
 	// tried lists the upstreams of the failed attempts.
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
@@ -71,14 +76,22 @@
 	version   int64
 	upstreams map[ident.UpstreamID]*upstream
 	// order holds the ids of upstreams, sorted, so that decisions do not depend on map order.
-	order      []ident.UpstreamID
-	requests   map[ident.RequestID]*request
-	candidates []route.Candidate
+	order []ident.UpstreamID
+	// listed is true once a list has come.
+	listed   bool
+	requests map[ident.RequestID]*request
+	// pools holds the open upstreams by what they serve; nil until it is needed.
+	pools map[poolKey][]*upstream
+	// kept remembers where this entry sent each prompt.
+	kept       *kept
+	candidates []*route.Candidate
+	// slots bound the requests on cold upstreams.
+	slots *limit.Slots
 }
 
 // NewModel is a scheduler without rules or upstreams.
 func NewModel(options ...Option) *Model {
-	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}}
+	m := &Model{upstreams: map[ident.UpstreamID]*upstream{}, requests: map[ident.RequestID]*request{}, kept: newKept()}
 	m.setDefaults()
 	for _, o := range options {
 		o(m)
@@ -102,13 +115,15 @@
 	if len(m.parked) > 0 {
 		cmds = append(cmds, m.wake(now)...)
 	}
-	return cmds
+	return append(cmds, m.slots.Asks()...)
 }
 
 func (m *Model) update(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
+	case limit.MembersMsg, limit.LeaseMsg, limit.SettledMsg:
+		return m.slots.Update(now, msg)
 	case UpstreamsMsg:
-		m.setUpstreams(msg)
+		m.setUpstreams(now, msg)
 		m.noteClosed(now)
 	case LoadMsg:
 		return m.setLoad(now, msg)
@@ -119,33 +134,43 @@
 		m.noteClosed(now)
 	case ArriveMsg:
 		return m.arrive(now, msg)
+	case FirstMsg:
+		m.first(msg)
 	case EndMsg:
-		return m.end(msg)
+		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
 	case GoneMsg:
-		return m.gone(msg)
+		return m.gone(now, msg)
 	case TickMsg:
-		return append(m.poison.Tick(now), m.move(now)...)
+		return slices.Concat(m.poison.Tick(now), m.move(now), m.yield(now))
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
 	return nil
 }
 
-func (m *Model) setUpstreams(msg UpstreamsMsg) {
+func (m *Model) setUpstreams(now time.Time, msg UpstreamsMsg) {
 	listed := map[ident.UpstreamID]bool{}
 	for _, l := range msg.Upstreams {
 		listed[l.ID] = true
 		u, known := m.upstreams[l.ID]
 		if !known || u.listed.Address != l.Address {
-			u = &upstream{}
+			u = &upstream{special: true, candidate: route.Candidate{ID: l.ID, Hash: route.HashID(l.ID)}}
 			m.upstreams[l.ID] = u
 		}
 		u.listed = l
+		u.candidate.Zone = l.Zone
+	}
+	for _, id := range m.order {
+		if !listed[id] {
+			m.slots.Forget(now, id)
+			delete(m.upstreams, id)
+		}
 	}
-	maps.DeleteFunc(m.upstreams, func(id ident.UpstreamID, _ *upstream) bool { return !listed[id] })
 	m.order = slices.Sorted(maps.Keys(m.upstreams))
+	m.pools = nil
+	m.listed = true
 }
 
 func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
@@ -154,9 +179,15 @@
 		return nil
 	}
 	if u.misses >= outageMisses {
-		u.backSince = now
+		u.backSince, u.special = now, true
 	}
+	if !u.seen || !slices.Equal(u.load.Loaded, msg.Load.Loaded) {
+		m.pools = nil
+	}
+	u.special = u.special || u.load.BootID != msg.Load.BootID
+	m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
 	u.load, u.seen, u.misses = msg.Load, true, 0
+	u.report(msg.Load)
 	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
 }
 
@@ -166,9 +197,11 @@
 		return nil
 	}
 	u.misses++
+	u.special = true
 	if u.misses < probeMisses {
 		return nil
 	}
+	m.slots.Doubt(now, msg.Upstream)
 	return m.poison.Unreachable(now, msg.Upstream)
 }
 
@@ -189,6 +222,7 @@
 	if refusal, refused := m.admit(r); refused {
 		return []ident.Cmd{refusal}
 	}
+	r.key = route.Key(r.Org, r.version, r.PromptRoot)
 	m.requests[r.ID] = r
 	return m.send(now, r)
 }
@@ -227,20 +261,19 @@
 	if !m.find(now, r) {
 		return m.giveUp(now, r, CodeNoUpstream, "no upstream can take the request now")
 	}
-	need := route.Need{
-		Org: r.Org, Class: r.Class, Zone: m.zone, Version: r.version,
-		PromptRoot: r.PromptRoot, PromptTokens: r.PromptTokens, MaxTokens: r.MaxTokens,
-	}
-	chosen := m.candidates[m.policy.Pick(now, need, m.candidates)]
-	return []ident.Cmd{m.start(now, r, m.upstreams[chosen.ID])}
+	u := m.upstreams[m.choose(now, r)]
+	return []ident.Cmd{m.start(now, r, u)}
 }
 
 // start begins an attempt on an upstream.
 func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
-	u.outstanding++
+	u.candidate.Outstanding++
+	r.missing = max(0, r.PromptTokens-m.kept.tokens(r.key, u))
+	u.candidate.Backlog += r.missing
 	r.attempt++
 	r.on = u.listed.ID
 	r.sent = now
+	m.acquire(now, r)
 	return m.sendCmd(r, u)
 }
 
@@ -252,57 +285,47 @@
 	}
 }
 
-// collect fills candidates with the upstreams that may take the request.
-func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID, least trust) {
-	m.candidates = m.candidates[:0]
-	for _, id := range m.order {
-		u := m.upstreams[id]
-		if m.eligible(now, u, r, least) && !slices.Contains(avoid, id) {
-			m.candidates = append(m.candidates, u.candidate())
-		}
-	}
-}
-
-func (m *Model) eligible(now time.Time, u *upstream, r *request, least trust) bool {
-	return m.serves(u, r) && !m.keptFree(u, r) && u.trust(now, r) >= least
-}
-
-// serves reports whether an upstream may get new work and holds what the request needs.
-func (m *Model) serves(u *upstream, r *request) bool {
-	if !u.seen || m.closed(u) {
-		return false
-	}
-	if r.Service != "" {
-		return u.listed.Role == RoleApp && u.serves(r.Service)
-	}
-	return u.listed.Role == RoleEngine && u.holds(r.Model, r.version)
-}
-
 // release takes the current attempt off its upstream.
 func (m *Model) release(r *request) {
-	if u, known := m.upstreams[r.on]; known && u.outstanding > 0 {
-		u.outstanding--
+	if u, known := m.upstreams[r.on]; known && u.candidate.Outstanding > 0 {
+		u.candidate.Outstanding--
+		u.settle(r)
 	}
 	r.on = ""
 }
 
-func (m *Model) end(msg EndMsg) []ident.Cmd {
+func (m *Model) end(now time.Time, msg EndMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
 		return nil
 	}
+	m.slots.Succeeded(now, r.on)
+	m.slots.Release(now, r.ID, true)
 	m.release(r)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
 	return m.endTrial(r)
 }
 
-func (m *Model) gone(msg GoneMsg) []ident.Cmd {
+// first notes that the prompt of an attempt is computed.
+func (m *Model) first(msg FirstMsg) {
+	r, known := m.requests[msg.Request]
+	if !known || r.attempt != msg.Attempt {
+		return
+	}
+	if u, listed := m.upstreams[r.on]; listed {
+		u.settle(r)
+		m.kept.add(r.key, u, r.PromptTokens)
+	}
+}
+
+func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
 	r, known := m.requests[msg.Request]
 	if !known {
 		return nil
 	}
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
+	m.slots.Release(now, r.ID, false)
 	m.release(r)
 	delete(m.requests, r.ID)
 	return append(m.endTrial(r), cancel)
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -79,10 +79,29 @@
 	// JournalBytes bounds the journal in memory, JournalRate what goes to the log, in bytes a second.
 	JournalBytes int   `yaml:"journal_bytes"`
 	JournalRate  int64 `yaml:"journal_rate"`
+	// AppendBatch bounds the records of one append to the log.
+	AppendBatch int `yaml:"append_batch"`
+	// OnceSendLimit, OnceAbandonAge and OnceWindow bound once-only calls; they must be the same on all
+	// entries, and 0 takes the default. The age must exceed the limit by the longest call.
+	OnceSendLimit  Duration `yaml:"once_send_limit"`
+	OnceAbandonAge Duration `yaml:"once_abandon_age"`
+	OnceWindow     int64    `yaml:"once_window"`
 	// JournalInterval is the time between two journal records in the log.
 	JournalInterval Duration `yaml:"journal_interval"`
 	// LogTimeout bounds one append or read of the log.
 	LogTimeout Duration `yaml:"log_timeout"`
+	// Lease is how long a read of the log lets the entry act as a member; it is the same on all entries.
+	Lease Duration `yaml:"lease"`
+	// LeaseMargin covers clocks that run at different rates; it is the same on all entries.
+	LeaseMargin Duration `yaml:"lease_margin"`
+	// SlotHold is the longest that one request keeps a slot of a cold upstream; it is the same on all entries.
+	SlotHold Duration `yaml:"slot_hold"`
+	// ColdTime is the longest that an upstream stays cold after a boot.
+	ColdTime Duration `yaml:"cold_time"`
+	// ReportLag is the longest that an upstream's report lags.
+	ReportLag Duration `yaml:"report_lag"`
+	// PingInterval is the time between pings to another entry.
+	PingInterval Duration `yaml:"ping_interval"`
 	// SnapshotRecords and SnapshotInterval bound what comes after the newest snapshot of the
 	// configuration; each must be well below what the log service keeps.
 	SnapshotRecords  int64    `yaml:"snapshot_records"`
@@ -113,9 +132,16 @@
 		AdviceHold:   Duration(2 * time.Second),
 		StopTimeout:  Duration(30 * time.Second),
 		LogTimeout:   Duration(2 * time.Second),
+		Lease:        Duration(3 * time.Second),
+		LeaseMargin:  Duration(500 * time.Millisecond),
+		SlotHold:     Duration(10 * time.Second),
+		ColdTime:     Duration(5 * time.Second),
+		ReportLag:    Duration(time.Second),
+		PingInterval: Duration(time.Second),
 
 		JournalBytes:     16 << 20,
 		JournalRate:      16 << 10,
+		AppendBatch:      256,
 		JournalInterval:  Duration(5 * time.Second),
 		SnapshotRecords:  64,
 		SnapshotInterval: Duration(10 * time.Minute),
@@ -168,11 +194,17 @@
 	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
 	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
+	fault(s.AppendBatch <= 0, "append_batch: expected a number above 0")
+	fault(s.OnceSendLimit < 0, "once_send_limit: expected a duration of at least 0")
+	fault(s.OnceAbandonAge < 0, "once_abandon_age: expected a duration of at least 0")
+	fault(s.OnceWindow < 0, "once_window: expected a number of at least 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
 	fault(!areAddresses(s.Peers), "peers: expected a list of host:port")
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
+		"lease": s.Lease, "lease_margin": s.LeaseMargin, "slot_hold": s.SlotHold, "cold_time": s.ColdTime,
+		"ping_interval": s.PingInterval, "report_lag": s.ReportLag,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 		"snapshot_interval": s.SnapshotInterval,
 		"move_dwell":        s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
--- a/io/entry/appender.go
+++ b/io/entry/appender.go
@@ -15,7 +15,6 @@
 const (
 	appendQueue    = 4096
 	appendBackoff  = 50 * time.Millisecond
-	mostBatch      = 256
 	mostBatchBytes = 1 << 20
 	// downAfter is how many failed tries in a row say that the log takes no appends.
 	downAfter = 3
@@ -41,7 +40,9 @@
 	state func(ctx context.Context, stream ledger.Stream, up bool)
 }
 
-func newAppender(service logsvc.Service, deadline time.Duration, events appendEvents, log *slog.Logger) *appender {
+func newAppender(
+	service logsvc.Service, deadline time.Duration, mostBatch int, events appendEvents, log *slog.Logger,
+) *appender {
 	a := &appender{lanes: map[ledger.Stream]*lane{}}
 	for _, stream := range []ledger.Stream{
 		ledger.StreamConfig, ledger.StreamVerdict, ledger.StreamRoster, once.StreamOnce,
@@ -54,14 +55,6 @@
 	return a
 }
 
-// add queues a record and waits while the queue is full; the loop uses offer instead.
-func (a *appender) add(ctx context.Context, stream ledger.Stream, rec ledger.Record) {
-	select {
-	case a.lanes[stream].queue <- pending{stream, rec}:
-	case <-ctx.Done():
-	}
-}
-
 // offer queues a record, or reports at once that the queue is full. It never waits, so
 // that the loop can't wait for the appender while the appender waits for the loop.
 func (a *appender) offer(stream ledger.Stream, rec ledger.Record) (queued bool) {
--- a/io/entry/bootstrap.go
+++ b/io/entry/bootstrap.go
@@ -24,7 +24,7 @@
 }
 
 func newStater(d *Daemon) *stater {
-	return &stater{d: d, client: &http.Client{Timeout: stateTimeout}, asks: make(chan ledger.AskPeersCmd, stateQueue)}
+	return &stater{d: d, client: d.peerClient(), asks: make(chan ledger.AskPeersCmd, stateQueue)}
 }
 
 // ask never waits.
--- a/io/entry/fold.go
+++ b/io/entry/fold.go
@@ -11,8 +11,11 @@
 	d *Daemon
 }
 
-// Post implements [logsvc.Fold].
-func (f folds) Post(ctx context.Context, batch ledger.BatchMsg) { f.d.post(ctx, batch) }
+// Post implements [logsvc.Fold]; it tells the time of the read in the deciders' clock.
+func (f folds) Post(ctx context.Context, batch ledger.BatchMsg) {
+	batch.Asked = f.d.clock.at(batch.Asked)
+	f.d.post(ctx, batch)
+}
 
 // Failed implements [logsvc.Fold].
 func (f folds) Failed(ctx context.Context, stream ledger.Stream) {
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/roster"
@@ -28,10 +30,18 @@
 }
 
 // inspect runs a function in the loop and waits for it; it reports whether the function ran.
+// A function that has not begun when the context ends never runs.
 func (d *Daemon) inspect(ctx context.Context, look func()) bool {
+	var claimed atomic.Bool
 	ran := make(chan struct{})
+	guarded := func() {
+		if claimed.CompareAndSwap(false, true) {
+			look()
+			close(ran)
+		}
+	}
 	select {
-	case d.inbox <- work{look: func() { look(); close(ran) }}:
+	case d.inbox <- work{look: guarded}:
 	case <-ctx.Done():
 		return false
 	}
@@ -39,8 +49,12 @@
 	case <-ran:
 		return true
 	case <-ctx.Done():
+	}
+	if claimed.CompareAndSwap(false, true) {
 		return false
 	}
+	<-ran
+	return true
 }
 
 // loop owns the deciders: every message passes through it in order.
@@ -93,7 +107,16 @@
 	case roster.ChangedCmd:
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
-		d.appender.add(ctx, ledger.StreamVerdict, cmd.Record)
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
+	case once.AskCmd:
+		d.asker.ask(cmd)
+	case roster.AppendCmd:
+		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamRoster, Record: cmd.Record})
+	case roster.PingCmd, limit.AskCmd:
+		d.peers.add(cmd)
+	case roster.SupersededCmd:
+		d.log.Error("entry_superseded", "by", cmd.By)
+		d.supersededOnce.Do(func() { close(d.superseded) })
 	case once.AppendCmd:
 		d.appendOnce(ctx, cmd)
 	case sched.SendCmd:
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -25,6 +25,8 @@
 	OperatorName = "cicadavalve.peer.Operator"
 	// PeerName is the fully-qualified name of the Peer service.
 	PeerName = "cicadavalve.peer.Peer"
+	// OnceName is the fully-qualified name of the Once service.
+	OnceName = "cicadavalve.peer.Once"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -41,10 +43,18 @@
 	OperatorStatusProcedure = "/cicadavalve.peer.Operator/Status"
 	// OperatorShowProcedure is the fully-qualified name of the Operator's Show RPC.
 	OperatorShowProcedure = "/cicadavalve.peer.Operator/Show"
+	// PeerPingProcedure is the fully-qualified name of the Peer's Ping RPC.
+	PeerPingProcedure = "/cicadavalve.peer.Peer/Ping"
+	// PeerLeaveProcedure is the fully-qualified name of the Peer's Leave RPC.
+	PeerLeaveProcedure = "/cicadavalve.peer.Peer/Leave"
+	// PeerSettleProcedure is the fully-qualified name of the Peer's Settle RPC.
+	PeerSettleProcedure = "/cicadavalve.peer.Peer/Settle"
 	// PeerStateProcedure is the fully-qualified name of the Peer's State RPC.
 	PeerStateProcedure = "/cicadavalve.peer.Peer/State"
 	// PeerTakeBackProcedure is the fully-qualified name of the Peer's TakeBack RPC.
 	PeerTakeBackProcedure = "/cicadavalve.peer.Peer/TakeBack"
+	// OncePositionProcedure is the fully-qualified name of the Once's Position RPC.
+	OncePositionProcedure = "/cicadavalve.peer.Once/Position"
 )
 
 // OperatorClient is a client for the cicadavalve.peer.Operator service.
@@ -177,6 +187,12 @@
 
 // PeerClient is a client for the cicadavalve.peer.Peer service.
 type PeerClient interface {
+	// Ping tells that the caller is alive, and asks the same of the entry.
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+	// Leave tells that the caller is leaving: the answer says that the entry no longer advises its address.
+	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
+	// Settle asks whether the entry has given up the slots that it lost.
+	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
 	// TakeBack tells of a weight version that the asking entry has taken back.
@@ -194,6 +210,24 @@
 	baseURL = strings.TrimRight(baseURL, "/")
 	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
 	return &peerClient{
+		ping: connect.NewClient[peerpb.PingRequest, peerpb.PingResponse](
+			httpClient,
+			baseURL+PeerPingProcedure,
+			connect.WithSchema(peerMethods.ByName("Ping")),
+			connect.WithClientOptions(opts...),
+		),
+		leave: connect.NewClient[peerpb.LeaveRequest, peerpb.LeaveResponse](
+			httpClient,
+			baseURL+PeerLeaveProcedure,
+			connect.WithSchema(peerMethods.ByName("Leave")),
+			connect.WithClientOptions(opts...),
+		),
+		settle: connect.NewClient[peerpb.SettleRequest, peerpb.SettleResponse](
+			httpClient,
+			baseURL+PeerSettleProcedure,
+			connect.WithSchema(peerMethods.ByName("Settle")),
+			connect.WithClientOptions(opts...),
+		),
 		state: connect.NewClient[peerpb.StateRequest, peerpb.StateResponse](
 			httpClient,
 			baseURL+PeerStateProcedure,
@@ -211,10 +245,28 @@
 
 // peerClient implements PeerClient.
 type peerClient struct {
+	ping     *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
+	leave    *connect.Client[peerpb.LeaveRequest, peerpb.LeaveResponse]
+	settle   *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
 	state    *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
 	takeBack *connect.Client[peerpb.TakeBackRequest, peerpb.TakeBackResponse]
 }
 
+// Ping calls cicadavalve.peer.Peer.Ping.
+func (c *peerClient) Ping(ctx context.Context, req *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return c.ping.CallUnary(ctx, req)
+}
+
+// Leave calls cicadavalve.peer.Peer.Leave.
+func (c *peerClient) Leave(ctx context.Context, req *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error) {
+	return c.leave.CallUnary(ctx, req)
+}
+
+// Settle calls cicadavalve.peer.Peer.Settle.
+func (c *peerClient) Settle(ctx context.Context, req *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
+	return c.settle.CallUnary(ctx, req)
+}
+
 // State calls cicadavalve.peer.Peer.State.
 func (c *peerClient) State(ctx context.Context, req *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
 	return c.state.CallUnary(ctx, req)
@@ -227,6 +279,12 @@
 
 // PeerHandler is an implementation of the cicadavalve.peer.Peer service.
 type PeerHandler interface {
+	// Ping tells that the caller is alive, and asks the same of the entry.
+	Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error)
+	// Leave tells that the caller is leaving: the answer says that the entry no longer advises its address.
+	Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error)
+	// Settle asks whether the entry has given up the slots that it lost.
+	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
 	// TakeBack tells of a weight version that the asking entry has taken back.
@@ -240,6 +298,24 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerHandler(svc PeerHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerMethods := peerpb.File_peer_proto.Services().ByName("Peer").Methods()
+	peerPingHandler := connect.NewUnaryHandler(
+		PeerPingProcedure,
+		svc.Ping,
+		connect.WithSchema(peerMethods.ByName("Ping")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerLeaveHandler := connect.NewUnaryHandler(
+		PeerLeaveProcedure,
+		svc.Leave,
+		connect.WithSchema(peerMethods.ByName("Leave")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerSettleHandler := connect.NewUnaryHandler(
+		PeerSettleProcedure,
+		svc.Settle,
+		connect.WithSchema(peerMethods.ByName("Settle")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerStateHandler := connect.NewUnaryHandler(
 		PeerStateProcedure,
 		svc.State,
@@ -254,6 +330,12 @@
 	)
 	return "/cicadavalve.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
+		case PeerPingProcedure:
+			peerPingHandler.ServeHTTP(w, r)
+		case PeerLeaveProcedure:
+			peerLeaveHandler.ServeHTTP(w, r)
+		case PeerSettleProcedure:
+			peerSettleHandler.ServeHTTP(w, r)
 		case PeerStateProcedure:
 			peerStateHandler.ServeHTTP(w, r)
 		case PeerTakeBackProcedure:
@@ -267,6 +349,18 @@
 // UnimplementedPeerHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerHandler struct{}
 
+func (UnimplementedPeerHandler) Ping(context.Context, *connect.Request[peerpb.PingRequest]) (*connect.Response[peerpb.PingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Ping is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Leave(context.Context, *connect.Request[peerpb.LeaveRequest]) (*connect.Response[peerpb.LeaveResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Leave is not implemented"))
+}
+
+func (UnimplementedPeerHandler) Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.Settle is not implemented"))
+}
+
 func (UnimplementedPeerHandler) State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.State is not implemented"))
 }
@@ -274,3 +368,75 @@
 func (UnimplementedPeerHandler) TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.TakeBack is not implemented"))
 }
+
+// OnceClient is a client for the cicadavalve.peer.Once service.
+type OnceClient interface {
+	// Position tells up to where the entry has folded the once-only calls.
+	Position(context.Context, *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error)
+}
+
+// NewOnceClient constructs a client for the cicadavalve.peer.Once service. By default, it uses the
+// Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and sends
+// uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC() or
+// connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewOnceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) OnceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	onceMethods := peerpb.File_peer_proto.Services().ByName("Once").Methods()
+	return &onceClient{
+		position: connect.NewClient[peerpb.PositionRequest, peerpb.PositionResponse](
+			httpClient,
+			baseURL+OncePositionProcedure,
+			connect.WithSchema(onceMethods.ByName("Position")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// onceClient implements OnceClient.
+type onceClient struct {
+	position *connect.Client[peerpb.PositionRequest, peerpb.PositionResponse]
+}
+
+// Position calls cicadavalve.peer.Once.Position.
+func (c *onceClient) Position(ctx context.Context, req *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error) {
+	return c.position.CallUnary(ctx, req)
+}
+
+// OnceHandler is an implementation of the cicadavalve.peer.Once service.
+type OnceHandler interface {
+	// Position tells up to where the entry has folded the once-only calls.
+	Position(context.Context, *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error)
+}
+
+// NewOnceHandler builds an HTTP handler from the service implementation. It returns the path on
+// which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewOnceHandler(svc OnceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	onceMethods := peerpb.File_peer_proto.Services().ByName("Once").Methods()
+	oncePositionHandler := connect.NewUnaryHandler(
+		OncePositionProcedure,
+		svc.Position,
+		connect.WithSchema(onceMethods.ByName("Position")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/cicadavalve.peer.Once/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case OncePositionProcedure:
+			oncePositionHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedOnceHandler returns CodeUnimplemented from all methods.
+type UnimplementedOnceHandler struct{}
+
+func (UnimplementedOnceHandler) Position(context.Context, *connect.Request[peerpb.PositionRequest]) (*connect.Response[peerpb.PositionResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Once.Position is not implemented"))
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -37,12 +37,15 @@
 	Propose(ctx context.Context, id string, body ledger.ConfigBody) (ledger.Outcome, error)
 	// Status tells what is in force.
 	Status(ctx context.Context) (Status, error)
+	Neighbour
 	// Show is a document about one subject; ErrUnknownSubject where there is none such.
 	Show(ctx context.Context, subject, argument string) (document any, err error)
 	// ConfigState is the state of the configuration's fold; current is false on an entry that must not pass it on.
 	ConfigState(ctx context.Context) (s ledger.State, current bool)
 	// TakenBack hears of a weight version that a peer has taken back.
 	TakenBack(ctx context.Context, body roll.TakeBackBody)
+	// OncePosition tells up to where the entry has folded the once-only calls.
+	OncePosition(ctx context.Context) (Position, error)
 }
 
 // ErrUnknownSubject says that an entry can't show what was asked.
@@ -59,6 +62,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}))
 	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}))
+	mux.Handle(peerpbconnect.NewOnceHandler(&onceHandler{backend: backend}))
 	return mux
 }
 
@@ -110,10 +114,7 @@
 	}
 	var members []*peerpb.Member
 	for _, m := range s.Members {
-		members = append(members, peerpb.Member_builder{
-			Entry: string(m.Entry), Incarnation: string(m.Incarnation), Address: m.Address,
-			PeerAddress: m.PeerAddress, Zone: string(m.Zone),
-		}.Build())
+		members = append(members, encodeMember(m))
 	}
 	return connect.NewResponse(peerpb.StatusResponse_builder{
 		Entry: string(s.Entry), Zone: string(s.Zone), Version: s.Version, Operator: s.Operator,
