--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -82,6 +82,7 @@
 	node *node.Node
 	// orders hands the orders to engines to the workers that send them.
 	orders chan roll.OrderCmd
+	teller *teller
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 	// farewell is true while a graceful shutdown runs.
@@ -129,6 +130,7 @@
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.stater = newStater(d)
+	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
--- a/io/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/io/peer/peerpb/peerpbconnect/peer.connect.go
@@ -51,6 +51,8 @@
 	PeerSettleProcedure = "/cicadavalve.peer.Peer/Settle"
 	// PeerStateProcedure is the fully-qualified name of the Peer's State RPC.
 	PeerStateProcedure = "/cicadavalve.peer.Peer/State"
+	// PeerTakeBackProcedure is the fully-qualified name of the Peer's TakeBack RPC.
+	PeerTakeBackProcedure = "/cicadavalve.peer.Peer/TakeBack"
 	// OncePositionProcedure is the fully-qualified name of the Once's Position RPC.
 	OncePositionProcedure = "/cicadavalve.peer.Once/Position"
 )
@@ -193,6 +195,8 @@
 	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
+	// TakeBack tells of a weight version that the asking entry has taken back.
+	TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error)
 }
 
 // NewPeerClient constructs a client for the cicadavalve.peer.Peer service. By default, it uses the
@@ -230,15 +234,22 @@
 			connect.WithSchema(peerMethods.ByName("State")),
 			connect.WithClientOptions(opts...),
 		),
+		takeBack: connect.NewClient[peerpb.TakeBackRequest, peerpb.TakeBackResponse](
+			httpClient,
+			baseURL+PeerTakeBackProcedure,
+			connect.WithSchema(peerMethods.ByName("TakeBack")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	ping   *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
-	leave  *connect.Client[peerpb.LeaveRequest, peerpb.LeaveResponse]
-	settle *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
-	state  *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
+	ping     *connect.Client[peerpb.PingRequest, peerpb.PingResponse]
+	leave    *connect.Client[peerpb.LeaveRequest, peerpb.LeaveResponse]
+	settle   *connect.Client[peerpb.SettleRequest, peerpb.SettleResponse]
+	state    *connect.Client[peerpb.StateRequest, peerpb.StateResponse]
+	takeBack *connect.Client[peerpb.TakeBackRequest, peerpb.TakeBackResponse]
 }
 
 // Ping calls cicadavalve.peer.Peer.Ping.
@@ -261,6 +272,11 @@
 	return c.state.CallUnary(ctx, req)
 }
 
+// TakeBack calls cicadavalve.peer.Peer.TakeBack.
+func (c *peerClient) TakeBack(ctx context.Context, req *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error) {
+	return c.takeBack.CallUnary(ctx, req)
+}
+
 // PeerHandler is an implementation of the cicadavalve.peer.Peer service.
 type PeerHandler interface {
 	// Ping tells that the caller is alive, and asks the same of the entry.
@@ -271,6 +287,8 @@
 	Settle(context.Context, *connect.Request[peerpb.SettleRequest]) (*connect.Response[peerpb.SettleResponse], error)
 	// State returns the agreed state that the entry has folded.
 	State(context.Context, *connect.Request[peerpb.StateRequest]) (*connect.Response[peerpb.StateResponse], error)
+	// TakeBack tells of a weight version that the asking entry has taken back.
+	TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -304,6 +322,12 @@
 		connect.WithSchema(peerMethods.ByName("State")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTakeBackHandler := connect.NewUnaryHandler(
+		PeerTakeBackProcedure,
+		svc.TakeBack,
+		connect.WithSchema(peerMethods.ByName("TakeBack")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/cicadavalve.peer.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerPingProcedure:
@@ -314,6 +338,8 @@
 			peerSettleHandler.ServeHTTP(w, r)
 		case PeerStateProcedure:
 			peerStateHandler.ServeHTTP(w, r)
+		case PeerTakeBackProcedure:
+			peerTakeBackHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -339,6 +365,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.State is not implemented"))
 }
 
+func (UnimplementedPeerHandler) TakeBack(context.Context, *connect.Request[peerpb.TakeBackRequest]) (*connect.Response[peerpb.TakeBackResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cicadavalve.peer.Peer.TakeBack is not implemented"))
+}
+
 // OnceClient is a client for the cicadavalve.peer.Once service.
 type OnceClient interface {
 	// Position tells up to where the entry has folded the once-only calls.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -11,6 +11,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/roster"
 	"cicadavalve/core/rules"
 	"cicadavalve/io/peer/peerpb"
@@ -41,6 +42,8 @@
 	Show(ctx context.Context, subject, argument string) (document any, err error)
 	// ConfigState is the state of the configuration's fold; current is false on an entry that must not pass it on.
 	ConfigState(ctx context.Context) (s ledger.State, current bool)
+	// TakenBack hears of a weight version that a peer has taken back.
+	TakenBack(ctx context.Context, body roll.TakeBackBody)
 	// OncePosition tells up to where the entry has folded the once-only calls.
 	OncePosition(ctx context.Context) (Position, error)
 }
