Count a break on a version on trial only once its upstream is gone

A loss on a version on trial now counts only when the upstream is seen under a new boot or unreachable, so that a prompt that crashes engines is still caught there. Ruled out: leaving such losses out, which would let a poison crash engines at the version's share. TestBreaksOnTrialCountOnceConfirmed fails without the change (suspect at once).

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -34,6 +34,9 @@
 	// Again counts the request's losses there under this boot before it was sent: an entry
 	// may send again before it learns of the new boot.
 	Again int `json:"again,omitempty"`
+	// OnTrial is true where the upstream ran a weight version on trial. A break there counts
+	// only once the upstream is seen to have gone: the version may be what fails.
+	OnTrial bool `json:"on_trial,omitempty"`
 }
 
 // Standing is what may be done with a request.
@@ -115,7 +118,12 @@
 
 // counts reports whether a claim is confirmed or may still be.
 func (c *claim) counts(now time.Time) bool {
-	return c.confirmed || now.Sub(c.since) < confirmWithin
+	return c.confirmed || c.pending(now) && !c.loss.OnTrial
+}
+
+// pending reports whether a claim may still be confirmed.
+func (c *claim) pending(now time.Time) bool {
+	return now.Sub(c.since) < confirmWithin
 }
 
 // Lost notes that an attempt broke off that had started at a time, and tells the other entries.
@@ -179,7 +187,7 @@
 	for _, d := range slices.Clone(m.suspects) {
 		for i := range m.claims[d] {
 			c := &m.claims[d][i]
-			if !c.counts(now) || !matches(c.loss) {
+			if !c.confirmed && !c.pending(now) || !matches(c.loss) {
 				continue
 			}
 			c.confirmed = true
@@ -241,7 +249,7 @@
 // Tick drops the claims that were never confirmed and appends again what the log does not show.
 func (m *Model) Tick(now time.Time) []ident.Cmd {
 	for _, d := range slices.Clone(m.suspects) {
-		m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return !c.counts(now) })
+		m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return !c.confirmed && !c.pending(now) })
 		if len(m.claims[d]) == 0 {
 			m.drop(d)
 		}
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -143,3 +143,19 @@
 		t.Errorf("records appended after the log showed them (-want +got):\n%s", diff)
 	}
 }
+
+// TestBreaksOnTrialCountOnceConfirmed breaks streams of a version on trial, with and without a new boot after them.
+func TestBreaksOnTrialCountOnceConfirmed(t *testing.T) {
+	m := poison.NewModel("a")
+	for i := range 3 {
+		m.Lost(start, start, "request", poison.Loss{Upstream: engineID(i), Boot: "old", OnTrial: true}, i == 2)
+	}
+	standings := []poison.Standing{m.Standing(start, "request")}
+	for i := range 3 {
+		m.Seen(start, engineID(i), "new")
+	}
+	standings = append(standings, m.Standing(start, "request"))
+	if diff := cmp.Diff([]poison.Standing{poison.Clear, poison.Quarantined}, standings); diff != "" {
+		t.Errorf("standing before and after the new boots (-want +got):\n%s", diff)
+	}
+}
--- a/core/sched/alone.go
+++ b/core/sched/alone.go
@@ -29,7 +29,8 @@
 	if !known || cause != CauseBroken {
 		return nil
 	}
-	return m.poison.Lost(now, r.sent, r.Digest, poison.Loss{Upstream: r.on, Boot: u.load.BootID}, r.alone)
+	loss := poison.Loss{Upstream: r.on, Boot: u.load.BootID, OnTrial: m.onTrial(r)}
+	return m.poison.Lost(now, r.sent, r.Digest, loss, r.alone)
 }
 
 // sendAlone reserves an upstream for a suspect request, and sends once nothing else of
--- a/core/sched/versions.go
+++ b/core/sched/versions.go
@@ -29,6 +29,11 @@
 	return m.versions.Version(r.Org, r.Model, r.PromptRoot, m.rules.ServedVersion(r.Model))
 }
 
+// onTrial reports whether a request runs on a weight version that a failed attempt would leave.
+func (m *Model) onTrial(r *request) bool {
+	return r.Model != "" && m.versions.Again(r.Model, r.version) != r.version
+}
+
 // chooseAgain may change the version of a request whose caller has no token yet.
 func (m *Model) chooseAgain(r *request) {
 	if r.delivered == 0 && r.Model != "" {
