--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -66,7 +66,10 @@
 say "starting $entries entries"
 callers=() peers=()
 for i in $(seq 0 $((entries - 1))); do
-  entry "entry-$i" "${zones[$((i % 3))]}" <<<"seed: $((seed + i))"
+  entry "entry-$i" "${zones[$((i % 3))]}" <<YAML
+seed: $((seed + i))
+cold_time: 1500ms
+YAML
   callers+=("$caller") peers+=("$peer")
 done
 
@@ -74,7 +77,7 @@
 bin/cicadavalve check "$run/rules.txt" >"$run/check.out"
 bin/cicadavalve apply "$run/rules.txt" --entry "${peers[0]}" --operator demo >"$run/apply.out"
 say "$(cat "$run/check.out" "$run/apply.out")"
-sleep 2 # The engines warm up and the entries learn of them.
+sleep 3 # The engines are cold for 1 s, and count as cold for cold_time.
 
 say "offering load for $length s"
 flags=(--preset "$preset" --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
