Let a refused caller of the load come back when told to

Cause: in the cold seconds a completion may be refused as overloaded with a time to come back, and the load never did, as a real caller would; the demonstration counted one or two such of 404. Conclusion: a refusal costs its caller time, not its answer.

--- a/cmd/cvlab/load.go
+++ b/cmd/cvlab/load.go
@@ -34,6 +34,7 @@
 	length   time.Duration
 	returns  float64
 	calls    float64
+	comeback int
 	json     bool
 	plot     string
 }
@@ -62,6 +63,7 @@
 	cmd.Flags().DurationVar(&l.length, "length", 10*time.Second, "for how long requests are offered")
 	cmd.Flags().Float64Var(&l.returns, "returns", presetShare, "the share of completions whose prompt comes back; -1 is the preset's")
 	cmd.Flags().Float64Var(&l.calls, "calls", presetShare, "the share of requests that are once-only calls; -1 is the preset's")
+	cmd.Flags().IntVar(&l.comeback, "comebacks", 0, "how often a caller that was refused as not run comes back when told to")
 	cmd.Flags().BoolVar(&l.json, "json", false, "print JSON alone")
 	cmd.Flags().StringVar(&l.plot, "plot", "", "a PNG file to write the first-token times to")
 	_ = cmd.MarkFlagRequired("entries")
@@ -80,6 +82,7 @@
 	}
 	options := []load.Option{
 		load.WithSeed(l.seed), load.WithRate(l.rate), load.WithLength(l.length), load.WithStraight(l.straight),
+		load.WithComebacks(l.comeback),
 	}
 	if l.returns >= 0 {
 		options = append(options, load.WithReturnShare(l.returns))
@@ -176,6 +179,7 @@
 	row("whole", r.Whole)
 	row("failed", r.Failed)
 	row("refused, not run", r.RefusedNotRun)
+	row("came back as told", r.Comebacks)
 	row("refusals and faults by code", r.Codes)
 	for _, c := range r.Classes {
 		row("first token, "+string(c.Class), times(c.FirstToken))
--- a/io/load/client.go
+++ b/io/load/client.go
@@ -33,7 +33,9 @@
 	elapsed time.Duration
 	prompt  int
 	cached  int
-	retries int
+	// retries counts the times that the caller came back, and retryAfter is when it was told to.
+	retries    int
+	retryAfter time.Duration
 }
 
 // directory asks an entry which entries to use, and keeps the answer for as long as it holds.
@@ -128,8 +130,20 @@
 	return req.WithContext(ctx), nil
 }
 
-// complete runs one completion and checks its answer.
+// complete runs one completion. A caller that was told that it has not run comes back when
+// it was told to, up to the runner's bound; its first token counts from the first due time.
 func (r *Runner) complete(ctx context.Context, it item, due time.Time) (o outcome) {
+	for try := 0; ; try++ {
+		o = r.completeOnce(ctx, it, due)
+		o.retries = try
+		if !o.notRun || try >= r.comebacks || !sleepUntil(ctx, time.Now().Add(o.retryAfter)) {
+			return o
+		}
+	}
+}
+
+// completeOnce sends one completion and checks its answer.
+func (r *Runner) completeOnce(ctx context.Context, it item, due time.Time) (o outcome) {
 	o.item = it
 	resp, err := r.do(ctx, it)
 	if err != nil {
@@ -161,6 +175,7 @@
 	}
 	o.code, o.notRun = string(b.Error.Code), b.Error.NotRun
 	o.unknown = !o.notRun
+	o.retryAfter = time.Duration(b.Error.RetryAfterMs) * time.Millisecond
 }
 
 func (o *outcome) read(body io.Reader, due time.Time) {
--- a/io/load/report.go
+++ b/io/load/report.go
@@ -35,13 +35,15 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Preset        string  `json:"preset"`
-	Seed          uint64  `json:"seed"`
-	ElapsedMs     int64   `json:"elapsed_ms"`
-	Requests      int     `json:"requests"`
-	Whole         int     `json:"whole"`
-	Failed        int     `json:"failed"`
-	RefusedNotRun int     `json:"refused_not_run"`
+	Preset        string `json:"preset"`
+	Seed          uint64 `json:"seed"`
+	ElapsedMs     int64  `json:"elapsed_ms"`
+	Requests      int    `json:"requests"`
+	Whole         int    `json:"whole"`
+	Failed        int    `json:"failed"`
+	RefusedNotRun int    `json:"refused_not_run"`
+	// Comebacks counts the completions that were refused as not run and sent again when told to.
+	Comebacks     int     `json:"comebacks"`
 	CallsSent     int     `json:"calls_sent"`
 	CallsWhole    int     `json:"calls_whole"`
 	CallsUnknown  int     `json:"calls_unknown"`
@@ -95,6 +97,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Requests++
+	if o.item.key == "" {
+		r.Comebacks += o.retries
+	}
 	if o.item.key != "" {
 		r.addCall(o)
 	}
--- a/io/load/runner.go
+++ b/io/load/runner.go
@@ -22,6 +22,7 @@
 	timeout   time.Duration
 	tokens    map[ident.OrgID]string
 	straight  []string
+	comebacks int
 	progress  io.Writer
 	client    *http.Client
 	engines   *engine.HTTPClient
@@ -53,6 +54,9 @@
 // WithCallShare sets the share of requests that are once-only calls, in place of the preset's.
 func WithCallShare(share float64) Option { return func(r *Runner) { r.preset.CallShare = share } }
 
+// WithComebacks lets a caller whose completion was refused as not run come back so many times, when it is told to.
+func WithComebacks(n int) Option { return func(r *Runner) { r.comebacks = n } }
+
 // WithProgress writes a progress line.
 func WithProgress(w io.Writer) Option { return func(r *Runner) { r.progress = w } }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -80,7 +80,7 @@
 sleep 3 # The engines are cold for 1 s, and count as cold for cold_time.
 
 say "offering load for $length s"
-flags=(--preset "$preset" --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
+flags=(--preset "$preset" --comebacks 3 --entries "$(join "${callers[@]}")" --tokens "$run/tokens.yaml"
   --apps "$(join "${apps[@]}")" --stores "$(join "${stores[@]}")" --rate "$rate" --length "${length}s" --seed "$seed")
 if [ -n "$json" ]; then flags+=(--json); fi
 if [ -n "${RETURNS:-}" ]; then flags+=(--returns "$RETURNS"); fi
