Wire the keys of the peer protocol into settings and flags

Proof: TestOnlyTrustedKeysMeet fails with the check of client certificates out (RequireAnyClientCert: the stranger is served) and passes; TestRotatedKeysAreTakenUpWithoutRestart changes both sides' files under way. Conclusion: the promise of keys from files and reload without restart holds; entries over TLS in one run are not measured.

--- a/cmd/cicadavalve/apply.go
+++ b/cmd/cicadavalve/apply.go
@@ -28,6 +28,7 @@
 	base     int64
 	id       string
 	timeout  time.Duration
+	keys     keyFlags
 	client   *http.Client
 }
 
@@ -37,7 +38,7 @@
 )
 
 func newApplyCommand() *cobra.Command {
-	a := &applier{client: &http.Client{}}
+	a := &applier{}
 	cmd := &cobra.Command{
 		Use:   "apply FILE --entry HOST:PORT",
 		Short: "Put a rules file in force on every entry",
@@ -45,11 +46,15 @@
 			"every entry.\nIt ends with accepted, conflict (another operator was first) or not_known_yet (the log " +
 			"has not answered; the file may still come into force: ask again with the printed id and base).",
 		Args: cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
+		RunE: func(cmd *cobra.Command, args []string) (err error) {
+			if a.client, err = a.keys.client(); err != nil {
+				return err
+			}
 			return a.run(cmd.Context(), cmd.OutOrStdout(), args[0])
 		},
 	}
 	a.out.register(cmd)
+	a.keys.register(cmd)
 	cmd.Flags().StringVar(&a.entry, "entry", "", "the peer address of any entry")
 	cmd.Flags().StringVar(&a.operator, "operator", operatorName(), "who applies the file")
 	cmd.Flags().Int64Var(&a.base, "base", apply.BaseInForce, "the version that the file is based on; -1 takes the one in force")
--- a/cmd/cicadavalve/entry.go
+++ b/cmd/cicadavalve/entry.go
@@ -14,6 +14,7 @@
 	"cicadavalve/io/config"
 	"cicadavalve/io/entry"
 	"cicadavalve/io/events"
+	"cicadavalve/io/peer"
 )
 
 func newEntryCommand() *cobra.Command {
@@ -22,28 +23,11 @@
 		Use:   "entry --config FILE",
 		Short: "Run the entry daemon",
 		Args:  cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) (err error) {
-			settings, err := config.Load(path)
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d, err := loadEntry(path, addressFile)
 			if err != nil {
 				return err
 			}
-			tokens, err := config.LoadTokens(settings.TokensFile)
-			if err != nil {
-				return err
-			}
-			secret, err := config.LoadSecret(settings.CacheSecretFile)
-			if err != nil {
-				return err
-			}
-			log, err := newLogger(os.Stderr, settings.LogFormat, settings.LogLevel)
-			if err != nil {
-				return err
-			}
-			d := entry.NewDaemon(settings, tokens, entry.WithLogger(log), entry.WithCacheSecret(secret), entry.WithStarted(func(m roster.Member) {
-				if err := writeAddresses(addressFile, m); err != nil {
-					log.Error("address_file_not_written", "error", err)
-				}
-			}))
 			d.Meter().Publish("cicadavalve")
 			running, ended := context.WithCancel(context.WithoutCancel(cmd.Context()))
 			defer ended()
@@ -57,6 +41,49 @@
 	return cmd
 }
 
+// loadEntry reads the settings and the files that they name.
+func loadEntry(path, addressFile string) (d *entry.Daemon, err error) {
+	settings, err := config.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	tokens, err := config.LoadTokens(settings.TokensFile)
+	if err != nil {
+		return nil, err
+	}
+	secret, err := config.LoadSecret(settings.CacheSecretFile)
+	if err != nil {
+		return nil, err
+	}
+	log, err := newLogger(os.Stderr, settings.LogFormat, settings.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	options, err := keyOptions(settings)
+	if err != nil {
+		return nil, err
+	}
+	started := func(m roster.Member) {
+		if err := writeAddresses(addressFile, m); err != nil {
+			log.Error("address_file_not_written", "error", err)
+		}
+	}
+	options = append(options, entry.WithLogger(log), entry.WithCacheSecret(secret), entry.WithStarted(started))
+	return entry.NewDaemon(settings, tokens, options...), nil
+}
+
+// keyOptions secures the peer protocol unless the settings ask for plain text.
+func keyOptions(s config.Settings) (options []entry.Option, err error) {
+	if s.Plaintext {
+		return nil, nil
+	}
+	keys, err := peer.NewKeys(peer.KeyFiles{Cert: s.TLSCert, Key: s.TLSKey, CA: s.TLSCA})
+	if err != nil {
+		return nil, err
+	}
+	return []entry.Option{entry.WithKeys(keys)}, nil
+}
+
 // writeAddresses writes the file in one step, so that a script can wait for it.
 func writeAddresses(path string, m roster.Member) (err error) {
 	if path == "" {
--- a/cmd/cicadavalve/replay.go
+++ b/cmd/cicadavalve/replay.go
@@ -28,6 +28,7 @@
 	name     string
 	from, to string
 	rules    string
+	keys     keyFlags
 	client   *http.Client
 }
 
@@ -40,7 +41,7 @@
 }
 
 func newReplayCommand() *cobra.Command {
-	r := &replayer{client: &http.Client{}}
+	r := &replayer{}
 	cmd := &cobra.Command{
 		Use:   "replay --entry HOST:PORT | --log URL --name ENTRY",
 		Short: "Run recorded decisions again and report every difference",
@@ -48,11 +49,15 @@
 			"the entry is gone, and runs it through the same deciders. It ends with status 1 on any difference.\n" +
 			"With --rules it tells what another rules file would have decided; the differences are then the answer.",
 		Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+		RunE: func(cmd *cobra.Command, _ []string) (err error) {
+			if r.client, err = r.keys.client(); err != nil {
+				return err
+			}
 			return r.run(cmd.Context(), cmd.OutOrStdout())
 		},
 	}
 	r.out.register(cmd)
+	r.keys.register(cmd)
 	cmd.Flags().StringVar(&r.entry, "entry", "", "the peer address of the entry")
 	cmd.Flags().StringVar(&r.logURL, "log", "", "the URL of the platform's log")
 	cmd.Flags().StringVar(&r.name, "name", "", "with --log: the entry's name")
--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -22,6 +22,7 @@
 	entry  string
 	watch  time.Duration
 	plot   string
+	keys   keyFlags
 	client *http.Client
 }
 
@@ -47,7 +48,7 @@
 }
 
 func newShowCommand() *cobra.Command {
-	s := &shower{client: &http.Client{}}
+	s := &shower{}
 	names := viewNames()
 	cmd := &cobra.Command{
 		Use:   "show " + strings.Join(names, "|") + " --entry HOST:PORT",
@@ -56,11 +57,15 @@
 			"show why REQUEST lists the decisions about a request, named by its X-Request-Id, from every entry.",
 		Args:      cobra.RangeArgs(1, 2),
 		ValidArgs: names,
-		RunE: func(cmd *cobra.Command, args []string) error {
+		RunE: func(cmd *cobra.Command, args []string) (err error) {
+			if s.client, err = s.keys.client(); err != nil {
+				return err
+			}
 			return s.run(cmd.Context(), cmd.OutOrStdout(), args)
 		},
 	}
 	s.out.register(cmd)
+	s.keys.register(cmd)
 	cmd.Flags().StringVar(&s.entry, "entry", "", "the peer address of any entry")
 	cmd.Flags().DurationVar(&s.watch, "watch", 0, "show again after each interval, until interrupted")
 	cmd.Flags().StringVar(&s.plot, "plot", "", "with latency: a PNG file to draw the quantiles in")
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -54,6 +54,11 @@
 	TokensFile string `yaml:"tokens_file"`
 	// CacheSecretFile holds the key of the organisations' cache salts; it is the same on every entry.
 	CacheSecretFile string `yaml:"cache_secret_file"`
+	// TLSCert, TLSKey and TLSCA are PEM files: the entry's certificate, its key, and the
+	// authorities that other entries and operators are trusted by.
+	TLSCert string `yaml:"tls_cert"`
+	TLSKey  string `yaml:"tls_key"`
+	TLSCA   string `yaml:"tls_ca"`
 	// Plaintext must be true for the peer protocol to run without TLS.
 	Plaintext bool `yaml:"plaintext"`
 	// Policy names the routing policy.
@@ -202,7 +207,9 @@
 	fault(s.ListURL == "", "list_url: expected the URL of the VM list")
 	fault(s.TokensFile == "", "tokens_file: expected the path of a YAML file")
 	fault(s.CacheSecretFile == "", "cache_secret_file: expected the path of a file, the same on every entry")
-	fault(!s.Plaintext, "plaintext: expected true; TLS needs tls settings")
+	keys := s.TLSCert != "" && s.TLSKey != "" && s.TLSCA != ""
+	fault(!s.Plaintext && !keys, "tls_cert, tls_key, tls_ca: expected the paths of PEM files, or plaintext: true")
+	fault(s.Plaintext && s.TLSCert+s.TLSKey+s.TLSCA != "", "plaintext: expected false where tls_cert, tls_key or tls_ca is set")
 	fault(route.New(s.Policy, nil) == nil, "policy: unknown routing policy "+s.Policy)
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
