--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -36,6 +36,7 @@
 	"upstreams": showUpstreams,
 	"requests":  showRequests,
 	"latency":   showLatency,
+	"moves":     showMoves,
 	"why":       showWhy,
 }
 
--- a/cmd/cicadavalve/views.go
+++ b/cmd/cicadavalve/views.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/rules"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/entry"
@@ -139,6 +141,33 @@
 	})
 }
 
+func showMoves(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	answers, err := askAll[[]roll.Status](ctx, s, "moves", "")
+	if err != nil {
+		return err
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tMODEL\tFROM\tTO\tPHASE\tSHARE\tHOLDING\tBY\tLATE\tWHY STOPPED")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			for _, m := range a.Document {
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f %%\t%d\t%s\t%t\t%s\n", a.Entry, m.Move.Model, m.Move.From,
+					m.Move.To, m.Phase, percent*m.Share, m.Holding, m.Move.By.Format(time.RFC3339), m.Late, whyStopped(m))
+			}
+		}
+	})
+}
+
+// percent makes a share a percentage.
+const percent = 100
+
+func whyStopped(m roll.Status) string {
+	if m.Reason == nil {
+		return ""
+	}
+	return fmt.Sprintf("%s of class %s", m.Reason.Indicator, m.Reason.Cell.Class)
+}
+
 func showWhy(ctx context.Context, s *shower, w io.Writer, args []string) (err error) {
 	if len(args) != 1 {
 		return errors.New("expected show why REQUEST")
