Wait for both engines before one of them is killed

The test killed one engine while the entry did not know the other yet, so that all four requests were refused, and a refusal without figures was read as no cached token.

The test now waits until the entry sends work to both engines, and an answer other than 200 fails it. No assertion is eased. Conclusion: a fault of the test, not of the promise.

--- a/io/entry/apart_test.go
+++ b/io/entry/apart_test.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if diff := cmp.Diff(200, a.Status); diff != "" {
+		t.Fatalf("%s: status (-want +got):\n%s", a.Body, diff)
+	}
 	var b struct {
 		Usage struct {
 			CachedTokens int `json:"cached_tokens"`
@@ -44,6 +47,7 @@
 // TestOrganisationsShareNoKeptContext sends one prompt as two organisations to the only engine left.
 func TestOrganisationsShareNoKeptContext(t *testing.T) {
 	c, ctx := startCluster(t, 1, twoOrgs())
+	waitRouting(ctx, t, c, c.Entries()[0])
 	c.Engines()[1].Kill()
 	e := c.Entries()[0]
 	prompt := strings.Repeat("the same prompt ", 512)
