Keep the entries that a test counts as unreached in the roster

Cause: TestUnreachedEntriesAreNamed waits 3 s for four entries, of which one is paused and one killed. Three missed pings by two watchers, one a second, remove the killed one from the roster after about 3 s, and an entry that has left the roster is rightly not waited for. Ruled out: the applier, which named both in every run in which both were members.

The test's entries now ping once a minute; its assertion and its wait are the same.

--- a/io/apply/apply_test.go
+++ b/io/apply/apply_test.go
@@ -168,8 +168,11 @@
 	}
 }
 
+// TestUnreachedEntriesAreNamed pings so seldom that neither entry is removed from the roster before the wait ends.
 func TestUnreachedEntriesAreNamed(t *testing.T) {
-	c, ctx := startEntries(t, 4)
+	c, ctx := startEntries(t, 4, bench.WithSettings(func(s *config.Settings) {
+		s.LogTimeout, s.PingInterval = config.Duration(300*time.Millisecond), config.Duration(time.Minute)
+	}))
 	c.Entries()[2].Pause()
 	c.Entries()[3].Kill()
 	short, cancel := context.WithTimeout(ctx, 3*time.Second)
