Count control traffic by purpose and divide by the time between readings

scripts/control-cost.sh read the counters of one entry after another, each with a program of its own, and divided by the pause alone, so that the time of the reading counted as traffic: the more entries, the more. It now keeps the time of each reading. Counters name the purpose: log, list, load reports, peers.

--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -59,8 +59,9 @@
 
 	engines *engine.HTTPClient
 	logs    logsvc.Service
-	// control carries what the entry asks of the platform.
-	control *http.Transport
+	// control carries what the entry asks of the platform, and peerHTTP what it asks of other entries.
+	control  []*http.Transport
+	peerHTTP *http.Transport
 	list    vmlist.List
 	meter   *meter.Meter
 
@@ -97,16 +98,18 @@
 	incarnation := ident.BootID(uuid.NewString())
 	id := ident.EntryID(settings.Entry)
 	figures := meter.NewMeter()
-	dial := meter.NewDialer(figures, connectTimeout).DialContext
-	control := &http.Transport{DialContext: dial}
+	control := controlTransport(figures, meter.PurposeLog)
+	lists := controlTransport(figures, meter.PurposeList)
+	loads := meter.NewDialer(figures, meter.PurposeLoad, connectTimeout).DialContext
 	d := &Daemon{
 		settings: settings, tokens: tokens, log: slog.Default(), incarnation: incarnation,
 		started: func(roster.Member) {}, gate: func() {}, aborted: make(chan struct{}),
 		superseded: make(chan struct{}),
-		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(dial)),
-		control:    control,
+		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(loads)),
+		control:    []*http.Transport{control, lists},
+		peerHTTP:   controlTransport(figures, meter.PurposePeer),
 		logs:       logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
-		list:       vmlist.NewClient(settings.ListURL, &http.Client{Transport: control, Timeout: time.Duration(settings.LogTimeout)}),
+		list:       vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
 		meter:      figures,
 		inbox:      make(chan work, inboxSize),
 		sessions:   newSessions(),
@@ -139,6 +142,11 @@
 	return d
 }
 
+// controlTransport carries requests of one purpose, whose bytes it counts.
+func controlTransport(m *meter.Meter, p meter.Purpose) *http.Transport {
+	return &http.Transport{DialContext: meter.NewDialer(m, p, connectTimeout).DialContext}
+}
+
 func slotTiming(s config.Settings) limit.Timing {
 	return limit.Timing{
 		Lease: time.Duration(s.Lease), Margin: time.Duration(s.LeaseMargin), Hold: time.Duration(s.SlotHold),
@@ -173,7 +181,7 @@
 		_ = l.caller.Close()
 		return l, err
 	}
-	l.peer = meter.NewListener(d.meter, l.peer)
+	l.peer = meter.NewListener(d.meter, meter.PurposePeer, l.peer)
 	d.self.Address = l.caller.Addr().String()
 	d.self.PeerAddress = l.peer.Addr().String()
 	return l, nil
@@ -213,7 +221,9 @@
 	stopLoops()
 	err = group.Wait()
 	d.engines.CloseIdle()
-	d.control.CloseIdleConnections()
+	for _, t := range append(d.control, d.peerHTTP) {
+		t.CloseIdleConnections()
+	}
 	d.log.Info("entry_stopped")
 	return err
 }
--- a/io/entry/secure.go
+++ b/io/entry/secure.go
@@ -14,9 +14,9 @@
 // peerClient is the client for the peer ports of other entries.
 func (d *Daemon) peerClient() *http.Client {
 	if d.keys == nil {
-		return &http.Client{Transport: d.control}
+		return &http.Client{Transport: d.peerHTTP}
 	}
-	return &http.Client{Transport: peer.NewTLSTransport(d.keys, d.control.DialContext)}
+	return &http.Client{Transport: peer.NewTLSTransport(d.keys, d.peerHTTP.DialContext)}
 }
 
 func (d *Daemon) secure(s *server) {
--- a/io/meter/traffic.go
+++ b/io/meter/traffic.go
@@ -6,17 +6,30 @@
 	"time"
 )
 
+// Purpose is what control traffic is for.
+type Purpose string
+
+// The purposes of control traffic.
+const (
+	PurposeLog  Purpose = "log"
+	PurposeList Purpose = "list"
+	PurposeLoad Purpose = "load"
+	PurposePeer Purpose = "peer"
+)
+
 // Dialer opens connections whose bytes count as control traffic.
 type Dialer struct {
-	meter  *Meter
-	dialer net.Dialer
+	meter   *Meter
+	purpose Purpose
+	dialer  net.Dialer
 }
 
-// NewDialer is a dialer that counts into a meter, as control_sent_bytes and control_received_bytes.
+// NewDialer is a dialer that counts into a meter: over all purposes as control_sent_bytes and
+// control_received_bytes, and of its purpose as control_PURPOSE_sent_bytes and control_PURPOSE_received_bytes.
 //
-//	transport := &http.Transport{DialContext: meter.NewDialer(m, time.Second).DialContext}
-func NewDialer(m *Meter, timeout time.Duration) *Dialer {
-	return &Dialer{meter: m, dialer: net.Dialer{Timeout: timeout}}
+//	transport := &http.Transport{DialContext: meter.NewDialer(m, meter.PurposeLog, time.Second).DialContext}
+func NewDialer(m *Meter, purpose Purpose, timeout time.Duration) *Dialer {
+	return &Dialer{meter: m, purpose: purpose, dialer: net.Dialer{Timeout: timeout}}
 }
 
 // DialContext opens a connection.
@@ -25,18 +38,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn, meter: d.meter}, nil
+	return newCountedConn(d.meter, d.purpose, conn), nil
 }
 
 // Listener accepts connections whose bytes count as control traffic.
 type Listener struct {
 	net.Listener
-	meter *Meter
+	meter   *Meter
+	purpose Purpose
 }
 
-// NewListener counts the bytes of a listener's connections into a meter.
-func NewListener(m *Meter, on net.Listener) *Listener {
-	return &Listener{Listener: on, meter: m}
+// NewListener counts the bytes of a listener's connections into a meter, as [NewDialer] does.
+func NewListener(m *Meter, purpose Purpose, on net.Listener) *Listener {
+	return &Listener{Listener: on, meter: m, purpose: purpose}
 }
 
 // Accept waits for a connection.
@@ -45,19 +59,28 @@
 	if err != nil {
 		return nil, err
 	}
-	return &countedConn{Conn: conn, meter: l.meter}, nil
+	return newCountedConn(l.meter, l.purpose, conn), nil
 }
 
 // countedConn counts what passes through it.
 type countedConn struct {
 	net.Conn
 	meter *Meter
+	// sent and received name the counters of the purpose.
+	sent     string
+	received string
+}
+
+func newCountedConn(m *Meter, p Purpose, conn net.Conn) *countedConn {
+	prefix := "control_" + string(p)
+	return &countedConn{Conn: conn, meter: m, sent: prefix + "_sent_bytes", received: prefix + "_received_bytes"}
 }
 
 // Read implements [net.Conn].
 func (c *countedConn) Read(p []byte) (n int, err error) {
 	n, err = c.Conn.Read(p)
 	c.meter.Count("control_received_bytes", int64(n))
+	c.meter.Count(c.received, int64(n))
 	return n, err
 }
 
@@ -65,5 +88,6 @@
 func (c *countedConn) Write(p []byte) (n int, err error) {
 	n, err = c.Conn.Write(p)
 	c.meter.Count("control_sent_bytes", int64(n))
+	c.meter.Count(c.sent, int64(n))
 	return n, err
 }
--- a/scripts/control-cost.sh
+++ b/scripts/control-cost.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Measures what an idle entry spends on control: processor share, resident memory and bytes a second,
-# as the mean over the entries. ENTRIES, ENGINES and SECONDS_IDLE set the run; one line a run.
+# as the mean over the entries, the bytes also by purpose. ENTRIES, ENGINES and SECONDS_IDLE set the run; two lines a run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . scripts/lib.sh
@@ -24,28 +24,37 @@
 bin/cicadavalve apply "$run/rules.txt" --entry "$peer" --operator bench >/dev/null
 sleep 3
 
-ticks() { awk '{print $14 + $15}' "/proc/$1/stat"; }
-counter() { # counter ADDRESS NAME
-  bin/cvlab get "$1" /debug/vars | grep -o "\"$2\": *[0-9]*" | grep -o '[0-9]*$' || echo 0
-}
-sum() { # sum WHAT: over the entries
-  local total=0 i=0 value
+# sample FILE: writes each entry's processor ticks, resident KB and counters, with the time of reading.
+sample() {
+  local i=0 pid
+  : >"$1"
   for pid in "${entry_pids[@]}"; do
     i=$((i + 1))
     read -r caller peer <"$run/entry-$i.address"
-    case "$1" in
-    ticks) value=$(ticks "$pid") ;;
-    memory) value=$(awk '/VmRSS/ {print $2}' "/proc/$pid/status") ;;
-    *) value=$(counter "$caller" "$1") ;;
-    esac
-    total=$((total + value))
+    {
+      echo "time $(date +%s.%N)"
+      awk '{print "ticks", $14 + $15}' "/proc/$pid/stat"
+      awk '/VmRSS/ {print "memory", $2}' "/proc/$pid/status"
+      bin/cvlab get "$caller" /debug/vars | grep -o '"[a-z_]*_bytes": *[0-9]*' | tr -s '":' ' '
+    } | sed "s/^/$i /" >>"$1"
   done
-  echo "$total"
 }
-ticks_before=$(sum ticks) sent_before=$(sum control_sent_bytes) received_before=$(sum control_received_bytes)
+sample "$run/before"
 sleep "$idle"
-ticks_after=$(sum ticks) sent_after=$(sum control_sent_bytes) received_after=$(sum control_received_bytes)
-awk -v e="$entries" -v u="$engines" -v s="$idle" -v t="$((ticks_after - ticks_before))" -v hz="$(getconf CLK_TCK)" \
-  -v m="$(sum memory)" -v out="$((sent_after - sent_before))" -v in_="$((received_after - received_before))" 'BEGIN {
-  printf "entries %d  upstreams %d  core %.2f %%  resident %.1f MB  sent %.2f KB/s  received %.2f KB/s\n",
-    e, u, 100 * t / hz / s / e, m / 1024 / e, out / 1024 / s / e, in_ / 1024 / s / e }'
+sample "$run/after"
+awk -v e="$entries" -v u="$engines" -v hz="$(getconf CLK_TCK)" '
+  NR == FNR { before[$1, $2] = $3; next }
+  $2 == "time" { elapsed = $3 - before[$1, $2] }
+  $2 == "ticks" { core += ($3 - before[$1, $2]) / hz / elapsed }
+  $2 == "memory" { memory += $3 }
+  $2 ~ /_bytes$/ { rate[$2] += ($3 - before[$1, $2]) / elapsed }
+  function kilobytes(name) { return rate[name] / 1024 / e }
+  END {
+    printf "entries %d  upstreams %d  core %.2f %%  resident %.1f MB  sent %.2f KB/s  received %.2f KB/s\n",
+      e, u, 100 * core / e, memory / 1024 / e, kilobytes("control_sent_bytes"), kilobytes("control_received_bytes")
+    n = split("log list load peer", purposes, " ")
+    for (i = 1; i <= n; i++)
+      printf "  %s %.2f + %.2f", purposes[i], kilobytes("control_" purposes[i] "_sent_bytes"),
+        kilobytes("control_" purposes[i] "_received_bytes")
+    printf "  journal %.2f  (KB/s sent + received)\n", kilobytes("journal_log_bytes")
+  }' "$run/before" "$run/after"
