Ask for load reports slowly while the entry and the upstream are idle

Cause: 40 probes a second whatever rests on them were 12.7 of 18.3 KB/s and about half of the processor time of an idle entry (CPU profile, 12 s).

core/probe decides the interval: quick, as before, while the entry has a request, a call or a version move, or had one within 3 s, and for an upstream that reports work, another boot or other versions or that missed a probe; else probe_rate_idle (4/s) within probe_interval_max. The first request after a calm has every upstream probed at once.

Under load the probes cost what they did.

--- a/core/limit/slots_warmth.go
+++ b/core/limit/slots_warmth.go
@@ -23,6 +23,8 @@
 	// doubt is until when reports may be from before a boot that this entry suspects; the first report
 	// after it settles the matter. It is zero where nothing is suspected.
 	doubt time.Time
+	// unsure is true from a time in which reports were rare to the next report.
+	unsure bool
 	// running counts this entry's requests on the upstream, warm or cold; it is never negative.
 	running int
 	// lingering holds until when each request may run on that ended here and perhaps not there.
@@ -31,7 +33,7 @@
 
 // step is the level that counts now.
 func (u *warmth) step() int {
-	if !u.doubt.IsZero() {
+	if u.unsure || !u.doubt.IsZero() {
 		return 0
 	}
 	return u.level
@@ -70,6 +72,7 @@
 // Seen takes the boot id of an upstream's report; a new one begins a cold start.
 func (s *Slots) Seen(now time.Time, id ident.UpstreamID, boot ident.BootID) {
 	u := s.get(now, id)
+	u.unsure = false
 	if !now.Before(u.doubt) {
 		u.doubt = time.Time{}
 	}
@@ -97,6 +100,13 @@
 	s.get(now, id).doubt = now.Add(s.timing.ReportLag)
 }
 
+// Unsure says that reports were rare: every upstream counts as cold until its next one.
+func (s *Slots) Unsure() {
+	for _, u := range s.upstreams {
+		u.unsure = true
+	}
+}
+
 // Succeeded counts a whole answer of an upstream.
 func (s *Slots) Succeeded(now time.Time, id ident.UpstreamID) { s.get(now, id).successes++ }
 
--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -34,7 +34,7 @@
 		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
-		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
+		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.WakeMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
 		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
 		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
 		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
--- a/core/roll/status.go
+++ b/core/roll/status.go
@@ -36,3 +36,24 @@
 	}
 	return list
 }
+
+// Moving reports whether a move goes on or an order to an engine is under way, so that the
+// engines' reports matter.
+func (m *Model) Moving(now time.Time) bool {
+	for _, mv := range m.moves {
+		if !ended(m.phase(mv.ID)) {
+			return true
+		}
+	}
+	for i := range m.tokens {
+		if m.tokens[i].held {
+			return true
+		}
+	}
+	for _, at := range m.lately {
+		if now.Sub(at) < settleTime {
+			return true
+		}
+	}
+	return false
+}
--- a/core/sched/cold.go
+++ b/core/sched/cold.go
@@ -48,3 +48,11 @@
 		m.slots.Doubt(now, r.on)
 	}
 }
+
+// distrustReports counts every upstream that a rule bounds while cold as cold until its next report.
+func (m *Model) distrustReports() {
+	m.slots.Unsure()
+	for _, u := range m.upstreams {
+		u.special = true
+	}
+}
--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -105,6 +105,9 @@
 	CachedTokens int `json:"cached_tokens"`
 }
 
+// WakeMsg says that the entry has work again after a time in which it rarely asked for load reports.
+type WakeMsg struct{}
+
 // Cause is why an attempt failed.
 type Cause string
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -154,6 +154,8 @@
 		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
+	case WakeMsg:
+		m.distrustReports()
 	case TickMsg:
 		return m.tick(now)
 	case GoneMsg:
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -72,7 +72,9 @@
 	MaxBodyBytes int64 `yaml:"max_body_bytes"`
 	// ProbeRate is the load reports asked a second over all upstreams; the time between two of one
 	// upstream follows from it, within ProbeInterval and ProbeIntervalMax.
-	ProbeRate        float64  `yaml:"probe_rate"`
+	ProbeRate float64 `yaml:"probe_rate"`
+	// ProbeRateIdle takes the place of ProbeRate for upstreams without work while the entry has none.
+	ProbeRateIdle    float64  `yaml:"probe_rate_idle"`
 	ProbeInterval    Duration `yaml:"probe_interval"`
 	ProbeIntervalMax Duration `yaml:"probe_interval_max"`
 	// ListInterval is the time between readings of the VM list.
@@ -129,6 +131,7 @@
 		LogLevel:      "info",
 		MaxBodyBytes:  4 << 20,
 		ProbeRate:     40,
+		ProbeRateIdle: 4,
 		ProbeInterval: Duration(100 * time.Millisecond),
 
 		ProbeIntervalMax: Duration(5 * time.Second),
@@ -214,6 +217,7 @@
 	fault(s.LogFormat != "json" && s.LogFormat != "text", "log_format: expected json or text")
 	fault(s.MaxBodyBytes <= 0, "max_body_bytes: expected a number above 0")
 	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
+	fault(s.ProbeRateIdle <= 0, "probe_rate_idle: expected a number above 0")
 	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
 	fault(s.AppendBatch <= 0, "append_batch: expected a number above 0")
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -62,8 +62,8 @@
 	// control carries what the entry asks of the platform, and peerHTTP what it asks of other entries.
 	control  []*http.Transport
 	peerHTTP *http.Transport
-	list    vmlist.List
-	meter   *meter.Meter
+	list     vmlist.List
+	meter    *meter.Meter
 
 	inbox    chan work
 	sessions *sessions
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -85,6 +85,22 @@
 
 // update hands a message to the deciders and performs their commands.
 func (d *Daemon) update(ctx context.Context, now time.Time, msg ident.Msg) {
+	if d.prober.note(d.working(now, msg)) {
+		d.step(ctx, now, sched.WakeMsg{})
+	}
+	d.step(ctx, now, msg)
+}
+
+// working reports whether the entry has requests, or moves versions, so that load reports matter.
+func (d *Daemon) working(now time.Time, msg ident.Msg) bool {
+	switch msg.(type) {
+	case sched.ArriveMsg, once.CallMsg:
+		return true
+	}
+	return d.node.Sched().InFlight() > 0 || d.node.Roll().Moving(now)
+}
+
+func (d *Daemon) step(ctx context.Context, now time.Time, msg ident.Msg) {
 	cmds := d.node.Update(now, msg)
 	d.journal.note(now, msg, cmds)
 	for _, cmd := range cmds {
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -3,44 +3,67 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/probe"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/config"
 	"cicadavalve/io/engine"
 	"cicadavalve/io/vmlist"
 )
 
-// prober asks every listed upstream for its load report, at a bounded rate over all of them.
+// prober asks every listed upstream for its load report.
 type prober struct {
-	client engine.Client
-	// shortest and longest bound the time between two probes of one upstream.
-	shortest time.Duration
-	longest  time.Duration
-	// rate is the probes a second over all upstreams, as long as longest allows.
-	rate     float64
+	client   engine.Client
+	timing   probe.Timing
 	watching atomic.Int64
 	post     func(context.Context, ident.Msg)
 	lists    chan []sched.Upstream
 	watches  map[ident.UpstreamID]*watch
+
+	mu       sync.Mutex
+	activity *probe.Activity
+	// woken is closed, and replaced, when the entry has work again after a calm.
+	woken chan struct{}
 }
 
 func newProber(client engine.Client, s config.Settings, post func(context.Context, ident.Msg)) *prober {
+	timing := probe.Timing{
+		Shortest: time.Duration(s.ProbeInterval), Longest: time.Duration(s.ProbeIntervalMax),
+		Rate: s.ProbeRate, IdleRate: s.ProbeRateIdle, Calm: max(probeCalm, 2*time.Duration(s.ReportLag)),
+	}
 	return &prober{
-		client: client, shortest: time.Duration(s.ProbeInterval), longest: time.Duration(s.ProbeIntervalMax),
-		rate: s.ProbeRate, post: post,
+		client: client, timing: timing, post: post,
 		lists: make(chan []sched.Upstream), watches: map[ident.UpstreamID]*watch{},
+		activity: probe.NewActivity(time.Now(), timing), woken: make(chan struct{}),
+	}
+}
+
+// probeCalm is the least time without a sign of work after which load reports are asked slowly.
+const probeCalm = 3 * time.Second
+
+// note tells whether the entry has work now. Work after a calm has every upstream probed at once.
+func (p *prober) note(working bool) (woke bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	woke = p.activity.Note(time.Now(), working)
+	if woke {
+		close(p.woken)
+		p.woken = make(chan struct{})
 	}
+	return woke
 }
 
-// interval grows with the number of upstreams, so that their probes together keep the rate.
-func (p *prober) interval() time.Duration {
-	shared := time.Duration(float64(p.watching.Load()) / p.rate * float64(time.Second))
-	return min(max(shared, p.shortest), p.longest)
+// wakes is closed at the next end of a calm.
+func (p *prober) wakes() (woken <-chan struct{}, calm bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.woken, p.activity.Calm(time.Now())
 }
 
 // watch probes one upstream.
@@ -48,6 +71,7 @@
 	p        *prober
 	upstream sched.Upstream
 	stop     context.CancelFunc
+	pace     *probe.Pace
 }
 
 func (p *prober) run(ctx context.Context) error {
@@ -74,7 +98,7 @@
 		}
 		p.drop(u.ID)
 		watched, stop := context.WithCancel(ctx)
-		w := &watch{p: p, upstream: u, stop: stop}
+		w := &watch{p: p, upstream: u, stop: stop, pace: probe.NewPace(p.timing)}
 		p.watches[u.ID] = w
 		group.Go(func() error { return w.run(watched) })
 	}
@@ -96,14 +120,18 @@
 func (w *watch) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var woken <-chan struct{}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
+		case <-woken:
 		}
 		w.probe(ctx)
-		timer.Reset(w.p.interval())
+		var calm bool
+		woken, calm = w.p.wakes()
+		timer.Reset(w.pace.Interval(time.Now(), int(w.p.watching.Load()), calm))
 	}
 }
 
@@ -111,13 +139,15 @@
 const probeTimeouts = 5
 
 func (w *watch) probe(ctx context.Context) {
-	probing, cancel := context.WithTimeout(ctx, probeTimeouts*w.p.shortest)
+	probing, cancel := context.WithTimeout(ctx, probeTimeouts*w.p.timing.Shortest)
 	defer cancel()
 	load, err := w.p.client.Load(probing, w.upstream.Address)
 	if err != nil {
+		w.pace.Missed(time.Now())
 		w.p.post(ctx, sched.UnreachableMsg{Upstream: w.upstream.ID})
 		return
 	}
+	w.pace.Reported(time.Now(), load)
 	w.p.post(ctx, sched.LoadMsg{Upstream: w.upstream.ID, Load: load})
 }
 
