Tick the deciders when one of them has something to do

The loop ticks then, at most every 50 ms as before and at least every second.

TestOnlyDueTicksMatter draws messages and idle times with rapid: a node ticked only when due gives the same commands at the same times as one ticked every 50 ms. Not drawn: version moves, whose ticks stay as they were while a move goes on.

--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -189,12 +189,14 @@
 // snapshot appends the state when a snapshot is due; a fold that seeks one, or that can't read
 // whether another entry has appended one, appends none.
 func (c *Config) snapshot(now time.Time) []ident.Cmd {
-	if !c.current || c.away || c.Wanted() > c.next || !c.snapshots.isDue(now, c.progress()) {
+	if !c.maySnapshot() || !c.snapshots.isDue(now, c.progress()) {
 		return nil
 	}
 	return []ident.Cmd{c.snapshots.record(now, c.State())}
 }
 
+func (c *Config) maySnapshot() bool { return c.current && !c.away && c.Wanted() <= c.next }
+
 func (c *Config) progress() progress {
 	after, _ := slices.BinarySearchFunc(c.kept, c.snapshots.covered, func(k KeptOutcome, offset int64) int {
 		return cmp.Compare(k.Offset, offset)
--- a/core/ledger/propose.go
+++ b/core/ledger/propose.go
@@ -90,3 +90,18 @@
 		}
 	}
 }
+
+// NextTick is when the fold next has something to do without another message, and whether it has.
+func (c *Config) NextTick() (at time.Time, set bool) {
+	for _, w := range c.waiters {
+		if !set || w.deadline.Before(at) {
+			at, set = w.deadline, true
+		}
+	}
+	if c.maySnapshot() && c.next > 0 {
+		if due := c.snapshots.next(); !set || due.Before(at) {
+			at, set = due, true
+		}
+	}
+	return at, set
+}
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -104,3 +104,11 @@
 	id := fmt.Sprintf("snapshot/%s/%d", s.entry, state.Next)
 	return AppendCmd{StreamConfig, Record{ID: id, Kind: KindSnapshot, Writer: string(s.entry), Body: state.Encode()}}
 }
+
+// next is when a snapshot may be appended, as far as time decides it.
+func (s *snapshots) next() time.Time {
+	if s.earliest.After(s.due) {
+		return s.earliest
+	}
+	return s.due
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -45,6 +45,8 @@
 	once     *once.Model
 	sched    *sched.Model
 	roll     *roll.Model
+	// ticked is when the last tick came, or zero.
+	ticked time.Time
 }
 
 // NewNode builds the deciders.
@@ -114,6 +116,7 @@
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
+		n.ticked = now
 		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
 	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
 		return n.roll.Update(now, msg)
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -185,3 +185,9 @@
 	}
 	return kept
 }
+
+// NextTick is when the model next has something to do without another message, and whether it has:
+// at once as long as a call, an end or a key is open.
+func (m *Model) NextTick() (at time.Time, set bool) {
+	return at, len(m.asked)+len(m.ends)+len(m.endOrder)+len(m.open) > 0 || !m.asks.begun.IsZero()
+}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -257,3 +257,17 @@
 	m.expireTrials(now)
 	return m.resend(now)
 }
+
+// Pending reports whether a tick may change something: a record is not read back, a trial is open
+// or a loss may still be confirmed.
+func (m *Model) Pending() bool {
+	if len(m.outbox)+len(m.trials) > 0 {
+		return true
+	}
+	for _, claims := range m.claims {
+		if slices.ContainsFunc(claims, func(c claim) bool { return !c.confirmed }) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/roll/status.go
+++ b/core/roll/status.go
@@ -1,6 +1,9 @@
 package roll
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Status is a move as operators see it.
 type Status struct {
@@ -40,15 +43,8 @@
 // Moving reports whether a move goes on or an order to an engine is under way, so that the
 // engines' reports matter.
 func (m *Model) Moving(now time.Time) bool {
-	for _, mv := range m.moves {
-		if !ended(m.phase(mv.ID)) {
-			return true
-		}
-	}
-	for i := range m.tokens {
-		if m.tokens[i].held {
-			return true
-		}
+	if m.open() {
+		return true
 	}
 	for _, at := range m.lately {
 		if now.Sub(at) < settleTime {
@@ -57,3 +53,18 @@
 	}
 	return false
 }
+
+// NextTick is when the model next has something to do without another message, and whether it has:
+// at once as long as a move goes on or a weight token is held. What follows a complete move bears
+// the longest tick interval.
+func (m *Model) NextTick() (at time.Time, set bool) { return at, m.open() }
+
+// open reports whether a move goes on or a weight token is held.
+func (m *Model) open() bool {
+	for _, mv := range m.moves {
+		if !ended(m.phase(mv.ID)) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(m.tokens[:], func(t token) bool { return t.held })
+}
--- a/core/roster/membership.go
+++ b/core/roster/membership.go
@@ -161,7 +161,7 @@
 
 // settle appends what brings the roster to what is wanted.
 func (m *Membership) settle(now time.Time) []ident.Cmd {
-	if !m.caughtUp || m.self.Entry == "" || m.superseded || now.Before(m.retry) || m.wanted == m.IsMember() {
+	if !m.settles() || now.Before(m.retry) {
 		return nil
 	}
 	m.retry = now.Add(firstJoinBackoff)
@@ -171,6 +171,11 @@
 	return m.record(KindLeave, m.self)
 }
 
+// settles reports whether the roster is to be brought to what is wanted.
+func (m *Membership) settles() bool {
+	return m.caughtUp && m.self.Entry != "" && !m.superseded && m.wanted != m.IsMember()
+}
+
 func (m *Membership) record(kind ledger.Kind, body any) []ident.Cmd {
 	m.records++
 	id := fmt.Sprintf("%s/roster/%d", m.boot, m.records)
@@ -196,3 +201,16 @@
 	}
 	return cmds
 }
+
+// NextTick is when the membership next has something to do without another message, and whether it has.
+func (m *Membership) NextTick() (at time.Time, set bool) {
+	if m.settles() {
+		at, set = m.retry, true
+	}
+	if m.IsMember() {
+		if due := m.watch.due(); !set || due.Before(at) {
+			at, set = due, true
+		}
+	}
+	return at, set
+}
--- a/core/roster/watch.go
+++ b/core/roster/watch.go
@@ -107,6 +107,16 @@
 	return cmds
 }
 
+// due is when the targets are pinged again, or sooner where one may be lost.
+func (w *Watch) due() time.Time {
+	for _, t := range w.targets {
+		if w.misses[t] >= mostMisses && w.quiet.Before(w.next) {
+			return w.quiet
+		}
+	}
+	return w.next
+}
+
 // Accusations are this entry's own.
 func (w *Watch) Accusations(self ident.EntryID) (own []Accusation) {
 	for _, t := range w.targets {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -37,7 +37,6 @@
 	idlePerUpstream = 64
 	inboxSize       = 1024
 	readHeaderLimit = 5 * time.Second
-	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -60,20 +60,36 @@
 
 // loop owns the deciders: every message passes through it in order.
 func (d *Daemon) loop(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	ticks := &ticks{timer: time.NewTimer(0)}
+	defer ticks.timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case w := <-d.inbox:
 			d.handle(ctx, w)
-		case <-ticker.C:
+		case <-ticks.timer.C:
 			d.handle(ctx, work{msg: sched.TickMsg{}})
 		}
+		ticks.set(d.clock.now(), d.node.NextTick())
 	}
 }
 
+// ticks sets the timer of the next tick.
+type ticks struct {
+	timer *time.Timer
+	at    time.Time
+}
+
+// set leaves the timer alone where the time is the same, as it is after most messages.
+func (t *ticks) set(now, at time.Time) {
+	if at.Equal(t.at) {
+		return
+	}
+	t.at = at
+	t.timer.Reset(at.Sub(now))
+}
+
 func (d *Daemon) handle(ctx context.Context, w work) {
 	d.gate()
 	if w.look != nil {
