--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -60,12 +60,16 @@
 // NewHandler serves the protocol over HTTP.
 func NewHandler(backend Backend) http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}))
-	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}))
-	mux.Handle(peerpbconnect.NewOnceHandler(&onceHandler{backend: backend}))
+	compress := connect.WithCompressMinBytes(leastCompressed)
+	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}, compress))
+	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}, compress))
+	mux.Handle(peerpbconnect.NewOnceHandler(&onceHandler{backend: backend}, compress))
 	return mux
 }
 
+// leastCompressed is the size in bytes from which an answer is compressed.
+const leastCompressed = 1 << 10
+
 // Propose implements the Operator service.
 func (h *handler) Propose(
 	ctx context.Context, req *connect.Request[peerpb.ProposeRequest],
--- a/io/peer/tls.go
+++ b/io/peer/tls.go
@@ -135,7 +135,7 @@
 	}
 	t.pool = pool
 	t.http = &http.Transport{
-		ForceAttemptHTTP2: true, DialContext: t.dial,
+		ForceAttemptHTTP2: true, DialContext: t.dial, HTTP2: HealthOf(defaultInterval).config(),
 		TLSClientConfig: &tls.Config{
 			MinVersion: tls.VersionTLS13, RootCAs: pool,
 			GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
