Send no header with control requests that nobody reads

Cause: User-Agent and Accept-Encoding were 55 of some 100 bytes of each request for a load report, and User-Agent 32 bytes of each read of the log and the list. The log and the list may still compress their answers.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -46,7 +46,9 @@
 
 // WithControlDialer sets how connections for load reports are opened.
 func WithControlDialer(dial DialFunc) Option {
-	return func(c *HTTPClient) { c.control = &http.Client{Transport: &http.Transport{DialContext: dial}} }
+	return func(c *HTTPClient) {
+		c.control = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+	}
 }
 
 // NewHTTPClient is a client with a pool of connections per upstream.
@@ -150,7 +152,7 @@
 // Load implements [Client].
 func (c *HTTPClient) Load(ctx context.Context, address string) (load sched.Load, err error) {
 	defer func() { err = errors.Wrapf(err, "load of %s", address) }()
-	req, err := sling.New().Get("http://" + address + "/load").Request()
+	req, err := sling.New().Get("http://"+address+"/load").Set("User-Agent", "").Request()
 	if err != nil {
 		return load, err
 	}
--- a/io/logsvc/logsvc.go
+++ b/io/logsvc/logsvc.go
@@ -47,7 +47,7 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Client{base: sling.New().Base(url).Client(client), client: client}
+	return &Client{base: sling.New().Base(url).Client(client).Set("User-Agent", ""), client: client}
 }
 
 // Append implements [Service].
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -33,7 +33,7 @@
 
 // NewClient is a client of the list at a URL.
 func NewClient(url string, client *http.Client) *Client {
-	return &Client{base: sling.New().Base(url).Client(client)}
+	return &Client{base: sling.New().Base(url).Client(client).Set("User-Agent", "")}
 }
 
 // Read implements [List].
