--- a/core/record/segment.go
+++ b/core/record/segment.go
@@ -27,10 +27,15 @@
 	Data []byte `json:"data"`
 }
 
+// encoding takes no memory for several goroutines or for a window larger than a short segment.
+var encoding = []zstd.EOption{
+	zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(1 << 20),
+}
+
 // NewSegment compresses lines, of which there must be at least one.
 func NewSegment(incarnation ident.BootID, lines []Line) (s Segment, err error) {
 	defer func() { err = errors.Wrap(err, "new segment") }()
-	encoder, err := zstd.NewWriter(nil)
+	encoder, err := zstd.NewWriter(nil, encoding...)
 	if err != nil {
 		return s, err
 	}
