Let load reports of idle upstreams grow older than those under work

Cause: probe_interval_max of 5 s made 48 idle upstreams cost 10 probes a second against the 4 of probe_rate_idle. Since work after a calm has every upstream probed at once, the age of a report in a calm tells only the first request, and probe_interval_idle_max (15 s) bounds it.

--- a/core/probe/probe.go
+++ b/core/probe/probe.go
@@ -11,9 +11,11 @@
 
 // Timing bounds the time between two probes of one upstream.
 type Timing struct {
-	// Shortest and Longest bound every interval; Shortest is not above Longest.
-	Shortest time.Duration
-	Longest  time.Duration
+	// Shortest bounds every interval, Longest the quick ones and LongestIdle the slow ones; none is
+	// above the next.
+	Shortest    time.Duration
+	Longest     time.Duration
+	LongestIdle time.Duration
 	// Rate is the probes a second over all upstreams while something rests on their reports, and
 	// IdleRate else; both are above 0 and count only within the bounds.
 	Rate     float64
@@ -23,17 +25,17 @@
 }
 
 // quick is the interval while something rests on the reports.
-func (t Timing) quick(upstreams int) time.Duration { return t.interval(upstreams, t.Rate) }
+func (t Timing) quick(upstreams int) time.Duration { return t.interval(upstreams, t.Rate, t.Longest) }
 
 // slow is the interval else; it is never below the quick one.
 func (t Timing) slow(upstreams int) time.Duration {
-	return max(t.quick(upstreams), t.interval(upstreams, t.IdleRate))
+	return max(t.quick(upstreams), t.interval(upstreams, t.IdleRate, t.LongestIdle))
 }
 
 // interval keeps a rate over all upstreams within the bounds.
-func (t Timing) interval(upstreams int, rate float64) time.Duration {
+func (t Timing) interval(upstreams int, rate float64, longest time.Duration) time.Duration {
 	shared := time.Duration(float64(upstreams) / rate * float64(time.Second))
-	return min(max(shared, t.Shortest), t.Longest)
+	return min(max(shared, t.Shortest), longest)
 }
 
 // Activity knows when the entry last had work of its own.
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -74,9 +74,11 @@
 	// upstream follows from it, within ProbeInterval and ProbeIntervalMax.
 	ProbeRate float64 `yaml:"probe_rate"`
 	// ProbeRateIdle takes the place of ProbeRate for upstreams without work while the entry has none.
-	ProbeRateIdle    float64  `yaml:"probe_rate_idle"`
-	ProbeInterval    Duration `yaml:"probe_interval"`
-	ProbeIntervalMax Duration `yaml:"probe_interval_max"`
+	ProbeRateIdle float64 `yaml:"probe_rate_idle"`
+	// ProbeIntervalIdleMax bounds the time between two probes at that rate.
+	ProbeIntervalIdleMax Duration `yaml:"probe_interval_idle_max"`
+	ProbeInterval        Duration `yaml:"probe_interval"`
+	ProbeIntervalMax     Duration `yaml:"probe_interval_max"`
 	// ListInterval is the time between readings of the VM list.
 	ListInterval Duration `yaml:"list_interval"`
 	// AdviceHold is how long callers may keep the answer of GET /v1/entries.
@@ -136,6 +138,8 @@
 
 		ProbeIntervalMax: Duration(5 * time.Second),
 
+		ProbeIntervalIdleMax: Duration(15 * time.Second),
+
 		ListInterval: Duration(500 * time.Millisecond),
 		AdviceHold:   Duration(2 * time.Second),
 		StopTimeout:  Duration(30 * time.Second),
@@ -219,6 +223,7 @@
 	fault(s.ProbeRate <= 0, "probe_rate: expected a number above 0")
 	fault(s.ProbeRateIdle <= 0, "probe_rate_idle: expected a number above 0")
 	fault(s.ProbeIntervalMax < s.ProbeInterval, "probe_interval_max: expected at least probe_interval")
+	fault(s.ProbeIntervalIdleMax < s.ProbeIntervalMax, "probe_interval_idle_max: expected at least probe_interval_max")
 	fault(s.JournalBytes <= 0, "journal_bytes: expected a number above 0")
 	fault(s.AppendBatch <= 0, "append_batch: expected a number above 0")
 	fault(s.OnceSendLimit < 0, "once_send_limit: expected a duration of at least 0")
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -35,7 +35,8 @@
 func newProber(client engine.Client, s config.Settings, post func(context.Context, ident.Msg)) *prober {
 	timing := probe.Timing{
 		Shortest: time.Duration(s.ProbeInterval), Longest: time.Duration(s.ProbeIntervalMax),
-		Rate: s.ProbeRate, IdleRate: s.ProbeRateIdle, Calm: max(probeCalm, 2*time.Duration(s.ReportLag)),
+		LongestIdle: time.Duration(s.ProbeIntervalIdleMax),
+		Rate:        s.ProbeRate, IdleRate: s.ProbeRateIdle, Calm: max(probeCalm, 2*time.Duration(s.ReportLag)),
 	}
 	return &prober{
 		client: client, timing: timing, post: post,
