Refuse unknown paths and methods in the form of every other refusal

Cause: a wrong path or method got a line of plain text without `not_run`, so that a caller's client could not read it as a refusal; and no test sent bad input to the callers' interface but the fuzz target. Conclusion: every answer that is no result is now a refusal in JSON.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -43,6 +43,7 @@
 	s.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	s.mux.HandleFunc("GET /readyz", s.ready)
 	s.mux.Handle("GET /debug/vars", expvar.Handler())
+	s.mux.HandleFunc("/", s.unknownPath)
 	return s
 }
 
@@ -60,6 +61,7 @@
 	codeUnauthenticated sched.Code = "unauthenticated"
 	codeBadRequest      sched.Code = "bad_request"
 	codeTooLarge        sched.Code = "body_too_large"
+	codeUnknownPath     sched.Code = "unknown_path"
 	codeInternal        sched.Code = "internal"
 )
 
@@ -204,6 +206,10 @@
 	_, _ = w.Write(reply.Body)
 }
 
+func (s *Server) unknownPath(w http.ResponseWriter, _ *http.Request) {
+	s.refuse(w, badRequest(http.StatusNotFound, codeUnknownPath, "nothing is served under this method and path"))
+}
+
 func (s *Server) entries(w http.ResponseWriter, r *http.Request) {
 	writeJSON(w, http.StatusOK, s.backend.Entries(r.Context()))
 }
