Tell at apply time what a rules file leaves to each model and service

The file is applied all the same: a drain must always be possible. `show upstreams` lists what app engines serve, too.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,13 @@
 generate:
 	./scripts/generate.sh
 
+# fuzz tries random rules, settings and bodies for FUZZ_TIME each.
+FUZZ_TIME ?= 30s
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./core/rules
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./io/config
+	go test -run '^$$' -fuzz FuzzBody -fuzztime $(FUZZ_TIME) ./io/caller
+
 # soak runs the long histories; each prints its seed.
 soak:
 	CICADAVALVE_SOAK=1 go test -count=1 -timeout 60m -v -run Soak ./...
--- a/cmd/cicadavalve/apply.go
+++ b/cmd/cicadavalve/apply.go
@@ -12,12 +12,17 @@
 	"github.com/spf13/cobra"
 
 	"cicadavalve/core/ledger"
+	"cicadavalve/core/sched"
 	"cicadavalve/io/apply"
 )
 
 // applyReport is what the apply command prints.
 type applyReport struct {
 	apply.Report
+	// Outlooks is what the file was expected to leave to each model and service when it was sent.
+	Outlooks []sched.Outlook `json:"outlooks"`
+	// OutlookError is set where that is not known.
+	OutlookError string `json:"outlook_error,omitempty"`
 }
 
 // applier is one run of the apply command.
@@ -87,17 +92,27 @@
 		options = append(options, apply.WithID(a.id))
 	}
 	options = append(options, apply.WithBase(a.base))
-	report, err := apply.NewApplier(a.client, a.entry, a.operator, options...).Apply(ctx, text)
+	printed := a.foresee(ctx, text)
+	printed.Report, err = apply.NewApplier(a.client, a.entry, a.operator, options...).Apply(ctx, text)
 	if err != nil {
 		return err
 	}
-	printed := applyReport{report}
 	if err := a.out.print(w, printed, printed.text); err != nil {
 		return err
 	}
 	return printed.err()
 }
 
+// foresee begins a report; an outlook that can't be had does not keep the file from being applied.
+func (a *applier) foresee(ctx context.Context, text string) (r applyReport) {
+	seen, err := outlooks(ctx, a.client, a.entry, text)
+	if err != nil {
+		r.OutlookError = err.Error()
+	}
+	r.Outlooks = seen
+	return r
+}
+
 func (r applyReport) err() error {
 	switch {
 	case r.Verdict == ledger.NotKnownYet:
@@ -113,6 +128,10 @@
 }
 
 func (r applyReport) text(w io.Writer) {
+	printOutlooks(w, r.Outlooks)
+	if r.OutlookError != "" {
+		_, _ = fmt.Fprintf(w, "what the file leaves to each model is not known: %s\n", r.OutlookError)
+	}
 	_, _ = fmt.Fprintf(w, "%s\tversion %d\tid %s\tbase %d\n", r.Verdict, r.Version, r.ID, r.Base)
 	if r.Verdict == ledger.Accepted && len(r.Waiting) == 0 {
 		_, _ = fmt.Fprintf(w, "in force everywhere after %d ms\n", r.InForceMs)
--- a/cmd/cicadavalve/check.go
+++ b/cmd/cicadavalve/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -9,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"cicadavalve/core/rules"
+	"cicadavalve/core/sched"
 )
 
 // checkReport is what the check command prints.
@@ -16,29 +18,59 @@
 	File   string        `json:"file"`
 	Rules  int           `json:"rules"`
 	Faults []rules.Fault `json:"faults"`
+	// Outlooks is what the file would leave to each model and service, where an entry was asked.
+	Outlooks []sched.Outlook `json:"outlooks,omitempty"`
+}
+
+// checker is one run of the check command.
+type checker struct {
+	out   output
+	entry string
+	keys  keyFlags
 }
 
 func newCheckCommand() *cobra.Command {
-	var out output
+	c := &checker{}
 	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Check a rules file and report every fault",
-		Args:  cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) (err error) {
-			_, report, err := readRules(args[0])
-			if err != nil {
-				return err
-			}
-			if err := out.print(cmd.OutOrStdout(), report, report.text); err != nil {
-				return err
-			}
-			return report.err()
+		Long: "Reports every fault of a rules file. With --entry it tells besides what the file would leave to each " +
+			"model and service by the load that the entry knows of.",
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return c.run(cmd.Context(), cmd.OutOrStdout(), args[0])
 		},
 	}
-	out.register(cmd)
+	c.out.register(cmd)
+	c.keys.register(cmd)
+	cmd.Flags().StringVar(&c.entry, "entry", "", "the peer address of any entry, to be asked for the load")
 	return cmd
 }
 
+func (c *checker) run(ctx context.Context, w io.Writer, path string) (err error) {
+	text, report, err := readRules(path)
+	if err != nil {
+		return err
+	}
+	if c.entry != "" && len(report.Faults) == 0 {
+		if report.Outlooks, err = c.foresee(ctx, text); err != nil {
+			return err
+		}
+	}
+	if err := c.out.print(w, report, report.text); err != nil {
+		return err
+	}
+	return report.err()
+}
+
+func (c *checker) foresee(ctx context.Context, text string) (o []sched.Outlook, err error) {
+	client, err := c.keys.client()
+	if err != nil {
+		return nil, err
+	}
+	return outlooks(ctx, client, c.entry, text)
+}
+
 func readRules(path string) (text string, report checkReport, err error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
@@ -66,4 +98,5 @@
 	if len(r.Faults) == 0 {
 		_, _ = fmt.Fprintf(w, "%s: %d rules, no fault\n", r.File, r.Rules)
 	}
+	printOutlooks(w, r.Outlooks)
 }
--- a/cmd/cicadavalve/views.go
+++ b/cmd/cicadavalve/views.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,14 +89,26 @@
 		return err
 	}
 	return s.out.print(w, rows, func(w io.Writer) {
-		_, _ = fmt.Fprintln(w, "UPSTREAM\tROLE\tZONE\tLOADED\tOURS\tRUNNING\tWAITING\tNEW WORK\tWHY NOT")
+		_, _ = fmt.Fprintln(w, "UPSTREAM\tROLE\tZONE\tSERVES\tOURS\tRUNNING\tWAITING\tNEW WORK\tWHY NOT")
 		for _, r := range rows {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%v\t%d\t%d\t%d\t%t\t%s\n",
-				r.Upstream, r.Role, r.Zone, r.Loaded, r.Outstanding, r.Running, r.Waiting, r.NewWork, r.Reason)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%t\t%s\n",
+				r.Upstream, r.Role, r.Zone, serves(r), r.Outstanding, r.Running, r.Waiting, r.NewWork, r.Reason)
 		}
 	})
 }
 
+// serves lists the model versions and services of an upstream.
+func serves(u sched.UpstreamView) string {
+	var names []string
+	for _, l := range u.Loaded {
+		names = append(names, fmt.Sprintf("%s %s", l.Model, l.Version))
+	}
+	for _, s := range u.Services {
+		names = append(names, string(s))
+	}
+	return strings.Join(names, ", ")
+}
+
 func showRequests(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
 	answers, err := askAll[[]sched.RequestView](ctx, s, "requests", "")
 	if err != nil {
--- a/core/sched/view.go
+++ b/core/sched/view.go
@@ -10,19 +10,27 @@
 
 // UpstreamView is what an entry knows of one upstream and whether it gets new work.
 type UpstreamView struct {
-	Upstream    ident.UpstreamID `json:"upstream"`
-	Role        Role             `json:"role"`
-	Zone        ident.Zone       `json:"zone"`
-	Address     string           `json:"address"`
-	Loaded      []Loaded         `json:"loaded"`
-	Outstanding int              `json:"outstanding"`
-	Running     int              `json:"running"`
-	Waiting     int              `json:"waiting"`
+	Upstream ident.UpstreamID `json:"upstream"`
+	Role     Role             `json:"role"`
+	Zone     ident.Zone       `json:"zone"`
+	Address  string           `json:"address"`
+	Loaded   []Loaded         `json:"loaded"`
+	// Services is what an app engine serves.
+	Services    []ident.ServiceName `json:"services,omitempty"`
+	Outstanding int                 `json:"outstanding"`
+	Running     int                 `json:"running"`
+	Waiting     int                 `json:"waiting"`
 	// NewWork is true where the upstream may get new work now; Reason tells why not.
 	NewWork bool   `json:"new_work"`
 	Reason  string `json:"reason,omitempty"`
 }
 
+// Why an upstream gets no new work for now, though another rules file may give it some.
+const (
+	reasonNoRules = "no configuration is in force"
+	reasonDrained = "drained by a rule"
+)
+
 // Upstreams lists the upstreams by id.
 func (m *Model) Upstreams(now time.Time) []UpstreamView {
 	views := []UpstreamView{}
@@ -31,6 +39,7 @@
 		reason := m.refusal(now, u)
 		views = append(views, UpstreamView{
 			Upstream: id, Role: u.listed.Role, Zone: u.listed.Zone, Address: u.listed.Address, Loaded: u.load.Loaded,
+			Services:    u.listed.Services,
 			Outstanding: u.candidate.Outstanding, Running: u.load.Running, Waiting: u.load.Waiting,
 			NewWork: reason == "", Reason: reason,
 		})
@@ -42,11 +51,11 @@
 func (m *Model) refusal(now time.Time, u *upstream) string {
 	switch {
 	case m.rules == nil:
-		return "no configuration is in force"
+		return reasonNoRules
 	case u.listed.Leaving:
 		return "leaving by the VM list"
 	case m.rules.Drained(u.listed.ID, u.listed.Zone):
-		return "drained by a rule"
+		return reasonDrained
 	case !u.seen:
 		return "no load report yet"
 	case u.misses >= probeMisses:
