--- a/io/entry/moves_test.go
+++ b/io/entry/moves_test.go
@@ -31,17 +31,19 @@
 
 // moveLoad sends completions to random entries until it is stopped.
 type moveLoad struct {
-	t       *testing.T
-	ctx     context.Context
-	c       *bench.Cluster
+	t   *testing.T
+	ctx context.Context
+	c   *bench.Cluster
+	// classes are drawn from for each request; without any, the rules' own class counts.
+	classes []ident.Class
 	stopped atomic.Bool
 	done    sync.WaitGroup
 	// wrong counts the answers that are not the whole answer of one version, and refused the others.
 	whole, wrong, refused atomic.Int64
 }
 
-func startLoad(ctx context.Context, t *testing.T, c *bench.Cluster) *moveLoad {
-	l := &moveLoad{t: t, ctx: ctx, c: c}
+func startLoad(ctx context.Context, t *testing.T, c *bench.Cluster, classes ...ident.Class) *moveLoad {
+	l := &moveLoad{t: t, ctx: ctx, c: c, classes: classes}
 	for i := range moveWorkers {
 		rng := rand.New(rand.NewPCG(uint64(i), 1))
 		l.done.Go(func() { l.run(rng) })
@@ -53,7 +55,7 @@
 	for !l.stopped.Load() && l.ctx.Err() == nil {
 		e := l.c.Entries()[rng.IntN(len(l.c.Entries()))]
 		prompt := fmt.Sprintf("prompt %d", rng.IntN(moveRoots))
-		a, err := bench.Call(l.ctx, e, bench.Token, "/v1/completions", "", completionBody(prompt, moveTokens))
+		a, err := bench.CallAs(l.ctx, e, bench.Token, l.class(rng), completionBody(prompt, moveTokens))
 		if err != nil || a.Status != http.StatusOK {
 			l.refused.Add(1)
 			l.t.Logf("refused: status %d, %s, %v", a.Status, a.Body, err)
@@ -68,6 +70,13 @@
 	}
 }
 
+func (l *moveLoad) class(rng *rand.Rand) ident.Class {
+	if len(l.classes) == 0 {
+		return ""
+	}
+	return l.classes[rng.IntN(len(l.classes))]
+}
+
 func (l *moveLoad) stop() {
 	l.stopped.Store(true)
 	l.done.Wait()
