--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -79,8 +80,10 @@
 	away bool
 	// first is the lowest offset that the log was last seen to keep.
 	first     int64
-	snapshots snapshots
+	snapshots Snapshots
 	asking    asking
+	// entry names this entry in the records that it writes.
+	entry ident.EntryID
 	// waiters are the open askings in the order they came.
 	waiters []*waiter
 }
@@ -91,7 +94,7 @@
 // WithEntry names the entry in the snapshots that it writes and seeds their jitter.
 func WithEntry(entry ident.EntryID, seed uint64) Option {
 	return func(c *Config) {
-		c.snapshots.entry = entry
+		c.entry = entry
 		rng := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(entry))))
 		c.snapshots.rng, c.asking.rng = rng, rng
 	}
@@ -99,10 +102,7 @@
 
 // WithSnapshots bounds the records and the time that may come after the newest snapshot; 0 takes the default.
 func WithSnapshots(records int64, interval time.Duration) Option {
-	return func(c *Config) {
-		c.snapshots.records = cmp.Or(records, defaultSnapshotRecords)
-		c.snapshots.interval = cmp.Or(interval, defaultSnapshotInterval)
-	}
+	return func(c *Config) { c.snapshots.bound(records, interval) }
 }
 
 // NewConfig is a fold that has seen no record.
@@ -154,7 +154,7 @@
 
 // Update takes a message and returns the commands that follow from it.
 func (c *Config) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
-	c.snapshots.start(now)
+	c.snapshots.Start(now)
 	switch msg := msg.(type) {
 	case BatchMsg:
 		if msg.Stream != StreamConfig {
@@ -189,17 +189,24 @@
 // snapshot appends the state when a snapshot is due; a fold that seeks one, or that can't read
 // whether another entry has appended one, appends none.
 func (c *Config) snapshot(now time.Time) []ident.Cmd {
-	if !c.current || c.away || c.Wanted() > c.next || !c.snapshots.isDue(now, c.progress()) {
+	if !c.current || c.away || c.Wanted() > c.next || !c.snapshots.IsDue(now, c.progress()) {
 		return nil
 	}
-	return []ident.Cmd{c.snapshots.record(now, c.State())}
+	c.snapshots.Written(now)
+	return []ident.Cmd{c.snapshotRecord(c.State())}
+}
+
+// snapshotRecord is the snapshot to append; its id stays the same over repeated appends.
+func (c *Config) snapshotRecord(state State) AppendCmd {
+	id := fmt.Sprintf("snapshot/%s/%d", c.entry, state.Next)
+	return AppendCmd{StreamConfig, Record{ID: id, Kind: KindSnapshot, Writer: string(c.entry), Body: state.Encode()}}
 }
 
-func (c *Config) progress() progress {
+func (c *Config) progress() Progress {
 	after, _ := slices.BinarySearchFunc(c.kept, c.snapshots.covered, func(k KeptOutcome, offset int64) int {
 		return cmp.Compare(k.Offset, offset)
 	})
-	return progress{first: c.first, next: c.next, proposals: len(c.kept) - after}
+	return Progress{First: c.first, Next: c.next, Records: len(c.kept) - after}
 }
 
 // foldBatch refuses a batch that starts beyond the next offset, unless it holds a snapshot to go on from.
@@ -227,7 +234,7 @@
 		c.wanted = c.next
 		return
 	}
-	c.wanted = max(batch.First, batch.end())
+	c.wanted = max(batch.First, batch.End())
 }
 
 // restoreFrom takes the newest snapshot of a batch; the records may go on from it or still be missing.
@@ -266,7 +273,7 @@
 	if err != nil {
 		return nil
 	}
-	c.snapshots.seen(now, s.Next, c.current)
+	c.snapshots.Seen(now, s.Next, c.current)
 	if s.Next != c.next || s.Digest == c.State().Digest {
 		return nil
 	}
--- a/core/ledger/propose.go
+++ b/core/ledger/propose.go
@@ -75,7 +75,7 @@
 }
 
 func (c *Config) proposal(msg ProposeMsg) AppendCmd {
-	rec, err := NewRecord(msg.ID, KindConfig, string(c.snapshots.entry), msg.Body)
+	rec, err := NewRecord(msg.ID, KindConfig, string(c.entry), msg.Body)
 	if err != nil {
 		panic(err) // ConfigBody holds only strings and numbers.
 	}
--- a/core/ledger/record.go
+++ b/core/ledger/record.go
@@ -57,8 +57,8 @@
 	return b.First > next || len(b.Entries) > 0 && b.Entries[0].Offset > next
 }
 
-// end is the offset after the last record of the batch.
-func (b BatchMsg) end() int64 {
+// End is the offset after the last record of the batch.
+func (b BatchMsg) End() int64 {
 	if len(b.Entries) == 0 {
 		return b.First
 	}
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -1,11 +1,9 @@
 package ledger
 
 import (
-	"fmt"
+	"cmp"
 	"math/rand/v2"
 	"time"
-
-	"cicadavalve/core/ident"
 )
 
 const (
@@ -21,11 +19,10 @@
 	leastRetained = 8
 )
 
-// snapshots decides when this entry appends a snapshot. Any entry may: each waits for its
-// own random number of records and its own random time, and a snapshot by another entry
+// Snapshots decides when this entry appends a snapshot of one fold. Any entry may: each waits
+// for its own random number of records and its own random time, and a snapshot by another entry
 // starts both anew. Two entries that append at once do no harm.
-type snapshots struct {
-	entry ident.EntryID
+type Snapshots struct {
 	// records and interval bound what comes after the newest snapshot.
 	records  int64
 	interval time.Duration
@@ -40,26 +37,41 @@
 	earliest time.Time
 }
 
-// progress is how far a fold is.
-type progress struct {
-	// first is the lowest offset that the log keeps, and next the first one not folded.
-	first, next int64
-	// proposals counts those since the newest snapshot; snapshots do not ask for further ones.
-	proposals int
+// Progress is how far a fold is.
+type Progress struct {
+	// First is the lowest offset that the log keeps, and Next the first one not folded.
+	First, Next int64
+	// Records counts those since the newest snapshot; snapshots do not ask for further ones.
+	Records int
+}
+
+// NewSnapshots waits for the given records and time at most; 0 takes the default.
+func NewSnapshots(rng *rand.Rand, records int64, interval time.Duration) *Snapshots {
+	s := &Snapshots{rng: rng}
+	s.bound(records, interval)
+	return s
 }
 
-// start lets an entry that does not know the age of the newest snapshot be due at any part of the interval.
-func (s *snapshots) start(now time.Time) {
+func (s *Snapshots) bound(records int64, interval time.Duration) {
+	s.records = cmp.Or(records, defaultSnapshotRecords)
+	s.interval = cmp.Or(interval, defaultSnapshotInterval)
+}
+
+// Covered is the offset up to which the newest snapshot goes.
+func (s *Snapshots) Covered() int64 { return s.covered }
+
+// Start lets an entry that does not know the age of the newest snapshot be due at any part of the interval.
+func (s *Snapshots) Start(now time.Time) {
 	if s.due.IsZero() {
 		s.share = s.draw()
 		s.due = now.Add(time.Duration(s.rng.Float64() * float64(s.interval)))
 	}
 }
 
-func (s *snapshots) draw() float64 { return (1 + s.rng.Float64()) / 2 }
+func (s *Snapshots) draw() float64 { return (1 + s.rng.Float64()) / 2 }
 
-// seen takes note of a snapshot in the log; live is false for one that may be old.
-func (s *snapshots) seen(now time.Time, next int64, live bool) {
+// Seen takes note of a snapshot in the log; live is false for one that may be old.
+func (s *Snapshots) Seen(now time.Time, next int64, live bool) {
 	s.covered = max(s.covered, next)
 	if !live {
 		return
@@ -69,38 +81,34 @@
 }
 
 // within brings a snapshot forward to a random time in the span from now, unless it is due sooner.
-func (s *snapshots) within(now time.Time, span time.Duration) {
+func (s *Snapshots) within(now time.Time, span time.Duration) {
 	if s.due.Sub(now) > span {
 		s.due = now.Add(time.Duration(s.rng.Float64() * float64(span)))
 	}
 }
 
-// isDue reports whether to append a snapshot now.
-func (s *snapshots) isDue(now time.Time, p progress) bool {
-	if p.next == 0 {
+// IsDue reports whether to append a snapshot now.
+func (s *Snapshots) IsDue(now time.Time, p Progress) bool {
+	if p.Next == 0 {
 		return false
 	}
 	if s.isUrgent(p) {
 		s.within(now, urgentSpread)
 	}
-	if float64(p.proposals) >= s.share*float64(s.records) {
+	if float64(p.Records) >= s.share*float64(s.records) {
 		s.within(now, spread)
 	}
 	return !now.Before(s.due) && !now.Before(s.earliest)
 }
 
 // isUrgent reports whether the log soon drops a record that the newest snapshot needs.
-func (s *snapshots) isUrgent(p progress) bool {
-	retained := p.next - p.first
-	if p.first == 0 || p.proposals == 0 || retained < leastRetained {
-		return p.first > s.covered
+func (s *Snapshots) isUrgent(p Progress) bool {
+	retained := p.Next - p.First
+	if p.First == 0 || p.Records == 0 || retained < leastRetained {
+		return p.First > s.covered
 	}
-	return float64(p.next-s.covered) > s.share*float64(retained)
+	return float64(p.Next-s.covered) > s.share*float64(retained)
 }
 
-// record is the snapshot to append; its id stays the same over repeated appends.
-func (s *snapshots) record(now time.Time, state State) AppendCmd {
-	s.earliest = now.Add(snapshotRetry)
-	id := fmt.Sprintf("snapshot/%s/%d", s.entry, state.Next)
-	return AppendCmd{StreamConfig, Record{ID: id, Kind: KindSnapshot, Writer: string(s.entry), Body: state.Encode()}}
-}
+// Written takes note that this entry appends a snapshot now.
+func (s *Snapshots) Written(now time.Time) { s.earliest = now.Add(snapshotRetry) }
--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -27,6 +27,7 @@
 		record.TypeOf[roster.ChangedCmd](), record.TypeOf[roster.LeaseCmd](), record.TypeOf[roster.SelfMsg](),
 		record.TypeOf[roster.WantMsg](), record.TypeOf[roster.HeardMsg](), record.TypeOf[roster.PingFailedMsg](),
 		record.TypeOf[roster.PingCmd](), record.TypeOf[roster.AppendCmd](), record.TypeOf[roster.SupersededCmd](),
+		record.TypeOf[roster.PeerStatesMsg](), record.TypeOf[roster.AskPeersCmd](), record.TypeOf[roster.DivergedCmd](),
 		record.TypeOf[limit.SettledMsg](), record.TypeOf[limit.AskCmd](),
 		record.TypeOf[once.CallMsg](), record.TypeOf[once.NotRunMsg](), record.TypeOf[once.DoneMsg](),
 		record.TypeOf[once.AppendFailedMsg](), record.TypeOf[once.LogMsg](), record.TypeOf[once.PositionsMsg](), record.TypeOf[once.AskCmd](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -58,8 +58,9 @@
 		settings: s,
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
-		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
-		once:    once.NewModel(s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits)),
+		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval),
+			roster.WithSnapshots(s.Entry, s.Seed, s.SnapshotRecords, s.SnapshotInterval)),
+		once: once.NewModel(s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits)),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
 			sched.WithSlotTiming(s.Slots),
@@ -109,7 +110,7 @@
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
-	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
+	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg, roster.PeerStatesMsg:
 		return n.members.Update(now, msg)
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
--- a/core/roster/membership.go
+++ b/core/roster/membership.go
@@ -16,6 +16,7 @@
 type Membership struct {
 	roster *Roster
 	watch  *Watch
+	keeper *keeper
 	lease  time.Duration
 	self   Member
 	// boot is the incarnation of the process; the later ones add a number to it.
@@ -29,6 +30,8 @@
 	base int64
 	// until ends the lease; it is set from the time before a read that reached the log's end.
 	until time.Time
+	// fresh ends the time in which the last read of the log's end counts, member or not.
+	fresh time.Time
 	// joined is true once this incarnation has been a member.
 	joined     bool
 	superseded bool
@@ -48,6 +51,12 @@
 // WithPingInterval sets how often each watched entry is pinged.
 func WithPingInterval(d time.Duration) Option { return func(m *Membership) { m.watch.interval = d } }
 
+// WithSnapshots seeds the times of this entry's snapshots, and bounds the records and the time that
+// may come after the newest one; 0 takes the default.
+func WithSnapshots(entry ident.EntryID, seed uint64, records int64, interval time.Duration) Option {
+	return func(m *Membership) { m.keeper = newKeeper(entry, seed, records, interval) }
+}
+
 const (
 	defaultLease     = 3 * time.Second
 	firstJoinBackoff = time.Second
@@ -57,6 +66,7 @@
 // NewMembership is an entry that knows neither itself nor others.
 func NewMembership(options ...Option) *Membership {
 	m := &Membership{roster: NewRoster(), watch: newWatch(), lease: defaultLease, backoff: firstJoinBackoff}
+	WithSnapshots("", 0, 0, 0)(m)
 	for _, o := range options {
 		o(m)
 	}
@@ -89,9 +99,19 @@
 
 // Update takes a message and returns the commands that follow from it.
 func (m *Membership) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	m.keeper.pace.Start(now)
+	cmds = m.take(now, msg)
+	return append(cmds, m.snapshot(now)...)
+}
+
+func (m *Membership) take(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
 	case ledger.BatchMsg:
-		return m.read(now, msg)
+		if msg.Stream == ledger.StreamRoster {
+			return m.read(now, msg)
+		}
+	case PeerStatesMsg:
+		return m.takePeers(now, msg)
 	case SelfMsg:
 		m.self, m.boot = msg.Member, msg.Member.Incarnation
 	case WantMsg:
@@ -110,20 +130,39 @@
 // read folds a batch. The lease runs from before the read began: a record that the read
 // does not hold was appended after that time.
 func (m *Membership) read(now time.Time, batch ledger.BatchMsg) (cmds []ident.Cmd) {
+	next := m.roster.next
 	cmds = m.roster.Update(now, batch)
+	m.noteRecords(now, batch, next)
 	if len(cmds) > 0 {
 		m.watch.setMembers(now, m.self.Entry, m.roster.Members())
 	}
 	cmds = append(cmds, m.meetOwn(now)...)
-	if batch.Stream == ledger.StreamRoster && m.roster.Next() >= batch.Next && !batch.Asked.IsZero() {
+	if m.roster.Next() >= batch.Next && !batch.Asked.IsZero() {
 		m.catchUp()
 		m.until = batch.Asked.Add(m.lease)
+		m.fresh = m.until
 	}
+	cmds = append(cmds, m.tellLease())
+	cmds = append(cmds, m.askPeers(now)...)
+	return append(cmds, m.settle(now)...)
+}
+
+// tellLease ends the lease of an incarnation that is no member.
+func (m *Membership) tellLease() LeaseCmd {
 	if !m.IsMember() {
 		m.until = time.Time{}
 	}
-	cmds = append(cmds, LeaseCmd{Member: m.self, Until: m.until})
-	return append(cmds, m.settle(now)...)
+	return LeaseCmd{Member: m.self, Until: m.until}
+}
+
+// noteRecords tells the keeper of the records of a batch that were folded from an offset on.
+func (m *Membership) noteRecords(now time.Time, batch ledger.BatchMsg, from int64) {
+	m.keeper.first = max(m.keeper.first, batch.First)
+	for _, e := range batch.Entries {
+		if e.Offset >= from && e.Offset < m.roster.next {
+			m.keeper.note(now, e, m.caughtUp)
+		}
+	}
 }
 
 func (m *Membership) catchUp() {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -52,7 +52,7 @@
 type ChangedCmd struct {
 	Epoch   int64    `json:"epoch"`
 	Members []Member `json:"members"`
-	// Cut is true where the log no longer keeps the records before.
+	// Cut is true where the memberships before are not known, as after a snapshot.
 	Cut bool `json:"cut"`
 }
 
@@ -67,6 +67,10 @@
 	versions map[ident.EntryID]int64
 	// cut is true until the first change is told, where records before were not folded.
 	cut bool
+	// stuck is true while the log no longer keeps the next record and no usable snapshot has been read.
+	stuck bool
+	// wanted is the offset to read next: next itself, or a later one while a snapshot is sought.
+	wanted int64
 }
 
 // NewRoster is a fold that has seen no record.
@@ -77,6 +81,9 @@
 // Next is the offset of the first record not folded yet.
 func (r *Roster) Next() int64 { return r.next }
 
+// Wanted is the offset of the record to read next; it lies beyond [Roster.Next] while a snapshot is sought.
+func (r *Roster) Wanted() int64 { return max(r.wanted, r.next) }
+
 // Epoch numbers the current set of members.
 func (r *Roster) Epoch() int64 { return r.epoch }
 
@@ -98,22 +105,17 @@
 	return members
 }
 
-// State is what a snapshot keeps of the fold.
-type State struct {
-	Next     int64                   `json:"next"`
-	Epoch    int64                   `json:"epoch"`
-	Members  []Member                `json:"members"`
-	Versions map[ident.EntryID]int64 `json:"versions"`
-}
-
 // State copies the fold.
 func (r *Roster) State() State {
-	return State{r.next, r.epoch, r.Members(), maps.Clone(r.versions)}
+	s := State{Next: r.next, Epoch: r.epoch, Members: r.Members(), Versions: maps.Clone(r.versions)}
+	s.Digest = s.sum()
+	return s
 }
 
-// Restore replaces the fold by a newer one, and reports the members that it has.
+// Restore replaces the fold by one of more records, and reports the members that it has. Since a
+// state is a function of the records, no removed incarnation comes back by it.
 func (r *Roster) Restore(s State) (cmds []ident.Cmd) {
-	if s.Next <= r.next {
+	if s.Next <= r.next || s.Epoch < r.epoch || s.Digest != s.sum() {
 		return nil
 	}
 	r.next, r.epoch, r.versions = s.Next, s.Epoch, maps.Clone(s.Versions)
@@ -124,20 +126,25 @@
 	for _, m := range s.Members {
 		r.members[m.Entry] = m
 	}
+	r.wanted = r.next
 	r.cut = true
 	return []ident.Cmd{r.changed()}
 }
 
-// Update folds a [ledger.BatchMsg] of the roster stream.
+// Update folds a [ledger.BatchMsg] of the roster stream. It refuses one before which records are
+// missing, unless the batch holds a snapshot to go on from.
 func (r *Roster) Update(_ time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	batch, ok := msg.(ledger.BatchMsg)
 	if !ok || batch.Stream != ledger.StreamRoster {
 		return nil
 	}
-	r.cut = r.cut || batch.First > r.next
+	cmds = r.bridge(batch)
+	if r.stuck {
+		return cmds
+	}
 	for _, e := range batch.Entries {
 		before := r.epoch
-		r.fold(e)
+		cmds = append(cmds, r.fold(e)...)
 		if r.epoch != before {
 			cmds = append(cmds, r.changed())
 		}
@@ -151,11 +158,16 @@
 	return cmd
 }
 
-func (r *Roster) fold(e ledger.Entry) {
-	if e.Offset < r.next {
-		return
+// fold takes one record in offset order.
+func (r *Roster) fold(e ledger.Entry) (cmds []ident.Cmd) {
+	if e.Offset != r.next {
+		return nil
+	}
+	if e.Record.Kind == KindSnapshot {
+		cmds = r.compare(e.Record)
 	}
 	r.next = e.Offset + 1
+	r.wanted = r.next
 	switch e.Record.Kind {
 	case KindJoin:
 		fold(e, r.join)
@@ -164,6 +176,7 @@
 	case KindRemove:
 		fold(e, r.remove)
 	}
+	return cmds
 }
 
 // fold decodes a record's body; one that can't be decoded does not count.
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -68,6 +68,7 @@
 	sessions *sessions
 	appender *appender
 	stater   *stater
+	rosters  *rosterAsker
 	asker    *memberAsker
 	prober   *prober
 	peers    *peers
@@ -130,6 +131,7 @@
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
 	d.peers = newPeers(d, d.peerClient(), time.Duration(settings.PingInterval))
 	d.stater = newStater(d)
+	d.rosters = newRosterAsker(d)
 	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
 	d.canceller = newCanceller(d.engines)
@@ -255,6 +257,7 @@
 	group.Go(func() error { return d.loop(ctx) })
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
+	group.Go(func() error { return d.rosters.run(ctx) })
 	group.Go(func() error { return d.asker.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
--- a/io/entry/fold.go
+++ b/io/entry/fold.go
@@ -34,7 +34,7 @@
 	case ledger.StreamConfig:
 		return d.node.Config().Wanted()
 	case ledger.StreamRoster:
-		return d.node.Roster().Next()
+		return d.node.Roster().Wanted()
 	case ledger.StreamVerdict:
 		return min(d.node.Sched().VerdictNext(), d.node.Roll().Next())
 	}
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -113,6 +113,10 @@
 		d.asker.ask(cmd)
 	case roster.AppendCmd:
 		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamRoster, Record: cmd.Record})
+	case roster.AskPeersCmd:
+		d.rosters.ask(cmd)
+	case roster.DivergedCmd:
+		d.log.Error("roster_diverged", "next", cmd.Next, "writer", cmd.Writer)
 	case roster.PingCmd, limit.AskCmd:
 		d.peers.add(cmd)
 	case roster.SupersededCmd:
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -12,6 +12,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/record"
 	"cicadavalve/core/roll"
+	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
@@ -25,6 +26,8 @@
 	subjectWhy       = "why"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
+	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
+	subjectRoster = "roster"
 )
 
 // Show implements [peer.Backend].
@@ -38,6 +41,8 @@
 		return look(ctx, d, func() []sched.RequestView { return d.node.Sched().Requests(now) })
 	case subjectMoves:
 		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
+	case subjectRoster:
+		return look(ctx, d, func() roster.State { return d.node.Roster().State() })
 	case subjectLatency:
 		return d.latency(), nil
 	case subjectWhy:
