Show what entries knew from the log when every entry is gone

`diff` and `replay` read the log by the same package.

Conclusion: done but for latency, whose histograms live in memory alone.

--- a/cmd/cicadavalve/diff.go
+++ b/cmd/cicadavalve/diff.go
@@ -4,29 +4,19 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
-	"cicadavalve/core/ledger"
-	"cicadavalve/io/logsvc"
+	"cicadavalve/io/past"
 )
 
-// configVersion is a version of the operator's file as the log tells of it.
-type configVersion struct {
-	Version  int64  `json:"version"`
-	Operator string `json:"operator"`
-	Text     string `json:"text"`
-}
-
 // diffReport is what the diff command prints.
 type diffReport struct {
-	From configVersion `json:"from"`
-	To   configVersion `json:"to"`
+	From past.Version `json:"from"`
+	To   past.Version `json:"to"`
 	// Added and Removed are whole lines, with the comments that name who asked.
 	Added   []string `json:"added"`
 	Removed []string `json:"removed"`
@@ -56,7 +46,7 @@
 
 func diffVersions(ctx context.Context, logURL, from, to string) (report diffReport, err error) {
 	defer func() { err = errors.Wrap(err, "diff") }()
-	versions, err := readVersions(ctx, logURL)
+	versions, err := newPast(logURL, nil).Versions(ctx)
 	if err != nil {
 		return report, err
 	}
@@ -71,40 +61,7 @@
 	return report, nil
 }
 
-// readVersions folds the configuration stream and notes each version that was accepted.
-func readVersions(ctx context.Context, logURL string) (versions []configVersion, err error) {
-	logs := logsvc.NewClient(logURL+"/", &http.Client{})
-	fold := ledger.NewConfig()
-	for {
-		next := fold.Wanted()
-		batch, err := logs.Read(ctx, ledger.StreamConfig, next, 0)
-		if err != nil {
-			return nil, err
-		}
-		for _, one := range single(batch) {
-			before := fold.Version()
-			fold.Update(time.Time{}, one)
-			if fold.Version() != before {
-				versions = append(versions, configVersion{fold.Version(), fold.Operator(), fold.Text()})
-			}
-		}
-		if fold.Wanted() == next {
-			return versions, nil
-		}
-	}
-}
-
-// single splits a batch into one for each record, so that no version between is passed over.
-func single(batch ledger.BatchMsg) (batches []ledger.BatchMsg) {
-	for i := range batch.Entries {
-		one := batch
-		one.Entries = batch.Entries[i : i+1]
-		batches = append(batches, one)
-	}
-	return batches
-}
-
-func findVersion(versions []configVersion, text string) (v configVersion, err error) {
+func findVersion(versions []past.Version, text string) (v past.Version, err error) {
 	number, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
 		return v, errors.Newf("expected the number of a version, not %q", text)
--- a/cmd/cicadavalve/replay.go
+++ b/cmd/cicadavalve/replay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,7 +15,6 @@
 	"cicadavalve/core/record"
 	"cicadavalve/core/replay"
 	"cicadavalve/core/rules"
-	"cicadavalve/io/logsvc"
 	"cicadavalve/io/peer"
 )
 
@@ -130,23 +128,7 @@
 		err := peer.NewClient(r.client, r.entry).Show(ctx, "journal", "", &s)
 		return []record.Segment{s}, err
 	}
-	logs := logsvc.NewClient(r.logURL+"/", r.client)
-	stream := record.StreamOf(ident.EntryID(r.name))
-	next := int64(0)
-	for {
-		batch, err := logs.Read(ctx, stream, next, 0)
-		if err != nil || len(batch.Entries) == 0 {
-			return segments, err
-		}
-		for _, e := range batch.Entries {
-			var s record.Segment
-			if err := json.Unmarshal(e.Record.Body, &s); err != nil {
-				return nil, errors.Wrapf(err, "offset %d", e.Offset)
-			}
-			segments = append(segments, s)
-			next = e.Offset + 1
-		}
-	}
+	return newPast(r.logURL, r.client).Segments(ctx, ident.EntryID(r.name))
 }
 
 // replayAll runs each incarnation's segments, which may stand mixed in the log.
--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -12,18 +11,18 @@
 	"github.com/spf13/cobra"
 
 	"cicadavalve/core/ident"
-	"cicadavalve/core/roster"
-	"cicadavalve/io/peer"
 )
 
 // shower is one run of the show command.
 type shower struct {
 	out    output
 	entry  string
+	logURL string
+	name   string
 	watch  time.Duration
 	plot   string
 	keys   keyFlags
-	client *http.Client
+	source source
 }
 
 // view prints one subject.
@@ -52,14 +51,15 @@
 	s := &shower{}
 	names := viewNames()
 	cmd := &cobra.Command{
-		Use:   "show " + strings.Join(names, "|") + " --entry HOST:PORT",
+		Use:   "show " + strings.Join(names, "|") + " --entry HOST:PORT | --log URL",
 		Short: "Show what is in force, what the system does, and why",
-		Long: "Shows one subject as a table or as JSON.\n" +
+		Long: "Shows one subject as a table or as JSON. With --log it shows, with every entry gone, what each knew at the\n" +
+			"last step that the platform's log has of it.\n" +
 			"show why REQUEST lists the decisions about a request, named by its X-Request-Id, from every entry.",
 		Args:      cobra.RangeArgs(1, 2),
 		ValidArgs: names,
 		RunE: func(cmd *cobra.Command, args []string) (err error) {
-			if s.client, err = s.keys.client(); err != nil {
+			if s.source, err = s.open(); err != nil {
 				return err
 			}
 			return s.run(cmd.Context(), cmd.OutOrStdout(), args)
@@ -68,12 +68,27 @@
 	s.out.register(cmd)
 	s.keys.register(cmd)
 	cmd.Flags().StringVar(&s.entry, "entry", "", "the peer address of any entry")
+	cmd.Flags().StringVar(&s.logURL, "log", "", "the URL of the platform's log, in place of an entry")
+	cmd.Flags().StringVar(&s.name, "name", "", "with --log: the entry to show where a subject is of one; without it the last one to step")
 	cmd.Flags().DurationVar(&s.watch, "watch", 0, "show again after each interval, until interrupted")
 	cmd.Flags().StringVar(&s.plot, "plot", "", "with latency: a PNG file to draw the quantiles in")
-	_ = cmd.MarkFlagRequired("entry")
+	cmd.MarkFlagsOneRequired("entry", "log")
+	cmd.MarkFlagsMutuallyExclusive("entry", "log")
+	cmd.MarkFlagsMutuallyExclusive("entry", "name")
 	return cmd
 }
 
+func (s *shower) open() (src source, err error) {
+	client, err := s.keys.client()
+	if err != nil {
+		return nil, err
+	}
+	if s.logURL != "" {
+		return &logged{past: newPast(s.logURL, client), name: ident.EntryID(s.name)}, nil
+	}
+	return &live{client: client, entry: s.entry}, nil
+}
+
 func (s *shower) run(ctx context.Context, w io.Writer, args []string) (err error) {
 	show, known := views[args[0]]
 	if !known {
@@ -91,30 +106,37 @@
 	}
 }
 
-// members lists the entries that the asked one knows.
-func (s *shower) members(ctx context.Context) (members []roster.Member, err error) {
-	status, err := peer.NewClient(s.client, s.entry).Status(ctx)
-	return status.Members, err
-}
-
 // answered is what one entry answered.
 type answered[T any] struct {
 	Entry    ident.EntryID `json:"entry"`
 	Document T             `json:"document"`
+	// AsOf is when the entry knew this, where it is not now.
+	AsOf time.Time `json:"as_of,omitzero"`
 	// Error is set where the entry did not answer.
 	Error string `json:"error,omitempty"`
 }
 
+// notes prints what a reader must know before an entry's rows.
+func (a answered[T]) notes(w io.Writer) {
+	if a.Error != "" {
+		_, _ = fmt.Fprintf(w, "%s\tdid not answer: %s\n", a.Entry, a.Error)
+	}
+	if !a.AsOf.IsZero() {
+		_, _ = fmt.Fprintf(w, "%s\tas of %s\n", a.Entry, a.AsOf.Format(time.RFC3339Nano))
+	}
+}
+
 // askAll asks every member for a subject.
 func askAll[T any](ctx context.Context, s *shower, subject, argument string) (answers []answered[T], err error) {
-	members, err := s.members(ctx)
+	status, err := s.source.status(ctx)
 	if err != nil {
 		return nil, err
 	}
-	for _, m := range members {
+	for _, m := range status.Members {
 		answer := answered[T]{Entry: m.Entry}
 		asking, cancel := context.WithTimeout(ctx, statusLimit)
-		if err := peer.NewClient(s.client, m.PeerAddress).Show(asking, subject, argument, &answer.Document); err != nil {
+		answer.AsOf, err = s.source.showOf(asking, m, subject, argument, &answer.Document)
+		if err != nil {
 			answer.Error = err.Error()
 		}
 		cancel()
--- a/cmd/cicadavalve/views.go
+++ b/cmd/cicadavalve/views.go
@@ -15,7 +15,6 @@
 	"cicadavalve/core/sched"
 	"cicadavalve/io/entry"
 	"cicadavalve/io/meter"
-	"cicadavalve/io/peer"
 )
 
 // entryRow is one entry as the show command prints it.
@@ -38,7 +37,7 @@
 }
 
 func showRules(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
-	status, err := peer.NewClient(s.client, s.entry).Status(ctx)
+	status, err := s.source.status(ctx)
 	if err != nil {
 		return err
 	}
@@ -59,15 +58,15 @@
 }
 
 func showEntries(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
-	members, err := s.members(ctx)
+	status, err := s.source.status(ctx)
 	if err != nil {
 		return err
 	}
 	rows := []entryRow{}
-	for _, m := range members {
+	for _, m := range status.Members {
 		row := entryRow{Entry: m.Entry, Zone: m.Zone, Address: m.Address}
 		asking, cancel := context.WithTimeout(ctx, statusLimit)
-		if one, err := peer.NewClient(s.client, m.PeerAddress).Status(asking); err == nil {
+		if one, err := s.source.statusOf(asking, m); err == nil {
 			row.Version, row.Ready, row.Digest = one.Version, one.Ready, fmt.Sprintf("%016x", one.Digest)
 		} else {
 			row.Error = "unreachable"
@@ -85,7 +84,7 @@
 
 func showUpstreams(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
 	var rows []sched.UpstreamView
-	if err := peer.NewClient(s.client, s.entry).Show(ctx, "upstreams", "", &rows); err != nil {
+	if err := s.source.show(ctx, "upstreams", "", &rows); err != nil {
 		return err
 	}
 	return s.out.print(w, rows, func(w io.Writer) {
@@ -117,7 +116,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tREQUEST\tORGANISATION\tMODEL OR SERVICE\tCLASS\tVERSION\tUPSTREAM\tATTEMPT\tAGE")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			for _, r := range a.Document {
 				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s%s\t%s\t%s\t%s\t%d\t%d ms\n", a.Entry, r.CallerID, r.Org,
 					r.Model, r.Service, r.Class, r.Version, r.Upstream, r.Attempt, r.AgeMs)
@@ -126,12 +125,6 @@
 	})
 }
 
-func unanswered(w io.Writer, id ident.EntryID, fault string) {
-	if fault != "" {
-		_, _ = fmt.Fprintf(w, "%s\tdid not answer: %s\n", id, fault)
-	}
-}
-
 func showLatency(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
 	answers, err := askAll[[]meter.Summary](ctx, s, "latency", "")
 	if err != nil {
@@ -145,7 +138,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tORGANISATION\tCLASS\tMEASURE\tCOUNT\tP50\tP95\tP99\tMAX")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			for _, r := range a.Document {
 				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.1f ms\t%.1f ms\t%.1f ms\t%.1f ms\n", a.Entry,
 					r.Organisation, r.Class, r.Measure, r.Count, r.P50Ms, r.P95Ms, r.P99Ms, r.MaxMs)
@@ -162,7 +155,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tMODEL\tFROM\tTO\tPHASE\tSHARE\tHOLDING\tBY\tLATE\tWHY STOPPED")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			for _, m := range a.Document {
 				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%.0f %%\t%d\t%s\t%t\t%s\n", a.Entry, m.Move.Model, m.Move.From,
 					m.Move.To, m.Phase, percent*m.Share, m.Holding, m.Move.By.Format(time.RFC3339), m.Late, whyStopped(m))
@@ -192,7 +185,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tSTEP\tAT\tEVENT OR DECISION")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			for _, step := range a.Document {
 				_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s %s\n", a.Entry, step.Seq, step.At.Format("15:04:05.000"), step.Msg.Type, step.Msg.Body)
 				for _, c := range step.Cmds {
--- a/core/record/journal.go
+++ b/core/record/journal.go
@@ -22,6 +22,13 @@
 	raw []byte
 }
 
+// NewLine encodes an entry.
+func NewLine(e Entry) (l Line, err error) {
+	l = Line{seq: e.Seq}
+	l.raw, err = json.Marshal(e)
+	return l, err
+}
+
 // Seq is the entry's number.
 func (l Line) Seq() int64 { return l.seq }
 
@@ -103,9 +110,7 @@
 	if e.Cmds, err = j.registry.encodeAll(cmds); err != nil {
 		return l, err
 	}
-	l = Line{seq: j.seq}
-	l.raw, err = json.Marshal(e)
-	return l, err
+	return NewLine(e)
 }
 
 // Take hands over the steps that wait for the log.
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -80,6 +80,9 @@
 // Report is the outcome so far.
 func (r *Replayer) Report() Report { return r.report }
 
+// Node is the set of deciders as the last step left them; it is nil before an incarnation's opening.
+func (r *Replayer) Node() *node.Node { return r.node }
+
 // Step runs one step and compares its commands with the recorded ones.
 func (r *Replayer) Step(e record.Entry) (err error) {
 	defer func() { err = errors.Wrapf(err, "step %d", e.Seq) }()
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -10,9 +10,8 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/node"
 	"cicadavalve/core/record"
-	"cicadavalve/core/roll"
-	"cicadavalve/core/roster"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
@@ -23,34 +22,44 @@
 	subjectUpstreams = "upstreams"
 	subjectRequests  = "requests"
 	subjectLatency   = "latency"
-	subjectWhy       = "why"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
 
-// Show implements [peer.Backend].
-func (d *Daemon) Show(ctx context.Context, subject, argument string) (document any, err error) {
-	defer func() { err = errors.Wrapf(err, "show %s", subject) }()
-	now := d.clock.now()
+// SubjectWhy asks for the steps about one request.
+const SubjectWhy = "why"
+
+// View is what a node knows of a subject; known is false for one that a node alone can't answer.
+func View(n *node.Node, now time.Time, subject string) (document any, known bool) {
 	switch subject {
 	case subjectUpstreams:
-		return look(ctx, d, func() []sched.UpstreamView { return d.node.Sched().Upstreams(now) })
+		return n.Sched().Upstreams(now), true
 	case subjectRequests:
-		return look(ctx, d, func() []sched.RequestView { return d.node.Sched().Requests(now) })
+		return n.Sched().Requests(now), true
 	case subjectMoves:
-		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
+		return n.Roll().Moves(), true
 	case subjectRoster:
-		return look(ctx, d, func() roster.State { return d.node.Roster().State() })
+		return n.Roster().State(), true
+	}
+	return nil, false
+}
+
+// Show implements [peer.Backend].
+func (d *Daemon) Show(ctx context.Context, subject, argument string) (document any, err error) {
+	defer func() { err = errors.Wrapf(err, "show %s", subject) }()
+	switch subject {
+	case subjectUpstreams, subjectRequests, subjectMoves, subjectRoster:
+		return d.view(ctx, subject)
 	case subjectLatency:
 		return d.latency(), nil
-	case subjectWhy:
+	case SubjectWhy:
 		lines, err := d.lines(ctx)
 		if err != nil {
 			return nil, err
 		}
-		return why(lines, argument)
+		return Why(lines, argument)
 	case subjectJournal:
 		return d.segment(ctx)
 	}
@@ -65,6 +74,15 @@
 	return v, nil
 }
 
+// view answers from the node within the loop.
+func (d *Daemon) view(ctx context.Context, subject string) (document any, err error) {
+	now := d.clock.now()
+	return look(ctx, d, func() any {
+		document, _ := View(d.node, now, subject)
+		return document
+	})
+}
+
 func (d *Daemon) latency() []meter.Summary {
 	rows := d.meter.Snapshot().Histograms
 	slices.SortFunc(rows, func(a, b meter.Summary) int {
@@ -94,9 +112,9 @@
 	Cmds []record.Envelope `json:"cmds"`
 }
 
-// why lists the steps about a request, named by its caller or by the entry. A caller's
+// Why lists the steps about a request, named by its caller or by the entry. A caller's
 // name may stand for several requests.
-func why(lines []record.Line, request string) (steps []Step, err error) {
+func Why(lines []record.Line, request string) (steps []Step, err error) {
 	names := []string{request}
 	steps = []Step{}
 	for _, l := range lines {
--- /dev/null
+++ b/io/past/entry.go
@@ -0,0 +1,108 @@
+package past
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/node"
+	"cicadavalve/core/record"
+	"cicadavalve/core/replay"
+	"cicadavalve/io/entry"
+	"cicadavalve/io/peer"
+)
+
+// Entry is an entry as it was at the last step of its journal in the log.
+type Entry struct {
+	node *node.Node
+	at   time.Time
+	// steps are those of its last incarnation that the log has without a gap from the first.
+	steps []record.Entry
+}
+
+// Entry builds an entry anew by running its recorded messages through the deciders.
+func (p *Past) Entry(ctx context.Context, id ident.EntryID) (e *Entry, err error) {
+	defer func() { err = errors.Wrapf(err, "entry %s", id) }()
+	segments, err := p.Segments(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	if len(segments) == 0 {
+		return nil, ErrNoJournal
+	}
+	e = &Entry{}
+	run := replay.NewReplayer()
+	last := segments[len(segments)-1].Incarnation
+	for _, s := range segments {
+		if s.Incarnation != last {
+			continue
+		}
+		if err := e.take(run, s); err != nil {
+			return nil, err
+		}
+	}
+	e.node = run.Node()
+	if e.node == nil {
+		return nil, replay.ErrNoOpening
+	}
+	return e, nil
+}
+
+// take runs the steps of a segment; those after a gap tell nothing, since the state between is not known.
+func (e *Entry) take(run *replay.Replayer, s record.Segment) (err error) {
+	steps, err := s.Entries()
+	if err != nil {
+		return err
+	}
+	for _, step := range steps {
+		if err := run.Step(step); errors.Is(err, replay.ErrGap) || errors.Is(err, replay.ErrNoOpening) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		e.steps, e.at = append(e.steps, step), step.At
+	}
+	return nil
+}
+
+// At is when the entry took its last step.
+func (e *Entry) At() time.Time { return e.at }
+
+// Status is what the entry had in force.
+func (e *Entry) Status() peer.Status {
+	s := e.node.Settings()
+	return peer.Status{
+		Entry: s.Entry, Zone: s.Zone, Version: e.node.Sched().RulesVersion(), Operator: e.node.Config().Operator(),
+		Text: e.node.Config().Text(), Digest: e.node.Config().Digest(), Members: e.node.Roster().Members(),
+	}
+}
+
+// Show answers with what the entry itself would have answered at its last step.
+func (e *Entry) Show(subject, argument string) (document any, err error) {
+	defer func() { err = errors.Wrapf(err, "show %s from the log", subject) }()
+	if subject == entry.SubjectWhy {
+		lines, err := e.lines()
+		if err != nil {
+			return nil, err
+		}
+		return entry.Why(lines, argument)
+	}
+	document, known := entry.View(e.node, e.at, subject)
+	if !known {
+		return nil, errors.Wrapf(peer.ErrUnknownSubject, "%q is not in the journal", subject)
+	}
+	return document, nil
+}
+
+func (e *Entry) lines() (lines []record.Line, err error) {
+	for _, step := range e.steps {
+		line, err := record.NewLine(step)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, line)
+	}
+	return lines, nil
+}
