Ask what became of a key before a call is refused as of an unknown service

An entry that had just started read its rules twice for a call: once for the service, once for whether any rules were in force. Where the configuration came into force between the two, a call of a known service was refused as unknown_service with not_run true, though a call with its key had run on another entry. The same answer was given for a service that newer rules no longer name. Both readings are now one, and a call with a key whose service no rule names goes through the once-only decider as barred: it is never started, gets the kept outcome of its key, and says not_run only once the other members have folded no further.

TestBadInputReachesNoUpstream waits until its entry is a member, since an entry outside the roster can't say not_run of a key; what it compares is the same. The history test prints the code of a refusal and the entry that gave it.

--- a/core/once/messages.go
+++ b/core/once/messages.go
@@ -62,6 +62,9 @@
 	Key     Key             `json:"key"`
 	Digest  string          `json:"digest"`
 	Attempt string          `json:"attempt"`
+	// Barred is set where the call may not be started; it is then refused for this reason, after
+	// the same question as any other whether a call with the key was sent before.
+	Barred Reason `json:"barred,omitempty"`
 }
 
 // NotRunMsg says that no byte of an attempt was or will be written to any upstream.
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -103,15 +103,17 @@
 	a := &attempt{body: body, request: msg.Request, state: attemptChart.Initial(), asked: now}
 	m.attempts[msg.Attempt] = a
 	m.asked = append(m.asked, a)
-	if reason := m.refusal(now); reason != "" {
+	if reason := m.refusal(now, msg); reason != "" {
 		return m.step(now, a, cause{event: "refuse", reason: reason})
 	}
 	return []ident.Cmd{AppendCmd{m.record(KindStart, body)}}
 }
 
 // refusal is why a call can't be started now, or empty; nothing has been appended for it.
-func (m *Model) refusal(now time.Time) Reason {
+func (m *Model) refusal(now time.Time, msg CallMsg) Reason {
 	switch {
+	case msg.Barred != "":
+		return msg.Barred
 	case !m.Known():
 		return ReasonNotKnown
 	case !m.downAt.IsZero() && now.Sub(m.downAt) < logRetryAfter:
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -202,6 +202,21 @@
 	s.expect(t, "another entry", nil, s.got(s.entries[2], TickMsg{}))
 }
 
+func TestBarredCallIsNeverStartedAndLearnsOfTheKey(t *testing.T) {
+	s := startSim()
+	e := s.entries[0]
+	barred := s.callMsg("a")
+	barred.Barred = "unknown_service"
+	s.expect(t, "call", []string{"ask"}, s.got(e, barred))
+	s.expect(t, "no member ahead", []string{"not_run unknown_service"}, s.got(e, PositionsMsg{Round: 1, All: true}))
+	s.expect(t, "second call", []string{"ask"}, s.got(e, barred))
+	s.expect(t, "a member ahead", []string{"not_known unknown_service"}, s.got(e, PositionsMsg{Round: 2, All: true, Next: 1}))
+	s.got(s.entries[1], s.callMsg("b"))
+	s.follow(s.entries[1])
+	s.got(e, s.batch(0))
+	s.expect(t, "call of a started key", []string{"in_progress"}, s.got(e, barred))
+}
+
 func TestLogDownRefusesAtOnce(t *testing.T) {
 	s := startSim()
 	e := s.entries[0]
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -34,31 +34,46 @@
 
 // Call implements [caller.Backend].
 func (d *Daemon) Call(ctx context.Context, req caller.Call) (reply engine.Reply, err error) {
-	runsOnce, known := d.service(ctx, req.Service)
-	if !known && !d.hasRules(ctx) {
+	in := d.service(ctx, req.Service)
+	if !in.ruled {
 		return reply, notReady(req)
 	}
-	if !known {
+	if !in.known && req.Key == "" {
 		return reply, &caller.Refusal{Code: sched.CodeUnknownService, Message: "no rule names this service", NotRun: true}
 	}
-	c := &call{d: d, req: req, id: ident.RequestID(uuid.NewString()), once: runsOnce, attempt: uuid.NewString(), arrived: time.Now()}
+	c := &call{d: d, req: req, id: ident.RequestID(uuid.NewString()), once: in.once, attempt: uuid.NewString(), arrived: time.Now()}
 	c.s = d.sessions.open(c.id)
 	defer d.finish(ctx, c.id)
-	if !runsOnce {
+	if in.known && !in.once {
 		return c.send(ctx)
 	}
-	if req.Key == "" {
+	if in.known && req.Key == "" {
 		return reply, &caller.Refusal{
 			Status: http.StatusBadRequest, Code: codeKeyRequired, NotRun: true,
 			Message: "this service runs each call at most once: expected an Idempotency-Key header",
 		}
 	}
-	return c.runOnce(ctx)
+	if !in.known {
+		// A call with the key may have run on another entry or under an earlier configuration.
+		return c.runOnce(ctx, once.Reason(sched.CodeUnknownService))
+	}
+	return c.runOnce(ctx, "")
+}
+
+// service is what the rules in force say of a service, all of one moment.
+type service struct {
+	// ruled is true once a configuration is in force.
+	ruled bool
+	// known is true where a rule names the service, and once where its calls run at most once.
+	known, once bool
 }
 
-func (d *Daemon) hasRules(ctx context.Context) (has bool) {
-	d.inspect(ctx, func() { has = d.node.Sched().RulesVersion() > 0 })
-	return has
+func (d *Daemon) service(ctx context.Context, name ident.ServiceName) (in service) {
+	d.inspect(ctx, func() {
+		in.ruled = d.node.Sched().RulesVersion() > 0
+		in.once, in.known = d.node.Sched().Service(name)
+	})
+	return in
 }
 
 // notReady refuses a call before the first configuration; another entry may have run one with its key.
@@ -68,11 +83,6 @@
 	}
 }
 
-func (d *Daemon) service(ctx context.Context, name ident.ServiceName) (runsOnce, known bool) {
-	d.inspect(ctx, func() { runsOnce, known = d.node.Sched().Service(name) })
-	return runsOnce, known
-}
-
 func (c *call) digest() string {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(c.req.Service), []byte(c.req.Path), c.req.Body} {
@@ -82,10 +92,10 @@
 	return hex.EncodeToString(h.Sum(nil))
 }
 
-// runOnce sends the call only after its start record has won the key.
-func (c *call) runOnce(ctx context.Context) (reply engine.Reply, err error) {
+// runOnce sends the call only after its start record has won the key, and never where it is barred.
+func (c *call) runOnce(ctx context.Context, barred once.Reason) (reply engine.Reply, err error) {
 	key := once.Key{Org: c.req.Org, Key: c.req.Key}
-	c.d.post(ctx, once.CallMsg{Request: c.id, Key: key, Digest: c.digest(), Attempt: c.attempt})
+	c.d.post(ctx, once.CallMsg{Request: c.id, Key: key, Digest: c.digest(), Attempt: c.attempt, Barred: barred})
 	for {
 		select {
 		case <-ctx.Done():
--- a/io/entry/daemon_test.go
+++ b/io/entry/daemon_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/roster"
 	"cicadavalve/io/bench"
 	"cicadavalve/io/stand"
 )
@@ -57,6 +59,17 @@
 	return c, ctx
 }
 
+// waitMember waits until an entry has folded its own join.
+func waitMember(ctx context.Context, t *testing.T, c *bench.Cluster, e *bench.Entry) {
+	t.Helper()
+	if !bench.Wait(ctx, func() bool {
+		status, err := c.Status(ctx, e)
+		return err == nil && slices.ContainsFunc(status.Members, func(m roster.Member) bool { return m.PeerAddress == e.Peer })
+	}) {
+		t.Fatal("the entry did not become a member")
+	}
+}
+
 // waitServing waits until an entry answers both a completion and a call.
 func waitServing(ctx context.Context, t *testing.T, e *bench.Entry) {
 	t.Helper()
@@ -116,6 +129,7 @@
 func TestBadInputReachesNoUpstream(t *testing.T) {
 	c, ctx := startCluster(t, 1)
 	e := c.Entries()[0]
+	waitMember(ctx, t, c, e)
 	before := c.Engines()[0].Stats().Completions + c.Engines()[1].Stats().Completions + c.Apps()[0].Stats().Runs
 	type refusal struct {
 		Status int
--- a/io/entry/once_history_test.go
+++ b/io/entry/once_history_test.go
@@ -23,6 +23,9 @@
 	// ended is how the request ended; runs is what the upstream says of the key in its answer or at the end.
 	ended ending
 	runs  int
+	// code is that of a refusal and by the entry that answered; both only explain a history.
+	code string
+	by   string
 }
 
 type ending string
@@ -200,6 +203,7 @@
 	if err == nil {
 		out = readTry(key, a)
 	}
+	out.by = string(e.ID) + " at " + e.Caller
 	p.add(out, called)
 	return out.ended
 }
@@ -207,16 +211,16 @@
 func readTry(key string, a bench.Answer) try {
 	var reply stand.AppReply
 	if a.Status == 200 && json.Unmarshal(a.Body, &reply) == nil {
-		return try{key, endedResult, reply.Run}
+		return try{key: key, ended: endedResult, runs: reply.Run}
 	}
 	code, notRun := a.Refused()
 	switch {
 	case notRun:
-		return try{key: key, ended: endedNotRun}
+		return try{key: key, ended: endedNotRun, code: code}
 	case code == string(endedUnknown), code == string(endedInProgress):
-		return try{key: key, ended: ending(code)}
+		return try{key: key, ended: ending(code), code: code}
 	}
-	return try{key: key, ended: endedDoubt}
+	return try{key: key, ended: endedDoubt, code: code}
 }
 
 func (p *campaign) add(t try, called time.Duration) {
@@ -314,7 +318,7 @@
 		duplicates += max(runs[key]-1, 0)
 		ran += min(runs[key], 1)
 		p.history = append(p.history, porcupine.Operation{
-			ClientId: len(p.history), Input: key, Output: try{key, endedCount, runs[key]},
+			ClientId: len(p.history), Input: key, Output: try{key: key, ended: endedCount, runs: runs[key]},
 			Call: int64(2 * time.Hour), Return: int64(2*time.Hour + 1),
 		})
 	}
@@ -353,7 +357,7 @@
 			continue
 		}
 		for _, op := range part {
-			p.t.Logf("%v: %v to %v", op.Output, time.Duration(op.Call), time.Duration(op.Return))
+			p.t.Logf("%+v: %v to %v", op.Output, time.Duration(op.Call), time.Duration(op.Return))
 		}
 	}
 }
--- a/io/entry/once_test.go
+++ b/io/entry/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -70,3 +71,37 @@
 		t.Errorf("code and not_run (-want +got):\n%s", diff)
 	}
 }
+
+// TestServiceThatTheRulesDropLeavesItsKeysKnown asks for a call that ran, after a file without its service came into force.
+func TestServiceThatTheRulesDropLeavesItsKeysKnown(t *testing.T) {
+	c, ctx := startCluster(t, 2)
+	for _, e := range c.Entries() {
+		waitMember(ctx, t, c, e)
+	}
+	type answer struct {
+		Status int
+		Code   string
+		NotRun bool
+	}
+	ask := func(e *bench.Entry, key string) (got answer) {
+		a, err := bench.Call(ctx, e, bench.Token, "/v1/call/booking/slot", key, "{}")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got.Status = a.Status
+		got.Code, got.NotRun = a.Refused()
+		return got
+	}
+	if diff := cmp.Diff(answer{Status: 200}, ask(c.Entries()[0], "ran")); diff != "" {
+		t.Fatalf("first call (-want +got):\n%s", diff)
+	}
+	apply(ctx, t, c, strings.Replace(testRules, "route service booking", "route service other", 1))
+	for _, e := range c.Entries() {
+		if got := ask(e, "ran"); got.NotRun {
+			t.Errorf("%s says of a call that ran: %+v", e.ID, got)
+		}
+		if diff := cmp.Diff(answer{404, "unknown_service", true}, ask(e, "new")); diff != "" {
+			t.Errorf("%s, a new key (-want +got):\n%s", e.ID, diff)
+		}
+	}
+}
