Let the question to the members reach every entry that may have started a call

The question whether a call with a key was sent went to the members as the asking entry had folded them. Two kinds of entries were missed: one whose join no other entry had folded, and one that was removed while it ran. Both could have folded and sent more than all that were asked. Now an entry starts calls only as a member under its lease that every other member has said to know, and after a departure no call is not_run until the once stream was read to its end in a read that began after the departed one's lease, stay and margin.

Three tests of core/once fail with their guard out and pass with it. An entry that had been removed and had joined anew never said not_run any more, as its first incarnation was looked for in the roster; that is mended too.

--- a/core/node/holder.go
+++ b/core/node/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"cicadavalve/core/limit"
+	"cicadavalve/core/once"
 	"cicadavalve/core/roster"
 )
 
@@ -16,3 +17,17 @@
 	}
 	return msg
 }
+
+// onceMembers tells the decider about once-only calls who is a member.
+func (n *Node) onceMembers(cmd roster.ChangedCmd) once.MembersMsg {
+	msg := once.MembersMsg{Epoch: cmd.Epoch, Cut: cmd.Cut}
+	self := n.members.Self()
+	for _, m := range cmd.Members {
+		if m.Entry == self.Entry && m.Incarnation == self.Incarnation {
+			msg.Self = m.Incarnation
+			continue
+		}
+		msg.Others = append(msg.Others, m.Incarnation)
+	}
+	return msg
+}
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -59,7 +59,8 @@
 		config: ledger.NewConfig(
 			ledger.WithEntry(s.Entry, s.Seed), ledger.WithSnapshots(s.SnapshotRecords, s.SnapshotInterval)),
 		members: roster.NewMembership(roster.WithLease(s.Slots.Lease), roster.WithPingInterval(s.PingInterval)),
-		once:    once.NewModel(s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits)),
+		once: once.NewModel(
+			s.Entry, s.Incarnation, once.WithLimits(s.OnceLimits), once.WithRoster(s.OnceLimits.Stay, s.OnceLimits.Quiet)),
 		sched: sched.NewModel(
 			sched.WithEntry(s.Entry), sched.WithSeed(s.Seed), sched.WithZone(s.Zone), sched.WithPolicy(s.Policy),
 			sched.WithSlotTiming(s.Slots),
@@ -151,10 +152,12 @@
 		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
 		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
 	case roster.ChangedCmd:
-		cmds := n.sched.Update(now, membersMsg(cmd))
+		cmds := n.once.Update(now, n.onceMembers(cmd))
+		cmds = append(cmds, n.sched.Update(now, membersMsg(cmd))...)
 		return append(cmds, n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})...)
 	case roster.LeaseCmd:
-		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
+		cmds := n.once.Update(now, once.LeaseMsg{Until: cmd.Until, Leaving: n.members.Leaving()})
+		return append(cmds, n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})...)
 	}
 	return nil
 }
--- a/core/once/ask.go
+++ b/core/once/ask.go
@@ -29,23 +29,30 @@
 	return m.beginRound(now)
 }
 
+// beginRound asks for the attempts that wait, or whether the members know of this one.
 func (m *Model) beginRound(now time.Time) []ident.Cmd {
-	if !m.asks.begun.IsZero() || len(m.asks.waiting) == 0 {
+	announce := m.members.mustAnnounce(now)
+	if !m.asks.begun.IsZero() || len(m.asks.waiting) == 0 && !announce {
 		return nil
 	}
+	if announce {
+		m.members.announcing = now
+	}
 	m.asks.round++
 	m.asks.begun = now
 	m.asks.asked, m.asks.waiting = m.asks.waiting, nil
 	return []ident.Cmd{AskCmd{m.asks.round}}
 }
 
-// positions ends a round: this entry has missed no sending where no member is ahead of it.
+// positions ends a round: this entry has missed no sending where no member is ahead of it
+// and no departed one can be.
 func (m *Model) positions(now time.Time, msg PositionsMsg) []ident.Cmd {
 	if msg.Round != m.asks.round || m.asks.begun.IsZero() {
 		return nil
 	}
+	m.members.told(msg)
 	event := chart.Event("doubted")
-	if msg.All && m.Known() && msg.Next <= m.keys.next {
+	if msg.All && m.Known() && m.members.complete() && msg.Next <= m.keys.next {
 		event = "cleared"
 	}
 	return m.endRound(now, event)
--- a/core/once/attempt.go
+++ b/core/once/attempt.go
@@ -39,7 +39,7 @@
 // step moves an attempt by the chart; an ended one is forgotten.
 func (m *Model) step(now time.Time, a *attempt, c cause) (cmds []ident.Cmd) {
 	t, taken := attemptChart.Next(a.state, c.event, func(g chart.Guard) bool {
-		return g == "timely" && now.Sub(a.asked) <= m.sendLimit
+		return g == "timely" && now.Sub(a.asked) <= m.sendLimit && m.members.mayStart(now)
 	})
 	if !taken {
 		return nil
--- a/core/once/fold.go
+++ b/core/once/fold.go
@@ -25,6 +25,7 @@
 	}
 	if m.gap == nil && m.keys.next >= batch.Next {
 		m.caughtUp = true
+		m.members.readAt = batch.Asked
 	}
 	for _, body := range own {
 		cmds = append(cmds, m.decide(now, body)...)
--- a/core/once/messages.go
+++ b/core/once/messages.go
@@ -104,6 +104,27 @@
 	All bool `json:"all"`
 	// Next is the highest offset that any of them wants to fold next.
 	Next int64 `json:"next"`
+	// Answered is true where each other member of the roster answered.
+	Answered bool `json:"answered"`
+	// Epoch is the lowest epoch of the roster that any of them has folded.
+	Epoch int64 `json:"epoch"`
+}
+
+// MembersMsg says who is a member.
+type MembersMsg struct {
+	Epoch int64 `json:"epoch"`
+	// Self is this entry's incarnation in the roster, or empty while it is no member.
+	Self   ident.BootID   `json:"self"`
+	Others []ident.BootID `json:"others"`
+	// Cut is true where members may have departed unseen.
+	Cut bool `json:"cut"`
+}
+
+// LeaseMsg says until when this entry may act as a member.
+type LeaseMsg struct {
+	Until time.Time `json:"until"`
+	// Leaving is when a planned stop began under a lease, or zero.
+	Leaving time.Time `json:"leaving"`
 }
 
 // TickMsg lets time-outs be noticed; it comes at a steady interval.
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -36,7 +36,8 @@
 	// asked lists attempts in the order of arrival; ended ones are dropped at ticks.
 	asked []*attempt
 	// asks holds the attempts that wait for the other members.
-	asks asks
+	asks    asks
+	members members
 	// ends holds the ends not folded yet by record id, endOrder in the order of their appends.
 	ends     map[string]*end
 	endOrder []string
@@ -84,6 +85,10 @@
 		return m.positions(now, msg)
 	case LogMsg:
 		return m.logState(now, msg)
+	case MembersMsg:
+		return m.roster(now, msg)
+	case LeaseMsg:
+		m.members.until, m.members.leaving = msg.Until, msg.Leaving
 	case TickMsg:
 		return m.tick(now)
 	case ledger.BatchMsg:
@@ -114,7 +119,7 @@
 	switch {
 	case msg.Barred != "":
 		return msg.Barred
-	case !m.Known():
+	case !m.Known() || !m.members.mayStart(now):
 		return ReasonNotKnown
 	case !m.downAt.IsZero() && now.Sub(m.downAt) < logRetryAfter:
 		return ReasonLog
@@ -174,6 +179,7 @@
 	cmds = m.giveUp(now, m.sendLimit, ReasonLate)
 	m.asked = compact(m.asked, func(a *attempt) bool { return a.state != stateEnded })
 	cmds = append(cmds, m.expireRound(now)...)
+	cmds = append(cmds, m.beginRound(now)...)
 	cmds = append(cmds, m.resend(now)...)
 	return append(cmds, m.abandonAll(now)...)
 }
--- a/core/once/once_test.go
+++ b/core/once/once_test.go
@@ -217,6 +217,69 @@
 	s.expect(t, "call of a started key", []string{"in_progress"}, s.got(e, barred))
 }
 
+// rosterStep feeds one message of the roster to an entry.
+func (s *sim) rosterStep(t *testing.T, e *simEntry, what string, msg ident.Msg, want ...string) {
+	t.Helper()
+	s.expect(t, what, want, s.got(e, msg))
+}
+
+func TestEntryStartsNoCallBeforeEveryMemberKnowsOfIt(t *testing.T) {
+	s := startSim(WithRoster(time.Second, 5*time.Second))
+	e := s.entries[0]
+	s.rosterStep(t, e, "call before the join", s.callMsg("a"), "ask")
+	s.rosterStep(t, e, "doubt", PositionsMsg{Round: 1}, "not_known not_ready")
+	s.rosterStep(t, e, "lease", LeaseMsg{Until: s.now.Add(time.Hour)})
+	s.rosterStep(t, e, "join", MembersMsg{Epoch: 7, Self: "boot", Others: []ident.BootID{"other"}}, "ask")
+	s.rosterStep(t, e, "a member has not folded the join", PositionsMsg{Round: 2, Answered: true, Epoch: 6})
+	s.rosterStep(t, e, "call", s.callMsg("b"), "ask")
+	s.rosterStep(t, e, "a member does not answer", PositionsMsg{Round: 3, Epoch: 9}, "not_known not_ready")
+	s.now = s.now.Add(announceEvery)
+	s.rosterStep(t, e, "asked again", TickMsg{}, "ask")
+	s.rosterStep(t, e, "all have folded the join", PositionsMsg{Round: 4, Answered: true, Epoch: 7})
+	s.rosterStep(t, e, "call of a known member", s.callMsg("c"), "append start")
+	s.landInOrder(nil)
+	s.rosterStep(t, e, "won", s.batch(0), "send")
+	s.rosterStep(t, e, "a new incarnation", MembersMsg{Epoch: 9, Self: "boot/1", Others: []ident.BootID{"other"}}, "ask")
+	s.rosterStep(t, e, "call of an unknown member", CallMsg{Request: "d", Key: Key{"one", "d"}, Attempt: "d"})
+}
+
+func TestEntryStartsNoCallOnceItsLeaseIsOver(t *testing.T) {
+	s := startSim(WithRoster(time.Second, 5*time.Second))
+	e := s.entries[0]
+	s.got(e, LeaseMsg{Until: s.now.Add(time.Second)})
+	s.got(e, MembersMsg{Epoch: 1, Self: "boot"})
+	s.got(e, PositionsMsg{Round: 1, Answered: true, Epoch: 1})
+	s.rosterStep(t, e, "call", s.callMsg("a"), "append start")
+	s.landInOrder(nil)
+	s.now = s.now.Add(time.Second)
+	s.rosterStep(t, e, "won without a lease", s.batch(0), "append not_run", "not_run log_slow")
+	s.follow(e)
+	s.got(e, LeaseMsg{Leaving: s.now})
+	s.rosterStep(t, e, "a leaving entry", s.callMsg("b"), "append start")
+	s.now = s.now.Add(time.Second)
+	s.rosterStep(t, e, "past its stay", CallMsg{Request: "c", Key: Key{"one", "c"}, Attempt: "c"}, "ask")
+}
+
+func TestNotRunWaitsForAReadAfterADeparture(t *testing.T) {
+	s := startSim(WithRoster(time.Second, 5*time.Second))
+	e := s.entries[0]
+	s.got(e, MembersMsg{Epoch: 1, Self: "boot", Others: []ident.BootID{"old", "other"}})
+	s.got(e, PositionsMsg{Round: 1, Answered: true, Epoch: 1})
+	s.rosterStep(t, e, "departure", MembersMsg{Epoch: 2, Self: "boot", Others: []ident.BootID{"other"}})
+	quietAt := s.now.Add(5 * time.Second)
+	s.now = quietAt.Add(time.Second)
+	all := func(round int64) PositionsMsg { return PositionsMsg{Round: round, All: true, Answered: true, Epoch: 2} }
+	s.rosterStep(t, e, "call", s.callMsg("a"), "ask")
+	s.rosterStep(t, e, "nothing read since", all(2), "not_known not_ready")
+	early := ledger.BatchMsg{Stream: StreamOnce, Asked: quietAt.Add(-time.Nanosecond)}
+	s.rosterStep(t, e, "read that began too early", early)
+	s.rosterStep(t, e, "call", s.callMsg("b"), "ask")
+	s.rosterStep(t, e, "read too early", all(3), "not_known not_ready")
+	s.rosterStep(t, e, "whole read", ledger.BatchMsg{Stream: StreamOnce, Asked: quietAt})
+	s.rosterStep(t, e, "call", s.callMsg("c"), "ask")
+	s.rosterStep(t, e, "read since", all(4), "not_run not_ready")
+}
+
 func TestLogDownRefusesAtOnce(t *testing.T) {
 	s := startSim()
 	e := s.entries[0]
--- a/core/once/options.go
+++ b/core/once/options.go
@@ -22,6 +22,13 @@
 // WithSnapshotEvery sets how many records lie between two snapshots.
 func WithSnapshotEvery(records int64) Option { return func(m *Model) { m.snapshotEvery = records } }
 
+// WithRoster lets the entry start calls only while [MembersMsg] and [LeaseMsg] say that it is a
+// member which the others know of. A leaving entry starts calls for a time stay more; quiet must
+// exceed the lease, stay and the difference of clocks, and be the same on all entries.
+func WithRoster(stay, quiet time.Duration) Option {
+	return func(m *Model) { m.members.bound, m.members.stay, m.members.quiet = true, stay, quiet }
+}
+
 // Limits are the bounds of once-only calls that an operator may set; 0 takes the default.
 type Limits struct {
 	// SendLimit is for [WithSendLimit].
@@ -30,6 +37,9 @@
 	AbandonAge time.Duration `json:"abandon_age"`
 	// Window is for [WithWindow].
 	Window int64 `json:"window"`
+	// Stay and Quiet are for [WithRoster].
+	Stay  time.Duration `json:"stay"`
+	Quiet time.Duration `json:"quiet"`
 }
 
 // WithLimits sets the bounds that are not 0.
--- a/core/roster/membership.go
+++ b/core/roster/membership.go
@@ -23,6 +23,8 @@
 	// generation counts the removals of this process.
 	generation int
 	wanted     bool
+	// leaving is when a planned stop began under a lease, or zero.
+	leaving time.Time
 	// caughtUp is true once a read has reached the end of the log.
 	caughtUp bool
 	// base is the version of this entry's name when the end was first reached.
@@ -95,8 +97,7 @@
 	case SelfMsg:
 		m.self, m.boot = msg.Member, msg.Member.Incarnation
 	case WantMsg:
-		m.wanted, m.retry = msg.Member, now
-		return m.settle(now)
+		return m.want(now, msg)
 	case HeardMsg:
 		m.watch.hear(now, msg)
 	case PingFailedMsg:
@@ -107,6 +108,19 @@
 	return nil
 }
 
+// Leaving is when a planned stop began, or zero where none did or no lease held at its time.
+func (m *Membership) Leaving() time.Time { return m.leaving }
+
+// want begins to join or to leave.
+func (m *Membership) want(now time.Time, msg WantMsg) []ident.Cmd {
+	m.leaving = time.Time{}
+	if !msg.Member && m.Holds(now) {
+		m.leaving = now
+	}
+	m.wanted, m.retry = msg.Member, now
+	return m.settle(now)
+}
+
 // read folds a batch. The lease runs from before the read began: a record that the read
 // does not hold was appended after that time.
 func (m *Membership) read(now time.Time, batch ledger.BatchMsg) (cmds []ident.Cmd) {
--- a/io/entry/onceask.go
+++ b/io/entry/onceask.go
@@ -46,8 +46,8 @@
 }
 
 func (a *memberAsker) collect(ctx context.Context, cmd once.AskCmd) (msg once.PositionsMsg) {
-	msg = once.PositionsMsg{Round: cmd.Round}
 	others, epoch, joined := a.members(ctx)
+	msg = once.PositionsMsg{Round: cmd.Round, Answered: true, Epoch: epoch}
 	answers := make(chan *peer.Position, len(others))
 	for _, m := range others {
 		go (&positionQuestion{a, m.PeerAddress, answers}).run(ctx)
@@ -55,10 +55,12 @@
 	msg.All = joined
 	for range others {
 		p := <-answers
-		if p == nil || !p.Known || p.Epoch > epoch {
-			msg.All = false
+		if p == nil {
+			msg.All, msg.Answered = false, false
 			continue
 		}
+		msg.Epoch = min(msg.Epoch, p.Epoch)
+		msg.All = msg.All && p.Known && p.Epoch <= epoch
 		msg.Next = max(msg.Next, p.Next)
 	}
 	return msg
@@ -67,13 +69,11 @@
 // members are the other entries of the roster; joined is false while the roster lacks this incarnation.
 func (a *memberAsker) members(ctx context.Context) (others []roster.Member, epoch int64, joined bool) {
 	a.d.inspect(ctx, func() {
-		epoch = a.d.node.Roster().Epoch()
+		epoch, joined = a.d.node.Roster().Epoch(), a.d.node.Members().IsMember()
 		for _, m := range a.d.node.Roster().Members() {
-			if m.Entry == ident.EntryID(a.d.settings.Entry) {
-				joined = m.Incarnation == a.d.incarnation
-				continue
+			if m.Entry != ident.EntryID(a.d.settings.Entry) {
+				others = append(others, m)
 			}
-			others = append(others, m)
 		}
 	})
 	return others, epoch, joined
--- a/io/entry/oncelog.go
+++ b/io/entry/oncelog.go
@@ -11,8 +11,10 @@
 )
 
 func onceLimits(s config.Settings) once.Limits {
+	stay := foldLimit + time.Duration(s.AdviceHold) + adviceGrace
 	return once.Limits{
 		SendLimit: time.Duration(s.OnceSendLimit), AbandonAge: time.Duration(s.OnceAbandonAge), Window: s.OnceWindow,
+		Stay: stay, Quiet: time.Duration(s.Lease) + stay + time.Duration(s.LeaseMargin),
 	}
 }
 
--- /dev/null
+++ b/model/members.broken-lease.pml
@@ -0,0 +1,3 @@
+/* A removed entry starts calls until it reads of its removal. */
+#define NO_LEASE
+#include "members.pml"
