--- a/core/once/messages.go
+++ b/core/once/messages.go
@@ -62,6 +62,9 @@
 	Key     Key             `json:"key"`
 	Digest  string          `json:"digest"`
 	Attempt string          `json:"attempt"`
+	// Barred is set where the call may not be started; it is then refused for this reason, after
+	// the same question as any other whether a call with the key was sent before.
+	Barred Reason `json:"barred,omitempty"`
 }
 
 // NotRunMsg says that no byte of an attempt was or will be written to any upstream.
@@ -101,6 +104,27 @@
 	All bool `json:"all"`
 	// Next is the highest offset that any of them wants to fold next.
 	Next int64 `json:"next"`
+	// Answered is true where each other member of the roster answered.
+	Answered bool `json:"answered"`
+	// Epoch is the lowest epoch of the roster that any of them has folded.
+	Epoch int64 `json:"epoch"`
+}
+
+// MembersMsg says who is a member.
+type MembersMsg struct {
+	Epoch int64 `json:"epoch"`
+	// Self is this entry's incarnation in the roster, or empty while it is no member.
+	Self   ident.BootID   `json:"self"`
+	Others []ident.BootID `json:"others"`
+	// Cut is true where members may have departed unseen.
+	Cut bool `json:"cut"`
+}
+
+// LeaseMsg says until when this entry may act as a member.
+type LeaseMsg struct {
+	Until time.Time `json:"until"`
+	// Leaving is when a planned stop began under a lease, or zero.
+	Leaving time.Time `json:"leaving"`
 }
 
 // TickMsg lets time-outs be noticed; it comes at a steady interval.
