Compare policies on separate processes

Without addresses the comparison runs in one process as before, and its head says so. New figures: answers in time, the most requests on a cold engine, work begun in a drained zone 3 s after its rule, work begun on the bad version.

slow-link slows the links of the stores that there are; nothing reads from them yet, so that it shows no difference.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,11 @@
 demo:
 	@./scripts/demo.sh
 
+# compare offers the same load to each routing policy, each entry and stand-in a process;
+# PRESET, SCENARIO, SEED, RATE, POLICIES and JSON=1 set the run.
+compare:
+	@./scripts/compare.sh
+
 # test runs every check; .ci/run calls it.
 test: lint build model race smoke
 
--- a/cmd/cvlab/compare.go
+++ b/cmd/cvlab/compare.go
@@ -21,6 +21,8 @@
 	preset   string
 	scenario string
 	plan     versus.Plan
+	fleet    string
+	results  []string
 	json     bool
 	plot     string
 }
@@ -29,9 +31,11 @@
 	c := &compareCommand{}
 	cmd := &cobra.Command{
 		Use:   "compare --preset NAME --scenario NAME",
-		Short: "Offer the same load to each routing policy, entries and engines in this process",
-		Args:  cobra.NoArgs,
-		RunE:  func(cmd *cobra.Command, _ []string) error { return c.run(cmd.Context(), cmd.OutOrStdout()) },
+		Short: "Offer the same load to each routing policy",
+		Long: `Offers the same load to each routing policy. With --fleet, entries and engines are the processes of one policy that
+the file names; scripts/compare.sh starts them. Without it they all run in this process. --results prints earlier runs together.`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error { return c.run(cmd.Context(), cmd.OutOrStdout()) },
 	}
 	cmd.Flags().StringVar(&c.preset, "preset", "otakou", "one of "+strings.Join(load.PresetNames(), ", "))
 	cmd.Flags().StringVar(&c.scenario, "scenario", string(versus.Return), fmt.Sprintf("one of %v", versus.Scenarios()))
@@ -39,18 +43,15 @@
 	cmd.Flags().Float64Var(&c.plan.Rate, "rate", 40, "requests a second; the scenario overload doubles it")
 	cmd.Flags().DurationVar(&c.plan.Length, "length", 12*time.Second, "for how long each policy is offered requests")
 	cmd.Flags().StringSliceVar(&c.plan.Policies, "policies", versus.Policies(), "the policies to run, in order")
+	cmd.Flags().StringVar(&c.fleet, "fleet", "", "a YAML file of the addresses of one policy's processes")
+	cmd.Flags().StringSliceVar(&c.results, "results", nil, "JSON files of earlier runs to print as one; nothing is run")
 	cmd.Flags().BoolVar(&c.json, "json", false, "print JSON alone")
 	cmd.Flags().StringVar(&c.plot, "plot", "", "a PNG file to write the first-token times to")
 	return cmd
 }
 
 func (c *compareCommand) run(ctx context.Context, w io.Writer) (err error) {
-	preset, found := load.FindPreset(c.preset)
-	if !found {
-		return errors.Newf("--preset: expected one of %s", strings.Join(load.PresetNames(), ", "))
-	}
-	c.plan.Preset, c.plan.Scenario = preset, versus.Scenario(c.scenario)
-	result, err := c.plan.Run(ctx)
+	result, err := c.result(ctx)
 	if err != nil {
 		return err
 	}
@@ -65,15 +66,44 @@
 	return printComparison(w, result)
 }
 
+// result runs the plan or reads earlier runs.
+func (c *compareCommand) result(ctx context.Context) (r versus.Result, err error) {
+	if len(c.results) > 0 {
+		return versus.LoadResults(c.results)
+	}
+	preset, found := load.FindPreset(c.preset)
+	if !found {
+		return r, errors.Newf("--preset: expected one of %s", strings.Join(load.PresetNames(), ", "))
+	}
+	c.plan.Preset, c.plan.Scenario = preset, versus.Scenario(c.scenario)
+	if c.fleet == "" {
+		return c.plan.Run(ctx)
+	}
+	fleet, err := versus.LoadFleet(c.fleet)
+	if err != nil {
+		return r, err
+	}
+	return c.plan.RunFleet(ctx, fleet)
+}
+
+func processes(r versus.Result) string {
+	if r.InProcess {
+		return "all in one process"
+	}
+	return "each a process"
+}
+
 func printComparison(w io.Writer, r versus.Result) error {
-	_, _ = fmt.Fprintf(w, "%s, %s, seed %d, %.0f requests a second, %d entries and %d engines in one process\n",
-		r.Preset, r.Scenario, r.Seed, r.Rate, r.Entries, r.Engines)
+	_, _ = fmt.Fprintf(w, "%s, %s, seed %d, %.0f requests a second, %d entries and %d engines, %s\n",
+		r.Preset, r.Scenario, r.Seed, r.Rate, r.Entries, r.Engines, processes(r))
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "policy\tfirst token p50\tp95\tp99 ms\tbetween tokens p95 ms\tgoodput/s\trecomputed\twhole\tother ends")
+	_, _ = fmt.Fprintln(tw, "policy\tfirst token p50\tp95\tp99 ms\tbetween tokens p95 ms\tgoodput/s\tin time/s\trecomputed\t"+
+		"most while cold\tdrained zone\tbad version\twhole\tother ends")
 	for _, o := range r.Outcomes {
-		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.3f\t%d of %d\t%v\n", o.Policy,
+		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.3f\t%d of %d\t%d\t%d\t%d of %d\t%v\n", o.Policy,
 			o.FirstToken.P50Ms, o.FirstToken.P95Ms, o.FirstToken.P99Ms, o.BetweenTokens.P95Ms,
-			o.Goodput, o.RecomputedShare, o.Whole, o.Requests, o.Codes)
+			o.Goodput, o.GoodputInTime, o.RecomputedShare, o.MostWhileCold, o.ColdBears,
+			o.StartedDrained, o.StartedBad, o.Whole, o.Requests, o.Codes)
 	}
 	return tw.Flush()
 }
--- a/io/bench/apply.go
+++ b/io/bench/apply.go
@@ -9,13 +9,19 @@
 
 	"cicadavalve/core/ledger"
 	"cicadavalve/io/logsvc"
+	"cicadavalve/io/peer"
 )
 
 // Apply appends an operator's file to the log, based on the version in force on an entry,
 // and does not wait for it to be in force anywhere.
 func (c *Cluster) Apply(ctx context.Context, e *Entry, text string) (err error) {
+	return Apply(ctx, c.logURL, e.Peer, text)
+}
+
+// Apply appends an operator's file to the log at a URL, based on the version in force on the entry at a peer address.
+func Apply(ctx context.Context, logURL, peerAddress, text string) (err error) {
 	defer func() { err = errors.Wrap(err, "apply") }()
-	status, err := c.Status(ctx, e)
+	status, err := peer.NewClient(http.DefaultClient, peerAddress).Status(ctx)
 	if err != nil {
 		return err
 	}
@@ -24,5 +30,5 @@
 	if err != nil {
 		return err
 	}
-	return logsvc.NewClient(c.logURL+"/", &http.Client{}).Append(ctx, ledger.StreamConfig, []ledger.Record{rec})
+	return logsvc.NewClient(logURL+"/", &http.Client{}).Append(ctx, ledger.StreamConfig, []ledger.Record{rec})
 }
--- a/io/bench/cluster.go
+++ b/io/bench/cluster.go
@@ -27,6 +27,7 @@
 	*stand.Engine
 	ID      ident.UpstreamID
 	Address string
+	Zone    ident.Zone
 	server  *stand.Server
 	stop    context.CancelFunc
 }
@@ -221,7 +222,7 @@
 
 // AddEngine starts an engine and puts it on the list.
 func (c *Cluster) AddEngine(zone ident.Zone, s stand.EngineSettings) (e *Engine, err error) {
-	e = &Engine{Engine: stand.NewEngine(s), ID: ident.UpstreamID(fmt.Sprintf("engine-%d", len(c.engines)))}
+	e = &Engine{Engine: stand.NewEngine(s), Zone: zone, ID: ident.UpstreamID(fmt.Sprintf("engine-%d", len(c.engines)))}
 	e.server, err = c.listen(e.Handler())
 	if err != nil {
 		return nil, err
--- a/io/load/report.go
+++ b/io/load/report.go
@@ -35,13 +35,15 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Preset        string `json:"preset"`
-	Seed          uint64 `json:"seed"`
-	ElapsedMs     int64  `json:"elapsed_ms"`
-	Requests      int    `json:"requests"`
-	Whole         int    `json:"whole"`
-	Failed        int    `json:"failed"`
-	RefusedNotRun int    `json:"refused_not_run"`
+	Preset    string `json:"preset"`
+	Seed      uint64 `json:"seed"`
+	ElapsedMs int64  `json:"elapsed_ms"`
+	Requests  int    `json:"requests"`
+	Whole     int    `json:"whole"`
+	// InTime counts the whole answers whose first token met the target of their class; see [WithFirstTokenTarget].
+	InTime        int `json:"in_time"`
+	Failed        int `json:"failed"`
+	RefusedNotRun int `json:"refused_not_run"`
 	// Comebacks counts the completions that were refused as not run and sent again when told to.
 	Comebacks     int     `json:"comebacks"`
 	CallsSent     int     `json:"calls_sent"`
@@ -63,6 +65,8 @@
 
 	mu     sync.Mutex
 	preset Preset
+	// targets bound the first token of the answers that count as in time.
+	targets map[ident.Class]time.Duration
 	// first and gaps hold the times of each organisation and class, in microseconds.
 	first    map[groupKey]*hdrhistogram.Histogram
 	gaps     map[groupKey]*hdrhistogram.Histogram
@@ -93,10 +97,19 @@
 // NotRunKeys are the keys of the calls that the callers were told have not run.
 func (r *Report) NotRunKeys() []string { return r.notRunKeys }
 
+// inTime reports whether a whole answer met the target of its class.
+func (r *Report) inTime(o outcome) bool {
+	target, bounded := r.targets[o.item.stream.Class]
+	return o.whole && (o.item.key != "" || !bounded || o.first <= target)
+}
+
 func (r *Report) add(o outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Requests++
+	if r.inTime(o) {
+		r.InTime++
+	}
 	if o.item.key == "" {
 		r.Comebacks += o.retries
 	}
--- a/io/load/runner.go
+++ b/io/load/runner.go
@@ -23,6 +23,7 @@
 	tokens    map[ident.OrgID]string
 	straight  []string
 	comebacks int
+	targets   map[ident.Class]time.Duration
 	progress  io.Writer
 	client    *http.Client
 	engines   *engine.HTTPClient
@@ -57,6 +58,11 @@
 // WithComebacks lets a caller whose completion was refused as not run come back so many times, when it is told to.
 func WithComebacks(n int) Option { return func(r *Runner) { r.comebacks = n } }
 
+// WithFirstTokenTarget bounds the first token of a class's answers that count as in time.
+func WithFirstTokenTarget(class ident.Class, target time.Duration) Option {
+	return func(r *Runner) { r.targets[class] = target }
+}
+
 // WithProgress writes a progress line.
 func WithProgress(w io.Writer) Option { return func(r *Runner) { r.progress = w } }
 
@@ -76,7 +82,7 @@
 	r := &Runner{
 		preset: p, tokens: tokens, seed: 1, rate: defaultRate, length: defaultLength, timeout: defaultTimeout,
 		client: client, engines: engine.NewHTTPClient(time.Second, idlePerHost),
-		directory: &directory{client: client, seeds: seeds},
+		directory: &directory{client: client, seeds: seeds}, targets: map[ident.Class]time.Duration{},
 	}
 	for _, o := range options {
 		o(r)
@@ -92,6 +98,7 @@
 	}
 	items := plan(r.preset, r.seed, r.rate, r.length, share)
 	report := newReport(r.preset, r.seed)
+	report.targets = r.targets
 	start := time.Now()
 	var pending sync.WaitGroup
 	for i, it := range items {
--- /dev/null
+++ b/io/versus/results_test.go
@@ -0,0 +1,37 @@
+package versus_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/io/versus"
+)
+
+// TestResultsOfOnePlanAreJoined reads three files, the last of another seed.
+func TestResultsOfOnePlanAreJoined(t *testing.T) {
+	var paths []string
+	for i, seed := range []uint64{1, 1, 2} {
+		raw, err := json.Marshal(versus.Result{Seed: seed, Outcomes: []versus.Outcome{{Policy: fmt.Sprint(i)}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(t.TempDir(), "result.json")
+		if err := os.WriteFile(path, raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		paths = append(paths, path)
+	}
+	joined, err := versus.LoadResults(paths[:2])
+	want := versus.Result{Seed: 1, Outcomes: []versus.Outcome{{Policy: "0"}, {Policy: "1"}}}
+	if diff := cmp.Diff(want, joined); diff != "" || err != nil {
+		t.Errorf("joined, error %v (-want +got):\n%s", err, diff)
+	}
+	if _, err := versus.LoadResults(paths); err == nil {
+		t.Error("results of two seeds were joined")
+	}
+}
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -22,16 +22,21 @@
 
 // The scenarios.
 const (
-	Steady      Scenario = "steady"
-	Return      Scenario = "return"
-	Overload    Scenario = "overload"
-	Cold        Scenario = "cold"
-	Zone        Scenario = "zone"
+	Steady     Scenario = "steady"
+	Return     Scenario = "return"
+	Overload   Scenario = "overload"
+	Cold       Scenario = "cold"
+	Zone       Scenario = "zone"
+	BadVersion Scenario = "bad-version"
+	// SlowLink slows the links of the KV stores; without a store it changes nothing.
+	SlowLink    Scenario = "slow-link"
 	EngineDeath Scenario = "engine-death"
 )
 
 // Scenarios lists every scenario.
-func Scenarios() []Scenario { return []Scenario{Steady, Return, Overload, Cold, Zone, EngineDeath} }
+func Scenarios() []Scenario {
+	return []Scenario{Steady, Return, Overload, Cold, Zone, BadVersion, SlowLink, EngineDeath}
+}
 
 // Unlimited names the run of the system's own policy on engines whose memory holds everything.
 const Unlimited = "affinity_unlimited_memory"
@@ -51,8 +56,15 @@
 	overloadFactor = 2
 	engineBlocks   = 64
 	plentyOfBlocks = 1 << 20
-	// settleTime outlasts the time for which entries take an engine for cold.
-	settleTime = 6 * time.Second
+	coldBears      = 4
+	weightsTake    = 200 * time.Millisecond
+	// coldTime is how long an entry takes an engine for cold; settleTime outlasts it.
+	coldTime   = 1500 * time.Millisecond
+	settleTime = 3 * time.Second
+	// moveDwell lets a version move show something within a run.
+	moveDwell = time.Second
+	// firstTokenTarget is what an interactive answer must meet to count as in time.
+	firstTokenTarget = 1500 * time.Millisecond
 )
 
 // Plan is one comparison.
@@ -73,12 +85,22 @@
 	// FirstToken and BetweenTokens are of the interactive class.
 	FirstToken    load.Quantiles `json:"interactive_first_token"`
 	BetweenTokens load.Quantiles `json:"interactive_between_tokens"`
-	// Goodput is whole answers a second.
-	Goodput         float64        `json:"goodput_per_second"`
-	RecomputedShare float64        `json:"recomputed_share"`
-	Requests        int            `json:"requests"`
-	Whole           int            `json:"whole"`
-	Codes           map[string]int `json:"codes"`
+	// Goodput is whole answers a second, GoodputInTime those whose first token met the interactive target.
+	Goodput         float64 `json:"goodput_per_second"`
+	GoodputInTime   float64 `json:"goodput_in_time_per_second"`
+	RecomputedShare float64 `json:"recomputed_share"`
+	// MostWhileCold is the most requests that any cold engine ever had, ColdBears what each bears.
+	MostWhileCold int `json:"most_while_cold"`
+	ColdBears     int `json:"cold_bears"`
+	// StartedDrained counts the requests begun in the drained zone from 3 s after the rule on.
+	StartedDrained int `json:"started_in_drained_zone"`
+	// StartedBad counts the requests begun on the bad version.
+	StartedBad int `json:"started_on_bad_version"`
+	// Stores is how many KV stores there were.
+	Stores   int            `json:"stores"`
+	Requests int            `json:"requests"`
+	Whole    int            `json:"whole"`
+	Codes    map[string]int `json:"codes"`
 }
 
 // Result is a whole comparison.
@@ -95,26 +117,18 @@
 	Outcomes  []Outcome `json:"outcomes"`
 }
 
-// Run offers the plan's load to each policy in turn.
+// Run offers the plan's load to each policy in turn, all in this process.
 //
 //	plan := versus.Plan{Preset: p, Scenario: versus.Return, Seed: 1, Rate: 40, Length: 10 * time.Second, Policies: versus.Policies()}
 //	result, err := plan.Run(ctx)
 func (p Plan) Run(ctx context.Context) (res Result, err error) {
 	defer func() { err = errors.Wrapf(err, "compare %s", p.Scenario) }()
-	if !slices.Contains(Scenarios(), p.Scenario) {
-		return res, errors.Newf("scenario: expected one of %v", Scenarios())
-	}
-	if p.Scenario == Overload {
-		p.Rate *= overloadFactor
-	}
-	res = Result{
-		Preset: p.Preset.Name, Scenario: p.Scenario, Seed: p.Seed, Rate: p.Rate, LengthMs: p.Length.Milliseconds(),
-		InProcess: true, Entries: entries, Engines: zones * enginesPerZone,
+	if err := p.check(); err != nil {
+		return res, err
 	}
+	res = p.result(Fleet{Entries: make([]FleetEntry, entries), Engines: make([]FleetEngine, zones*enginesPerZone)})
+	res.InProcess = true
 	for _, policy := range p.Policies {
-		if !slices.Contains(Policies(), policy) {
-			return res, errors.Newf("policies: expected some of %v", Policies())
-		}
 		o, err := p.runPolicy(ctx, policy)
 		if err != nil {
 			return res, err
@@ -124,37 +138,101 @@
 	return res, nil
 }
 
+// RunFleet offers the plan's load to the processes of one policy.
+func (p Plan) RunFleet(ctx context.Context, f Fleet) (res Result, err error) {
+	defer func() { err = errors.Wrapf(err, "compare %s", p.Scenario) }()
+	p.Policies = []string{f.Policy}
+	if err := p.check(); err != nil {
+		return res, err
+	}
+	res = p.result(f)
+	if err := f.apply(ctx, p.rules()); err != nil {
+		return res, err
+	}
+	o, err := p.offer(ctx, f)
+	res.Outcomes = []Outcome{o}
+	return res, err
+}
+
+func (p Plan) check() error {
+	if !slices.Contains(Scenarios(), p.Scenario) {
+		return errors.Newf("scenario: expected one of %v", Scenarios())
+	}
+	for _, policy := range p.Policies {
+		if !slices.Contains(Policies(), policy) {
+			return errors.Newf("policies: expected some of %v, not %s", Policies(), policy)
+		}
+	}
+	return nil
+}
+
+func (p Plan) result(f Fleet) Result {
+	return Result{
+		Preset: p.Preset.Name, Scenario: p.Scenario, Seed: p.Seed, Rate: p.rate(), LengthMs: p.Length.Milliseconds(),
+		Entries: len(f.Entries), Engines: len(f.Engines),
+	}
+}
+
+// rate is requests a second as the scenario has it.
+func (p Plan) rate() float64 {
+	if p.Scenario == Overload {
+		return p.Rate * overloadFactor
+	}
+	return p.Rate
+}
+
 func (p Plan) runPolicy(ctx context.Context, policy string) (o Outcome, err error) {
-	c, tokens, err := p.start(policy)
+	c, err := p.start(policy)
 	if err != nil {
 		return o, err
 	}
 	defer c.Close()
-	if err := p.settle(ctx, c, tokens); err != nil {
+	return p.offer(ctx, fleetOf(policy, c))
+}
+
+// tokens holds the bearer token of each organisation.
+func (p Plan) tokens() map[ident.OrgID]string {
+	tokens := map[ident.OrgID]string{}
+	for _, org := range p.Preset.Orgs {
+		tokens[org] = "token-" + string(org)
+	}
+	return tokens
+}
+
+// offer runs the load and the scenario's trouble on a fleet.
+func (p Plan) offer(ctx context.Context, f Fleet) (o Outcome, err error) {
+	if err := p.settle(ctx, f); err != nil {
 		return o, err
 	}
-	var addresses []string
-	for _, e := range c.Entries() {
-		addresses = append(addresses, e.Caller)
+	happening := &incident{plan: p, fleet: f, done: make(chan struct{})}
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	go happening.run(running)
+	report := load.NewRunner(p.Preset, p.tokens(), f.callers(), p.options()...).Run(ctx)
+	stop()
+	<-happening.done
+	o = outcome(f.Policy, report)
+	o.observe(f.stats(ctx))
+	o.StartedDrained, o.Stores = happening.startedLate-happening.startedEarly, len(f.Stores)
+	return o, happening.err
+}
+
+func (p Plan) options() []load.Option {
+	options := []load.Option{
+		load.WithSeed(p.Seed), load.WithRate(p.rate()), load.WithLength(p.Length),
+		load.WithFirstTokenTarget(ident.Interactive, firstTokenTarget),
 	}
-	options := []load.Option{load.WithSeed(p.Seed), load.WithRate(p.Rate), load.WithLength(p.Length)}
 	if p.Scenario == Return {
 		options = append(options, load.WithReturnShare(returnShare))
 	}
-	happening := &incident{plan: p, c: c, done: make(chan struct{})}
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	go happening.run(ctx)
-	report := load.NewRunner(p.Preset, tokens, addresses, options...).Run(ctx)
-	stop()
-	<-happening.done
-	return outcome(policy, report), happening.err
+	return options
 }
 
 func outcome(policy string, r *load.Report) Outcome {
+	took := (time.Duration(r.ElapsedMs) * time.Millisecond).Seconds()
 	o := Outcome{
 		Policy: policy, RecomputedShare: r.RecomputedShare, Requests: r.Requests, Whole: r.Whole, Codes: r.Codes,
-		Goodput: float64(r.Whole) / (time.Duration(r.ElapsedMs) * time.Millisecond).Seconds(),
+		Goodput: float64(r.Whole) / took, GoodputInTime: float64(r.InTime) / took,
 	}
 	for _, class := range r.Classes {
 		if class.Class == ident.Interactive {
@@ -164,35 +242,50 @@
 	return o
 }
 
+// observe adds what the engines counted themselves.
+func (o *Outcome) observe(engines []stand.EngineStats) {
+	o.ColdBears = coldBears
+	for _, s := range engines {
+		o.MostWhileCold = max(o.MostWhileCold, s.MostWhileCold)
+		o.StartedBad += s.Started[newVersion]
+	}
+}
+
 // start runs engines, app engines and entries with a policy.
-func (p Plan) start(policy string) (c *bench.Cluster, tokens map[ident.OrgID]string, err error) {
-	tokens = map[ident.OrgID]string{}
+func (p Plan) start(policy string) (c *bench.Cluster, err error) {
 	orgs := map[string]ident.OrgID{}
-	for _, org := range p.Preset.Orgs {
-		tokens[org] = "token-" + string(org)
-		orgs[tokens[org]] = org
+	for org, token := range p.tokens() {
+		orgs[token] = org
 	}
 	blocks := engineBlocks
 	if policy == Unlimited {
 		policy, blocks = route.NameAffinity, plentyOfBlocks
 	}
 	c, err = bench.Start(bench.WithTokens(orgs), bench.WithRules(p.rules()),
-		bench.WithSettings(func(s *config.Settings) { s.Policy = policy }))
+		bench.WithSettings(func(s *config.Settings) {
+			s.Policy = policy
+			s.ColdTime, s.MoveDwell = config.Duration(coldTime), config.Duration(moveDwell)
+		}))
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	if err = p.fill(c, blocks); err != nil {
 		c.Close()
 	}
-	return c, tokens, err
+	return c, err
 }
 
 func (p Plan) fill(c *bench.Cluster, blocks int) (err error) {
+	weights, err := c.AddWeights(weightsTake)
+	if err != nil {
+		return err
+	}
 	for i := range zones * enginesPerZone {
 		s := stand.EngineSettings{
 			Model: p.Preset.Streams[i%len(p.Preset.Streams)].Model, Version: "v1",
 			PrefillRate: 20000, StepTime: 8 * time.Millisecond, SequenceTime: 200 * time.Microsecond, MaxBatch: 16,
-			CacheBlocks: blocks, ColdTime: time.Second, ColdBears: 4, LoadLag: 200 * time.Millisecond, Seed: p.Seed + uint64(i),
+			CacheBlocks: blocks, ColdTime: time.Second, ColdBears: coldBears, LoadLag: 200 * time.Millisecond,
+			Seed: p.Seed + uint64(i), WeightsURL: weights,
 		}
 		if _, err := c.AddEngine(zoneName(i/len(p.Preset.Streams)), s); err != nil {
 			return err
@@ -221,23 +314,23 @@
 }
 
 // settle waits until every entry serves every model and the engines are warm.
-func (p Plan) settle(ctx context.Context, c *bench.Cluster, tokens map[ident.OrgID]string) (err error) {
-	for _, e := range c.Entries() {
+func (p Plan) settle(ctx context.Context, f Fleet) (err error) {
+	token := p.tokens()[p.Preset.Orgs[0]]
+	for _, e := range f.Entries {
 		for _, s := range p.Preset.Streams {
-			body := fmt.Sprintf(`{"model":%q,"prompt":"ready?","max_tokens":1}`, s.Model)
-			if !bench.Wait(ctx, func() bool {
-				a, err := bench.Call(ctx, e, tokens[p.Preset.Orgs[0]], "/v1/completions", "", body)
-				return err == nil && a.Status == 200
-			}) {
-				return errors.Newf("entry %s did not come to serve %s", e.ID, s.Model)
+			if !bench.Wait(ctx, func() bool { return e.serves(ctx, token, s.Model) }) {
+				return errors.Newf("entry %s did not come to serve %s", e.Caller, s.Model)
 			}
 		}
 	}
-	if !bench.Wait(ctx, func() bool {
-		return !slices.ContainsFunc(c.Engines(), func(e *bench.Engine) bool { return e.Stats().Cold })
-	}) {
+	if !bench.Wait(ctx, func() bool { return f.warm(ctx) }) {
 		return errors.New("the engines did not warm up")
 	}
-	time.Sleep(settleTime)
+	sleep(ctx, settleTime)
 	return nil
 }
+
+// warm reports whether no engine is cold.
+func (f Fleet) warm(ctx context.Context) bool {
+	return !slices.ContainsFunc(f.stats(ctx), func(s stand.EngineStats) bool { return s.Cold })
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -12,17 +12,8 @@
 seed=${SEED:-1}
 json=${JSON:-}
 
-case "$preset" in
-otakou)
-  zones=(dunedin mosgiel oamaru) models=(wear-summary span-check defect-writeup) service=ticket
-  classes=(interactive interactive deferred) per_model=4 load_time=800ms rate=${RATE:-40}
-  orgs="otago-lines tram-depot harbour-wire hill-crew port-feeder north-span south-span survey council stores" ;;
-kompostfenster)
-  zones=(graz-nord graz-sued leoben) models=(soil-notes slot-window season-report) service=booking
-  classes=(interactive interactive deferred) per_model=3 load_time=200ms rate=${RATE:-40}
-  orgs="graz-west graz-ost leibnitz leoben bruck weiz hartberg murau liezen voitsberg" ;;
-*) echo "PRESET: expected otakou or kompostfenster, not $preset" >&2; exit 1 ;;
-esac
+rate=${RATE:-40}
+use_preset "$preset"
 
 say() { if [ -z "$json" ]; then echo "$@"; fi; }
 
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -24,6 +24,30 @@
   exit "$status"
 }
 
+# kill_all ends every process at once by its id, so that the next run starts afresh.
+kill_all() {
+  local pid
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  pids=()
+  rm -f "$run"/*.address
+}
+
+# use_preset NAME: sets what the preset's cluster is made of.
+use_preset() {
+  case "$1" in
+  otakou)
+    zones=(dunedin mosgiel oamaru) models=(wear-summary span-check defect-writeup) service=ticket
+    classes=(interactive interactive deferred) per_model=4 load_time=800ms
+    orgs="otago-lines tram-depot harbour-wire hill-crew port-feeder north-span south-span survey council stores" ;;
+  kompostfenster)
+    zones=(graz-nord graz-sued leoben) models=(soil-notes slot-window season-report) service=booking
+    classes=(interactive interactive deferred) per_model=3 load_time=200ms
+    orgs="graz-west graz-ost leibnitz leoben bruck weiz hartberg murau liezen voitsberg" ;;
+  *) echo "PRESET: expected otakou or kompostfenster, not $1" >&2; return 1 ;;
+  esac
+}
+
 # wait_for FILE PID: waits until a process has written its address.
 wait_for() {
   for _ in $(seq 200); do
