Let deferred work stand back for interactive requests

A deferred request took room on an upstream that an interactive one then waited for, up to its refusal after 1 s.

A cancel that came before its attempt began was lost; it now stops the attempt. A moved request whose second sending failed unsent was refused as not_run though the first upstream had run it; it is now counted as touched.

TestWaitingHoldsItsBounds counted a cancelled attempt as running; it now takes CancelCmd off its count, with the same bounds as before.

--- a/core/sched/drain.go
+++ b/core/sched/drain.go
@@ -118,5 +118,6 @@
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
 	m.release(now, r, false)
 	r.moves++
+	r.touched = true
 	return append([]ident.Cmd{cancel}, m.send(now, r)...)
 }
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -82,6 +82,7 @@
 	m.running = map[ident.OrgID]int{}
 	m.mostPerUpstream = defaultMostPerUpstream
 	m.versions = servedOnly{}
+	m.pace = newPace()
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
 		ident.Standard:    4 * time.Second,
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -62,11 +62,12 @@
 func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID, least trust) {
 	m.candidates = m.candidates[:0]
 	trials := m.poison.Trials() > 0
+	patient := m.patient(now, r)
 	for _, u := range m.pool(r) {
 		if (u.special || trials) && !m.admits(now, u, r, least) {
 			continue
 		}
-		if u.candidate.Outstanding+u.candidate.Others >= m.mostPerUpstream {
+		if !m.hasRoom(u, patient) {
 			continue
 		}
 		if len(avoid) > 0 && slices.Contains(avoid, u.listed.ID) {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -53,6 +53,12 @@
 	trials int
 	// waitSince is when the request began to wait for room on an upstream.
 	waitSince time.Time
+	// preempted counts how often it was taken off an upstream for a more urgent request.
+	preempted int
+	// queued is the backlog in prompt tokens that the attempt began with, its own included, and
+	// firstAt when its first token came.
+	queued  int
+	firstAt time.Time
 }
 
 // Model is the scheduler of one entry.
@@ -97,6 +103,7 @@
 	candidates []*route.Candidate
 	// slots bound the requests on cold upstreams.
 	slots *limit.Slots
+	pace  pace
 }
 
 // NewModel is a scheduler without rules or upstreams.
@@ -128,6 +135,7 @@
 	}
 	if len(m.waiting) > 0 {
 		cmds = append(cmds, m.admitWaiting(now)...)
+		cmds = append(cmds, m.preempt(now)...)
 	}
 	return append(cmds, m.slots.Asks()...)
 }
@@ -149,7 +157,7 @@
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case FirstMsg:
-		m.first(msg)
+		m.first(now, msg)
 	case EndMsg:
 		return m.end(now, msg)
 	case FailMsg:
@@ -294,15 +302,15 @@
 	u.candidate.Backlog += r.missing
 	r.attempt++
 	r.on = u.listed.ID
-	r.sent = now
+	r.sent, r.queued, r.firstAt = now, u.candidate.Backlog, time.Time{}
 	m.acquire(now, r)
-	return m.sendCmd(r, u)
+	return m.sendCmd(now, r, u)
 }
 
-func (m *Model) sendCmd(r *request, u *upstream) SendCmd {
+func (m *Model) sendCmd(now time.Time, r *request, u *upstream) SendCmd {
 	return SendCmd{
 		Request: r.ID, Attempt: r.attempt, Upstream: u.listed.ID, Address: u.listed.Address,
-		Version: r.version, Priority: r.Class.Rank(), Class: r.Class, Silence: m.silence[r.Class],
+		Version: r.version, Priority: m.rank(now, r), Class: r.Class, Silence: m.silence[r.Class],
 		ResumeFrom: r.delivered, FreshConnection: r.attempt > 1,
 	}
 }
@@ -334,6 +342,9 @@
 		return nil
 	}
 	m.slots.Succeeded(now, r.on)
+	if !r.firstAt.IsZero() {
+		m.pace.sawEnd(r.MaxTokens-r.delivered, now.Sub(r.firstAt))
+	}
 	m.release(now, r, true)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
@@ -341,11 +352,13 @@
 }
 
 // first notes that the prompt of an attempt is computed.
-func (m *Model) first(msg FirstMsg) {
+func (m *Model) first(now time.Time, msg FirstMsg) {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
 		return
 	}
+	m.pace.sawFirst(r.queued, now.Sub(r.sent))
+	r.firstAt = now
 	if u, listed := m.upstreams[r.on]; listed {
 		u.settle(r)
 		m.kept.add(r.key, u, r.PromptTokens)
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -73,7 +73,7 @@
 // organisation with the least in flight for its share, and of one organisation the oldest.
 func (m *Model) admitWaiting(now time.Time) (cmds []ident.Cmd) {
 	m.dropWaiting()
-	slices.SortStableFunc(m.waiting, m.compareWaiting)
+	slices.SortStableFunc(m.waiting, func(a, b ident.RequestID) int { return m.compareWaiting(now, a, b) })
 	var blocked []poolKey
 	for _, id := range slices.Clone(m.waiting) {
 		cmds = append(cmds, m.admitOne(now, m.requests[id], &blocked)...)
@@ -105,10 +105,10 @@
 	})
 }
 
-func (m *Model) compareWaiting(a, b ident.RequestID) int {
+func (m *Model) compareWaiting(now time.Time, a, b ident.RequestID) int {
 	x, y := m.requests[a], m.requests[b]
 	return cmp.Or(
-		cmp.Compare(x.Class.Rank(), y.Class.Rank()),
+		cmp.Compare(m.rank(now, x), m.rank(now, y)),
 		cmp.Compare(m.weightedLoad(x.Org), m.weightedLoad(y.Org)),
 		x.waitSince.Compare(y.waitSince),
 	)
--- a/core/sched/wait_test.go
+++ b/core/sched/wait_test.go
@@ -88,6 +88,8 @@
 					open[cmd.Request] = cmd
 				case sched.RefuseCmd:
 					ended++
+				case sched.CancelCmd:
+					delete(open, cmd.Request)
 				}
 			}
 		}
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -16,6 +16,8 @@
 	// attempt and stop belong to the attempt that runs now.
 	attempt int
 	stop    context.CancelFunc
+	// cancelled is the newest attempt that is to stop; it may come before the attempt begins.
+	cancelled int
 }
 
 // sessions holds the requests of this entry by the id that the entry gave them.
@@ -60,6 +62,7 @@
 	defer s.mu.Unlock()
 	if open, ok := s.byID[id]; ok {
 		open.attempt, open.stop = attempt, stop
+		open.stopCancelled()
 	}
 }
 
@@ -67,7 +70,14 @@
 func (s *sessions) cancel(id ident.RequestID, attempt int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if open, ok := s.byID[id]; ok && open.attempt == attempt && open.stop != nil {
-		open.stop()
+	if open, ok := s.byID[id]; ok {
+		open.cancelled = max(open.cancelled, attempt)
+		open.stopCancelled()
+	}
+}
+
+func (s *session) stopCancelled() {
+	if s.stop != nil && s.attempt <= s.cancelled {
+		s.stop()
 	}
 }
