Refuse early what would come too late

The entry now estimates the first token from what it has queued on the chosen upstream and from the time that queued prompt tokens took of late in its pool, and answers overloaded, not_run and when to come back where the class's limit (1.5 s interactive, 4 s standard) or the deadline can't be met. An upstream with nothing of the entry's queued always gets one, so that a bad estimate is put right. While several organisations ask, one with more than its share in flight may use half of the limit, so that the others find room.

--- a/core/sched/deferred.go
+++ b/core/sched/deferred.go
@@ -26,7 +26,7 @@
 	if r.Deadline == 0 {
 		return age >= ageTime
 	}
-	return age+dueFactor*m.pace.whole(r) >= r.Deadline
+	return age+dueFactor*m.paceOf(r).whole(r) >= r.Deadline
 }
 
 // patient reports whether a request stands back for interactive ones.
--- a/core/sched/options.go
+++ b/core/sched/options.go
@@ -44,6 +44,11 @@
 	return func(m *Model) { m.waits[class] = limit }
 }
 
+// WithFirstLimit sets by when after its arrival the first token of a class is of use.
+func WithFirstLimit(class ident.Class, limit time.Duration) Option {
+	return func(m *Model) { m.firstLimits[class] = limit }
+}
+
 // WithMostPerUpstream bounds the requests on one upstream, as far as the entry knows of them.
 func WithMostPerUpstream(n int) Option {
 	return func(m *Model) { m.mostPerUpstream = n }
@@ -82,7 +87,9 @@
 	m.running = map[ident.OrgID]int{}
 	m.mostPerUpstream = defaultMostPerUpstream
 	m.versions = servedOnly{}
-	m.pace = newPace()
+	m.paces = map[poolKey]*pace{}
+	m.firstLimits = defaultFirstLimits()
+	m.asked = map[ident.OrgID]time.Time{}
 	m.silence = map[ident.Class]time.Duration{
 		ident.Interactive: 2 * time.Second,
 		ident.Standard:    4 * time.Second,
--- a/core/sched/pace.go
+++ b/core/sched/pace.go
@@ -9,22 +9,35 @@
 	// leastPrompt is the least prompt tokens whose time tells a prefill rate.
 	leastPrompt = 512
 	// paceWeight is the weight of a new time, as a divisor.
-	paceWeight = 8
+	paceWeight = 4
 )
 
-// pace is how fast the upstreams have been of late, as moving means.
+// pace is how fast the upstreams of one pool have been of late, as moving means.
 type pace struct {
-	// prefill is the time of a prompt token from sending to the first token, what was queued
-	// before it included; decode is the time between tokens. Both are above zero.
+	// prefill is the time of a prompt token from sending to the first token, divided among the tokens that
+	// this entry had queued; the work of other entries makes it longer. decode is the time between
+	// tokens. Both are above zero.
 	prefill, decode time.Duration
+	// seen is true once a first token told prefill.
+	seen bool
 }
 
-func newPace() pace { return pace{firstPrefill, firstDecode} }
+func newPace() *pace { return &pace{prefill: firstPrefill, decode: firstDecode} }
 
-// sawFirst learns from a first token that came some time after so many prompt tokens were queued.
+// paceOf is the pace of the upstreams that serve a request.
+func (m *Model) paceOf(r *request) *pace {
+	p, known := m.paces[r.poolKey()]
+	if !known {
+		p = newPace()
+		m.paces[r.poolKey()] = p
+	}
+	return p
+}
+
+// sawFirst learns from a first token, or from its absence, some time after so many prompt tokens were queued.
 func (p *pace) sawFirst(queued int, took time.Duration) {
 	if queued >= leastPrompt {
-		p.prefill = mix(p.prefill, took/time.Duration(queued))
+		p.prefill, p.seen = mix(p.prefill, took/time.Duration(queued)), true
 	}
 }
 
@@ -42,7 +55,10 @@
 // first is the expected time to the first token behind so many prompt tokens.
 func (p *pace) first(queued int) time.Duration { return time.Duration(queued) * p.prefill }
 
-// whole is the expected time of a request on an idle upstream that holds nothing of it.
-func (p *pace) whole(r *request) time.Duration {
-	return p.first(r.PromptTokens) + time.Duration(r.MaxTokens-r.delivered)*p.decode
+// rest is the expected time of an answer after its first token.
+func (p *pace) rest(r *request) time.Duration {
+	return time.Duration(r.MaxTokens-r.delivered) * p.decode
 }
+
+// whole is the expected time of a request on an idle upstream that holds nothing of it.
+func (p *pace) whole(r *request) time.Duration { return p.first(r.PromptTokens) + p.rest(r) }
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -15,6 +15,9 @@
 	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
 		u.suspectUntil, u.special = now.Add(suspectTime), true
 	}
+	if msg.Cause == CauseSilent && r.firstAt.IsZero() {
+		m.paceOf(r).sawFirst(r.queued, now.Sub(r.sent))
+	}
 	r.tried = append(r.tried, r.on)
 	r.delivered = msg.Delivered
 	cmds := m.lost(now, r, msg.Cause)
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -103,7 +103,12 @@
 	candidates []*route.Candidate
 	// slots bound the requests on cold upstreams.
 	slots *limit.Slots
-	pace  pace
+	// paces holds how fast each pool has been.
+	paces map[poolKey]*pace
+	// firstLimits is by when after its arrival the first token of a class is of use.
+	firstLimits map[ident.Class]time.Duration
+	// asked is when each organisation asked last.
+	asked map[ident.OrgID]time.Time
 }
 
 // NewModel is a scheduler without rules or upstreams.
@@ -253,6 +258,7 @@
 	}
 	r.key = route.Key(r.Org, r.version, r.PromptRoot)
 	m.requests[r.ID] = r
+	m.asked[r.Org] = now
 	return m.send(now, r)
 }
 
@@ -291,6 +297,9 @@
 		return m.wait(now, r)
 	}
 	u := m.upstreams[m.choose(now, r)]
+	if over := m.excess(now, r, u); over > 0 {
+		return m.refuseEarly(now, r, over)
+	}
 	return []ident.Cmd{m.start(now, r, u)}
 }
 
@@ -343,7 +352,7 @@
 	}
 	m.slots.Succeeded(now, r.on)
 	if !r.firstAt.IsZero() {
-		m.pace.sawEnd(r.MaxTokens-r.delivered, now.Sub(r.firstAt))
+		m.paceOf(r).sawEnd(r.MaxTokens-r.delivered, now.Sub(r.firstAt))
 	}
 	m.release(now, r, true)
 	m.budgets.Succeeded(r.Org)
@@ -357,7 +366,7 @@
 	if !known || r.attempt != msg.Attempt {
 		return
 	}
-	m.pace.sawFirst(r.queued, now.Sub(r.sent))
+	m.paceOf(r).sawFirst(r.queued, now.Sub(r.sent))
 	r.firstAt = now
 	if u, listed := m.upstreams[r.on]; listed {
 		u.settle(r)
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -91,7 +91,7 @@
 		return nil
 	}
 	cmds := m.send(now, r)
-	if r.on == "" {
+	if _, open := m.requests[r.ID]; open && r.on == "" {
 		*blocked = append(*blocked, r.poolKey())
 	}
 	return cmds
@@ -116,11 +116,7 @@
 
 // weightedLoad is an organisation's requests in flight for each unit of its share.
 func (m *Model) weightedLoad(org ident.OrgID) float64 {
-	share, known := m.rules.OrgShare(org)
-	if !known {
-		share = defaultOrgWeight
-	}
-	return float64(m.running[org]) / share
+	return float64(m.running[org]) / m.share(org)
 }
 
 // Waiting counts the requests that wait for an upstream.
