--- a/core/ledger/propose.go
+++ b/core/ledger/propose.go
@@ -75,7 +75,7 @@
 }
 
 func (c *Config) proposal(msg ProposeMsg) AppendCmd {
-	rec, err := NewRecord(msg.ID, KindConfig, string(c.snapshots.entry), msg.Body)
+	rec, err := NewRecord(msg.ID, KindConfig, string(c.entry), msg.Body)
 	if err != nil {
 		panic(err) // ConfigBody holds only strings and numbers.
 	}
@@ -99,7 +99,7 @@
 		}
 	}
 	if c.maySnapshot() && c.next > 0 {
-		if due := c.snapshots.next(); !set || due.Before(at) {
+		if due := c.snapshots.Next(); !set || due.Before(at) {
 			at, set = due, true
 		}
 	}
--- a/core/node/tick_test.go
+++ b/core/node/tick_test.go
@@ -37,10 +37,14 @@
 	serial int
 }
 
-func newTwins() *twins {
-	settings := node.Settings{
+func settings() node.Settings {
+	return node.Settings{
 		Entry: "entry-0", Incarnation: "boot", Zone: "zone-0", Seed: 1, Slots: limit.DefaultTiming(), PingInterval: time.Second,
+		OnceLimits: once.Limits{Stay: time.Second, Quiet: 5 * time.Second},
 	}
+}
+
+func newTwins(settings node.Settings) *twins {
 	return &twins{always: node.NewNode(settings), due: node.NewNode(settings), now: epoch, log: map[ledger.Stream][]ledger.Entry{}}
 }
 
@@ -125,7 +129,7 @@
 	request := ident.RequestID(fmt.Sprint("r", w.serial))
 	past := ident.RequestID(fmt.Sprint("r", pick(w.serial)))
 	engine := ident.UpstreamID(fmt.Sprint("engine-", pick(2)))
-	switch pick(14) {
+	switch pick(15) {
 	case 0, 1, 2:
 		w.read(t, streams[pick(len(streams))])
 	case 3:
@@ -152,6 +156,8 @@
 		w.update(t, sched.LoadMsg{Upstream: engine, Load: load})
 	case 13:
 		w.update(t, sched.UnreachableMsg{Upstream: engine})
+	case 14:
+		w.update(t, once.PositionsMsg{Round: int64(1 + pick(4)), All: pick(2) == 0, Answered: pick(2) == 0, Epoch: 100})
 	}
 }
 
@@ -159,7 +165,9 @@
 // decides the same, at the same times, as one that is ticked at every interval.
 func TestOnlyDueTicksMatter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newTwins()
+		often := settings()
+		often.SnapshotRecords, often.SnapshotInterval = 3, 5*time.Second
+		w := newTwins(often)
 		w.start(t)
 		for range rapid.IntRange(1, 40).Draw(t, "messages") {
 			w.message(t)
@@ -172,12 +180,13 @@
 
 // TestIdleNodeIsTickedForItsPings counts the ticks of a member without work over ten seconds.
 func TestIdleNodeIsTickedForItsPings(t *testing.T) {
-	w := newTwins()
+	w := newTwins(settings())
 	w.start(t)
 	for range 2 {
 		w.tick(t)
 		w.read(t, ledger.StreamRoster)
 	}
+	w.update(t, once.PositionsMsg{Round: 1, All: true, Answered: true, Epoch: 100})
 	w.skipped = 0
 	const ticks = 200
 	for range ticks {
