Keep context in the stores beyond the engines' memory

Engines evict a prompt before it returns, so that it is computed again. core/cache decides whether the context of an answered prompt is exported and whether a request imports before it is sent; io/store and io/engine move it. Not measured yet.

--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -37,6 +37,7 @@
 	"requests":  showRequests,
 	"latency":   showLatency,
 	"moves":     showMoves,
+	"caches":    showCaches,
 	"why":       showWhy,
 }
 
--- a/cmd/cicadavalve/views.go
+++ b/cmd/cicadavalve/views.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/roll"
 	"cicadavalve/core/rules"
@@ -158,6 +159,26 @@
 	})
 }
 
+func showCaches(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	answers, err := askAll[[]cache.StoreView](ctx, s, "caches", "")
+	if err != nil {
+		return err
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tSTORE\tZONE\tOPEN\tFULL\tLINK\tIMPORTS\tEXPORTS\tSHARE\tWAITING\tWHY NOT")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			for _, v := range a.Document {
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%.1f MiB/s\t%d\t%d\t%d\t%d\t%s\n", a.Entry, v.Store, v.Zone,
+					v.Open, v.Full, v.Rate/mebibyte, v.Imports, v.Exports, v.Share, v.Waiting, v.Reason)
+			}
+		}
+	})
+}
+
+// mebibyte is a unit of bytes.
+const mebibyte = 1 << 20
+
 // percent makes a share a percentage.
 const percent = 100
 
--- a/cmd/cvlab/compare.go
+++ b/cmd/cvlab/compare.go
@@ -69,11 +69,11 @@
 	_, _ = fmt.Fprintf(w, "%s, %s, seed %d, %.0f requests a second, %d entries and %d engines in one process\n",
 		r.Preset, r.Scenario, r.Seed, r.Rate, r.Entries, r.Engines)
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(tw, "policy\tfirst token p50\tp95\tp99 ms\tbetween tokens p95 ms\tgoodput/s\trecomputed\twhole\tother ends")
+	_, _ = fmt.Fprintln(tw, "policy\tfirst token p50\tp95\tp99 ms\tbetween tokens p95 ms\tgoodput/s\trecomputed\tlink bytes\twhole\tother ends")
 	for _, o := range r.Outcomes {
-		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.3f\t%d of %d\t%v\n", o.Policy,
+		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.3f\t%d\t%d of %d\t%v\n", o.Policy,
 			o.FirstToken.P50Ms, o.FirstToken.P95Ms, o.FirstToken.P99Ms, o.BetweenTokens.P95Ms,
-			o.Goodput, o.RecomputedShare, o.Whole, o.Requests, o.Codes)
+			o.Goodput, o.RecomputedShare, o.LinkBytes, o.Whole, o.Requests, o.Codes)
 	}
 	return tw.Flush()
 }
--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
@@ -39,5 +40,7 @@
 		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
 		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
 		record.TypeOf[roll.ChangedCmd](), record.TypeOf[roll.LateCmd](),
+		record.TypeOf[cache.ImportCmd](), record.TypeOf[cache.RecomputeCmd](), record.TypeOf[cache.ImportedMsg](),
+		record.TypeOf[cache.ExportCmd](), record.TypeOf[cache.DropCmd](), record.TypeOf[cache.ExportedMsg](),
 	)
 }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
@@ -35,6 +36,8 @@
 	KeepInterval time.Duration `json:"keep_interval"`
 	// OnceLimits bound once-only calls.
 	OnceLimits once.Limits `json:"once_limits"`
+	// CacheLimits bound the use of the stores.
+	CacheLimits cache.Limits `json:"cache_limits"`
 }
 
 // Node is the set of deciders of one entry.
@@ -45,6 +48,7 @@
 	once     *once.Model
 	sched    *sched.Model
 	roll     *roll.Model
+	cache    *cache.Model
 }
 
 // NewNode builds the deciders.
@@ -53,7 +57,7 @@
 //	cmds := n.Update(now, msg)
 func NewNode(s Settings) *Node {
 	moves := newMoves(s)
-	return &Node{
+	n := &Node{
 		roll:     moves,
 		settings: s,
 		config: ledger.NewConfig(
@@ -66,6 +70,8 @@
 			sched.WithVersions(moves),
 		),
 	}
+	n.cache = cache.NewModel(s.Entry, s.Incarnation, cache.WithLimits(s.CacheLimits), cache.WithVerdicts(n.sched))
+	return n
 }
 
 func newMoves(s Settings) *roll.Model {
@@ -91,13 +97,21 @@
 // Roll decides about version moves.
 func (n *Node) Roll() *roll.Model { return n.roll }
 
+// Cache decides about kept context.
+func (n *Node) Cache() *cache.Model { return n.cache }
+
 // Sched is the scheduler.
 func (n *Node) Sched() *sched.Model { return n.sched }
 
 // Update hands a message to the decider that it is for, and the commands that one
 // decider has for another on to that one.
 func (n *Node) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	cmds = n.cache.Update(now, msg)
 	for _, cmd := range n.decide(now, msg) {
+		if send, ok := cmd.(sched.SendCmd); ok {
+			// An import comes before the sending that it is for.
+			cmds = append(cmds, n.cache.Update(now, send)...)
+		}
 		cmds = append(cmds, cmd)
 		cmds = append(cmds, n.forward(now, cmd)...)
 	}
@@ -107,6 +121,8 @@
 // decide picks the decider of a message.
 func (n *Node) decide(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
+	case cache.ImportedMsg, cache.ExportedMsg:
+		return nil
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
 	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg:
@@ -149,10 +165,12 @@
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
 		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
-		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
+		cmds := append(n.cache.Update(now, msg), n.sched.Update(now, msg)...)
+		return append(cmds, n.roll.Update(now, msg)...)
 	case roster.ChangedCmd:
 		cmds := n.sched.Update(now, membersMsg(cmd))
-		return append(cmds, n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})...)
+		msg := roll.MembersMsg{Members: cmd.Members}
+		return append(append(cmds, n.cache.Update(now, msg)...), n.roll.Update(now, msg)...)
 	case roster.LeaseCmd:
 		return n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})
 	}
--- a/core/sched/view.go
+++ b/core/sched/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
 )
 
 // UpstreamView is what an entry knows of one upstream and whether it gets new work.
@@ -57,6 +58,11 @@
 	return ""
 }
 
+// Quarantined reports whether a request does not run because it crashes upstreams.
+func (m *Model) Quarantined(now time.Time, d poison.Digest) bool {
+	return m.poison.Standing(now, d) == poison.Quarantined
+}
+
 // RequestView is a request without a final answer.
 type RequestView struct {
 	Request  ident.RequestID   `json:"request"`
--- a/io/bench/cluster.go
+++ b/io/bench/cluster.go
@@ -38,6 +38,15 @@
 	Address string
 }
 
+// Store is a KV store stand-in with its address.
+type Store struct {
+	*stand.Store
+	ID      ident.UpstreamID
+	Address string
+	server  *stand.Server
+	stop    context.CancelFunc
+}
+
 // Cluster is a set of stand-ins and entries.
 type Cluster struct {
 	log      *slog.Logger
@@ -56,6 +65,7 @@
 
 	engines []*Engine
 	apps    []*App
+	stores  []*Store
 	entries []*Entry
 	started int
 }
@@ -143,6 +153,9 @@
 // Apps are the app engines in the order they were added.
 func (c *Cluster) Apps() []*App { return c.apps }
 
+// Stores are the KV stores in the order they were added.
+func (c *Cluster) Stores() []*Store { return c.stores }
+
 // Entries are the entries in the order they were added, stopped ones included.
 func (c *Cluster) Entries() []*Entry { return c.entries }
 
@@ -241,6 +254,27 @@
 	e.stop()
 }
 
+// AddStore starts a KV store and puts it on the list.
+func (c *Cluster) AddStore(zone ident.Zone, settings stand.StoreSettings) (s *Store, err error) {
+	s = &Store{Store: stand.NewStore(settings), ID: ident.UpstreamID(fmt.Sprintf("store-%d", len(c.stores)))}
+	s.server, err = c.listen(s.Handler())
+	if err != nil {
+		return nil, err
+	}
+	s.Address = s.server.Address()
+	ctx, stop := context.WithCancel(c.ctx)
+	s.stop = stop
+	c.register(ctx, sched.Upstream{ID: s.ID, Role: sched.RoleStore, Address: s.Address, Zone: zone})
+	c.stores = append(c.stores, s)
+	return s, nil
+}
+
+// Kill ends a store's process without a word.
+func (s *Store) Kill() {
+	s.server.Close()
+	s.stop()
+}
+
 // AddApp starts an app engine and puts it on the list.
 func (c *Cluster) AddApp(zone ident.Zone, service ident.ServiceName) (a *App, err error) {
 	n := len(c.apps)
--- a/io/config/config.go
+++ b/io/config/config.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/goccy/go-yaml"
 
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/route"
 )
@@ -117,12 +118,27 @@
 	WeightLease Duration `yaml:"weight_lease"`
 	// UnloadGrace is how long an old version stays loaded after its move; it must exceed the longest request.
 	UnloadGrace Duration `yaml:"unload_grace"`
+	// UseStores lets the entry keep context in the KV stores of the VM list.
+	UseStores bool `yaml:"use_stores"`
+	// ImportDeadline bounds what a request waits for an import, ExportDeadline one export.
+	ImportDeadline Duration `yaml:"import_deadline"`
+	ExportDeadline Duration `yaml:"export_deadline"`
+	// LinkTransfers bounds the transfers at once over a store's link, of all entries together; it is
+	// the same on all entries. LinkRate is the link's rate in bytes a second, as far as it is known.
+	LinkTransfers int     `yaml:"link_transfers"`
+	LinkRate      float64 `yaml:"link_rate"`
+	// StoreLeastTokens is the least prompt that is kept in a store, ExportQueue bounds the exports that wait.
+	StoreLeastTokens int `yaml:"store_least_tokens"`
+	ExportQueue      int `yaml:"export_queue"`
+	// AssumeHeld is how long an engine is taken to hold what it has just computed.
+	AssumeHeld Duration `yaml:"assume_held"`
 	// KeepInterval is how often the state of each version move is appended anew; it must
 	// be below half of the log's retention.
 	KeepInterval Duration `yaml:"keep_interval"`
 }
 
 func defaults() Settings {
+	kept := cache.DefaultLimits()
 	return Settings{
 		Policy:        route.NameAffinity,
 		LogFormat:     "json",
@@ -155,6 +171,15 @@
 		WeightLease:      Duration(30 * time.Second),
 		UnloadGrace:      Duration(10 * time.Minute),
 		KeepInterval:     Duration(5 * time.Minute),
+
+		UseStores:        true,
+		ImportDeadline:   Duration(kept.ImportDeadline),
+		ExportDeadline:   Duration(kept.ExportDeadline),
+		LinkTransfers:    kept.LinkTransfers,
+		LinkRate:         kept.LinkRate,
+		StoreLeastTokens: kept.LeastTokens,
+		ExportQueue:      kept.MostQueued,
+		AssumeHeld:       Duration(kept.AssumeHeld),
 	}
 }
 
@@ -222,13 +247,18 @@
 	fault(s.OnceWindow < 0, "once_window: expected a number of at least 0")
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
+	fault(s.LinkTransfers <= 0, "link_transfers: expected a number above 0")
+	fault(s.LinkRate <= 0, "link_rate: expected a number above 0")
+	fault(s.StoreLeastTokens < cache.BlockTokens, "store_least_tokens: expected at least the size of a block, 1024")
+	fault(s.ExportQueue <= 0, "export_queue: expected a number above 0")
+	fault(s.AssumeHeld < 0, "assume_held: expected a duration of at least 0")
 	fault(!areAddresses(s.Peers), "peers: expected a list of host:port")
 	for name, d := range map[string]Duration{
 		"probe_interval": s.ProbeInterval, "list_interval": s.ListInterval, "advice_hold": s.AdviceHold,
 		"lease": s.Lease, "lease_margin": s.LeaseMargin, "slot_hold": s.SlotHold, "cold_time": s.ColdTime,
 		"ping_interval": s.PingInterval, "report_lag": s.ReportLag,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
-		"snapshot_interval": s.SnapshotInterval,
+		"snapshot_interval": s.SnapshotInterval, "import_deadline": s.ImportDeadline, "export_deadline": s.ExportDeadline,
 		"move_dwell":        s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/sched"
@@ -36,6 +37,8 @@
 	// prior is the text that the caller already has.
 	prior strings.Builder
 	usage engine.Usage
+	// fetching is the import that the next attempt begins with, where there is one.
+	fetching cache.ImportCmd
 	// class is the class in force, which the first sending tells.
 	class   ident.Class
 	started time.Time
@@ -94,6 +97,8 @@
 			switch cmd := cmd.(type) {
 			case sched.RefuseCmd:
 				return refusal(cmd)
+			case cache.ImportCmd:
+				c.fetching = cmd
 			case sched.SendCmd:
 				if whole, err := c.attempt(ctx, cmd); whole || err != nil {
 					return err
@@ -115,6 +120,9 @@
 	defer stop()
 	c.d.sessions.begin(c.id, cmd.Attempt, stop)
 	c.class = cmd.Class
+	if c.fetching.Attempt == cmd.Attempt {
+		c.fetch(ctx, c.fetching)
+	}
 	err = c.stream(ctx, cmd)
 	if errors.Is(err, errCaller) {
 		return false, err
@@ -123,6 +131,7 @@
 		c.failed(ctx, cmd, err)
 		return false, nil
 	}
+	c.d.keeper.hold(c.id, c.req.Prompt)
 	c.d.post(ctx, sched.EndMsg{Request: c.id, Attempt: cmd.Attempt, CachedTokens: c.usage.CachedTokens})
 	c.observe(meter.WholeAnswer, time.Since(c.started))
 	c.count()
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -29,6 +29,7 @@
 	"cicadavalve/io/logsvc"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
+	"cicadavalve/io/store"
 	"cicadavalve/io/vmlist"
 )
 
@@ -83,6 +84,9 @@
 	// orders hands the orders to engines to the workers that send them.
 	orders chan roll.OrderCmd
 	teller *teller
+	keeper *keeper
+	// stores is what the keeper asks of KV stores.
+	stores *store.HTTPClient
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 	// farewell is true while a graceful shutdown runs.
@@ -116,7 +120,7 @@
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
-			OnceLimits: onceLimits(settings),
+			OnceLimits: onceLimits(settings), CacheLimits: cacheLimits(settings),
 			MoveDwell:  time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
 			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
@@ -133,6 +137,8 @@
 	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
 	d.canceller = newCanceller(d.engines)
+	d.stores = store.NewHTTPClient(connectTimeout)
+	d.keeper = newKeeper(d, d.stores)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
@@ -213,6 +219,7 @@
 	stopLoops()
 	err = group.Wait()
 	d.engines.CloseIdle()
+	d.stores.CloseIdle()
 	d.control.CloseIdleConnections()
 	d.log.Info("entry_stopped")
 	return err
@@ -258,6 +265,7 @@
 	group.Go(func() error { return d.asker.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
+	group.Go(func() error { return d.keeper.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -131,6 +131,8 @@
 	case once.AnswerCmd:
 		d.sessions.deliver(cmd.Request, cmd)
 	default:
-		d.performMove(ctx, cmd)
+		if !d.performCache(cmd) {
+			d.performMove(ctx, cmd)
+		}
 	}
 }
--- a/io/entry/session.go
+++ b/io/entry/session.go
@@ -8,7 +8,7 @@
 )
 
 // mailboxSize exceeds the commands that a request can have undelivered at once.
-const mailboxSize = 8
+const mailboxSize = 16
 
 // session is a caller's request on this entry: its handler performs its commands.
 type session struct {
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/record"
 	"cicadavalve/core/roll"
@@ -25,6 +26,7 @@
 	subjectWhy       = "why"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
+	subjectCaches    = "caches"
 )
 
 // Show implements [peer.Backend].
@@ -38,6 +40,8 @@
 		return look(ctx, d, func() []sched.RequestView { return d.node.Sched().Requests(now) })
 	case subjectMoves:
 		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
+	case subjectCaches:
+		return look(ctx, d, func() []cache.StoreView { return d.node.Cache().Stores(now) })
 	case subjectLatency:
 		return d.latency(), nil
 	case subjectWhy:
--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"iter"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -88,9 +89,13 @@
 	Crashes      int   `json:"crashes"`
 	PromptTokens int64 `json:"prompt_tokens"`
 	CachedTokens int64 `json:"cached_tokens"`
-	// WrongBlocks counts imports of another version's or organisation's block; the engine refuses them.
-	WrongBlocks int   `json:"wrong_blocks"`
-	LinkBytes   int64 `json:"link_bytes"`
+	// WrongBlocks counts the imported blocks that were uncommitted, freed, corrupt, or of another prompt,
+	// version or organisation. The engine takes them in and answers wrongly from them.
+	WrongBlocks int            `json:"wrong_blocks"`
+	WrongCauses map[string]int `json:"wrong_causes"`
+	// RefusedBlocks counts the blocks that were not what the order's length and checksum said.
+	RefusedBlocks int   `json:"refused_blocks"`
+	LinkBytes     int64 `json:"link_bytes"`
 	// Started counts the completions that have begun, by version.
 	Started map[ident.Version]int `json:"started"`
 	Cold    bool                  `json:"cold"`
@@ -128,7 +133,7 @@
 // NewEngine is an engine that has just booted.
 func NewEngine(s EngineSettings) *Engine {
 	e := &Engine{settings: s, rng: newRNG(s.Seed), wake: make(chan struct{}, 1)}
-	e.stats.Started = map[ident.Version]int{}
+	e.stats.Started, e.stats.WrongCauses = map[ident.Version]int{}, map[string]int{}
 	e.loaded = []sched.Loaded{{Model: s.Model, Version: s.Version}}
 	e.reboot(time.Now())
 	return e
@@ -168,10 +173,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.stats
-	s.Started = map[ident.Version]int{}
-	for v, n := range e.stats.Started {
-		s.Started[v] = n
-	}
+	s.Started, s.WrongCauses = maps.Clone(e.stats.Started), maps.Clone(e.stats.WrongCauses)
 	s.Cold = time.Now().Before(e.coldUntil)
 	return s
 }
@@ -334,6 +336,8 @@
 	// prefill counts the prompt tokens still to compute; -1 before the job runs.
 	prefill int
 	cached  int
+	// wrong is true where the context that the job found kept is not that of its prompt.
+	wrong bool
 	next    int
 	muted   bool
 	breaks  bool
--- a/io/stand/engine_cache.go
+++ b/io/stand/engine_cache.go
@@ -1,14 +1,10 @@
 package stand
 
 import (
-	"bytes"
 	"container/list"
 	"fmt"
-	"io"
 	"net/http"
-	"net/url"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,12 +22,13 @@
 func tokenCount(text string) int { return (len(text) + bytesPerToken - 1) / bytesPerToken }
 
 // blockKeys names the whole blocks of a prompt: each key covers the blocks before it too.
-func blockKeys(salt string, version ident.Version, prompt string) (keys []string) {
+func blockKeys(salt string, model ident.ModelName, version ident.Version, prompt string) (keys []string) {
+	scope := fmt.Sprintf("%s/%s/%s", salt, model, version)
 	chain := xxhash.New()
-	_, _ = chain.WriteString(salt + "/" + string(version))
+	_, _ = chain.WriteString(scope)
 	for at := 0; at+blockBytes <= len(prompt); at += blockBytes {
 		_, _ = chain.WriteString(prompt[at : at+blockBytes])
-		keys = append(keys, fmt.Sprintf("%s/%s/%016x", salt, version, chain.Sum64()))
+		keys = append(keys, fmt.Sprintf("%s/%016x", scope, chain.Sum64()))
 	}
 	return keys
 }
@@ -41,10 +38,12 @@
 	most   int
 	recent *list.List
 	places map[string]*list.Element
+	// wrong holds the keys whose block is not what the key names.
+	wrong map[string]bool
 }
 
 func newPrefixCache(most int) *prefixCache {
-	return &prefixCache{most: most, recent: list.New(), places: map[string]*list.Element{}}
+	return &prefixCache{most: most, recent: list.New(), places: map[string]*list.Element{}, wrong: map[string]bool{}}
 }
 
 // lookup counts the leading keys that the cache holds, and marks them as used.
@@ -71,6 +70,7 @@
 		last := c.recent.Back()
 		k := c.recent.Remove(last).(string)
 		delete(c.places, k)
+		delete(c.wrong, k)
 		evicted = append(evicted, k)
 	}
 	return evicted
@@ -123,129 +123,6 @@
 	reply(w, shown)
 }
 
-// KVRequest is the body of POST /kv/export and /kv/import: which blocks, and in which store.
-type KVRequest struct {
-	Store     string        `json:"store"`
-	CacheSalt string        `json:"cache_salt"`
-	Version   ident.Version `json:"version"`
-	Blocks    []string      `json:"blocks"`
-}
-
-// KVReply counts the blocks that were moved, in order, up to the first fault.
-type KVReply struct {
-	Moved int   `json:"moved"`
-	Bytes int64 `json:"bytes"`
-}
-
-// kvBlockBytes is the size of one block of context on the link.
-const kvBlockBytes = 64 << 10
-
-// payload is what the engine would hold for a block: its key first, so that a wrong one is seen.
-func payload(block string) []byte {
-	data := make([]byte, kvBlockBytes)
-	copy(data, block+"\n")
-	return data
-}
-
-func (e *Engine) export(w http.ResponseWriter, r *http.Request) {
-	var req KVRequest
-	if !decode(w, r, &req) {
-		return
-	}
-	var done KVReply
-	for _, b := range req.Blocks {
-		if !e.has(b) || push(r, req.Store, b, payload(b)) != nil {
-			break
-		}
-		done.Moved++
-		done.Bytes += kvBlockBytes
-	}
-	e.countLink(done.Bytes)
-	reply(w, done)
-}
-
-func (e *Engine) has(block string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	_, held := e.cache.places[block]
-	return held
-}
-
-func (e *Engine) countLink(n int64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.stats.LinkBytes += n
-}
-
-func blockURL(store, block string) string {
-	return "http://" + store + "/blocks/" + url.PathEscape(strings.ReplaceAll(block, "/", ":"))
-}
-
-// push stages a block in the store and commits it.
-func push(r *http.Request, store, block string, data []byte) (err error) {
-	at := blockURL(store, block)
-	if err := send(r, http.MethodPut, at, data); err != nil {
-		return err
-	}
-	return send(r, http.MethodPost, fmt.Sprintf("%s/commit?length=%d&checksum=%s", at, len(data), Checksum(data)), nil)
-}
-
-func send(r *http.Request, method, url string, data []byte) (err error) {
-	req, err := http.NewRequestWithContext(r.Context(), method, url, bytes.NewReader(data))
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", resp.StatusCode)
-	}
-	return nil
-}
-
-func (e *Engine) importBlocks(w http.ResponseWriter, r *http.Request) {
-	var req KVRequest
-	if !decode(w, r, &req) {
-		return
-	}
-	var done KVReply
-	for _, b := range req.Blocks {
-		if !e.importBlock(r, req, b) {
-			break
-		}
-		done.Moved++
-		done.Bytes += kvBlockBytes
-	}
-	e.countLink(done.Bytes)
-	reply(w, done)
-}
-
-// importBlock takes a block only where it is whole, committed, and of the right organisation and version.
-func (e *Engine) importBlock(r *http.Request, req KVRequest, block string) bool {
-	resp, err := http.DefaultClient.Get(blockURL(req.Store, block))
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK || r.Context().Err() != nil {
-		return false
-	}
-	right := strings.HasPrefix(block, req.CacheSalt+"/"+string(req.Version)+"/")
-	whole := resp.Header.Get("X-Committed") == "true" && bytes.Equal(data, payload(block))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !right || !whole {
-		e.stats.WrongBlocks++
-		return false
-	}
-	e.remember([]string{block})
-	return true
-}
-
 // Order is the body of POST /order.
 type Order struct {
 	// Action is load or unload.
--- a/io/stand/engine_loop.go
+++ b/io/stand/engine_loop.go
@@ -143,7 +143,10 @@
 	}
 	prompt := j.c.Prompt + j.c.Prior
 	tokens := tokenCount(prompt)
-	j.cached = min(e.cache.lookup(blockKeys(j.c.CacheSalt, j.c.Version, prompt))*blockTokens, tokens)
+	keys := blockKeys(j.c.CacheSalt, j.c.Model, j.c.Version, prompt)
+	held := e.cache.lookup(keys)
+	j.wrong = slices.ContainsFunc(keys[:held], func(k string) bool { return e.cache.wrong[k] })
+	j.cached = min(held*blockTokens, tokens)
 	j.prefill = tokens - j.cached
 	e.stats.PromptTokens += int64(tokens)
 	e.stats.CachedTokens += int64(j.cached)
@@ -169,7 +172,7 @@
 
 func (e *Engine) advance(j *job, f EngineFaults) {
 	if j.next == j.c.ResumeFrom {
-		e.remember(blockKeys(j.c.CacheSalt, j.c.Version, j.c.Prompt+j.c.Prior))
+		e.remember(blockKeys(j.c.CacheSalt, j.c.Model, j.c.Version, j.c.Prompt+j.c.Prior))
 	}
 	if j.breaks && j.next >= j.c.MaxTokens/2 {
 		j.abort()
@@ -191,6 +194,9 @@
 		return
 	}
 	ev.Text = Token(j.c.Prompt, version, j.next)
+	if j.wrong {
+		ev.Text = Token("another prompt", version, j.next)
+	}
 	j.next++
 	e.emitFaulty(j, ev, f)
 }
--- a/io/stand/list.go
+++ b/io/stand/list.go
@@ -10,6 +10,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/sched"
+	"cicadavalve/io/store"
 	"cicadavalve/io/vmlist"
 )
 
@@ -80,7 +81,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	tag := `"` + Checksum(body) + `"`
+	tag := `"` + store.Checksum(body) + `"`
 	w.Header().Set("ETag", tag)
 	if r.Header.Get("If-None-Match") == tag {
 		w.WriteHeader(http.StatusNotModified)
--- a/io/stand/store.go
+++ b/io/stand/store.go
@@ -1,15 +1,16 @@
 package stand
 
 import (
+	"bytes"
 	"container/list"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"strconv"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
+
+	"cicadavalve/io/store"
 )
 
 // StoreFaults are the faults of a KV store.
@@ -18,6 +19,9 @@
 	Full bool `json:"full"`
 	// Corrupt flips a byte of every block that is read.
 	Corrupt bool `json:"corrupt"`
+	// CorruptBlocks and EvictReads flip a byte of, or evict, each object of at least largeBytes while it is read.
+	CorruptBlocks bool `json:"corrupt_blocks"`
+	EvictReads    bool `json:"evict_reads"`
 	// SlowBy divides the rate of the link; 0 and 1 leave it as it is.
 	SlowBy float64 `json:"slow_by"`
 }
@@ -52,7 +56,11 @@
 	place     *list.Element
 }
 
-const linkBurst = 1 << 20
+const (
+	linkBurst = 1 << 20
+	// largeBytes tells blocks of context from what describes them.
+	largeBytes = 16 << 10
+)
 
 // NewStore is an empty store.
 func NewStore(s StoreSettings) *Store {
@@ -95,13 +103,6 @@
 	return mux
 }
 
-// Checksum is the checksum of a block, as the commit names it.
-func Checksum(data []byte) string {
-	d := xxhash.New()
-	_, _ = d.Write(data)
-	return hex.EncodeToString(d.Sum(nil))
-}
-
 func (s *Store) put(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -138,7 +139,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.blocks[r.PathValue("key")]
-	if err != nil || !ok || len(b.data) != length || Checksum(b.data) != r.URL.Query().Get("checksum") {
+	if err != nil || !ok || len(b.data) != length || store.Checksum(b.data) != r.URL.Query().Get("checksum") {
 		http.Error(w, "not what was staged", http.StatusConflict)
 		return
 	}
@@ -146,23 +147,55 @@
 }
 
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
-	data, committed, inMemory := s.find(r.PathValue("key"))
+	key := r.PathValue("key")
+	data, committed, inMemory := s.find(key)
 	if data == nil {
 		http.NotFound(w, r)
 		return
 	}
+	f, large := s.faults.get(), len(data) >= largeBytes
+	if f.EvictReads && large {
+		s.evict(key)
+	}
 	if !inMemory {
 		s.move(r, s.disk, len(data))
 	}
 	s.move(r, s.link, len(data))
-	if s.faults.get().Corrupt {
-		data = append([]byte(nil), data...)
+	if f.Corrupt || f.CorruptBlocks && large {
+		data = bytes.Clone(data)
 		data[len(data)-1] ^= 1
 	}
+	if !s.holds(key, data) {
+		data = reused(data)
+		w.Header().Set("X-Freed", "true")
+	}
 	w.Header().Set("X-Committed", strconv.FormatBool(committed))
 	_, _ = w.Write(data)
 }
 
+func (s *Store) evict(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(s.blocks[key])
+}
+
+// holds reports whether a block of a length is still there.
+func (s *Store) holds(key string, data []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.blocks[key]
+	return ok && len(b.data) == len(data)
+}
+
+// reused is a block whose memory went to another one while it was read.
+func reused(data []byte) []byte {
+	data = bytes.Clone(data)
+	for i := len(data) / 2; i < len(data); i++ {
+		data[i] = ^data[i]
+	}
+	return data
+}
+
 func (s *Store) find(key string) (data []byte, committed, inMemory bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/versus/incident.go
+++ b/io/versus/incident.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadavalve/io/bench"
+	"cicadavalve/io/stand"
 )
 
 // incident brings a scenario's trouble about while the load runs.
@@ -43,13 +44,30 @@
 		return i.c.Apply(ctx, i.c.Entries()[0], i.plan.rules()+drain)
 	case EngineDeath:
 		i.c.Engines()[0].Kill()
+	case SlowLink:
+		return i.setStores(ctx, stand.StoreFaults{SlowBy: slowLinkBy})
 	}
 	return nil
 }
 
 func (i *incident) end(ctx context.Context) error {
-	if i.plan.Scenario == Zone {
+	switch i.plan.Scenario {
+	case Zone:
 		return i.c.Apply(ctx, i.c.Entries()[0], i.plan.rules())
+	case SlowLink:
+		return i.setStores(ctx, stand.StoreFaults{})
+	}
+	return nil
+}
+
+// slowLinkBy divides the rate of the stores' links under [SlowLink].
+const slowLinkBy = 200
+
+func (i *incident) setStores(ctx context.Context, faults stand.StoreFaults) (err error) {
+	for _, s := range i.c.Stores() {
+		if err := bench.Fault(ctx, s.Address, faults); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -28,29 +28,39 @@
 	Cold        Scenario = "cold"
 	Zone        Scenario = "zone"
 	EngineDeath Scenario = "engine-death"
+	SlowLink    Scenario = "slow-link"
 )
 
 // Scenarios lists every scenario.
-func Scenarios() []Scenario { return []Scenario{Steady, Return, Overload, Cold, Zone, EngineDeath} }
+func Scenarios() []Scenario { return []Scenario{Steady, Return, Overload, Cold, Zone, EngineDeath, SlowLink} }
 
 // Unlimited names the run of the system's own policy on engines whose memory holds everything.
 const Unlimited = "affinity_unlimited_memory"
 
+// WithoutStores names the run of the system's own policy without KV stores.
+const WithoutStores = "affinity_without_stores"
+
 // Policies lists the runs of a comparison in order.
 func Policies() []string {
 	return []string{
 		route.NameAffinity, route.NameRandom, route.NameRoundRobin, route.NameLeastOutstanding, route.NamePrefixHash, Unlimited,
+		WithoutStores,
 	}
 }
 
 const (
 	entries        = 3
+	stores         = 2
 	zones          = 3
 	enginesPerZone = 4
 	returnShare    = 0.9
 	overloadFactor = 2
 	engineBlocks   = 64
 	plentyOfBlocks = 1 << 20
+	storeMemory    = 64 << 20
+	storeDisk      = 256 << 20
+	storeLinkRate  = 64 << 20
+	storeDiskRate  = 32 << 20
 	// settleTime outlasts the time for which entries take an engine for cold.
 	settleTime = 6 * time.Second
 )
@@ -76,6 +86,8 @@
 	// Goodput is whole answers a second.
 	Goodput         float64        `json:"goodput_per_second"`
 	RecomputedShare float64        `json:"recomputed_share"`
+	// LinkBytes went over the links of the stores.
+	LinkBytes       int64          `json:"link_bytes"`
 	Requests        int            `json:"requests"`
 	Whole           int            `json:"whole"`
 	Codes           map[string]int `json:"codes"`
@@ -138,7 +150,7 @@
 		addresses = append(addresses, e.Caller)
 	}
 	options := []load.Option{load.WithSeed(p.Seed), load.WithRate(p.Rate), load.WithLength(p.Length)}
-	if p.Scenario == Return {
+	if p.Scenario == Return || p.Scenario == SlowLink {
 		options = append(options, load.WithReturnShare(returnShare))
 	}
 	happening := &incident{plan: p, c: c, done: make(chan struct{})}
@@ -148,7 +160,11 @@
 	report := load.NewRunner(p.Preset, tokens, addresses, options...).Run(ctx)
 	stop()
 	<-happening.done
-	return outcome(policy, report), happening.err
+	o = outcome(policy, report)
+	for _, s := range c.Stores() {
+		o.LinkBytes += s.Stats().LinkBytes
+	}
+	return o, happening.err
 }
 
 func outcome(policy string, r *load.Report) Outcome {
@@ -172,12 +188,15 @@
 		tokens[org] = "token-" + string(org)
 		orgs[tokens[org]] = org
 	}
-	blocks := engineBlocks
-	if policy == Unlimited {
+	blocks, useStores := engineBlocks, policy == route.NameAffinity
+	switch policy {
+	case Unlimited:
 		policy, blocks = route.NameAffinity, plentyOfBlocks
+	case WithoutStores:
+		policy = route.NameAffinity
 	}
 	c, err = bench.Start(bench.WithTokens(orgs), bench.WithRules(p.rules()),
-		bench.WithSettings(func(s *config.Settings) { s.Policy = policy }))
+		bench.WithSettings(func(s *config.Settings) { s.Policy, s.UseStores = policy, useStores }))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -198,6 +217,12 @@
 			return err
 		}
 	}
+	for i := range stores {
+		s := stand.StoreSettings{MemoryBytes: storeMemory, DiskBytes: storeDisk, LinkRate: storeLinkRate, DiskRate: storeDiskRate}
+		if _, err := c.AddStore(zoneName(i), s); err != nil {
+			return err
+		}
+	}
 	if _, err := c.AddApp(zoneName(0), p.Preset.Service); err != nil {
 		return err
 	}
