--- a/io/config/config.go
+++ b/io/config/config.go
@@ -259,7 +259,7 @@
 		"ping_interval": s.PingInterval, "report_lag": s.ReportLag,
 		"stop_timeout": s.StopTimeout, "log_timeout": s.LogTimeout, "journal_interval": s.JournalInterval,
 		"snapshot_interval": s.SnapshotInterval, "import_deadline": s.ImportDeadline, "export_deadline": s.ExportDeadline,
-		"move_dwell":        s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
+		"move_dwell": s.MoveDwell, "weight_lease": s.WeightLease, "unload_grace": s.UnloadGrace, "keep_interval": s.KeepInterval,
 	} {
 		fault(d <= 0, name+": expected a duration above 0, such as 250ms")
 	}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -121,7 +121,7 @@
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
 			OnceLimits: onceLimits(settings), CacheLimits: cacheLimits(settings),
-			MoveDwell:  time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
 			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
--- a/io/stand/engine.go
+++ b/io/stand/engine.go
@@ -337,7 +337,7 @@
 	prefill int
 	cached  int
 	// wrong is true where the context that the job found kept is not that of its prompt.
-	wrong bool
+	wrong   bool
 	next    int
 	muted   bool
 	breaks  bool
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,11 +29,15 @@
 	Cold        Scenario = "cold"
 	Zone        Scenario = "zone"
 	EngineDeath Scenario = "engine-death"
-	SlowLink    Scenario = "slow-link"
+	// LongGaps has returns that outlast the engines' memory; under SlowLink the stores' links slow down besides.
+	LongGaps Scenario = "long-gaps"
+	SlowLink Scenario = "slow-link"
 )
 
 // Scenarios lists every scenario.
-func Scenarios() []Scenario { return []Scenario{Steady, Return, Overload, Cold, Zone, EngineDeath, SlowLink} }
+func Scenarios() []Scenario {
+	return []Scenario{Steady, Return, Overload, Cold, Zone, EngineDeath, LongGaps, SlowLink}
+}
 
 // Unlimited names the run of the system's own policy on engines whose memory holds everything.
 const Unlimited = "affinity_unlimited_memory"
@@ -56,6 +61,7 @@
 	returnShare    = 0.9
 	overloadFactor = 2
 	engineBlocks   = 64
+	fewBlocks      = 16
 	plentyOfBlocks = 1 << 20
 	storeMemory    = 64 << 20
 	storeDisk      = 256 << 20
@@ -84,13 +90,15 @@
 	FirstToken    load.Quantiles `json:"interactive_first_token"`
 	BetweenTokens load.Quantiles `json:"interactive_between_tokens"`
 	// Goodput is whole answers a second.
-	Goodput         float64        `json:"goodput_per_second"`
-	RecomputedShare float64        `json:"recomputed_share"`
+	Goodput         float64 `json:"goodput_per_second"`
+	RecomputedShare float64 `json:"recomputed_share"`
 	// LinkBytes went over the links of the stores.
-	LinkBytes       int64          `json:"link_bytes"`
-	Requests        int            `json:"requests"`
-	Whole           int            `json:"whole"`
-	Codes           map[string]int `json:"codes"`
+	LinkBytes int64 `json:"link_bytes"`
+	// Kept counts the entries' imports, exports and recomputations in their place, by cause.
+	Kept     map[string]int64 `json:"kept_context"`
+	Requests int              `json:"requests"`
+	Whole    int              `json:"whole"`
+	Codes    map[string]int   `json:"codes"`
 }
 
 // Result is a whole comparison.
@@ -150,7 +158,7 @@
 		addresses = append(addresses, e.Caller)
 	}
 	options := []load.Option{load.WithSeed(p.Seed), load.WithRate(p.Rate), load.WithLength(p.Length)}
-	if p.Scenario == Return || p.Scenario == SlowLink {
+	if p.Scenario == Return || p.longGaps() {
 		options = append(options, load.WithReturnShare(returnShare))
 	}
 	happening := &incident{plan: p, c: c, done: make(chan struct{})}
@@ -164,9 +172,22 @@
 	for _, s := range c.Stores() {
 		o.LinkBytes += s.Stats().LinkBytes
 	}
+	o.Kept = keptCounters(c)
 	return o, happening.err
 }
 
+func keptCounters(c *bench.Cluster) (sum map[string]int64) {
+	sum = map[string]int64{}
+	for _, e := range c.Entries() {
+		for name, n := range e.Meter().Snapshot().Counters {
+			if strings.HasPrefix(name, "import") || strings.HasPrefix(name, "export") || strings.HasPrefix(name, "recomputed") {
+				sum[name] += n
+			}
+		}
+	}
+	return sum
+}
+
 func outcome(policy string, r *load.Report) Outcome {
 	o := Outcome{
 		Policy: policy, RecomputedShare: r.RecomputedShare, Requests: r.Requests, Whole: r.Whole, Codes: r.Codes,
@@ -189,6 +210,9 @@
 		orgs[tokens[org]] = org
 	}
 	blocks, useStores := engineBlocks, policy == route.NameAffinity
+	if p.longGaps() {
+		blocks = fewBlocks
+	}
 	switch policy {
 	case Unlimited:
 		policy, blocks = route.NameAffinity, plentyOfBlocks
@@ -234,6 +258,9 @@
 	return nil
 }
 
+// longGaps reports whether prompts return after their engine has evicted them.
+func (p Plan) longGaps() bool { return p.Scenario == LongGaps || p.Scenario == SlowLink }
+
 func zoneName(i int) ident.Zone { return ident.Zone(fmt.Sprintf("az-%d", i%zones)) }
 
 func (p Plan) rules() (text string) {
