--- a/core/cache/cache.go
+++ b/core/cache/cache.go
@@ -158,8 +158,10 @@
 		}
 		l.address, l.zone, l.leaving = u.Address, u.Zone, u.Leaving
 	}
-	maps.DeleteFunc(m.links, func(id ident.UpstreamID, _ *link) bool { return !listed[id] })
-	m.order = slices.Sorted(maps.Keys(m.links))
+	for id, l := range m.links {
+		l.listed = listed[id]
+	}
+	m.forget()
 }
 
 // setRules never goes back to an older version.
@@ -180,11 +182,18 @@
 	slices.Sort(m.members)
 }
 
+// forget drops the stores that are off the list, once no transfer with them runs.
+func (m *Model) forget() {
+	maps.DeleteFunc(m.links, func(_ ident.UpstreamID, l *link) bool { return !l.listed && len(l.running) == 0 })
+	m.order = slices.Sorted(maps.Keys(m.links))
+}
+
 // tick forgets what ended without a word.
 func (m *Model) tick(now time.Time) {
 	for _, id := range m.order {
 		m.links[id].expire(now)
 	}
+	m.forget()
 	maps.DeleteFunc(m.exporting, func(_ ident.RequestID, q queued) bool { return now.After(q.until) })
 }
 
@@ -193,6 +202,8 @@
 	switch {
 	case m.rules == nil:
 		return "no configuration is in force"
+	case !l.listed:
+		return "not on the VM list"
 	case l.leaving:
 		return "leaving by the VM list"
 	case m.rules.Drained(l.store, l.zone):
@@ -209,7 +220,7 @@
 	var best *link
 	for _, id := range m.order {
 		l := m.links[id]
-		if l.leaving || m.rules == nil || m.rules.Drained(l.store, l.zone) {
+		if !l.listed || l.leaving || m.rules == nil || m.rules.Drained(l.store, l.zone) {
 			continue
 		}
 		if best == nil || route.Weight(key, l.hash) > route.Weight(key, best.hash) {
--- a/core/cache/link.go
+++ b/core/cache/link.go
@@ -27,6 +27,8 @@
 	zone    ident.Zone
 	address string
 	hash    uint64
+	// listed is false once the VM list no longer shows the store; transfers may still run.
+	listed  bool
 	leaving bool
 	// running never holds more transfers than this entry's share of the link.
 	running map[transferID]transfer
--- a/io/entry/kept_test.go
+++ b/io/entry/kept_test.go
@@ -153,6 +153,7 @@
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			c, ctx := keptCluster(t, func(*config.Settings) {})
 			one := []string{bench.Token}
 			if name != "full" {
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -61,7 +61,7 @@
 	returnShare    = 0.9
 	overloadFactor = 2
 	engineBlocks   = 64
-	fewBlocks      = 16
+	fewBlocks      = 24
 	plentyOfBlocks = 1 << 20
 	storeMemory    = 64 << 20
 	storeDisk      = 256 << 20
@@ -158,7 +158,7 @@
 		addresses = append(addresses, e.Caller)
 	}
 	options := []load.Option{load.WithSeed(p.Seed), load.WithRate(p.Rate), load.WithLength(p.Length)}
-	if p.Scenario == Return || p.longGaps() {
+	if p.Scenario == Return {
 		options = append(options, load.WithReturnShare(returnShare))
 	}
 	happening := &incident{plan: p, c: c, done: make(chan struct{})}
