Count reused block names and let exports commit late in the stand-ins

The stand-in engine stages a whole export before it commits, the stand-in store counts blocks written under a name that was used before, and a killed store stays on the list.

--- a/io/bench/cluster.go
+++ b/io/bench/cluster.go
@@ -44,7 +44,6 @@
 	ID      ident.UpstreamID
 	Address string
 	server  *stand.Server
-	stop    context.CancelFunc
 }
 
 // Cluster is a set of stand-ins and entries.
@@ -262,18 +261,13 @@
 		return nil, err
 	}
 	s.Address = s.server.Address()
-	ctx, stop := context.WithCancel(c.ctx)
-	s.stop = stop
-	c.register(ctx, sched.Upstream{ID: s.ID, Role: sched.RoleStore, Address: s.Address, Zone: zone})
+	c.register(c.ctx, sched.Upstream{ID: s.ID, Role: sched.RoleStore, Address: s.Address, Zone: zone})
 	c.stores = append(c.stores, s)
 	return s, nil
 }
 
-// Kill ends a store's process without a word.
-func (s *Store) Kill() {
-	s.server.Close()
-	s.stop()
-}
+// Kill ends a store's process; the list goes on to show it.
+func (s *Store) Kill() { s.server.Close() }
 
 // AddApp starts an app engine and puts it on the list.
 func (c *Cluster) AddApp(zone ident.Zone, service ident.ServiceName) (a *App, err error) {
--- a/io/entry/kept_test.go
+++ b/io/entry/kept_test.go
@@ -24,22 +24,27 @@
 	keptCache = 5
 )
 
+// Rates of the prefill and of the links at which an import of a prompt pays.
+const (
+	slowPrefill, slowLinks = 20000, 4 << 20
+	fastPrefill, fastLinks = 100000, 16 << 20
+)
+
 // keptCluster runs two entries before two engines with too little memory and two stores.
-func keptCluster(t *testing.T, change func(*config.Settings)) (*bench.Cluster, context.Context) {
+func keptCluster(t *testing.T, prefillRate, linkRate float64) (*bench.Cluster, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
 	t.Cleanup(cancel)
 	c, err := bench.Start(bench.WithRules(testRules), twoOrgs(), bench.WithSettings(func(s *config.Settings) {
 		s.AssumeHeld = 0
-		change(s)
 	}))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
 	settings := engineSettings()
-	settings.PrefillRate, settings.CacheBlocks = 20000, keptCache
-	link := stand.StoreSettings{MemoryBytes: 64 << 20, DiskBytes: 64 << 20, LinkRate: 64 << 20, DiskRate: 32 << 20}
+	settings.PrefillRate, settings.CacheBlocks = prefillRate, keptCache
+	link := stand.StoreSettings{MemoryBytes: 64 << 20, DiskBytes: 64 << 20, LinkRate: linkRate, DiskRate: 32 << 20}
 	for range 2 {
 		if _, err := c.AddEngine("dunedin", settings); err != nil {
 			t.Fatal(err)
@@ -126,10 +131,20 @@
 	if !seen {
 		t.Errorf("what the test is about did not happen: counters %v", c.Entries()[0].Meter().Snapshot().Counters)
 	}
+	checkReads(t, c)
+}
+
+func checkReads(t *testing.T, c *bench.Cluster) {
+	t.Helper()
 	causes, _ := wrongReads(c)
 	if diff := cmp.Diff(map[string]int{}, causes); diff != "" {
 		t.Errorf("wrong blocks read by cause (-want +got):\n%s", diff)
 	}
+	for _, s := range c.Stores() {
+		if diff := cmp.Diff(0, s.Stats().ReusedNames); diff != "" {
+			t.Errorf("blocks of %s written under a used name (-want +got):\n%s", s.ID, diff)
+		}
+	}
 }
 
 func imports(c *bench.Cluster, atLeast int64) func() bool {
@@ -154,7 +169,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c, ctx := keptCluster(t, func(*config.Settings) {})
+			c, ctx := keptCluster(t, slowPrefill, slowLinks)
 			one := []string{bench.Token}
 			if name != "full" {
 				keptRounds(ctx, t, c, one, imports(c, keptPrompts), "v1")
@@ -173,8 +188,30 @@
 	}
 }
 
+// TestRacingExports sends fresh prompts again and again while their first answers end on both entries, so
+// that exports of one prompt run side by side and others read what they write.
+func TestRacingExports(t *testing.T) {
+	const prompts, copies = 40, 3
+	c, ctx := keptCluster(t, fastPrefill, fastLinks)
+	var pending sync.WaitGroup
+	for _, e := range c.Entries() {
+		for n := range copies {
+			pending.Go(func() {
+				for i := range prompts + n {
+					askKept(ctx, t, e, bench.Token, keptPrompt(max(0, i-n)), []ident.Version{"v1"})
+				}
+			})
+		}
+	}
+	pending.Wait()
+	if counted(c, "exports") <= prompts || counted(c, "imports") == 0 {
+		t.Errorf("%d exports and %d imports of %d prompts", counted(c, "exports"), counted(c, "imports"), prompts)
+	}
+	checkReads(t, c)
+}
+
 func TestReturningPromptsWhenAStoreDies(t *testing.T) {
-	c, ctx := keptCluster(t, func(*config.Settings) {})
+	c, ctx := keptCluster(t, slowPrefill, slowLinks)
 	keptRounds(ctx, t, c, []string{bench.Token}, imports(c, keptPrompts), "v1")
 	c.Stores()[0].Kill()
 	keptRounds(ctx, t, c, []string{bench.Token}, func() bool {
@@ -183,13 +220,13 @@
 }
 
 func TestReturningPromptsOfTwoOrganisations(t *testing.T) {
-	c, ctx := keptCluster(t, func(*config.Settings) {})
+	c, ctx := keptCluster(t, slowPrefill, slowLinks)
 	keptRounds(ctx, t, c, []string{bench.Token, otherToken}, imports(c, 2*keptPrompts), "v1")
 }
 
 // TestReturningPromptsAcrossAVersionMove puts other weights in force that every engine holds beside the old ones.
 func TestReturningPromptsAcrossAVersionMove(t *testing.T) {
-	c, ctx := keptCluster(t, func(*config.Settings) {})
+	c, ctx := keptCluster(t, slowPrefill, slowLinks)
 	for _, e := range c.Engines() {
 		if err := bench.Post(ctx, e.Address, "/order", stand.Order{Action: "load", Model: "m", Version: "v2", Fence: 1}); err != nil {
 			t.Fatal(err)
--- a/io/stand/engine_kv.go
+++ b/io/stand/engine_kv.go
@@ -52,12 +52,18 @@
 		if !held {
 			break
 		}
-		if done.Fault = push(ctx, o.Store, name, data); done.Fault != "" {
+		if done.Fault = send(ctx, http.MethodPut, blockURL(o.Store, name), data); done.Fault != "" {
 			break
 		}
 		done.Blocks = append(done.Blocks, engine.Block{Name: name, Length: len(data), Checksum: store.Checksum(data)})
 		done.Bytes += int64(len(data))
 	}
+	for i, b := range done.Blocks {
+		if fault := commit(ctx, o.Store, b); fault != "" {
+			done.Blocks, done.Fault = done.Blocks[:i], fault
+			break
+		}
+	}
 	e.countLink(done.Bytes)
 	reply(w, done)
 }
@@ -79,13 +85,10 @@
 	return "http://" + address + "/blocks/" + url.PathEscape(name)
 }
 
-// push stages a block in the store and commits it.
-func push(ctx context.Context, address, name string, data []byte) (fault engine.Fault) {
-	at := blockURL(address, name)
-	if fault := send(ctx, http.MethodPut, at, data); fault != "" {
-		return fault
-	}
-	return send(ctx, http.MethodPost, fmt.Sprintf("%s/commit?length=%d&checksum=%s", at, len(data), store.Checksum(data)), nil)
+// commit makes a staged block readable as whole.
+func commit(ctx context.Context, address string, b engine.Block) (fault engine.Fault) {
+	query := fmt.Sprintf("/commit?length=%d&checksum=%s", b.Length, b.Checksum)
+	return send(ctx, http.MethodPost, blockURL(address, b.Name)+query, nil)
 }
 
 func send(ctx context.Context, method, url string, data []byte) (fault engine.Fault) {
--- a/io/stand/store.go
+++ b/io/stand/store.go
@@ -47,6 +47,9 @@
 	recent    *list.List
 	used      int64
 	linkBytes int64
+	// named holds the names of all blocks of context so far, and reused counts those that came again.
+	named  map[string]bool
+	reused int
 }
 
 type storedBlock struct {
@@ -57,7 +60,9 @@
 }
 
 const (
-	linkBurst = 1 << 20
+	// leastBurst is the least that a link moves at once; a fast one moves the bytes of a burst.
+	leastBurst      = 64 << 10
+	burstsPerSecond = 64
 	// largeBytes tells blocks of context from what describes them.
 	largeBytes = 16 << 10
 )
@@ -65,24 +70,29 @@
 // NewStore is an empty store.
 func NewStore(s StoreSettings) *Store {
 	return &Store{
-		settings: s, blocks: map[string]*storedBlock{}, recent: list.New(),
-		link: rate.NewLimiter(rate.Limit(s.LinkRate), linkBurst),
-		disk: rate.NewLimiter(rate.Limit(s.DiskRate), linkBurst),
+		settings: s, blocks: map[string]*storedBlock{}, recent: list.New(), named: map[string]bool{},
+		link: newLimiter(s.LinkRate), disk: newLimiter(s.DiskRate),
 	}
 }
 
+func newLimiter(bytesPerSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(bytesPerSecond), max(leastBurst, int(bytesPerSecond/burstsPerSecond)))
+}
+
 // StoreStats counts what a store holds and moved.
 type StoreStats struct {
 	Blocks    int   `json:"blocks"`
 	UsedBytes int64 `json:"used_bytes"`
 	LinkBytes int64 `json:"link_bytes"`
+	// ReusedNames counts the blocks of context that were written under a name that had been used before.
+	ReusedNames int `json:"reused_names"`
 }
 
 // Stats counts so far.
 func (s *Store) Stats() StoreStats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return StoreStats{len(s.blocks), s.used, s.linkBytes}
+	return StoreStats{len(s.blocks), s.used, s.linkBytes, s.reused}
 }
 
 // Handler serves blocks, faults and figures. A block is staged by PUT and readable
@@ -117,6 +127,10 @@
 	}
 	s.remove(s.blocks[r.PathValue("key")])
 	b := &storedBlock{key: r.PathValue("key"), data: data}
+	if s.named[b.key] {
+		s.reused++
+	}
+	s.named[b.key] = len(data) >= largeBytes
 	b.place = s.recent.PushFront(b)
 	s.blocks[b.key] = b
 	s.used += int64(len(data))
@@ -220,7 +234,7 @@
 	s.mu.Unlock()
 	n = int(float64(n) * max(s.faults.get().SlowBy, 1))
 	for n > 0 {
-		part := min(n, linkBurst)
+		part := min(n, way.Burst())
 		if way.WaitN(r.Context(), part) != nil {
 			return
 		}
