Give up held prompts that no decision was made about

A prompt held for an export stayed for good where stores were off or the scheduler no longer knew the request. It is held only while stores are used, and at most 30 s once many are held.

--- a/io/entry/kept.go
+++ b/io/entry/kept.go
@@ -22,6 +22,12 @@
 	exportQueue   = 64
 	// mostPromptBytes bounds the prompts that are held for exports.
 	mostPromptBytes = 64 << 20
+	// mostPromptAge outlasts the wait of an export; what is held for longer was never decided about.
+	mostPromptAge = 30 * time.Second
+	// purgeAbove is the number of held prompts above which those that are too old are looked for.
+	purgeAbove = 256
+	// reportTimeout bounds telling the deciders how an import ended.
+	reportTimeout = time.Second
 	// discardTimeout bounds the deletion of the blocks of one failed export.
 	discardTimeout = time.Second
 )
@@ -35,14 +41,20 @@
 
 	mu sync.Mutex
 	// prompts holds the prompts of answered requests until the deciders settle whether they are exported.
-	prompts map[ident.RequestID]string
+	prompts map[ident.RequestID]heldPrompt
 	// bytes is the size of prompts; it is at most mostPromptBytes.
 	bytes int
 }
 
+// heldPrompt is the prompt of a request that was answered at a time.
+type heldPrompt struct {
+	text string
+	at   time.Time
+}
+
 func newKeeper(d *Daemon, stores store.Store) *keeper {
 	return &keeper{
-		d: d, engines: d.engines, stores: stores, prompts: map[ident.RequestID]string{},
+		d: d, engines: d.engines, stores: stores, prompts: map[ident.RequestID]heldPrompt{},
 		exports: make(chan cache.ExportCmd, exportQueue),
 	}
 }
@@ -82,20 +94,37 @@
 func (k *keeper) hold(id ident.RequestID, prompt string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.d.settings.UseStores {
+		return
+	}
+	now := time.Now()
+	if len(k.prompts) > purgeAbove || k.bytes+len(prompt) > mostPromptBytes {
+		k.purge(now)
+	}
 	if k.bytes+len(prompt) <= mostPromptBytes {
-		k.prompts[id] = prompt
+		k.prompts[id] = heldPrompt{prompt, now}
 		k.bytes += len(prompt)
 	}
 }
 
+// purge gives up the prompts that are too old; it needs the lock.
+func (k *keeper) purge(now time.Time) {
+	for id, held := range k.prompts {
+		if now.Sub(held.at) > mostPromptAge {
+			delete(k.prompts, id)
+			k.bytes -= len(held.text)
+		}
+	}
+}
+
 // take gives a held prompt up.
 func (k *keeper) take(id ident.RequestID) (prompt string, held bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	prompt, held = k.prompts[id]
+	one, held := k.prompts[id]
 	delete(k.prompts, id)
-	k.bytes -= len(prompt)
-	return prompt, held
+	k.bytes -= len(one.text)
+	return one.text, held
 }
 
 // contextOf names the kept context of an organisation's prompt.
@@ -238,7 +267,9 @@
 	if ctx.Err() != nil {
 		msg.Cause = cache.CauseCancelled
 	}
-	c.d.post(context.WithoutCancel(ctx), msg)
+	reporting, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
+	defer cancel()
+	c.d.post(reporting, msg)
 	c.d.keeper.count("import", cmd.Store, msg.Cause, msg.Bytes)
 }
 
