--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -53,6 +53,12 @@
 	trials int
 	// waitSince is when the request began to wait for room on an upstream.
 	waitSince time.Time
+	// preempted counts how often it was taken off an upstream for a more urgent request.
+	preempted int
+	// queued is the backlog in prompt tokens that the attempt began with, its own included, and
+	// firstAt when its first token came.
+	queued  int
+	firstAt time.Time
 }
 
 // Model is the scheduler of one entry.
@@ -97,6 +103,12 @@
 	candidates []*route.Candidate
 	// slots bound the requests on cold upstreams.
 	slots *limit.Slots
+	// paces holds how fast each pool has been.
+	paces map[poolKey]*pace
+	// firstLimits is by when after its arrival the first token of a class is of use.
+	firstLimits map[ident.Class]time.Duration
+	// asked is when each organisation asked last.
+	asked map[ident.OrgID]time.Time
 }
 
 // NewModel is a scheduler without rules or upstreams.
@@ -128,6 +140,7 @@
 	}
 	if len(m.waiting) > 0 {
 		cmds = append(cmds, m.admitWaiting(now)...)
+		cmds = append(cmds, m.preempt(now)...)
 	}
 	return append(cmds, m.slots.Asks()...)
 }
@@ -149,11 +162,13 @@
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case FirstMsg:
-		m.first(msg)
+		m.first(now, msg)
 	case EndMsg:
 		return m.end(now, msg)
 	case FailMsg:
 		return m.fail(now, msg)
+	case WakeMsg:
+		m.distrustReports()
 	case TickMsg:
 		return m.tick(now)
 	case GoneMsg:
@@ -245,6 +260,7 @@
 	}
 	r.key = route.Key(r.Org, r.version, r.PromptRoot)
 	m.requests[r.ID] = r
+	m.asked[r.Org] = now
 	return m.send(now, r)
 }
 
@@ -283,6 +299,9 @@
 		return m.wait(now, r)
 	}
 	u := m.upstreams[m.choose(now, r)]
+	if over := m.excess(now, r, u); over > 0 {
+		return m.refuseEarly(now, r, over)
+	}
 	return []ident.Cmd{m.start(now, r, u)}
 }
 
@@ -294,15 +313,15 @@
 	u.candidate.Backlog += r.missing
 	r.attempt++
 	r.on = u.listed.ID
-	r.sent = now
+	r.sent, r.queued, r.firstAt = now, u.candidate.Backlog, time.Time{}
 	m.acquire(now, r)
-	return m.sendCmd(r, u)
+	return m.sendCmd(now, r, u)
 }
 
-func (m *Model) sendCmd(r *request, u *upstream) SendCmd {
+func (m *Model) sendCmd(now time.Time, r *request, u *upstream) SendCmd {
 	return SendCmd{
 		Request: r.ID, Attempt: r.attempt, Upstream: u.listed.ID, Address: u.listed.Address,
-		Version: r.version, Priority: r.Class.Rank(), Class: r.Class, Silence: m.silence[r.Class],
+		Version: r.version, Priority: m.rank(now, r), Class: r.Class, Silence: m.silence[r.Class],
 		ResumeFrom: r.delivered, FreshConnection: r.attempt > 1,
 	}
 }
@@ -334,6 +353,9 @@
 		return nil
 	}
 	m.slots.Succeeded(now, r.on)
+	if !r.firstAt.IsZero() {
+		m.paceOf(r).sawEnd(r.MaxTokens-r.delivered, now.Sub(r.firstAt))
+	}
 	m.release(now, r, true)
 	m.budgets.Succeeded(r.Org)
 	delete(m.requests, r.ID)
@@ -341,11 +363,13 @@
 }
 
 // first notes that the prompt of an attempt is computed.
-func (m *Model) first(msg FirstMsg) {
+func (m *Model) first(now time.Time, msg FirstMsg) {
 	r, known := m.requests[msg.Request]
 	if !known || r.attempt != msg.Attempt {
 		return
 	}
+	m.paceOf(r).sawFirst(r.queued, now.Sub(r.sent))
+	r.firstAt = now
 	if u, listed := m.upstreams[r.on]; listed {
 		u.settle(r)
 		m.kept.add(r.key, u, r.PromptTokens)
