--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -24,6 +24,7 @@
 	subjectLatency   = "latency"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
+	subjectCaches    = "caches"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
@@ -40,6 +41,8 @@
 		return n.Sched().Requests(now), true
 	case subjectMoves:
 		return n.Roll().Moves(), true
+	case subjectCaches:
+		return n.Cache().Stores(now), true
 	case subjectRoster:
 		return n.Roster().State(), true
 	}
@@ -50,7 +53,7 @@
 func (d *Daemon) Show(ctx context.Context, subject, argument string) (document any, err error) {
 	defer func() { err = errors.Wrapf(err, "show %s", subject) }()
 	switch subject {
-	case subjectUpstreams, subjectRequests, subjectMoves, subjectRoster:
+	case subjectUpstreams, subjectRequests, subjectMoves, subjectCaches, subjectRoster:
 		return d.view(ctx, subject)
 	case subjectLatency:
 		return d.latency(), nil
--- a/io/versus/fleet.go
+++ b/io/versus/fleet.go
@@ -66,6 +66,9 @@
 	for _, e := range c.Engines() {
 		f.Engines = append(f.Engines, FleetEngine{Address: e.Address, Zone: e.Zone, stop: e.Kill})
 	}
+	for _, s := range c.Stores() {
+		f.Stores = append(f.Stores, s.Address)
+	}
 	return f
 }
 
@@ -111,6 +114,17 @@
 	return all
 }
 
+// linkBytes asks every store; a dead one counts as having moved nothing.
+func (f Fleet) linkBytes(ctx context.Context) (sum int64) {
+	for _, address := range f.Stores {
+		var s stand.StoreStats
+		if raw, err := bench.Get(ctx, "http://"+address+"/stats"); err == nil && json.Unmarshal(raw, &s) == nil {
+			sum += s.LinkBytes
+		}
+	}
+	return sum
+}
+
 // startedIn counts the completions that have begun in a zone.
 func (f Fleet) startedIn(ctx context.Context, zone ident.Zone) (n int) {
 	for i, s := range f.stats(ctx) {
