--- a/core/cache/cache.go
+++ b/core/cache/cache.go
@@ -188,6 +188,9 @@
 	m.order = slices.Sorted(maps.Keys(m.links))
 }
 
+// NextTick is when time next matters: at once while an export waits.
+func (m *Model) NextTick() (at time.Time, set bool) { return at, len(m.queue) > 0 }
+
 // tick forgets what ended without a word.
 func (m *Model) tick(now time.Time) {
 	for _, id := range m.order {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -49,6 +49,8 @@
 	sched    *sched.Model
 	roll     *roll.Model
 	cache    *cache.Model
+	// ticked is when the last tick came, or zero.
+	ticked time.Time
 }
 
 // NewNode builds the deciders.
@@ -132,6 +134,7 @@
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
+		n.ticked = now
 		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
 	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
 		return n.roll.Update(now, msg)
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -38,7 +38,6 @@
 	idlePerUpstream = 64
 	inboxSize       = 1024
 	readHeaderLimit = 5 * time.Second
-	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
@@ -112,13 +111,15 @@
 		superseded: make(chan struct{}),
 		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(loads)),
 		control:    []*http.Transport{control, lists},
-		peerHTTP:   controlTransport(figures, meter.PurposePeer),
-		logs:       logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
-		list:       vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
-		meter:      figures,
-		inbox:      make(chan work, inboxSize),
-		sessions:   newSessions(),
-		clock:      newClock(),
+		peerHTTP: peer.NewTransport(
+			meter.NewDialer(figures, meter.PurposePeer, connectTimeout).DialContext,
+			peer.HealthOf(time.Duration(settings.PingInterval))),
+		logs:     logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
+		list:     vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
+		meter:    figures,
+		inbox:    make(chan work, inboxSize),
+		sessions: newSessions(),
+		clock:    newClock(),
 		node: node.NewNode(node.Settings{
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
