Answer a crashing request only once the other entries know of its losses

TestPoisonIsQuarantinedEverywhere lost 4 upstreams once, of a bound of 3. An entry answered its caller as soon as it had decided, before its records of the losses were in the log or read by others. The next sending of the caller met an entry that knew of none and lost up to three more. Ruled out as the cause: the trial record, which the entry waits for, and losses counted once though the boot was sent to twice, as both need an entry that has read the first losses.

The final answer to a request that lost an upstream now waits until the log shows the losses and every other member has answered that it has folded them, at most 2 s.

An operator can end a quarantine by a line 'release request DIGEST'. The release is a record of the verdict stream, so that its place there decides on every entry alike which losses it ends; show quarantine lists the digests. Its test fails without the pardon of old losses, and with one release counted twice.

--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -38,6 +38,8 @@
 	"latency":   showLatency,
 	"moves":     showMoves,
 	"why":       showWhy,
+
+	"quarantine": showQuarantine,
 }
 
 func viewNames() (names []string) {
--- a/cmd/cicadavalve/views.go
+++ b/cmd/cicadavalve/views.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/roll"
 	"cicadavalve/core/rules"
 	"cicadavalve/core/sched"
@@ -141,6 +143,30 @@
 	})
 }
 
+func showQuarantine(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	answers, err := askAll[[]poison.View](ctx, s, "quarantine", "")
+	if err != nil {
+		return err
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tSTANDING\tDIGEST\tLOST")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			for _, v := range a.Document {
+				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", a.Entry, v.Standing, v.Digest, lostUpstreams(v.Losses))
+			}
+		}
+	})
+}
+
+func lostUpstreams(losses []poison.Loss) string {
+	var names []string
+	for _, l := range losses {
+		names = append(names, string(l.Upstream))
+	}
+	return strings.Join(names, " ")
+}
+
 func showMoves(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
 	answers, err := askAll[[]roll.Status](ctx, s, "moves", "")
 	if err != nil {
--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -35,7 +35,7 @@
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
-		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
+		record.TypeOf[sched.CancelCmd](), record.TypeOf[sched.ConfirmCmd](), record.TypeOf[sched.ConfirmedMsg](), record.TypeOf[poison.AppendCmd](),
 		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
 		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
 		record.TypeOf[roll.ChangedCmd](), record.TypeOf[roll.LateCmd](),
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -127,6 +127,50 @@
 	}
 }
 
+// TestReleaseEndsAQuarantineOnce folds a release, then the records of before it again, and then new losses.
+func TestReleaseEndsAQuarantineOnce(t *testing.T) {
+	m, late := poison.NewModel("a"), poison.NewModel("b")
+	var old []ledger.Record
+	crash := func(boot ident.BootID) (records []ledger.Record) {
+		for i := range poison.MostLosses {
+			loss := poison.Loss{Upstream: engineID(i), Boot: boot}
+			records = append(records, appended(m.Lost(start, start, "d", loss, i == 2))...)
+			records = append(records, appended(m.Seen(start, engineID(i), boot+"/next"))...)
+		}
+		return records
+	}
+	if got := m.Release("d", "rule"); got != nil {
+		t.Errorf("release without a quarantine: %v", got)
+	}
+	old = crash("old")
+	m.Fold(start, batch(0, old))
+	release := appended(m.Release("d", "rule"))
+	if diff := cmp.Diff(1, len(release)); diff != "" {
+		t.Fatalf("release records (-want +got):\n%s", diff)
+	}
+	standings := func() []poison.Standing {
+		return []poison.Standing{m.Standing(start, "d"), late.Standing(start, "d")}
+	}
+	log := append(append(old, release...), append(release, old...)...)
+	m.Fold(start, batch(0, log))
+	late.Fold(start, batch(0, log))
+	if diff := cmp.Diff([]poison.Standing{poison.Clear, poison.Clear}, standings()); diff != "" {
+		t.Errorf("after the release (-want +got):\n%s", diff)
+	}
+	log = append(append(log, crash("new")...), release...)
+	m.Fold(start, batch(0, log))
+	late.Fold(start, batch(0, log))
+	if diff := cmp.Diff([]poison.Standing{poison.Quarantined, poison.Quarantined}, standings()); diff != "" {
+		t.Errorf("after new losses and the same release again (-want +got):\n%s", diff)
+	}
+	if got := m.Release("d", "rule"); got != nil {
+		t.Errorf("second release by one rule: %v", got)
+	}
+	if diff := cmp.Diff(1, len(m.Release("d", "another rule"))); diff != "" {
+		t.Errorf("release by another rule (-want +got):\n%s", diff)
+	}
+}
+
 // TestRecordsOutlastALogOutage keeps a record until the log shows it.
 func TestRecordsOutlastALogOutage(t *testing.T) {
 	m := poison.NewModel("a")
--- a/core/rules/parse.go
+++ b/core/rules/parse.go
@@ -30,6 +30,8 @@
 
 var globPattern = regexp.MustCompile(`^[A-Za-z0-9*][A-Za-z0-9._*-]{0,62}$`)
 
+var digestPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
 // word is a token of a line with its column.
 type word struct {
 	text   string
@@ -60,6 +62,11 @@
 	return slot{value: "name", expected: "an upstream name or pattern with *", check: matches(globPattern)}
 }
 
+// digest is the keyed digest of a request, as show quarantine prints it.
+func digest() slot {
+	return slot{value: "name", expected: "a digest of 64 hexadecimal digits", check: matches(digestPattern)}
+}
+
 func choice(value string, options ...string) slot {
 	check := func(_ *Rule, text string) bool {
 		for _, o := range options {
@@ -124,10 +131,11 @@
 	},
 	BearsUpstream:  {glob(), lit("cold"), count()},
 	OrdersUpstream: {glob(), choice("fencing", "ignores-fencing", "checks-fencing")},
+	ReleaseRequest: {digest()},
 }
 
 var kindsExpected = "a rule: route model|service, serve model, limit organisation, drain az|upstream, " +
-	"move model, bears upstream, orders upstream"
+	"move model, bears upstream, orders upstream, release request"
 
 // Parse reads the operator's file. It returns every fault, not the first alone;
 // the set is nil where there is any.
--- a/core/rules/rule.go
+++ b/core/rules/rule.go
@@ -20,6 +20,7 @@
 	MoveModel         Kind = "move model"
 	BearsUpstream     Kind = "bears upstream"
 	OrdersUpstream    Kind = "orders upstream"
+	ReleaseRequest    Kind = "release request"
 )
 
 // Rule is one parsed line of the operator's file.
--- a/core/rules/rules_test.go
+++ b/core/rules/rules_test.go
@@ -1,6 +1,7 @@
 package rules_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -79,6 +80,34 @@
 	}
 }
 
+// TestReleaseNamesADigestAndIsTheSameForOneComment compares the ids of releases.
+func TestReleaseNamesADigestAndIsTheSameForOneComment(t *testing.T) {
+	digest := strings.Repeat("0a", 32)
+	ids := func(line string) (ids []string) {
+		set, faults := rules.Parse(line)
+		if len(faults) > 0 {
+			return []string{faults[0].Word}
+		}
+		for _, r := range set.Released() {
+			ids = append(ids, r.ID)
+		}
+		return ids
+	}
+	first := ids("release request " + digest + " # asked by: depot lead\n")
+	same := ids("\nrelease request " + digest + "   #  asked by: depot lead \n")
+	if diff := cmp.Diff(first, same); diff != "" {
+		t.Errorf("ids of one comment (-want +got):\n%s", diff)
+	}
+	if again := ids("release request " + digest + " # asked by: depot lead, again\n"); cmp.Equal(first, again) {
+		t.Errorf("another comment has the same id %v", again)
+	}
+	for _, word := range []string{digest[1:], strings.ToUpper(digest), "innocent"} {
+		if diff := cmp.Diff([]string{word}, ids("release request "+word+" # asked by: x\n")); diff != "" {
+			t.Errorf("fault (-want +got):\n%s", diff)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add(goodFile)
 	f.Add("drain az \xff # \x00")
--- a/core/rules/set.go
+++ b/core/rules/set.go
@@ -3,12 +3,24 @@
 package rules
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"path"
 
 	"cicadavalve/core/ident"
 )
 
+// releaseIDBytes is the part of a comment's hash that tells two releases of one request apart.
+const releaseIDBytes = 8
+
+// Release is a ReleaseRequest rule.
+type Release struct {
+	Digest string
+	// ID is the same for the same digest and comment.
+	ID string
+}
+
 // Set is a checked operator's file.
 type Set struct {
 	// text is the file as the operator wrote it.
@@ -123,6 +135,16 @@
 	return r != nil && r.Word("fencing") == "ignores-fencing"
 }
 
+// Released lists the digests of the requests whose quarantine the operator has ended, in the order of
+// the file, each with an id that is another one where the line's comment is.
+func (s *Set) Released() (released []Release) {
+	for _, r := range s.Of(ReleaseRequest) {
+		sum := sha256.Sum256([]byte(r.comment))
+		released = append(released, Release{Digest: r.Subject(), ID: r.Subject() + "/" + hex.EncodeToString(sum[:releaseIDBytes])})
+	}
+	return released
+}
+
 // OrgShare is an organisation's share of capacity in (0,1], and whether a rule sets it.
 func (s *Set) OrgShare(org ident.OrgID) (share float64, known bool) {
 	r := s.find(LimitOrganisation, string(org))
--- a/core/sched/alone.go
+++ b/core/sched/alone.go
@@ -22,6 +22,20 @@
 // VerdictNext is the offset of the first record of [ledger.StreamVerdict] not folded yet.
 func (m *Model) VerdictNext() int64 { return m.poison.Next() }
 
+// Suspects lists the requests that crashed upstreams.
+func (m *Model) Suspects(now time.Time) []poison.View { return m.poison.Views(now) }
+
+// liftQuarantines ends the quarantines that the operator's file names.
+func (m *Model) liftQuarantines() (cmds []ident.Cmd) {
+	if m.rules == nil {
+		return nil
+	}
+	for _, r := range m.rules.Released() {
+		cmds = append(cmds, m.poison.Release(poison.Digest(r.Digest), r.ID)...)
+	}
+	return cmds
+}
+
 // lost tells of a request whose upstream broke off under it. A silent upstream is no sign of
 // a crash: it may only be busy.
 func (m *Model) lost(now time.Time, r *request, cause Cause) []ident.Cmd {
@@ -29,6 +43,7 @@
 	if !known || cause != CauseBroken {
 		return nil
 	}
+	r.crashed = r.Digest != ""
 	loss := poison.Loss{Upstream: r.on, Boot: u.load.BootID, OnTrial: m.onTrial(r)}
 	return m.poison.Lost(now, r.sent, r.Digest, loss, r.alone)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -37,6 +37,8 @@
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
 	version ident.Version
+	// crashed is true once an attempt was noted as a loss of its upstream.
+	crashed bool
 	// touched is true once an upstream may have run the request.
 	touched bool
 	// delivered counts the tokens that the caller has.
@@ -71,6 +73,8 @@
 	poison  *poison.Model
 	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
 	parked []ident.RequestID
+	// sharing lists the final answers that wait until the other entries know of the losses.
+	sharing []*sharing
 	// waiting lists the requests that wait for room on an upstream; at most mostWaiting.
 	waiting []ident.RequestID
 	// waits is how long a request of a class may wait.
@@ -123,6 +127,9 @@
 // Update takes a message and returns the commands that follow from it.
 func (m *Model) Update(now time.Time, msg ident.Msg) []ident.Cmd {
 	cmds := m.update(now, msg)
+	if len(m.sharing) > 0 {
+		cmds = append(cmds, m.share(now)...)
+	}
 	if len(m.parked) > 0 {
 		cmds = append(cmds, m.wake(now)...)
 	}
@@ -146,6 +153,7 @@
 	case RulesMsg:
 		m.setRules(msg)
 		m.noteClosed(now)
+		return m.liftQuarantines()
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case FirstMsg:
@@ -158,6 +166,8 @@
 		return m.tick(now)
 	case GoneMsg:
 		return m.gone(now, msg)
+	case ConfirmedMsg:
+		return m.confirmed(msg.Request)
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
@@ -167,6 +177,7 @@
 // tick lets time pass.
 func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
 	cmds = append(cmds, m.poison.Tick(now)...)
+	cmds = append(cmds, m.liftQuarantines()...)
 	cmds = append(cmds, m.move(now)...)
 	return append(cmds, m.yield(now)...)
 }
@@ -353,6 +364,7 @@
 }
 
 func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
+	m.forgetSharing(msg.Request)
 	r, known := m.requests[msg.Request]
 	if !known {
 		return nil
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -69,8 +69,10 @@
 	appender *appender
 	stater   *stater
 	asker    *memberAsker
-	prober   *prober
-	peers    *peers
+	// confirmer asks the members for what crashing requests wait.
+	confirmer *confirmer
+	prober    *prober
+	peers     *peers
 	// canceller ends lost attempts on their engines.
 	canceller *canceller
 	// cacheSecret keys what is derived from an organisation's name or requests.
@@ -132,6 +134,7 @@
 	d.stater = newStater(d)
 	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
+	d.confirmer = newConfirmer(d)
 	d.canceller = newCanceller(d.engines)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
@@ -256,6 +259,7 @@
 	group.Go(func() error { return d.appender.run(ctx) })
 	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.asker.run(ctx) })
+	group.Go(func() error { return d.confirmer.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -109,6 +109,8 @@
 		d.log.Info("roster_changed", "epoch", cmd.Epoch, "members", len(cmd.Members))
 	case poison.AppendCmd:
 		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
+	case sched.ConfirmCmd:
+		d.confirmer.ask(cmd)
 	case once.AskCmd:
 		d.asker.ask(cmd)
 	case roster.AppendCmd:
--- a/io/entry/poison_test.go
+++ b/io/entry/poison_test.go
@@ -12,6 +12,7 @@
 
 	"cicadavalve/core/poison"
 	"cicadavalve/io/bench"
+	"cicadavalve/io/peer"
 	"cicadavalve/io/stand"
 )
 
@@ -123,3 +124,29 @@
 		t.Errorf("last refusal (-want +got):\n%s", diff)
 	}
 }
+
+// TestReleasedRequestRunsAgain puts a release in force after a quarantine; every entry follows it.
+func TestReleasedRequestRunsAgain(t *testing.T) {
+	c, ctx := startPoisonCluster(t, 3)
+	sendPoison(ctx, t, c, 6)
+	views := func(e *bench.Entry) (v []poison.View) {
+		if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "quarantine", "", &v); err != nil {
+			t.Fatal(err)
+		}
+		return v
+	}
+	held := views(c.Entries()[0])
+	if len(held) != 1 || held[0].Standing != "quarantined" {
+		t.Fatalf("before the release: %+v", held)
+	}
+	lost := crashes(c)
+	apply(ctx, t, c, testRules+"release request "+string(held[0].Digest)+"  # asked by: test\n")
+	for _, e := range c.Entries() {
+		if !bench.Wait(ctx, func() bool { return len(views(e)) == 0 }) {
+			t.Fatalf("%s holds the request in quarantine", e.ID)
+		}
+	}
+	if sendPoison(ctx, t, c, 1); crashes(c) == lost {
+		t.Error("the released request was not run again")
+	}
+}
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/record"
 	"cicadavalve/core/roll"
 	"cicadavalve/core/sched"
@@ -25,6 +26,9 @@
 	subjectWhy       = "why"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
+	subjectSuspects  = "quarantine"
+	// subjectVerdictNext is for other entries: how far this one has folded the verdicts.
+	subjectVerdictNext = "verdict_next"
 )
 
 // Show implements [peer.Backend].
@@ -38,6 +42,10 @@
 		return look(ctx, d, func() []sched.RequestView { return d.node.Sched().Requests(now) })
 	case subjectMoves:
 		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
+	case subjectVerdictNext:
+		return look(ctx, d, func() int64 { return d.node.Sched().VerdictNext() })
+	case subjectSuspects:
+		return look(ctx, d, func() []poison.View { return d.node.Sched().Suspects(now) })
 	case subjectLatency:
 		return d.latency(), nil
 	case subjectWhy:
