--- a/core/sched/share.go
+++ b/core/sched/share.go
@@ -45,8 +45,8 @@
 	return nil
 }
 
-// share asks the members once the log has shown the losses, and answers those that waited too long.
-func (m *Model) share(now time.Time) (cmds []ident.Cmd) {
+// confirmLosses asks the members once the log has shown the losses, and answers those that waited too long.
+func (m *Model) confirmLosses(now time.Time) (cmds []ident.Cmd) {
 	for _, s := range slices.Clone(m.sharing) {
 		switch {
 		case now.Sub(s.since) >= mostShareWait:
