--- a/cmd/cicadavalve/views.go
+++ b/cmd/cicadavalve/views.go
@@ -156,7 +156,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tSTANDING\tDIGEST\tLOST")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			for _, v := range a.Document {
 				_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", a.Entry, v.Standing, v.Digest, lostUpstreams(v.Losses))
 			}
