Count no miss or silence in a time in which the entry itself was late

An entry that got no processor time took every probe that ran into its limit for a miss, and every stream whose bytes it had not read for a silent one. It then held all upstreams for unreachable or suspect, confirmed losses by it, and spent the organisation's retry budget, so that requests ended as upstream_failed.

The scheduler now measures its own lateness by its ticks: 250 ms after the last one, five intervals, it is late. A miss whose probe, or a silence whose limit, overlaps with such a time is no sign against an upstream. The silent attempt is moved at no cost, at most as often as a request may be sent.

--- a/core/sched/messages.go
+++ b/core/sched/messages.go
@@ -78,6 +78,8 @@
 // UnreachableMsg says that an upstream did not answer a probe.
 type UnreachableMsg struct {
 	Upstream ident.UpstreamID `json:"upstream"`
+	// Waited is how long ago the probe began.
+	Waited time.Duration `json:"waited"`
 }
 
 // RulesMsg puts a version of the operator's file in force.
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -12,6 +12,9 @@
 	if !known || r.attempt != msg.Attempt {
 		return nil
 	}
+	if m.excused(now, r, msg.Cause) {
+		return m.excuse(now, r, msg)
+	}
 	if u, listed := m.upstreams[r.on]; listed && msg.Cause != CauseRefused {
 		u.suspectUntil, u.special = now.Add(suspectTime), true
 	}
@@ -27,6 +30,21 @@
 	return append(m.afterFail(now, r, msg.Cause), cmds...)
 }
 
+// excuse ends an attempt without a sign against its upstream, and sends the request again at no cost.
+func (m *Model) excuse(now time.Time, r *request, msg FailMsg) []ident.Cmd {
+	r.delivered = msg.Delivered
+	r.touched = true
+	m.release(now, r, false)
+	cmds := m.endTrial(r)
+	if !r.Repeatable {
+		return append(m.giveUp(now, r, CodeOutcomeUnknown, "the upstream may have run the request"), cmds...)
+	}
+	r.moves++
+	r.excuses++
+	m.chooseAgain(r)
+	return append(m.send(now, r), cmds...)
+}
+
 // afterFail sends the request again or gives it up.
 func (m *Model) afterFail(now time.Time, r *request, cause Cause) []ident.Cmd {
 	untouched := cause == CauseConnect || cause == CauseRefused
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -25,6 +25,8 @@
 	attempt int
 	// moves counts the attempts that were moved rather than failed.
 	moves int
+	// excuses counts the moves of which this entry's own lateness was the reason; at most maxAttempts.
+	excuses int
 	// on is the upstream of the current attempt, or empty.
 	on ident.UpstreamID
 	// sent is when the current attempt began.
@@ -76,7 +78,9 @@
 	silence     map[ident.Class]time.Duration
 	// budgets bounds the attempts beyond the first, per organisation.
 	budgets *retry.Budgets
-	poison  *poison.Model
+	// lateness tells when this entry itself was short of processor time.
+	lateness lateness
+	poison   *poison.Model
 	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
 	parked []ident.RequestID
 	// sharing lists the final answers that wait until the other entries know of the losses.
@@ -191,6 +195,7 @@
 
 // tick lets time pass.
 func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
+	m.lateness.ticked(now)
 	cmds = append(cmds, m.poison.Tick(now)...)
 	cmds = append(cmds, m.liftQuarantines()...)
 	cmds = append(cmds, m.move(now)...)
@@ -240,7 +245,7 @@
 
 func (m *Model) miss(now time.Time, msg UnreachableMsg) []ident.Cmd {
 	u, known := m.upstreams[msg.Upstream]
-	if !known {
+	if !known || m.lateness.within(now, now.Add(-msg.Waited)) {
 		return nil
 	}
 	u.misses++
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -141,10 +141,11 @@
 func (w *watch) probe(ctx context.Context) {
 	probing, cancel := context.WithTimeout(ctx, probeTimeouts*w.p.timing.Shortest)
 	defer cancel()
+	began := time.Now()
 	load, err := w.p.client.Load(probing, w.upstream.Address)
 	if err != nil {
 		w.pace.Missed(time.Now())
-		w.p.post(ctx, sched.UnreachableMsg{Upstream: w.upstream.ID})
+		w.p.post(ctx, sched.UnreachableMsg{Upstream: w.upstream.ID, Waited: time.Since(began)})
 		return
 	}
 	w.pace.Reported(time.Now(), load)
