Pass idempotency keys on to upstreams with their organisation

Upstreams got the caller's key alone. Two organisations with one key, such as an order number, met at a shared app engine that remembers keys: the second got the first one's answer and its call was not run. Upstreams now get the escaped organisation, a slash and the key, so that no two keys are the same there.

TestOrganisationsShareNoKeyAtTheUpstream failed before (the answer of the other organisation) and passes now. The stand-in can answer a repeated key with its first answer. The histories and the load tool read the upstream's count by the new name; what they compare is the same.

--- a/cmd/cvlab/load.go
+++ b/cmd/cvlab/load.go
@@ -135,7 +135,9 @@
 			return err
 		}
 		for key, n := range one {
-			runs[key] += n
+			// Entries put the organisation before the caller's key.
+			_, own, _ := strings.Cut(key, "/")
+			runs[own] += n
 		}
 	}
 	for _, n := range runs {
--- a/core/once/key.go
+++ b/core/once/key.go
@@ -3,6 +3,7 @@
 import (
 	_ "embed"
 	"encoding/json"
+	"net/url"
 	"time"
 
 	"github.com/google/uuid"
@@ -162,6 +163,15 @@
 	version7  = 7
 )
 
+// Upstream is the key as an upstream gets it: the organisation, escaped so that it holds no slash, a
+// slash and the key. No two keys of this system are the same there.
+func (k Key) Upstream() string {
+	if k.Key == "" {
+		return ""
+	}
+	return url.PathEscape(string(k.Org)) + "/" + k.Key
+}
+
 // time is the key's own time in milliseconds of the Unix epoch, where the key is a UUID of version 7.
 func (k Key) time() (ms int64, tells bool) {
 	id, err := uuid.Parse(k.Key)
--- a/io/entry/apart_test.go
+++ b/io/entry/apart_test.go
@@ -79,6 +79,29 @@
 	}
 }
 
+// TestOrganisationsShareNoKeyAtTheUpstream uses one key as two organisations before an upstream that
+// answers a key which has run with the first answer.
+func TestOrganisationsShareNoKeyAtTheUpstream(t *testing.T) {
+	c, ctx := startCluster(t, 1, twoOrgs())
+	if err := bench.Fault(ctx, c.Apps()[0].Address, stand.AppFaults{Deduplicate: true}); err != nil {
+		t.Fatal(err)
+	}
+	bodies := map[string]string{bench.Token: "one", otherToken: "the other"}
+	for _, token := range []string{bench.Token, otherToken} {
+		a, err := bench.Call(ctx, c.Entries()[0], token, "/v1/call/booking/x", "same-key", bodies[token])
+		if err != nil {
+			t.Fatal(err)
+		}
+		var reply stand.AppReply
+		if err := json.Unmarshal(a.Body, &reply); err != nil {
+			t.Fatalf("status %d, body %s: %v", a.Status, a.Body, err)
+		}
+		if diff := cmp.Diff(fmt.Sprintf("%d bytes", len(bodies[token])), reply.Receipt); diff != "" {
+			t.Errorf("%s: receipt (-want +got):\n%s", token, diff)
+		}
+	}
+}
+
 // TestOrganisationsShareNoRequestID runs requests of both organisations under one id at the same time.
 func TestOrganisationsShareNoRequestID(t *testing.T) {
 	c, ctx := startCluster(t, 1, twoOrgs())
--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -83,6 +83,8 @@
 	}
 }
 
+func (c *call) key() once.Key { return once.Key{Org: c.req.Org, Key: c.req.Key} }
+
 func (c *call) digest() string {
 	h := sha256.New()
 	for _, part := range [][]byte{[]byte(c.req.Service), []byte(c.req.Path), c.req.Body} {
@@ -94,8 +96,7 @@
 
 // runOnce sends the call only after its start record has won the key, and never where it is barred.
 func (c *call) runOnce(ctx context.Context, barred once.Reason) (reply engine.Reply, err error) {
-	key := once.Key{Org: c.req.Org, Key: c.req.Key}
-	c.d.post(ctx, once.CallMsg{Request: c.id, Key: key, Digest: c.digest(), Attempt: c.attempt, Barred: barred})
+	c.d.post(ctx, once.CallMsg{Request: c.id, Key: c.key(), Digest: c.digest(), Attempt: c.attempt, Barred: barred})
 	for {
 		select {
 		case <-ctx.Done():
@@ -205,7 +206,7 @@
 func (c *call) attemptOn(ctx context.Context, cmd sched.SendCmd) (reply engine.Reply, ok bool) {
 	target := engine.Target{Address: cmd.Address, Silence: cmd.Silence, FreshConnection: cmd.FreshConnection}
 	reply, err := c.d.engines.Call(ctx, target, engine.Call{
-		Service: c.req.Service, Path: c.req.Path, Key: c.req.Key, ContentType: c.req.ContentType, Body: c.req.Body,
+		Service: c.req.Service, Path: c.req.Path, Key: c.key().Upstream(), ContentType: c.req.ContentType, Body: c.req.Body,
 	})
 	if err != nil {
 		c.d.log.Warn("attempt_failed", "request", c.id, "upstream", cmd.Upstream, "error", err)
--- a/io/entry/once_history_test.go
+++ b/io/entry/once_history_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -307,7 +308,7 @@
 // check compares what callers were told with what the upstream counted.
 func (p *campaign) check(keys int) {
 	p.t.Helper()
-	runs := p.c.Apps()[0].Runs()
+	runs := p.upstreamRuns()
 	ends := map[ending]int{}
 	for _, op := range p.history {
 		ends[op.Output.(try).ended]++
@@ -335,6 +336,15 @@
 	}
 }
 
+// upstreamRuns is the upstream's own count by the callers' keys.
+func (p *campaign) upstreamRuns() map[string]int {
+	runs := map[string]int{}
+	for key, n := range p.c.Apps()[0].Runs() {
+		runs[strings.TrimPrefix(key, string(bench.Org)+"/")] += n
+	}
+	return runs
+}
+
 func (p *campaign) falseNotRun(runs map[string]int) (n int) {
 	doubted := map[string]bool{}
 	for _, op := range p.history {
--- a/io/load/client.go
+++ b/io/load/client.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/once"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/engine"
 	"cicadavalve/io/stand"
@@ -265,7 +266,7 @@
 		o.code = "broken"
 		return true
 	}
-	o.whole = answer.Key == it.key && answer.Run == 1
+	o.whole = answer.Key == (once.Key{Org: it.org, Key: it.key}).Upstream() && answer.Run == 1
 	if !o.whole {
 		o.code = "wrong_answer"
 	}
--- a/io/stand/app.go
+++ b/io/stand/app.go
@@ -25,6 +25,8 @@
 	Refuse float64 `json:"refuse"`
 	// Silent keeps calls open without an answer after they ran.
 	Silent bool `json:"silent"`
+	// Deduplicate answers a call whose key has run with the first answer, and doesn't run it.
+	Deduplicate bool `json:"deduplicate"`
 }
 
 // App is a stand-in for an app engine, whose calls count how often they ran.
@@ -37,12 +39,15 @@
 	running int
 	// runs counts the runs of each call by its key.
 	runs map[string]int
+	// replies holds the first answer of each key.
+	replies map[string]AppReply
 }
 
 // NewApp is an app engine that has run nothing.
 func NewApp(seed uint64) *App {
 	return &App{
 		boot: ident.BootID(uuid.NewString()), rng: rand.New(rand.NewPCG(seed, seed)), runs: map[string]int{},
+		replies: map[string]AppReply{},
 	}
 }
 
@@ -116,6 +121,10 @@
 	if key == "" {
 		key = "unkeyed/" + uuid.NewString()
 	}
+	if first, ran := a.firstReply(key); ran && f.Deduplicate {
+		reply(w, first)
+		return
+	}
 	n := a.run(key, time.Duration(f.DelayMs)*time.Millisecond)
 	if f.Silent {
 		<-r.Context().Done()
@@ -124,10 +133,27 @@
 	if a.chance(f.DropAfter) {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, AppReply{
+	answer := AppReply{
 		Service: r.PathValue("service"), Path: r.PathValue("path"), Key: key, Run: n,
 		Receipt: fmt.Sprintf("%d bytes", len(body)),
-	})
+	}
+	a.keepFirst(answer)
+	reply(w, answer)
+}
+
+func (a *App) firstReply(key string) (first AppReply, ran bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	first, ran = a.replies[key]
+	return first, ran
+}
+
+func (a *App) keepFirst(r AppReply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if _, kept := a.replies[r.Key]; !kept {
+		a.replies[r.Key] = r
+	}
 }
 
 // AppReply is the answer to a call.
