Remember a leave that is told before the join is folded

An entry that lagged behind the roster forgot the word of a leaving one at once, since it knew of no such member, and then advised it to callers once it had folded the join, while the leaving one's hold had begun by its answer.

--- a/core/roster/watch.go
+++ b/core/roster/watch.go
@@ -22,6 +22,8 @@
 	// accused holds when each accuser last said that it could not reach an incarnation.
 	accused map[ident.BootID]map[ident.EntryID]time.Time
 	leaving map[ident.BootID]bool
+	// left lists the keys of leaving, the oldest first.
+	left []ident.BootID
 	// next is when the targets are pinged again; quiet is when a removal may be appended again.
 	next  time.Time
 	quiet time.Time
@@ -35,6 +37,8 @@
 	accusers = 2
 	// mostMisses is how many pings in a row an entry may miss.
 	mostMisses = 3
+	// mostLeaving bounds the incarnations that are remembered as leaving.
+	mostLeaving = 1024
 	// keepIntervals is for how many ping intervals an accusation counts.
 	keepIntervals = 3
 )
@@ -88,10 +92,19 @@
 			delete(w.accused, boot)
 		}
 	}
-	for boot := range w.leaving {
-		if !known[boot] {
-			delete(w.leaving, boot)
-		}
+}
+
+// leaves notes an entry that leaves. It may be one whose join is not folded yet, so that the
+// word is kept beyond the roster; the oldest goes first.
+func (w *Watch) leaves(boot ident.BootID) {
+	if w.leaving[boot] {
+		return
+	}
+	w.leaving[boot] = true
+	w.left = append(w.left, boot)
+	if len(w.left) > mostLeaving {
+		delete(w.leaving, w.left[0])
+		w.left = w.left[1:]
 	}
 }
 
@@ -138,7 +151,7 @@
 	delete(w.misses, msg.From)
 	delete(w.accused, msg.From.Incarnation)
 	if msg.Leaving {
-		w.leaving[msg.From.Incarnation] = true
+		w.leaves(msg.From.Incarnation)
 	}
 	for _, a := range msg.Accusations {
 		w.accuse(now, a)
