--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -38,6 +38,8 @@
 	"moves":     showMoves,
 	"caches":    showCaches,
 	"why":       showWhy,
+
+	"quarantine": showQuarantine,
 }
 
 func viewNames() (names []string) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -49,8 +49,8 @@
 	sched    *sched.Model
 	roll     *roll.Model
 	cache    *cache.Model
-	// ticked is when the last tick came, or zero.
-	ticked time.Time
+	// ticked is when the last tick came, and due when the next one is to come, or zero.
+	ticked, due time.Time
 }
 
 // NewNode builds the deciders.
@@ -119,6 +119,8 @@
 		cmds = append(cmds, cmd)
 		cmds = append(cmds, n.forward(now, cmd)...)
 	}
+	_, ticked := msg.(sched.TickMsg)
+	n.setDue(now, ticked)
 	return cmds
 }
 
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -25,6 +25,9 @@
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
 	subjectCaches    = "caches"
+	subjectSuspects  = "quarantine"
+	// subjectVerdictNext is for other entries: how far this one has folded the verdicts.
+	subjectVerdictNext = "verdict_next"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
@@ -45,6 +48,10 @@
 		return n.Cache().Stores(now), true
 	case subjectRoster:
 		return n.Roster().State(), true
+	case subjectSuspects:
+		return n.Sched().Suspects(now), true
+	case subjectVerdictNext:
+		return n.Sched().VerdictNext(), true
 	}
 	return nil, false
 }
@@ -53,7 +60,7 @@
 func (d *Daemon) Show(ctx context.Context, subject, argument string) (document any, err error) {
 	defer func() { err = errors.Wrapf(err, "show %s", subject) }()
 	switch subject {
-	case subjectUpstreams, subjectRequests, subjectMoves, subjectCaches, subjectRoster:
+	case subjectUpstreams, subjectRequests, subjectMoves, subjectCaches, subjectRoster, subjectSuspects, subjectVerdictNext:
 		return d.view(ctx, subject)
 	case subjectLatency:
 		return d.latency(), nil
