Report first-token times by what a prompt was computed from

The p95 of the scenario return could not be told apart into new prompts, prompts found kept and prompts computed again. The load's report and the comparison's JSON now hold the first-token times of each model by origin.

--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -101,6 +101,8 @@
 	Requests int            `json:"requests"`
 	Whole    int            `json:"whole"`
 	Codes    map[string]int `json:"codes"`
+	// Origins are the first-token times by what the prompts were computed from.
+	Origins []load.OriginGroup `json:"origins"`
 }
 
 // Result is a whole comparison.
@@ -232,6 +234,7 @@
 	took := (time.Duration(r.ElapsedMs) * time.Millisecond).Seconds()
 	o := Outcome{
 		Policy: policy, RecomputedShare: r.RecomputedShare, Requests: r.Requests, Whole: r.Whole, Codes: r.Codes,
+		Origins: r.Origins,
 		Goodput: float64(r.Whole) / took, GoodputInTime: float64(r.InTime) / took,
 	}
 	for _, class := range r.Classes {
