Refuse only what is late on every upstream

A request was refused where the upstream that the policy chose was late, though another had room: one of 163 at 20 requests a second, 5 of 314 at 40. Now the candidate with the least excess is taken before a request is refused.

TestLateChoiceGoesElsewhere was seen to fail without the second look.

--- a/core/sched/early.go
+++ b/core/sched/early.go
@@ -41,6 +41,23 @@
 	return max(0, over)
 }
 
+// place picks one of the candidates, and tells by how much the request's first token would be late there.
+// Where the policy's choice is late, it is the one with the least excess, the first of them.
+func (m *Model) place(now time.Time, r *request) (u *upstream, over time.Duration) {
+	u = m.upstreams[m.choose(now, r)]
+	over = m.excess(now, r, u)
+	for _, c := range m.candidates {
+		if over == 0 {
+			return u, 0
+		}
+		other := m.upstreams[c.ID]
+		if o := m.excess(now, r, other); o < over {
+			u, over = other, o
+		}
+	}
+	return u, over
+}
+
 // overLimit is by how much an expected first token misses the limit of the request's class.
 func (m *Model) overLimit(now time.Time, r *request, first time.Duration) time.Duration {
 	limit, bounded := m.firstLimits[r.Class]
--- a/core/sched/early_test.go
+++ b/core/sched/early_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/route"
 	"cicadavalve/core/sched"
 )
 
@@ -143,3 +144,21 @@
 		t.Errorf("expected a refusal of the request at once, got %+v", s.refused)
 	}
 }
+
+// TestLateChoiceGoesElsewhere queues prompts on the engine that they hash to until it is late, while another is idle.
+func TestLateChoiceGoesElsewhere(t *testing.T) {
+	m := newModel(2, sched.WithPolicy(route.NamePrefixHash))
+	slow := ask("slow", "one")
+	slow.Request.PromptRoot, slow.Request.PromptTokens = 1, simPrompt
+	m.Update(start, slow)
+	m.Update(start.Add(time.Second), sched.FirstMsg{Request: "slow", Attempt: 1})
+	sent := map[ident.UpstreamID]int{}
+	for i := range 6 {
+		msg := ask(fmt.Sprint("r", i), "one")
+		msg.Request.PromptTokens = simPrompt
+		sendsOf(m.Update(start.Add(time.Second), msg), sent)
+	}
+	if sent[engineID(0)] == 0 || sent[engineID(1)] == 0 || sent[engineID(0)]+sent[engineID(1)] != 6 {
+		t.Errorf("6 requests were sent as %v, expected each to be sent and some to each engine", sent)
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -298,8 +298,8 @@
 	if !m.find(now, r) {
 		return m.wait(now, r)
 	}
-	u := m.upstreams[m.choose(now, r)]
-	if over := m.excess(now, r, u); over > 0 {
+	u, over := m.place(now, r)
+	if over > 0 {
 		return m.refuseEarly(now, r, over)
 	}
 	return []ident.Cmd{m.start(now, r, u)}
