Give a waiting request up once its deadline is lost

A request with a deadline that waited for room was refused at the deadline, though its answer takes at least the time between tokens that the pool shows. It is now refused as soon as that time no longer fits. Before any first token was seen the limit is the deadline, as before. TestWaitEndsOnceTheDeadlineIsLost was seen to fail without it: refused after 1 s of 1 s, now within half of it.

--- a/core/sched/early.go
+++ b/core/sched/early.go
@@ -58,6 +58,14 @@
 	return u, over
 }
 
+// leastTime is what a request's answer takes at least after its first token, as far as the pool's pace is known.
+func (m *Model) leastTime(r *request) time.Duration {
+	if p := m.paceOf(r); p.seen {
+		return p.rest(r)
+	}
+	return 0
+}
+
 // overLimit is by how much an expected first token misses the limit of the request's class.
 func (m *Model) overLimit(now time.Time, r *request, first time.Duration) time.Duration {
 	limit, bounded := m.firstLimits[r.Class]
--- a/core/sched/early_test.go
+++ b/core/sched/early_test.go
@@ -162,3 +162,27 @@
 		t.Errorf("6 requests were sent as %v, expected each to be sent and some to each engine", sent)
 	}
 }
+
+// TestWaitEndsOnceTheDeadlineIsLost lets a request wait behind a full upstream that takes 100 ms a token.
+func TestWaitEndsOnceTheDeadlineIsLost(t *testing.T) {
+	const deadline, tokens = time.Second, 10
+	m := newModel(1, sched.WithMostPerUpstream(1))
+	slow := ask("slow", "one")
+	slow.Request.PromptTokens = simPrompt
+	m.Update(start, slow)
+	m.Update(start.Add(time.Second), sched.FirstMsg{Request: "slow", Attempt: 1})
+	now := start.Add(2 * time.Second)
+	m.Update(now, sched.EndMsg{Request: "slow", Attempt: 1})
+	m.Update(now, ask("running", "one"))
+	hasty := ask("hasty", "one")
+	hasty.Request.Deadline, hasty.Request.MaxTokens = deadline, tokens
+	m.Update(now, hasty)
+	waited := time.Duration(0)
+	for len(m.Requests(now)) == 2 && waited < 2*deadline {
+		waited += 10 * time.Millisecond
+		m.Update(now.Add(waited), sched.TickMsg{})
+	}
+	if waited > deadline/2 {
+		t.Errorf("refused after %v of a deadline of %v, though its answer takes %d times at least 50 ms", waited, deadline, tokens)
+	}
+}
--- a/core/sched/wait.go
+++ b/core/sched/wait.go
@@ -28,11 +28,12 @@
 	}
 }
 
-// waitLimit is how long a request may wait: its class's limit, or less where its deadline comes first.
+// waitLimit is how long a request may wait: its class's limit, or less where its answer could not be whole
+// by its deadline any more.
 func (m *Model) waitLimit(r *request) time.Duration {
 	limit := m.waits[r.Class]
 	if r.Deadline > 0 {
-		limit = min(limit, r.Deadline-r.waitSince.Sub(r.arrived))
+		limit = min(limit, r.Deadline-m.leastTime(r)-r.waitSince.Sub(r.arrived))
 	}
 	return limit
 }
