--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -79,46 +79,6 @@
 	Policies []string
 }
 
-// Outcome is what one policy reached.
-type Outcome struct {
-	Policy string `json:"policy"`
-	// FirstToken and BetweenTokens are of the interactive class.
-	FirstToken    load.Quantiles `json:"interactive_first_token"`
-	BetweenTokens load.Quantiles `json:"interactive_between_tokens"`
-	// Goodput is whole answers a second, GoodputInTime those whose first token met the interactive target.
-	Goodput         float64 `json:"goodput_per_second"`
-	GoodputInTime   float64 `json:"goodput_in_time_per_second"`
-	RecomputedShare float64 `json:"recomputed_share"`
-	// MostWhileCold is the most requests that any cold engine ever had, ColdBears what each bears.
-	MostWhileCold int `json:"most_while_cold"`
-	ColdBears     int `json:"cold_bears"`
-	// StartedDrained counts the requests begun in the drained zone from 3 s after the rule on.
-	StartedDrained int `json:"started_in_drained_zone"`
-	// StartedBad counts the requests begun on the bad version.
-	StartedBad int `json:"started_on_bad_version"`
-	// Stores is how many KV stores there were.
-	Stores   int            `json:"stores"`
-	Requests int            `json:"requests"`
-	Whole    int            `json:"whole"`
-	Codes    map[string]int `json:"codes"`
-	// Origins are the first-token times by what the prompts were computed from.
-	Origins []load.OriginGroup `json:"origins"`
-}
-
-// Result is a whole comparison.
-type Result struct {
-	Preset   string   `json:"preset"`
-	Scenario Scenario `json:"scenario"`
-	Seed     uint64   `json:"seed"`
-	Rate     float64  `json:"rate_per_second"`
-	LengthMs int64    `json:"length_ms"`
-	// InProcess is true where entries, engines and load share one process.
-	InProcess bool      `json:"in_process"`
-	Entries   int       `json:"entries"`
-	Engines   int       `json:"engines"`
-	Outcomes  []Outcome `json:"outcomes"`
-}
-
 // Run offers the plan's load to each policy in turn, all in this process.
 //
 //	plan := versus.Plan{Preset: p, Scenario: versus.Return, Seed: 1, Rate: 40, Length: 10 * time.Second, Policies: versus.Policies()}
@@ -230,30 +190,6 @@
 	return options
 }
 
-func outcome(policy string, r *load.Report) Outcome {
-	took := (time.Duration(r.ElapsedMs) * time.Millisecond).Seconds()
-	o := Outcome{
-		Policy: policy, RecomputedShare: r.RecomputedShare, Requests: r.Requests, Whole: r.Whole, Codes: r.Codes,
-		Origins: r.Origins,
-		Goodput: float64(r.Whole) / took, GoodputInTime: float64(r.InTime) / took,
-	}
-	for _, class := range r.Classes {
-		if class.Class == ident.Interactive {
-			o.FirstToken, o.BetweenTokens = class.FirstToken, class.BetweenTokens
-		}
-	}
-	return o
-}
-
-// observe adds what the engines counted themselves.
-func (o *Outcome) observe(engines []stand.EngineStats) {
-	o.ColdBears = coldBears
-	for _, s := range engines {
-		o.MostWhileCold = max(o.MostWhileCold, s.MostWhileCold)
-		o.StartedBad += s.Started[newVersion]
-	}
-}
-
 // start runs engines, app engines and entries with a policy.
 func (p Plan) start(policy string) (c *bench.Cluster, err error) {
 	orgs := map[string]ident.OrgID{}
