--- /dev/null
+++ b/cmd/cicadavalve/journal.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"cicadavalve/core/record"
+)
+
+// showJournal tells what each entry's journal holds and lost, and which messages fill it.
+func showJournal(ctx context.Context, s *shower, w io.Writer, _ []string) (err error) {
+	answers, err := askAll[record.Counts](ctx, s, "record", "")
+	if err != nil {
+		return err
+	}
+	return s.out.print(w, answers, func(w io.Writer) {
+		_, _ = fmt.Fprintln(w, "ENTRY\tSTEPS\tIN MEMORY\tMEMORY BYTES\tFORGOTTEN\tNOT IN THE LOG\tFAULTS\tLARGEST TYPE")
+		for _, a := range answers {
+			unanswered(w, a.Entry, a.Error)
+			d := a.Document
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", a.Entry, d.Steps, d.MemorySteps, d.MemoryBytes,
+				d.Forgotten, d.Dropped, d.Faults, largestType(d))
+		}
+	})
+}
+
+func largestType(c record.Counts) string {
+	if len(c.Types) == 0 {
+		return ""
+	}
+	t := c.Types[0]
+	return fmt.Sprintf("%s: %d steps, %d bytes", t.Type, t.Steps, t.Bytes)
+}
--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -38,6 +38,7 @@
 	"latency":   showLatency,
 	"moves":     showMoves,
 	"why":       showWhy,
+	"journal":   showJournal,
 }
 
 func viewNames() (names []string) {
--- a/core/record/journal.go
+++ b/core/record/journal.go
@@ -49,32 +49,19 @@
 	forgotten int64
 	// faults counts the steps that could not be encoded.
 	faults int64
+	// types counts the encoded steps by the type of their message.
+	types map[string]TypeCount
 }
 
 // NewJournal is an empty journal that keeps at most so many bytes in memory, and as
 // many again for the log.
 func NewJournal(registry *Registry, bytes int) *Journal {
 	return &Journal{
-		registry: registry, pendingMost: bytes,
+		registry: registry, pendingMost: bytes, types: map[string]TypeCount{},
 		ring: NewRing(bytes, func(l Line) int { return len(l.raw) }),
 	}
 }
 
-// Counts tells what a journal holds and lost.
-type Counts struct {
-	Steps       int64 `json:"steps"`
-	MemorySteps int   `json:"memory_steps"`
-	MemoryBytes int   `json:"memory_bytes"`
-	Forgotten   int64 `json:"forgotten"`
-	Dropped     int64 `json:"dropped"`
-	Faults      int64 `json:"faults"`
-}
-
-// Counts tells what the journal holds and lost.
-func (j *Journal) Counts() Counts {
-	return Counts{j.seq, j.ring.Len(), j.ring.Used(), j.forgotten, j.dropped, j.faults}
-}
-
 // Lines are the steps in memory, oldest first.
 func (j *Journal) Lines() []Line { return j.ring.Items() }
 
@@ -86,6 +73,7 @@
 		j.faults++
 		return
 	}
+	j.count(msg, line)
 	j.forgotten += int64(j.ring.Push(line))
 	if j.pendingBytes+len(line.raw) > j.pendingMost {
 		j.dropped++
--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -71,6 +71,7 @@
 		j.drop(ctx, len(lines))
 		return
 	}
+	j.d.meter.Count("journal_offered_bytes", int64(len(segment.Data)))
 	if !j.budget.AllowN(time.Now(), len(segment.Data)) {
 		j.d.log.Warn("journal_over_rate", "steps", len(lines), "bytes", len(segment.Data))
 		j.drop(ctx, len(lines))
@@ -97,5 +98,6 @@
 }
 
 func (j *journaler) drop(ctx context.Context, steps int) {
+	j.d.meter.Count("journal_dropped_steps", int64(steps))
 	j.d.inspect(ctx, func() { j.journal.Drop(steps) })
 }
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -26,6 +26,7 @@
 	subjectWhy       = "why"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
+	subjectRecord    = "record"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
@@ -43,6 +44,8 @@
 		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
 	case subjectRoster:
 		return look(ctx, d, func() roster.State { return d.node.Roster().State() })
+	case subjectRecord:
+		return look(ctx, d, func() record.Counts { return d.journal.journal.Counts() })
 	case subjectLatency:
 		return d.latency(), nil
 	case subjectWhy:
