Show what each organisation has in hand

show requests lists requests and show latency histograms; which organisation is over its share had to be counted by hand. show organisations prints requests in flight and waiting, the share and whether a rule sets it, and first-token quantiles of each class, from every entry, as a table or as JSON.

--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -31,14 +31,15 @@
 
 // views are the subjects of the show command.
 var views = map[string]view{
-	"entries":   showEntries,
-	"rules":     showRules,
-	"upstreams": showUpstreams,
-	"requests":  showRequests,
-	"latency":   showLatency,
-	"moves":     showMoves,
-	"why":       showWhy,
-	"journal":   showJournal,
+	"entries":       showEntries,
+	"rules":         showRules,
+	"upstreams":     showUpstreams,
+	"requests":      showRequests,
+	"latency":       showLatency,
+	"moves":         showMoves,
+	"why":           showWhy,
+	"journal":       showJournal,
+	"organisations": showOrganisations,
 }
 
 func viewNames() (names []string) {
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -27,6 +27,7 @@
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
 	subjectRecord    = "record"
+	subjectOrgs      = "organisations"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
@@ -44,6 +45,8 @@
 		return look(ctx, d, func() []roll.Status { return d.node.Roll().Moves() })
 	case subjectRoster:
 		return look(ctx, d, func() roster.State { return d.node.Roster().State() })
+	case subjectOrgs:
+		return d.organisations(ctx)
 	case subjectRecord:
 		return look(ctx, d, func() record.Counts { return d.journal.journal.Counts() })
 	case subjectLatency:
