--- a/core/ledger/state.go
+++ b/core/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -65,3 +66,16 @@
 	}
 	return s, nil
 }
+
+// WithText is the state in which every proposal was another file. A replay by other rules takes it.
+func (s State) WithText(text string) State {
+	if s.Version > 0 {
+		s.Text = text
+	}
+	s.Outcomes = slices.Clone(s.Outcomes)
+	for i := range s.Outcomes {
+		s.Outcomes[i].TextDigest = xxhash.Sum64String(text)
+	}
+	s.Digest = s.sum()
+	return s
+}
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -105,12 +105,15 @@
 
 // change puts the other rules in place of the recorded ones.
 func (r *Replayer) change(msg ident.Msg) ident.Msg {
+	if r.rules == "" {
+		return msg
+	}
 	switch msg := msg.(type) {
 	case sched.RulesMsg:
-		if r.rules != "" {
-			msg.Text = r.rules
-		}
+		msg.Text = r.rules
 		return msg
+	case ledger.PeerStatesMsg:
+		return changeStates(msg, r.rules)
 	case ledger.BatchMsg:
 		return r.changeBatch(msg)
 	}
@@ -118,7 +121,7 @@
 }
 
 func (r *Replayer) changeBatch(batch ledger.BatchMsg) ledger.BatchMsg {
-	if r.rules == "" || batch.Stream != ledger.StreamConfig {
+	if batch.Stream != ledger.StreamConfig {
 		return batch
 	}
 	entries := append([]ledger.Entry(nil), batch.Entries...)
--- a/core/replay/rules.go
+++ b/core/replay/rules.go
@@ -6,10 +6,22 @@
 	"cicadavalve/core/ledger"
 )
 
-// changeRecord puts another operator's file into a proposal; any other record stays as it is.
+// changeRecord puts another operator's file into a proposal or a snapshot; any other record stays as it is.
 func changeRecord(rec ledger.Record, text string) ledger.Record {
+	switch rec.Kind {
+	case ledger.KindConfig:
+		return changeProposal(rec, text)
+	case ledger.KindSnapshot:
+		if s, err := ledger.DecodeState(rec.Body); err == nil {
+			rec.Body = s.WithText(text).Encode()
+		}
+	}
+	return rec
+}
+
+func changeProposal(rec ledger.Record, text string) ledger.Record {
 	var body ledger.ConfigBody
-	if rec.Kind != ledger.KindConfig || json.Unmarshal(rec.Body, &body) != nil {
+	if json.Unmarshal(rec.Body, &body) != nil {
 		return rec
 	}
 	body.Text = text
@@ -19,3 +31,12 @@
 	}
 	return changed
 }
+
+// changeStates puts another operator's file into the states of other entries.
+func changeStates(msg ledger.PeerStatesMsg, text string) ledger.PeerStatesMsg {
+	states := make([]ledger.State, len(msg.States))
+	for i, s := range msg.States {
+		states[i] = s.WithText(text)
+	}
+	return ledger.PeerStatesMsg{States: states}
+}
--- /dev/null
+++ b/core/replay/rules_test.go
@@ -0,0 +1,95 @@
+package replay_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+	"cicadavalve/core/node"
+	"cicadavalve/core/record"
+	"cicadavalve/core/replay"
+)
+
+const (
+	recordedRules = "drain az mosgiel # asked by: test\n"
+	otherRules    = "drain az oamaru # asked by: test\n"
+)
+
+// applied is the state of a configuration's fold after one proposal.
+func applied(t *testing.T) ledger.State {
+	t.Helper()
+	rec, err := ledger.NewRecord("p", ledger.KindConfig, "entry-1", ledger.ConfigBody{Operator: "test", Text: recordedRules})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := ledger.NewConfig()
+	c.Update(time.Time{}, ledger.BatchMsg{Stream: ledger.StreamConfig, Entries: []ledger.Entry{{Record: rec}}, Next: 1})
+	return c.State()
+}
+
+// rulesInForce records a node that takes a message, and returns the rules of the replay with other ones.
+func rulesInForce(t *testing.T, msg ident.Msg) (texts []string) {
+	t.Helper()
+	now := time.Unix(0, 0).UTC()
+	settings := node.Settings{Entry: "entry-0", Incarnation: "boot", Seed: 1}
+	n, j := node.NewNode(settings), record.NewJournal(node.NewRegistry(), 1<<20)
+	j.Add(now, node.OpenMsg{Settings: settings}, nil)
+	j.Add(now, msg, n.Update(now, msg))
+	r := replay.NewReplayer(replay.WithRules(otherRules))
+	for _, line := range j.Lines() {
+		e, err := line.Entry()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Step(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, d := range r.Report().Differences {
+		for _, envelope := range d.Replayed {
+			var cmd ledger.InForceCmd
+			if envelope.Type == "ledger.InForceCmd" && json.Unmarshal(envelope.Body, &cmd) == nil {
+				texts = append(texts, cmd.Text)
+			}
+		}
+	}
+	return texts
+}
+
+func TestOtherRulesReplaceThoseOfASnapshotAndOfPeers(t *testing.T) {
+	state := applied(t)
+	snapshot := ledger.Record{ID: "s", Kind: ledger.KindSnapshot, Body: state.Encode()}
+	msgs := []ident.Msg{
+		ledger.BatchMsg{
+			Stream: ledger.StreamConfig, Entries: []ledger.Entry{{Offset: 1, Record: snapshot}}, First: 1, Next: 2,
+		},
+		ledger.PeerStatesMsg{States: []ledger.State{state}},
+	}
+	for _, msg := range msgs {
+		if diff := cmp.Diff([]string{otherRules}, rulesInForce(t, msg)); diff != "" {
+			t.Errorf("rules in force after %T (-want +got):\n%s", msg, diff)
+		}
+	}
+}
+
+// TestOtherRulesDivergeFromNoSnapshot replays a snapshot of what the node has folded itself.
+func TestOtherRulesDivergeFromNoSnapshot(t *testing.T) {
+	state := applied(t)
+	changed := state.WithText(otherRules)
+	if diff := cmp.Diff(state.Next, changed.Next); diff != "" {
+		t.Errorf("offset (-want +got):\n%s", diff)
+	}
+	rec, err := ledger.NewRecord("p", ledger.KindConfig, "entry-1", ledger.ConfigBody{Operator: "test", Text: otherRules})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := ledger.NewConfig()
+	c.Update(time.Time{}, ledger.BatchMsg{Stream: ledger.StreamConfig, Entries: []ledger.Entry{{Record: rec}}, Next: 1})
+	if diff := cmp.Diff(c.State(), changed); diff != "" {
+		t.Errorf("state of the other rules (-folded +changed):\n%s", diff)
+	}
+}
