--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -237,16 +237,15 @@
 	c.wanted = max(batch.First, batch.End())
 }
 
-// restoreFrom takes the newest snapshot of a batch; the records may go on from it or still be missing.
+// restoreFrom takes the snapshot of a batch that covers most; the records may go on from it or still
+// be missing. The newest one may cover less than one before it, since its writer may have been paused.
 func (c *Config) restoreFrom(batch BatchMsg) {
-	for i := len(batch.Entries) - 1; i >= 0; i-- {
-		rec := batch.Entries[i].Record
-		if rec.Kind != KindSnapshot {
+	for _, e := range batch.Entries {
+		if e.Record.Kind != KindSnapshot {
 			continue
 		}
-		s, err := DecodeState(rec.Body)
-		if err == nil && c.Restore(s) {
-			return
+		if s, err := DecodeState(e.Record.Body); err == nil {
+			c.Restore(s)
 		}
 	}
 }
