--- a/scripts/journal-cost.sh
+++ b/scripts/journal-cost.sh
@@ -77,7 +77,7 @@
 print("an entry: %.0f steps/s, %.1f KB/s plain, %.1f KB/s compressed, %d steps dropped by the rate, %.1f MB resident, over %.1f s"
       % (steps / seconds / entries, plain / 1024 / seconds / entries, offered / 1024 / seconds / entries, dropped / entries,
          memory / 1024 / entries, seconds))
-for size, count, name in grown[:8]:
+for size, count, name in grown[:12]:
     print("  %5.1f %%  %7.1f bytes a step  %6.1f steps/s  %s"
           % (100 * size / plain, size / max(count, 1), count / seconds / entries, name))
 PY
