--- a/cmd/cicadavalve/journal.go
+++ b/cmd/cicadavalve/journal.go
@@ -17,7 +17,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tSTEPS\tIN MEMORY\tMEMORY BYTES\tFORGOTTEN\tNOT IN THE LOG\tFAULTS\tLARGEST TYPE")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			d := a.Document
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%s\n", a.Entry, d.Steps, d.MemorySteps, d.MemoryBytes,
 				d.Forgotten, d.Dropped, d.Faults, largestType(d))
--- a/cmd/cicadavalve/organisations.go
+++ b/cmd/cicadavalve/organisations.go
@@ -19,7 +19,7 @@
 	return s.out.print(w, answers, func(w io.Writer) {
 		_, _ = fmt.Fprintln(w, "ENTRY\tORGANISATION\tSHARE\tIN FLIGHT\tWAITING\tCLASS\tFIRST TOKENS\tP50\tP95\tP99")
 		for _, a := range answers {
-			unanswered(w, a.Entry, a.Error)
+			a.notes(w)
 			for _, o := range a.Document {
 				printOrganisation(w, a.Entry, o)
 			}
--- a/core/once/once.go
+++ b/core/once/once.go
@@ -36,7 +36,8 @@
 	// asked lists attempts in the order of arrival; ended ones are dropped at ticks.
 	asked []*attempt
 	// asks holds the attempts that wait for the other members.
-	asks asks
+	asks    asks
+	members members
 	// ends holds the ends not folded yet by record id, endOrder in the order of their appends.
 	ends     map[string]*end
 	endOrder []string
@@ -84,6 +85,10 @@
 		return m.positions(now, msg)
 	case LogMsg:
 		return m.logState(now, msg)
+	case MembersMsg:
+		return m.roster(now, msg)
+	case LeaseMsg:
+		m.members.until, m.members.leaving = msg.Until, msg.Leaving
 	case TickMsg:
 		return m.tick(now)
 	case ledger.BatchMsg:
@@ -103,16 +108,18 @@
 	a := &attempt{body: body, request: msg.Request, state: attemptChart.Initial(), asked: now}
 	m.attempts[msg.Attempt] = a
 	m.asked = append(m.asked, a)
-	if reason := m.refusal(now); reason != "" {
+	if reason := m.refusal(now, msg); reason != "" {
 		return m.step(now, a, cause{event: "refuse", reason: reason})
 	}
 	return []ident.Cmd{AppendCmd{m.record(KindStart, body)}}
 }
 
 // refusal is why a call can't be started now, or empty; nothing has been appended for it.
-func (m *Model) refusal(now time.Time) Reason {
+func (m *Model) refusal(now time.Time, msg CallMsg) Reason {
 	switch {
-	case !m.Known():
+	case msg.Barred != "":
+		return msg.Barred
+	case !m.Known() || !m.members.mayStart(now):
 		return ReasonNotKnown
 	case !m.downAt.IsZero() && now.Sub(m.downAt) < logRetryAfter:
 		return ReasonLog
@@ -172,6 +179,7 @@
 	cmds = m.giveUp(now, m.sendLimit, ReasonLate)
 	m.asked = compact(m.asked, func(a *attempt) bool { return a.state != stateEnded })
 	cmds = append(cmds, m.expireRound(now)...)
+	cmds = append(cmds, m.beginRound(now)...)
 	cmds = append(cmds, m.resend(now)...)
 	return append(cmds, m.abandonAll(now)...)
 }
--- a/io/entry/organisations.go
+++ b/io/entry/organisations.go
@@ -27,9 +27,13 @@
 	}
 	known := slices.Collect(maps.Keys(times))
 	orgs, err := look(ctx, d, func() []sched.OrgView { return d.node.Sched().Orgs(known...) })
-	views = []OrganisationView{}
+	return withTimes(orgs, times), err
+}
+
+func withTimes(orgs []sched.OrgView, times map[ident.OrgID][]meter.Summary) []OrganisationView {
+	views := []OrganisationView{}
 	for _, o := range orgs {
 		views = append(views, OrganisationView{o, times[o.Org]})
 	}
-	return views, err
+	return views
 }
