--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -245,6 +245,7 @@
 	d.leave(ctx)
 	callers.stop(ctx)
 	peers.stop(ctx)
+	d.journal.flush(ctx)
 	close(ending.done)
 }
 
--- a/io/entry/journal.go
+++ b/io/entry/journal.go
@@ -25,6 +25,8 @@
 	backlog      []backlogged
 	backlogBytes int
 	backlogMost  int
+	// flushes asks run to write once more; run closes what it is handed.
+	flushes chan chan struct{}
 }
 
 // backlogged is a segment in its record, whose id stays the same over repeated appends.
@@ -47,7 +49,8 @@
 	burst := int(float64(s.JournalRate) * interval.Seconds() * journalBurst)
 	return &journaler{
 		d: d, interval: interval, backlogMost: s.JournalBytes / backlogPart, journal: record.NewJournal(node.NewRegistry(), s.JournalBytes),
-		budget: rate.NewLimiter(rate.Limit(s.JournalRate), burst),
+		flushes: make(chan chan struct{}),
+		budget:  rate.NewLimiter(rate.Limit(s.JournalRate), burst),
 	}
 }
 
@@ -70,10 +73,34 @@
 			return nil
 		case <-ticker.C:
 			j.write(ctx)
+		case written := <-j.flushes:
+			j.write(ctx)
+			close(written)
 		}
 	}
 }
 
+// flush writes what waits, at the end of a planned stop. It takes no longer than two appends, and does nothing after an abort.
+func (j *journaler) flush(ctx context.Context) {
+	select {
+	case <-j.d.aborted:
+		return
+	default:
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Duration(j.d.settings.LogTimeout))
+	defer cancel()
+	written := make(chan struct{})
+	select {
+	case j.flushes <- written:
+	case <-ctx.Done():
+		return
+	}
+	select {
+	case <-written:
+	case <-ctx.Done():
+	}
+}
+
 // write hands the waiting steps to the log. Segments wait there in order while the log is down or the rate
 // is used up, since a replay can't go past a step that is missing.
 func (j *journaler) write(ctx context.Context) {
--- a/io/entry/journal_test.go
+++ b/io/entry/journal_test.go
@@ -70,6 +70,24 @@
 	}
 }
 
+// TestPlannedStopLeavesTheWholeJournalInTheLog stops an entry long before a segment is due.
+func TestPlannedStopLeavesTheWholeJournalInTheLog(t *testing.T) {
+	c, ctx := startCluster(t, 1, bench.WithSettings(func(s *config.Settings) {
+		s.JournalRate, s.JournalInterval = 1<<20, config.Duration(time.Hour)
+	}))
+	e := c.Entries()[0]
+	var counts record.Counts
+	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "record", "", &counts); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Stop(); err != nil {
+		t.Fatal(err)
+	}
+	if seqs := logged(ctx, t, c, e); len(seqs) == 0 || seqs[0] != 1 || seqs[len(seqs)-1] <= counts.Steps {
+		t.Errorf("the log has the steps %v; the entry had taken %d before its stop", seqs, counts.Steps)
+	}
+}
+
 // TestStepsOverTheJournalsRateAreCounted gives the journal a byte a second.
 func TestStepsOverTheJournalsRateAreCounted(t *testing.T) {
 	c, ctx := startCluster(t, 1, bench.WithSettings(func(s *config.Settings) {
