--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -28,6 +28,8 @@
 	subjectSuspects  = "quarantine"
 	// subjectVerdictNext is for other entries: how far this one has folded the verdicts.
 	subjectVerdictNext = "verdict_next"
+	subjectRecord      = "record"
+	subjectOrgs        = "organisations"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
@@ -52,6 +54,8 @@
 		return n.Sched().Suspects(now), true
 	case subjectVerdictNext:
 		return n.Sched().VerdictNext(), true
+	case subjectOrgs:
+		return withTimes(n.Sched().Orgs(), nil), true
 	}
 	return nil, false
 }
@@ -62,6 +66,10 @@
 	switch subject {
 	case subjectUpstreams, subjectRequests, subjectMoves, subjectCaches, subjectRoster, subjectSuspects, subjectVerdictNext:
 		return d.view(ctx, subject)
+	case subjectOrgs:
+		return d.organisations(ctx)
+	case subjectRecord:
+		return look(ctx, d, func() record.Counts { return d.journal.journal.Counts() })
 	case subjectLatency:
 		return d.latency(), nil
 	case SubjectWhy:
