--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
 	"cicadavalve/core/once"
@@ -36,9 +37,11 @@
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.WakeMsg](), record.TypeOf[sched.SendCmd](), record.TypeOf[sched.RefuseCmd](),
-		record.TypeOf[sched.CancelCmd](), record.TypeOf[poison.AppendCmd](),
+		record.TypeOf[sched.CancelCmd](), record.TypeOf[sched.ConfirmCmd](), record.TypeOf[sched.ConfirmedMsg](), record.TypeOf[poison.AppendCmd](),
 		record.TypeOf[roll.AttemptMsg](), record.TypeOf[roll.OrderedMsg](), record.TypeOf[roll.PeerTakeBackMsg](),
 		record.TypeOf[roll.AppendCmd](), record.TypeOf[roll.OrderCmd](), record.TypeOf[roll.TellCmd](),
 		record.TypeOf[roll.ChangedCmd](), record.TypeOf[roll.LateCmd](),
+		record.TypeOf[cache.ImportCmd](), record.TypeOf[cache.RecomputeCmd](), record.TypeOf[cache.ImportedMsg](),
+		record.TypeOf[cache.ExportCmd](), record.TypeOf[cache.DropCmd](), record.TypeOf[cache.ExportedMsg](),
 	)
 }
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -29,6 +29,7 @@
 	"cicadavalve/io/logsvc"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
+	"cicadavalve/io/store"
 	"cicadavalve/io/vmlist"
 )
 
@@ -70,8 +71,10 @@
 	stater   *stater
 	rosters  *rosterAsker
 	asker    *memberAsker
-	prober   *prober
-	peers    *peers
+	// confirmer asks the members for what crashing requests wait.
+	confirmer *confirmer
+	prober    *prober
+	peers     *peers
 	// canceller ends lost attempts on their engines.
 	canceller *canceller
 	// cacheSecret keys what is derived from an organisation's name or requests.
@@ -84,6 +87,9 @@
 	// orders hands the orders to engines to the workers that send them.
 	orders chan roll.OrderCmd
 	teller *teller
+	keeper *keeper
+	// stores is what the keeper asks of KV stores.
+	stores *store.HTTPClient
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 	// farewell is true while a graceful shutdown runs.
@@ -121,8 +127,8 @@
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
-			OnceLimits: onceLimits(settings),
-			MoveDwell:  time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			OnceLimits: onceLimits(settings), CacheLimits: cacheLimits(settings),
+			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
 			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
@@ -138,7 +144,10 @@
 	d.rosters = newRosterAsker(d)
 	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
+	d.confirmer = newConfirmer(d)
 	d.canceller = newCanceller(d.engines)
+	d.stores = store.NewHTTPClient(connectTimeout)
+	d.keeper = newKeeper(d, d.stores)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
@@ -224,6 +233,7 @@
 	stopLoops()
 	err = group.Wait()
 	d.engines.CloseIdle()
+	d.stores.CloseIdle()
 	for _, t := range append(d.control, d.peerHTTP) {
 		t.CloseIdleConnections()
 	}
@@ -246,6 +256,7 @@
 	d.leave(ctx)
 	callers.stop(ctx)
 	peers.stop(ctx)
+	d.journal.flush(ctx)
 	close(ending.done)
 }
 
@@ -270,8 +281,10 @@
 	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.rosters.run(ctx) })
 	group.Go(func() error { return d.asker.run(ctx) })
+	group.Go(func() error { return d.confirmer.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
+	group.Go(func() error { return d.keeper.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
--- a/io/past/entry.go
+++ b/io/past/entry.go
@@ -57,6 +57,9 @@
 		return err
 	}
 	for _, step := range steps {
+		if e.has(step) {
+			continue
+		}
 		if err := run.Step(step); errors.Is(err, replay.ErrGap) || errors.Is(err, replay.ErrNoOpening) {
 			return nil
 		} else if err != nil {
@@ -67,6 +70,12 @@
 	return nil
 }
 
+// has reports whether a step was taken before; the log has a segment twice where the answer to its append was lost.
+func (e *Entry) has(step record.Entry) bool {
+	n := len(e.steps)
+	return n > 0 && step.Seq <= e.steps[n-1].Seq
+}
+
 // At is when the entry took its last step.
 func (e *Entry) At() time.Time { return e.at }
 
