--- a/io/peer/tls.go
+++ b/io/peer/tls.go
@@ -135,7 +135,8 @@
 	}
 	t.pool = pool
 	t.http = &http.Transport{
-		ForceAttemptHTTP2: true, DialContext: t.dial, HTTP2: HealthOf(defaultInterval).config(),
+		ForceAttemptHTTP2: true, DialContext: t.dial,
+		HTTP2: HealthOf(defaultInterval).config(), IdleConnTimeout: HealthOf(defaultInterval).Unused,
 		TLSClientConfig: &tls.Config{
 			MinVersion: tls.VersionTLS13, RootCAs: pool,
 			GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -19,6 +19,12 @@
 type silentConn struct {
 	net.Conn
 	silent *atomic.Bool
+	closed *atomic.Int64
+}
+
+func (c *silentConn) Close() error {
+	c.closed.Add(1)
+	return c.Conn.Close()
 }
 
 func (c *silentConn) Write(p []byte) (n int, err error) {
@@ -31,13 +37,14 @@
 // lossyDialer opens connections that can all go silent at once; later ones work.
 type lossyDialer struct {
 	opened  atomic.Int64
+	closed  atomic.Int64
 	current atomic.Pointer[atomic.Bool]
 }
 
 func (d *lossyDialer) dial(ctx context.Context, network, address string) (conn net.Conn, err error) {
 	conn, err = (&net.Dialer{}).DialContext(ctx, network, address)
 	d.opened.Add(1)
-	return &silentConn{Conn: conn, silent: d.current.Load()}, err
+	return &silentConn{Conn: conn, silent: d.current.Load(), closed: &d.closed}, err
 }
 
 func (d *lossyDialer) lose() {
@@ -48,22 +55,10 @@
 
 // TestSilentConnectionIsGivenUp asks until a new connection is made in place of a silent one.
 func TestSilentConnectionIsGivenUp(t *testing.T) {
-	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.WriteString(w, r.Proto)
-	}))
-	server.Config.Protocols = &http.Protocols{}
-	server.Config.Protocols.SetUnencryptedHTTP2(true)
-	server.Start()
-	defer server.Close()
-	d := &lossyDialer{}
-	d.lose()
-	const interval = 100 * time.Millisecond
-	transport := peer.NewTransport(d.dial, peer.HealthOf(interval))
-	defer transport.CloseIdleConnections()
-	client := &http.Client{Transport: transport, Timeout: interval}
-	answers := []string{askUntilAnswered(client, server.URL)}
+	d, client, url := newLossyClient(t)
+	answers := []string{askUntilAnswered(client, url)}
 	d.lose()
-	answers = append(answers, askUntilAnswered(client, server.URL))
+	answers = append(answers, askUntilAnswered(client, url))
 	if diff := cmp.Diff([]string{"HTTP/2.0", "HTTP/2.0"}, answers); diff != "" {
 		t.Errorf("answers before and after the silence (-want +got):\n%s", diff)
 	}
@@ -72,9 +67,47 @@
 	}
 }
 
+// TestUnusedConnectionIsClosed leaves a connection alone, which would cost a sign of life now and then for good.
+func TestUnusedConnectionIsClosed(t *testing.T) {
+	d, client, url := newLossyClient(t)
+	if diff := cmp.Diff("HTTP/2.0", askUntilAnswered(client, url)); diff != "" {
+		t.Fatalf("answer (-want +got):\n%s", diff)
+	}
+	before := d.closed.Load()
+	for tries := 0; d.closed.Load() == before; tries++ {
+		if tries == mostTries {
+			t.Fatal("the unused connection was not closed")
+		}
+		time.Sleep(testInterval)
+	}
+}
+
+const (
+	testInterval = 100 * time.Millisecond
+	// mostTries is far more than any of what is waited for takes.
+	mostTries = 200
+)
+
+// newLossyClient asks a new server over connections that can go silent.
+func newLossyClient(t *testing.T) (d *lossyDialer, client *http.Client, url string) {
+	t.Helper()
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(w, r.Proto)
+	}))
+	server.Config.Protocols = &http.Protocols{}
+	server.Config.Protocols.SetUnencryptedHTTP2(true)
+	server.Start()
+	t.Cleanup(server.Close)
+	d = &lossyDialer{}
+	d.lose()
+	transport := peer.NewTransport(d.dial, peer.HealthOf(testInterval))
+	t.Cleanup(transport.CloseIdleConnections)
+	return d, &http.Client{Transport: transport, Timeout: testInterval}, server.URL
+}
+
 // askUntilAnswered returns the first answer, or nothing after many questions.
 func askUntilAnswered(client *http.Client, url string) (answer string) {
-	for range 200 {
+	for range mostTries {
 		resp, err := client.Get(url)
 		if err != nil {
 			continue
