--- a/io/config/config.go
+++ b/io/config/config.go
@@ -139,6 +139,9 @@
 	KeepInterval Duration `yaml:"keep_interval"`
 }
 
+// mostLinkRate is the highest rate of a link, in bytes a second, that is no mistake.
+const mostLinkRate = 1e15
+
 func defaults() Settings {
 	kept := cache.DefaultLimits()
 	return Settings{
@@ -252,7 +255,7 @@
 	fault(s.JournalRate <= 0, "journal_rate: expected a number above 0")
 	fault(s.SnapshotRecords <= 0, "snapshot_records: expected a number above 0")
 	fault(s.LinkTransfers <= 0, "link_transfers: expected a number above 0")
-	fault(s.LinkRate <= 0, "link_rate: expected a number above 0")
+	fault(!(s.LinkRate > 0 && s.LinkRate <= mostLinkRate), "link_rate: expected a number above 0, at most 1e15")
 	fault(s.StoreLeastTokens < cache.BlockTokens, "store_least_tokens: expected at least the size of a block, 1024")
 	fault(s.ExportQueue <= 0, "export_queue: expected a number above 0")
 	fault(s.AssumeHeld < 0, "assume_held: expected a duration of at least 0")
--- a/io/config/config_test.go
+++ b/io/config/config_test.go
@@ -39,6 +39,25 @@
 	}
 }
 
+func TestLimitsOfStoresAreChecked(t *testing.T) {
+	for text, want := range map[string]bool{
+		"use_stores: false\nlink_rate: 1000\nassume_held: 0s\n": true,
+		"link_rate: .nan\n":       false,
+		"link_rate: -1\n":         false,
+		"link_transfers: 0\n":     false,
+		"store_least_tokens: 1\n": false,
+		"export_queue: 0\n":       false,
+		"import_deadline: 0s\n":   false,
+		"export_deadline: -1s\n":  false,
+		"assume_held: -1s\n":      false,
+	} {
+		_, err := config.Parse([]byte(goodSettings + text))
+		if diff := cmp.Diff(want, err == nil); diff != "" {
+			t.Errorf("%s accepted (-want +got):\n%s%v", text, diff, err)
+		}
+	}
+}
+
 // FuzzParse checks that accepted settings are accepted again as they are written.
 func FuzzParse(f *testing.F) {
 	f.Add(goodSettings)
--- a/io/entry/kept_test.go
+++ b/io/entry/kept_test.go
@@ -12,8 +12,11 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/record"
+	"cicadavalve/core/replay"
 	"cicadavalve/io/bench"
 	"cicadavalve/io/config"
+	"cicadavalve/io/peer"
 	"cicadavalve/io/stand"
 )
 
@@ -217,6 +220,25 @@
 	keptRounds(ctx, t, c, []string{bench.Token}, func() bool {
 		return counted(c, "recomputed_instead_store_failed") > 0
 	}, "v1")
+	for _, e := range c.Entries() {
+		replayKept(ctx, t, e)
+	}
+}
+
+// replayKept runs an entry's recorded decisions about kept context again.
+func replayKept(ctx context.Context, t *testing.T, e *bench.Entry) {
+	t.Helper()
+	var segment record.Segment
+	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "journal", "", &segment); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := segment.Entries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]replay.Difference(nil), replayAll(t, entries).Differences); diff != "" {
+		t.Errorf("differences of the journal of %s (-want +got):\n%s", e.ID, diff)
+	}
 }
 
 func TestReturningPromptsOfTwoOrganisations(t *testing.T) {
