--- a/io/entry/rolling_test.go
+++ b/io/entry/rolling_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -37,6 +39,25 @@
 	s.ProbeInterval = config.Duration(time.Second)
 }
 
+const (
+	// rateVariable asks for another rate than defaultRate, in requests a second.
+	rateVariable = "CICADAVALVE_ROLLING_RATE"
+	defaultRate  = 12
+)
+
+func rollingRate(t *testing.T) float64 {
+	t.Helper()
+	text := os.Getenv(rateVariable)
+	if text == "" {
+		return defaultRate
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rate
+}
+
 // offer offers load while change runs, and checks that every answer was whole.
 func offer(ctx context.Context, t *testing.T, p load.Preset, entries []*bench.Entry, change func() error) {
 	t.Helper()
@@ -45,7 +66,7 @@
 		seeds = append(seeds, e.Caller)
 	}
 	runner := load.NewRunner(p, map[ident.OrgID]string{bench.Org: bench.Token}, seeds,
-		load.WithSeed(5), load.WithRate(12), load.WithLength(8*time.Second))
+		load.WithSeed(5), load.WithRate(rollingRate(t)), load.WithLength(8*time.Second))
 	changed := make(chan error, 1)
 	go func() { changed <- change() }()
 	report := runner.Run(ctx)
