Look once for what interactive requests wait for

Cause: with upstreams full, each message looked for a deferred request to take off for every interactive request that waits, and each upstream of a deferred request's choice went over all waiting ones. Requests that need the same upstreams now share the answer.

--- a/core/sched/decision_test.go
+++ b/core/sched/decision_test.go
@@ -39,3 +39,41 @@
 		m.choose(now, r)
 	}
 }
+
+// BenchmarkTickUnderOverload measures a tick while every upstream is full and requests of two classes wait.
+func BenchmarkTickUnderOverload(b *testing.B) {
+	for _, n := range []int{12, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchmarkOverload(b, n) })
+	}
+}
+
+func benchmarkOverload(b *testing.B, n int) {
+	now := time.Unix(1000, 0)
+	m := NewModel(WithZone("zone-0"))
+	m.Update(now, RulesMsg{Version: 1, Text: "route model m class interactive # test\nserve model m version v1 # test\n"})
+	var list []Upstream
+	for i := range n {
+		id := ident.UpstreamID(fmt.Sprintf("engine-%d", i))
+		list = append(list, Upstream{ID: id, Role: RoleEngine, Address: "10.0.0.1:1", Zone: ident.Zone(fmt.Sprintf("zone-%d", i%3))})
+	}
+	m.Update(now, UpstreamsMsg{Upstreams: list})
+	for _, u := range list {
+		full := Load{BootID: "b", Running: m.mostPerUpstream, Loaded: []Loaded{{"m", "v1"}}}
+		m.Update(now, LoadMsg{Upstream: u.ID, Load: full})
+	}
+	classes := []ident.Class{ident.Interactive, ident.Deferred}
+	for i := range mostWaiting {
+		r := Request{
+			ID: ident.RequestID(fmt.Sprint("r", i)), Org: ident.OrgID(fmt.Sprint("org-", i%4)), Model: "m",
+			Class: classes[i%2], PromptRoot: uint64(i), PromptTokens: 4096, Repeatable: true,
+		}
+		m.Update(now, ArriveMsg{Request: r})
+	}
+	if m.Waiting() != mostWaiting {
+		b.Fatalf("%d requests wait", m.Waiting())
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Update(now, TickMsg{})
+	}
+}
--- a/core/sched/deferred.go
+++ b/core/sched/deferred.go
@@ -42,38 +42,54 @@
 	return r.Class.Rank()
 }
 
-// hasRoom reports whether an upstream may get one more request of this kind.
-func (m *Model) hasRoom(u *upstream, patient bool) bool {
-	load := u.candidate.Outstanding + u.candidate.Others
-	if patient {
-		return load < m.mostPerUpstream-m.mostPerUpstream/keptRoom && !m.wanted(u)
+// room tells which upstreams have room for one more request of a kind.
+type room struct {
+	most int
+	// wanted lists what interactive requests wait for; upstreams that serve it are left to them.
+	wanted []poolKey
+}
+
+// roomFor is the room that a request may take.
+func (m *Model) roomFor(now time.Time, r *request) room {
+	if !m.patient(now, r) {
+		return room{most: m.mostPerUpstream}
 	}
-	return load < m.mostPerUpstream
+	return room{most: m.mostPerUpstream - m.mostPerUpstream/keptRoom, wanted: m.wanted()}
 }
 
-// wanted reports whether an interactive request waits for room on an upstream.
-func (m *Model) wanted(u *upstream) bool {
+// on reports whether an open upstream has the room.
+func (f room) on(u *upstream) bool {
+	return u.candidate.Outstanding+u.candidate.Others < f.most && !slices.ContainsFunc(f.wanted, u.serves)
+}
+
+// wanted lists what interactive requests wait for.
+func (m *Model) wanted() (keys []poolKey) {
 	for _, id := range m.waiting {
 		r, open := m.requests[id]
-		if open && r.Class == ident.Interactive && r.on == "" && slices.Contains(m.pool(r), u) {
-			return true
+		if open && r.Class == ident.Interactive && r.on == "" && !slices.Contains(keys, r.poolKey()) {
+			keys = append(keys, r.poolKey())
 		}
 	}
-	return false
+	return keys
 }
 
 // preempt makes room for the interactive requests that wait: for each, it takes one deferred
-// request off an upstream and sends the interactive one.
+// request off an upstream and sends the interactive one. Where one found none, the others that need
+// the same upstreams find none either.
 func (m *Model) preempt(now time.Time) (cmds []ident.Cmd) {
+	var without []poolKey
 	for _, id := range slices.Clone(m.waiting) {
 		r, open := m.requests[id]
-		if !open || r.on != "" || r.Class != ident.Interactive {
+		if !open || r.on != "" || r.Class != ident.Interactive || slices.Contains(without, r.poolKey()) {
 			continue
 		}
-		if victim := m.victim(now, r); victim != nil {
-			cmds = append(cmds, m.displace(now, victim))
-			cmds = append(cmds, m.send(now, r)...)
+		victim := m.victim(now, r)
+		if victim == nil {
+			without = append(without, r.poolKey())
+			continue
 		}
+		cmds = append(cmds, m.displace(now, victim))
+		cmds = append(cmds, m.send(now, r)...)
 	}
 	m.dropWaiting()
 	return cmds
--- a/core/sched/pool.go
+++ b/core/sched/pool.go
@@ -58,16 +58,19 @@
 	return keys
 }
 
+// serves reports whether an upstream holds a model version or runs a service.
+func (u *upstream) serves(k poolKey) bool { return slices.Contains(u.poolKeys(), k) }
+
 // collect fills candidates with the upstreams that may take the request.
 func (m *Model) collect(now time.Time, r *request, avoid []ident.UpstreamID, least trust) {
 	m.candidates = m.candidates[:0]
 	trials := m.poison.Trials() > 0
-	patient := m.patient(now, r)
+	free := m.roomFor(now, r)
 	for _, u := range m.pool(r) {
 		if (u.special || trials) && !m.admits(now, u, r, least) {
 			continue
 		}
-		if !m.hasRoom(u, patient) {
+		if !free.on(u) {
 			continue
 		}
 		if len(avoid) > 0 && slices.Contains(avoid, u.listed.ID) {
