--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -189,13 +189,15 @@
 // snapshot appends the state when a snapshot is due; a fold that seeks one, or that can't read
 // whether another entry has appended one, appends none.
 func (c *Config) snapshot(now time.Time) []ident.Cmd {
-	if !c.current || c.away || c.Wanted() > c.next || !c.snapshots.IsDue(now, c.progress()) {
+	if !c.maySnapshot() || !c.snapshots.IsDue(now, c.progress()) {
 		return nil
 	}
 	c.snapshots.Written(now)
 	return []ident.Cmd{c.snapshotRecord(c.State())}
 }
 
+func (c *Config) maySnapshot() bool { return c.current && !c.away && c.Wanted() <= c.next }
+
 // snapshotRecord is the snapshot to append; its id stays the same over repeated appends.
 func (c *Config) snapshotRecord(state State) AppendCmd {
 	id := fmt.Sprintf("snapshot/%s/%d", c.entry, state.Next)
@@ -237,16 +239,15 @@
 	c.wanted = max(batch.First, batch.End())
 }
 
-// restoreFrom takes the newest snapshot of a batch; the records may go on from it or still be missing.
+// restoreFrom takes the snapshot of a batch that covers most; the records may go on from it or still
+// be missing. The newest one may cover less than one before it, since its writer may have been paused.
 func (c *Config) restoreFrom(batch BatchMsg) {
-	for i := len(batch.Entries) - 1; i >= 0; i-- {
-		rec := batch.Entries[i].Record
-		if rec.Kind != KindSnapshot {
+	for _, e := range batch.Entries {
+		if e.Record.Kind != KindSnapshot {
 			continue
 		}
-		s, err := DecodeState(rec.Body)
-		if err == nil && c.Restore(s) {
-			return
+		if s, err := DecodeState(e.Record.Body); err == nil {
+			c.Restore(s)
 		}
 	}
 }
--- a/core/ledger/snapshot.go
+++ b/core/ledger/snapshot.go
@@ -110,5 +110,13 @@
 	return float64(p.Next-s.covered) > s.share*float64(retained)
 }
 
+// Next is when a snapshot may be appended, as far as time decides it.
+func (s *Snapshots) Next() time.Time {
+	if s.earliest.After(s.due) {
+		return s.earliest
+	}
+	return s.due
+}
+
 // Written takes note that this entry appends a snapshot now.
 func (s *Snapshots) Written(now time.Time) { s.earliest = now.Add(snapshotRetry) }
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -49,6 +49,8 @@
 	sched    *sched.Model
 	roll     *roll.Model
 	cache    *cache.Model
+	// ticked is when the last tick came, and due when the next one is to come, or zero.
+	ticked, due time.Time
 }
 
 // NewNode builds the deciders.
@@ -117,6 +119,8 @@
 		cmds = append(cmds, cmd)
 		cmds = append(cmds, n.forward(now, cmd)...)
 	}
+	_, ticked := msg.(sched.TickMsg)
+	n.setDue(now, ticked)
 	return cmds
 }
 
@@ -132,6 +136,7 @@
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
+		n.ticked = now
 		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
 	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
 		return n.roll.Update(now, msg)
--- a/core/sched/alone.go
+++ b/core/sched/alone.go
@@ -15,13 +15,28 @@
 	mostAloneWait = 5 * time.Second
 	// aloneShare is the part of the upstreams, as a divisor, that suspect requests may hold at once.
 	aloneShare = 4
-	// mostTrialWait is how long a suspect request waits for the log to show its trial.
+	// mostTrialWait is how long a suspect request waits for the log to show its trial, and for the
+	// other members to know of it.
 	mostTrialWait = 500 * time.Millisecond
 )
 
 // VerdictNext is the offset of the first record of [ledger.StreamVerdict] not folded yet.
 func (m *Model) VerdictNext() int64 { return m.poison.Next() }
 
+// Suspects lists the requests that crashed upstreams.
+func (m *Model) Suspects(now time.Time) []poison.View { return m.poison.Views(now) }
+
+// liftQuarantines ends the quarantines that the operator's file names.
+func (m *Model) liftQuarantines() (cmds []ident.Cmd) {
+	if m.rules == nil {
+		return nil
+	}
+	for _, r := range m.rules.Released() {
+		cmds = append(cmds, m.poison.Release(poison.Digest(r.Digest), r.ID)...)
+	}
+	return cmds
+}
+
 // lost tells of a request whose upstream broke off under it. A silent upstream is no sign of
 // a crash: it may only be busy.
 func (m *Model) lost(now time.Time, r *request, cause Cause) []ident.Cmd {
@@ -97,8 +112,8 @@
 	return false
 }
 
-// startAlone sends a suspect request when its upstream is free and the log shows its trial,
-// or after a while without the log.
+// startAlone sends a suspect request when its upstream is free, the log shows its trial and the other
+// members know of it, or after a while without the log or a member.
 func (m *Model) startAlone(now time.Time, r *request) []ident.Cmd {
 	u, held := m.upstreams[r.reserved]
 	if !held || u.candidate.Outstanding > 0 || !m.eligible(now, u, r, unreachable) {
@@ -110,9 +125,13 @@
 		r.trialSince = now
 		return m.poison.Trial(r.trial)
 	}
-	if !m.poison.Granted(r.Digest, r.trial.ID) && now.Sub(r.trialSince) < mostTrialWait {
+	waits := now.Sub(r.trialSince) < mostTrialWait
+	if waits && !m.poison.Granted(r.Digest, r.trial.ID) {
 		return nil
 	}
+	if waits && !r.confirmed {
+		return m.confirm(now, r)
+	}
 	m.parked = slices.DeleteFunc(m.parked, func(id ident.RequestID) bool { return id == r.ID })
 	r.alone = true
 	return []ident.Cmd{m.start(now, r, u)}
@@ -125,7 +144,7 @@
 		return nil
 	}
 	ended := r.trial
-	r.trial = poison.TrialBody{}
+	r.trial, r.confirming, r.confirmed = poison.TrialBody{}, false, false
 	return m.poison.EndTrial(ended)
 }
 
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -25,6 +25,8 @@
 	attempt int
 	// moves counts the attempts that were moved rather than failed.
 	moves int
+	// excuses counts the moves of which this entry's own lateness was the reason; at most maxAttempts.
+	excuses int
 	// on is the upstream of the current attempt, or empty.
 	on ident.UpstreamID
 	// sent is when the current attempt began.
@@ -37,6 +39,8 @@
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
 	version ident.Version
+	// confirming is true once the members were asked about the losses before the trial, confirmed once they know.
+	confirming, confirmed bool
 	// touched is true once an upstream may have run the request.
 	touched bool
 	// delivered counts the tokens that the caller has.
@@ -74,7 +78,9 @@
 	silence     map[ident.Class]time.Duration
 	// budgets bounds the attempts beyond the first, per organisation.
 	budgets *retry.Budgets
-	poison  *poison.Model
+	// lateness tells when this entry itself was short of processor time.
+	lateness lateness
+	poison   *poison.Model
 	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
 	parked []ident.RequestID
 	// waiting lists the requests that wait for room on an upstream; at most mostWaiting.
@@ -159,6 +165,7 @@
 	case RulesMsg:
 		m.setRules(msg)
 		m.noteClosed(now)
+		return m.liftQuarantines()
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case FirstMsg:
@@ -173,6 +180,8 @@
 		return m.tick(now)
 	case GoneMsg:
 		return m.gone(now, msg)
+	case ConfirmedMsg:
+		m.confirmed(msg)
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
@@ -181,7 +190,9 @@
 
 // tick lets time pass.
 func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
+	m.lateness.ticked(now)
 	cmds = append(cmds, m.poison.Tick(now)...)
+	cmds = append(cmds, m.liftQuarantines()...)
 	cmds = append(cmds, m.move(now)...)
 	return append(cmds, m.yield(now)...)
 }
@@ -229,7 +240,7 @@
 
 func (m *Model) miss(now time.Time, msg UnreachableMsg) []ident.Cmd {
 	u, known := m.upstreams[msg.Upstream]
-	if !known {
+	if !known || m.lateness.within(now, now.Add(-msg.Waited)) {
 		return nil
 	}
 	u.misses++
@@ -298,8 +309,8 @@
 	if !m.find(now, r) {
 		return m.wait(now, r)
 	}
-	u := m.upstreams[m.choose(now, r)]
-	if over := m.excess(now, r, u); over > 0 {
+	u, over := m.place(now, r)
+	if over > 0 {
 		return m.refuseEarly(now, r, over)
 	}
 	return []ident.Cmd{m.start(now, r, u)}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -38,7 +38,6 @@
 	idlePerUpstream = 64
 	inboxSize       = 1024
 	readHeaderLimit = 5 * time.Second
-	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
@@ -72,8 +71,10 @@
 	stater   *stater
 	rosters  *rosterAsker
 	asker    *memberAsker
-	prober   *prober
-	peers    *peers
+	// confirmer asks the members for what crashing requests wait.
+	confirmer *confirmer
+	prober    *prober
+	peers     *peers
 	// canceller ends lost attempts on their engines.
 	canceller *canceller
 	// cacheSecret keys what is derived from an organisation's name or requests.
@@ -112,13 +113,15 @@
 		superseded: make(chan struct{}),
 		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(loads)),
 		control:    []*http.Transport{control, lists},
-		peerHTTP:   controlTransport(figures, meter.PurposePeer),
-		logs:       logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
-		list:       vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
-		meter:      figures,
-		inbox:      make(chan work, inboxSize),
-		sessions:   newSessions(),
-		clock:      newClock(),
+		peerHTTP: peer.NewTransport(
+			meter.NewDialer(figures, meter.PurposePeer, connectTimeout).DialContext,
+			peer.HealthOf(time.Duration(settings.PingInterval))),
+		logs:     logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
+		list:     vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
+		meter:    figures,
+		inbox:    make(chan work, inboxSize),
+		sessions: newSessions(),
+		clock:    newClock(),
 		node: node.NewNode(node.Settings{
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
@@ -141,6 +144,7 @@
 	d.rosters = newRosterAsker(d)
 	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
+	d.confirmer = newConfirmer(d)
 	d.canceller = newCanceller(d.engines)
 	d.stores = store.NewHTTPClient(connectTimeout)
 	d.keeper = newKeeper(d, d.stores)
@@ -252,6 +256,7 @@
 	d.leave(ctx)
 	callers.stop(ctx)
 	peers.stop(ctx)
+	d.journal.flush(ctx)
 	close(ending.done)
 }
 
@@ -276,6 +281,7 @@
 	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.rosters.run(ctx) })
 	group.Go(func() error { return d.asker.run(ctx) })
+	group.Go(func() error { return d.confirmer.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.keeper.run(ctx) })
