--- a/core/sched/late_test.go
+++ b/core/sched/late_test.go
@@ -114,3 +114,29 @@
 		t.Errorf("sendings of a request that is always late (-want +got):\n%s", diff)
 	}
 }
+
+// TestNewEntryIsNotFitBeforeItHasHeardOfEachRole lets the first probes of a new entry miss, as they do when it is late.
+func TestNewEntryIsNotFitBeforeItHasHeardOfEachRole(t *testing.T) {
+	m := sched.NewModel()
+	m.Update(start, sched.RulesMsg{Version: 1, Text: testRules})
+	m.Update(start, sched.UpstreamsMsg{Upstreams: []sched.Upstream{
+		{ID: engineID(0), Role: sched.RoleEngine}, {ID: engineID(1), Role: sched.RoleEngine},
+		{ID: "app", Role: sched.RoleApp}, {ID: "store", Role: sched.RoleStore},
+	}})
+	var settled []bool
+	step := func(msg ident.Msg) {
+		m.Update(start, msg)
+		settled = append(settled, m.Settled())
+	}
+	miss := func(id ident.UpstreamID) { step(sched.UnreachableMsg{Upstream: id}) }
+	miss(engineID(0))
+	miss(engineID(1))
+	miss("app")
+	step(loadOf(engineID(1), "boot"))
+	for range 4 {
+		miss("app")
+	}
+	if diff := cmp.Diff([]bool{false, false, false, false, false, false, false, true}, settled); diff != "" {
+		t.Errorf("fit after each probe (-want +got):\n%s", diff)
+	}
+}
