--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -83,9 +83,13 @@
 // Node is the set of deciders as the last step left them; it is nil before an incarnation's opening.
 func (r *Replayer) Node() *node.Node { return r.node }
 
-// Step runs one step and compares its commands with the recorded ones.
+// Step runs one step and compares its commands with the recorded ones. It passes over a step that it has
+// had, since the log has a segment twice where the answer to its first append was lost.
 func (r *Replayer) Step(e record.Entry) (err error) {
 	defer func() { err = errors.Wrapf(err, "step %d", e.Seq) }()
+	if e.Seq < r.next {
+		return nil
+	}
 	if e.Seq != r.next {
 		return ErrGap
 	}
@@ -108,12 +112,15 @@
 
 // change puts the other rules in place of the recorded ones.
 func (r *Replayer) change(msg ident.Msg) ident.Msg {
+	if r.rules == "" {
+		return msg
+	}
 	switch msg := msg.(type) {
 	case sched.RulesMsg:
-		if r.rules != "" {
-			msg.Text = r.rules
-		}
+		msg.Text = r.rules
 		return msg
+	case ledger.PeerStatesMsg:
+		return changeStates(msg, r.rules)
 	case ledger.BatchMsg:
 		return r.changeBatch(msg)
 	}
@@ -121,7 +128,7 @@
 }
 
 func (r *Replayer) changeBatch(batch ledger.BatchMsg) ledger.BatchMsg {
-	if r.rules == "" || batch.Stream != ledger.StreamConfig {
+	if batch.Stream != ledger.StreamConfig {
 		return batch
 	}
 	entries := append([]ledger.Entry(nil), batch.Entries...)
--- a/core/sched/late.go
+++ b/core/sched/late.go
@@ -2,28 +2,35 @@
 
 import "time"
 
-// lateAfter is how long after the last tick the entry counts as late: five times the interval of ticks.
-const lateAfter = 250 * time.Millisecond
+// lateAfter is how long after it was due a tick shows that the entry is late: four times the interval
+// of ticks while requests are open.
+const lateAfter = 200 * time.Millisecond
+
+// openTickInterval is when the next tick is due after one, where nothing else was told.
+const openTickInterval = 50 * time.Millisecond
 
 // lateness tells the times in which the entry itself had too little processor time. What it did
 // not hear in such a time is no sign against an upstream.
 type lateness struct {
-	// tick is when the last tick was handled, or zero.
-	tick time.Time
+	// due is when the next tick is due, or zero.
+	due time.Time
 	// to ends the last time in which the entry was late, or is zero.
 	to time.Time
 }
 
+// ExpectTick tells when the next tick is due.
+func (m *Model) ExpectTick(due time.Time) { m.lateness.due = due }
+
 // ticked notes a tick.
 func (l *lateness) ticked(now time.Time) {
 	if l.late(now) {
 		l.to = now
 	}
-	l.tick = now
+	l.due = now.Add(openTickInterval)
 }
 
 func (l *lateness) late(now time.Time) bool {
-	return !l.tick.IsZero() && now.Sub(l.tick) >= lateAfter
+	return !l.due.IsZero() && now.Sub(l.due) >= lateAfter
 }
 
 // within reports whether the entry was late at any time since a moment.
--- a/core/sched/settled.go
+++ b/core/sched/settled.go
@@ -1,5 +1,7 @@
 package sched
 
+import "time"
+
 // settleMisses is how many probes in a row the upstreams of a role may miss before the entry takes
 // them to be down rather than itself to be late.
 const settleMisses = 5
@@ -27,3 +29,9 @@
 	}
 	return m.listed
 }
+
+// NextTick is when the scheduler next has something to do without another message, and whether it
+// has: at once as long as it has a request or a record is on its way into the log.
+func (m *Model) NextTick() (at time.Time, set bool) {
+	return at, len(m.requests) > 0 || len(m.parked)+len(m.waiting) > 0 || m.poison.Pending()
+}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -29,6 +29,7 @@
 	"cicadavalve/io/logsvc"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
+	"cicadavalve/io/store"
 	"cicadavalve/io/vmlist"
 )
 
@@ -37,7 +38,6 @@
 	idlePerUpstream = 64
 	inboxSize       = 1024
 	readHeaderLimit = 5 * time.Second
-	tickInterval    = 50 * time.Millisecond
 )
 
 // Daemon is one entry.
@@ -87,6 +87,9 @@
 	// orders hands the orders to engines to the workers that send them.
 	orders chan roll.OrderCmd
 	teller *teller
+	keeper *keeper
+	// stores is what the keeper asks of KV stores.
+	stores *store.HTTPClient
 	// leaving is set by the loop once a graceful shutdown has begun.
 	leaving bool
 	// farewell is true while a graceful shutdown runs.
@@ -110,20 +113,22 @@
 		superseded: make(chan struct{}),
 		engines:    engine.NewHTTPClient(connectTimeout, idlePerUpstream, engine.WithControlDialer(loads)),
 		control:    []*http.Transport{control, lists},
-		peerHTTP:   controlTransport(figures, meter.PurposePeer),
-		logs:       logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
-		list:       vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
-		meter:      figures,
-		inbox:      make(chan work, inboxSize),
-		sessions:   newSessions(),
-		clock:      newClock(),
+		peerHTTP: peer.NewTransport(
+			meter.NewDialer(figures, meter.PurposePeer, connectTimeout).DialContext,
+			peer.HealthOf(time.Duration(settings.PingInterval))),
+		logs:     logsvc.NewClient(settings.LogURL, &http.Client{Transport: control}),
+		list:     vmlist.NewClient(settings.ListURL, &http.Client{Transport: lists, Timeout: time.Duration(settings.LogTimeout)}),
+		meter:    figures,
+		inbox:    make(chan work, inboxSize),
+		sessions: newSessions(),
+		clock:    newClock(),
 		node: node.NewNode(node.Settings{
 			Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone),
 			Seed: seed(settings.Seed), Policy: settings.Policy,
 			Slots: slotTiming(settings), PingInterval: time.Duration(settings.PingInterval),
 			SnapshotRecords: settings.SnapshotRecords, SnapshotInterval: time.Duration(settings.SnapshotInterval),
-			OnceLimits: onceLimits(settings),
-			MoveDwell:  time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
+			OnceLimits: onceLimits(settings), CacheLimits: cacheLimits(settings),
+			MoveDwell: time.Duration(settings.MoveDwell), WeightLease: time.Duration(settings.WeightLease),
 			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
@@ -141,6 +146,8 @@
 	d.asker = newMemberAsker(d)
 	d.confirmer = newConfirmer(d)
 	d.canceller = newCanceller(d.engines)
+	d.stores = store.NewHTTPClient(connectTimeout)
+	d.keeper = newKeeper(d, d.stores)
 	d.prober = newProber(d.engines, settings, d.post)
 	d.journal = newJournaler(d)
 	d.journal.open(d.clock.now())
@@ -226,6 +233,7 @@
 	stopLoops()
 	err = group.Wait()
 	d.engines.CloseIdle()
+	d.stores.CloseIdle()
 	for _, t := range append(d.control, d.peerHTTP) {
 		t.CloseIdleConnections()
 	}
@@ -248,6 +256,7 @@
 	d.leave(ctx)
 	callers.stop(ctx)
 	peers.stop(ctx)
+	d.journal.flush(ctx)
 	close(ending.done)
 }
 
@@ -275,6 +284,7 @@
 	group.Go(func() error { return d.confirmer.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
+	group.Go(func() error { return d.keeper.run(ctx) })
 	group.Go(func() error { return d.journal.run(ctx) })
 	group.Go(func() error { return d.lister().run(ctx) })
 	group.Go(func() error { return d.peers.run(ctx) })
--- a/io/load/report.go
+++ b/io/load/report.go
@@ -62,6 +62,7 @@
 	Codes           map[string]int `json:"codes"`
 	Classes         []ClassGroup   `json:"classes"`
 	Groups          []Group        `json:"groups"`
+	Origins         []OriginGroup  `json:"origins"`
 
 	mu     sync.Mutex
 	preset Preset
@@ -70,6 +71,7 @@
 	// first and gaps hold the times of each organisation and class, in microseconds.
 	first    map[groupKey]*hdrhistogram.Histogram
 	gaps     map[groupKey]*hdrhistogram.Histogram
+	origins  map[originKey]*hdrhistogram.Histogram
 	straight *hdrhistogram.Histogram
 	prompt   int64
 	cached   int64
@@ -90,7 +92,7 @@
 	return &Report{
 		Preset: p.Name, Seed: seed, Codes: map[string]int{}, preset: p,
 		first: map[groupKey]*hdrhistogram.Histogram{}, gaps: map[groupKey]*hdrhistogram.Histogram{},
-		straight: newHistogram(),
+		straight: newHistogram(), origins: map[originKey]*hdrhistogram.Histogram{},
 	}
 }
 
@@ -154,6 +156,7 @@
 		r.first[k], r.gaps[k] = newHistogram(), newHistogram()
 	}
 	_ = r.first[k].RecordValue(o.first.Microseconds())
+	r.addOrigin(o)
 	for _, g := range o.gaps {
 		_ = r.gaps[k].RecordValue(g.Microseconds())
 	}
@@ -183,6 +186,7 @@
 		}
 		all.Merge(first)
 	}
+	r.closeOrigins()
 	q, s := quantiles(all), quantiles(r.straight)
 	r.TTFTP50Ms, r.TTFTP95Ms = q.P50Ms, q.P95Ms
 	r.StraightP50Ms, r.StraightP95Ms = s.P50Ms, s.P95Ms
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,23 +29,29 @@
 	Cold       Scenario = "cold"
 	Zone       Scenario = "zone"
 	BadVersion Scenario = "bad-version"
-	// SlowLink slows the links of the KV stores; without a store it changes nothing.
+	// LongGaps has prompts return after their engines have evicted them; SlowLink slows the links of the KV
+	// stores besides, and without a store changes nothing.
+	LongGaps    Scenario = "long-gaps"
 	SlowLink    Scenario = "slow-link"
 	EngineDeath Scenario = "engine-death"
 )
 
 // Scenarios lists every scenario.
 func Scenarios() []Scenario {
-	return []Scenario{Steady, Return, Overload, Cold, Zone, BadVersion, SlowLink, EngineDeath}
+	return []Scenario{Steady, Return, Overload, Cold, Zone, BadVersion, LongGaps, SlowLink, EngineDeath}
 }
 
 // Unlimited names the run of the system's own policy on engines whose memory holds everything.
 const Unlimited = "affinity_unlimited_memory"
 
+// WithoutStores names the run of the system's own policy without KV stores.
+const WithoutStores = "affinity_without_stores"
+
 // Policies lists the runs of a comparison in order.
 func Policies() []string {
 	return []string{
 		route.NameAffinity, route.NameRandom, route.NameRoundRobin, route.NameLeastOutstanding, route.NamePrefixHash, Unlimited,
+		WithoutStores,
 	}
 }
 
@@ -55,7 +62,13 @@
 	returnShare    = 0.9
 	overloadFactor = 2
 	engineBlocks   = 64
+	fewBlocks      = 24
 	plentyOfBlocks = 1 << 20
+	stores         = 2
+	storeMemory    = 64 << 20
+	storeDisk      = 256 << 20
+	storeLinkRate  = 64 << 20
+	storeDiskRate  = 32 << 20
 	coldBears      = 4
 	weightsTake    = 200 * time.Millisecond
 	// coldTime is how long an entry takes an engine for cold; settleTime outlasts it.
@@ -79,44 +92,6 @@
 	Policies []string
 }
 
-// Outcome is what one policy reached.
-type Outcome struct {
-	Policy string `json:"policy"`
-	// FirstToken and BetweenTokens are of the interactive class.
-	FirstToken    load.Quantiles `json:"interactive_first_token"`
-	BetweenTokens load.Quantiles `json:"interactive_between_tokens"`
-	// Goodput is whole answers a second, GoodputInTime those whose first token met the interactive target.
-	Goodput         float64 `json:"goodput_per_second"`
-	GoodputInTime   float64 `json:"goodput_in_time_per_second"`
-	RecomputedShare float64 `json:"recomputed_share"`
-	// MostWhileCold is the most requests that any cold engine ever had, ColdBears what each bears.
-	MostWhileCold int `json:"most_while_cold"`
-	ColdBears     int `json:"cold_bears"`
-	// StartedDrained counts the requests begun in the drained zone from 3 s after the rule on.
-	StartedDrained int `json:"started_in_drained_zone"`
-	// StartedBad counts the requests begun on the bad version.
-	StartedBad int `json:"started_on_bad_version"`
-	// Stores is how many KV stores there were.
-	Stores   int            `json:"stores"`
-	Requests int            `json:"requests"`
-	Whole    int            `json:"whole"`
-	Codes    map[string]int `json:"codes"`
-}
-
-// Result is a whole comparison.
-type Result struct {
-	Preset   string   `json:"preset"`
-	Scenario Scenario `json:"scenario"`
-	Seed     uint64   `json:"seed"`
-	Rate     float64  `json:"rate_per_second"`
-	LengthMs int64    `json:"length_ms"`
-	// InProcess is true where entries, engines and load share one process.
-	InProcess bool      `json:"in_process"`
-	Entries   int       `json:"entries"`
-	Engines   int       `json:"engines"`
-	Outcomes  []Outcome `json:"outcomes"`
-}
-
 // Run offers the plan's load to each policy in turn, all in this process.
 //
 //	plan := versus.Plan{Preset: p, Scenario: versus.Return, Seed: 1, Rate: 40, Length: 10 * time.Second, Policies: versus.Policies()}
@@ -187,7 +162,21 @@
 		return o, err
 	}
 	defer c.Close()
-	return p.offer(ctx, fleetOf(policy, c))
+	o, err = p.offer(ctx, fleetOf(policy, c))
+	o.Kept = keptCounters(c)
+	return o, err
+}
+
+func keptCounters(c *bench.Cluster) (sum map[string]int64) {
+	sum = map[string]int64{}
+	for _, e := range c.Entries() {
+		for name, n := range e.Meter().Snapshot().Counters {
+			if strings.HasPrefix(name, "import") || strings.HasPrefix(name, "export") || strings.HasPrefix(name, "recomputed") {
+				sum[name] += n
+			}
+		}
+	}
+	return sum
 }
 
 // tokens holds the bearer token of each organisation.
@@ -213,6 +202,7 @@
 	<-happening.done
 	o = outcome(f.Policy, report)
 	o.observe(f.stats(ctx))
+	o.LinkBytes = f.linkBytes(ctx)
 	o.StartedDrained, o.Stores = happening.startedLate-happening.startedEarly, len(f.Stores)
 	return o, happening.err
 }
@@ -228,42 +218,22 @@
 	return options
 }
 
-func outcome(policy string, r *load.Report) Outcome {
-	took := (time.Duration(r.ElapsedMs) * time.Millisecond).Seconds()
-	o := Outcome{
-		Policy: policy, RecomputedShare: r.RecomputedShare, Requests: r.Requests, Whole: r.Whole, Codes: r.Codes,
-		Goodput: float64(r.Whole) / took, GoodputInTime: float64(r.InTime) / took,
-	}
-	for _, class := range r.Classes {
-		if class.Class == ident.Interactive {
-			o.FirstToken, o.BetweenTokens = class.FirstToken, class.BetweenTokens
-		}
-	}
-	return o
-}
-
-// observe adds what the engines counted themselves.
-func (o *Outcome) observe(engines []stand.EngineStats) {
-	o.ColdBears = coldBears
-	for _, s := range engines {
-		o.MostWhileCold = max(o.MostWhileCold, s.MostWhileCold)
-		o.StartedBad += s.Started[newVersion]
-	}
-}
-
 // start runs engines, app engines and entries with a policy.
 func (p Plan) start(policy string) (c *bench.Cluster, err error) {
 	orgs := map[string]ident.OrgID{}
 	for org, token := range p.tokens() {
 		orgs[token] = org
 	}
-	blocks := engineBlocks
-	if policy == Unlimited {
+	blocks, useStores := p.blocks(), policy == route.NameAffinity
+	switch policy {
+	case Unlimited:
 		policy, blocks = route.NameAffinity, plentyOfBlocks
+	case WithoutStores:
+		policy = route.NameAffinity
 	}
 	c, err = bench.Start(bench.WithTokens(orgs), bench.WithRules(p.rules()),
 		bench.WithSettings(func(s *config.Settings) {
-			s.Policy = policy
+			s.Policy, s.UseStores = policy, useStores
 			s.ColdTime, s.MoveDwell = config.Duration(coldTime), config.Duration(moveDwell)
 		}))
 	if err != nil {
@@ -291,6 +261,12 @@
 			return err
 		}
 	}
+	for i := range stores {
+		s := stand.StoreSettings{MemoryBytes: storeMemory, DiskBytes: storeDisk, LinkRate: storeLinkRate, DiskRate: storeDiskRate}
+		if _, err := c.AddStore(zoneName(i), s); err != nil {
+			return err
+		}
+	}
 	if _, err := c.AddApp(zoneName(0), p.Preset.Service); err != nil {
 		return err
 	}
@@ -302,6 +278,14 @@
 	return nil
 }
 
+// blocks is the size of an engine's memory.
+func (p Plan) blocks() int {
+	if p.Scenario == LongGaps || p.Scenario == SlowLink {
+		return fewBlocks
+	}
+	return engineBlocks
+}
+
 func zoneName(i int) ident.Zone { return ident.Zone(fmt.Sprintf("az-%d", i%zones)) }
 
 func (p Plan) rules() (text string) {
