Tell what ran on an engine when it turned cold

The most requests ever on a cold engine counts those that ran when the scenario turned it cold without a word, which no entry can foresee. The comparison now gives both figures.

--- a/cmd/cvlab/compare.go
+++ b/cmd/cvlab/compare.go
@@ -98,11 +98,11 @@
 		r.Preset, r.Scenario, r.Seed, r.Rate, r.Entries, r.Engines, processes(r))
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	_, _ = fmt.Fprintln(tw, "policy\tfirst token p50\tp95\tp99 ms\tbetween tokens p95 ms\tgoodput/s\tin time/s\trecomputed\t"+
-		"most while cold\tdrained zone\tbad version\twhole\tother ends")
+		"most while cold (at the turn)\tdrained zone\tbad version\twhole\tother ends")
 	for _, o := range r.Outcomes {
-		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.3f\t%d of %d\t%d\t%d\t%d of %d\t%v\n", o.Policy,
+		_, _ = fmt.Fprintf(tw, "%s\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.3f\t%d of %d (%d)\t%d\t%d\t%d of %d\t%v\n", o.Policy,
 			o.FirstToken.P50Ms, o.FirstToken.P95Ms, o.FirstToken.P99Ms, o.BetweenTokens.P95Ms,
-			o.Goodput, o.GoodputInTime, o.RecomputedShare, o.MostWhileCold, o.ColdBears,
+			o.Goodput, o.GoodputInTime, o.RecomputedShare, o.MostWhileCold, o.ColdBears, o.MostAtTurn,
 			o.StartedDrained, o.StartedBad, o.Whole, o.Requests, o.Codes)
 	}
 	return tw.Flush()
--- a/io/versus/incident.go
+++ b/io/versus/incident.go
@@ -30,6 +30,8 @@
 	zone  ident.Zone
 	done  chan struct{}
 	err   error
+	// mostAtTurn is the most requests that an engine had when it was turned cold.
+	mostAtTurn int
 	// startedEarly counts what the drained zone had begun at the end of drainGrace, startedLate at the
 	// end of the drain.
 	startedEarly, startedLate int
@@ -90,6 +92,9 @@
 			return err
 		}
 	}
+	for _, s := range i.fleet.stats(ctx) {
+		i.mostAtTurn = max(i.mostAtTurn, s.MostWhileCold)
+	}
 	return nil
 }
 
--- a/io/versus/outcome.go
+++ b/io/versus/outcome.go
@@ -21,6 +21,8 @@
 	// MostWhileCold is the most requests that any cold engine ever had, ColdBears what each bears.
 	MostWhileCold int `json:"most_while_cold"`
 	ColdBears     int `json:"cold_bears"`
+	// MostAtTurn is the most requests that any engine had when the scenario turned it cold without a word.
+	MostAtTurn int `json:"most_when_turned_cold"`
 	// StartedDrained counts the requests begun in the drained zone from 3 s after the rule on.
 	StartedDrained int `json:"started_in_drained_zone"`
 	// StartedBad counts the requests begun on the bad version.
--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -175,6 +175,7 @@
 	<-happening.done
 	o = outcome(f.Policy, report)
 	o.observe(f.stats(ctx))
+	o.MostAtTurn = happening.mostAtTurn
 	o.StartedDrained, o.Stores = happening.startedLate-happening.startedEarly, len(f.Stores)
 	return o, happening.err
 }
