--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -36,7 +36,10 @@
 	"requests":  showRequests,
 	"latency":   showLatency,
 	"moves":     showMoves,
+	"caches":    showCaches,
 	"why":       showWhy,
+
+	"quarantine": showQuarantine,
 }
 
 func viewNames() (names []string) {
--- a/core/ledger/config.go
+++ b/core/ledger/config.go
@@ -189,13 +189,15 @@
 // snapshot appends the state when a snapshot is due; a fold that seeks one, or that can't read
 // whether another entry has appended one, appends none.
 func (c *Config) snapshot(now time.Time) []ident.Cmd {
-	if !c.current || c.away || c.Wanted() > c.next || !c.snapshots.IsDue(now, c.progress()) {
+	if !c.maySnapshot() || !c.snapshots.IsDue(now, c.progress()) {
 		return nil
 	}
 	c.snapshots.Written(now)
 	return []ident.Cmd{c.snapshotRecord(c.State())}
 }
 
+func (c *Config) maySnapshot() bool { return c.current && !c.away && c.Wanted() <= c.next }
+
 // snapshotRecord is the snapshot to append; its id stays the same over repeated appends.
 func (c *Config) snapshotRecord(state State) AppendCmd {
 	id := fmt.Sprintf("snapshot/%s/%d", c.entry, state.Next)
--- a/core/once/members.go
+++ b/core/once/members.go
@@ -54,9 +54,12 @@
 func (s *members) complete() bool { return !s.readAt.Before(s.quietAt) }
 
 func (s *members) mustAnnounce(now time.Time) bool {
-	return s.bound && s.self != "" && !s.announced && now.Sub(s.announcing) >= announceEvery
+	return s.unannounced() && now.Sub(s.announcing) >= announceEvery
 }
 
+// unannounced reports whether some member may not know of this one yet.
+func (s *members) unannounced() bool { return s.bound && s.self != "" && !s.announced }
+
 func (s *members) change(now time.Time, msg MembersMsg) {
 	others := map[ident.BootID]bool{}
 	for _, boot := range msg.Others {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -25,6 +25,8 @@
 	attempt int
 	// moves counts the attempts that were moved rather than failed.
 	moves int
+	// excuses counts the moves of which this entry's own lateness was the reason; at most maxAttempts.
+	excuses int
 	// on is the upstream of the current attempt, or empty.
 	on ident.UpstreamID
 	// sent is when the current attempt began.
@@ -37,6 +39,8 @@
 	tried []ident.UpstreamID
 	// version is fixed by the first sending, so that an answer is never of two versions.
 	version ident.Version
+	// crashed is true once an attempt was noted as a loss of its upstream.
+	crashed bool
 	// touched is true once an upstream may have run the request.
 	touched bool
 	// delivered counts the tokens that the caller has.
@@ -74,9 +78,13 @@
 	silence     map[ident.Class]time.Duration
 	// budgets bounds the attempts beyond the first, per organisation.
 	budgets *retry.Budgets
-	poison  *poison.Model
+	// lateness tells when this entry itself was short of processor time.
+	lateness lateness
+	poison   *poison.Model
 	// parked lists the suspect requests that wait for an upstream of their own, the oldest first.
 	parked []ident.RequestID
+	// sharing lists the final answers that wait until the other entries know of the losses.
+	sharing []*sharing
 	// waiting lists the requests that wait for room on an upstream; at most mostWaiting.
 	waiting []ident.RequestID
 	// waits is how long a request of a class may wait.
@@ -135,6 +143,9 @@
 // Update takes a message and returns the commands that follow from it.
 func (m *Model) Update(now time.Time, msg ident.Msg) []ident.Cmd {
 	cmds := m.update(now, msg)
+	if len(m.sharing) > 0 {
+		cmds = append(cmds, m.confirmLosses(now)...)
+	}
 	if len(m.parked) > 0 {
 		cmds = append(cmds, m.wake(now)...)
 	}
@@ -159,6 +170,7 @@
 	case RulesMsg:
 		m.setRules(msg)
 		m.noteClosed(now)
+		return m.liftQuarantines()
 	case ArriveMsg:
 		return m.arrive(now, msg)
 	case FirstMsg:
@@ -173,6 +185,8 @@
 		return m.tick(now)
 	case GoneMsg:
 		return m.gone(now, msg)
+	case ConfirmedMsg:
+		return m.confirmed(msg.Request)
 	case ledger.BatchMsg:
 		m.poison.Fold(now, msg)
 	}
@@ -181,7 +195,9 @@
 
 // tick lets time pass.
 func (m *Model) tick(now time.Time) (cmds []ident.Cmd) {
+	m.lateness.ticked(now)
 	cmds = append(cmds, m.poison.Tick(now)...)
+	cmds = append(cmds, m.liftQuarantines()...)
 	cmds = append(cmds, m.move(now)...)
 	return append(cmds, m.yield(now)...)
 }
@@ -229,7 +245,7 @@
 
 func (m *Model) miss(now time.Time, msg UnreachableMsg) []ident.Cmd {
 	u, known := m.upstreams[msg.Upstream]
-	if !known {
+	if !known || m.lateness.within(now, now.Add(-msg.Waited)) {
 		return nil
 	}
 	u.misses++
@@ -377,6 +393,7 @@
 }
 
 func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
+	m.forgetSharing(msg.Request)
 	r, known := m.requests[msg.Request]
 	if !known {
 		return nil
--- a/io/entry/probe.go
+++ b/io/entry/probe.go
@@ -35,7 +35,8 @@
 func newProber(client engine.Client, s config.Settings, post func(context.Context, ident.Msg)) *prober {
 	timing := probe.Timing{
 		Shortest: time.Duration(s.ProbeInterval), Longest: time.Duration(s.ProbeIntervalMax),
-		Rate: s.ProbeRate, IdleRate: s.ProbeRateIdle, Calm: max(probeCalm, 2*time.Duration(s.ReportLag)),
+		LongestIdle: time.Duration(s.ProbeIntervalIdleMax),
+		Rate:        s.ProbeRate, IdleRate: s.ProbeRateIdle, Calm: max(probeCalm, 2*time.Duration(s.ReportLag)),
 	}
 	return &prober{
 		client: client, timing: timing, post: post,
@@ -141,10 +142,11 @@
 func (w *watch) probe(ctx context.Context) {
 	probing, cancel := context.WithTimeout(ctx, probeTimeouts*w.p.timing.Shortest)
 	defer cancel()
+	began := time.Now()
 	load, err := w.p.client.Load(probing, w.upstream.Address)
 	if err != nil {
 		w.pace.Missed(time.Now())
-		w.p.post(ctx, sched.UnreachableMsg{Upstream: w.upstream.ID})
+		w.p.post(ctx, sched.UnreachableMsg{Upstream: w.upstream.ID, Waited: time.Since(began)})
 		return
 	}
 	w.pace.Reported(time.Now(), load)
--- a/io/versus/outcome.go
+++ b/io/versus/outcome.go
@@ -28,10 +28,15 @@
 	// StartedBad counts the requests begun on the bad version.
 	StartedBad int `json:"started_on_bad_version"`
 	// Stores is how many KV stores there were.
-	Stores   int            `json:"stores"`
-	Requests int            `json:"requests"`
-	Whole    int            `json:"whole"`
-	Codes    map[string]int `json:"codes"`
+	Stores int `json:"stores"`
+	// LinkBytes went over the links of the stores.
+	LinkBytes int64 `json:"link_bytes"`
+	// Kept counts the entries' imports, exports and recomputations in their place, by cause; it is empty for
+	// entries of other processes.
+	Kept     map[string]int64 `json:"kept_context,omitempty"`
+	Requests int              `json:"requests"`
+	Whole    int              `json:"whole"`
+	Codes    map[string]int   `json:"codes"`
 	// Origins are the first-token times by what the prompts were computed from.
 	Origins []load.OriginGroup `json:"origins"`
 }
