--- a/core/roster/fold_test.go
+++ b/core/roster/fold_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -15,6 +16,17 @@
 
 const simLease = 3 * time.Second
 
+// init fixes the seed and the size of the random runs where the command line names none.
+func init() {
+	for name, value := range map[string]string{
+		"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "100", "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
 // simEntry is one process with what its last whole read of the log found.
 type simEntry struct {
 	m *Membership
