--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -39,6 +39,7 @@
 	"why":           showWhy,
 	"journal":       showJournal,
 	"organisations": showOrganisations,
+	"caches":        showCaches,
 }
 
 func viewNames() (names []string) {
--- a/core/node/node.go
+++ b/core/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cicadavalve/core/cache"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/limit"
@@ -35,6 +36,8 @@
 	KeepInterval time.Duration `json:"keep_interval"`
 	// OnceLimits bound once-only calls.
 	OnceLimits once.Limits `json:"once_limits"`
+	// CacheLimits bound the use of the stores.
+	CacheLimits cache.Limits `json:"cache_limits"`
 }
 
 // Node is the set of deciders of one entry.
@@ -45,6 +48,9 @@
 	once     *once.Model
 	sched    *sched.Model
 	roll     *roll.Model
+	cache    *cache.Model
+	// ticked is when the last tick came, or zero.
+	ticked time.Time
 }
 
 // NewNode builds the deciders.
@@ -53,7 +59,7 @@
 //	cmds := n.Update(now, msg)
 func NewNode(s Settings) *Node {
 	moves := newMoves(s)
-	return &Node{
+	n := &Node{
 		roll:     moves,
 		settings: s,
 		config: ledger.NewConfig(
@@ -68,6 +74,8 @@
 			sched.WithVersions(moves),
 		),
 	}
+	n.cache = cache.NewModel(s.Entry, s.Incarnation, cache.WithLimits(s.CacheLimits), cache.WithVerdicts(n.sched))
+	return n
 }
 
 func newMoves(s Settings) *roll.Model {
@@ -93,13 +101,21 @@
 // Roll decides about version moves.
 func (n *Node) Roll() *roll.Model { return n.roll }
 
+// Cache decides about kept context.
+func (n *Node) Cache() *cache.Model { return n.cache }
+
 // Sched is the scheduler.
 func (n *Node) Sched() *sched.Model { return n.sched }
 
 // Update hands a message to the decider that it is for, and the commands that one
 // decider has for another on to that one.
 func (n *Node) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	cmds = n.cache.Update(now, msg)
 	for _, cmd := range n.decide(now, msg) {
+		if send, ok := cmd.(sched.SendCmd); ok {
+			// An import comes before the sending that it is for.
+			cmds = append(cmds, n.cache.Update(now, send)...)
+		}
 		cmds = append(cmds, cmd)
 		cmds = append(cmds, n.forward(now, cmd)...)
 	}
@@ -109,6 +125,8 @@
 // decide picks the decider of a message.
 func (n *Node) decide(now time.Time, msg ident.Msg) []ident.Cmd {
 	switch msg := msg.(type) {
+	case cache.ImportedMsg, cache.ExportedMsg:
+		return nil
 	case ledger.BatchMsg:
 		return n.fold(now, msg)
 	case roster.SelfMsg, roster.WantMsg, roster.HeardMsg, roster.PingFailedMsg, roster.PeerStatesMsg:
@@ -116,6 +134,7 @@
 	case ledger.ReadFailedMsg, ledger.PeerStatesMsg, ledger.ProposeMsg, ledger.AppendFailedMsg:
 		return n.config.Update(now, msg)
 	case sched.TickMsg:
+		n.ticked = now
 		return append(n.tick(now, msg), n.roll.Update(now, msg)...)
 	case roll.AttemptMsg, roll.OrderedMsg, roll.PeerTakeBackMsg:
 		return n.roll.Update(now, msg)
@@ -151,11 +170,14 @@
 	switch cmd := cmd.(type) {
 	case ledger.InForceCmd:
 		msg := sched.RulesMsg{Version: cmd.Version, Text: cmd.Text}
-		return append(n.sched.Update(now, msg), n.roll.Update(now, msg)...)
+		cmds := append(n.cache.Update(now, msg), n.sched.Update(now, msg)...)
+		return append(cmds, n.roll.Update(now, msg)...)
 	case roster.ChangedCmd:
+		msg := roll.MembersMsg{Members: cmd.Members}
 		cmds := n.once.Update(now, n.onceMembers(cmd))
 		cmds = append(cmds, n.sched.Update(now, membersMsg(cmd))...)
-		return append(cmds, n.roll.Update(now, roll.MembersMsg{Members: cmd.Members})...)
+		cmds = append(cmds, n.cache.Update(now, msg)...)
+		return append(cmds, n.roll.Update(now, msg)...)
 	case roster.LeaseCmd:
 		cmds := n.once.Update(now, once.LeaseMsg{Until: cmd.Until, Leaving: n.members.Leaving()})
 		return append(cmds, n.sched.Update(now, limit.LeaseMsg{Holder: holder(cmd.Member), Until: cmd.Until})...)
--- a/core/roster/snapshot.go
+++ b/core/roster/snapshot.go
@@ -116,7 +116,7 @@
 func (m *Membership) snapshot(now time.Time) []ident.Cmd {
 	k := m.keeper
 	p := ledger.Progress{First: k.first, Next: m.roster.next, Records: len(k.records)}
-	if !now.Before(m.fresh) || m.roster.Wanted() > m.roster.next || !k.pace.IsDue(now, p) {
+	if !m.maySnapshot(now) || !k.pace.IsDue(now, p) {
 		return nil
 	}
 	k.pace.Written(now)
@@ -126,6 +126,11 @@
 	return []ident.Cmd{AppendCmd{Record: rec}}
 }
 
+// maySnapshot reports whether a snapshot may be appended at a time, as far as reads of the log decide it.
+func (m *Membership) maySnapshot(at time.Time) bool {
+	return at.Before(m.fresh) && m.roster.Wanted() <= m.roster.next && m.roster.next > 0
+}
+
 // askPeers asks for states while the log has lost records that this fold needs.
 func (m *Membership) askPeers(now time.Time) []ident.Cmd {
 	if !m.roster.stuck || now.Before(m.keeper.asked) {
--- a/io/versus/incident.go
+++ b/io/versus/incident.go
@@ -20,7 +20,7 @@
 	// moveTime is by when the move to the new version is ordered to be done.
 	moveTime = 2 * time.Minute
 	// linkSlowBy divides the rate of the stores' links in the scenario [SlowLink].
-	linkSlowBy = 8
+	linkSlowBy = 64
 )
 
 // incident brings a scenario's trouble about while the load runs.
