--- a/io/entry/replay_test.go
+++ b/io/entry/replay_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -16,6 +17,20 @@
 	"cicadavalve/io/stand"
 )
 
+// journalOf takes an entry's journal from its memory.
+func journalOf(ctx context.Context, t *testing.T, e *bench.Entry) []record.Entry {
+	t.Helper()
+	var segment record.Segment
+	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "journal", "", &segment); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := segment.Entries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
+
 // recordedRun runs requests with faults and returns the entry's journal.
 func recordedRun(t *testing.T, requests int) []record.Entry {
 	t.Helper()
@@ -33,15 +48,7 @@
 			t.Fatal(err)
 		}
 	}
-	var segment record.Segment
-	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "journal", "", &segment); err != nil {
-		t.Fatal(err)
-	}
-	entries, err := segment.Entries()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return entries
+	return journalOf(ctx, t, e)
 }
 
 func replayAll(t *testing.T, entries []record.Entry) replay.Report {
@@ -99,3 +106,28 @@
 		t.Error("a journal without its second step was replayed")
 	}
 }
+
+// TestReplayOfKeptContext runs imports and exports of prompts that return.
+func TestReplayOfKeptContext(t *testing.T) {
+	c, ctx := keptCluster(t, slowPrefill, slowLinks)
+	for range 2 {
+		keptRound(ctx, t, c, []string{bench.Token}, "v1")
+	}
+	imports := 0
+	for _, e := range c.Entries() {
+		entries := journalOf(ctx, t, e)
+		if diff := cmp.Diff([]replay.Difference(nil), replayAll(t, entries).Differences); diff != "" {
+			t.Errorf("differences of %s (-want +got):\n%.4000s", e.ID, diff)
+		}
+		for _, step := range entries {
+			for _, cmd := range step.Cmds {
+				if cmd.Type == "cache.ImportCmd" {
+					imports++
+				}
+			}
+		}
+	}
+	if imports == 0 {
+		t.Error("no import was decided, so that none was replayed")
+	}
+}
