--- a/io/entry/replay_test.go
+++ b/io/entry/replay_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"cicadavalve/core/record"
 	"cicadavalve/core/replay"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/bench"
 	"cicadavalve/io/peer"
@@ -131,3 +133,21 @@
 		t.Error("no import was decided, so that none was replayed")
 	}
 }
+
+// TestReplayOfAVersionTakenBack runs a move whose new version fails.
+func TestReplayOfAVersionTakenBack(t *testing.T) {
+	c, ctx, _ := startMove(t, 2*time.Minute)
+	l := startLoad(ctx, t, c)
+	started := bench.Wait(ctx, func() bool { return startedOn(c, "v2") > 5 })
+	faultAll(ctx, t, c, stand.EngineFaults{BadVersion: "v2", BadFail: 0.5})
+	stopped := bench.Wait(ctx, onEvery(ctx, c, func(s roll.Status) bool { return s.Stopped }))
+	l.stop()
+	if !started || !stopped {
+		t.Fatalf("the move began: %t, was stopped: %t", started, stopped)
+	}
+	for _, e := range c.Entries() {
+		if diff := cmp.Diff([]replay.Difference(nil), replayAll(t, journalOf(ctx, t, e)).Differences); diff != "" {
+			t.Errorf("differences of %s (-want +got):\n%.4000s", e.ID, diff)
+		}
+	}
+}
