Put the other rules of a replay into askings too

An entry at which an operator applied the recorded file answered id_reused in the replay by other rules, since the record was changed and the asking was not. Found by hand on a real entry; the test gave id_reused before and accepted now. show organisations leaves the times empty where there are none.

--- a/cmd/cicadavalve/organisations.go
+++ b/cmd/cicadavalve/organisations.go
@@ -7,7 +7,6 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/io/entry"
-	"cicadavalve/io/meter"
 )
 
 // showOrganisations tells what each organisation has in hand on each entry, and its first-token times by class.
@@ -29,13 +28,12 @@
 
 // printOrganisation prints a row a class, or one without times.
 func printOrganisation(w io.Writer, id ident.EntryID, o entry.OrganisationView) {
-	rows := o.FirstToken
-	if len(rows) == 0 {
-		rows = []meter.Summary{{}}
+	now := fmt.Sprintf("%s\t%s\t%s\t%d\t%d", id, o.Org, shareText(o), o.InFlight, o.Waiting)
+	if len(o.FirstToken) == 0 {
+		_, _ = fmt.Fprintln(w, now)
 	}
-	for _, r := range rows {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\t%d\t%.1f ms\t%.1f ms\t%.1f ms\n", id, o.Org, shareText(o),
-			o.InFlight, o.Waiting, r.Class, r.Count, r.P50Ms, r.P95Ms, r.P99Ms)
+	for _, r := range o.FirstToken {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%.1f ms\t%.1f ms\t%.1f ms\n", now, r.Class, r.Count, r.P50Ms, r.P95Ms, r.P99Ms)
 	}
 }
 
--- a/core/replay/replay.go
+++ b/core/replay/replay.go
@@ -119,6 +119,9 @@
 	case sched.RulesMsg:
 		msg.Text = r.rules
 		return msg
+	case ledger.ProposeMsg:
+		msg.Body.Text = r.rules
+		return msg
 	case ledger.PeerStatesMsg:
 		return changeStates(msg, r.rules)
 	case ledger.BatchMsg:
--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -31,14 +31,16 @@
 	return c.State()
 }
 
-// recorded is the journal of a node that takes a message.
-func recorded(t *testing.T, msg ident.Msg) (entries []record.Entry) {
+// recorded is the journal of a node that takes messages.
+func recorded(t *testing.T, msgs ...ident.Msg) (entries []record.Entry) {
 	t.Helper()
 	now := time.Unix(0, 0).UTC()
 	settings := node.Settings{Entry: "entry-0", Incarnation: "boot", Seed: 1}
 	n, j := node.NewNode(settings), record.NewJournal(node.NewRegistry(), 1<<20)
 	j.Add(now, node.OpenMsg{Settings: settings}, nil)
-	j.Add(now, msg, n.Update(now, msg))
+	for _, msg := range msgs {
+		j.Add(now, msg, n.Update(now, msg))
+	}
 	for _, line := range j.Lines() {
 		e, err := line.Entry()
 		if err != nil {
@@ -99,6 +101,35 @@
 	}
 }
 
+// TestOtherRulesReplaceThoseOfAnAsking lets an operator propose the recorded rules through the entry.
+func TestOtherRulesReplaceThoseOfAnAsking(t *testing.T) {
+	body := ledger.ConfigBody{Operator: "test", Text: recordedRules}
+	rec, err := ledger.NewRecord("p", ledger.KindConfig, "entry-0", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := replay.NewReplayer(replay.WithRules(otherRules))
+	for _, e := range recorded(t, ledger.ProposeMsg{Request: "r", ID: "p", Body: body}, ledger.BatchMsg{
+		Stream: ledger.StreamConfig, Entries: []ledger.Entry{{Record: rec}}, Next: 1,
+	}) {
+		if err := r.Step(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var verdicts []ledger.Verdict
+	for _, d := range r.Report().Differences {
+		for _, envelope := range d.Replayed {
+			var cmd ledger.VerdictCmd
+			if envelope.Type == "ledger.VerdictCmd" && json.Unmarshal(envelope.Body, &cmd) == nil {
+				verdicts = append(verdicts, cmd.Outcome.Verdict)
+			}
+		}
+	}
+	if diff := cmp.Diff([]ledger.Verdict{ledger.Accepted}, verdicts); diff != "" {
+		t.Errorf("verdicts (-want +got):\n%s", diff)
+	}
+}
+
 // TestOtherRulesDivergeFromNoSnapshot replays a snapshot of what the node has folded itself.
 func TestOtherRulesDivergeFromNoSnapshot(t *testing.T) {
 	state := applied(t)
