--- a/cmd/cicadavalve/show.go
+++ b/cmd/cicadavalve/show.go
@@ -36,10 +36,11 @@
 	"requests":      showRequests,
 	"latency":       showLatency,
 	"moves":         showMoves,
+	"caches":        showCaches,
+	"quarantine":    showQuarantine,
 	"why":           showWhy,
 	"journal":       showJournal,
 	"organisations": showOrganisations,
-	"caches":        showCaches,
 }
 
 func viewNames() (names []string) {
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -106,6 +106,11 @@
 	switch rec.Kind {
 	case KindTrial, KindTrialEnd:
 		m.foldTrial(now, rec)
+	case KindRelease:
+		var body ReleaseBody
+		if json.Unmarshal(rec.Body, &body) == nil {
+			m.release(body)
+		}
 	case KindLoss:
 		var body LossBody
 		if json.Unmarshal(rec.Body, &body) == nil {
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -71,8 +71,10 @@
 	stater   *stater
 	rosters  *rosterAsker
 	asker    *memberAsker
-	prober   *prober
-	peers    *peers
+	// confirmer asks the members for what crashing requests wait.
+	confirmer *confirmer
+	prober    *prober
+	peers     *peers
 	// canceller ends lost attempts on their engines.
 	canceller *canceller
 	// cacheSecret keys what is derived from an organisation's name or requests.
@@ -142,6 +144,7 @@
 	d.rosters = newRosterAsker(d)
 	d.teller = newTeller(d)
 	d.asker = newMemberAsker(d)
+	d.confirmer = newConfirmer(d)
 	d.canceller = newCanceller(d.engines)
 	d.stores = store.NewHTTPClient(connectTimeout)
 	d.keeper = newKeeper(d, d.stores)
@@ -278,6 +281,7 @@
 	group.Go(func() error { return d.stater.run(ctx) })
 	group.Go(func() error { return d.rosters.run(ctx) })
 	group.Go(func() error { return d.asker.run(ctx) })
+	group.Go(func() error { return d.confirmer.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.keeper.run(ctx) })
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -24,9 +24,12 @@
 	subjectLatency   = "latency"
 	subjectJournal   = "journal"
 	subjectMoves     = "moves"
-	subjectRecord    = "record"
-	subjectOrgs      = "organisations"
 	subjectCaches    = "caches"
+	subjectSuspects  = "quarantine"
+	// subjectVerdictNext is for other entries: how far this one has folded the verdicts.
+	subjectVerdictNext = "verdict_next"
+	subjectRecord      = "record"
+	subjectOrgs        = "organisations"
 	// subjectRoster is what an entry asks another one whose fold of the roster is ahead of its own.
 	subjectRoster = "roster"
 )
@@ -47,6 +50,10 @@
 		return n.Cache().Stores(now), true
 	case subjectRoster:
 		return n.Roster().State(), true
+	case subjectSuspects:
+		return n.Sched().Suspects(now), true
+	case subjectVerdictNext:
+		return n.Sched().VerdictNext(), true
 	case subjectOrgs:
 		return withTimes(n.Sched().Orgs(), nil), true
 	}
@@ -57,7 +64,7 @@
 func (d *Daemon) Show(ctx context.Context, subject, argument string) (document any, err error) {
 	defer func() { err = errors.Wrapf(err, "show %s", subject) }()
 	switch subject {
-	case subjectUpstreams, subjectRequests, subjectMoves, subjectCaches, subjectRoster:
+	case subjectUpstreams, subjectRequests, subjectMoves, subjectCaches, subjectRoster, subjectSuspects, subjectVerdictNext:
 		return d.view(ctx, subject)
 	case subjectOrgs:
 		return d.organisations(ctx)
