--- a/io/entry/replay_test.go
+++ b/io/entry/replay_test.go
@@ -1,21 +1,38 @@
 package entry_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"cicadavalve/core/record"
 	"cicadavalve/core/replay"
+	"cicadavalve/core/roll"
 	"cicadavalve/core/sched"
 	"cicadavalve/io/bench"
 	"cicadavalve/io/peer"
 	"cicadavalve/io/stand"
 )
 
+// journalOf takes an entry's journal from its memory.
+func journalOf(ctx context.Context, t *testing.T, e *bench.Entry) []record.Entry {
+	t.Helper()
+	var segment record.Segment
+	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "journal", "", &segment); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := segment.Entries()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
+
 // recordedRun runs requests with faults and returns the entry's journal.
 func recordedRun(t *testing.T, requests int) []record.Entry {
 	t.Helper()
@@ -33,15 +50,7 @@
 			t.Fatal(err)
 		}
 	}
-	var segment record.Segment
-	if err := peer.NewClient(http.DefaultClient, e.Peer).Show(ctx, "journal", "", &segment); err != nil {
-		t.Fatal(err)
-	}
-	entries, err := segment.Entries()
-	if err != nil {
-		t.Fatal(err)
-	}
-	return entries
+	return journalOf(ctx, t, e)
 }
 
 func replayAll(t *testing.T, entries []record.Entry) replay.Report {
@@ -99,3 +108,46 @@
 		t.Error("a journal without its second step was replayed")
 	}
 }
+
+// TestReplayOfKeptContext runs imports and exports of prompts that return.
+func TestReplayOfKeptContext(t *testing.T) {
+	c, ctx := keptCluster(t, slowPrefill, slowLinks)
+	for range 2 {
+		keptRound(ctx, t, c, []string{bench.Token}, "v1")
+	}
+	imports := 0
+	for _, e := range c.Entries() {
+		entries := journalOf(ctx, t, e)
+		if diff := cmp.Diff([]replay.Difference(nil), replayAll(t, entries).Differences); diff != "" {
+			t.Errorf("differences of %s (-want +got):\n%.4000s", e.ID, diff)
+		}
+		for _, step := range entries {
+			for _, cmd := range step.Cmds {
+				if cmd.Type == "cache.ImportCmd" {
+					imports++
+				}
+			}
+		}
+	}
+	if imports == 0 {
+		t.Error("no import was decided, so that none was replayed")
+	}
+}
+
+// TestReplayOfAVersionTakenBack runs a move whose new version fails.
+func TestReplayOfAVersionTakenBack(t *testing.T) {
+	c, ctx, _ := startMove(t, 2*time.Minute)
+	l := startLoad(ctx, t, c)
+	started := bench.Wait(ctx, func() bool { return startedOn(c, "v2") > 5 })
+	faultAll(ctx, t, c, stand.EngineFaults{BadVersion: "v2", BadFail: 0.5})
+	stopped := bench.Wait(ctx, onEvery(ctx, c, func(s roll.Status) bool { return s.Stopped }))
+	l.stop()
+	if !started || !stopped {
+		t.Fatalf("the move began: %t, was stopped: %t", started, stopped)
+	}
+	for _, e := range c.Entries() {
+		if diff := cmp.Diff([]replay.Difference(nil), replayAll(t, journalOf(ctx, t, e)).Differences); diff != "" {
+			t.Errorf("differences of %s (-want +got):\n%.4000s", e.ID, diff)
+		}
+	}
+}
