--- a/io/versus/versus.go
+++ b/io/versus/versus.go
@@ -202,6 +202,7 @@
 	<-happening.done
 	o = outcome(f.Policy, report)
 	o.observe(f.stats(ctx))
+	o.MostAtTurn = happening.mostAtTurn
 	o.LinkBytes = f.linkBytes(ctx)
 	o.StartedDrained, o.Stores = happening.startedLate-happening.startedEarly, len(f.Stores)
 	return o, happening.err
