Learn no pace from a time in which the entry itself was late

An entry that got no processor time took the wait for its own loop as the upstreams' pace, and then refused requests as too late by it. First tokens and ends that fall into such a time now teach nothing. TestOwnLagTeachesNoPace: after a lag of 3 s the second request behind another is refused as overloaded without this, and sent with it.

--- a/core/sched/late_test.go
+++ b/core/sched/late_test.go
@@ -140,3 +140,30 @@
 		t.Errorf("fit after each probe (-want +got):\n%s", diff)
 	}
 }
+
+// TestOwnLagTeachesNoPace lets first tokens wait in a lag of the entry: the requests after it are not refused as too
+// late by an estimate that the lag made.
+func TestOwnLagTeachesNoPace(t *testing.T) {
+	m := newModel(1)
+	tickTo(m, start, start.Add(time.Second))
+	now := start.Add(time.Second)
+	send := func(id string) (code sched.Code) {
+		msg := ask(id, "one")
+		msg.Request.PromptRoot, msg.Request.PromptTokens = uint64(len(id)), 1000
+		for _, cmd := range m.Update(now, msg) {
+			if refusal, refused := cmd.(sched.RefuseCmd); refused {
+				code = refusal.Code
+			}
+		}
+		return code
+	}
+	first := send("before")
+	now = now.Add(lag)
+	m.Update(now, sched.FirstMsg{Request: "before", Attempt: 1})
+	tickTo(m, now, now.Add(time.Second))
+	now = now.Add(time.Second)
+	got := []sched.Code{first, send("one queued"), send("one behind it")}
+	if diff := cmp.Diff([]sched.Code{"", "", ""}, got); diff != "" {
+		t.Errorf("refusals (-want +got):\n%s", diff)
+	}
+}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -364,7 +364,7 @@
 		return nil
 	}
 	m.slots.Succeeded(now, r.on)
-	if !r.firstAt.IsZero() {
+	if !r.firstAt.IsZero() && !m.lateness.within(now, r.firstAt) {
 		m.paceOf(r).sawEnd(r.MaxTokens-r.delivered, now.Sub(r.firstAt))
 	}
 	m.release(now, r, true)
@@ -379,7 +379,9 @@
 	if !known || r.attempt != msg.Attempt {
 		return
 	}
-	m.paceOf(r).sawFirst(r.queued, now.Sub(r.sent))
+	if !m.lateness.within(now, r.sent) {
+		m.paceOf(r).sawFirst(r.queued, now.Sub(r.sent))
+	}
 	r.firstAt = now
 	if u, listed := m.upstreams[r.on]; listed {
 		u.settle(r)
