--- a/core/roster/fold_test.go
+++ b/core/roster/fold_test.go
@@ -16,11 +16,9 @@
 
 const simLease = 3 * time.Second
 
-// init fixes the seed and the size of the random runs where the command line names none.
+// init fixes the seed of the random runs where the command line names none.
 func init() {
-	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "100", "rapid.nofailfile": "true",
-	} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
