Tell peers of a version taken back by their own protocol's keys

Cause: an entry told the others of a take-back over plain HTTP, also where entries speak mutual TLS. Each such word was refused, so that with keys set and the log away a bad version was stopped on the entry that found it alone; with the log up the record told the others. Found by reading. The teller now uses the client of the peer protocol.

--- a/io/entry/teller.go
+++ b/io/entry/teller.go
@@ -27,7 +27,7 @@
 }
 
 func newTeller(d *Daemon) *teller {
-	return &teller{d: d, client: &http.Client{Timeout: tellTimeout}, bodies: make(chan roll.TakeBackBody, tellQueue)}
+	return &teller{d: d, client: d.peerClient(), bodies: make(chan roll.TakeBackBody, tellQueue)}
 }
 
 // tell never waits.
@@ -56,9 +56,7 @@
 	group.SetLimit(mostTold)
 	for _, address := range t.d.stater.addresses(ctx) {
 		group.Go(func() error {
-			telling, cancel := context.WithTimeout(ctx, tellTimeout)
-			defer cancel()
-			if err := peer.NewClient(t.client, address).TakeBack(telling, body); err != nil {
+			if err := t.tellOne(ctx, address, body); err != nil {
 				t.d.log.Warn("take_back_not_told", "move", body.Move, "error", err)
 			}
 			return nil
@@ -67,6 +65,12 @@
 	_ = group.Wait()
 }
 
+func (t *teller) tellOne(ctx context.Context, address string, body roll.TakeBackBody) error {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	return peer.NewClient(t.client, address).TakeBack(ctx, body)
+}
+
 // TakenBack implements [peer.Backend].
 func (d *Daemon) TakenBack(ctx context.Context, body roll.TakeBackBody) {
 	d.post(ctx, roll.PeerTakeBackMsg{Body: body})
--- a/io/peer/tls_test.go
+++ b/io/peer/tls_test.go
@@ -1,93 +1,37 @@
 package peer_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
-	"path/filepath"
 	"testing"
-	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"cicadavalve/io/keygen"
 	"cicadavalve/io/peer"
 )
 
-// authority signs certificates.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pem  []byte
-}
-
-func newAuthority(t *testing.T) authority {
+func newAuthority(t *testing.T) keygen.Authority {
 	t.Helper()
-	a := authority{key: newKey(t)}
-	a.cert = template("authority")
-	a.cert.IsCA, a.cert.KeyUsage, a.cert.BasicConstraintsValid = true, x509.KeyUsageCertSign, true
-	raw, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
+	a, err := keygen.NewAuthority()
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.pem = pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw})
 	return a
 }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func template(name string) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: name},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
-
-// write puts a new certificate of the authority, and the trust in another one, into a folder.
-func (a authority) write(t *testing.T, dir, name string, trusted authority) peer.KeyFiles {
+// write puts a new certificate of an authority, and the trust in another one, into a folder.
+func write(t *testing.T, a keygen.Authority, dir, name string, trusted keygen.Authority) peer.KeyFiles {
 	t.Helper()
-	key := newKey(t)
-	raw, err := x509.CreateCertificate(rand.Reader, template(name), a.cert, &key.PublicKey, a.key)
+	files, err := a.Write(dir, name, trusted)
 	if err != nil {
 		t.Fatal(err)
 	}
-	secret, err := x509.MarshalECPrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := peer.KeyFiles{
-		Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"), CA: filepath.Join(dir, "ca.pem"),
-	}
-	put(t, files.Cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: raw}))
-	put(t, files.Key, pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: secret}))
-	put(t, files.CA, trusted.pem)
 	return files
 }
 
-func put(t *testing.T, path string, raw []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-}
-
 func newKeys(t *testing.T, files peer.KeyFiles) *peer.Keys {
 	t.Helper()
 	keys, err := peer.NewKeys(files)
@@ -126,11 +70,11 @@
 
 func TestOnlyTrustedKeysMeet(t *testing.T) {
 	ours, theirs := newAuthority(t), newAuthority(t)
-	url := serve(t, newKeys(t, ours.write(t, t.TempDir(), "entry", ours)))
+	url := serve(t, newKeys(t, write(t, ours, t.TempDir(), "entry", ours)))
 	got := []meeting{
-		meet(t, newKeys(t, ours.write(t, t.TempDir(), "operator", ours)), url),
-		meet(t, newKeys(t, theirs.write(t, t.TempDir(), "stranger", ours)), url),
-		meet(t, newKeys(t, ours.write(t, t.TempDir(), "misled", theirs)), url),
+		meet(t, newKeys(t, write(t, ours, t.TempDir(), "operator", ours)), url),
+		meet(t, newKeys(t, write(t, theirs, t.TempDir(), "stranger", ours)), url),
+		meet(t, newKeys(t, write(t, ours, t.TempDir(), "misled", theirs)), url),
 	}
 	want := []meeting{{"entry", "operator"}, {}, {}}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -146,14 +90,16 @@
 func TestRotatedKeysAreTakenUpWithoutRestart(t *testing.T) {
 	first, second := newAuthority(t), newAuthority(t)
 	serverDir, clientDir := t.TempDir(), t.TempDir()
-	url := serve(t, newKeys(t, first.write(t, serverDir, "entry 1", first)))
-	client := newKeys(t, first.write(t, clientDir, "operator 1", first))
+	url := serve(t, newKeys(t, write(t, first, serverDir, "entry 1", first)))
+	client := newKeys(t, write(t, first, clientDir, "operator 1", first))
 	got := []meeting{meet(t, client, url)}
-	second.write(t, serverDir, "entry 2", second)
+	write(t, second, serverDir, "entry 2", second)
 	got = append(got, meet(t, client, url))
-	files := second.write(t, clientDir, "operator 2", second)
+	files := write(t, second, clientDir, "operator 2", second)
 	got = append(got, meet(t, client, url))
-	put(t, files.Key, []byte("damaged"))
+	if err := os.WriteFile(files.Key, []byte("damaged"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	got = append(got, meet(t, client, url))
 	want := []meeting{{"entry 1", "operator 1"}, {}, {"entry 2", "operator 2"}, {"entry 2", "operator 2"}}
 	if diff := cmp.Diff(want, got); diff != "" {
