--- a/io/entry/bootstrap.go
+++ b/io/entry/bootstrap.go
@@ -20,31 +20,19 @@
 type stater struct {
 	d      *Daemon
 	client *http.Client
-	asks   chan ledger.AskPeersCmd
+	asks   queue[ledger.AskPeersCmd]
 }
 
 func newStater(d *Daemon) *stater {
-	return &stater{d: d, client: d.peerClient(), asks: make(chan ledger.AskPeersCmd, stateQueue)}
+	return &stater{d: d, client: d.peerClient(), asks: newQueue[ledger.AskPeersCmd](stateQueue)}
 }
 
 // ask never waits.
-func (s *stater) ask(cmd ledger.AskPeersCmd) {
-	select {
-	case s.asks <- cmd:
-	default:
-	}
-}
+func (s *stater) ask(cmd ledger.AskPeersCmd) { s.asks.offer(cmd) }
 
 func (s *stater) run(ctx context.Context) error {
 	defer s.client.CloseIdleConnections()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case cmd := <-s.asks:
-			s.collect(ctx, cmd)
-		}
-	}
+	return s.asks.run(ctx, s.collect)
 }
 
 // collect asks the chosen entries at once and hands on the states of those that answered.
--- a/io/entry/cancel.go
+++ b/io/entry/cancel.go
@@ -21,31 +21,17 @@
 // canceller tells engines to stop attempts whose connection may no longer reach them.
 type canceller struct {
 	client engine.Client
-	queue  chan cancellation
+	queue  queue[cancellation]
 }
 
 func newCanceller(client engine.Client) *canceller {
-	return &canceller{client: client, queue: make(chan cancellation, cancelQueue)}
+	return &canceller{client: client, queue: newQueue[cancellation](cancelQueue)}
 }
 
 // add never waits: a cancellation only saves an engine work, and a full queue drops it.
-func (c *canceller) add(one cancellation) {
-	select {
-	case c.queue <- one:
-	default:
-	}
-}
+func (c *canceller) add(one cancellation) { c.queue.offer(one) }
 
-func (c *canceller) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case one := <-c.queue:
-			c.cancel(ctx, one)
-		}
-	}
-}
+func (c *canceller) run(ctx context.Context) error { return c.queue.run(ctx, c.cancel) }
 
 // cancel is tried once: an engine that does not answer has nothing to stop or will end by itself.
 func (c *canceller) cancel(ctx context.Context, one cancellation) {
--- a/io/entry/confirm.go
+++ b/io/entry/confirm.go
@@ -21,18 +21,16 @@
 // confirmer finds out when every other member has folded the verdicts that this entry has.
 type confirmer struct {
 	d     *Daemon
-	queue chan sched.ConfirmCmd
+	queue queue[sched.ConfirmCmd]
 }
 
 func newConfirmer(d *Daemon) *confirmer {
-	return &confirmer{d: d, queue: make(chan sched.ConfirmCmd, confirmQueue)}
+	return &confirmer{d: d, queue: newQueue[sched.ConfirmCmd](confirmQueue)}
 }
 
 // ask never waits; the decider's own time limit answers what finds no place.
 func (c *confirmer) ask(cmd sched.ConfirmCmd) {
-	select {
-	case c.queue <- cmd:
-	default:
+	if !c.queue.offer(cmd) {
 		c.d.log.Warn("confirmation_dropped", "request", cmd.Request)
 	}
 }
@@ -40,17 +38,13 @@
 func (c *confirmer) run(ctx context.Context) error {
 	var group errgroup.Group
 	group.SetLimit(mostConfirming)
-	for {
-		select {
-		case <-ctx.Done():
-			return group.Wait()
-		case cmd := <-c.queue:
-			group.Go(func() error {
-				(&confirmation{c, cmd}).run(ctx)
-				return nil
-			})
-		}
-	}
+	_ = c.queue.run(ctx, func(ctx context.Context, cmd sched.ConfirmCmd) {
+		group.Go(func() error {
+			(&confirmation{c, cmd}).run(ctx)
+			return nil
+		})
+	})
+	return group.Wait()
 }
 
 // confirmation is one command that runs.
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -85,7 +85,7 @@
 	// node holds the deciders. It belongs to the loop alone; others look at it through inspect.
 	node *node.Node
 	// orders hands the orders to engines to the workers that send them.
-	orders chan roll.OrderCmd
+	orders queue[roll.OrderCmd]
 	teller *teller
 	keeper *keeper
 	// stores is what the keeper asks of KV stores.
@@ -132,7 +132,7 @@
 			UnloadGrace: time.Duration(settings.UnloadGrace), KeepInterval: time.Duration(settings.KeepInterval),
 		}),
 	}
-	d.orders = make(chan roll.OrderCmd, orderQueue)
+	d.orders = newQueue[roll.OrderCmd](orderQueue)
 	for _, o := range options {
 		o(d)
 	}
--- a/io/entry/kept.go
+++ b/io/entry/kept.go
@@ -37,7 +37,7 @@
 	d       *Daemon
 	engines engine.Transfers
 	stores  store.Store
-	exports chan cache.ExportCmd
+	exports queue[cache.ExportCmd]
 
 	mu sync.Mutex
 	// prompts holds the prompts of answered requests until the deciders settle whether they are exported.
@@ -55,7 +55,7 @@
 func newKeeper(d *Daemon, stores store.Store) *keeper {
 	return &keeper{
 		d: d, engines: d.engines, stores: stores, prompts: map[ident.RequestID]heldPrompt{},
-		exports: make(chan cache.ExportCmd, exportQueue),
+		exports: newQueue[cache.ExportCmd](exportQueue),
 	}
 }
 
@@ -78,9 +78,7 @@
 		d.keeper.take(cmd.Request)
 		d.meter.Count("exports_dropped_"+string(cmd.Cause), 1)
 	case cache.ExportCmd:
-		select {
-		case d.keeper.exports <- cmd:
-		default:
+		if !d.keeper.exports.offer(cmd) {
 			d.log.Error("export_queue_full", "store", cmd.Store)
 			d.keeper.take(cmd.Request)
 		}
@@ -147,14 +145,7 @@
 type exportWorker struct{ k *keeper }
 
 func (w *exportWorker) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case cmd := <-w.k.exports:
-			w.k.export(ctx, cmd)
-		}
-	}
+	return w.k.exports.run(ctx, w.k.export)
 }
 
 func (k *keeper) export(ctx context.Context, cmd cache.ExportCmd) {
--- a/io/entry/moves.go
+++ b/io/entry/moves.go
@@ -27,9 +27,7 @@
 	case roll.AppendCmd:
 		d.offer(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
 	case roll.OrderCmd:
-		select {
-		case d.orders <- cmd:
-		default:
+		if !d.orders.offer(cmd) {
 			d.log.Error("order_queue_full", "upstream", cmd.Task.Upstream)
 		}
 	case roll.TellCmd:
@@ -55,14 +53,7 @@
 type orderWorker struct{ d *Daemon }
 
 func (w *orderWorker) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case cmd := <-w.d.orders:
-			w.send(ctx, cmd)
-		}
-	}
+	return w.d.orders.run(ctx, w.send)
 }
 
 // send drops an order whose lease has ended; a token whose order had no answer stays taken.
--- a/io/entry/onceask.go
+++ b/io/entry/onceask.go
@@ -19,30 +19,18 @@
 type memberAsker struct {
 	d *Daemon
 	// rounds takes one question: the decider asks the next one only after the answers to the last.
-	rounds chan once.AskCmd
+	rounds queue[once.AskCmd]
 }
 
 func newMemberAsker(d *Daemon) *memberAsker {
-	return &memberAsker{d: d, rounds: make(chan once.AskCmd, 1)}
+	return &memberAsker{d: d, rounds: newQueue[once.AskCmd](1)}
 }
 
 // ask never waits; a question that finds no place is answered by the decider's own time limit.
-func (a *memberAsker) ask(cmd once.AskCmd) {
-	select {
-	case a.rounds <- cmd:
-	default:
-	}
-}
+func (a *memberAsker) ask(cmd once.AskCmd) { a.rounds.offer(cmd) }
 
 func (a *memberAsker) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case cmd := <-a.rounds:
-			a.d.post(ctx, a.collect(ctx, cmd))
-		}
-	}
+	return a.rounds.run(ctx, func(ctx context.Context, cmd once.AskCmd) { a.d.post(ctx, a.collect(ctx, cmd)) })
 }
 
 func (a *memberAsker) collect(ctx context.Context, cmd once.AskCmd) (msg once.PositionsMsg) {
--- a/io/entry/rosterask.go
+++ b/io/entry/rosterask.go
@@ -12,31 +12,17 @@
 type rosterAsker struct {
 	d *Daemon
 	// asks takes one question: the fold asks again.
-	asks chan roster.AskPeersCmd
+	asks queue[roster.AskPeersCmd]
 }
 
 func newRosterAsker(d *Daemon) *rosterAsker {
-	return &rosterAsker{d: d, asks: make(chan roster.AskPeersCmd, 1)}
+	return &rosterAsker{d: d, asks: newQueue[roster.AskPeersCmd](1)}
 }
 
 // ask never waits.
-func (a *rosterAsker) ask(cmd roster.AskPeersCmd) {
-	select {
-	case a.asks <- cmd:
-	default:
-	}
-}
+func (a *rosterAsker) ask(cmd roster.AskPeersCmd) { a.asks.offer(cmd) }
 
-func (a *rosterAsker) run(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case cmd := <-a.asks:
-			a.collect(ctx, cmd)
-		}
-	}
-}
+func (a *rosterAsker) run(ctx context.Context) error { return a.asks.run(ctx, a.collect) }
 
 // collect asks all known entries at once and hands on the states that are ahead.
 func (a *rosterAsker) collect(ctx context.Context, cmd roster.AskPeersCmd) {
--- a/io/entry/teller.go
+++ b/io/entry/teller.go
@@ -23,32 +23,23 @@
 type teller struct {
 	d      *Daemon
 	client *http.Client
-	bodies chan roll.TakeBackBody
+	bodies queue[roll.TakeBackBody]
 }
 
 func newTeller(d *Daemon) *teller {
-	return &teller{d: d, client: d.peerClient(), bodies: make(chan roll.TakeBackBody, tellQueue)}
+	return &teller{d: d, client: d.peerClient(), bodies: newQueue[roll.TakeBackBody](tellQueue)}
 }
 
 // tell never waits.
 func (t *teller) tell(body roll.TakeBackBody) {
-	select {
-	case t.bodies <- body:
-	default:
+	if !t.bodies.offer(body) {
 		t.d.log.Warn("take_back_not_told", "move", body.Move)
 	}
 }
 
 func (t *teller) run(ctx context.Context) error {
 	defer t.client.CloseIdleConnections()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case body := <-t.bodies:
-			t.tellAll(ctx, body)
-		}
-	}
+	return t.bodies.run(ctx, t.tellAll)
 }
 
 func (t *teller) tellAll(ctx context.Context, body roll.TakeBackBody) {
