Read the count of moved attempts once their handlers have ended

Cause: TestDrainMovesDeferredWork failed once in a full run with "the zone is empty: true; 0 attempts were moved". An entry counts a moved attempt when its stream has returned; the engine can see the connection closed before that. Shown: with 300 ms before the count the test fails with that output. It now reads the count after all answers have come; what it demands is the same, and it passes with those 300 ms, too. Ruled out: an end of the requests by themselves, since each takes at least 3 s. Conclusion: a fault of the test.

--- a/io/entry/zone_test.go
+++ b/io/entry/zone_test.go
@@ -166,9 +166,9 @@
 		}
 		return running == 0
 	})
+	pending.Wait()
 	moved := e.Meter().Snapshot().Counters["attempts_cancelled"]
 	if !left || moved == 0 {
 		t.Errorf("the zone is empty: %v; %d attempts were moved", left, moved)
 	}
-	pending.Wait()
 }
