Split the scheduler's file and the prompts held for exports by what they do

Requests, attempts and reports now stand in files of their own, as do the held prompts, which have a lock and a bound of their own; core/cache no longer hashes a model's name as if it named an upstream.

--- a/core/cache/cache.go
+++ b/core/cache/cache.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cicadavalve/core/ident"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/roll"
@@ -33,7 +35,7 @@
 
 // key names the context that a request may find kept.
 func (r *request) key() uint64 {
-	return route.Key(r.Org, r.version, r.PromptRoot) ^ route.HashID(ident.UpstreamID(r.Model))
+	return route.Key(r.Org, r.version, r.PromptRoot) ^ xxhash.Sum64String(string(r.Model))
 }
 
 // blocks counts the whole blocks of the prompt.
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -3,9 +3,7 @@
 package sched
 
 import (
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -17,54 +15,6 @@
 	"cicadavalve/core/rules"
 )
 
-// request is a caller's request that has no final answer yet.
-type request struct {
-	Request
-	arrived time.Time
-	// attempt numbers the sendings from 1; an event of an earlier one is ignored.
-	attempt int
-	// moves counts the attempts that were moved rather than failed.
-	moves int
-	// excuses counts the moves of which this entry's own lateness was the reason; at most maxAttempts.
-	excuses int
-	// on is the upstream of the current attempt, or empty.
-	on ident.UpstreamID
-	// sent is when the current attempt began.
-	sent time.Time
-	// key names the kept context that the request may find.
-	key uint64
-	// missing is the prompt tokens that the current attempt adds to its upstream's backlog.
-	missing int
-	// tried lists the upstreams of the failed attempts.
-	tried []ident.UpstreamID
-	// version is fixed by the first sending, so that an answer is never of two versions.
-	version ident.Version
-	// confirming is true once the members were asked about the losses before the trial, confirmed once they know.
-	confirming, confirmed bool
-	// touched is true once an upstream may have run the request.
-	touched bool
-	// delivered counts the tokens that the caller has.
-	delivered int
-	// reserved is the upstream held for a suspect request, and alone is true while it runs there.
-	reserved ident.UpstreamID
-	alone    bool
-	// aloneSince is when the request first waited for an upstream of its own.
-	aloneSince time.Time
-	// trial is the one asked for since trialSince; its id is empty where there is none.
-	trial      poison.TrialBody
-	trialSince time.Time
-	// trials counts the trials asked for.
-	trials int
-	// waitSince is when the request began to wait for room on an upstream.
-	waitSince time.Time
-	// preempted counts how often it was taken off an upstream for a more urgent request.
-	preempted int
-	// queued is the backlog in prompt tokens that the attempt began with, its own included, and
-	// firstAt when its first token came.
-	queued  int
-	firstAt time.Time
-}
-
 // Model is the scheduler of one entry.
 //
 //	m := sched.NewModel(sched.WithSeed(7), sched.WithZone("dunedin"))
@@ -197,61 +147,6 @@
 	return append(cmds, m.yield(now)...)
 }
 
-func (m *Model) setUpstreams(now time.Time, msg UpstreamsMsg) {
-	listed := map[ident.UpstreamID]bool{}
-	for _, l := range msg.Upstreams {
-		listed[l.ID] = true
-		u, known := m.upstreams[l.ID]
-		if !known || u.listed.Address != l.Address {
-			u = &upstream{special: true, candidate: route.Candidate{ID: l.ID, Hash: route.HashID(l.ID)}}
-			m.upstreams[l.ID] = u
-		}
-		u.listed = l
-		u.candidate.Zone = l.Zone
-	}
-	for _, id := range m.order {
-		if !listed[id] {
-			m.slots.Forget(now, id)
-			delete(m.upstreams, id)
-		}
-	}
-	m.order = slices.Sorted(maps.Keys(m.upstreams))
-	m.pools = nil
-	m.listed = true
-}
-
-func (m *Model) setLoad(now time.Time, msg LoadMsg) []ident.Cmd {
-	u, known := m.upstreams[msg.Upstream]
-	if !known {
-		return nil
-	}
-	if u.misses >= outageMisses {
-		u.backSince, u.special = now, true
-	}
-	if !u.seen || !slices.Equal(u.load.Loaded, msg.Load.Loaded) {
-		m.pools = nil
-	}
-	u.special = u.special || u.load.BootID != msg.Load.BootID
-	m.slots.Seen(now, msg.Upstream, msg.Load.BootID)
-	u.load, u.seen, u.misses = msg.Load, true, 0
-	u.report(msg.Load)
-	return m.poison.Seen(now, msg.Upstream, msg.Load.BootID)
-}
-
-func (m *Model) miss(now time.Time, msg UnreachableMsg) []ident.Cmd {
-	u, known := m.upstreams[msg.Upstream]
-	if !known || m.lateness.within(now, now.Add(-msg.Waited)) {
-		return nil
-	}
-	u.misses++
-	u.special = true
-	if u.misses < probeMisses {
-		return nil
-	}
-	m.slots.Doubt(now, msg.Upstream)
-	return m.poison.Unreachable(now, msg.Upstream)
-}
-
 // setRules never goes back to an older version.
 func (m *Model) setRules(msg RulesMsg) {
 	if msg.Version <= m.version {
@@ -295,111 +190,6 @@
 	return refusal, false
 }
 
-func (r *request) refuse(code Code, message string) RefuseCmd {
-	return RefuseCmd{Request: r.ID, Code: code, Message: message, NotRun: !r.touched, RetryAfter: retryAfter}
-}
-
-func (m *Model) send(now time.Time, r *request) []ident.Cmd {
-	switch m.poison.Standing(now, r.Digest) {
-	case poison.Quarantined:
-		return m.giveUp(now, r, CodeQuarantined, "the request crashes the upstreams that run it")
-	case poison.Suspect:
-		return m.sendAlone(now, r)
-	}
-	if !m.find(now, r) {
-		return m.wait(now, r)
-	}
-	u, over := m.place(now, r)
-	if over > 0 {
-		return m.refuseEarly(now, r, over)
-	}
-	return []ident.Cmd{m.start(now, r, u)}
-}
-
-// start begins an attempt on an upstream.
-func (m *Model) start(now time.Time, r *request, u *upstream) SendCmd {
-	u.candidate.Outstanding++
-	m.running[r.Org]++
-	r.missing = max(0, r.PromptTokens-m.kept.tokens(r.key, u))
-	u.candidate.Backlog += r.missing
-	r.attempt++
-	r.on = u.listed.ID
-	r.sent, r.queued, r.firstAt = now, u.candidate.Backlog, time.Time{}
-	m.acquire(now, r)
-	return m.sendCmd(now, r, u)
-}
-
-func (m *Model) sendCmd(now time.Time, r *request, u *upstream) SendCmd {
-	return SendCmd{
-		Request: r.ID, Attempt: r.attempt, Upstream: u.listed.ID, Address: u.listed.Address,
-		Version: r.version, Priority: m.rank(now, r), Class: r.Class, Silence: m.silence[r.Class],
-		ResumeFrom: r.delivered, FreshConnection: r.attempt > 1,
-	}
-}
-
-// release takes the current attempt off its upstream; ended is true where the upstream is known not to run it.
-func (m *Model) release(now time.Time, r *request, ended bool) {
-	m.slots.Release(now, r.ID, ended)
-	if u, known := m.upstreams[r.on]; known && u.candidate.Outstanding > 0 {
-		u.candidate.Outstanding--
-		u.settle(r)
-	}
-	if r.on != "" {
-		m.forgetRunning(r.Org)
-	}
-	r.on = ""
-}
-
-// forgetRunning takes a request off its organisation's count.
-func (m *Model) forgetRunning(org ident.OrgID) {
-	m.running[org]--
-	if m.running[org] <= 0 {
-		delete(m.running, org)
-	}
-}
-
-func (m *Model) end(now time.Time, msg EndMsg) []ident.Cmd {
-	r, known := m.requests[msg.Request]
-	if !known || r.attempt != msg.Attempt {
-		return nil
-	}
-	m.slots.Succeeded(now, r.on)
-	if !r.firstAt.IsZero() && !m.lateness.within(now, r.firstAt) {
-		m.paceOf(r).sawEnd(r.MaxTokens-r.delivered, now.Sub(r.firstAt))
-	}
-	m.release(now, r, true)
-	m.budgets.Succeeded(r.Org)
-	delete(m.requests, r.ID)
-	return m.endTrial(r)
-}
-
-// first notes that the prompt of an attempt is computed.
-func (m *Model) first(now time.Time, msg FirstMsg) {
-	r, known := m.requests[msg.Request]
-	if !known || r.attempt != msg.Attempt {
-		return
-	}
-	if !m.lateness.within(now, r.sent) {
-		m.paceOf(r).sawFirst(r.queued, now.Sub(r.sent))
-	}
-	r.firstAt = now
-	if u, listed := m.upstreams[r.on]; listed {
-		u.settle(r)
-		m.kept.add(r.key, u, r.PromptTokens)
-	}
-}
-
-func (m *Model) gone(now time.Time, msg GoneMsg) []ident.Cmd {
-	r, known := m.requests[msg.Request]
-	if !known {
-		return nil
-	}
-	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.on}
-	m.release(now, r, false)
-	delete(m.requests, r.ID)
-	return append(m.endTrial(r), cancel)
-}
-
 // Service reports whether the rules in force name a service, and whether its calls run at most once.
 func (m *Model) Service(name ident.ServiceName) (once, known bool) {
 	if m.rules == nil {
--- a/io/entry/kept.go
+++ b/io/entry/kept.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,12 +19,6 @@
 	// exportWorkers is how many exports run at once over all stores.
 	exportWorkers = 4
 	exportQueue   = 64
-	// mostPromptBytes bounds the prompts that are held for exports.
-	mostPromptBytes = 64 << 20
-	// mostPromptAge outlasts the wait of an export; what is held for longer was never decided about.
-	mostPromptAge = 30 * time.Second
-	// purgeAbove is the number of held prompts above which those that are too old are looked for.
-	purgeAbove = 256
 	// reportTimeout bounds telling the deciders how an import ended.
 	reportTimeout = time.Second
 	// discardTimeout bounds the deletion of the blocks of one failed export.
@@ -39,22 +32,12 @@
 	stores  store.Store
 	exports queue[cache.ExportCmd]
 
-	mu sync.Mutex
-	// prompts holds the prompts of answered requests until the deciders settle whether they are exported.
-	prompts map[ident.RequestID]heldPrompt
-	// bytes is the size of prompts; it is at most mostPromptBytes.
-	bytes int
-}
-
-// heldPrompt is the prompt of a request that was answered at a time.
-type heldPrompt struct {
-	text string
-	at   time.Time
+	prompts *heldPrompts
 }
 
 func newKeeper(d *Daemon, stores store.Store) *keeper {
 	return &keeper{
-		d: d, engines: d.engines, stores: stores, prompts: map[ident.RequestID]heldPrompt{},
+		d: d, engines: d.engines, stores: stores, prompts: newHeldPrompts(),
 		exports: newQueue[cache.ExportCmd](exportQueue),
 	}
 }
@@ -75,12 +58,12 @@
 	case cache.RecomputeCmd:
 		d.meter.Count("recomputed_instead_"+string(cmd.Cause), 1)
 	case cache.DropCmd:
-		d.keeper.take(cmd.Request)
+		d.keeper.prompts.take(cmd.Request)
 		d.meter.Count("exports_dropped_"+string(cmd.Cause), 1)
 	case cache.ExportCmd:
 		if !d.keeper.exports.offer(cmd) {
 			d.log.Error("export_queue_full", "store", cmd.Store)
-			d.keeper.take(cmd.Request)
+			d.keeper.prompts.take(cmd.Request)
 		}
 	default:
 		return false
@@ -88,41 +71,11 @@
 	return true
 }
 
-// hold keeps a prompt for an export; one too many is not exported.
+// hold keeps a prompt for an export where stores are used.
 func (k *keeper) hold(id ident.RequestID, prompt string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if !k.d.settings.UseStores {
-		return
+	if k.d.settings.UseStores {
+		k.prompts.hold(time.Now(), id, prompt)
 	}
-	now := time.Now()
-	if len(k.prompts) > purgeAbove || k.bytes+len(prompt) > mostPromptBytes {
-		k.purge(now)
-	}
-	if k.bytes+len(prompt) <= mostPromptBytes {
-		k.prompts[id] = heldPrompt{prompt, now}
-		k.bytes += len(prompt)
-	}
-}
-
-// purge gives up the prompts that are too old; it needs the lock.
-func (k *keeper) purge(now time.Time) {
-	for id, held := range k.prompts {
-		if now.Sub(held.at) > mostPromptAge {
-			delete(k.prompts, id)
-			k.bytes -= len(held.text)
-		}
-	}
-}
-
-// take gives a held prompt up.
-func (k *keeper) take(id ident.RequestID) (prompt string, held bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	one, held := k.prompts[id]
-	delete(k.prompts, id)
-	k.bytes -= len(one.text)
-	return one.text, held
 }
 
 // contextOf names the kept context of an organisation's prompt.
@@ -150,7 +103,7 @@
 
 func (k *keeper) export(ctx context.Context, cmd cache.ExportCmd) {
 	msg := cache.ExportedMsg{Request: cmd.Request, Store: cmd.Store, Cause: cache.CauseLate}
-	if prompt, held := k.take(cmd.Request); held {
+	if prompt, held := k.prompts.take(cmd.Request); held {
 		exporting, cancel := context.WithTimeout(ctx, cmd.Deadline)
 		k.exportPrompt(exporting, cmd, prompt, &msg)
 		cancel()
