--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -72,8 +72,8 @@
 	convicted map[Digest][]Loss
 	// verdicts lists the keys of convicted, the oldest first.
 	verdicts []Digest
-	// pardoned holds the losses that each released request was in quarantine for; they count no more.
-	pardoned map[Digest][]Loss
+	// released holds the losses that each released request was in quarantine for; they count no more.
+	released map[Digest][]Loss
 	// releases holds the ids of the releases folded; each counts once.
 	releases map[string]bool
 	// trials holds the open trials; at most one for each request.
@@ -95,7 +95,7 @@
 func NewModel(entry ident.EntryID) *Model {
 	return &Model{
 		entry: entry, claims: map[Digest][]claim{}, convicted: map[Digest][]Loss{},
-		pardoned: map[Digest][]Loss{}, releases: map[string]bool{},
+		released: map[Digest][]Loss{}, releases: map[string]bool{},
 		trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
 	}
 }
@@ -149,7 +149,7 @@
 
 // claim adds a loss and reports whether it is a new one.
 func (m *Model) claim(now time.Time, d Digest, loss Loss, alone bool) bool {
-	if m.explained(loss) || slices.Contains(m.pardoned[d], loss) {
+	if m.explained(loss) || slices.Contains(m.released[d], loss) {
 		return false
 	}
 	claims, known := m.claims[d]
@@ -221,7 +221,7 @@
 
 // convict also clears the other requests of the losses that this one explains.
 func (m *Model) convict(d Digest, losses []Loss) {
-	if _, held := m.convicted[d]; held || m.isPardoned(d, losses) {
+	if _, held := m.convicted[d]; held || m.isReleased(d, losses) {
 		return
 	}
 	m.convicted[d] = losses
--- a/core/poison/release.go
+++ b/core/poison/release.go
@@ -35,20 +35,20 @@
 		return
 	}
 	m.releases[body.ID] = true
-	pardoned := m.convicted[body.Digest]
+	released := m.convicted[body.Digest]
 	for _, c := range m.claims[body.Digest] {
-		pardoned = append(pardoned, c.loss)
+		released = append(released, c.loss)
 	}
-	m.pardoned[body.Digest] = append(m.pardoned[body.Digest], pardoned...)
+	m.released[body.Digest] = append(m.released[body.Digest], released...)
 	delete(m.convicted, body.Digest)
 	m.verdicts = slices.DeleteFunc(m.verdicts, func(d Digest) bool { return d == body.Digest })
 	m.drop(body.Digest)
 }
 
-// isPardoned reports whether all losses were ended by a release.
-func (m *Model) isPardoned(d Digest, losses []Loss) bool {
-	pardoned, released := m.pardoned[d]
-	return released && !slices.ContainsFunc(losses, func(l Loss) bool { return !slices.Contains(pardoned, l) })
+// isReleased reports whether all losses were ended by a release.
+func (m *Model) isReleased(d Digest, losses []Loss) bool {
+	released, known := m.released[d]
+	return known && !slices.ContainsFunc(losses, func(l Loss) bool { return !slices.Contains(released, l) })
 }
 
 // View is what an entry knows of a request that crashed upstreams.
--- a/core/roster/membership.go
+++ b/core/roster/membership.go
@@ -14,11 +14,11 @@
 //	m := roster.NewMembership(roster.WithLease(3 * time.Second))
 //	cmds := m.Update(now, batch)
 type Membership struct {
-	roster *Roster
-	watch  *Watch
-	keeper *keeper
-	lease  time.Duration
-	self   Member
+	roster      *Roster
+	watch       *Watch
+	snapshotter *snapshotter
+	lease       time.Duration
+	self        Member
 	// boot is the incarnation of the process; the later ones add a number to it.
 	boot ident.BootID
 	// generation counts the removals of this process.
@@ -56,7 +56,7 @@
 // WithSnapshots seeds the times of this entry's snapshots, and bounds the records and the time that
 // may come after the newest one; 0 takes the default.
 func WithSnapshots(entry ident.EntryID, seed uint64, records int64, interval time.Duration) Option {
-	return func(m *Membership) { m.keeper = newKeeper(entry, seed, records, interval) }
+	return func(m *Membership) { m.snapshotter = newSnapshotter(entry, seed, records, interval) }
 }
 
 const (
@@ -101,7 +101,7 @@
 
 // Update takes a message and returns the commands that follow from it.
 func (m *Membership) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
-	m.keeper.pace.Start(now)
+	m.snapshotter.pace.Start(now)
 	cmds = m.take(now, msg)
 	return append(cmds, m.snapshot(now)...)
 }
@@ -169,12 +169,12 @@
 	return LeaseCmd{Member: m.self, Until: m.until}
 }
 
-// noteRecords tells the keeper of the records of a batch that were folded from an offset on.
+// noteRecords tells the snapshotter of the records of a batch that were folded from an offset on.
 func (m *Membership) noteRecords(now time.Time, batch ledger.BatchMsg, from int64) {
-	m.keeper.first = max(m.keeper.first, batch.First)
+	m.snapshotter.first = max(m.snapshotter.first, batch.First)
 	for _, e := range batch.Entries {
 		if e.Offset >= from && e.Offset < m.roster.next {
-			m.keeper.note(now, e, m.caughtUp)
+			m.snapshotter.note(now, e, m.caughtUp)
 		}
 	}
 }
@@ -265,7 +265,7 @@
 			at, set = due, true
 		}
 	}
-	if due := m.keeper.pace.Next(); m.maySnapshot(due) && (!set || due.Before(at)) {
+	if due := m.snapshotter.pace.Next(); m.maySnapshot(due) && (!set || due.Before(at)) {
 		at, set = due, true
 	}
 	return at, set
--- a/core/roster/snapshot.go
+++ b/core/roster/snapshot.go
@@ -76,8 +76,8 @@
 	Writer string `json:"writer"`
 }
 
-// keeper decides when this entry appends a snapshot, and when it asks others for their state.
-type keeper struct {
+// snapshotter decides when this entry appends a snapshot, and when it asks others for their state.
+type snapshotter struct {
 	pace *ledger.Snapshots
 	// first is the lowest offset that the log was last seen to keep.
 	first int64
@@ -87,13 +87,13 @@
 	asked time.Time
 }
 
-func newKeeper(entry ident.EntryID, seed uint64, records int64, interval time.Duration) *keeper {
+func newSnapshotter(entry ident.EntryID, seed uint64, records int64, interval time.Duration) *snapshotter {
 	rng := rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(entry)+"/roster")))
-	return &keeper{pace: ledger.NewSnapshots(rng, records, interval)}
+	return &snapshotter{pace: ledger.NewSnapshots(rng, records, interval)}
 }
 
 // note takes a record that was folded; live is false for one that may be old.
-func (k *keeper) note(now time.Time, e ledger.Entry, live bool) {
+func (k *snapshotter) note(now time.Time, e ledger.Entry, live bool) {
 	if e.Record.Kind != KindSnapshot {
 		k.records = append(k.records, e.Offset)
 		return
@@ -107,14 +107,14 @@
 }
 
 // trim drops the records that the newest snapshot covers.
-func (k *keeper) trim() {
+func (k *snapshotter) trim() {
 	k.records = slices.DeleteFunc(k.records, func(offset int64) bool { return offset < k.pace.Covered() })
 }
 
 // snapshot appends the state when a snapshot is due. An entry that has not read the log to its end
 // within the lease appends none, since it can't see that another one has.
 func (m *Membership) snapshot(now time.Time) []ident.Cmd {
-	k := m.keeper
+	k := m.snapshotter
 	p := ledger.Progress{First: k.first, Next: m.roster.next, Records: len(k.records)}
 	if !m.maySnapshot(now) || !k.pace.IsDue(now, p) {
 		return nil
@@ -133,17 +133,17 @@
 
 // askPeers asks for states while the log has lost records that this fold needs.
 func (m *Membership) askPeers(now time.Time) []ident.Cmd {
-	if !m.roster.stuck || now.Before(m.keeper.asked) {
+	if !m.roster.stuck || now.Before(m.snapshotter.asked) {
 		return nil
 	}
-	m.keeper.asked = now.Add(askInterval)
+	m.snapshotter.asked = now.Add(askInterval)
 	return []ident.Cmd{AskPeersCmd{Above: m.roster.next}}
 }
 
 // takePeers takes the state with the highest offset, unless the log no longer keeps the record after it.
 func (m *Membership) takePeers(now time.Time, msg PeerStatesMsg) (cmds []ident.Cmd) {
 	for _, s := range msg.States {
-		if s.Next >= m.keeper.first {
+		if s.Next >= m.snapshotter.first {
 			cmds = append(cmds, m.roster.Restore(s)...)
 		}
 	}
