--- /dev/null
+++ b/cmd/cicadavalve/daemon.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"cicadavalve/io/daemon"
+	"cicadavalve/io/link"
+	"cicadavalve/io/seam"
+	"cicadavalve/io/trail"
+	"cicadavalve/platform"
+)
+
+func newDaemonCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "daemon",
+		Short: "Run the entry daemon on the operators' platform",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				return errors.Newf("no settings: set --settings or %s", platform.SettingsVariable)
+			}
+			return runDaemon(cmd.Context(), path)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "the platform's settings file")
+	return cmd
+}
+
+func runDaemon(ctx context.Context, path string) (err error) {
+	settings, storeAddress, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	lines := trail.NewWriter(os.Stdout)
+	log := slog.New(lines.Handler(slog.LevelInfo)).With("entry", settings.Name)
+	writing, end := context.WithCancel(context.WithoutCancel(ctx))
+	go lines.Run(writing)
+	defer lines.Flush()
+	defer end()
+	client := platform.NewClient(storeAddress, link.Dial)
+	outside := daemon.Outside{
+		Dialect: platform.Dialect{}, Store: client, Engines: client,
+		Ready:     func(a seam.Advice) http.Handler { return platform.NewReadyHandler(a) },
+		Directory: func(a seam.Advice) http.Handler { return platform.NewDirectoryHandler(a, log) },
+	}
+	reloads := &reloads{log: log, path: path, signals: make(chan os.Signal, 1)}
+	signal.Notify(reloads.signals, syscall.SIGHUP)
+	go reloads.run(writing)
+	log.Info("starting", "zone", settings.Zone, "front", settings.Front)
+	return daemon.NewDaemon(settings, outside, log, time.Now().UnixNano()).Run(ctx)
+}
+
+// reloads reads the settings again when a signal asks for it.
+type reloads struct {
+	log     *slog.Logger
+	path    string
+	signals chan os.Signal
+}
+
+// run tells what a reload finds; no setting that the daemon uses changes while it runs.
+func (r *reloads) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+		}
+		_, _, err := platform.LoadSettings(r.path)
+		r.log.Info("settings_read_again", "path", r.path, "error", err)
+	}
+}
--- /dev/null
+++ b/core/place/choose.go
@@ -0,0 +1,215 @@
+package place
+
+import (
+	"time"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/route"
+)
+
+const (
+	// coldBurst is how many requests an entry may send to a cold upstream at once.
+	coldBurst = 1
+	// coldShare is the part of the stated rate of a cold upstream that is used.
+	coldShare = 0.8
+	// leastColdRate is the rate below which an entry's share of a cold upstream is no use, in
+	// requests a second; fewer entries then use that upstream.
+	leastColdRate = 1.0
+	// zoneCost is what another availability zone adds to a choice: some round trips.
+	zoneCost = 4 * time.Millisecond
+	// againFactor is how much a token that some upstream has read already weighs above a new one.
+	againFactor = 1.0
+	// oldCost is the part of the objective that older weights add to a choice.
+	oldCost = 0.3
+	// badCost is how many objectives an upstream adds to a choice that fails every request.
+	badCost = 4
+	// versionShare is the part of the time allowed on older weights after which they get no work.
+	versionShare = 0.85
+	// memoryShare is the part of an engine's memory that running requests may take.
+	memoryShare = 0.9
+)
+
+// option is one upstream weighed for a request.
+type option struct {
+	upstream conf.Upstream
+	// first is the expected time to the first byte.
+	first time.Duration
+	// cost orders the options, in ns.
+	cost    float64
+	version int64
+	salt    string
+	// ahead is the work before the request, missing the request's own, in prompt tokens.
+	ahead, missing int
+	fetch          []conf.Source
+	source         parts.Holder
+	fetchTime      time.Duration
+	// idle tells that less than half of the upstream's slots are taken.
+	idle bool
+}
+
+// Salt names the kept context that requests of one wall may share on one version of weights.
+func Salt(wall string, model ident.ModelName, version int64) string {
+	return wall + "/" + string(model) + "/" + itoa(version)
+}
+
+// choose weighs the upstreams and returns the best, nil if none may take the request.
+func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID) (best *option) {
+	service, ok := m.set.Service(need.Service)
+	if !ok {
+		return nil
+	}
+	for _, u := range m.fleet.All() {
+		if u.Service != need.Service || !m.open(now, u, service, need) || contains(avoid, u.ID) {
+			continue
+		}
+		var o *option
+		if service.Engine != nil && len(need.Chain) > 0 {
+			o = m.weighEngine(now, need, service, u)
+		} else {
+			o = m.weighCall(now, need, u)
+		}
+		if o != nil && (best == nil || o.cost < best.cost || o.cost == best.cost && o.upstream.ID < best.upstream.ID) {
+			best = o
+		}
+	}
+	return best
+}
+
+func contains(ids []ident.UpstreamID, id ident.UpstreamID) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// open tells whether an upstream may get the request at all.
+func (m *Model) open(now time.Time, u conf.Upstream, service *conf.Service, need *Need) bool {
+	if !m.fleet.Usable(now, u.ID) || m.fleet.Ordered(now, u.ID) {
+		return false
+	}
+	if rate, cold := m.coldRate(now, u); cold && rate >= 0 && m.load(u.ID).cold.peek(now, rate, coldBurst) < 1 {
+		return false
+	}
+	if w := m.wanted[need.Model]; service.Engine != nil && w.version > u.Weights[need.Model] && !w.since.IsZero() &&
+		now.Sub(w.since) > time.Duration(versionShare*float64(m.versionTime)) {
+		return false
+	}
+	return true
+}
+
+// coldRate is this entry's share of the requests a second that a cold upstream bears; the rate is
+// negative if the upstream has no bound.
+func (m *Model) coldRate(now time.Time, u conf.Upstream) (rate float64, cold bool) {
+	if !m.fleet.Cold(now, u.ID) {
+		return -1, false
+	}
+	service, ok := m.set.Service(u.Service)
+	if !ok || service.ColdRate <= 0 {
+		return -1, false
+	}
+	users := max(1, min(len(m.crew.IDs), int(coldShare*service.ColdRate/leastColdRate)))
+	if !m.among(u.ID, users) {
+		return 0, true
+	}
+	return coldShare * service.ColdRate / float64(users), true
+}
+
+// among tells whether this entry is one of the first of the rendezvous hash for an upstream.
+func (m *Model) among(upstream ident.UpstreamID, first int) bool {
+	if len(m.crew.IDs) <= first {
+		return true
+	}
+	key := route.HashID(upstream)
+	own := route.Weight(key, route.HashID(ident.UpstreamID(m.crew.Self)))
+	above := 0
+	for _, id := range m.crew.IDs {
+		if id != m.crew.Self && route.Weight(key, route.HashID(ident.UpstreamID(id))) > own {
+			above++
+		}
+	}
+	return above < first
+}
+
+// weighCall weighs an upstream for a plain call.
+func (m *Model) weighCall(now time.Time, need *Need, u conf.Upstream) *option {
+	s, p, l := m.speed(need.Service), m.pace(u.ID), m.load(u.ID)
+	p.fade(now)
+	total := l.total(now)
+	slots := max(u.Slots, 1)
+	rounds := 1 + max(0, float64(total.Requests+1-slots))/float64(slots)
+	first := s.call * rounds * p.slow
+	return &option{
+		upstream: u, first: time.Duration(first),
+		cost: first*(1+0.3*float64(total.Requests)/float64(slots)) + m.besides(need, u, p),
+		idle: total.Requests < slots/2,
+	}
+}
+
+// besides is what a choice costs apart from its time.
+func (m *Model) besides(need *Need, u conf.Upstream, p *pace) (cost float64) {
+	bad := max(0, p.bad-m.speed(need.Service).bad)
+	cost = badCost * float64(need.Objective) * bad
+	if u.Zone != m.crew.Zone {
+		cost += float64(zoneCost)
+	}
+	return cost
+}
+
+// weighEngine weighs a model engine, nil if its memory is taken.
+func (m *Model) weighEngine(now time.Time, need *Need, service *conf.Service, u conf.Upstream) *option {
+	s, p, l := m.speed(need.Service), m.pace(u.ID), m.load(u.ID)
+	p.fade(now)
+	total := l.total(now)
+	version := u.Weights[need.Model]
+	o := &option{upstream: u, version: version, salt: Salt(need.Wall, need.Model, version), idle: total.Requests < u.Slots/2}
+	size := need.Tokens() + need.Output
+	if total.Requests > 0 && float64(total.Memory+size) > memoryShare*float64(service.Engine.Memory) {
+		o.idle = false
+		return m.full(need, o, total, s)
+	}
+	shared := need.Shared()
+	kept := m.index.Kept(parts.Holder(u.Address), o.salt, shared)
+	sharedTokens := 0
+	for _, part := range shared {
+		sharedTokens += part.Tokens
+	}
+	again := 0
+	if kept < sharedTokens {
+		again = m.fetches(now, need, service, o, shared)
+	}
+	o.missing = need.Tokens() - kept - o.fetched()
+	o.ahead = l.ahead(now, need.Rank)
+	first := (s.first(o.ahead+o.missing))*p.slow + float64(o.fetchTime)
+	if total.Requests >= u.Slots {
+		first += s.call * float64(total.Requests-u.Slots+1) / float64(max(u.Slots, 1))
+	}
+	o.first = time.Duration(first)
+	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + againFactor*s.perToken*float64(again) + m.besides(need, u, p)
+	if w := m.wanted[need.Model]; w.version > version {
+		o.cost += oldCost * float64(need.Objective)
+	}
+	return o
+}
+
+// full weighs an engine whose memory is taken: it comes after all others.
+func (m *Model) full(need *Need, o *option, total Load, s *speed) *option {
+	o.missing = need.Tokens()
+	o.first = time.Duration(s.first(total.Backlog+o.missing)) + need.Objective
+	o.cost = float64(o.first) + fullCost*float64(need.Objective)
+	return o
+}
+
+// fullCost is how many objectives an engine without memory adds to a choice.
+const fullCost = 5
+
+// fetched is how many tokens come from elsewhere.
+func (o *option) fetched() (tokens int) {
+	for _, f := range o.fetch {
+		tokens += f.Tokens
+	}
+	return tokens
+}
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,319 @@
+// Package place decides which upstream a request goes to, whether it waits and when it is refused.
+//
+// It answers load patterns in which upstreams are full, cold, slow or failing: a request goes where its first
+// byte is expected soonest, counting what must be read of its prompt and what others have under way there; it
+// waits only while no upstream may take it; and it is refused at once when no upstream is expected to serve it
+// in useful time.
+package place
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/parts"
+)
+
+// Crew is what the decider needs to know of the other entries.
+type Crew struct {
+	// Self is this entry's id.
+	Self string
+	// IDs lists all entries that are alive, this one among them.
+	IDs []string
+	// Zone is this entry's availability zone.
+	Zone ident.Zone
+}
+
+// sent is a request at an upstream.
+type sent struct {
+	need     Need
+	upstream ident.UpstreamID
+	at       time.Time
+	rank     int
+	// backlog is the prompt tokens that are still to be read.
+	backlog int
+	memory  int
+	// ahead is the work that stood before the first token when it was sent, in tokens.
+	ahead    int
+	expected time.Duration
+	// fetch is the store or engine that parts come from, empty for none.
+	fetch     parts.Holder
+	fetchTime time.Duration
+	begun     bool
+}
+
+// waiting is a request without an upstream.
+type waiting struct {
+	need  Need
+	avoid []ident.UpstreamID
+	until time.Time
+}
+
+// Model decides for one entry. Its methods aren't safe for concurrent use.
+type Model struct {
+	fleet *fleet.Model
+	index *parts.Index
+	crew  Crew
+	rng   *rand.Rand
+	set   *conf.Set
+	// wanted is the newest version named of each model, and when it was named.
+	wanted map[ident.ModelName]wanted
+	// versionTime is how long requests may begin on older weights.
+	versionTime time.Duration
+	sent        map[Ticket]*sent
+	// queue holds what waits, the most urgent first.
+	queue  []*waiting
+	loads  map[ident.UpstreamID]*load
+	speeds map[ident.ServiceName]*speed
+	paces  map[ident.UpstreamID]*pace
+	// links holds what is known of the links that parts are fetched over.
+	links map[parts.Holder]*link
+}
+
+// wanted is a named version of weights.
+type wanted struct {
+	version int64
+	since   time.Time
+}
+
+// Option sets one property of a [Model].
+type Option func(*Model)
+
+// WithVersionTime sets how long requests may begin on older weights after newer ones were named.
+func WithVersionTime(d time.Duration) Option {
+	return func(m *Model) { m.versionTime = d }
+}
+
+// NewModel places requests on the upstreams of a fleet.
+//
+//	m := place.NewModel(upstreams, index, rng, place.WithVersionTime(6*time.Second))
+//	for _, cmd := range m.Update(now, place.ArriveMsg{Need: need}) { perform(cmd) }
+func NewModel(upstreams *fleet.Model, index *parts.Index, rng *rand.Rand, options ...Option) *Model {
+	m := &Model{
+		fleet: upstreams, index: index, rng: rng, set: conf.NewSet(conf.Data{}), versionTime: defaultVersionTime,
+		wanted: map[ident.ModelName]wanted{}, sent: map[Ticket]*sent{}, loads: map[ident.UpstreamID]*load{},
+		speeds: map[ident.ServiceName]*speed{}, paces: map[ident.UpstreamID]*pace{}, links: map[parts.Holder]*link{},
+	}
+	for _, o := range options {
+		o(m)
+	}
+	return m
+}
+
+// defaultVersionTime bounds the use of older weights where no setting does.
+const defaultVersionTime = 10 * time.Second
+
+// SetConfig changes the configuration that later decisions rest on.
+func (m *Model) SetConfig(set *conf.Set) { m.set = set }
+
+// SetCrew changes what is known of the other entries.
+func (m *Model) SetCrew(crew Crew) { m.crew = crew }
+
+// Want names the newest version of a model's weights.
+func (m *Model) Want(now time.Time, model ident.ModelName, version int64) {
+	if w := m.wanted[model]; version > w.version {
+		if w.version == 0 {
+			now = time.Time{}
+		}
+		m.wanted[model] = wanted{version, now}
+	}
+}
+
+// Update takes in one message.
+func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	switch msg := msg.(type) {
+	case ArriveMsg:
+		return m.place(now, &waiting{need: msg.Need})
+	case AgainMsg:
+		return m.again(now, msg)
+	case WithdrawMsg:
+		m.queue = slices.DeleteFunc(m.queue, func(w *waiting) bool { return w.need.Ticket == msg.Ticket })
+	case FirstByteMsg:
+		m.firstByte(now, msg.Ticket)
+	case EndMsg:
+		m.end(now, msg)
+		return m.drain(now)
+	case LoadMsg:
+		l := m.load(msg.Upstream)
+		l.heard, l.heardAt = msg.Running+msg.Waiting, now
+	case PeerMsg:
+		m.peer(now, msg)
+	case TickMsg:
+		return m.drain(now)
+	case fleet.GoneCmd:
+		delete(m.loads, msg.ID)
+		delete(m.paces, msg.ID)
+	}
+	return nil
+}
+
+func (m *Model) peer(now time.Time, msg PeerMsg) {
+	for _, l := range m.loads {
+		delete(l.peers, msg.Peer)
+	}
+	for _, l := range msg.Loads {
+		if _, known := m.fleet.Get(l.Upstream); known {
+			m.load(l.Upstream).peers[msg.Peer] = peerLoad{l, now}
+		}
+	}
+}
+
+func (m *Model) again(now time.Time, msg AgainMsg) (cmds []ident.Cmd) {
+	s, ok := m.sent[msg.Ticket]
+	if !ok {
+		return []ident.Cmd{RefuseCmd{Ticket: msg.Ticket, After: leastReturn, Reason: NoUpstream}}
+	}
+	need := s.need
+	m.judge(now, s, msg.Outcome)
+	m.drop(msg.Ticket)
+	return m.place(now, &waiting{need: need, avoid: msg.Avoid})
+}
+
+func (m *Model) drop(t Ticket) {
+	if s, ok := m.sent[t]; ok {
+		m.load(s.upstream).end(s)
+		delete(m.sent, t)
+	}
+}
+
+func (m *Model) firstByte(now time.Time, t Ticket) {
+	s, ok := m.sent[t]
+	if !ok || s.begun {
+		return
+	}
+	s.begun = true
+	m.load(s.upstream).read(s)
+	elapsed := now.Sub(s.at)
+	speed, pace := m.speed(s.need.Service), m.pace(s.upstream)
+	if len(s.need.Chain) == 0 {
+		speed.learnCall(elapsed)
+		pace.learn(now, float64(elapsed)/speed.call)
+		return
+	}
+	if s.fetch != "" {
+		m.link(s.fetch).learn(now, elapsed-s.expected+s.fetchTime, s.fetchTime)
+		return
+	}
+	pace.learn(now, float64(elapsed)/speed.first(s.ahead))
+	speed.learnFirst(elapsed, s.ahead)
+}
+
+func (m *Model) end(now time.Time, msg EndMsg) {
+	s, ok := m.sent[msg.Ticket]
+	if !ok {
+		return
+	}
+	m.judge(now, s, msg.Outcome)
+	m.drop(msg.Ticket)
+}
+
+// judge takes an outcome into what is thought of the upstream.
+func (m *Model) judge(now time.Time, s *sent, outcome Outcome) {
+	if outcome == Rejected || outcome == Cancelled {
+		return
+	}
+	bad := outcome != Good
+	m.pace(s.upstream).judge(now, bad)
+	sample := 0.0
+	if bad {
+		sample = 1
+	}
+	mix(&m.speed(s.need.Service).bad, sample, learnShare)
+}
+
+// drain places what waits, the most urgent first, and refuses what has waited long enough.
+func (m *Model) drain(now time.Time) (cmds []ident.Cmd) {
+	queue := m.queue
+	m.queue = nil
+	for _, w := range queue {
+		cmds = append(cmds, m.place(now, w)...)
+	}
+	return cmds
+}
+
+// wait keeps a request until an upstream may take it.
+func (m *Model) wait(now time.Time, w *waiting) (cmds []ident.Cmd) {
+	if w.until.IsZero() {
+		w.until = now.Add(min(w.need.Objective/waitPart, w.need.Deadline.Sub(now)/waitPart))
+	}
+	if !now.Before(w.until) {
+		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, After: m.spread(leastReturn), Reason: NoUpstream}}
+	}
+	at, _ := slices.BinarySearchFunc(m.queue, w, func(a, b *waiting) int {
+		if a.need.Rank != b.need.Rank {
+			return a.need.Rank - b.need.Rank
+		}
+		return a.need.Arrived.Compare(b.need.Arrived)
+	})
+	m.queue = slices.Insert(m.queue, at, w)
+	return nil
+}
+
+const (
+	// waitPart is the part of a request's objective that it may wait for a first upstream.
+	waitPart = 2
+	// leastReturn is the earliest that a refused caller is asked back: about one pause of a broken upstream.
+	leastReturn = 400 * time.Millisecond
+	// mostReturn bounds how far callers are sent away.
+	mostReturn = 3 * time.Second
+	// lateFactor is how many objectives a first byte may be expected to take before the request is refused.
+	lateFactor = 2.0
+)
+
+// spread adds up to a half so that refused callers don't come back together.
+func (m *Model) spread(after time.Duration) time.Duration {
+	return after + time.Duration(m.rng.Int64N(int64(after)/2+1))
+}
+
+// place sends, refuses or keeps a request.
+func (m *Model) place(now time.Time, w *waiting) (cmds []ident.Cmd) {
+	best := m.choose(now, &w.need, w.avoid)
+	if best == nil {
+		return m.wait(now, w)
+	}
+	need := &w.need
+	if now.Add(best.first).After(need.Deadline) {
+		return m.refuse(need, best, TooLate)
+	}
+	waited := now.Sub(need.Arrived)
+	if float64(waited+best.first) > lateFactor*float64(need.Objective) && !best.idle {
+		return m.refuse(need, best, Overloaded)
+	}
+	return m.send(now, need, best)
+}
+
+func (m *Model) refuse(need *Need, best *option, reason Reason) []ident.Cmd {
+	after := min(max(best.first-need.Objective/2, leastReturn), mostReturn)
+	return []ident.Cmd{RefuseCmd{Ticket: need.Ticket, After: m.spread(after), Reason: reason, Expected: best.first}}
+}
+
+// send commits to an option.
+func (m *Model) send(now time.Time, need *Need, o *option) (cmds []ident.Cmd) {
+	u := o.upstream
+	l := m.load(u.ID)
+	if rate, cold := m.coldRate(now, u); cold && rate > 0 {
+		l.cold.take(now, rate, coldBurst)
+	}
+	s := &sent{
+		need: *need, upstream: u.ID, at: now, rank: clampRank(need.Rank), backlog: o.missing,
+		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.first,
+		fetch: o.source, fetchTime: o.fetchTime,
+	}
+	l.begin(s)
+	m.sent[need.Ticket] = s
+	cmd := SendCmd{
+		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Version: o.version, Salt: o.salt,
+		Fetch: o.fetch, Expected: o.first, Missing: o.missing,
+	}
+	if o.source != "" {
+		m.link(o.source).begin(now, o.fetchTime)
+	}
+	if len(need.Chain) > 0 {
+		cmd.Save, cmds = m.saves(now, need, o)
+		m.index.Update(now, parts.RanMsg{Holder: parts.Holder(u.Address), Salt: o.salt, Chain: need.Shared()})
+	}
+	return append(cmds, cmd)
+}
--- /dev/null
+++ b/io/daemon/desk.go
@@ -0,0 +1,213 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/mesh"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/place"
+	"cicadavalve/core/retry"
+	"cicadavalve/io/gossip"
+	"cicadavalve/io/relay"
+	"cicadavalve/io/seam"
+)
+
+// shedPause is how long an upstream that rejected a request gets no more: a few steps of an engine.
+const shedPause = 100 * time.Millisecond
+
+// Desk owns the deciders about requests. It is safe for concurrent use.
+type Desk struct {
+	log      *slog.Logger
+	settings Settings
+	set      atomic.Pointer[conf.Set]
+	mu       sync.Mutex
+	fleet    *fleet.Model
+	index    *parts.Index
+	place    *place.Model
+	mesh     *mesh.Model
+	// listed tells that the upstreams have been read once.
+	listed bool
+	// waits holds the channel of each request that waits for a decision.
+	waits map[place.Ticket]chan relay.Decision
+	// budgets bounds the attempts beyond the first of each service.
+	budgets map[ident.ServiceName]*retry.Window
+	// saves and reports wait to be told to the other entries.
+	saves   []gossip.Save
+	reports map[string]*gossip.Report
+	weights []gossip.Weights
+	// wanted is the newest version named of each model's weights.
+	wanted map[ident.ModelName]int64
+	// onConfig is told of each configuration that comes into force.
+	onConfig func(*conf.Set)
+}
+
+// NewDesk knows nothing yet.
+func NewDesk(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Desk {
+	upstreams, index := fleet.NewModel(), parts.NewIndex()
+	rng := rand.New(rand.NewPCG(seed, 0))
+	d := &Desk{
+		log: log, settings: s, fleet: upstreams, index: index, mesh: mesh.NewModel(self),
+		place: place.NewModel(upstreams, index, rng, place.WithVersionTime(s.VersionTime)),
+		waits: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, wanted: map[ident.ModelName]int64{},
+	}
+	d.place.SetCrew(place.Crew{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
+	return d
+}
+
+// Config implements [relay.Desk].
+func (d *Desk) Config() *conf.Set { return d.set.Load() }
+
+// Place implements [relay.Desk].
+func (d *Desk) Place(ctx context.Context, need place.Need) (decision relay.Decision, err error) {
+	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need}, func(now time.Time) { d.budget(need.Service).First(now) })
+}
+
+// Again implements [relay.Desk].
+func (d *Desk) Again(ctx context.Context, msg place.AgainMsg) (decision relay.Decision, err error) {
+	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
+}
+
+func (d *Desk) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
+	ch := make(chan relay.Decision, 1)
+	now := time.Now()
+	d.mu.Lock()
+	before(now)
+	d.waits[t] = ch
+	d.perform(d.place.Update(now, msg))
+	d.mu.Unlock()
+	select {
+	case decision = <-ch:
+		return decision, nil
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waits, t)
+	d.place.Update(time.Now(), place.WithdrawMsg{Ticket: t})
+	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
+	return relay.Decision{}, ctx.Err()
+}
+
+// perform carries out commands; the lock is held.
+func (d *Desk) perform(cmds []ident.Cmd) {
+	for _, cmd := range cmds {
+		switch cmd := cmd.(type) {
+		case place.SendCmd:
+			d.deliver(cmd.Ticket, relay.Decision{Send: &cmd})
+		case place.RefuseCmd:
+			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
+		case place.SavedCmd:
+			d.saves = append(d.saves, gossip.Save{Store: string(cmd.Save.Store), Key: uint64(cmd.Save.Key), Tokens: cmd.Save.Tokens})
+		case fleet.GoneCmd:
+			d.place.Update(time.Now(), cmd)
+			d.log.Info("upstream_gone", "upstream", cmd.ID)
+		}
+	}
+}
+
+func (d *Desk) deliver(t place.Ticket, decision relay.Decision) {
+	if ch, ok := d.waits[t]; ok {
+		delete(d.waits, t)
+		ch <- decision
+	}
+}
+
+func (d *Desk) budget(service ident.ServiceName) *retry.Window {
+	w, ok := d.budgets[service]
+	if !ok {
+		w = retry.NewWindow(d.settings.RetrySpan, d.settings.RetryRatio*budgetShare, d.settings.RetryAllowance*budgetShare/2)
+		d.budgets[service] = w
+	}
+	return w
+}
+
+// budgetShare is the part of the stated budget that is used, since entries may disagree on how many share it.
+const budgetShare = 0.7
+
+// May implements [relay.Desk].
+func (d *Desk) May(service ident.ServiceName) bool {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w := d.budget(service)
+	w.SetAllowance(d.settings.RetryAllowance * budgetShare / float64(len(d.mesh.Alive(now))))
+	return w.Withdraw(now)
+}
+
+// FirstByte implements [relay.Desk].
+func (d *Desk) FirstByte(t place.Ticket) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.perform(d.place.Update(time.Now(), place.FirstByteMsg{Ticket: t}))
+}
+
+// End implements [relay.Desk].
+func (d *Desk) End(t place.Ticket, outcome place.Outcome) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
+}
+
+// Heard implements [relay.Desk].
+func (d *Desk) Heard(id ident.UpstreamID, reply seam.Reply) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case reply.Misdirected && reply.Upstream != "" && reply.Upstream != id:
+		d.fleet.Update(now, fleet.MovedMsg{ID: id})
+		d.log.Warn("upstream_address_moved", "upstream", id, "answered_by", reply.Upstream)
+	case reply.NotRun:
+		d.fleet.Update(now, fleet.OrderedMsg{ID: id, Until: now.Add(shedPause)})
+	default:
+		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
+	}
+	if reply.Loaded {
+		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
+	}
+}
+
+// Broken implements [relay.Desk].
+func (d *Desk) Broken(id ident.UpstreamID) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.Update(now, fleet.BrokenMsg{ID: id})
+}
+
+// Tick lets time pass for what waits.
+func (d *Desk) Tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.perform(d.fleet.Settle(now))
+	d.perform(d.place.Update(now, place.TickMsg{}))
+}
+
+// Ready implements [seam.Advice].
+func (d *Desk) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mesh.Self().Life == mesh.Ready
+}
+
+// addressHold is how long an answer about addresses holds: long enough to keep questions few, short
+// enough that a stopping entry is left well within its grace.
+const addressHold = 2 * time.Second
+
+// Addresses implements [seam.Advice].
+func (d *Desk) Addresses(_ ident.Zone) (addresses []string, hold time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.mesh.Serving(time.Now()) {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses, addressHold
+}
--- /dev/null
+++ b/io/daemon/duty.go
@@ -0,0 +1,215 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/lease"
+	"cicadavalve/core/mesh"
+	"cicadavalve/core/swap"
+	"cicadavalve/io/gossip"
+	"cicadavalve/io/seam"
+)
+
+const (
+	// dutyInterval is the pace of the decisions about orders.
+	dutyInterval = 100 * time.Millisecond
+	// orderTime bounds an order and a question to an engine.
+	orderTime = 800 * time.Millisecond
+)
+
+// duty holds the lease on giving orders and gives them.
+type duty struct {
+	d  *Daemon
+	mu sync.Mutex
+	// lease is told the time since the machine started, which counts suspensions.
+	lease *lease.Model
+	swap  *swap.Model
+	// next is the offset of the claims from which to read on, last the newest claim.
+	next int64
+	last *lease.Claim
+	held bool
+}
+
+// sinceBoot is the time on a clock that keeps running while the machine is suspended.
+func sinceBoot() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now()
+	}
+	return time.Unix(t.Unix())
+}
+
+func (u *duty) update(msg ident.Msg) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.lease.Update(sinceBoot(), msg)
+}
+
+// standing tells the others whether this entry holds the duty, and which engines load.
+func (u *duty) standing(time.Time) (holds bool, ordered []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	holds = u.lease.Claims(sinceBoot())
+	for _, id := range u.swap.Underway() {
+		ordered = append(ordered, string(id))
+	}
+	return holds, ordered
+}
+
+// run decides at each interval.
+func (u *duty) run(ctx context.Context) {
+	ticker := time.NewTicker(dutyInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.tick(ctx)
+		}
+	}
+}
+
+func (u *duty) tick(ctx context.Context) {
+	now := sinceBoot()
+	alive, ready := u.d.desk.line()
+	u.mu.Lock()
+	u.lease.SetCrew(alive)
+	var cmds []ident.Cmd
+	if ready {
+		cmds = u.lease.Update(now, lease.TickMsg{})
+	}
+	holds := u.lease.Holds(now)
+	if holds != u.held {
+		u.held = holds
+		u.d.log.Info("duty_changed", "holds", holds, "token", u.lease.Token())
+	}
+	u.mu.Unlock()
+	cmds = append(cmds, u.orders(holds)...)
+	for _, cmd := range cmds {
+		go u.perform(ctx, cmd)
+	}
+}
+
+// orders decides about the weights of the engines.
+func (u *duty) orders(holds bool) (cmds []ident.Cmd) {
+	u.d.desk.mu.Lock()
+	defer u.d.desk.mu.Unlock()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	for model, version := range u.d.desk.wanted {
+		u.swap.Want(model, version)
+	}
+	cmds = u.swap.Update(now, swap.TickMsg{Holds: holds, Busy: func(id ident.UpstreamID) int { return u.d.desk.place.Busy(now, id) }})
+	for _, id := range u.swap.Underway() {
+		u.d.desk.fleet.Update(now, fleet.OrderedMsg{ID: id, Until: now.Add(orderedTime)})
+	}
+	return cmds
+}
+
+func (u *duty) perform(ctx context.Context, cmd ident.Cmd) {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	switch cmd := cmd.(type) {
+	case lease.ReadCmd:
+		u.read(ctx)
+	case lease.ClaimCmd:
+		u.claim(ctx, cmd)
+	case swap.AskCmd:
+		u.ask(ctx, cmd)
+	case swap.OrderCmd:
+		u.order(ctx, cmd)
+	}
+}
+
+func (u *duty) read(ctx context.Context) {
+	asked := sinceBoot()
+	u.mu.Lock()
+	next := u.next
+	u.mu.Unlock()
+	batch, err := u.d.store.Read(ctx, seam.Claims, next, 0)
+	if errors.Is(err, seam.ErrTrimmed) {
+		u.d.log.Warn("claims_trimmed", "offset", next)
+	}
+	if err != nil {
+		u.d.log.Debug("claims_not_read", "error", err)
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if batch.Next < u.next {
+		return
+	}
+	u.next = batch.Next
+	if n := len(batch.Events); n > 0 {
+		if c, ok := batch.Events[n-1].(seam.ClaimEvent); ok {
+			u.last = &lease.Claim{Holder: c.Holder, Boot: c.Boot}
+		}
+	}
+	u.lease.Update(sinceBoot(), lease.ReadMsg{Asked: asked, End: u.next, Last: u.last})
+}
+
+func (u *duty) claim(ctx context.Context, cmd lease.ClaimCmd) {
+	asked := sinceBoot()
+	offset, err := u.d.store.Claim(ctx, cmd.End, seam.ClaimEvent{Holder: cmd.Claim.Holder, Boot: cmd.Claim.Boot})
+	if err != nil {
+		u.d.log.Info("claim_failed", "end", cmd.End, "error", err)
+	} else {
+		u.d.log.Info("claim_won", "offset", offset)
+	}
+	u.update(lease.ClaimedMsg{Asked: asked, Won: err == nil, Offset: offset})
+}
+
+func (u *duty) ask(ctx context.Context, cmd swap.AskCmd) {
+	state, err := u.d.engines.State(ctx, cmd.Upstream.ID, cmd.Upstream.Address)
+	if err != nil {
+		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
+		return
+	}
+	u.d.desk.mu.Lock()
+	for model, version := range state.Weights {
+		u.d.desk.fleet.Update(time.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
+		u.d.desk.weights = append(u.d.desk.weights, gossip.Weights{Upstream: string(cmd.Upstream.ID), Model: string(model), Version: version})
+	}
+	u.d.desk.mu.Unlock()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.swap.Update(time.Now(), swap.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
+}
+
+func (u *duty) order(ctx context.Context, cmd swap.OrderCmd) {
+	u.mu.Lock()
+	holds, token := u.lease.Holds(sinceBoot()), u.lease.Token()
+	u.mu.Unlock()
+	if !holds {
+		return
+	}
+	err := u.d.engines.Load(ctx, seam.LoadOrder{
+		Upstream: cmd.Upstream.ID, Address: cmd.Upstream.Address, Model: cmd.Model, Version: cmd.Version,
+		Holder: u.d.self.ID, Token: token, Seq: cmd.Seq,
+	})
+	u.d.log.Info("weights_ordered", "upstream", cmd.Upstream.ID, "model", cmd.Model, "version", cmd.Version, "token", token, "seq", cmd.Seq, "error", err)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	switch {
+	case errors.Is(err, seam.ErrOutdated):
+		u.lease.Update(sinceBoot(), lease.RefusedMsg{})
+	case errors.Is(err, seam.ErrBusy), errors.Is(err, seam.ErrRefused):
+		u.swap.Update(time.Now(), swap.RefusedMsg{Upstream: cmd.Upstream.ID})
+	}
+}
+
+// line lists the entries that may hold the duty and tells whether this one may.
+func (d *Desk) line() (ids []string, ready bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return mesh.IDs(d.mesh.Serving(time.Now())), d.mesh.Self().Life == mesh.Ready
+}
--- /dev/null
+++ b/io/daemon/talk.go
@@ -0,0 +1,160 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/lease"
+	"cicadavalve/core/mesh"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/place"
+	"cicadavalve/io/gossip"
+)
+
+const (
+	// beatInterval is the pace of the heartbeats between entries; several fit the silence after which one counts as dead.
+	beatInterval = 250 * time.Millisecond
+	// orderedTime is how long another entry's word counts that an upstream carries out an order.
+	orderedTime = 3 * beatInterval
+	// greetInterval is the pace at which an entry without peers asks those it was told of.
+	greetInterval = time.Second
+)
+
+// talk tells the other entries what this one knows.
+type talk struct {
+	d *Daemon
+	// told lists addresses of entries that were never heard of.
+	told  []string
+	greet time.Time
+}
+
+// run sends a heartbeat at each interval.
+func (t *talk) run(ctx context.Context) {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for {
+		t.beat(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *talk) beat(now time.Time) {
+	m, to := t.d.desk.message(now)
+	m.Holds, m.Ordered = t.d.duty.standing(now)
+	if now.Sub(t.greet) >= greetInterval {
+		t.greet = now
+		to = append(to, t.told...)
+	}
+	if err := t.d.socket.Send(unique(to), m); err != nil {
+		t.d.log.Debug("heartbeat_not_sent", "error", err)
+	}
+}
+
+func unique(ids []string) (once []string) {
+	seen := map[string]bool{}
+	for _, id := range ids {
+		if !seen[id] {
+			seen[id] = true
+			once = append(once, id)
+		}
+	}
+	return once
+}
+
+// message gathers what the other entries are to know.
+func (d *Desk) message(now time.Time) (m gossip.Message, to []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self := d.mesh.Self()
+	alive := d.mesh.Alive(now)
+	d.place.SetCrew(place.Crew{Self: self.ID, IDs: mesh.IDs(alive), Zone: self.Zone})
+	m = gossip.Message{
+		ID: self.ID, Address: self.Address, Zone: string(self.Zone), Life: int(self.Life), Boot: self.Boot,
+		Peers: mesh.IDs(alive), Beat: true, Saves: d.saves, Weights: d.weights,
+	}
+	for _, l := range d.place.Loads() {
+		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
+	}
+	for _, r := range d.reports {
+		m.Reports = append(m.Reports, *r)
+	}
+	d.saves, d.weights = nil, nil
+	clear(d.reports)
+	return m, mesh.IDs(alive)
+}
+
+// hear takes in what another entry tells.
+func (d *Daemon) hear(m gossip.Message) {
+	now := time.Now()
+	if m.Holds {
+		d.duty.update(lease.HeardMsg{Holder: m.ID})
+	}
+	d.desk.hear(now, m)
+	d.desk.mu.Lock()
+	known := map[string]bool{}
+	for _, p := range d.desk.mesh.Alive(now) {
+		known[p.ID] = true
+	}
+	d.desk.mu.Unlock()
+	for _, id := range m.Peers {
+		if !known[id] {
+			d.newcomer(id)
+		}
+	}
+}
+
+// newcomer greets an entry that another one told of.
+func (d *Daemon) newcomer(id string) {
+	m, _ := d.desk.greeting()
+	if err := d.socket.Send([]string{id}, m); err != nil {
+		d.log.Debug("greeting_not_sent", "entry", id, "error", err)
+	}
+}
+
+func (d *Desk) greeting() (m gossip.Message, self mesh.Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	self = d.mesh.Self()
+	return gossip.Message{ID: self.ID, Address: self.Address, Zone: string(self.Zone), Life: int(self.Life), Boot: self.Boot}, self
+}
+
+func (d *Desk) hear(now time.Time, m gossip.Message) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mesh.Update(now, mesh.HeardMsg{Peer: mesh.Peer{
+		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), Life: mesh.Life(m.Life), Boot: m.Boot,
+	}})
+	if m.Beat {
+		msg := place.PeerMsg{Peer: m.ID}
+		for _, l := range m.Loads {
+			msg.Loads = append(msg.Loads, place.Load{Upstream: ident.UpstreamID(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
+		}
+		d.place.Update(now, msg)
+	}
+	for _, s := range m.Saves {
+		d.index.Update(now, parts.SaveMsg{Store: parts.Holder(s.Store), Key: parts.Key(s.Key), Tokens: s.Tokens})
+	}
+	for _, r := range m.Reports {
+		d.index.Update(now, report(r))
+	}
+	for _, id := range m.Ordered {
+		d.fleet.Update(now, fleet.OrderedMsg{ID: ident.UpstreamID(id), Until: now.Add(orderedTime)})
+	}
+	for _, w := range m.Weights {
+		d.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(w.Upstream), Model: ident.ModelName(w.Model), Version: w.Version})
+	}
+}
+
+func report(r gossip.Report) parts.ReportMsg {
+	msg := parts.ReportMsg{Holder: parts.Holder(r.Holder), Epoch: r.Epoch}
+	for _, c := range r.Changes {
+		msg.Changes = append(msg.Changes, parts.Change{Key: parts.Key(c.Key), Tokens: c.Tokens})
+	}
+	return msg
+}
