Keep engines from filling up with what can wait

Cause: an engine that holds many long prompts has no memory left for kept context, reads every prompt anew and makes urgent requests wait behind them; the memory check then sent there all the same, without fetching. Ruled out: too little engine time (prompts need 12 to 52 % of it), slow links. Change: a gate by urgency on memory, slots and backlog; requests that find it shut wait at the entry, the most urgent first; the origins of parts are looked up once a request.

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -168,6 +168,9 @@
 // Limits bound what callers may send.
 func (s *Set) Limits() Limits { return s.data.Limits }
 
+// Routes lists every route in the operator's order.
+func (s *Set) Routes() []Route { return s.data.Routes }
+
 // Services lists every service in the operator's order.
 func (s *Set) Services() []Service { return s.data.Services }
 
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -249,6 +249,15 @@
 	return s.Upstream, true
 }
 
+// Each hands the record of each upstream of a service to a function, in no order. The record must not be changed.
+func (m *Model) Each(service ident.ServiceName, take func(u *conf.Upstream)) {
+	for _, s := range m.byID {
+		if s.Service == service {
+			take(&s.Upstream)
+		}
+	}
+}
+
 // All lists the record of every upstream, in no order.
 func (m *Model) All() (all []conf.Upstream) {
 	for _, s := range m.byID {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -27,8 +27,6 @@
 	badCost = 4
 	// versionMargin is kept from the time allowed on older weights, since requests wait at an engine before they begin.
 	versionMargin = 1500 * time.Millisecond
-	// memoryShare is the part of an engine's memory that running requests may take.
-	memoryShare = 0.9
 )
 
 // option is one upstream weighed for a request.
@@ -56,27 +54,34 @@
 	return wall + "/" + string(model) + "/" + itoa(version)
 }
 
-// choose weighs the upstreams and returns the best, nil if none may take the request.
-func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID) (best *option) {
+// choose weighs the upstreams and returns the best, nil if none may take the request; full tells that
+// some would, had they room.
+func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID) (best *option, full bool) {
 	service, ok := m.set.Service(need.Service)
 	if !ok {
-		return nil
+		return nil, false
 	}
-	for _, u := range m.fleet.All() {
-		if u.Service != need.Service || !m.open(now, u, service, need) || contains(avoid, u.ID) {
-			continue
+	finder := &finder{m: m, now: now, need: need, service: service}
+	step := m.step(now, need)
+	m.fleet.Each(need.Service, func(u *conf.Upstream) {
+		if contains(avoid, u.ID) || !m.open(now, u, service, need) {
+			return
 		}
 		var o *option
 		if service.Engine != nil && len(need.Chain) > 0 {
-			o = m.weighEngine(now, need, service, u)
+			o = m.weighEngine(now, need, step, finder, u)
 		} else {
 			o = m.weighCall(now, need, u)
 		}
-		if o != nil && (best == nil || o.cost < best.cost || o.cost == best.cost && o.upstream.ID < best.upstream.ID) {
+		if o == nil {
+			full = true
+			return
+		}
+		if best == nil || o.cost < best.cost || o.cost == best.cost && o.upstream.ID < best.upstream.ID {
 			best = o
 		}
-	}
-	return best
+	})
+	return best, full
 }
 
 func contains(ids []ident.UpstreamID, id ident.UpstreamID) bool {
@@ -89,7 +94,7 @@
 }
 
 // open tells whether an upstream may get the request at all.
-func (m *Model) open(now time.Time, u conf.Upstream, service *conf.Service, need *Need) bool {
+func (m *Model) open(now time.Time, u *conf.Upstream, service *conf.Service, need *Need) bool {
 	if !m.fleet.Usable(now, u.ID) || m.fleet.Ordered(now, u.ID) {
 		return false
 	}
@@ -105,7 +110,7 @@
 
 // coldRate is this entry's share of the requests a second that a cold upstream bears; the rate is
 // negative if the upstream has no bound.
-func (m *Model) coldRate(now time.Time, u conf.Upstream) (rate float64, cold bool) {
+func (m *Model) coldRate(now time.Time, u *conf.Upstream) (rate float64, cold bool) {
 	if !m.fleet.Cold(now, u.ID) {
 		return -1, false
 	}
@@ -137,7 +142,7 @@
 }
 
 // weighCall weighs an upstream for a plain call.
-func (m *Model) weighCall(now time.Time, need *Need, u conf.Upstream) *option {
+func (m *Model) weighCall(now time.Time, need *Need, u *conf.Upstream) *option {
 	s, p, l := m.speed(need.Service), m.pace(u.ID), m.load(u.ID)
 	p.fade(now)
 	total := l.total(now)
@@ -145,14 +150,14 @@
 	rounds := 1 + max(0, float64(total.Requests+1-slots))/float64(slots)
 	first := s.call * rounds * p.slow
 	return &option{
-		upstream: u, first: time.Duration(first),
+		upstream: *u, first: time.Duration(first),
 		cost: first*(1+0.3*float64(total.Requests)/float64(slots)) + m.besides(need, u, p),
 		idle: total.Requests < slots/2,
 	}
 }
 
 // besides is what a choice costs apart from its time.
-func (m *Model) besides(need *Need, u conf.Upstream, p *pace) (cost float64) {
+func (m *Model) besides(need *Need, u *conf.Upstream, p *pace) (cost float64) {
 	bad := max(0, p.bad-m.speed(need.Service).bad)
 	cost = badCost * float64(need.Objective) * bad
 	if u.Zone != m.crew.Zone {
@@ -161,34 +166,22 @@
 	return cost
 }
 
-// weighEngine weighs a model engine, nil if its memory is taken.
-func (m *Model) weighEngine(now time.Time, need *Need, service *conf.Service, u conf.Upstream) *option {
+// weighEngine weighs a model engine, nil if it should not take the request now.
+func (m *Model) weighEngine(now time.Time, need *Need, step int, find *finder, u *conf.Upstream) *option {
 	s, p, l := m.speed(need.Service), m.pace(u.ID), m.load(u.ID)
 	p.fade(now)
 	total := l.total(now)
 	version := u.Weights[need.Model]
-	o := &option{upstream: u, version: version, salt: Salt(need.Wall, need.Model, version), idle: total.Requests < u.Slots/2}
-	size := need.Tokens() + need.Output
-	if total.Requests > 0 && float64(total.Memory+size) > memoryShare*float64(service.Engine.Memory) {
-		o.idle = false
-		return m.full(need, o, total, s)
-	}
+	o := &option{upstream: *u, version: version, salt: find.salt(version), idle: total.Requests < u.Slots/2}
 	shared := need.Shared()
-	kept := m.index.Kept(parts.Holder(u.Address), o.salt, shared)
-	sharedTokens := 0
-	for _, part := range shared {
-		sharedTokens += part.Tokens
-	}
-	o.kept = kept
-	if kept < sharedTokens {
-		o.again = m.fetches(now, need, service, o, shared)
-	}
-	o.missing = need.Tokens() - kept - o.fetched()
+	o.kept = m.index.Kept(parts.Holder(u.Address), o.salt, shared)
+	find.fill(o)
+	o.missing = need.Tokens() - o.kept - o.fetched()
 	o.ahead = l.ahead(now, need.Rank)
-	first := (s.first(o.ahead+o.missing))*p.slow + float64(o.fetchTime)
-	if total.Requests >= u.Slots {
-		first += s.call * float64(total.Requests-u.Slots+1) / float64(max(u.Slots, 1))
+	if !m.admits(need, step, find.service, total, o) {
+		return nil
 	}
+	first := s.first(o.ahead+o.missing)*p.slow + float64(o.fetchTime)
 	o.first = time.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + againFactor*s.perToken*float64(o.again) + m.besides(need, u, p)
 	if w := m.wanted[need.Model]; w.version > version {
@@ -197,17 +190,6 @@
 	return o
 }
 
-// full weighs an engine whose memory is taken: it comes after all others.
-func (m *Model) full(need *Need, o *option, total Load, s *speed) *option {
-	o.missing = need.Tokens()
-	o.first = time.Duration(s.first(total.Backlog+o.missing)) + need.Objective
-	o.cost = float64(o.first) + fullCost*float64(need.Objective)
-	return o
-}
-
-// fullCost is how many objectives an engine without memory adds to a choice.
-const fullCost = 5
-
 // fetched is how many tokens come from elsewhere.
 func (o *option) fetched() (tokens int) {
 	for _, f := range o.fetch {
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -24,8 +24,11 @@
 	lateTransfer = 40 * time.Millisecond
 	// mostLinkSlow bounds how slow a link is taken to be.
 	mostLinkSlow = 8
-	// leastShared is the shortest part worth a transfer of its own, in tokens.
-	leastShared = 64
+	// fetchFactor is how much longer than reading a transfer may take: reading holds up all requests of an engine.
+	fetchFactor = 2
+	// leastFetch is a transfer time that is always worth it.
+	leastFetch  = 5 * time.Millisecond
+	bitsPerByte = 8
 )
 
 // link is what is known of a link that parts come over.
@@ -74,81 +77,122 @@
 }
 
 // transfer is the time of so many tokens over a link.
-func transfer(tokens, tokenSize int, bitsPerSecond float64, far bool) time.Duration {
+func transfer(tokens, tokenSize int, bitsPerSecond float64) time.Duration {
 	if bitsPerSecond <= 0 {
 		return 0
 	}
-	t := time.Duration(float64(tokens) * float64(tokenSize) * 8 / bitsPerSecond * float64(time.Second))
-	if far {
-		t *= farFactor
-	}
-	return t
+	return time.Duration(float64(tokens) * float64(tokenSize) * bitsPerByte / bitsPerSecond * float64(time.Second))
 }
 
 // origin is a holder that a part could come from.
 type origin struct {
 	holder parts.Holder
-	took   time.Duration
+	zone   ident.Zone
+	// near is the time of the transfer within the zone, delay what precedes it.
+	near, delay time.Duration
+}
+
+// finder finds where the parts of one prompt could come from. It looks once for each version of the weights.
+type finder struct {
+	m       *Model
+	now     time.Time
+	need    *Need
+	service *conf.Service
+	salts   map[int64]string
+	// origins holds the origins of each shared part by version.
+	origins map[int64][][]origin
+}
+
+func (f *finder) salt(version int64) string {
+	if f.salts == nil {
+		f.salts, f.origins = map[int64]string{}, map[int64][][]origin{}
+	}
+	salt, ok := f.salts[version]
+	if !ok {
+		salt = Salt(f.need.Wall, f.need.Model, version)
+		f.salts[version] = salt
+	}
+	return salt
+}
+
+// look lists the origins of every shared part.
+func (f *finder) look(version int64) [][]origin {
+	if found, ok := f.origins[version]; ok {
+		return found
+	}
+	shared := f.need.Shared()
+	found := make([][]origin, len(shared))
+	for i, p := range shared {
+		found[i] = f.holders(version, parts.NewKey(f.salt(version), p.ID), p.Tokens)
+	}
+	f.origins[version] = found
+	return found
+}
+
+func (f *finder) holders(version int64, key parts.Key, tokens int) (found []origin) {
+	engine := f.service.Engine
+	for i := range f.m.set.Services() {
+		s := f.m.set.Services()[i].Store
+		if s == nil || !f.m.index.Readable(f.now, parts.Holder(s.Address), key, tokens) {
+			continue
+		}
+		near := transfer(tokens, engine.TokenSize, min(s.Link, engine.Link))
+		found = append(found, origin{parts.Holder(s.Address), s.Zone, near, s.Delay})
+	}
+	f.m.fleet.Each(f.need.Service, func(u *conf.Upstream) {
+		if u.Weights[f.need.Model] == version && f.m.index.Has(parts.Holder(u.Address), key, tokens) && f.m.fleet.Usable(f.now, u.ID) {
+			found = append(found, origin{parts.Holder(u.Address), u.Zone, transfer(tokens, engine.TokenSize, engine.Link), 0})
+		}
+	})
+	return found
 }
 
-// fetches fills in where the parts that the engine lacks come from. It returns how many of the
-// tokens to be read some holder has read already.
-func (m *Model) fetches(now time.Time, need *Need, service *conf.Service, o *option, shared []conf.Part) (again int) {
-	fetch := make([]conf.Source, len(need.Chain))
+// fill finds where the parts that an engine lacks come from, as long as fetching is no slower than it is worth.
+func (f *finder) fill(o *option) {
+	shared := f.need.Shared()
 	own := parts.Holder(o.upstream.Address)
 	missing := false
+	perToken := f.m.speed(f.need.Service).perToken
 	for i, p := range shared {
-		key := parts.NewKey(o.salt, p.ID)
-		if m.index.Has(own, key, p.Tokens) {
+		if f.m.index.Has(own, parts.NewKey(o.salt, p.ID), p.Tokens) {
+			continue
+		}
+		best, took, ok := f.nearest(f.look(o.version)[i], own, o.upstream.Zone)
+		if !ok {
+			missing = true
 			continue
 		}
-		found, ok := m.nearest(now, need, service, o, key, p.Tokens)
-		read := time.Duration(m.speed(need.Service).perToken * float64(p.Tokens))
-		if missing || !ok || found.took > mostFetch || found.took > 2*read+o.fetchTime && p.Tokens >= leastShared {
+		read := time.Duration(perToken * float64(p.Tokens))
+		if missing || took > mostFetch || took > fetchFactor*read+leastFetch {
 			missing = true
-			if ok {
-				again += p.Tokens
-			}
+			o.again += p.Tokens
 			continue
 		}
-		fetch[i] = conf.Source{Address: string(found.holder), Tokens: p.Tokens}
-		o.fetchTime = max(o.fetchTime, found.took)
-		if p.Tokens >= leastShared || o.source == "" {
-			o.source = found.holder
+		if o.fetch == nil {
+			o.fetch = make([]conf.Source, len(f.need.Chain))
+		}
+		o.fetch[i] = conf.Source{Address: string(best.holder), Tokens: p.Tokens}
+		if took > o.fetchTime {
+			o.fetchTime, o.source = took, best.holder
 		}
 	}
-	if o.source != "" {
-		o.fetch = fetch
-	}
-	return again
 }
 
-// nearest finds the holder from which a part comes soonest.
-func (m *Model) nearest(now time.Time, need *Need, service *conf.Service, o *option, key parts.Key, tokens int) (best origin, ok bool) {
-	engine := service.Engine
-	consider := func(holder parts.Holder, took time.Duration) {
-		took = m.link(holder).time(now, took)
-		if !ok || took < best.took || took == best.took && holder < best.holder {
-			best, ok = origin{holder, took}, true
-		}
-	}
-	for i := range m.set.Services() {
-		s := &m.set.Services()[i]
-		if s.Store == nil || !m.index.Readable(now, parts.Holder(s.Store.Address), key, tokens) {
+func (f *finder) nearest(origins []origin, own parts.Holder, zone ident.Zone) (best origin, took time.Duration, ok bool) {
+	for _, x := range origins {
+		if x.holder == own {
 			continue
 		}
-		took := s.Store.Delay + transfer(tokens, engine.TokenSize, min(s.Store.Link, engine.Link), s.Store.Zone != o.upstream.Zone)
-		consider(parts.Holder(s.Store.Address), took)
-	}
-	for _, u := range m.fleet.All() {
-		if u.Service != need.Service || u.ID == o.upstream.ID || !m.fleet.Usable(now, u.ID) || u.Weights[need.Model] != o.version {
-			continue
+		t := x.near
+		if x.zone != zone {
+			t *= farFactor
 		}
-		if m.index.Has(parts.Holder(u.Address), key, tokens) {
-			consider(parts.Holder(u.Address), transfer(tokens, engine.TokenSize, engine.Link, u.Zone != o.upstream.Zone))
+		t = f.m.link(x.holder).time(f.now, t+x.delay)
+		if !ok || t < took || t == took && x.holder < best.holder {
+			best, took, ok = x, t, true
 		}
 	}
-	return best, ok
+	return best, took, ok
 }
 
 // saves chooses the store for each shared part that no store has.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -59,6 +59,8 @@
 	crew  Crew
 	rng   *rand.Rand
 	set   *conf.Set
+	// objectives holds the shortest objective of the routes to each service.
+	objectives map[ident.ServiceName]time.Duration
 	// wanted is the newest version named of each model, and when it was named.
 	wanted map[ident.ModelName]wanted
 	// versionTime is how long requests may begin on older weights.
@@ -107,7 +109,16 @@
 const defaultVersionTime = 10 * time.Second
 
 // SetConfig changes the configuration that later decisions rest on.
-func (m *Model) SetConfig(set *conf.Set) { m.set = set }
+func (m *Model) SetConfig(set *conf.Set) {
+	m.set, m.objectives = set, map[ident.ServiceName]time.Duration{}
+	for _, r := range set.Routes() {
+		for _, share := range r.Shares {
+			if d, known := m.objectives[share.Service]; r.Objective > 0 && (!known || r.Objective < d) {
+				m.objectives[share.Service] = r.Objective
+			}
+		}
+	}
+}
 
 // SetCrew changes what is known of the other entries.
 func (m *Model) SetCrew(crew Crew) { m.crew = crew }
@@ -133,6 +144,7 @@
 		m.queue = slices.DeleteFunc(m.queue, func(w *waiting) bool { return w.need.Ticket == msg.Ticket })
 	case FirstByteMsg:
 		m.firstByte(now, msg.Ticket)
+		return m.drain(now)
 	case EndMsg:
 		m.end(now, msg)
 		return m.drain(now)
@@ -224,43 +236,59 @@
 	mix(&m.speed(s.need.Service).bad, sample, learnShare)
 }
 
+// mostTried is how many requests of one service are weighed in vain before the others wait on unweighed.
+const mostTried = 6
+
 // drain places what waits, the most urgent first, and refuses what has waited long enough.
 func (m *Model) drain(now time.Time) (cmds []ident.Cmd) {
+	if len(m.queue) == 0 {
+		return nil
+	}
 	queue := m.queue
 	m.queue = nil
+	tried := map[ident.ServiceName]int{}
+	slices.SortStableFunc(queue, func(a, b *waiting) int { return m.step(now, &a.need) - m.step(now, &b.need) })
 	for _, w := range queue {
+		if tried[w.need.Service] >= mostTried && now.Before(w.until) {
+			m.queue = append(m.queue, w)
+			continue
+		}
+		before := len(m.queue)
 		cmds = append(cmds, m.place(now, w)...)
+		if len(m.queue) > before {
+			tried[w.need.Service]++
+		}
 	}
 	return cmds
 }
 
 // wait keeps a request until an upstream may take it.
-func (m *Model) wait(now time.Time, w *waiting) (cmds []ident.Cmd) {
+func (m *Model) wait(now time.Time, w *waiting, full bool) (cmds []ident.Cmd) {
 	if w.until.IsZero() {
-		w.until = now.Add(min(w.need.Objective/waitPart, w.need.Deadline.Sub(now)/waitPart))
+		w.until = now.Add(min(time.Duration(waitFactor*float64(w.need.Objective)), w.need.Deadline.Sub(now)/waitPart))
 	}
 	if !now.Before(w.until) {
-		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, After: m.spread(leastReturn), Reason: NoUpstream}}
-	}
-	at, _ := slices.BinarySearchFunc(m.queue, w, func(a, b *waiting) int {
-		if a.need.Rank != b.need.Rank {
-			return a.need.Rank - b.need.Rank
+		reason := NoUpstream
+		if full {
+			reason = Overloaded
 		}
-		return a.need.Arrived.Compare(b.need.Arrived)
-	})
-	m.queue = slices.Insert(m.queue, at, w)
+		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, After: m.spread(leastReturn), Reason: reason}}
+	}
+	m.queue = append(m.queue, w)
 	return nil
 }
 
 const (
-	// waitPart is the part of a request's objective that it may wait for a first upstream.
-	waitPart = 2
+	// waitFactor is how many objectives a request may wait for an upstream.
+	waitFactor = 1.5
+	// waitPart is the part of the time that is left that it may wait at the most.
+	waitPart = 3
 	// leastReturn is the earliest that a refused caller is asked back: about one pause of a broken upstream.
 	leastReturn = 400 * time.Millisecond
 	// mostReturn bounds how far callers are sent away.
 	mostReturn = 3 * time.Second
 	// lateFactor is how many objectives a first byte may be expected to take before the request is refused.
-	lateFactor = 2.0
+	lateFactor = 2.5
 )
 
 // spread adds up to a half so that refused callers don't come back together.
@@ -270,9 +298,9 @@
 
 // place sends, refuses or keeps a request.
 func (m *Model) place(now time.Time, w *waiting) (cmds []ident.Cmd) {
-	best := m.choose(now, &w.need, w.avoid)
+	best, full := m.choose(now, &w.need, w.avoid)
 	if best == nil {
-		return m.wait(now, w)
+		return m.wait(now, w, full)
 	}
 	need := &w.need
 	if now.Add(best.first).After(need.Deadline) {
@@ -294,7 +322,7 @@
 func (m *Model) send(now time.Time, need *Need, o *option) (cmds []ident.Cmd) {
 	u := o.upstream
 	l := m.load(u.ID)
-	if rate, cold := m.coldRate(now, u); cold && rate > 0 {
+	if rate, cold := m.coldRate(now, &u); cold && rate > 0 {
 		l.cold.take(now, rate, coldBurst)
 	}
 	s := &sent{
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -278,7 +278,7 @@
 			level = slog.LevelWarn
 		}
 		attrs = append(attrs, slog.String("route", v.route.Name), slog.String("organisation", string(v.org)), slog.Int("rank", v.need.Rank),
-			slog.String("upstream", string(v.upstream)), slog.Duration("expected", v.expected), slog.Int("tokens", v.need.Tokens()),
+			slog.String("upstream", string(v.upstream)), slog.Duration("expected", v.expected), slog.Int("tokens", v.need.Tokens()), slog.Int("output", v.need.Output),
 			slog.Int("runs", v.past.Runs), slog.Int("spared", v.past.Spared))
 	}
 	if v.sent != nil && v.head.Model != "" {
