Free kept context of outdated weights and load weights under running requests

Cause: after new weights the stores stayed full of parts that nobody may read, so new parts were read again; an ordered engine waited seconds for its requests. Ruled out: freeing by age, which a stale entry could still be fetching. Change: parts go once every engine has had newer weights for longer than a bounded transfer; transfers carry an end; engines drain 0.8 s and then load under what runs.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -258,6 +258,13 @@
 	}
 }
 
+// Scan hands every record to a function, in no order. The record must not be changed.
+func (m *Model) Scan(take func(u *conf.Upstream)) {
+	for _, s := range m.byID {
+		take(&s.Upstream)
+	}
+}
+
 // All lists the record of every upstream, in no order.
 func (m *Model) All() (all []conf.Upstream) {
 	for _, s := range m.byID {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -49,11 +49,6 @@
 	idle bool
 }
 
-// Salt names the kept context that requests of one wall may share on one version of weights.
-func Salt(wall string, model ident.ModelName, version int64) string {
-	return wall + "/" + string(model) + "/" + itoa(version)
-}
-
 // choose weighs the upstreams and returns the best, nil if none may take the request; full tells that
 // some would, had they room.
 func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID) (best *option, full bool) {
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
 	"cicadavalve/core/conf"
@@ -257,7 +256,5 @@
 	return nil, false
 }
 
-func itoa(v int64) string { return strconv.FormatInt(v, 10) }
-
 // ln is the natural logarithm of a hash in (0, 1), kept away from both ends.
 func ln(h float64) float64 { return math.Log(min(max(h, 1e-12), 1-1e-12)) }
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -135,3 +135,6 @@
 	}
 	return l.total(now).Requests
 }
+
+// Waiting is how many requests wait for an upstream.
+func (m *Model) Waiting() int { return len(m.queue) }
--- a/core/swap/swap.go
+++ b/core/swap/swap.go
@@ -12,10 +12,15 @@
 )
 
 const (
-	// waveShare is the part of all engines that carry out orders at once, leastWave the least number. Most
-	// of an order's time goes to the requests that the engine finishes first, so that about half load at once.
-	waveShare = 0.34
-	leastWave = 2
+	// loadShare is the part of all engines that load at once, leastLoads the least number; more at once make
+	// each load slower.
+	loadShare  = 0.2
+	leastLoads = 2
+	// outShare is the part of all engines that may be without new work at once, on the way to a load or in it.
+	outShare = 0.4
+	// drainTime is how long an engine finishes what it has before it is ordered. Requests that last longer
+	// keep their old weights to their end.
+	drainTime = 800 * time.Millisecond
 	// askInterval is how often an engine that loads is asked.
 	askInterval = 250 * time.Millisecond
 	// retryTime is how long an order without effect is believed to be on its way.
@@ -30,7 +35,8 @@
 type phase int
 
 const (
-	asking phase = iota
+	draining phase = iota
+	asking
 	ordered
 )
 
@@ -153,7 +159,7 @@
 	slices.SortFunc(all, func(a, b conf.Upstream) int {
 		return cmp.Or(cmp.Compare(busy(a.ID), busy(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	engines, loading := 0, 0
+	engines, loading, out := 0, 0, 0
 	for _, u := range all {
 		if len(u.Weights) == 0 {
 			continue
@@ -174,26 +180,36 @@
 		if now.Sub(s.since) > mostLoad {
 			continue
 		}
-		loading++
+		out++
+		if s.phase != draining {
+			loading++
+		}
 	}
 	for id := range m.steps {
 		if _, known := m.fleet.Get(id); !known {
 			delete(m.steps, id)
 		}
 	}
-	wave := max(leastWave, int(waveShare*float64(engines)))
+	mostLoads := max(leastLoads, int(loadShare*float64(engines)))
+	mostOut := max(mostLoads, int(outShare*float64(engines)))
 	for _, u := range all {
 		s := m.steps[u.ID]
 		if s == nil {
 			model, version, behind := m.behind(u)
-			if !behind || loading >= wave || now.Before(m.paused[u.ID]) {
+			if !behind || out >= mostOut || now.Before(m.paused[u.ID]) {
 				continue
 			}
 			s = &step{model: model, version: version, since: now, seq: -1}
 			m.steps[u.ID] = s
-			loading++
+			out++
 		}
 		switch s.phase {
+		case draining:
+			if loading < mostLoads && (busy(u.ID) == 0 || now.Sub(s.since) >= drainTime) {
+				s.phase = asking
+				loading++
+				cmds = append(cmds, m.ask(now, s, u)...)
+			}
 		case asking:
 			if s.seq < 0 {
 				cmds = append(cmds, m.ask(now, s, u)...)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -16,6 +16,8 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/lease"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/purge"
 	"cicadavalve/core/swap"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/link"
@@ -28,6 +30,8 @@
 	tickInterval = 25 * time.Millisecond
 	// sweepInterval is the pace at which unused connections are closed.
 	sweepInterval = time.Second
+	// stateInterval is the pace of the log lines that sum up what the entry knows.
+	stateInterval = 5 * time.Second
 	// heapShare is the part of the memory limit that the collector keeps the heap to.
 	heapShare = 0.6
 	// bodyShare is the part of the memory limit that bodies of requests may take.
@@ -76,7 +80,7 @@
 		desk: NewDesk(s, self, log, uint64(boot)), pool: link.NewPool(), meter: NewMeter(),
 	}
 	d.ready, d.advice = outside.Ready(d.desk), outside.Directory(d.desk)
-	d.duty = &duty{d: d, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), swap: swap.NewModel(d.desk.fleet)}
+	d.duty = &duty{d: d, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), swap: swap.NewModel(d.desk.fleet), purge: purge.NewModel(d.desk.fleet)}
 	d.handler = relay.NewHandler(d.desk, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.handler)
 	d.desk.onConfig = func(set *conf.Set) { d.server.SetIdle(set.Limits().IdleTime) }
@@ -243,7 +247,7 @@
 func (c *clock) run(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	swept := time.Now()
+	swept, told := time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -256,17 +260,39 @@
 			swept = now
 			c.d.pool.Sweep(now)
 		}
+		if now.Sub(told) > stateInterval {
+			told = now
+			c.d.desk.logState(now)
+		}
 	}
 }
 
-// Upstreams lists what is known of the upstreams, for an operator.
-func (d *Daemon) Upstreams() (lines []string) {
-	d.desk.mu.Lock()
-	defer d.desk.mu.Unlock()
-	now := time.Now()
-	for _, u := range d.desk.fleet.All() {
-		lines = append(lines, fmt.Sprintf("%s %s %s usable=%t cold=%t busy=%d", u.ID, u.Service, u.Zone,
-			d.desk.fleet.Usable(now, u.ID), d.desk.fleet.Cold(now, u.ID), d.desk.place.Busy(now, u.ID)))
+// logState sums up what the entry knows, for those who read the log later.
+func (d *Desk) logState(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	set := d.set.Load()
+	if set == nil {
+		return
+	}
+	usable, cold, busy := 0, 0, 0
+	for _, u := range d.fleet.All() {
+		if d.fleet.Usable(now, u.ID) {
+			usable++
+		}
+		if d.fleet.Cold(now, u.ID) {
+			cold++
+		}
+		busy += d.place.Busy(now, u.ID)
+	}
+	attrs := []any{
+		"version", set.Version(), "entries", len(d.mesh.Alive(now)), "serving", len(d.mesh.Serving(now)), "upstreams", len(d.fleet.All()),
+		"usable", usable, "cold", cold, "busy", busy, "waiting", d.place.Waiting(),
+	}
+	for i := range set.Services() {
+		if s := set.Services()[i].Store; s != nil {
+			attrs = append(attrs, "store_"+s.Address, fmt.Sprintf("%d/%d", d.index.Used(now, parts.Holder(s.Address)), s.Room))
+		}
 	}
-	return lines
+	d.log.Info("state", attrs...)
 }
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
+	"cicadavalve/core/purge"
 	"cicadavalve/core/retry"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/relay"
@@ -45,6 +46,9 @@
 	weights []gossip.Weights
 	// wanted is the newest version named of each model's weights.
 	wanted map[ident.ModelName]int64
+	// ahead is by how much the engines' clock is ahead of this process's, known once clocked is set.
+	ahead   time.Duration
+	clocked bool
 	// onConfig is told of each configuration that comes into force.
 	onConfig func(*conf.Set)
 }
@@ -142,6 +146,22 @@
 	return w.Withdraw(now)
 }
 
+// FetchUntil implements [relay.Desk].
+func (d *Desk) FetchUntil() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.clocked {
+		return time.Time{}
+	}
+	return steady().Add(d.ahead + purge.FetchTime)
+}
+
+// started is when the process began, on the clock that does not jump.
+var started = time.Now()
+
+// steady is the time on a clock that does not jump, for differences to other clocks.
+func steady() time.Time { return time.Unix(0, 0).Add(time.Since(started)) }
+
 // FirstByte implements [relay.Desk].
 func (d *Desk) FirstByte(t place.Ticket) {
 	d.mu.Lock()
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -12,6 +12,9 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/lease"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/place"
+	"cicadavalve/core/purge"
 	"cicadavalve/core/swap"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/seam"
@@ -31,6 +34,7 @@
 	// lease is told the time since the machine started, which counts suspensions.
 	lease *lease.Model
 	swap  *swap.Model
+	purge *purge.Model
 	// next is the offset of the claims from which to read on, last the newest claim.
 	next int64
 	last *lease.Claim
@@ -107,12 +111,13 @@
 	now := time.Now()
 	for model, version := range u.d.desk.wanted {
 		u.swap.Want(model, version)
+		u.purge.Want(model, version)
 	}
 	cmds = u.swap.Update(now, swap.TickMsg{Holds: holds, Busy: func(id ident.UpstreamID) int { return u.d.desk.place.Busy(now, id) }})
 	for _, id := range u.swap.Underway() {
 		u.d.desk.fleet.Update(now, fleet.OrderedMsg{ID: id, Until: now.Add(orderedTime)})
 	}
-	return cmds
+	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.desk.stores()})...)
 }
 
 func (u *duty) perform(ctx context.Context, cmd ident.Cmd) {
@@ -127,6 +132,8 @@
 		u.ask(ctx, cmd)
 	case swap.OrderCmd:
 		u.order(ctx, cmd)
+	case purge.FreeCmd:
+		u.free(ctx, cmd)
 	}
 }
 
@@ -207,6 +214,53 @@
 	}
 }
 
+// stores lists the stores of kept context; the lock is held.
+func (d *Desk) stores() (stores []parts.Holder) {
+	set := d.set.Load()
+	if set == nil {
+		return nil
+	}
+	for i := range set.Services() {
+		if s := set.Services()[i].Store; s != nil && s.Managed {
+			stores = append(stores, parts.Holder(s.Address))
+		}
+	}
+	return stores
+}
+
+// mostFreed is how many parts one call frees.
+const mostFreed = 500
+
+// free frees the parts of outdated weights in a store.
+func (u *duty) free(ctx context.Context, cmd purge.FreeCmd) {
+	addr := string(cmd.Store)
+	held, err := u.d.engines.List(ctx, addr)
+	if err != nil {
+		u.d.log.Info("store_not_listed", "store", addr, "error", err)
+		return
+	}
+	var outdated []seam.Kept
+	for _, k := range append(held.Kept, held.Partial...) {
+		if model, version, ok := place.ParseSalt(k.Salt); ok && model == cmd.Model && version < cmd.Below {
+			outdated = append(outdated, seam.Kept{Salt: k.Salt, ID: k.ID})
+		}
+	}
+	count := len(outdated)
+	for len(outdated) > 0 {
+		n := min(len(outdated), mostFreed)
+		if err := u.d.engines.Free(ctx, addr, held.Boot, outdated[:n]); err != nil {
+			u.d.log.Info("parts_not_freed", "store", addr, "count", n, "error", err)
+			return
+		}
+		u.d.desk.report(addr, seam.Holdings{Boot: held.Boot, Kept: outdated[:n]}, false)
+		outdated = outdated[n:]
+	}
+	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.purge.Update(time.Now(), purge.DoneMsg{Cmd: cmd})
+}
+
 // line lists the entries that may hold the duty and tells whether this one may.
 func (d *Desk) line() (ids []string, ready bool) {
 	d.mu.Lock()
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -161,6 +161,9 @@
 func (d *Desk) report(addr string, h seam.Holdings, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !h.Clock.IsZero() {
+		d.ahead, d.clocked = h.Clock.Sub(steady()), true
+	}
 	r, ok := d.reports[addr]
 	if !ok || r.Epoch != h.Boot {
 		r = &gossip.Report{Holder: addr, Epoch: h.Boot}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -186,6 +186,7 @@
 	orders := seam.Orders{
 		ID: v.head.ID, Upstream: cmd.Upstream.ID, Left: time.Until(v.deadline), Organisation: v.org, Priority: cmd.Priority,
 		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: v.lastEvent, Model: v.head.Model != "",
+		FetchUntil: v.h.desk.FetchUntil(),
 	}
 	return link.Request{
 		Method: v.r.Method, Target: target(v.r), Host: v.r.Host, Header: v.h.dialect.Forward(v.r.Header, orders),
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -42,6 +42,8 @@
 type Desk interface {
 	// Config is the configuration in force, nil if there is none yet.
 	Config() *conf.Set
+	// FetchUntil is when transfers of parts that are decided now are given up, on the engines' clock.
+	FetchUntil() time.Time
 	// Place waits for a decision; it fails only if the context ends.
 	Place(ctx context.Context, need place.Need) (d Decision, err error)
 	// Again places a request anew, away from some upstreams.
--- a/io/seam/seam.go
+++ b/io/seam/seam.go
@@ -40,6 +40,8 @@
 	Fetch     []conf.Source
 	Save      []conf.Source
 	LastEvent string
+	// FetchUntil is when a transfer is given up, on the engines' clock; zero is never.
+	FetchUntil time.Time
 	// Model tells whether the request carries a prompt.
 	Model bool
 }
@@ -206,6 +208,8 @@
 	Boot int64
 	// Next continues the report.
 	Next int64
+	// Clock is the time on the holders' clock, zero if it is not told.
+	Clock time.Time
 	// Lost tells that there is a gap before what is told.
 	Lost bool
 	Kept []Kept
