Tell other entries of load within the time that a prompt takes to read

Ruled out: the engines' own speed (others answered in the expected time). Change: heartbeats every 50 ms, slower the more entries there are.

--- a/io/daemon/talk.go
+++ b/io/daemon/talk.go
@@ -14,10 +14,15 @@
 )
 
 const (
-	// beatInterval is the pace of the heartbeats between entries; several fit the silence after which one counts as dead.
-	beatInterval = 250 * time.Millisecond
+	// beatInterval is the fastest pace of the heartbeats between entries: a load that is told later than a
+	// prompt takes to read draws other entries to the same upstream.
+	beatInterval = 50 * time.Millisecond
+	// beatPerEntry slows the heartbeats as entries become more, so that their number grows no faster than the entries.
+	beatPerEntry = 6 * time.Millisecond
+	// mostBeat is the slowest pace; several heartbeats fit the silence after which an entry counts as dead.
+	mostBeat = 400 * time.Millisecond
 	// orderedTime is how long another entry's word counts that an upstream carries out an order.
-	orderedTime = 3 * beatInterval
+	orderedTime = 2 * mostBeat
 	// greetInterval is the pace at which an entry without peers asks those it was told of.
 	greetInterval = time.Second
 )
@@ -32,19 +37,17 @@
 
 // run sends a heartbeat at each interval.
 func (t *talk) run(ctx context.Context) {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
 	for {
-		t.beat(time.Now())
+		entries := t.beat(time.Now())
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-time.After(min(max(beatInterval, time.Duration(entries)*beatPerEntry), mostBeat)):
 		}
 	}
 }
 
-func (t *talk) beat(now time.Time) {
+func (t *talk) beat(now time.Time) (entries int) {
 	m, to := t.d.desk.message(now)
 	m.Holds, m.Ordered = t.d.duty.standing(now)
 	if now.Sub(t.greet) >= greetInterval {
@@ -54,6 +57,7 @@
 	if err := t.d.socket.Send(unique(to), m); err != nil {
 		t.d.log.Debug("heartbeat_not_sent", "error", err)
 	}
+	return len(m.Peers)
 }
 
 func unique(ids []string) (once []string) {
