Leave in time for what was taken last, and let long prompts stand back

Long prompts held up short ones, since the ranks of organisations hide those of routes. Ruled out: clients that keep an address longer (they use another one after a refusal). Change: a stopping entry stops taking requests after 3.2 s and gives the rest of the grace to what it has; prompts that take long to read wait for a short backlog at any rank; what waits goes by urgency and then by the end of its objective.

--- a/core/place/gate.go
+++ b/core/place/gate.go
@@ -23,6 +23,8 @@
 	slotStep  = 0.1
 	// pressShare is the part of the shortest objective that prompts of lower urgency may take to read.
 	pressShare = 0.5
+	// longShare is the part of the shortest objective from which on a prompt counts as long.
+	longShare = 0.2
 	// mostSteps is how many steps of urgency the gate tells apart.
 	mostSteps = 4
 )
@@ -49,11 +51,11 @@
 	if float64(total.Requests) >= (slotShare-slotStep*float64(step))*float64(o.upstream.Slots) {
 		return false
 	}
-	if total.Backlog == 0 || step == 0 {
+	perToken, shortest := m.speed(need.Service).perToken, float64(m.shortest(need))
+	if total.Backlog == 0 || step == 0 && perToken*float64(o.missing) < longShare*shortest {
 		return true
 	}
-	reading := m.speed(need.Service).perToken * float64(total.Backlog+o.missing)
-	return reading <= pressShare*float64(m.shortest(need))
+	return perToken*float64(total.Backlog+o.missing) <= pressShare*shortest
 }
 
 // shortest is the shortest objective of any route to the request's service.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -7,6 +7,7 @@
 package place
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -247,7 +248,9 @@
 	queue := m.queue
 	m.queue = nil
 	tried := map[ident.ServiceName]int{}
-	slices.SortStableFunc(queue, func(a, b *waiting) int { return m.step(now, &a.need) - m.step(now, &b.need) })
+	slices.SortStableFunc(queue, func(a, b *waiting) int {
+		return cmp.Or(m.step(now, &a.need)-m.step(now, &b.need), a.need.Arrived.Add(a.need.Objective).Compare(b.need.Arrived.Add(b.need.Objective)))
+	})
 	for _, w := range queue {
 		if tried[w.need.Service] >= mostTried && now.Before(w.until) {
 			m.queue = append(m.queue, w)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -36,10 +36,13 @@
 	heapShare = 0.6
 	// bodyShare is the part of the memory limit that bodies of requests may take.
 	bodyShare = 0.2
-	// stopMargin is kept from the grace for the last answers.
-	stopMargin = 1500 * time.Millisecond
-	// lastAnswers is how long answers may take after the listener has closed.
-	lastAnswers = 1200 * time.Millisecond
+	// leaveTime is how long a stopping entry still takes requests: callers keep its address for as long as
+	// the advice holds, some of them three times as long.
+	leaveTime = 3*addressHold + 200*time.Millisecond
+	// leaveShare bounds leaveTime to a part of the grace, so that what was taken last has time to end.
+	leaveShare = 0.4
+	// stopMargin is kept from the grace for the end of the process.
+	stopMargin = 300 * time.Millisecond
 	// announceTime bounds the announcement of the entry's address.
 	announceTime = 2 * time.Second
 )
@@ -186,8 +189,9 @@
 	d.log.Info("stopping", "grace", d.settings.Grace, "running", d.handler.Running())
 	d.desk.setLife(mesh.Leaving)
 	d.handler.Leave()
-	time.Sleep(d.settings.Grace - stopMargin)
-	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	taking := min(leaveTime, time.Duration(leaveShare*float64(d.settings.Grace)))
+	time.Sleep(taking)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace-taking-stopMargin)
 	defer cancel()
 	if err := d.server.HTTP().Shutdown(ctx); err != nil {
 		d.log.Warn("requests_cut", "running", d.handler.Running(), "error", err)
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -220,7 +220,7 @@
 
 // addressHold is how long an answer about addresses holds: long enough to keep questions few, short
 // enough that a stopping entry is left well within its grace.
-const addressHold = 2 * time.Second
+const addressHold = time.Second
 
 // Addresses implements [seam.Advice].
 func (d *Desk) Addresses(_ ident.Zone) (addresses []string, hold time.Duration) {
