Tell each change of load at once and count the transfers of other entries

Ruled out: wrong beliefs about what stores hold (fetches in calm seconds are on time). Change: heartbeats follow each placed request; they carry how long transfers still take.

--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -193,6 +193,14 @@
 	return ok && h.parts[key] > 0 && h.parts[key] >= tokens/blockTokens*blockTokens
 }
 
+// Part is how many tokens of a part a holder has.
+func (x *Index) Part(holder Holder, key Key) (tokens int) {
+	if h, ok := x.holders[holder]; ok {
+		return h.parts[key]
+	}
+	return 0
+}
+
 // Readable tells whether a part can be read from a store: it is complete there, and the store's incarnation is confirmed.
 func (x *Index) Readable(now time.Time, store Holder, key Key, tokens int) bool {
 	h, ok := x.holders[store]
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -45,6 +45,9 @@
 	fetch       []conf.Source
 	source      parts.Holder
 	fetchTime   time.Duration
+	// fetched is how many tokens come from elsewhere, over these transfers.
+	fetched   int
+	transfers []Transfer
 	// idle tells that less than half of the upstream's slots are taken.
 	idle bool
 }
@@ -171,7 +174,7 @@
 	shared := need.Shared()
 	o.kept = m.index.Kept(parts.Holder(u.Address), o.salt, shared)
 	find.fill(o)
-	o.missing = need.Tokens() - o.kept - o.fetched()
+	o.missing = need.Tokens() - o.kept - o.fetched
 	o.ahead = l.ahead(now, need.Rank)
 	if !m.admits(need, step, find.service, total, o) {
 		return nil
@@ -184,11 +187,3 @@
 	}
 	return o
 }
-
-// fetched is how many tokens come from elsewhere.
-func (o *option) fetched() (tokens int) {
-	for _, f := range o.fetch {
-		tokens += f.Tokens
-	}
-	return tokens
-}
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -35,14 +35,15 @@
 	// slow is how much longer than computed transfers take.
 	slow float64
 	at   time.Time
-	// busyUntil is when the transfers that this entry has asked for end.
+	// busyUntil is when the transfers that this entry has asked for end, peers when those of others do.
 	busyUntil time.Time
+	peers     map[string]time.Time
 }
 
 func (m *Model) link(holder parts.Holder) *link {
 	l, ok := m.links[holder]
 	if !ok {
-		l = &link{slow: 1}
+		l = &link{slow: 1, peers: map[string]time.Time{}}
 		m.links[holder] = l
 	}
 	return l
@@ -72,7 +73,25 @@
 	if idle := now.Sub(l.at); idle > fadeAfter {
 		slow = 1 + (slow-1)/(1+float64(idle-fadeAfter)/float64(fadeTime))
 	}
-	return time.Duration(float64(transfer)*slow) + max(0, l.busyUntil.Sub(now))
+	wait := max(0, l.busyUntil.Sub(now))
+	for peer, until := range l.peers {
+		if !until.After(now) {
+			delete(l.peers, peer)
+			continue
+		}
+		wait += until.Sub(now)
+	}
+	return time.Duration(float64(transfer)*slow) + wait
+}
+
+// Transfers lists the transfers that this entry has asked for.
+func (m *Model) Transfers(now time.Time) (transfers []Transfer) {
+	for holder, l := range m.links {
+		if left := l.busyUntil.Sub(now); left > 0 {
+			transfers = append(transfers, Transfer{holder, left})
+		}
+	}
+	return transfers
 }
 
 // transfer is the time of so many tokens over a link.
@@ -171,6 +190,8 @@
 			o.fetch = make([]conf.Source, len(f.need.Chain))
 		}
 		o.fetch[i] = conf.Source{Address: string(best.holder), Tokens: p.Tokens}
+		o.fetched += p.Tokens - f.m.index.Part(own, parts.NewKey(o.salt, p.ID))
+		o.transfers = append(o.transfers, Transfer{best.holder, best.near})
 		if took > o.fetchTime {
 			o.fetchTime, o.source = took, best.holder
 		}
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -102,10 +102,17 @@
 	Memory int
 }
 
+// Transfer is how long the transfers that one entry asked a holder for still take.
+type Transfer struct {
+	Holder parts.Holder
+	Left   time.Duration
+}
+
 // PeerMsg is what another entry has under way.
 type PeerMsg struct {
-	Peer  string
-	Loads []Load
+	Peer      string
+	Loads     []Load
+	Transfers []Transfer
 }
 
 // TickMsg lets time pass for what waits.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -172,6 +172,12 @@
 			m.load(l.Upstream).peers[msg.Peer] = peerLoad{l, now}
 		}
 	}
+	for _, l := range m.links {
+		delete(l.peers, msg.Peer)
+	}
+	for _, t := range msg.Transfers {
+		m.link(t.Holder).peers[msg.Peer] = now.Add(t.Left)
+	}
 }
 
 func (m *Model) again(now time.Time, msg AgainMsg) (cmds []ident.Cmd) {
@@ -338,10 +344,10 @@
 	cmd := SendCmd{
 		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.first, Missing: o.missing,
-		Kept: o.kept, Fetched: o.fetched(), Again: o.again,
+		Kept: o.kept, Fetched: o.fetched, Again: o.again,
 	}
-	if o.source != "" {
-		m.link(o.source).begin(now, o.fetchTime)
+	for _, t := range o.transfers {
+		m.link(t.Holder).begin(now, t.Left)
 	}
 	if len(need.Chain) > 0 {
 		cmd.Save, cmds = m.saves(now, need, o)
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -40,6 +40,8 @@
 	waits map[place.Ticket]chan relay.Decision
 	// budgets bounds the attempts beyond the first of each service.
 	budgets map[ident.ServiceName]*retry.Window
+	// changed wakes those who tell the other entries.
+	changed chan struct{}
 	// saves and reports wait to be told to the other entries.
 	saves   []gossip.Save
 	reports map[string]*gossip.Report
@@ -60,7 +62,7 @@
 	d := &Desk{
 		log: log, settings: s, fleet: upstreams, index: index, mesh: mesh.NewModel(self),
 		place: place.NewModel(upstreams, index, rng, place.WithVersionTime(s.VersionTime)),
-		waits: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, wanted: map[ident.ModelName]int64{},
+		waits: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), wanted: map[ident.ModelName]int64{},
 	}
 	d.place.SetCrew(place.Crew{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
 	return d
@@ -106,6 +108,10 @@
 		switch cmd := cmd.(type) {
 		case place.SendCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Send: &cmd})
+			select {
+			case d.changed <- struct{}{}:
+			default:
+			}
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.SavedCmd:
--- a/io/daemon/talk.go
+++ b/io/daemon/talk.go
@@ -14,15 +14,15 @@
 )
 
 const (
-	// beatInterval is the fastest pace of the heartbeats between entries: a load that is told later than a
-	// prompt takes to read draws other entries to the same upstream.
-	beatInterval = 50 * time.Millisecond
+	// leastBeat is the fastest pace of the heartbeats between entries. A load that is told later than the next
+	// request comes draws other entries to the same upstream, so each change is told at once at this pace.
+	leastBeat = 10 * time.Millisecond
 	// beatPerEntry slows the heartbeats as entries become more, so that their number grows no faster than the entries.
-	beatPerEntry = 6 * time.Millisecond
+	beatPerEntry = 2 * time.Millisecond
 	// mostBeat is the slowest pace; several heartbeats fit the silence after which an entry counts as dead.
-	mostBeat = 400 * time.Millisecond
+	mostBeat = 250 * time.Millisecond
 	// orderedTime is how long another entry's word counts that an upstream carries out an order.
-	orderedTime = 2 * mostBeat
+	orderedTime = 3 * mostBeat
 	// greetInterval is the pace at which an entry without peers asks those it was told of.
 	greetInterval = time.Second
 )
@@ -35,14 +35,21 @@
 	greet time.Time
 }
 
-// run sends a heartbeat at each interval.
+// run sends a heartbeat after each change and at the slowest pace.
 func (t *talk) run(ctx context.Context) {
 	for {
 		entries := t.beat(time.Now())
+		least := min(max(leastBeat, time.Duration(entries)*beatPerEntry), mostBeat)
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(min(max(beatInterval, time.Duration(entries)*beatPerEntry), mostBeat)):
+		case <-time.After(least):
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.d.desk.changed:
+		case <-time.After(mostBeat - least):
 		}
 	}
 }
@@ -85,6 +92,9 @@
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 	}
+	for _, t := range d.place.Transfers(now) {
+		m.Links = append(m.Links, gossip.Link{Holder: string(t.Holder), BusyMS: int(t.Left.Milliseconds())})
+	}
 	for _, r := range d.reports {
 		m.Reports = append(m.Reports, *r)
 	}
@@ -139,6 +149,9 @@
 		for _, l := range m.Loads {
 			msg.Loads = append(msg.Loads, place.Load{Upstream: ident.UpstreamID(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 		}
+		for _, l := range m.Links {
+			msg.Transfers = append(msg.Transfers, place.Transfer{Holder: parts.Holder(l.Holder), Left: time.Duration(l.BusyMS) * time.Millisecond})
+		}
 		d.place.Update(now, msg)
 	}
 	for _, s := range m.Saves {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -41,6 +41,13 @@
 	Tokens int
 }
 
+// Link is how long the transfers that an entry asked a holder for still take.
+type Link struct {
+	_      struct{} `cbor:",toarray"`
+	Holder string
+	BusyMS int
+}
+
 // Message is one datagram. A message that carries only loads in part has the same Round as its other parts.
 type Message struct {
 	ID      string `cbor:"1,keyasint"`
@@ -61,6 +68,7 @@
 	Saves   []Save   `cbor:"12,keyasint,omitempty"`
 	// Weights lists versions of weights that engines were seen at.
 	Weights []Weights `cbor:"13,keyasint,omitempty"`
+	Links   []Link    `cbor:"14,keyasint,omitempty"`
 }
 
 // Weights is the version that an engine was seen at.
@@ -150,7 +158,7 @@
 
 // weight is about how much a message holds, counted in changes of parts.
 func weight(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Ordered) + 2*len(m.Weights)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
