--- /dev/null
+++ b/core/fleet/fleet_test.go
@@ -0,0 +1,126 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+)
+
+var start = time.Unix(1000, 0)
+
+func listed(id ident.UpstreamID, born int64) fleet.ListedMsg {
+	return fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Service: "s", Address: "a", Zone: "z", Slots: 1, Born: born}}
+}
+
+func usable(m *fleet.Model, now time.Time, ids ...ident.UpstreamID) (got []bool) {
+	for _, id := range ids {
+		got = append(got, m.Usable(now, id))
+	}
+	return got
+}
+
+func TestLeavingUpstreamsGetNoWork(t *testing.T) {
+	m := fleet.NewModel()
+	m.Update(start, listed("drains", 1))
+	m.Update(start, listed("goes", 1))
+	m.Update(start, listed("stays", 1))
+	draining := listed("drains", 1)
+	draining.Upstream.Draining = true
+	m.Update(start, draining)
+	m.Update(start, listed("drains", 1)) // A late record from before the drain.
+	m.Update(start, fleet.RemovedMsg{ID: "goes"})
+	if diff := cmp.Diff([]bool{false, false, true}, usable(m, start, "drains", "goes", "stays")); diff != "" {
+		t.Errorf("usable (-want +got):\n%s", diff)
+	}
+}
+
+func TestRecordsOfThoseThatLeftDoNotBringThemBack(t *testing.T) {
+	m := fleet.NewModel()
+	draining := listed("a", 5)
+	draining.Upstream.Draining = true
+	m.Update(start, draining)
+	m.Update(start, fleet.RemovedMsg{ID: "a"})
+	m.Update(start, listed("a", 5))
+	late := m.Usable(start, "a")
+	m.Update(start, listed("a", 6))
+	if diff := cmp.Diff([]bool{false, true}, []bool{late, m.Usable(start, "a")}); diff != "" {
+		t.Errorf("usable by a late record and by a new incarnation (-want +got):\n%s", diff)
+	}
+}
+
+func TestOlderIncarnationsAreIgnored(t *testing.T) {
+	m := fleet.NewModel()
+	m.Update(start, listed("a", 9))
+	m.Update(start, listed("a", 8))
+	u, _ := m.Get("a")
+	if diff := cmp.Diff(int64(9), u.Born); diff != "" {
+		t.Errorf("incarnation (-want +got):\n%s", diff)
+	}
+}
+
+// TestLapsedRecordsMayComeBack loses the list, and lets two records lapse of which one returns in time.
+func TestLapsedRecordsMayComeBack(t *testing.T) {
+	m := fleet.NewModel()
+	m.Update(start, listed("back", 1))
+	m.Update(start, listed("gone", 1))
+	m.Update(start, fleet.ListLostMsg{})
+	returned := start.Add(5 * time.Second)
+	m.Update(returned, fleet.ListBackMsg{})
+	m.Update(returned, fleet.RemovedMsg{ID: "back"})
+	m.Update(returned, fleet.RemovedMsg{ID: "gone"})
+	at := returned.Add(time.Second)
+	m.Settle(at)
+	during := usable(m, at, "back", "gone")
+	m.Update(at, listed("back", 1))
+	after := returned.Add(2 * time.Second)
+	cmds := m.Settle(after)
+	got := [][]bool{during, usable(m, after, "back", "gone")}
+	if diff := cmp.Diff([][]bool{{true, true}, {true, false}}, got); diff != "" {
+		t.Errorf("usable during and after the grace (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]ident.Cmd{fleet.GoneCmd{ID: "gone"}}, cmds); diff != "" {
+		t.Errorf("commands (-want +got):\n%s", diff)
+	}
+}
+
+// TestBrokenUpstreamsPauseLonger breaks an upstream again and again, and checks that one good answer ends it.
+func TestBrokenUpstreamsPauseLonger(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := fleet.NewModel()
+		m.Update(start, listed("a", 1))
+		now, last := start, time.Duration(0)
+		for range rapid.IntRange(1, 8).Draw(t, "breaks") {
+			m.Update(now, fleet.BrokenMsg{ID: "a"})
+			pause := time.Duration(0)
+			for !m.Usable(now.Add(pause), "a") {
+				pause += 10 * time.Millisecond
+			}
+			if pause < last || pause > 5*time.Second {
+				t.Fatalf("pause %v after %v", pause, last)
+			}
+			last, now = pause, now.Add(pause)
+		}
+		m.Update(now, fleet.BrokenMsg{ID: "a"})
+		m.Update(now, fleet.AnsweredMsg{ID: "a"})
+		if !m.Usable(now, "a") {
+			t.Fatal("paused after a good answer")
+		}
+	})
+}
+
+func TestAvoidedZonesGetNoWork(t *testing.T) {
+	m := fleet.NewModel()
+	m.Update(start, listed("a", 1))
+	m.Update(start, fleet.AvoidMsg{Zone: "z", Avoided: true})
+	out := m.Usable(start, "a")
+	m.Update(start, fleet.AvoidMsg{Zone: "z", Avoided: false})
+	if diff := cmp.Diff([]bool{false, true}, []bool{out, m.Usable(start, "a")}); diff != "" {
+		t.Errorf("usable while out and after (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,123 @@
+package lease_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/lease"
+)
+
+const term = 3 * time.Second
+
+// claims is the log of claims.
+type claims []lease.Claim
+
+// entry is one claimant of a simulated crowd.
+type entry struct {
+	model *lease.Model
+	id    string
+	// frozen entries take no step until then; deaf ones don't reach the log.
+	frozen, deaf time.Time
+	// pending are answers on their way.
+	pending []answer
+}
+
+type answer struct {
+	at  time.Time
+	msg ident.Msg
+}
+
+// TestHoldersNeverTakeTurnsWithinALease lets entries freeze and lose the log at random, without fencing at the
+// receivers, and checks that two of them never act within a lease of each other.
+func TestHoldersNeverTakeTurnsWithinALease(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var log claims
+		start := time.Unix(1000, 0)
+		var entries []*entry
+		ids := []string{"a", "b", "c"}
+		for _, id := range ids {
+			m := lease.NewModel(id, 1, term, false)
+			m.SetCrew(ids)
+			entries = append(entries, &entry{model: m, id: id})
+		}
+		lastActor, lastAct, acted := "", time.Time{}, 0
+		for now := start; now.Before(start.Add(60 * time.Second)); now = now.Add(50 * time.Millisecond) {
+			for _, e := range entries {
+				if rng.IntN(400) == 0 {
+					e.frozen = now.Add(time.Duration(rng.IntN(6000)) * time.Millisecond)
+				}
+				if rng.IntN(400) == 0 {
+					e.deaf = now.Add(time.Duration(rng.IntN(6000)) * time.Millisecond)
+				}
+				if now.Before(e.frozen) {
+					continue
+				}
+				e.step(now, &log, rng)
+				if !e.model.Holds(now) {
+					continue
+				}
+				if lastActor != e.id && lastActor != "" && now.Sub(lastAct) < term {
+					t.Fatalf("%s acts %v after %s", e.id, now.Sub(lastAct), lastActor)
+				}
+				lastActor, lastAct = e.id, now
+				acted++
+			}
+		}
+		if acted == 0 {
+			t.Fatal("nobody ever held the duty")
+		}
+	})
+}
+
+func (e *entry) step(now time.Time, log *claims, rng *rand.Rand) {
+	kept := e.pending[:0]
+	for _, p := range e.pending {
+		if p.at.After(now) {
+			kept = append(kept, p)
+			continue
+		}
+		e.model.Update(now, p.msg)
+	}
+	e.pending = kept
+	for _, cmd := range e.model.Update(now, lease.TickMsg{}) {
+		if now.Before(e.deaf) {
+			if _, claim := cmd.(lease.ClaimCmd); claim {
+				e.pending = append(e.pending, answer{now.Add(800 * time.Millisecond), lease.ClaimedMsg{Asked: now}})
+			}
+			continue
+		}
+		delay := time.Duration(rng.IntN(100)) * time.Millisecond
+		e.pending = append(e.pending, answer{now.Add(delay), log.perform(now, cmd)})
+	}
+}
+
+// perform reads or appends as the store does.
+func (c *claims) perform(now time.Time, cmd ident.Cmd) ident.Msg {
+	if claim, ok := cmd.(lease.ClaimCmd); ok {
+		if claim.End != int64(len(*c)) {
+			return lease.ClaimedMsg{Asked: now}
+		}
+		*c = append(*c, claim.Claim)
+		return lease.ClaimedMsg{Asked: now, Won: true, Offset: int64(len(*c) - 1)}
+	}
+	read := lease.ReadMsg{Asked: now, End: int64(len(*c))}
+	if n := len(*c); n > 0 {
+		last := (*c)[n-1]
+		read.Last = &last
+	}
+	return read
+}
+
+func ExampleModel() {
+	m := lease.NewModel("a", 1, 3*time.Second, true)
+	now := time.Unix(1000, 0)
+	m.Update(now, lease.ClaimedMsg{Asked: now, Won: true, Offset: 0})
+	fmt.Println(m.Holds(now), m.Token(), m.Holds(now.Add(2*time.Second)))
+	// Output: true 1 false
+}
--- /dev/null
+++ b/core/parts/parts_test.go
@@ -0,0 +1,112 @@
+package parts_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/parts"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	store = parts.Holder("store")
+	room  = 100_000
+)
+
+func report(epoch int64, changes ...parts.Change) parts.ReportMsg {
+	return parts.ReportMsg{Holder: store, Epoch: epoch, Changes: changes}
+}
+
+func TestAPartIsReadableOnlyWhileItsStoreIsConfirmed(t *testing.T) {
+	key := parts.NewKey("salt", "a")
+	x := parts.NewIndex()
+	x.Update(start, parts.SaveMsg{Store: store, Key: key, Tokens: 512})
+	saving := x.Readable(start, store, key, 512)
+	x.Update(start, report(1, parts.Change{Key: key, Tokens: 512}))
+	complete := x.Readable(start, store, key, 512)
+	stale := x.Readable(start.Add(2*time.Second), store, key, 512)
+	x.Update(start.Add(2*time.Second), report(2))
+	restarted := x.Readable(start.Add(2*time.Second), store, key, 512)
+	if diff := cmp.Diff([]bool{false, true, false, false}, []bool{saving, complete, stale, restarted}); diff != "" {
+		t.Errorf("readable while saved, complete, unconfirmed, restarted (-want +got):\n%s", diff)
+	}
+}
+
+// TestNobodyReadsWhatAnotherWritesAnew lets two entries hear of a store's restart at different times: no moment may
+// exist at which one still reads a part that the other one may write again.
+func TestNobodyReadsWhatAnotherWritesAnew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := parts.NewKey("salt", "a")
+		reader, writer := parts.NewIndex(), parts.NewIndex()
+		for _, x := range []*parts.Index{reader, writer} {
+			x.Update(start, report(1, parts.Change{Key: key, Tokens: 512}))
+		}
+		restart := start.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "restart")) * time.Millisecond)
+		// The last report of the old incarnation may reach the reader just before the restart.
+		reader.Update(restart, report(1))
+		heard := restart.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "heard")) * time.Millisecond)
+		writer.Update(heard, report(2))
+		for after := time.Duration(0); after < 8*time.Second; after += 50 * time.Millisecond {
+			now := heard.Add(after)
+			writer.Update(now, report(2))
+			if reader.Readable(now, store, key, 512) && writer.Writable(now, store, key, 512, room) {
+				t.Fatalf("readable and writable %v after the restart", now.Sub(restart))
+			}
+		}
+	})
+}
+
+func TestKeptCountsFromTheStartWithoutGaps(t *testing.T) {
+	chain := []conf.Part{{ID: "a", Tokens: 100}, {ID: "b", Tokens: 200}, {ID: "c", Tokens: 50}}
+	x := parts.NewIndex()
+	x.Update(start, parts.RanMsg{Holder: "engine", Salt: "s", Chain: chain})
+	whole := x.Kept("engine", "s", chain)
+	x.Update(start, parts.ReportMsg{Holder: "engine", Epoch: 1, Changes: []parts.Change{
+		{Key: parts.NewKey("s", "a"), Tokens: 100}, {Key: parts.NewKey("s", "b"), Tokens: 64}, {Key: parts.NewKey("s", "c"), Tokens: 50},
+	}})
+	got := []int{whole, x.Kept("engine", "s", chain), x.Kept("engine", "other", chain), x.Kept("nobody", "s", chain)}
+	if diff := cmp.Diff([]int{350, 164, 0, 0}, got); diff != "" {
+		t.Errorf("tokens (-want +got):\n%s", diff)
+	}
+}
+
+// TestAStoreIsNeverOverfilled saves until nothing more is writable.
+func TestAStoreIsNeverOverfilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		x := parts.NewIndex()
+		x.Update(start, report(1))
+		for i := range rapid.IntRange(1, 60).Draw(t, "saves") {
+			key := parts.NewKey("s", string(rune('a'+i)))
+			tokens := rapid.IntRange(1, 20_000).Draw(t, "tokens")
+			if !x.Writable(start, store, key, tokens, room) {
+				continue
+			}
+			if rapid.Bool().Draw(t, "reported") {
+				x.Update(start, report(1, parts.Change{Key: key, Tokens: tokens}))
+			} else {
+				x.Update(start, parts.SaveMsg{Store: store, Key: key, Tokens: tokens})
+			}
+		}
+		if used := x.Used(start, store); used > room {
+			t.Fatalf("%d of %d tokens used", used, room)
+		}
+	})
+}
+
+func TestALostSaveIsTriedAgain(t *testing.T) {
+	key := parts.NewKey("s", "a")
+	x := parts.NewIndex()
+	x.Update(start, report(1))
+	x.Update(start, parts.SaveMsg{Store: store, Key: key, Tokens: 512})
+	during := x.Writable(start, store, key, 512, room)
+	later := start.Add(10 * time.Second)
+	x.Update(later, report(1))
+	if diff := cmp.Diff([]bool{false, true}, []bool{during, x.Writable(later, store, key, 512, room)}); diff != "" {
+		t.Errorf("writable during and after (-want +got):\n%s", diff)
+	}
+}
