--- a/cmd/cicadavalve/daemon.go
+++ b/cmd/cicadavalve/daemon.go
@@ -50,7 +50,7 @@
 	client := platform.NewClient(storeAddress, link.Dial)
 	outside := daemon.Outside{
 		Dialect: platform.Dialect{}, Store: client, Engines: client,
-		Ready:     func(a seam.Advice) http.Handler { return platform.NewReadyHandler(a) },
+		Ready:     platform.NewReadyHandler,
 		Directory: func(a seam.Advice) http.Handler { return platform.NewDirectoryHandler(a, log) },
 	}
 	reloads := &reloads{log: log, path: path, signals: make(chan os.Signal, 1)}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -107,7 +107,7 @@
 	switch msg := msg.(type) {
 	case ReadMsg:
 		m.asked = time.Time{}
-		return m.read(now, msg)
+		m.read(msg)
 	case ClaimedMsg:
 		m.claiming = false
 		m.claimed(now, msg)
@@ -123,17 +123,16 @@
 	return nil
 }
 
-func (m *Model) read(now time.Time, msg ReadMsg) []ident.Cmd {
+func (m *Model) read(msg ReadMsg) {
 	m.end, m.last = msg.End, msg.Last
 	if m.token != 0 && msg.End == m.token && msg.Last != nil && msg.Last.Holder == m.self && msg.Last.Boot == m.boot {
 		m.checked = msg.Asked
-		return nil
+		return
 	}
 	if m.token != 0 && msg.End > m.token {
 		m.token = 0
 		m.vacantSince = time.Time{}
 	}
-	return nil
 }
 
 func (m *Model) claimed(now time.Time, msg ClaimedMsg) {
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -21,6 +21,8 @@
 	zoneCost = 4 * time.Millisecond
 	// againFactor is how much a token that some upstream has read already weighs above a new one.
 	againFactor = 1.0
+	// fetchWeight is how much a fetched token weighs against one that is read: the copy takes memory from other parts.
+	fetchWeight = 0.15
 	// oldCost is the part of the objective that older weights add to a choice.
 	oldCost = 0.3
 	// badCost is how many objectives an upstream adds to a choice that fails every request.
@@ -96,7 +98,7 @@
 	if !m.fleet.Usable(now, u.ID) || m.fleet.Ordered(now, u.ID) {
 		return false
 	}
-	if rate, cold := m.coldRate(now, u); cold && rate >= 0 && m.load(u.ID).cold.peek(now, rate, coldBurst) < 1 {
+	if rate, cold := m.coldRate(now, u); cold && (rate == 0 || rate > 0 && m.load(u.ID).cold.peek(now, rate, coldBurst) < 1) {
 		return false
 	}
 	if w := m.wanted[need.Model]; service.Engine != nil && w.version > u.Weights[need.Model] && !w.since.IsZero() &&
@@ -181,7 +183,8 @@
 	}
 	first := s.first(o.ahead+o.missing)*p.slow + float64(o.fetchTime)
 	o.first = time.Duration(first)
-	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + againFactor*s.perToken*float64(o.again) + m.besides(need, u, p)
+	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.besides(need, u, p)
+	o.cost += s.perToken * (againFactor*float64(o.again) + fetchWeight*float64(o.fetched))
 	if w := m.wanted[need.Model]; w.version > version {
 		o.cost += oldCost * float64(need.Objective)
 	}
--- /dev/null
+++ b/core/place/place_test.go
@@ -0,0 +1,242 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/place"
+)
+
+const model = ident.ModelName("m0")
+
+var start = time.Unix(1000, 0)
+
+// bench is a decider with the upstreams that it places on.
+type bench struct {
+	fleet *fleet.Model
+	index *parts.Index
+	place *place.Model
+}
+
+func newBench(engines int, memory int, stores ...conf.Store) *bench {
+	services := []conf.Service{{Name: "llm", ColdRate: 10, Engine: &conf.Engine{Slots: 16, Memory: memory, TokenSize: 20_000, Link: 300e9}}}
+	for i := range stores {
+		services = append(services, conf.Service{Name: ident.ServiceName(fmt.Sprintf("store%d", i)), Store: &stores[i]})
+	}
+	b := &bench{fleet: fleet.NewModel(), index: parts.NewIndex()}
+	b.place = place.NewModel(b.fleet, b.index, rand.New(rand.NewPCG(1, 1)))
+	b.place.SetConfig(conf.NewSet(conf.Data{Services: services, Routes: []conf.Route{
+		{Objective: 300 * time.Millisecond, Shares: []conf.Share{{Service: "llm", Weight: 1}}},
+	}}))
+	b.place.SetCrew(place.Crew{Self: "self", IDs: []string{"self"}, Zone: "z"})
+	for i := range engines {
+		b.fleet.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{
+			ID: engineID(i), Service: "llm", Address: string(engineID(i)), Zone: "z", Slots: 16, Weights: map[ident.ModelName]int64{model: 1},
+		}})
+	}
+	return b
+}
+
+func engineID(i int) ident.UpstreamID { return ident.UpstreamID(fmt.Sprintf("e%02d", i)) }
+
+func need(t place.Ticket, now time.Time, tokens int, doc string, objective time.Duration) place.Need {
+	return place.Need{
+		Ticket: t, Service: "llm", Model: model, Output: 10, Arrived: now, Objective: objective, Deadline: now.Add(10 * time.Second),
+		Chain: []conf.Part{{ID: doc, Tokens: tokens}, {ID: fmt.Sprintf("own%d", t), Tokens: 10}},
+	}
+}
+
+func sends(cmds []ident.Cmd) (sent []place.SendCmd) {
+	for _, cmd := range cmds {
+		if s, ok := cmd.(place.SendCmd); ok {
+			sent = append(sent, s)
+		}
+	}
+	return sent
+}
+
+func refusals(cmds []ident.Cmd) (refused []place.RefuseCmd) {
+	for _, cmd := range cmds {
+		if r, ok := cmd.(place.RefuseCmd); ok {
+			refused = append(refused, r)
+		}
+	}
+	return refused
+}
+
+// TestAPromptReturnsToTheEngineThatKeepsIt sends the same document again and again.
+func TestAPromptReturnsToTheEngineThatKeepsIt(t *testing.T) {
+	b := newBench(8, 200_000)
+	now := start
+	engines := map[ident.UpstreamID]bool{}
+	took := 140 * time.Millisecond // The prompt is read the first time alone.
+	for i := range 5 {
+		ticket := place.Ticket(i + 1)
+		for _, s := range sends(b.place.Update(now, place.ArriveMsg{Need: need(ticket, now, 8000, "doc", 800*time.Millisecond)})) {
+			engines[s.Upstream.ID] = true
+		}
+		b.place.Update(now.Add(took), place.FirstByteMsg{Ticket: ticket})
+		b.place.Update(now.Add(2*took), place.EndMsg{Ticket: ticket})
+		took = 50 * time.Millisecond
+		now = now.Add(time.Second)
+	}
+	if diff := cmp.Diff(1, len(engines)); diff != "" {
+		t.Errorf("engines used (-want +got):\n%s", diff)
+	}
+}
+
+// TestAKeptPromptIsFetchedRatherThanRead fills the keeping engine, so that the prompt must go elsewhere.
+func TestAKeptPromptIsFetchedRatherThanRead(t *testing.T) {
+	b := newBench(2, 200_000)
+	first := sends(b.place.Update(start, place.ArriveMsg{Need: need(1, start, 8000, "doc", 800*time.Millisecond)}))
+	b.place.Update(start, place.FirstByteMsg{Ticket: 1})
+	b.place.Update(start, place.EndMsg{Ticket: 1})
+	b.place.Update(start, place.PeerMsg{Peer: "other", Loads: []place.Load{{Upstream: first[0].Upstream.ID, Requests: 16, Backlog: 90_000}}})
+	second := sends(b.place.Update(start, place.ArriveMsg{Need: need(2, start, 8000, "doc", 800*time.Millisecond)}))
+	if len(second) != 1 {
+		t.Fatal("not sent")
+	}
+	want := []conf.Source{{Address: string(first[0].Upstream.ID), Tokens: 8000}, {}}
+	if diff := cmp.Diff(want, second[0].Fetch); diff != "" {
+		t.Errorf("fetch (-want +got):\n%s", diff)
+	}
+}
+
+// TestAPartIsSavedOnce reads a document twice before its save is reported.
+func TestAPartIsSavedOnce(t *testing.T) {
+	b := newBench(2, 200_000, conf.Store{Address: "s", Zone: "z", Room: 100_000, Link: 100e9})
+	b.index.Update(start, parts.ReportMsg{Holder: "s", Epoch: 1})
+	one := sends(b.place.Update(start, place.ArriveMsg{Need: need(1, start, 8000, "doc", 800*time.Millisecond)}))
+	two := sends(b.place.Update(start, place.ArriveMsg{Need: need(2, start, 8000, "doc", 800*time.Millisecond)}))
+	var again []conf.Source
+	for _, s := range two {
+		again = append(again, s.Save...)
+	}
+	got := [][]conf.Source{one[0].Save, again}
+	if diff := cmp.Diff([][]conf.Source{{{Address: "s", Tokens: 8000}, {}}, nil}, got); diff != "" {
+		t.Errorf("saves (-want +got):\n%s", diff)
+	}
+}
+
+// TestLongPromptsLeaveRoomForShortOnes replays a burst of long prompts into which short urgent ones fall. Every
+// short one must go out at once, and not behind more reading than half its objective allows.
+func TestLongPromptsLeaveRoomForShortOnes(t *testing.T) {
+	b := newBench(4, 100_000)
+	for i := range 40 {
+		b.place.Update(start, place.ArriveMsg{Need: need(place.Ticket(i+1), start, 9000, fmt.Sprint("doc", i), 800*time.Millisecond)})
+	}
+	for i := range 8 {
+		got := sends(b.place.Update(start, place.ArriveMsg{Need: need(place.Ticket(100+i), start, 400, fmt.Sprint("short", i), 300*time.Millisecond)}))
+		if len(got) != 1 || got[0].Expected > 300*time.Millisecond {
+			t.Fatalf("short request %d: %+v", i, got)
+		}
+	}
+}
+
+// TestMemoryIsKeptFromRunningOut offers more long prompts than the engines' memory holds.
+func TestMemoryIsKeptFromRunningOut(t *testing.T) {
+	const memory = 100_000
+	b := newBench(2, memory)
+	used := map[ident.UpstreamID]int{}
+	for i := range 60 {
+		ticket := place.Ticket(i + 1)
+		for _, s := range sends(b.place.Update(start, place.ArriveMsg{Need: need(ticket, start, 12_000, fmt.Sprint("doc", i), 10*time.Second)})) {
+			used[s.Upstream.ID] += 12_020
+		}
+		b.place.Update(start, place.FirstByteMsg{Ticket: ticket})
+	}
+	for id, tokens := range used {
+		if tokens > memory {
+			t.Errorf("%s holds %d tokens of %d", id, tokens, memory)
+		}
+	}
+}
+
+// TestRefusalsComeEarly checks that a request that finds no upstream, and one whose time is too short, don't wait
+// to their deadlines, and that both are told when to come back.
+func TestRefusalsComeEarly(t *testing.T) {
+	b := newBench(0, 100_000)
+	b.place.Update(start, place.ArriveMsg{Need: need(1, start, 400, "doc", 300*time.Millisecond)})
+	var refused []place.RefuseCmd
+	now := start
+	for ; len(refused) == 0 && now.Before(start.Add(10*time.Second)); now = now.Add(25 * time.Millisecond) {
+		refused = refusals(b.place.Update(now, place.TickMsg{}))
+	}
+	if len(refused) != 1 || refused[0].After <= 0 || now.Sub(start) > 600*time.Millisecond {
+		t.Errorf("after %v: %+v", now.Sub(start), refused)
+	}
+	full := newBench(1, 1_000_000)
+	hopeless := need(2, start, 400_000, "doc", 300*time.Millisecond)
+	hopeless.Deadline = start.Add(500 * time.Millisecond)
+	got := refusals(full.place.Update(start, place.ArriveMsg{Need: hopeless}))
+	if len(got) != 1 || got[0].Reason != place.TooLate || got[0].After <= 0 {
+		t.Errorf("hopeless request: %+v", got)
+	}
+}
+
+// TestAColdUpstreamBearsItsRate floods one cold upstream from several entries.
+func TestAColdUpstreamBearsItsRate(t *testing.T) {
+	const rate, entries = 10, 30
+	ids := make([]string, entries)
+	for i := range ids {
+		ids[i] = fmt.Sprint("entry", i)
+	}
+	total := 0
+	for _, id := range ids {
+		b := newBench(1, 1_000_000)
+		b.place.SetCrew(place.Crew{Self: id, IDs: ids, Zone: "z"})
+		b.fleet.Update(start, fleet.ColdMsg{ID: engineID(0), Left: time.Minute})
+		for ms := range 1000 {
+			now := start.Add(time.Duration(ms) * time.Millisecond)
+			if ms%10 == 0 {
+				total += len(sends(b.place.Update(now, place.ArriveMsg{Need: need(place.Ticket(ms+1), now, 100, "doc", 10*time.Second)})))
+			}
+		}
+	}
+	if total < rate/2 || total > 3*rate/2+5 {
+		t.Errorf("%d requests in a second at a rate of %d", total, rate)
+	}
+}
+
+// TestOlderWeightsGetNothingNearTheBound names a version and waits.
+func TestOlderWeightsGetNothingNearTheBound(t *testing.T) {
+	b := newBench(1, 100_000)
+	b.place.Want(start, model, 1)
+	b.place.Want(start, model, 2)
+	var got []int
+	for i, after := range []time.Duration{time.Second, 9 * time.Second, 11 * time.Second} {
+		now := start.Add(after)
+		cmds := b.place.Update(now, place.ArriveMsg{Need: need(place.Ticket(i+1), now, 100, "doc", time.Second)})
+		got = append(got, len(sends(cmds)))
+	}
+	if diff := cmp.Diff([]int{1, 0, 0}, got); diff != "" {
+		t.Errorf("sent 1, 9 and 11 s after naming (-want +got):\n%s", diff)
+	}
+}
+
+// TestLoadOfOthersCounts tells of an engine that another entry has filled.
+func TestLoadOfOthersCounts(t *testing.T) {
+	b := newBench(2, 1_000_000)
+	b.place.Update(start, place.PeerMsg{Peer: "other", Loads: []place.Load{{Upstream: engineID(0), Requests: 10, Backlog: 50_000}}})
+	got := sends(b.place.Update(start, place.ArriveMsg{Need: need(1, start, 400, "doc", time.Second)}))
+	if diff := cmp.Diff(engineID(1), got[0].Upstream.ID); diff != "" {
+		t.Errorf("upstream (-want +got):\n%s", diff)
+	}
+}
+
+func TestSaltNamesModelAndVersion(t *testing.T) {
+	m, v, ok := place.ParseSalt(place.Salt("org/with/slashes", "m0", 7))
+	_, _, bad := place.ParseSalt("m0/7")
+	got := []any{m, v, ok, bad}
+	if diff := cmp.Diff([]any{model, int64(7), true, false}, got); diff != "" {
+		t.Errorf("salt (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/core/purge/purge_test.go
@@ -0,0 +1,49 @@
+package purge_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/purge"
+)
+
+// TestPartsOutliveTheLastTransferOfTheirWeights lets one of two engines move late: nothing may be freed before
+// a transfer that began on it must have ended.
+func TestPartsOutliveTheLastTransferOfTheirWeights(t *testing.T) {
+	start := time.Unix(1000, 0)
+	upstreams := fleet.NewModel()
+	for _, id := range []ident.UpstreamID{"a", "b"} {
+		upstreams.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Weights: map[ident.ModelName]int64{"m": 1}}})
+	}
+	m := purge.NewModel(upstreams)
+	m.Want("m", 2)
+	tick := purge.TickMsg{Holds: true, Stores: []parts.Holder{"s"}}
+	upstreams.Update(start, fleet.WeightsMsg{ID: "a", Model: "m", Version: 2})
+	moved := start.Add(4 * time.Second)
+	var first time.Time
+	var freed []ident.Cmd
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		if now.Equal(moved) {
+			upstreams.Update(now, fleet.WeightsMsg{ID: "b", Model: "m", Version: 2})
+		}
+		for _, cmd := range m.Update(now, tick) {
+			if first.IsZero() {
+				first = now
+			}
+			freed = append(freed, cmd)
+			m.Update(now, purge.DoneMsg{Cmd: cmd.(purge.FreeCmd)})
+		}
+	}
+	if first.Before(moved.Add(purge.FetchTime)) {
+		t.Errorf("freed %v after the last engine moved", first.Sub(moved))
+	}
+	if diff := cmp.Diff([]ident.Cmd{purge.FreeCmd{Store: "s", Model: "m", Below: 2}}, freed); diff != "" {
+		t.Errorf("commands (-want +got):\n%s", diff)
+	}
+}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -18,7 +18,7 @@
 	// step is the number of the newest slice, counted from the zero time.
 	step   int64
 	firsts [slices]float64
-	agains [slices]float64
+	extras [slices]float64
 }
 
 // NewWindow allows ratio times the first attempts of each span and so many more.
@@ -32,7 +32,7 @@
 func (w *Window) slide(now time.Time) int64 {
 	step := now.UnixNano() / int64(w.span/slices)
 	for s := max(w.step+1, step-slices+1); s <= step; s++ {
-		w.firsts[s%slices], w.agains[s%slices] = 0, 0
+		w.firsts[s%slices], w.extras[s%slices] = 0, 0
 	}
 	w.step = max(w.step, step)
 	return w.step
@@ -44,14 +44,14 @@
 // Withdraw takes one attempt beyond the first and reports whether there was one left.
 func (w *Window) Withdraw(now time.Time) bool {
 	step := w.slide(now)
-	firsts, agains := 0.0, 0.0
+	firsts, extras := 0.0, 0.0
 	for i := range slices {
 		firsts += w.firsts[i]
-		agains += w.agains[i]
+		extras += w.extras[i]
 	}
-	if agains+1 > w.ratio*firsts+w.allowance {
+	if extras+1 > w.ratio*firsts+w.allowance {
 		return false
 	}
-	w.agains[step%slices]++
+	w.extras[step%slices]++
 	return true
 }
--- a/core/swap/swap.go
+++ b/core/swap/swap.go
@@ -25,7 +25,7 @@
 	askInterval = 250 * time.Millisecond
 	// retryTime is how long an order without effect is believed to be on its way.
 	retryTime = 600 * time.Millisecond
-	// mostLoad is how long an engine may load before it counts as stuck and another takes its place in the wave.
+	// mostLoad is how long an engine may be without work before it gets work again and another takes its turn.
 	mostLoad = 5 * time.Second
 	// pauseTime is how long an engine that refused is left alone.
 	pauseTime = time.Second
@@ -178,6 +178,8 @@
 			s.version = version
 		}
 		if now.Sub(s.since) > mostLoad {
+			delete(m.steps, u.ID)
+			m.paused[u.ID] = now.Add(pauseTime)
 			continue
 		}
 		out++
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	group.Go(func() error { return serve(d.server.HTTP(), func() error { return d.server.Serve(front) }, ctx) })
+	group.Go(func() error { return serve(ctx, d.server.HTTP(), func() error { return d.server.Serve(front) }) })
 	metrics := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.FirstPort+1))
 	small := map[string]http.Handler{d.settings.Ready: d.ready, d.settings.Directory: d.advice, metrics: d.meter}
 	for addr, handler := range small {
@@ -131,7 +131,7 @@
 			return err
 		}
 		server := &http.Server{Handler: handler, ReadHeaderTimeout: smallTime, IdleTimeout: smallIdle}
-		group.Go(func() error { return serve(server, func() error { return server.Serve(l) }, ctx) })
+		group.Go(func() error { return serve(ctx, server, func() error { return server.Serve(l) }) })
 	}
 	return nil
 }
@@ -143,7 +143,7 @@
 	smallIdle = 15 * time.Second
 )
 
-func serve(server *http.Server, accept func() error, ctx context.Context) (err error) {
+func serve(ctx context.Context, server *http.Server, accept func() error) (err error) {
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
 	if err := accept(); !errors.Is(err, http.ErrServerClosed) {
 		return err
--- /dev/null
+++ b/io/gossip/gossip_test.go
@@ -0,0 +1,74 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"cicadavalve/io/gossip"
+)
+
+func listen(t *testing.T) (s *gossip.Socket, addr string) {
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr = l.LocalAddr().String()
+	_ = l.Close()
+	if s, err = gossip.Listen(addr); err != nil {
+		t.Fatal(err)
+	}
+	return s, addr
+}
+
+// TestLongReportsArriveInParts sends more changes than a datagram holds, and bytes that are no message between.
+func TestLongReportsArriveInParts(t *testing.T) {
+	from, _ := listen(t)
+	to, addr := listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	messages, faults := make(chan gossip.Message, 100), make(chan error, 1)
+	go to.Run(ctx, func(m gossip.Message) { messages <- m }, func(err error) { faults <- err })
+	raw, err := net.Dial("udp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprint(raw, "no message")
+	if err := <-faults; err == nil {
+		t.Error("no fault for bytes that are no message")
+	}
+	want := gossip.Message{ID: "a", Beat: true, Reports: []gossip.Report{{Holder: "h", Epoch: 1}}, Loads: []gossip.Load{{Upstream: "u", Requests: 2}}}
+	for i := range 300 {
+		want.Reports[0].Changes = append(want.Reports[0].Changes, gossip.Change{Key: uint64(i), Tokens: i})
+	}
+	if err := from.Send([]string{addr}, want); err != nil {
+		t.Fatal(err)
+	}
+	got := gossip.Message{ID: "a", Beat: true, Reports: []gossip.Report{{Holder: "h", Epoch: 1}}}
+	beats := 0
+	for len(got.Reports[0].Changes) < 300 {
+		select {
+		case m := <-messages:
+			if m.Beat {
+				beats++
+				got.Loads = m.Loads
+			}
+			for _, r := range m.Reports {
+				got.Reports[0].Changes = append(got.Reports[0].Changes, r.Changes...)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("parts are missing")
+		}
+	}
+	if diff := cmp.Diff(want, got, cmpopts.IgnoreUnexported(gossip.Report{}, gossip.Change{}, gossip.Load{}), cmpopts.SortSlices(func(a, b gossip.Change) bool { return a.Key < b.Key })); diff != "" {
+		t.Errorf("message (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1, beats); diff != "" {
+		t.Errorf("heartbeats (-want +got):\n%s", diff)
+	}
+}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -47,15 +47,16 @@
 		if err == nil && len(held) > mostEvent {
 			err = errors.New("event is too long")
 		}
-		if err == io.EOF && len(held) > 0 {
-			err = errTornEvent
+		ended := errors.Is(err, io.EOF)
+		if ended && len(held) > 0 {
+			err, ended = errTornEvent, false
 		}
 		switch {
-		case err == io.EOF && v.committed:
+		case ended && v.committed:
 			v.h.desk.End(v.need.Ticket, place.Good)
 			v.report(answer.Status, "answered", -1)
 			return result{done: true}
-		case err == io.EOF:
+		case ended:
 			v.cause = errors.New("stream without events")
 			return result{ending: retry.Unknown}
 		case err != nil:
--- /dev/null
+++ b/io/trail/trail_test.go
@@ -0,0 +1,65 @@
+package trail_test
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/io/trail"
+)
+
+// stalled is a reader that never reads.
+type stalled struct{ release chan struct{} }
+
+func (s stalled) Write(b []byte) (int, error) {
+	<-s.release
+	return len(b), nil
+}
+
+// TestAStalledReaderStopsNothing floods a writer whose reader stalls.
+func TestAStalledReaderStopsNothing(t *testing.T) {
+	s := stalled{make(chan struct{})}
+	w := trail.NewWriter(s)
+	log := slog.New(w.Handler(slog.LevelInfo))
+	log.Info("first")
+	done := make(chan struct{})
+	go func() {
+		w.Flush()
+		close(done)
+	}()
+	for range 20_000 {
+		log.Info("line", "text", strings.Repeat("x", 100))
+	}
+	if w.Left() == 0 {
+		t.Error("nothing was left out")
+	}
+	close(s.release)
+	<-done
+}
+
+// TestWarningsHaveRoomOfTheirOwn fills the room for plain lines and then warns.
+func TestWarningsHaveRoomOfTheirOwn(t *testing.T) {
+	var out bytes.Buffer
+	w := trail.NewWriter(&out)
+	log := slog.New(w.Handler(slog.LevelInfo))
+	for range 20_000 {
+		log.Info("line", "text", strings.Repeat("x", 100))
+	}
+	log.Warn("request_ended")
+	w.Flush()
+	got := []bool{strings.Contains(out.String(), "request_ended"), strings.Contains(out.String(), "log_lines_left_out")}
+	if diff := cmp.Diff([]bool{true, true}, got); diff != "" {
+		t.Errorf("warning kept, loss told (-want +got):\n%s", diff)
+	}
+}
+
+func BenchmarkLine(b *testing.B) {
+	w := trail.NewWriter(&bytes.Buffer{})
+	log := slog.New(w.Handler(slog.LevelInfo))
+	for b.Loop() {
+		log.Info("request_ended", "request", "9c41d07be2a35f68", "status", 200, "upstream", "i-7f3a91c2", "first", 100)
+	}
+}
