--- a/cmd/cicadavalve/main.go
+++ b/cmd/cicadavalve/main.go
@@ -33,6 +33,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newEntryCommand(), newDaemonCommand(), newCheckCommand(), newApplyCommand(), newShowCommand(), newReplayCommand(), newDiffCommand(), newVersionCommand())
+	root.AddCommand(newEntryCommand(), newDaemonCommand(), newExplainCommand(), newCheckCommand(), newApplyCommand(), newShowCommand(), newReplayCommand(), newDiffCommand(), newVersionCommand())
 	return root
 }
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -54,17 +54,23 @@
 	idle bool
 }
 
-// choose weighs the upstreams and returns the best, nil if none may take the request; full tells that
-// some would, had they room.
-func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID) (best *option, full bool) {
+// Tally counts what was found of a service's upstreams.
+type Tally struct {
+	// Closed upstreams get no work, Full ones have no room for the request, Open ones would take it.
+	Closed, Full, Open int
+}
+
+// choose weighs the upstreams and returns the best, nil if none may take the request.
+func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID) (best *option, tally Tally) {
 	service, ok := m.set.Service(need.Service)
 	if !ok {
-		return nil, false
+		return nil, tally
 	}
 	finder := &finder{m: m, now: now, need: need, service: service}
 	step := m.step(now, need)
 	m.fleet.Each(need.Service, func(u *conf.Upstream) {
 		if contains(avoid, u.ID) || !m.open(now, u, service, need) {
+			tally.Closed++
 			return
 		}
 		var o *option
@@ -74,14 +80,15 @@
 			o = m.weighCall(now, need, u)
 		}
 		if o == nil {
-			full = true
+			tally.Full++
 			return
 		}
+		tally.Open++
 		if best == nil || o.cost < best.cost || o.cost == best.cost && o.upstream.ID < best.upstream.ID {
 			best = o
 		}
 	})
-	return best, full
+	return best, tally
 }
 
 func contains(ids []ident.UpstreamID, id ident.UpstreamID) bool {
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -146,6 +146,8 @@
 	Reason Reason
 	// Expected is the time to the first byte that the choice rests on, zero if there was no upstream.
 	Expected time.Duration
+	// Tally is what was found of the upstreams.
+	Tally Tally
 }
 
 // Reason tells why a request was refused.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -272,16 +272,16 @@
 }
 
 // wait keeps a request until an upstream may take it.
-func (m *Model) wait(now time.Time, w *waiting, full bool) (cmds []ident.Cmd) {
+func (m *Model) wait(now time.Time, w *waiting, tally Tally) (cmds []ident.Cmd) {
 	if w.until.IsZero() {
 		w.until = now.Add(min(time.Duration(waitFactor*float64(w.need.Objective)), w.need.Deadline.Sub(now)/waitPart))
 	}
 	if !now.Before(w.until) {
 		reason := NoUpstream
-		if full {
+		if tally.Full > 0 {
 			reason = Overloaded
 		}
-		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, After: m.spread(leastReturn), Reason: reason}}
+		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, After: m.spread(leastReturn), Reason: reason, Tally: tally}}
 	}
 	m.queue = append(m.queue, w)
 	return nil
@@ -307,24 +307,24 @@
 
 // place sends, refuses or keeps a request.
 func (m *Model) place(now time.Time, w *waiting) (cmds []ident.Cmd) {
-	best, full := m.choose(now, &w.need, w.avoid)
+	best, tally := m.choose(now, &w.need, w.avoid)
 	if best == nil {
-		return m.wait(now, w, full)
+		return m.wait(now, w, tally)
 	}
 	need := &w.need
 	if now.Add(best.first).After(need.Deadline) {
-		return m.refuse(need, best, TooLate)
+		return m.refuse(need, best, tally, TooLate)
 	}
 	waited := now.Sub(need.Arrived)
 	if float64(waited+best.first) > lateFactor*float64(need.Objective) && !best.idle {
-		return m.refuse(need, best, Overloaded)
+		return m.refuse(need, best, tally, Overloaded)
 	}
 	return m.send(now, need, best)
 }
 
-func (m *Model) refuse(need *Need, best *option, reason Reason) []ident.Cmd {
+func (m *Model) refuse(need *Need, best *option, tally Tally, reason Reason) []ident.Cmd {
 	after := min(max(best.first-need.Objective/2, leastReturn), mostReturn)
-	return []ident.Cmd{RefuseCmd{Ticket: need.Ticket, After: m.spread(after), Reason: reason, Expected: best.first}}
+	return []ident.Cmd{RefuseCmd{Ticket: need.Ticket, After: m.spread(after), Reason: reason, Expected: best.first, Tally: tally}}
 }
 
 // send commits to an option.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -108,7 +108,7 @@
 
 // refused gives the request up before any upstream saw it.
 func (v *visit) refused(cmd *place.RefuseCmd) {
-	v.expected = cmd.Expected
+	v.expected, v.tally = cmd.Expected, &cmd.Tally
 	v.refuse(http.StatusServiceUnavailable, cmd.After, string(cmd.Reason))
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -117,6 +117,8 @@
 	sent *place.SendCmd
 	// expected is the time to the first byte that the last decision rests on.
 	expected time.Duration
+	// tally is what a refusal rests on, nil if there was none.
+	tally *place.Tally
 	// cause is the last reason why an attempt failed.
 	cause error
 }
@@ -287,6 +289,9 @@
 		attrs = append(attrs, slog.Int64("weights", v.sent.Version), slog.Int("missing", v.sent.Missing), slog.Int("kept", v.sent.Kept),
 			slog.Int("fetched", v.sent.Fetched), slog.Int("again", v.sent.Again))
 	}
+	if v.tally != nil {
+		attrs = append(attrs, slog.Int("closed", v.tally.Closed), slog.Int("full", v.tally.Full), slog.Int("open", v.tally.Open))
+	}
 	if after >= 0 {
 		attrs = append(attrs, slog.Duration("after", after))
 	}
--- /dev/null
+++ b/io/story/story.go
@@ -0,0 +1,165 @@
+// Package story finds in the logs of many entries what became of one request, and what the entries believed then.
+package story
+
+import (
+	"bufio"
+	"compress/gzip"
+	"encoding/json"
+	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// around is how long before and after a request other events may explain it: a few intervals of the upstreams' list.
+const around = 3 * time.Second
+
+// mostLine is the longest line that is read, in bytes.
+const mostLine = 1 << 20
+
+// Line is one line of a log.
+type Line struct {
+	Time  time.Time
+	Entry string
+	// Event is the name of what happened.
+	Event string
+	// Fields holds the rest.
+	Fields map[string]any
+}
+
+// Story is what the logs tell of a request.
+type Story struct {
+	Request string
+	// Lines tell of the request itself, in order of time.
+	Lines []Line
+	// Context tells what the same entries learned, and what became of the same upstreams, shortly before and after.
+	Context []Line
+	// Skipped counts lines that are no log lines.
+	Skipped int
+}
+
+// Read collects lines from files, directories and compressed files; "-" is the given reader.
+//
+//	lines, skipped, err := story.Read([]string{"logs"}, os.Stdin)
+func Read(paths []string, stdin io.Reader) (lines []Line, skipped int, err error) {
+	defer func() { err = errors.Wrap(err, "read logs") }()
+	for _, path := range paths {
+		if path == "-" {
+			found, bad, err := scan(stdin)
+			if err != nil {
+				return nil, 0, err
+			}
+			lines, skipped = append(lines, found...), skipped+bad
+			continue
+		}
+		err := filepath.WalkDir(path, func(name string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() {
+				return err
+			}
+			found, bad, err := readFile(name)
+			lines, skipped = append(lines, found...), skipped+bad
+			return err
+		})
+		if err != nil {
+			return nil, 0, err
+		}
+	}
+	return lines, skipped, nil
+}
+
+func readFile(name string) (lines []Line, skipped int, err error) {
+	defer func() { err = errors.Wrap(err, name) }()
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	if !strings.HasSuffix(name, ".gz") {
+		return scan(f)
+	}
+	z, err := gzip.NewReader(f)
+	if err != nil {
+		return nil, 0, err
+	}
+	return scan(z)
+}
+
+func scan(r io.Reader) (lines []Line, skipped int, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, mostLine)
+	for s.Scan() {
+		if l, ok := parse(s.Bytes()); ok {
+			lines = append(lines, l)
+		} else {
+			skipped++
+		}
+	}
+	return lines, skipped, s.Err()
+}
+
+// parse reads a line; what a collector put before the JSON is passed over.
+func parse(b []byte) (l Line, ok bool) {
+	at := strings.IndexByte(string(b), '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	var head struct {
+		Time  time.Time `json:"time"`
+		Msg   string    `json:"msg"`
+		Entry string    `json:"entry"`
+	}
+	if json.Unmarshal(b[at:], &head) != nil || json.Unmarshal(b[at:], &l.Fields) != nil || head.Msg == "" {
+		return Line{}, false
+	}
+	for _, name := range []string{"time", "msg", "entry", "level"} {
+		delete(l.Fields, name)
+	}
+	l.Time, l.Event, l.Entry = head.Time, head.Msg, head.Entry
+	return l, true
+}
+
+// Find picks the story of a request out of lines.
+func Find(request string, lines []Line) (s Story) {
+	s.Request = request
+	entries, upstreams := map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.Fields["request"] != request {
+			continue
+		}
+		s.Lines = append(s.Lines, l)
+		entries[l.Entry] = true
+		if id, ok := l.Fields["upstream"].(string); ok && id != "" {
+			upstreams[id] = true
+		}
+	}
+	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	if len(s.Lines) == 0 {
+		return s
+	}
+	begin, end := s.begin().Add(-around), s.Lines[len(s.Lines)-1].Time.Add(around)
+	for _, l := range lines {
+		if _, ofRequest := l.Fields["request"]; ofRequest || l.Time.Before(begin) || l.Time.After(end) {
+			continue
+		}
+		id, _ := l.Fields["upstream"].(string)
+		if upstreams[id] || id == "" && entries[l.Entry] {
+			s.Context = append(s.Context, l)
+		}
+	}
+	slices.SortStableFunc(s.Context, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return s
+}
+
+// begin is when the request arrived, as its last line tells.
+func (s Story) begin() time.Time {
+	last := s.Lines[len(s.Lines)-1]
+	if whole, ok := last.Fields["whole"].(float64); ok {
+		return last.Time.Add(-time.Duration(whole))
+	}
+	return s.Lines[0].Time
+}
--- /dev/null
+++ b/io/story/story_test.go
@@ -0,0 +1,64 @@
+package story_test
+
+import (
+	"compress/gzip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/io/story"
+)
+
+const first = `collector {"time":"2026-01-01T00:00:10Z","level":"WARN","msg":"request_ended","entry":"a","request":"r1","whole":2000000000,"upstream":"u1","status":502}
+{"time":"2026-01-01T00:00:09Z","level":"WARN","msg":"store_lost","entry":"a","topic":1}
+{"time":"2026-01-01T00:00:01Z","level":"WARN","msg":"store_lost","entry":"a","topic":0}
+not a line
+`
+
+const second = `{"time":"2026-01-01T00:00:09.5Z","level":"INFO","msg":"request_sent_again","entry":"a","request":"r1","upstream":"u0"}
+{"time":"2026-01-01T00:00:08Z","level":"INFO","msg":"upstream_changed","entry":"b","upstream":"u1"}
+{"time":"2026-01-01T00:00:08Z","level":"INFO","msg":"upstream_changed","entry":"b","upstream":"u9"}
+{"time":"2026-01-01T00:00:09Z","level":"INFO","msg":"request_ended","entry":"a","request":"r2","upstream":"u1"}
+`
+
+// TestAStoryIsCollectedFromManyFiles reads a directory with a plain and a compressed file.
+func TestAStoryIsCollectedFromManyFiles(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "a.log"), []byte(first), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.Create(filepath.Join(dir, "b.log.gz"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	z := gzip.NewWriter(f)
+	if _, err := z.Write([]byte(second)); err != nil {
+		t.Fatal(err)
+	}
+	if err := z.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lines, skipped, err := story.Read([]string{dir, "-"}, strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := story.Find("r1", lines)
+	got := [][]string{events(s.Lines), events(s.Context)}
+	want := [][]string{{"request_sent_again a", "request_ended a"}, {"upstream_changed b", "store_lost a"}}
+	if diff := cmp.Diff(want, got); diff != "" || skipped != 1 {
+		t.Errorf("%d lines skipped, story (-want +got):\n%s", skipped, diff)
+	}
+	if missing := story.Find("r3", lines); len(missing.Lines)+len(missing.Context) != 0 {
+		t.Errorf("story of a request that is not there: %+v", missing)
+	}
+}
+
+func events(lines []story.Line) (names []string) {
+	for _, l := range lines {
+		names = append(names, l.Event+" "+l.Entry)
+	}
+	return names
+}
