Bound the time on old weights for each version by itself, and end orders when they are over

Engines stayed without work up to 1.5 s after their load, since other entries believed the order for that long. Change: versions are remembered with their times; the list of engines under orders replaces the one before; late engines are ordered without a drain.

--- /dev/null
+++ b/core/place/bench_test.go
@@ -0,0 +1,45 @@
+package place_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/parts"
+	"cicadavalve/core/place"
+)
+
+// BenchmarkPlace places prompts of three parts on engines that know many of them, among loads of other entries.
+func BenchmarkPlace(b *testing.B) {
+	for _, size := range []struct{ engines, stores, entries int }{{12, 5, 6}, {140, 31, 75}} {
+		b.Run(fmt.Sprintf("engines=%d", size.engines), func(b *testing.B) {
+			stores := make([]conf.Store, size.stores)
+			for i := range stores {
+				stores[i] = conf.Store{Address: fmt.Sprint("s", i), Zone: "z", Room: 1 << 20, Link: 100e9}
+			}
+			bench := newBench(size.engines, 1<<20, stores...)
+			rng := rand.New(rand.NewPCG(1, 2))
+			for i := range stores {
+				bench.index.Update(start, parts.ReportMsg{Holder: parts.Holder(stores[i].Address), Epoch: 1})
+			}
+			for e := range size.entries {
+				msg := place.PeerMsg{Peer: fmt.Sprint("entry", e)}
+				for range 10 {
+					msg.Loads = append(msg.Loads, place.Load{Upstream: engineID(rng.IntN(size.engines)), Requests: 1, Backlog: 100, Memory: 100})
+				}
+				bench.place.Update(start, msg)
+			}
+			ticket := place.Ticket(0)
+			for b.Loop() {
+				ticket++
+				n := need(ticket, start, 2000, fmt.Sprint("doc", rng.IntN(600)), time.Minute)
+				n.Chain = append([]conf.Part{{ID: fmt.Sprint("common", rng.IntN(8)), Tokens: 300}}, n.Chain...)
+				bench.place.Update(start, place.ArriveMsg{Need: n})
+				bench.place.Update(start, place.FirstByteMsg{Ticket: ticket})
+				bench.place.Update(start, place.EndMsg{Ticket: ticket})
+			}
+		})
+	}
+}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -22,7 +22,7 @@
 	// againFactor is how much a token that some upstream has read already weighs above a new one.
 	againFactor = 1.0
 	// fetchWeight is how much a fetched token weighs against one that is read: the copy takes memory from other parts.
-	fetchWeight = 0.15
+	fetchWeight = 0.05
 	// oldCost is the part of the objective that older weights add to a choice.
 	oldCost = 0.3
 	// badCost is how many objectives an upstream adds to a choice that fails every request.
@@ -108,8 +108,10 @@
 	if rate, cold := m.coldRate(now, u); cold && (rate == 0 || rate > 0 && m.load(u.ID).cold.peek(now, rate, coldBurst) < 1) {
 		return false
 	}
-	if w := m.wanted[need.Model]; service.Engine != nil && w.version > u.Weights[need.Model] && !w.since.IsZero() &&
-		now.Sub(w.since) > m.versionTime-versionMargin {
+	if service.Engine == nil || need.Model == "" {
+		return true
+	}
+	if since := m.newerSince(need.Model, u.Weights[need.Model]); !since.IsZero() && now.Sub(since) > m.versionTime-versionMargin {
 		return false
 	}
 	return true
@@ -192,7 +194,7 @@
 	o.first = time.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.besides(need, u, p)
 	o.cost += s.perToken * (againFactor*float64(o.again) + fetchWeight*float64(o.fetched))
-	if w := m.wanted[need.Model]; w.version > version {
+	if !m.newerSince(need.Model, version).IsZero() {
 		o.cost += oldCost * float64(need.Objective)
 	}
 	return o
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -62,8 +62,8 @@
 	set   *conf.Set
 	// objectives holds the shortest objective of the routes to each service.
 	objectives map[ident.ServiceName]time.Duration
-	// wanted is the newest version named of each model, and when it was named.
-	wanted map[ident.ModelName]wanted
+	// named holds the versions named of each model, the oldest first.
+	named map[ident.ModelName][]named
 	// versionTime is how long requests may begin on older weights.
 	versionTime time.Duration
 	sent        map[Ticket]*sent
@@ -76,8 +76,8 @@
 	links map[parts.Holder]*link
 }
 
-// wanted is a named version of weights.
-type wanted struct {
+// named is a version of weights, and when it was named.
+type named struct {
 	version int64
 	since   time.Time
 }
@@ -97,7 +97,7 @@
 func NewModel(upstreams *fleet.Model, index *parts.Index, rng *rand.Rand, options ...Option) *Model {
 	m := &Model{
 		fleet: upstreams, index: index, rng: rng, set: conf.NewSet(conf.Data{}), versionTime: defaultVersionTime,
-		wanted: map[ident.ModelName]wanted{}, sent: map[Ticket]*sent{}, loads: map[ident.UpstreamID]*load{},
+		named: map[ident.ModelName][]named{}, sent: map[Ticket]*sent{}, loads: map[ident.UpstreamID]*load{},
 		speeds: map[ident.ServiceName]*speed{}, paces: map[ident.UpstreamID]*pace{}, links: map[parts.Holder]*link{},
 	}
 	for _, o := range options {
@@ -124,16 +124,37 @@
 // SetCrew changes what is known of the other entries.
 func (m *Model) SetCrew(crew Crew) { m.crew = crew }
 
-// Want names the newest version of a model's weights.
-func (m *Model) Want(now time.Time, model ident.ModelName, version int64) {
-	if w := m.wanted[model]; version > w.version {
-		if w.version == 0 {
-			now = time.Time{}
+// Want names the newest version of a model's weights. A version that was named before this process knew of it
+// counts as old: only for settleTime may requests still begin on the weights before.
+func (m *Model) Want(now time.Time, model ident.ModelName, version int64, old bool) {
+	versions := m.named[model]
+	if n := len(versions); n > 0 && version <= versions[n-1].version {
+		return
+	}
+	since := now
+	if old {
+		since = now.Add(settleTime + versionMargin - m.versionTime)
+	}
+	m.named[model] = append(versions[max(0, len(versions)-mostNamed):], named{version, since})
+}
+
+// mostNamed is how many versions of a model are remembered; the older ones are out of their time.
+const mostNamed = 16
+
+// newerSince is since when a newer version than an engine's has been named, zero if there is none.
+func (m *Model) newerSince(model ident.ModelName, version int64) time.Time {
+	for _, n := range m.named[model] {
+		if n.version > version {
+			return n.since
 		}
-		m.wanted[model] = wanted{version, now}
 	}
+	return time.Time{}
 }
 
+// settleTime is how long a process that has just started may use weights of which it can't tell how old they
+// are; the platform counts a machine from three seconds after its start.
+const settleTime = 2500 * time.Millisecond
+
 // Update takes in one message.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	switch msg := msg.(type) {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -209,8 +209,7 @@
 // TestOlderWeightsGetNothingNearTheBound names a version and waits.
 func TestOlderWeightsGetNothingNearTheBound(t *testing.T) {
 	b := newBench(1, 100_000)
-	b.place.Want(start, model, 1)
-	b.place.Want(start, model, 2)
+	b.place.Want(start, model, 2, false)
 	var got []int
 	for i, after := range []time.Duration{time.Second, 9 * time.Second, 11 * time.Second} {
 		now := start.Add(after)
@@ -222,6 +221,32 @@
 	}
 }
 
+// TestANewerNameDoesNotRenewOldWeights names another version just before the time of the first is over.
+func TestANewerNameDoesNotRenewOldWeights(t *testing.T) {
+	b := newBench(1, 100_000)
+	b.place.Want(start, model, 2, false)
+	b.place.Want(start.Add(8*time.Second), model, 3, false)
+	now := start.Add(9 * time.Second)
+	cmds := b.place.Update(now, place.ArriveMsg{Need: need(1, now, 100, "doc", time.Second)})
+	if diff := cmp.Diff(0, len(sends(cmds))); diff != "" {
+		t.Errorf("sent (-want +got):\n%s", diff)
+	}
+}
+
+// TestAStartedEntryUsesOldWeightsBriefly learns at its start of a version that was named at an unknown time.
+func TestAStartedEntryUsesOldWeightsBriefly(t *testing.T) {
+	b := newBench(1, 100_000)
+	b.place.Want(start, model, 2, true)
+	var got []int
+	for i, after := range []time.Duration{time.Second, 3 * time.Second} {
+		now := start.Add(after)
+		got = append(got, len(sends(b.place.Update(now, place.ArriveMsg{Need: need(place.Ticket(i+1), now, 100, "doc", time.Second)}))))
+	}
+	if diff := cmp.Diff([]int{1, 0}, got); diff != "" {
+		t.Errorf("sent 1 and 3 s after the start (-want +got):\n%s", diff)
+	}
+}
+
 // TestLoadOfOthersCounts tells of an engine that another entry has filled.
 func TestLoadOfOthersCounts(t *testing.T) {
 	b := newBench(2, 1_000_000)
--- a/core/swap/swap.go
+++ b/core/swap/swap.go
@@ -21,6 +21,9 @@
 	// drainTime is how long an engine finishes what it has before it is ordered. Requests that last longer
 	// keep their old weights to their end.
 	drainTime = 800 * time.Millisecond
+	// hurryTime is how long after a version was named the engines that still lack it no longer finish what they
+	// have before they are ordered.
+	hurryTime = 2500 * time.Millisecond
 	// askInterval is how often an engine that loads is asked.
 	askInterval = 250 * time.Millisecond
 	// retryTime is how long an order without effect is believed to be on its way.
@@ -86,6 +89,8 @@
 type Model struct {
 	fleet  *fleet.Model
 	wanted map[ident.ModelName]int64
+	// since holds when the wanted versions were named.
+	since  map[ident.ModelName]time.Time
 	steps  map[ident.UpstreamID]*step
 	paused map[ident.UpstreamID]time.Time
 }
@@ -93,14 +98,16 @@
 // NewModel gives orders to the engines of a fleet.
 //
 //	m := swap.NewModel(upstreams)
-//	m.Want("m0", 2)
+//	m.Want(now, "m0", 2)
 func NewModel(upstreams *fleet.Model) *Model {
-	return &Model{fleet: upstreams, wanted: map[ident.ModelName]int64{}, steps: map[ident.UpstreamID]*step{}, paused: map[ident.UpstreamID]time.Time{}}
+	return &Model{fleet: upstreams, wanted: map[ident.ModelName]int64{}, since: map[ident.ModelName]time.Time{}, steps: map[ident.UpstreamID]*step{}, paused: map[ident.UpstreamID]time.Time{}}
 }
 
 // Want names the newest version of a model.
-func (m *Model) Want(model ident.ModelName, version int64) {
-	m.wanted[model] = max(m.wanted[model], version)
+func (m *Model) Want(now time.Time, model ident.ModelName, version int64) {
+	if version > m.wanted[model] {
+		m.wanted[model], m.since[model] = version, now
+	}
 }
 
 // Behind tells whether an engine still has older weights.
@@ -207,7 +214,7 @@
 		}
 		switch s.phase {
 		case draining:
-			if loading < mostLoads && (busy(u.ID) == 0 || now.Sub(s.since) >= drainTime) {
+			if loading < mostLoads && (busy(u.ID) == 0 || now.Sub(s.since) >= drainTime || m.hurry(now, s.model)) {
 				s.phase = asking
 				loading++
 				cmds = append(cmds, m.ask(now, s, u)...)
@@ -227,6 +234,11 @@
 	return cmds
 }
 
+// hurry tells whether a version was named long ago.
+func (m *Model) hurry(now time.Time, model ident.ModelName) bool {
+	return now.Sub(m.since[model]) > hurryTime
+}
+
 func (m *Model) ask(now time.Time, s *step, u conf.Upstream) []ident.Cmd {
 	if now.Sub(s.asked) < askInterval {
 		return nil
--- a/core/swap/swap_test.go
+++ b/core/swap/swap_test.go
@@ -46,13 +46,13 @@
 			upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
 		}
 		m := swap.NewModel(upstreams)
-		m.Want(model, 2)
+		m.Want(now, model, 2)
 		end := now.Add(60 * time.Second)
 		second := now.Add(time.Duration(rng.IntN(5000)) * time.Millisecond)
 		for named := false; now.Before(end) && (m.Behind() || !named); now = now.Add(100 * time.Millisecond) {
 			if !now.Before(second) {
 				named = true
-				m.Want(model, 3)
+				m.Want(now, model, 3)
 			}
 			for _, cmd := range m.Update(now, swap.TickMsg{Holds: true, Busy: func(ident.UpstreamID) int { return rng.IntN(3) }}) {
 				perform(now, upstreams, m, engines, cmd, rng.Float64() < loss)
@@ -96,7 +96,7 @@
 	upstreams := fleet.NewModel()
 	upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: "a", Weights: map[ident.ModelName]int64{model: 1}}})
 	m := swap.NewModel(upstreams)
-	m.Want(model, 2)
+	m.Want(now, model, 2)
 	cmds := m.Update(now, swap.TickMsg{Busy: func(ident.UpstreamID) int { return 0 }})
 	if diff := cmp.Diff(0, len(cmds)); diff != "" {
 		t.Errorf("commands (-want +got):\n%s", diff)
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -48,6 +48,8 @@
 	weights []gossip.Weights
 	// wanted is the newest version named of each model's weights.
 	wanted map[ident.ModelName]int64
+	// ordered holds the upstreams that carry out orders, by the entry that gives them.
+	ordered map[string][]string
 	// ahead is by how much the engines' clock is ahead of this process's, known once clocked is set.
 	ahead   time.Duration
 	clocked bool
@@ -62,7 +64,7 @@
 	d := &Desk{
 		log: log, settings: s, fleet: upstreams, index: index, mesh: mesh.NewModel(self),
 		place: place.NewModel(upstreams, index, rng, place.WithVersionTime(s.VersionTime)),
-		waits: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), wanted: map[ident.ModelName]int64{},
+		waits: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), wanted: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
 	d.place.SetCrew(place.Crew{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
 	return d
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -61,10 +61,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	holds = u.lease.Claims(sinceBoot())
+	return holds, u.underway()
+}
+
+// underway lists the engines that get no new work since they are about to load; the lock is held.
+func (u *duty) underway() (ids []string) {
 	for _, id := range u.swap.Underway() {
-		ordered = append(ordered, string(id))
+		ids = append(ids, string(id))
 	}
-	return holds, ordered
+	return ids
 }
 
 // run decides at each interval.
@@ -110,13 +115,11 @@
 	defer u.mu.Unlock()
 	now := time.Now()
 	for model, version := range u.d.desk.wanted {
-		u.swap.Want(model, version)
+		u.swap.Want(now, model, version)
 		u.purge.Want(model, version)
 	}
 	cmds = u.swap.Update(now, swap.TickMsg{Holds: holds, Busy: func(id ident.UpstreamID) int { return u.d.desk.place.Busy(now, id) }})
-	for _, id := range u.swap.Underway() {
-		u.d.desk.fleet.Update(now, fleet.OrderedMsg{ID: id, Until: now.Add(orderedTime)})
-	}
+	u.d.desk.setOrdered(now, u.d.self.ID, u.underway())
 	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.desk.stores()})...)
 }
 
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -135,8 +135,8 @@
 			d.accept(e.Data)
 		case seam.VersionEvent:
 			d.log.Info("weights_named", "model", e.Model, "version", e.Version)
-			d.place.Want(now, e.Model, e.Version)
-			d.wanted[e.Model] = e.Version
+			d.place.Want(now, e.Model, e.Version, whole)
+			d.wanted[e.Model] = max(d.wanted[e.Model], e.Version)
 		case seam.ZoneEvent:
 			d.log.Info("zone_changed", "zone", e.Zone, "avoided", e.Avoided)
 			d.perform(d.fleet.Update(now, fleet.AvoidMsg{Zone: e.Zone, Avoided: e.Avoided}))
--- a/io/daemon/talk.go
+++ b/io/daemon/talk.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cicadavalve/core/fleet"
@@ -17,11 +18,14 @@
 	// leastBeat is the fastest pace of the heartbeats between entries. A load that is told later than the next
 	// request comes draws other entries to the same upstream, so each change is told at once at this pace.
 	leastBeat = 10 * time.Millisecond
-	// beatPerEntry slows the heartbeats as entries become more, so that their number grows no faster than the entries.
-	beatPerEntry = 2 * time.Millisecond
-	// mostBeat is the slowest pace; several heartbeats fit the silence after which an entry counts as dead.
-	mostBeat = 250 * time.Millisecond
-	// orderedTime is how long another entry's word counts that an upstream carries out an order.
+	// beatPerPair slows the heartbeats with the square of the number of entries, so that what one entry has to
+	// read falls as entries become more.
+	beatPerPair = 150 * time.Microsecond
+	// idleBeat is the pace without changes.
+	idleBeat = 250 * time.Millisecond
+	// mostBeat is the slowest pace; three heartbeats fit the silence after which an entry counts as dead.
+	mostBeat = 500 * time.Millisecond
+	// orderedTime is how long an entry's word counts that an upstream carries out an order, unless it takes it back.
 	orderedTime = 3 * mostBeat
 	// greetInterval is the pace at which an entry without peers asks those it was told of.
 	greetInterval = time.Second
@@ -39,7 +43,7 @@
 func (t *talk) run(ctx context.Context) {
 	for {
 		entries := t.beat(time.Now())
-		least := min(max(leastBeat, time.Duration(entries)*beatPerEntry), mostBeat)
+		least := min(max(leastBeat, time.Duration(entries*entries)*beatPerPair), mostBeat)
 		select {
 		case <-ctx.Done():
 			return
@@ -49,7 +53,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.d.desk.changed:
-		case <-time.After(mostBeat - least):
+		case <-time.After(max(idleBeat-least, 0)):
 		}
 	}
 }
@@ -160,8 +164,8 @@
 	for _, r := range m.Reports {
 		d.index.Update(now, report(r))
 	}
-	for _, id := range m.Ordered {
-		d.fleet.Update(now, fleet.OrderedMsg{ID: ident.UpstreamID(id), Until: now.Add(orderedTime)})
+	if m.Beat {
+		d.setOrdered(now, m.ID, m.Ordered)
 	}
 	for _, w := range m.Weights {
 		d.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(w.Upstream), Model: ident.ModelName(w.Model), Version: w.Version})
@@ -175,3 +179,17 @@
 	}
 	return msg
 }
+
+// setOrdered takes in which upstreams carry out orders of one entry; those that no longer do get work again. The
+// lock is held.
+func (d *Desk) setOrdered(now time.Time, entry string, ids []string) {
+	for _, id := range d.ordered[entry] {
+		if !slices.Contains(ids, id) {
+			d.fleet.Update(now, fleet.OrderedMsg{ID: ident.UpstreamID(id), Until: now})
+		}
+	}
+	for _, id := range ids {
+		d.fleet.Update(now, fleet.OrderedMsg{ID: ident.UpstreamID(id), Until: now.Add(orderedTime)})
+	}
+	d.ordered[entry] = ids
+}
