--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -37,8 +37,9 @@
 	// bodyShare is the part of the memory limit that bodies of requests may take.
 	bodyShare = 0.2
 	// leaveTime is how long a stopping entry still takes requests: callers keep its address for as long as
-	// the advice holds, some of them three times as long.
-	leaveTime = 3*addressHold + 200*time.Millisecond
+	// the advice holds, some of them three times as long, and what is taken later than three seconds after
+	// the signal must not be cut.
+	leaveTime = 3*addressHold - 200*time.Millisecond
 	// leaveShare bounds leaveTime to a part of the grace, so that what was taken last has time to end.
 	leaveShare = 0.4
 	// stopMargin is kept from the grace for the end of the process.
