Send prompts to the engine that is reading what they share

Cause: a document that was being read counted as kept there, so that a second engine was told to fetch it and read it anew. Change: parts that are being read are known apart, told to the other entries, never fetched, and count as read again at another engine.

--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -22,6 +22,8 @@
 	restTime = 2 * confirmTime
 	// saveTime is how long a save may take; one that isn't reported by then counts as lost.
 	saveTime = 6 * time.Second
+	// readTime is how long an upstream may take to read a part before nobody counts on it.
+	readTime = 2 * time.Second
 	// fullShare is the part of a store's room that is used at the most; the rest holds saves that others have begun.
 	fullShare = 0.94
 	// blockTokens rounds parts up to what a holder reserves for them, in tokens.
@@ -69,6 +71,13 @@
 	Tokens int
 }
 
+// ReadingMsg is a part that an upstream is about to read, so that prompts that share it had better go there too.
+type ReadingMsg struct {
+	Holder Holder
+	Key    Key
+	Tokens int
+}
+
 // RanMsg is a prompt that an upstream has read.
 type RanMsg struct {
 	Holder Holder
@@ -82,8 +91,8 @@
 	Key    Key
 }
 
-// saving is a part on its way into a store.
-type saving struct {
+// pending is a part on its way to a holder.
+type pending struct {
 	tokens int
 	since  time.Time
 }
@@ -96,7 +105,9 @@
 	// used is the sum of parts, in tokens, rounded up to blocks.
 	used int
 	// saves holds what may be there in part; it is never read.
-	saves     map[Key]saving
+	saves map[Key]pending
+	// reads holds what an upstream is reading; nobody fetches it yet.
+	reads     map[Key]pending
 	confirmed time.Time
 	// restUntil is until when nothing is saved there after it lost its parts.
 	restUntil time.Time
@@ -121,7 +132,11 @@
 	case GoneMsg:
 		delete(x.holders, msg.Holder)
 	case SaveMsg:
-		x.holding(msg.Store).saves[msg.Key] = saving{rounded(msg.Tokens), now}
+		x.holding(msg.Store).saves[msg.Key] = pending{rounded(msg.Tokens), now}
+	case ReadingMsg:
+		if h := x.holding(msg.Holder); h.parts[msg.Key] < msg.Tokens {
+			h.reads[msg.Key] = pending{msg.Tokens, now}
+		}
 	case RanMsg:
 		h := x.holding(msg.Holder)
 		for _, p := range msg.Chain {
@@ -136,7 +151,7 @@
 func (x *Index) holding(name Holder) *holding {
 	h, ok := x.holders[name]
 	if !ok {
-		h = &holding{parts: map[Key]int{}, saves: map[Key]saving{}}
+		h = &holding{parts: map[Key]int{}, saves: map[Key]pending{}, reads: map[Key]pending{}}
 		x.holders[name] = h
 	}
 	return h
@@ -148,7 +163,7 @@
 		if h.epoch != 0 {
 			h.restUntil = now.Add(restTime)
 		}
-		*h = holding{epoch: msg.Epoch, parts: map[Key]int{}, saves: map[Key]saving{}, restUntil: h.restUntil}
+		*h = holding{epoch: msg.Epoch, parts: map[Key]int{}, saves: map[Key]pending{}, reads: map[Key]pending{}, restUntil: h.restUntil}
 	} else if msg.Whole {
 		clear(h.parts)
 		h.used = 0
@@ -163,6 +178,7 @@
 	h.used -= rounded(h.parts[key])
 	delete(h.parts, key)
 	delete(h.saves, key)
+	delete(h.reads, key)
 	if tokens > 0 {
 		h.parts[key] = tokens
 		h.used += rounded(tokens)
@@ -171,14 +187,14 @@
 
 func rounded(tokens int) int { return (tokens + blockTokens - 1) / blockTokens * blockTokens }
 
-// Kept is how many tokens from the start of a chain a holder has without a gap.
-func (x *Index) Kept(holder Holder, salt string, chain []conf.Part) (tokens int) {
+// Kept is how many tokens from the start of a chain a holder has without a gap, or will have soon.
+func (x *Index) Kept(now time.Time, holder Holder, salt string, chain []conf.Part) (tokens int) {
 	h, ok := x.holders[holder]
 	if !ok {
 		return 0
 	}
 	for _, p := range chain {
-		have := h.parts[NewKey(salt, p.ID)]
+		have := h.soon(now, NewKey(salt, p.ID))
 		tokens += min(have, p.Tokens)
 		if have < p.Tokens {
 			return tokens
@@ -187,6 +203,20 @@
 	return tokens
 }
 
+// soon is how many tokens of a part a holder has or is reading.
+func (h *holding) soon(now time.Time, key Key) (tokens int) {
+	if r, reading := h.reads[key]; reading && now.Sub(r.since) < readTime {
+		return max(r.tokens, h.parts[key])
+	}
+	return h.parts[key]
+}
+
+// Soon tells whether a holder has a whole part or is reading it.
+func (x *Index) Soon(now time.Time, holder Holder, key Key, tokens int) bool {
+	h, ok := x.holders[holder]
+	return ok && h.soon(now, key) >= max(tokens/blockTokens*blockTokens, 1)
+}
+
 // Has tells whether a holder has a whole part.
 func (x *Index) Has(holder Holder, key Key, tokens int) bool {
 	h, ok := x.holders[holder]
@@ -238,6 +268,7 @@
 	for key, s := range h.saves {
 		if now.Sub(s.since) >= saveTime {
 			delete(h.saves, key)
+			delete(h.reads, key)
 			continue
 		}
 		tokens += s.tokens
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -167,7 +167,7 @@
 	version := u.Weights[need.Model]
 	o := &option{upstream: *u, version: version, salt: find.salt(version), idle: total.Requests < u.Slots/2}
 	shared := need.Shared()
-	o.kept = m.index.Kept(parts.Holder(u.Address), o.salt, shared)
+	o.kept = m.index.Kept(now, parts.Holder(u.Address), o.salt, shared)
 	find.fill(o)
 	o.missing = need.Tokens() - o.kept - o.fetched
 	o.ahead = l.ahead(now, need.Rank)
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -119,11 +119,13 @@
 	salts   map[int64]string
 	// origins holds the origins of each shared part by version.
 	origins map[int64][][]origin
+	// reading tells of each part without an origin whether some upstream is reading it.
+	reading map[parts.Key]bool
 }
 
 func (f *finder) salt(version int64) string {
 	if f.salts == nil {
-		f.salts, f.origins = map[int64]string{}, map[int64][][]origin{}
+		f.salts, f.origins, f.reading = map[int64]string{}, map[int64][][]origin{}, map[parts.Key]bool{}
 	}
 	salt, ok := f.salts[version]
 	if !ok {
@@ -172,12 +174,15 @@
 	missing := false
 	perToken := f.m.speed(f.need.Service).perToken
 	for i, p := range shared {
-		if f.m.index.Has(own, parts.NewKey(o.salt, p.ID), p.Tokens) {
+		if f.m.index.Soon(f.now, own, parts.NewKey(o.salt, p.ID), p.Tokens) {
 			continue
 		}
 		best, took, ok := f.nearest(f.look(o.version)[i], own, o.upstream.Zone)
 		if !ok {
 			missing = true
+			if f.read(o.version, p) {
+				o.again += p.Tokens
+			}
 			continue
 		}
 		read := time.Duration(perToken * float64(p.Tokens))
@@ -198,6 +203,19 @@
 	}
 }
 
+// read tells whether some upstream is reading a part.
+func (f *finder) read(version int64, p conf.Part) (reading bool) {
+	key := parts.NewKey(f.salt(version), p.ID)
+	if known, ok := f.reading[key]; ok {
+		return known
+	}
+	f.m.fleet.Each(f.need.Service, func(u *conf.Upstream) {
+		reading = reading || u.Weights[f.need.Model] == version && f.m.index.Soon(f.now, parts.Holder(u.Address), key, p.Tokens)
+	})
+	f.reading[key] = reading
+	return reading
+}
+
 func (f *finder) nearest(origins []origin, own parts.Holder, zone ident.Zone) (best origin, took time.Duration, ok bool) {
 	for _, x := range origins {
 		if x.holder == own {
@@ -279,3 +297,16 @@
 
 // ln is the natural logarithm of a hash in (0, 1), kept away from both ends.
 func ln(h float64) float64 { return math.Log(min(max(h, 1e-12), 1-1e-12)) }
+
+// reads notes the parts that the upstream is about to read or to fetch.
+func (m *Model) reads(now time.Time, need *Need, o *option) (cmds []ident.Cmd) {
+	for _, p := range need.Shared() {
+		msg := parts.ReadingMsg{Holder: parts.Holder(o.upstream.Address), Key: parts.NewKey(o.salt, p.ID), Tokens: p.Tokens}
+		if m.index.Soon(now, msg.Holder, msg.Key, msg.Tokens) {
+			continue
+		}
+		m.index.Update(now, msg)
+		cmds = append(cmds, ReadingCmd{msg})
+	}
+	return cmds
+}
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -160,5 +160,8 @@
 	TooLate    Reason = "deadline_too_close"
 )
 
+// ReadingCmd tells the other entries of a part that an upstream is about to have.
+type ReadingCmd struct{ Reading parts.ReadingMsg }
+
 // SavedCmd tells the other entries of a part on its way into a store.
 type SavedCmd struct{ Save parts.SaveMsg }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -44,6 +44,9 @@
 	fetch     parts.Holder
 	fetchTime time.Duration
 	begun     bool
+	// address and salt tell where the parts of the prompt are kept once it was read.
+	address parts.Holder
+	salt    string
 }
 
 // waiting is a request without an upstream.
@@ -225,6 +228,9 @@
 		return
 	}
 	s.begun = true
+	if len(s.need.Chain) > 0 {
+		m.index.Update(now, parts.RanMsg{Holder: s.address, Salt: s.salt, Chain: s.need.Shared()})
+	}
 	m.load(s.upstream).read(s)
 	elapsed := now.Sub(s.at)
 	speed, pace := m.speed(s.need.Service), m.pace(s.upstream)
@@ -358,7 +364,7 @@
 	s := &sent{
 		need: *need, upstream: u.ID, at: now, rank: clampRank(need.Rank), backlog: o.missing,
 		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.first,
-		fetch: o.source, fetchTime: o.fetchTime,
+		fetch: o.source, fetchTime: o.fetchTime, address: parts.Holder(u.Address), salt: o.salt,
 	}
 	l.begin(s)
 	m.sent[need.Ticket] = s
@@ -372,7 +378,7 @@
 	}
 	if len(need.Chain) > 0 {
 		cmd.Save, cmds = m.saves(now, need, o)
-		m.index.Update(now, parts.RanMsg{Holder: parts.Holder(u.Address), Salt: o.salt, Chain: need.Shared()})
+		cmds = append(cmds, m.reads(now, need, o)...)
 	}
 	return append(cmds, cmd)
 }
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -110,6 +110,32 @@
 	}
 }
 
+// TestAPartThatIsBeingReadIsNotFetched replays two requests for one document that come while it is first read, one
+// of them at an entry that only heard of it: both must go to the engine that reads it.
+func TestAPartThatIsBeingReadIsNotFetched(t *testing.T) {
+	b, other := newBench(4, 200_000), newBench(4, 200_000)
+	var engines []ident.UpstreamID
+	cmds := b.place.Update(start, place.ArriveMsg{Need: need(1, start, 8000, "doc", 800*time.Millisecond)})
+	for _, cmd := range cmds {
+		if r, ok := cmd.(place.ReadingCmd); ok {
+			other.index.Update(start, r.Reading)
+		}
+	}
+	now := start.Add(20 * time.Millisecond)
+	for _, at := range []*bench{b, other} {
+		cmds = append(cmds, at.place.Update(now, place.ArriveMsg{Need: need(2, now, 8000, "doc", 800*time.Millisecond)})...)
+	}
+	for _, s := range sends(cmds) {
+		engines = append(engines, s.Upstream.ID)
+		if s.Fetch != nil {
+			t.Errorf("fetched from %+v", s.Fetch)
+		}
+	}
+	if diff := cmp.Diff([]ident.UpstreamID{"e00", "e00", "e00"}, engines); diff != "" {
+		t.Errorf("engines (-want +got):\n%s", diff)
+	}
+}
+
 // TestAPartIsSavedOnce reads a document twice before its save is reported.
 func TestAPartIsSavedOnce(t *testing.T) {
 	b := newBench(2, 200_000, conf.Store{Address: "s", Zone: "z", Room: 100_000, Link: 100e9})
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -42,8 +42,9 @@
 	budgets map[ident.ServiceName]*retry.Window
 	// changed wakes those who tell the other entries.
 	changed chan struct{}
-	// saves and reports wait to be told to the other entries.
+	// saves, reads and reports wait to be told to the other entries.
 	saves   []gossip.Save
+	reads   []gossip.Save
 	reports map[string]*gossip.Report
 	weights []gossip.Weights
 	// wanted is the newest version named of each model's weights.
@@ -118,6 +119,8 @@
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.SavedCmd:
 			d.saves = append(d.saves, gossip.Save{Store: string(cmd.Save.Store), Key: uint64(cmd.Save.Key), Tokens: cmd.Save.Tokens})
+		case place.ReadingCmd:
+			d.reads = append(d.reads, gossip.Save{Store: string(cmd.Reading.Holder), Key: uint64(cmd.Reading.Key), Tokens: cmd.Reading.Tokens})
 		case fleet.GoneCmd:
 			d.place.Update(time.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -103,7 +103,7 @@
 	u.mu.Unlock()
 	cmds = append(cmds, u.orders(holds)...)
 	for _, cmd := range cmds {
-		go u.perform(ctx, cmd)
+		go (&task{u, cmd}).run(ctx)
 	}
 }
 
@@ -123,10 +123,18 @@
 	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.desk.stores()})...)
 }
 
-func (u *duty) perform(ctx context.Context, cmd ident.Cmd) {
+// task is one command of the duty that waits for an answer.
+type task struct {
+	duty *duty
+	cmd  ident.Cmd
+}
+
+// run performs the command.
+func (t *task) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	switch cmd := cmd.(type) {
+	u := t.duty
+	switch cmd := t.cmd.(type) {
 	case lease.ReadCmd:
 		u.read(ctx)
 	case lease.ClaimCmd:
--- a/io/daemon/talk.go
+++ b/io/daemon/talk.go
@@ -91,7 +91,7 @@
 	d.place.SetCrew(place.Crew{Self: self.ID, IDs: mesh.IDs(alive), Zone: self.Zone})
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), Life: int(self.Life), Boot: self.Boot,
-		Peers: mesh.IDs(alive), Beat: true, Saves: d.saves, Weights: d.weights,
+		Peers: mesh.IDs(alive), Beat: true, Saves: d.saves, Reads: d.reads, Weights: d.weights,
 	}
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
@@ -102,7 +102,7 @@
 	for _, r := range d.reports {
 		m.Reports = append(m.Reports, *r)
 	}
-	d.saves, d.weights = nil, nil
+	d.saves, d.reads, d.weights = nil, nil, nil
 	clear(d.reports)
 	return m, mesh.IDs(alive)
 }
@@ -161,6 +161,9 @@
 	for _, s := range m.Saves {
 		d.index.Update(now, parts.SaveMsg{Store: parts.Holder(s.Store), Key: parts.Key(s.Key), Tokens: s.Tokens})
 	}
+	for _, r := range m.Reads {
+		d.index.Update(now, parts.ReadingMsg{Holder: parts.Holder(r.Store), Key: parts.Key(r.Key), Tokens: r.Tokens})
+	}
 	for _, r := range m.Reports {
 		d.index.Update(now, report(r))
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -33,7 +33,7 @@
 	Changes []Change
 }
 
-// Save is a part on its way into a store.
+// Save is a part on its way into a store or an upstream.
 type Save struct {
 	_      struct{} `cbor:",toarray"`
 	Store  string
@@ -69,6 +69,8 @@
 	// Weights lists versions of weights that engines were seen at.
 	Weights []Weights `cbor:"13,keyasint,omitempty"`
 	Links   []Link    `cbor:"14,keyasint,omitempty"`
+	// Reads lists parts that upstreams are about to have; Store is the upstream.
+	Reads []Save `cbor:"15,keyasint,omitempty"`
 }
 
 // Weights is the version that an engine was seen at.
@@ -158,7 +160,7 @@
 
 // weight is about how much a message holds, counted in changes of parts.
 func weight(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Reads) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
