--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"slices"
 	"time"
 
 	"cicadavalve/core/conf"
@@ -66,16 +67,16 @@
 	if !ok {
 		return nil, tally
 	}
-	finder := &finder{m: m, now: now, need: need, service: service}
+	find := &finder{m: m, now: now, need: need, service: service}
 	step := m.step(now, need)
 	m.fleet.Each(need.Service, func(u *conf.Upstream) {
-		if contains(avoid, u.ID) || !m.open(now, u, service, need) {
+		if slices.Contains(avoid, u.ID) || !m.open(now, u, service, need) {
 			tally.Closed++
 			return
 		}
 		var o *option
 		if service.Engine != nil && len(need.Chain) > 0 {
-			o = m.weighEngine(now, need, step, finder, u)
+			o = m.weighEngine(now, need, step, find, u)
 		} else {
 			o = m.weighCall(now, need, u)
 		}
@@ -91,15 +92,6 @@
 	return best, tally
 }
 
-func contains(ids []ident.UpstreamID, id ident.UpstreamID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // open tells whether an upstream may get the request at all.
 func (m *Model) open(now time.Time, u *conf.Upstream, service *conf.Service, need *Need) bool {
 	if !m.fleet.Usable(now, u.ID) || m.fleet.Ordered(now, u.ID) {
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -138,7 +138,7 @@
 func (d *Desk) budget(service ident.ServiceName) *retry.Window {
 	w, ok := d.budgets[service]
 	if !ok {
-		w = retry.NewWindow(d.settings.RetrySpan, d.settings.RetryRatio*budgetShare, d.settings.RetryAllowance*budgetShare/2)
+		w = retry.NewWindow(d.settings.RetrySpan, d.settings.RetryRatio*budgetShare, 0)
 		d.budgets[service] = w
 	}
 	return w
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -140,6 +140,9 @@
 		case seam.ZoneEvent:
 			d.log.Info("zone_changed", "zone", e.Zone, "avoided", e.Avoided)
 			d.perform(d.fleet.Update(now, fleet.AvoidMsg{Zone: e.Zone, Avoided: e.Avoided}))
+		case seam.RolloutEvent:
+			// Rollouts to another release are not built; the operator sees that nothing moves.
+			d.log.Warn("rollout_not_carried_out", "service", e.Service, "release", e.Release, "ended", e.Ended)
 		case seam.UpstreamEvent:
 			d.noteUpstream(now, e.Upstream)
 		case seam.UpstreamGoneEvent:
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -49,7 +49,7 @@
 	for {
 		switch {
 		case err != nil:
-			v.expire(ctx, v.past.Runs > 0)
+			v.expire(v.past.Runs > 0)
 			return
 		case d.Refuse != nil:
 			v.refused(d.Refuse)
@@ -63,7 +63,7 @@
 		v.h.meter.Attempted(endingNames[res.ending])
 		if ctx.Err() != nil {
 			v.h.desk.End(v.need.Ticket, place.Cancelled)
-			v.expire(ctx, res.ending >= retry.Unknown || v.past.Runs > 0)
+			v.expire(res.ending >= retry.Unknown || v.past.Runs > 0)
 			return
 		}
 		v.count(res.ending)
@@ -113,7 +113,7 @@
 }
 
 // expire ends a request whose caller has left or whose time is over.
-func (v *visit) expire(ctx context.Context, ran bool) {
+func (v *visit) expire(ran bool) {
 	switch {
 	case v.r.Context().Err() != nil:
 		v.abort("caller_left")
@@ -124,7 +124,6 @@
 	default:
 		v.refuse(http.StatusServiceUnavailable, againReturn, "deadline_before_upstream")
 	}
-	_ = ctx
 }
 
 // conclude gives the caller the best that is left after the last attempt.
@@ -148,11 +147,10 @@
 	answer, err := v.h.pool.Do(ctx, u.Address, v.request(cmd))
 	if err != nil {
 		v.cause = err
+		v.lost(ctx, cmd)
 		if errors.Is(err, link.ErrNotSent) {
-			v.lost(ctx, cmd)
 			return result{ending: retry.NotSent}
 		}
-		v.lost(ctx, cmd)
 		return result{ending: retry.Unknown}
 	}
 	defer answer.Close()
