Name a store for the parts of a prompt that an engine is believed to have

Cause: an engine uses a part only if it has all parts before it. Where it had dropped the first, common part of a prompt, the long part that was fetched after it was in vain and read again: a third of the long fetches, from stores and from engines alike, had their first token late by about the time to read them. It explains the open question why most tokens that are read again were believed kept or fetched.

Ruled out: parts that are believed kept in engines for good since reports of their loss never came.

Change: the request also names a store for parts believed kept. Nothing moves if the engine has them. The origins are logged with each request.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -109,7 +109,7 @@
 			}
 		}
 	})
-	if best != nil && best.fetched > 0 {
+	if best != nil && len(find.shared) > 0 {
 		find.detail(best)
 	}
 	return best, tally
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -110,6 +110,8 @@
 	zone   ident.Zone
 	// near is the time of the transfer within the zone, delay what precedes it.
 	near, delay time.Duration
+	// store tells that the holder drops nothing by itself.
+	store bool
 }
 
 // prompt is one prompt on one version of the weights.
@@ -174,11 +176,11 @@
 			continue
 		}
 		near := transfer(tokens, engine.TokenSize, min(s.Link, engine.Link))
-		found = append(found, origin{parts.Holder(s.Address), s.Zone, near, s.Delay})
+		found = append(found, origin{parts.Holder(s.Address), s.Zone, near, s.Delay, true})
 	}
 	f.m.fleet.Each(f.now, f.need.Service, func(u *conf.Upstream, standing fleet.Standing) {
 		if standing.Usable && u.Weights[f.need.Model] == version && f.m.index.Has(parts.Holder(u.Address), key, tokens) {
-			found = append(found, origin{parts.Holder(u.Address), u.Zone, transfer(tokens, engine.TokenSize, engine.Link), 0})
+			found = append(found, origin{parts.Holder(u.Address), u.Zone, transfer(tokens, engine.TokenSize, engine.Link), 0, false})
 		}
 	})
 	return found
@@ -213,14 +215,32 @@
 	})
 }
 
-// detail names the origin of each part that an option fetches.
+// detail names the origin of each part that an option fetches. It also names a store for the parts that the engine
+// is believed to have: nothing moves if it has them, and if it has dropped one, what was fetched of the parts after
+// it would be of no use.
 func (f *finder) detail(o *option) {
 	o.again = 0
-	o.fetch = make([]conf.Source, len(f.need.Chain))
-	f.walk(o, f.m.index.View(f.now, parts.Holder(o.upstream.Address)), func(i int, best choice) {
-		o.fetch[i] = conf.Source{Address: string(best.holder), Tokens: f.shared[i].Tokens}
+	fetch, named := make([]conf.Source, len(f.need.Chain)), false
+	own := f.m.index.View(f.now, parts.Holder(o.upstream.Address))
+	f.walk(o, own, func(i int, best choice) {
+		fetch[i], named = conf.Source{Address: string(best.holder), Tokens: f.shared[i].Tokens}, true
 		o.transfers = append(o.transfers, Transfer{best.holder, best.near})
 	})
+	p := f.prompt(o.version)
+	for i, part := range f.shared {
+		if !own.Soon(p.keys[i], part.Tokens) {
+			continue
+		}
+		for _, x := range p.origins[i] {
+			if x.store {
+				fetch[i], named = conf.Source{Address: string(x.holder), Tokens: part.Tokens}, true
+				break
+			}
+		}
+	}
+	if named {
+		o.fetch = fetch
+	}
 }
 
 // walk hands each part that is worth fetching to a function, and counts what is read though some holder has it.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -110,6 +110,27 @@
 	}
 }
 
+// TestAKeptPartHasAStoreBehindIt sends a prompt of which an engine is thought to have the first part while a store
+// has both shared ones: were the engine to have dropped the first, the second would be fetched in vain.
+func TestAKeptPartHasAStoreBehindIt(t *testing.T) {
+	b := newBench(1, 200_000, conf.Store{Address: "s", Zone: "z", Room: 1 << 20, Link: 300e9})
+	salt := place.Salt("", model, 1)
+	common, doc := parts.NewKey(salt, "common"), parts.NewKey(salt, "doc")
+	b.index.Update(start, parts.ReportMsg{Holder: "s", Epoch: 1, Changes: []parts.Change{{Key: common, Tokens: 512}, {Key: doc, Tokens: 8000}}})
+	b.index.Update(start, parts.ReportMsg{Holder: "e00", Epoch: 1, Changes: []parts.Change{{Key: common, Tokens: 512}}})
+	n := need(1, start, 8000, "doc", time.Second)
+	n.Chain = append([]conf.Part{{ID: "common", Tokens: 512}}, n.Chain...)
+	got := sends(b.place.Update(start, place.ArriveMsg{Need: n}))
+	want := place.SendCmd{Kept: 512, Fetched: 8000, Missing: 10, Fetch: []conf.Source{{Address: "s", Tokens: 512}, {Address: "s", Tokens: 8000}, {}}}
+	if len(got) != 1 {
+		t.Fatalf("sent %+v", got)
+	}
+	sent := place.SendCmd{Kept: got[0].Kept, Fetched: got[0].Fetched, Missing: got[0].Missing, Fetch: got[0].Fetch}
+	if diff := cmp.Diff(want, sent); diff != "" {
+		t.Errorf("sent (-want +got):\n%s", diff)
+	}
+}
+
 // TestAPartThatIsBeingReadIsNotFetched replays two requests for one document that come while it is first read, one
 // of them at an entry that only heard of it: both must go to the engine that reads it.
 func TestAPartThatIsBeingReadIsNotFetched(t *testing.T) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -287,7 +288,7 @@
 	}
 	if v.sent != nil && v.head.Model != "" {
 		attrs = append(attrs, slog.Int64("weights", v.sent.Version), slog.Int("missing", v.sent.Missing), slog.Int("kept", v.sent.Kept),
-			slog.Int("fetched", v.sent.Fetched), slog.Int("again", v.sent.Again))
+			slog.Int("fetched", v.sent.Fetched), slog.Int("again", v.sent.Again), slog.String("from", origins(v.sent.Fetch)))
 	}
 	if v.tally != nil {
 		attrs = append(attrs, slog.Int("closed", v.tally.Closed), slog.Int("full", v.tally.Full), slog.Int("open", v.tally.Open))
@@ -302,6 +303,17 @@
 	v.h.meter.Answered(class, v.org, status, first, whole)
 }
 
+// origins writes where the parts of a prompt are fetched from, and how many tokens of each.
+func origins(fetch []conf.Source) string {
+	var list []string
+	for _, s := range fetch {
+		if s.Address != "" {
+			list = append(list, s.Address+"/"+strconv.Itoa(s.Tokens))
+		}
+	}
+	return strings.Join(list, " ")
+}
+
 // target is the path and query as the caller sent them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
