Share the reads of the store in fleets of more than eight entries

Ruled out: long reads of the list instead of paced ones; the engines' signs of life end them at once.

Change: core/watch decides who reads. Four entries read a topic for all and tell with their heartbeats how far they have read and after which offset nothing mattered. The others move on with them, read at once when they are behind a record that matters, and read by themselves after two intervals without news. Sites of up to eight entries read as before.

--- a/core/conf/upstream.go
+++ b/core/conf/upstream.go
@@ -1,6 +1,7 @@
 package conf
 
 import (
+	"maps"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -24,6 +25,12 @@
 	Born int64
 }
 
+// Same tells whether two records of an upstream say the same but for how long it is still cold.
+func (u Upstream) Same(v Upstream) bool {
+	return maps.Equal(u.Weights, v.Weights) && u.ID == v.ID && u.Service == v.Service && u.Address == v.Address && u.Zone == v.Zone &&
+		u.Release == v.Release && u.Slots == v.Slots && u.Draining == v.Draining && u.Born == v.Born
+}
+
 // Part is one piece of a prompt.
 type Part struct {
 	ID     string
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -156,8 +156,8 @@
 func (d *Daemon) start(ctx context.Context, group *errgroup.Group) {
 	talk := &talk{d: d, told: d.seeds()}
 	loops := []func(context.Context){
-		(&feed{d: d, topic: seam.Operator, wait: operatorWait}).run,
-		(&feed{d: d, topic: seam.Upstreams, pace: listInterval}).run,
+		newFeed(d, seam.Operator, operatorWait, 0, operatorPatience).run,
+		newFeed(d, seam.Upstreams, 0, listInterval, listPatience).run,
 		talk.run, (&follows{d: d}).run, d.duty.run, (&introduction{d: d, talk: talk}).run, (&clock{d: d}).run,
 	}
 	for _, loop := range loops {
--- a/io/daemon/desk.go
+++ b/io/daemon/desk.go
@@ -35,6 +35,8 @@
 	place    *place.Model
 	mesh     *mesh.Model
 	rng      *rand.Rand
+	// feeds read the topics of the store.
+	feeds []*feed
 	// listed tells that the upstreams have been read once.
 	listed bool
 	// waits holds the channel of each request that waits for a decision.
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +11,8 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/watch"
+	"cicadavalve/io/gossip"
 	"cicadavalve/io/seam"
 )
 
@@ -20,6 +23,10 @@
 	// listInterval is the pace of the reads of the upstreams; three of them fit the time in which a leaving
 	// upstream must get no more work.
 	listInterval = 600 * time.Millisecond
+	// operatorPatience and listPatience are how long an entry that relies on others goes without news of a topic: a few
+	// heartbeats, and with a read well within the times for a configuration and for a leaving upstream.
+	operatorPatience = 1500 * time.Millisecond
+	listPatience     = 2 * listInterval
 	// callTime bounds a call to the store besides its wait.
 	callTime = 700 * time.Millisecond
 	// slowCallTime bounds a call after others ran out of time, so that a slow store is still read.
@@ -32,47 +39,111 @@
 type feed struct {
 	d     *Daemon
 	topic seam.Topic
-	// wait is how long a read waits for a record, pace the least time between two reads.
-	wait, pace time.Duration
-	next       int64
-	lost       bool
-	failures   int
+	// wait is how long a read waits for a record while this entry is a reader of the topic.
+	wait time.Duration
+	// watch decides when to read; the desk's lock guards it.
+	watch *watch.Model
+	// wake tells that a read may be due earlier than thought.
+	wake chan struct{}
+	// listed holds the newest record of each upstream that was read.
+	listed   map[ident.UpstreamID]conf.Upstream
+	lost     bool
+	failures int
+}
+
+func newFeed(d *Daemon, topic seam.Topic, wait, pace, patience time.Duration) *feed {
+	f := &feed{
+		d: d, topic: topic, wait: wait, watch: watch.NewModel(pace, patience), wake: make(chan struct{}, 1),
+		listed: map[ident.UpstreamID]conf.Upstream{},
+	}
+	d.desk.feeds = append(d.desk.feeds, f)
+	return f
 }
 
 // run reads until the context ends.
 func (f *feed) run(ctx context.Context) {
-	f.next = -1
 	for ctx.Err() == nil {
-		begun := time.Now()
-		err := f.step(ctx)
-		rest := f.pace - time.Since(begun)
-		if err != nil {
+		due, wait, next := f.d.desk.due(time.Now(), f)
+		rest := time.Until(due)
+		if rest <= 0 && f.step(ctx, next, wait) != nil {
 			rest = feedPause
 		}
+		if rest <= 0 {
+			continue
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(max(rest, 0)):
+		case <-f.wake:
+		case <-time.After(rest):
+		}
+	}
+}
+
+// due tells when a feed reads, how long it then waits for a record, and the offset.
+func (d *Desk) due(now time.Time, f *feed) (due time.Time, wait time.Duration, next int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	reader := d.isReader(now, f.topic)
+	if reader {
+		wait = f.wait
+	}
+	return f.watch.Due(reader), wait, f.watch.Next()
+}
+
+// isReader tells whether this entry reads a topic for all; the lock is held.
+func (d *Desk) isReader(now time.Time, topic seam.Topic) bool {
+	return watch.IsReader(strconv.Itoa(int(topic)), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now)))
+}
+
+// marks lists how far this entry has read the topics that it reads for all; the lock is held.
+func (d *Desk) marks(now time.Time, entries int) (marks []gossip.Mark) {
+	if !watch.Shared(entries) {
+		return nil
+	}
+	for _, f := range d.feeds {
+		if own, ok := f.watch.Own(); ok && d.isReader(now, f.topic) {
+			marks = append(marks, gossip.Mark{Topic: int(f.topic), Next: own.Next, Changed: own.Changed, AgeMS: int(now.Sub(own.At).Milliseconds())})
+		}
+	}
+	return marks
+}
+
+// hearMarks takes in how far another entry has read; the lock is held.
+func (d *Desk) hearMarks(now time.Time, marks []gossip.Mark) {
+	for _, mark := range marks {
+		for _, f := range d.feeds {
+			if int(f.topic) != mark.Topic {
+				continue
+			}
+			at := now.Add(-time.Duration(mark.AgeMS) * time.Millisecond)
+			f.watch.Update(watch.HeardMsg{Mark: watch.Mark{Next: mark.Next, Changed: mark.Changed, At: at}})
+			if f.watch.Due(false).IsZero() {
+				select {
+				case f.wake <- struct{}{}:
+				default:
+				}
+			}
 		}
 	}
 }
 
-func (f *feed) step(parent context.Context) (err error) {
+func (f *feed) step(parent context.Context, next int64, wait time.Duration) (err error) {
 	limit := callTime
 	if f.failures > 0 {
 		limit = slowCallTime
 	}
-	ctx, cancel := context.WithTimeout(parent, f.wait+limit)
+	ctx, cancel := context.WithTimeout(parent, wait+limit)
 	defer cancel()
 	var batch seam.Batch
-	whole := f.next < 0
+	whole := next < 0
 	if whole {
 		batch, err = f.d.store.Snapshot(ctx, f.topic)
 	} else {
-		batch, err = f.d.store.Read(ctx, f.topic, f.next, f.wait)
+		batch, err = f.d.store.Read(ctx, f.topic, next, wait)
 	}
 	if errors.Is(err, seam.ErrTrimmed) {
-		f.d.log.Info("feed_trimmed", "topic", f.topic, "offset", f.next)
-		f.next = -1
+		f.d.log.Info("feed_trimmed", "topic", f.topic, "offset", next)
+		f.note(watch.TrimmedMsg{})
 		return nil
 	}
 	if err != nil {
@@ -85,11 +156,37 @@
 	for _, fault := range batch.Faults {
 		f.d.log.Warn("record_unreadable", "topic", f.topic, "error", fault)
 	}
-	f.next = batch.Next
-	f.d.desk.take(time.Now(), f.topic, batch.Events, whole)
+	now := time.Now()
+	f.d.desk.take(now, f.topic, batch.Events, whole)
+	f.note(watch.ReadMsg{Next: batch.Next, At: now, Mattered: f.matters(batch), Whole: whole})
 	return nil
 }
 
+func (f *feed) note(msg ident.Msg) {
+	f.d.desk.mu.Lock()
+	defer f.d.desk.mu.Unlock()
+	f.watch.Update(msg)
+}
+
+// matters tells whether records say more than that upstreams are still there.
+func (f *feed) matters(batch seam.Batch) (matters bool) {
+	for _, event := range batch.Events {
+		switch e := event.(type) {
+		case seam.UpstreamEvent:
+			old, known := f.listed[e.Upstream.ID]
+			matters = matters || !known || e.Upstream.ColdLeft > 0 || !old.Same(e.Upstream)
+			f.listed[e.Upstream.ID] = e.Upstream
+		case seam.UpstreamGoneEvent:
+			_, known := f.listed[e.ID]
+			matters = matters || known
+			delete(f.listed, e.ID)
+		default:
+			matters = true
+		}
+	}
+	return matters
+}
+
 func (f *feed) fail(err error) {
 	f.failures++
 	if f.lost {
--- a/io/daemon/talk.go
+++ b/io/daemon/talk.go
@@ -101,7 +101,7 @@
 	d.place.SetCrew(place.Crew{Self: self.ID, IDs: mesh.IDs(alive), Zone: self.Zone, Pace: pace(len(alive))})
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), Life: int(self.Life), Boot: self.Boot,
-		Peers: d.some(mesh.IDs(alive)), Beat: true, Saves: d.saves, Reads: d.reads, Weights: d.weights,
+		Peers: d.some(mesh.IDs(alive)), Beat: true, Saves: d.saves, Reads: d.reads, Weights: d.weights, Marks: d.marks(now, len(alive)),
 	}
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
@@ -188,6 +188,7 @@
 	for _, r := range m.Reports {
 		d.index.Update(now, report(r))
 	}
+	d.hearMarks(now, m.Marks)
 	if m.Beat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -48,6 +48,15 @@
 	BusyMS int
 }
 
+// Mark tells how far the sender has read a topic of the store, and where the last record was that mattered.
+type Mark struct {
+	_       struct{} `cbor:",toarray"`
+	Topic   int
+	Next    int64
+	Changed int64
+	AgeMS   int
+}
+
 // Message is one datagram. A message that carries only loads in part has the same Round as its other parts.
 type Message struct {
 	ID      string `cbor:"1,keyasint"`
@@ -71,6 +80,7 @@
 	Links   []Link    `cbor:"14,keyasint,omitempty"`
 	// Reads lists parts that upstreams are about to have; Store is the upstream.
 	Reads []Save `cbor:"15,keyasint,omitempty"`
+	Marks []Mark `cbor:"16,keyasint,omitempty"`
 }
 
 // Weights is the version that an engine was seen at.
@@ -160,7 +170,7 @@
 
 // weight is about how much a message holds, counted in changes of parts.
 func weight(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Reads) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Reads) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
