--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -68,10 +68,10 @@
 
 // Model decides for one entry and one duty. Its methods aren't safe for concurrent use.
 type Model struct {
-	self  string
-	boot  int64
-	lease time.Duration
-	crew  []string
+	self    string
+	boot    int64
+	lease   time.Duration
+	members []string
 	// token is the offset of the own newest claim plus one, zero while another's is newer.
 	token int64
 	// checked is when the last look that proved the claim was sent.
@@ -102,8 +102,8 @@
 	return &Model{self: self, boot: boot, lease: term, fenced: fenced, end: -1, seen: -1}
 }
 
-// SetCrew tells which entries are alive and ready.
-func (m *Model) SetCrew(ids []string) { m.crew = ids }
+// SetMembers tells which entries are alive and ready.
+func (m *Model) SetMembers(ids []string) { m.members = ids }
 
 // Update takes in one message.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
@@ -182,7 +182,7 @@
 		m.end = -1
 		return nil
 	}
-	if m.claiming || now.Sub(m.vacantSince) < vacantTime+time.Duration(route.Rank(dutyKey, m.self, m.crew))*lineStep {
+	if m.claiming || now.Sub(m.vacantSince) < vacantTime+time.Duration(route.Rank(dutyKey, m.self, m.members))*lineStep {
 		return nil
 	}
 	if m.end < 0 {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -61,7 +61,7 @@
 	ids := []string{"a", "b", "c"}
 	for _, id := range ids {
 		m := lease.NewModel(id, 1, term, false)
-		m.SetCrew(ids)
+		m.SetMembers(ids)
 		entries = append(entries, &entry{model: m, id: id})
 	}
 	lastActor, lastAct, acted := "", time.Time{}, 0
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -142,8 +142,8 @@
 	if !ok || service.ColdRate <= 0 {
 		return -1, false
 	}
-	users := max(1, min(len(m.crew.IDs), int(coldShare*service.ColdRate/leastColdRate)))
-	if len(m.crew.IDs) > users && route.Rank(string(u.ID), m.crew.Self, m.crew.IDs) >= users {
+	users := max(1, min(len(m.members.IDs), int(coldShare*service.ColdRate/leastColdRate)))
+	if len(m.members.IDs) > users && route.Rank(string(u.ID), m.members.Self, m.members.IDs) >= users {
 		return 0, true
 	}
 	return coldShare * service.ColdRate / float64(users), true
@@ -167,7 +167,7 @@
 func (m *Model) besides(need *Need, u *conf.Upstream, p *pace) (cost float64) {
 	bad := max(0, p.bad-m.speed(need.Service).bad)
 	cost = badCost * float64(need.Objective) * bad
-	if u.Zone != m.crew.Zone {
+	if u.Zone != m.members.Zone {
 		cost += float64(zoneCost)
 	}
 	return cost
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -18,8 +18,8 @@
 	"cicadavalve/core/parts"
 )
 
-// Crew is what the decider needs to know of the other entries.
-type Crew struct {
+// Members is what the decider needs to know of the other entries.
+type Members struct {
 	// Self is this entry's id.
 	Self string
 	// IDs lists all entries that are alive, this one among them.
@@ -60,11 +60,11 @@
 
 // Model decides for one entry. Its methods aren't safe for concurrent use.
 type Model struct {
-	fleet *fleet.Model
-	index *parts.Index
-	crew  Crew
-	rng   *rand.Rand
-	set   *conf.Set
+	fleet   *fleet.Model
+	index   *parts.Index
+	members Members
+	rng     *rand.Rand
+	set     *conf.Set
 	// objectives holds the shortest objective of the routes to each service.
 	objectives map[ident.ServiceName]time.Duration
 	// named holds the versions named of each model, the oldest first.
@@ -129,8 +129,8 @@
 	}
 }
 
-// SetCrew changes what is known of the other entries.
-func (m *Model) SetCrew(crew Crew) { m.crew = crew }
+// SetMembers changes what is known of the other entries.
+func (m *Model) SetMembers(members Members) { m.members = members }
 
 // Want names the newest version of a model's weights. A version that was named before this process knew of it
 // counts as old: only for settleTime may requests still begin on the weights before.
@@ -160,7 +160,7 @@
 }
 
 // settleTime is how long a process that has just started may use weights of which it can't tell how old they
-// are; the platform counts a machine from three seconds after its start.
+// are; the platform counts a VM from three seconds after its start.
 const settleTime = 2500 * time.Millisecond
 
 // Update takes in one message.
--- a/core/place/sample.go
+++ b/core/place/sample.go
@@ -45,7 +45,7 @@
 // sample picks the upstreams to weigh: for a prompt those at which it is at home, so that requests which share it
 // meet there whatever entry they come from, those that hold some of it, and always one at random.
 func (m *Model) sample(find *finder) (s sample) {
-	if m.crew.Pace <= freshPace {
+	if m.members.Pace <= freshPace {
 		return sample{all: true}
 	}
 	var usable []int
@@ -61,7 +61,7 @@
 	if find.service.Engine != nil {
 		least = engineChoices
 	}
-	count := max(least, int(int64(len(usable))*int64(freshPace)/int64(m.crew.Pace)))
+	count := max(least, int(int64(len(usable))*int64(freshPace)/int64(m.members.Pace)))
 	if count >= len(usable) {
 		return sample{all: true}
 	}
--- a/core/place/sample_test.go
+++ b/core/place/sample_test.go
@@ -33,7 +33,7 @@
 		b := &bench{fleet: fleet.NewModel(), index: parts.NewIndex()}
 		b.place = place.NewModel(b.fleet, b.index, rand.New(rand.NewPCG(uint64(e), 1)))
 		b.place.SetConfig(conf.NewSet(conf.Data{Services: []conf.Service{{Name: "app"}}}))
-		b.place.SetCrew(place.Crew{Self: fmt.Sprint(e), Zone: "z", Pace: pace})
+		b.place.SetMembers(place.Members{Self: fmt.Sprint(e), Zone: "z", Pace: pace})
 		for i := range upstreams {
 			b.fleet.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{ID: engineID(i), Service: "app", Address: string(engineID(i)), Zone: "z", Slots: slots}})
 		}
--- a/io/daemon/desk.go
+++ b/io/daemon/controller.go
@@ -24,8 +24,8 @@
 // shedPause is how long an upstream that rejected a request gets no more: a few steps of an engine.
 const shedPause = 100 * time.Millisecond
 
-// Desk owns the deciders about requests. It is safe for concurrent use.
-type Desk struct {
+// Controller owns the deciders about requests. It is safe for concurrent use.
+type Controller struct {
 	log      *slog.Logger
 	settings Settings
 	set      atomic.Pointer[conf.Set]
@@ -61,33 +61,33 @@
 	onConfig func(*conf.Set)
 }
 
-// NewDesk knows nothing yet.
-func NewDesk(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Desk {
+// NewController knows nothing yet.
+func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
 	upstreams, index := fleet.NewModel(), parts.NewIndex()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	d := &Desk{
+	d := &Controller{
 		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(self),
 		place: place.NewModel(upstreams, index, rng, place.WithVersionTime(s.VersionTime)),
 		waits: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), wanted: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
-	d.place.SetCrew(place.Crew{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
+	d.place.SetMembers(place.Members{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
 	return d
 }
 
-// Config implements [relay.Desk].
-func (d *Desk) Config() *conf.Set { return d.set.Load() }
+// Config implements [relay.Controller].
+func (d *Controller) Config() *conf.Set { return d.set.Load() }
 
-// Place implements [relay.Desk].
-func (d *Desk) Place(ctx context.Context, need place.Need) (decision relay.Decision, err error) {
+// Place implements [relay.Controller].
+func (d *Controller) Place(ctx context.Context, need place.Need) (decision relay.Decision, err error) {
 	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need}, func(now time.Time) { d.budget(need.Service).First(now) })
 }
 
-// Again implements [relay.Desk].
-func (d *Desk) Again(ctx context.Context, msg place.AgainMsg) (decision relay.Decision, err error) {
+// Again implements [relay.Controller].
+func (d *Controller) Again(ctx context.Context, msg place.AgainMsg) (decision relay.Decision, err error) {
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
-func (d *Desk) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
+func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
 	ch := make(chan relay.Decision, 1)
 	now := time.Now()
 	d.mu.Lock()
@@ -109,7 +109,7 @@
 }
 
 // perform carries out commands; the lock is held.
-func (d *Desk) perform(cmds []ident.Cmd) {
+func (d *Controller) perform(cmds []ident.Cmd) {
 	for _, cmd := range cmds {
 		switch cmd := cmd.(type) {
 		case place.SendCmd:
@@ -131,14 +131,14 @@
 	}
 }
 
-func (d *Desk) deliver(t place.Ticket, decision relay.Decision) {
+func (d *Controller) deliver(t place.Ticket, decision relay.Decision) {
 	if ch, ok := d.waits[t]; ok {
 		delete(d.waits, t)
 		ch <- decision
 	}
 }
 
-func (d *Desk) budget(service ident.ServiceName) *retry.Window {
+func (d *Controller) budget(service ident.ServiceName) *retry.Window {
 	w, ok := d.budgets[service]
 	if !ok {
 		w = retry.NewWindow(d.settings.RetrySpan, d.settings.RetryRatio*budgetShare, 0)
@@ -150,8 +150,8 @@
 // budgetShare is the part of the stated budget that is used, since entries may disagree on how many share it.
 const budgetShare = 0.7
 
-// May implements [relay.Desk].
-func (d *Desk) May(service ident.ServiceName) bool {
+// May implements [relay.Controller].
+func (d *Controller) May(service ident.ServiceName) bool {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -160,8 +160,8 @@
 	return w.Withdraw(now)
 }
 
-// FetchUntil implements [relay.Desk].
-func (d *Desk) FetchUntil() time.Time {
+// FetchUntil implements [relay.Controller].
+func (d *Controller) FetchUntil() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.clocked {
@@ -176,22 +176,22 @@
 // steady is the time on a clock that does not jump, for differences to other clocks.
 func steady() time.Time { return time.Unix(0, 0).Add(time.Since(started)) }
 
-// FirstByte implements [relay.Desk].
-func (d *Desk) FirstByte(t place.Ticket) {
+// FirstByte implements [relay.Controller].
+func (d *Controller) FirstByte(t place.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.perform(d.place.Update(time.Now(), place.FirstByteMsg{Ticket: t}))
 }
 
-// End implements [relay.Desk].
-func (d *Desk) End(t place.Ticket, outcome place.Outcome) {
+// End implements [relay.Controller].
+func (d *Controller) End(t place.Ticket, outcome place.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
 }
 
-// Heard implements [relay.Desk].
-func (d *Desk) Heard(id ident.UpstreamID, reply seam.Reply) {
+// Heard implements [relay.Controller].
+func (d *Controller) Heard(id ident.UpstreamID, reply seam.Reply) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -209,8 +209,8 @@
 	}
 }
 
-// Broken implements [relay.Desk].
-func (d *Desk) Broken(id ident.UpstreamID) {
+// Broken implements [relay.Controller].
+func (d *Controller) Broken(id ident.UpstreamID) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -218,7 +218,7 @@
 }
 
 // Tick lets time pass for what waits.
-func (d *Desk) Tick(now time.Time) {
+func (d *Controller) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.perform(d.fleet.Settle(now))
@@ -226,7 +226,7 @@
 }
 
 // Ready implements [seam.Advice].
-func (d *Desk) Ready() bool {
+func (d *Controller) Ready() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.mesh.Self().Life == mesh.Ready
@@ -237,7 +237,7 @@
 const addressHold = time.Second
 
 // Addresses implements [seam.Advice].
-func (d *Desk) Addresses(_ ident.Zone) (addresses []string, hold time.Duration) {
+func (d *Controller) Addresses(_ ident.Zone) (addresses []string, hold time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.mesh.Serving(time.Now()) {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -50,21 +50,21 @@
 
 // Daemon is one entry.
 type Daemon struct {
-	settings Settings
-	log      *slog.Logger
-	dialect  seam.Dialect
-	store    seam.Store
-	engines  seam.Engines
-	ready    http.Handler
-	advice   http.Handler
-	self     mesh.Peer
-	desk     *Desk
-	socket   *gossip.Socket
-	duty     *duty
-	handler  *relay.Handler
-	server   *relay.Server
-	pool     *link.Pool
-	meter    *Meter
+	settings   Settings
+	log        *slog.Logger
+	dialect    seam.Dialect
+	store      seam.Store
+	engines    seam.Engines
+	ready      http.Handler
+	advice     http.Handler
+	self       mesh.Peer
+	controller *Controller
+	socket     *gossip.Socket
+	duty       *duty
+	handler    *relay.Handler
+	server     *relay.Server
+	pool       *link.Pool
+	meter      *Meter
 }
 
 // Outside is the outside world as the daemon meets it.
@@ -81,13 +81,13 @@
 	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, Life: mesh.Starting, Boot: boot}
 	d := &Daemon{
 		settings: s, log: log, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
-		desk: NewDesk(s, self, log, uint64(boot)), pool: link.NewPool(), meter: NewMeter(),
+		controller: NewController(s, self, log, uint64(boot)), pool: link.NewPool(), meter: NewMeter(),
 	}
-	d.ready, d.advice = outside.Ready(d.desk), outside.Directory(d.desk)
-	d.duty = &duty{d: d, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), swap: swap.NewModel(d.desk.fleet), purge: purge.NewModel(d.desk.fleet)}
-	d.handler = relay.NewHandler(d.desk, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)))
+	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
+	d.duty = &duty{d: d, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), swap: swap.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
+	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.handler)
-	d.desk.onConfig = func(set *conf.Set) { d.server.SetIdle(set.Limits().IdleTime) }
+	d.controller.onConfig = func(set *conf.Set) { d.server.SetIdle(set.Limits().IdleTime) }
 	return d
 }
 
@@ -154,11 +154,11 @@
 
 // start runs the loops that feed the deciders.
 func (d *Daemon) start(ctx context.Context, group *errgroup.Group) {
-	talk := &talk{d: d, told: d.seeds()}
+	beats := &heartbeat{d: d, told: d.seeds()}
 	loops := []func(context.Context){
 		newFeed(d, seam.Operator, operatorWait, 0, operatorPatience).run,
 		newFeed(d, seam.Upstreams, 0, listInterval, listPatience).run,
-		talk.run, (&follows{d: d}).run, d.duty.run, (&introduction{d: d, talk: talk}).run, (&clock{d: d}).run,
+		beats.run, (&follows{d: d}).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&clock{d: d}).run,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -188,7 +188,7 @@
 // leave finishes what is under way.
 func (d *Daemon) leave() {
 	d.log.Info("stopping", "grace", d.settings.Grace, "running", d.handler.Running())
-	d.desk.setLife(mesh.Leaving)
+	d.controller.setLife(mesh.Leaving)
 	d.handler.Leave()
 	taking := min(leaveTime, time.Duration(leaveShare*float64(d.settings.Grace)))
 	time.Sleep(taking)
@@ -200,7 +200,7 @@
 	d.log.Info("stopped")
 }
 
-func (d *Desk) setLife(life mesh.Life) {
+func (d *Controller) setLife(life mesh.Life) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mesh.SetLife(life)
@@ -208,8 +208,8 @@
 
 // introduction finds the other entries through the store.
 type introduction struct {
-	d    *Daemon
-	talk *talk
+	d         *Daemon
+	heartbeat *heartbeat
 }
 
 // run announces the entry and greets those announced before, once.
@@ -239,7 +239,7 @@
 	}
 	for _, event := range batch.Events {
 		if e, ok := event.(seam.EntryEvent); ok {
-			i.d.newcomer(e.ID)
+			i.d.greet(e.ID)
 		}
 	}
 	return nil
@@ -260,20 +260,20 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		c.d.desk.Tick(now)
+		c.d.controller.Tick(now)
 		if now.Sub(swept) > sweepInterval {
 			swept = now
 			c.d.pool.Sweep(now)
 		}
 		if now.Sub(told) > stateInterval {
 			told = now
-			c.d.desk.logState(now)
+			c.d.controller.logState(now)
 		}
 	}
 }
 
 // logState sums up what the entry knows, for those who read the log later.
-func (d *Desk) logState(now time.Time) {
+func (d *Controller) logState(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	set := d.set.Load()
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -31,7 +31,7 @@
 type duty struct {
 	d  *Daemon
 	mu sync.Mutex
-	// lease is told the time since the machine started, which counts suspensions.
+	// lease is told the time since the VM started, which counts suspensions.
 	lease *lease.Model
 	swap  *swap.Model
 	purge *purge.Model
@@ -41,7 +41,7 @@
 	held bool
 }
 
-// sinceBoot is the time on a clock that keeps running while the machine is suspended.
+// sinceBoot is the time on a clock that keeps running while the VM is suspended.
 func sinceBoot() time.Time {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
@@ -88,9 +88,9 @@
 
 func (u *duty) tick(ctx context.Context) {
 	now := sinceBoot()
-	alive, ready := u.d.desk.line()
+	alive, ready := u.d.controller.line()
 	u.mu.Lock()
-	u.lease.SetCrew(alive)
+	u.lease.SetMembers(alive)
 	var cmds []ident.Cmd
 	if ready {
 		cmds = u.lease.Update(now, lease.TickMsg{})
@@ -109,18 +109,18 @@
 
 // orders decides about the weights of the engines.
 func (u *duty) orders(holds bool) (cmds []ident.Cmd) {
-	u.d.desk.mu.Lock()
-	defer u.d.desk.mu.Unlock()
+	u.d.controller.mu.Lock()
+	defer u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	for model, version := range u.d.desk.wanted {
+	for model, version := range u.d.controller.wanted {
 		u.swap.Want(now, model, version)
 		u.purge.Want(model, version)
 	}
-	cmds = u.swap.Update(now, swap.TickMsg{Holds: holds, Busy: func(id ident.UpstreamID) int { return u.d.desk.place.Busy(now, id) }})
-	u.d.desk.setOrdered(now, u.d.self.ID, u.underway())
-	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.desk.stores()})...)
+	cmds = u.swap.Update(now, swap.TickMsg{Holds: holds, Busy: func(id ident.UpstreamID) int { return u.d.controller.place.Busy(now, id) }})
+	u.d.controller.setOrdered(now, u.d.self.ID, u.underway())
+	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.controller.stores()})...)
 }
 
 // task is one command of the duty that waits for an answer.
@@ -192,12 +192,12 @@
 		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
 		return
 	}
-	u.d.desk.mu.Lock()
+	u.d.controller.mu.Lock()
 	for model, version := range state.Weights {
-		u.d.desk.fleet.Update(time.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
-		u.d.desk.weights = append(u.d.desk.weights, gossip.Weights{Upstream: string(cmd.Upstream.ID), Model: string(model), Version: version})
+		u.d.controller.fleet.Update(time.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
+		u.d.controller.weights = append(u.d.controller.weights, gossip.Weights{Upstream: string(cmd.Upstream.ID), Model: string(model), Version: version})
 	}
-	u.d.desk.mu.Unlock()
+	u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.swap.Update(time.Now(), swap.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
@@ -226,7 +226,7 @@
 }
 
 // stores lists the stores of kept context; the lock is held.
-func (d *Desk) stores() (stores []parts.Holder) {
+func (d *Controller) stores() (stores []parts.Holder) {
 	set := d.set.Load()
 	if set == nil {
 		return nil
@@ -263,7 +263,7 @@
 			u.d.log.Info("parts_not_freed", "store", addr, "count", n, "error", err)
 			return
 		}
-		u.d.desk.report(addr, seam.Holdings{Boot: held.Boot, Kept: outdated[:n]}, false)
+		u.d.controller.report(addr, seam.Holdings{Boot: held.Boot, Kept: outdated[:n]}, false)
 		outdated = outdated[n:]
 	}
 	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
@@ -273,7 +273,7 @@
 }
 
 // line lists the entries that may hold the duty and tells whether this one may.
-func (d *Desk) line() (ids []string, ready bool) {
+func (d *Controller) line() (ids []string, ready bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return mesh.IDs(d.mesh.Serving(time.Now())), d.mesh.Self().Life == mesh.Ready
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -41,7 +41,7 @@
 	topic seam.Topic
 	// wait is how long a read waits for a record while this entry is a reader of the topic.
 	wait time.Duration
-	// watch decides when to read; the desk's lock guards it.
+	// watch decides when to read; the controller's lock guards it.
 	watch *watch.Model
 	// wake tells that a read may be due earlier than thought.
 	wake chan struct{}
@@ -56,14 +56,14 @@
 		d: d, topic: topic, wait: wait, watch: watch.NewModel(pace, patience), wake: make(chan struct{}, 1),
 		listed: map[ident.UpstreamID]conf.Upstream{},
 	}
-	d.desk.feeds = append(d.desk.feeds, f)
+	d.controller.feeds = append(d.controller.feeds, f)
 	return f
 }
 
 // run reads until the context ends.
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		due, wait, next := f.d.desk.due(time.Now(), f)
+		due, wait, next := f.d.controller.due(time.Now(), f)
 		rest := time.Until(due)
 		if rest <= 0 && f.step(ctx, next, wait) != nil {
 			rest = feedPause
@@ -80,7 +80,7 @@
 }
 
 // due tells when a feed reads, how long it then waits for a record, and the offset.
-func (d *Desk) due(now time.Time, f *feed) (due time.Time, wait time.Duration, next int64) {
+func (d *Controller) due(now time.Time, f *feed) (due time.Time, wait time.Duration, next int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	reader := d.isReader(now, f.topic)
@@ -91,12 +91,12 @@
 }
 
 // isReader tells whether this entry reads a topic for all; the lock is held.
-func (d *Desk) isReader(now time.Time, topic seam.Topic) bool {
+func (d *Controller) isReader(now time.Time, topic seam.Topic) bool {
 	return watch.IsReader(strconv.Itoa(int(topic)), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now)))
 }
 
 // marks lists how far this entry has read the topics that it reads for all; the lock is held.
-func (d *Desk) marks(now time.Time, entries int) (marks []gossip.Mark) {
+func (d *Controller) marks(now time.Time, entries int) (marks []gossip.Mark) {
 	if !watch.Shared(entries) {
 		return nil
 	}
@@ -109,7 +109,7 @@
 }
 
 // hearMarks takes in how far another entry has read; the lock is held.
-func (d *Desk) hearMarks(now time.Time, marks []gossip.Mark) {
+func (d *Controller) hearMarks(now time.Time, marks []gossip.Mark) {
 	for _, mark := range marks {
 		for _, f := range d.feeds {
 			if int(f.topic) != mark.Topic {
@@ -157,14 +157,14 @@
 		f.d.log.Warn("record_unreadable", "topic", f.topic, "error", fault)
 	}
 	now := time.Now()
-	f.d.desk.take(now, f.topic, batch.Events, whole)
+	f.d.controller.take(now, f.topic, batch.Events, whole)
 	f.note(watch.ReadMsg{Next: batch.Next, At: now, Mattered: f.matters(batch), Whole: whole})
 	return nil
 }
 
 func (f *feed) note(msg ident.Msg) {
-	f.d.desk.mu.Lock()
-	defer f.d.desk.mu.Unlock()
+	f.d.controller.mu.Lock()
+	defer f.d.controller.mu.Unlock()
 	f.watch.Update(msg)
 }
 
@@ -195,7 +195,7 @@
 	f.lost = true
 	f.d.log.Warn("store_lost", "topic", f.topic, "error", err)
 	if f.topic == seam.Upstreams {
-		f.d.desk.update(fleet.ListLostMsg{})
+		f.d.controller.update(fleet.ListLostMsg{})
 	}
 }
 
@@ -207,19 +207,19 @@
 	f.lost = false
 	f.d.log.Info("store_regained", "topic", f.topic)
 	if f.topic == seam.Upstreams {
-		f.d.desk.update(fleet.ListBackMsg{})
+		f.d.controller.update(fleet.ListBackMsg{})
 	}
 }
 
 // update hands a message to the view of the upstreams.
-func (d *Desk) update(msg ident.Msg) {
+func (d *Controller) update(msg ident.Msg) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.perform(d.fleet.Update(time.Now(), msg))
 }
 
 // take hands decoded records to the deciders; whole tells that they are all there are.
-func (d *Desk) take(now time.Time, topic seam.Topic, events []any, whole bool) {
+func (d *Controller) take(now time.Time, topic seam.Topic, events []any, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if topic == seam.Upstreams && whole {
@@ -249,7 +249,7 @@
 	d.settleLife()
 }
 
-func (d *Desk) takeList(now time.Time, events []any) {
+func (d *Controller) takeList(now time.Time, events []any) {
 	var listed []conf.Upstream
 	for _, event := range events {
 		if e, ok := event.(seam.UpstreamEvent); ok {
@@ -262,7 +262,7 @@
 	d.settleLife()
 }
 
-func (d *Desk) noteUpstream(now time.Time, u conf.Upstream) {
+func (d *Controller) noteUpstream(now time.Time, u conf.Upstream) {
 	old, known := d.fleet.Get(u.ID)
 	if !known || old.Born != u.Born || old.Draining != u.Draining {
 		d.log.Info("upstream_changed", "upstream", u.ID, "service", u.Service, "address", u.Address, "draining", u.Draining,
@@ -272,7 +272,7 @@
 }
 
 // accept puts a configuration in force unless it is older than the one in force.
-func (d *Desk) accept(data conf.Data) {
+func (d *Controller) accept(data conf.Data) {
 	if old := d.set.Load(); old != nil && old.Version() >= data.Version {
 		return
 	}
@@ -286,7 +286,7 @@
 }
 
 // settleLife makes a starting entry ready once it knows what it needs.
-func (d *Desk) settleLife() {
+func (d *Controller) settleLife() {
 	if d.mesh.Self().Life == mesh.Starting && d.listed && d.set.Load() != nil {
 		d.mesh.SetLife(mesh.Ready)
 		d.log.Info("ready", "version", d.set.Load().Version())
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -45,7 +45,7 @@
 }
 
 func (f *follows) assign(ctx context.Context) {
-	mine := f.d.desk.ownHolders(time.Now())
+	mine := f.d.controller.ownHolders(time.Now())
 	for addr, end := range f.running {
 		if _, still := mine[addr]; !still {
 			end()
@@ -63,7 +63,7 @@
 }
 
 // ownHolders lists the holders that this entry follows, and tells stores from engines.
-func (d *Desk) ownHolders(now time.Time) (mine map[string]bool) {
+func (d *Controller) ownHolders(now time.Time) (mine map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	mine = map[string]bool{}
@@ -137,15 +137,15 @@
 		if f.store {
 			f.boot = 0
 		}
-		f.d.desk.report(f.addr, seam.Holdings{Boot: h.Boot}, false)
+		f.d.controller.report(f.addr, seam.Holdings{Boot: h.Boot}, false)
 		return
 	}
 	f.boot, f.next = h.Boot, h.Next
-	f.d.desk.report(f.addr, h, whole)
+	f.d.controller.report(f.addr, h, whole)
 }
 
 // report takes in what a holder told and keeps it for the other entries.
-func (d *Desk) report(addr string, h seam.Holdings, whole bool) {
+func (d *Controller) report(addr string, h seam.Holdings, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !h.Clock.IsZero() {
--- a/io/daemon/talk.go
+++ b/io/daemon/heartbeat.go
@@ -35,8 +35,8 @@
 	greetInterval = time.Second
 )
 
-// talk tells the other entries what this one knows.
-type talk struct {
+// heartbeat tells the other entries what this one knows.
+type heartbeat struct {
 	d *Daemon
 	// told lists addresses of entries that were never heard of.
 	told  []string
@@ -44,7 +44,7 @@
 }
 
 // run sends a heartbeat after each change and at the slowest pace.
-func (t *talk) run(ctx context.Context) {
+func (t *heartbeat) run(ctx context.Context) {
 	for {
 		entries := t.beat(time.Now())
 		least := time.Duration(float64(pace(entries)) * (1 - beatSpread*rand.Float64()))
@@ -56,7 +56,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.d.desk.changed:
+		case <-t.d.controller.changed:
 		case <-time.After(max(idleBeat-least, 0)):
 		}
 	}
@@ -67,8 +67,8 @@
 	return min(max(leastBeat, time.Duration(entries*entries)*beatPerPair), mostBeat)
 }
 
-func (t *talk) beat(now time.Time) (entries int) {
-	m, alive := t.d.desk.message(now)
+func (t *heartbeat) beat(now time.Time) (entries int) {
+	m, alive := t.d.controller.message(now)
 	m.Holds, m.Ordered = t.d.duty.standing(now)
 	to := alive
 	if now.Sub(t.greet) >= greetInterval {
@@ -93,12 +93,12 @@
 }
 
 // message gathers what the other entries are to know.
-func (d *Desk) message(now time.Time) (m gossip.Message, to []string) {
+func (d *Controller) message(now time.Time) (m gossip.Message, to []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self := d.mesh.Self()
 	alive := d.mesh.Alive(now)
-	d.place.SetCrew(place.Crew{Self: self.ID, IDs: mesh.IDs(alive), Zone: self.Zone, Pace: pace(len(alive))})
+	d.place.SetMembers(place.Members{Self: self.ID, IDs: mesh.IDs(alive), Zone: self.Zone, Pace: pace(len(alive))})
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), Life: int(self.Life), Boot: self.Boot,
 		Peers: d.some(mesh.IDs(alive)), Beat: true, Saves: d.saves, Reads: d.reads, Weights: d.weights, Marks: d.marks(now, len(alive)),
@@ -122,7 +122,7 @@
 const mostTold = 4
 
 // some picks a few ids at random; the lock is held.
-func (d *Desk) some(ids []string) (few []string) {
+func (d *Controller) some(ids []string) (few []string) {
 	for _, i := range d.rng.Perm(len(ids))[:min(mostTold, len(ids))] {
 		few = append(few, ids[i])
 	}
@@ -135,35 +135,35 @@
 	if m.Holds {
 		d.duty.update(lease.HeardMsg{Holder: m.ID})
 	}
-	d.desk.hear(now, m)
-	for _, id := range d.desk.unknown(now, m.Peers) {
-		d.newcomer(id)
+	d.controller.hear(now, m)
+	for _, id := range d.controller.unknown(now, m.Peers) {
+		d.greet(id)
 	}
 }
 
 // unknown lists those of some entries that were not heard of lately.
-func (d *Desk) unknown(now time.Time, ids []string) (unknown []string) {
+func (d *Controller) unknown(now time.Time, ids []string) (unknown []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return slices.DeleteFunc(ids, func(id string) bool { return d.mesh.Knows(now, id) })
 }
 
-// newcomer greets an entry that another one told of.
-func (d *Daemon) newcomer(id string) {
-	m, _ := d.desk.greeting()
+// greet describes this entry to one that another told of.
+func (d *Daemon) greet(id string) {
+	m, _ := d.controller.greeting()
 	if err := d.socket.Send([]string{id}, m); err != nil {
 		d.log.Debug("greeting_not_sent", "entry", id, "error", err)
 	}
 }
 
-func (d *Desk) greeting() (m gossip.Message, self mesh.Peer) {
+func (d *Controller) greeting() (m gossip.Message, self mesh.Peer) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self = d.mesh.Self()
 	return gossip.Message{ID: self.ID, Address: self.Address, Zone: string(self.Zone), Life: int(self.Life), Boot: self.Boot}, self
 }
 
-func (d *Desk) hear(now time.Time, m gossip.Message) {
+func (d *Controller) hear(now time.Time, m gossip.Message) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mesh.Update(now, mesh.HeardMsg{Peer: mesh.Peer{
@@ -207,7 +207,7 @@
 
 // setOrdered takes in which upstreams carry out orders of one entry; those that no longer do get work again. The
 // lock is held.
-func (d *Desk) setOrdered(now time.Time, entry string, ids []string) {
+func (d *Controller) setOrdered(now time.Time, entry string, ids []string) {
 	for _, id := range d.ordered[entry] {
 		if !slices.Contains(ids, id) {
 			d.fleet.Update(now, fleet.OrderedMsg{ID: ident.UpstreamID(id), Until: now})
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -45,7 +45,7 @@
 
 // run sends the request until it is answered, refused or given up.
 func (v *visit) run(ctx context.Context) {
-	d, err := v.h.desk.Place(ctx, v.need)
+	d, err := v.h.controller.Place(ctx, v.need)
 	for {
 		switch {
 		case err != nil:
@@ -62,20 +62,20 @@
 		}
 		v.h.meter.Attempted(endingNames[res.ending])
 		if ctx.Err() != nil {
-			v.h.desk.End(v.need.Ticket, place.Cancelled)
+			v.h.controller.End(v.need.Ticket, place.Cancelled)
 			v.expire(res.ending >= retry.Unknown || v.past.Runs > 0)
 			return
 		}
 		v.count(res.ending)
 		v.avoid = append(v.avoid, v.upstream)
-		if !retry.May(v.route, res.ending, v.past) || res.ending.Counts() && !v.h.desk.May(v.need.Service) {
-			v.h.desk.End(v.need.Ticket, outcomes[res.ending])
+		if !retry.May(v.route, res.ending, v.past) || res.ending.Counts() && !v.h.controller.May(v.need.Service) {
+			v.h.controller.End(v.need.Ticket, outcomes[res.ending])
 			v.conclude(res)
 			return
 		}
 		v.h.log.Info("request_sent_again", "request", v.head.ID, "upstream", v.upstream, "ending", endingNames[res.ending],
 			"cause", text(v.cause), "runs", v.past.Runs, "spared", v.past.Spared)
-		if d, err = v.h.desk.Again(ctx, place.AgainMsg{Ticket: v.need.Ticket, Outcome: outcomes[res.ending], Avoid: v.avoid}); err == nil && d.Refuse != nil {
+		if d, err = v.h.controller.Again(ctx, place.AgainMsg{Ticket: v.need.Ticket, Outcome: outcomes[res.ending], Avoid: v.avoid}); err == nil && d.Refuse != nil {
 			v.conclude(res)
 			return
 		}
@@ -155,7 +155,7 @@
 	}
 	defer answer.Close()
 	reply := v.h.dialect.Reply(answer.Status, answer.Header)
-	v.h.desk.Heard(u.ID, reply)
+	v.h.controller.Heard(u.ID, reply)
 	switch {
 	case reply.NotRun:
 		v.cause = errors.Newf("status %d", answer.Status)
@@ -176,7 +176,7 @@
 // lost notes that an upstream broke off, unless it was the caller's doing.
 func (v *visit) lost(ctx context.Context, cmd *place.SendCmd) {
 	if ctx.Err() == nil {
-		v.h.desk.Broken(cmd.Upstream.ID)
+		v.h.controller.Broken(cmd.Upstream.ID)
 	}
 }
 
@@ -184,7 +184,7 @@
 	orders := seam.Orders{
 		ID: v.head.ID, Upstream: cmd.Upstream.ID, Left: time.Until(v.deadline), Organisation: v.org, Priority: cmd.Priority,
 		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: v.lastEvent, Model: v.head.Model != "",
-		FetchUntil: v.h.desk.FetchUntil(),
+		FetchUntil: v.h.controller.FetchUntil(),
 	}
 	return link.Request{
 		Method: v.r.Method, Target: target(v.r), Host: v.r.Host, Header: v.h.dialect.Forward(v.r.Header, orders),
@@ -201,20 +201,20 @@
 		return result{ending: retry.Unknown}
 	}
 	v.firstAt = time.Now()
-	v.h.desk.FirstByte(v.need.Ticket)
+	v.h.controller.FirstByte(v.need.Ticket)
 	if answer.Status >= http.StatusInternalServerError {
 		v.cause = errors.Newf("status %d", answer.Status)
 		if retry.May(v.route, retry.Failure, retry.Past{Runs: v.past.Runs + 1}) {
 			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, body}}
 		}
-		v.h.desk.End(v.need.Ticket, place.Failed)
+		v.h.controller.End(v.need.Ticket, place.Failed)
 		v.h.dialect.Return(v.w.Header(), answer.Header)
 		v.write(answer.Status, body, int64(len(body)))
 		return result{done: true}
 	}
 	v.h.dialect.Return(v.w.Header(), answer.Header)
 	if len(body) <= mostBuffered {
-		v.h.desk.End(v.need.Ticket, place.Good)
+		v.h.controller.End(v.need.Ticket, place.Good)
 		v.write(answer.Status, body, int64(len(body)))
 		return result{done: true}
 	}
@@ -253,9 +253,9 @@
 	}
 	if err != nil {
 		v.cause = err
-		v.h.desk.End(v.need.Ticket, place.Broken)
+		v.h.controller.End(v.need.Ticket, place.Broken)
 		v.abort("answer_broken")
 	}
-	v.h.desk.End(v.need.Ticket, place.Good)
+	v.h.controller.End(v.need.Ticket, place.Good)
 	v.report(answer.Status, "answered", -1)
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -39,8 +39,8 @@
 	Refuse *place.RefuseCmd
 }
 
-// Desk decides about requests and hears how they fare. Its methods are safe for concurrent use.
-type Desk interface {
+// Controller decides about requests and hears how they fare. Its methods are safe for concurrent use.
+type Controller interface {
 	// Config is the configuration in force, nil if there is none yet.
 	Config() *conf.Set
 	// FetchUntil is when transfers of parts that are decided now are given up, on the engines' clock.
@@ -67,12 +67,12 @@
 
 // Handler serves callers.
 type Handler struct {
-	desk    Desk
-	dialect seam.Dialect
-	pool    *link.Pool
-	log     *slog.Logger
-	meter   Meter
-	tickets atomic.Uint64
+	controller Controller
+	dialect    seam.Dialect
+	pool       *link.Pool
+	log        *slog.Logger
+	meter      Meter
+	tickets    atomic.Uint64
 	// held is how many bytes of bodies are in memory, at most room.
 	held atomic.Int64
 	room int64
@@ -83,8 +83,8 @@
 }
 
 // NewHandler relays through a pool of connections; room bounds the bodies in memory, in bytes.
-func NewHandler(desk Desk, dialect seam.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, room int64) *Handler {
-	return &Handler{desk: desk, dialect: dialect, pool: pool, log: log, meter: meter, room: room}
+func NewHandler(controller Controller, dialect seam.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, room int64) *Handler {
+	return &Handler{controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, room: room}
 }
 
 // Leave tells callers from now on to use other connections.
@@ -132,7 +132,7 @@
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	set := h.desk.Config()
+	set := h.controller.Config()
 	if set == nil {
 		v.refuse(http.StatusServiceUnavailable, unreadyReturn, "no_configuration")
 		return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -39,7 +39,7 @@
 			end += len(eventEnd)
 			if writeErr := v.events(answer, held[:end]); writeErr != nil {
 				v.cause = errors.Wrap(writeErr, "caller did not take an event")
-				v.h.desk.End(v.need.Ticket, place.Cancelled)
+				v.h.controller.End(v.need.Ticket, place.Cancelled)
 				v.abort("caller_left")
 			}
 			held = append(held[:0], held[end:]...)
@@ -53,7 +53,7 @@
 		}
 		switch {
 		case ended && v.committed:
-			v.h.desk.End(v.need.Ticket, place.Good)
+			v.h.controller.End(v.need.Ticket, place.Good)
 			v.report(answer.Status, "answered", -1)
 			return result{done: true}
 		case ended:
@@ -81,7 +81,7 @@
 		v.w.WriteHeader(answer.Status)
 		v.committed = true
 	}
-	v.h.desk.FirstByte(v.need.Ticket)
+	v.h.controller.FirstByte(v.need.Ticket)
 	if id := lastID(events); id != "" {
 		v.lastEvent = id
 	}
