Tell in refusals which bound made engines full

Ruled out as causes of the incident: entries that stop (no request was cut), the store (never lost).

Change: the gate names its bound, and a refusal counts full engines by it. A test has three engines full for three reasons.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -65,6 +65,8 @@
 type Tally struct {
 	// Closed upstreams get no work, Full ones have no room for the request, Open ones would take it.
 	Closed, Full, Open int
+	// By counts the full ones by their bound.
+	By [bounds]int
 }
 
 // choose weighs the upstreams, or only one of them, and returns the best, nil if none may take the request. In a
@@ -94,8 +96,9 @@
 		weighed = option{upstream: u, cold: standing.Cold}
 		if service.Engine == nil || len(need.Chain) == 0 {
 			m.weighCall(now, need, &weighed)
-		} else if !m.weighEngine(now, need, step, find, &weighed) {
+		} else if bound := m.weighEngine(now, need, step, find, &weighed); bound != Free {
 			tally.Full++
+			tally.By[bound]++
 			return
 		}
 		tally.Open++
@@ -173,8 +176,8 @@
 	return cost
 }
 
-// weighEngine weighs a model engine and tells whether it should take the request now.
-func (m *Model) weighEngine(now time.Time, need *Need, step int, find *finder, o *option) (admitted bool) {
+// weighEngine weighs a model engine and tells what keeps it from taking the request now.
+func (m *Model) weighEngine(now time.Time, need *Need, step int, find *finder, o *option) Bound {
 	u := o.upstream
 	s, p, l := m.speed(need.Service), m.pace(u.ID), m.load(u.ID)
 	p.fade(now)
@@ -183,8 +186,8 @@
 	find.fill(o)
 	o.missing = find.tokens - o.kept - o.fetched
 	o.ahead = l.ahead(need.Rank)
-	if !m.admits(need, step, find.service, total, o) {
-		return false
+	if bound := m.bound(need, step, find.service, total, o); bound != Free {
+		return bound
 	}
 	first := s.first(o.ahead+o.missing)*p.slow + float64(o.fetchTime)
 	o.first = time.Duration(first)
@@ -193,5 +196,5 @@
 	if !m.newerSince(need.Model, o.version).IsZero() {
 		o.cost += oldCost * float64(need.Objective)
 	}
-	return true
+	return Free
 }
--- a/core/place/gate.go
+++ b/core/place/gate.go
@@ -38,24 +38,43 @@
 	return min(max(step, 0), mostSteps)
 }
 
-// admits tells whether an engine with so much under way should take the request now.
-func (m *Model) admits(need *Need, step int, service *conf.Service, total Load, o *option) bool {
+// Bound is what keeps an engine from taking a request.
+type Bound int
+
+// The bounds of an engine.
+const (
+	// Free engines take the request.
+	Free Bound = iota
+	// Memory would be filled by running requests.
+	Memory
+	// Slots are taken as far as the request's urgency may take them.
+	Slots
+	// Backlog would keep urgent requests waiting, or is there while the request is long to read.
+	Backlog
+	bounds
+)
+
+// bound tells what keeps an engine with so much under way from taking the request now.
+func (m *Model) bound(need *Need, step int, service *conf.Service, total Load, o *option) Bound {
 	if total.Requests == 0 {
-		return true
+		return Free
 	}
 	size := float64(need.Tokens() + need.Output)
 	share := max(memoryShare-memoryStep*float64(step), leastMemoryShare)
 	if float64(total.Memory)+size > share*float64(service.Engine.Memory) {
-		return false
+		return Memory
 	}
 	if float64(total.Requests) >= (slotShare-slotStep*float64(step))*float64(o.upstream.Slots) {
-		return false
+		return Slots
 	}
 	perToken, shortest := m.speed(need.Service).perToken, float64(m.shortest(need))
 	if total.Backlog == 0 || step == 0 && perToken*float64(o.missing) < longShare*shortest {
-		return true
+		return Free
+	}
+	if perToken*float64(total.Backlog+o.missing) > pressShare*shortest {
+		return Backlog
 	}
-	return perToken*float64(total.Backlog+o.missing) <= pressShare*shortest
+	return Free
 }
 
 // shortest is the shortest objective of any route to the request's service.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// TestARefusalTellsWhatMadeEnginesFull has three engines full for a long prompt for three reasons.
+func TestARefusalTellsWhatMadeEnginesFull(t *testing.T) {
+	b := newBench(3, 200_000)
+	b.place.Update(start, place.PeerMsg{Peer: "other", Loads: []place.Load{
+		{Upstream: engineID(0), Requests: 2, Memory: 190_000}, {Upstream: engineID(1), Requests: 16}, {Upstream: engineID(2), Requests: 1, Backlog: 30_000},
+	}})
+	long := need(1, start, 30_000, "doc", 300*time.Millisecond)
+	long.Rank = 2
+	cmds := b.place.Update(start, place.ArriveMsg{Need: long})
+	for now := start; len(refusals(cmds)) == 0 && now.Before(start.Add(time.Second)); now = now.Add(25 * time.Millisecond) {
+		cmds = b.place.Update(now, place.TickMsg{})
+	}
+	refused := refusals(cmds)
+	if len(refused) != 1 {
+		t.Fatalf("refused %+v", refused)
+	}
+	want := place.Tally{Full: 3}
+	want.By[place.Memory], want.By[place.Slots], want.By[place.Backlog] = 1, 1, 1
+	if diff := cmp.Diff(want, refused[0].Tally); diff != "" {
+		t.Errorf("tally (-want +got):\n%s", diff)
+	}
+}
+
 // TestRefusalsComeEarly checks that a request that finds no upstream, and one whose time is too short, don't wait
 // to their deadlines, and that both are told when to come back.
 func TestRefusalsComeEarly(t *testing.T) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -291,7 +291,9 @@
 			slog.Int("fetched", v.sent.Fetched), slog.Int("again", v.sent.Again), slog.String("from", origins(v.sent.Fetch)))
 	}
 	if v.tally != nil {
-		attrs = append(attrs, slog.Int("closed", v.tally.Closed), slog.Int("full", v.tally.Full), slog.Int("open", v.tally.Open))
+		attrs = append(attrs, slog.Int("closed", v.tally.Closed), slog.Int("full", v.tally.Full), slog.Int("open", v.tally.Open),
+			slog.Int("full_memory", v.tally.By[place.Memory]), slog.Int("full_slots", v.tally.By[place.Slots]),
+			slog.Int("full_backlog", v.tally.By[place.Backlog]))
 	}
 	if after >= 0 {
 		attrs = append(attrs, slog.Duration("after", after))
