Take holders over slowly when an entry owns many at once

From 33 s on its dials, reads and calls to the store timed out, it lost more than thirty holders and ended alone (`busy` 3 of over 1,000). Heartbeats had been lost on its link of 10 Mbit/s; an entry that hears nobody owns all 170 holders, and asked all of them for everything they keep, which filled the link and kept it deaf.

Change: an entry that owns more than 20 holders takes four over at once and then one a second. What first kept it from hearing is not known; the burst of a heartbeat to 74 entries and streams of answers share that link.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -158,7 +158,7 @@
 	loops := []func(context.Context){
 		newFeed(d, seam.Operator, operatorWait, 0, operatorPatience).run,
 		newFeed(d, seam.Upstreams, 0, listInterval, listPatience).run,
-		beats.run, (&follows{d: d}).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&clock{d: d}).run,
+		beats.run, newFollows(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&clock{d: d}).run,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/route"
@@ -20,6 +24,12 @@
 	followTime = 500 * time.Millisecond
 	// assignInterval is how often the followers are dealt anew.
 	assignInterval = 300 * time.Millisecond
+	// takeFree is how many holders an entry may own for all of them to be taken over at once, above its share at any
+	// size measured. Of more, takeBurst are taken at once and then one in a takeInterval: a list of a few hundred
+	// kilobytes takes a link of 10 Mbit/s a quarter of a second.
+	takeFree     = 20
+	takeBurst    = 4
+	takeInterval = time.Second
 )
 
 // follows deals the holders of kept context over the entries; each entry follows its own and tells the others.
@@ -27,11 +37,27 @@
 	d *Daemon
 	// running holds the end of each follower.
 	running map[string]context.CancelFunc
+	// takes limits how fast holders are taken over.
+	takes *rate.Limiter
+}
+
+func newFollows(d *Daemon) *follows {
+	return &follows{d: d, running: map[string]context.CancelFunc{}, takes: rate.NewLimiter(rate.Every(takeInterval), takeBurst)}
+}
+
+// take picks the holders to start following. An entry that hears nobody for a while owns all of them; were it to ask
+// for what all of them keep at once, the answers would fill a narrow link and keep it from hearing the others again.
+func (f *follows) take(now time.Time, mine map[string]bool) (taken []string) {
+	for _, addr := range slices.Sorted(maps.Keys(mine)) {
+		if _, already := f.running[addr]; !already && (len(mine) <= takeFree || f.takes.AllowN(now, 1)) {
+			taken = append(taken, addr)
+		}
+	}
+	return taken
 }
 
 // run starts and ends followers.
 func (f *follows) run(ctx context.Context) {
-	f.running = map[string]context.CancelFunc{}
 	ticker := time.NewTicker(assignInterval)
 	defer ticker.Stop()
 	for {
@@ -52,13 +78,10 @@
 			delete(f.running, addr)
 		}
 	}
-	for addr, store := range mine {
-		if _, already := f.running[addr]; already {
-			continue
-		}
+	for _, addr := range f.take(time.Now(), mine) {
 		one, end := context.WithCancel(ctx)
 		f.running[addr] = end
-		go (&follower{d: f.d, addr: addr, store: store}).run(one)
+		go (&follower{d: f.d, addr: addr, store: mine[addr]}).run(one)
 	}
 }
 
