Name broken attempts by a digest that all entries share

attempt_broken now has the digest of the request, the upstream, its incarnation, the age and the cause, also where the upstream stayed silent until the caller or the deadline ended the attempt. The digest is core/poison's, moved there from io/entry; its secret is a record in the store that the first entry of the fleet writes under a condition. The state line has the entry's part of the retry budget and the retries of each service. explain lists the lines of the same digest at every entry.

--- a/cmd/cicadavalve/explain.go
+++ b/cmd/cicadavalve/explain.go
@@ -59,12 +59,13 @@
 		}
 	}
 	section("request "+s.Request, s.Lines)
+	section("the same request in other attempts of its caller", s.Related)
 	section("what its entries and upstreams did within 3 s", s.Context)
 	return err
 }
 
 // durationFields lists the fields that hold durations in nanoseconds.
-var durationFields = []string{"first", "whole", "expected", "after", "cold_left", "grace"}
+var durationFields = []string{"first", "whole", "expected", "after", "cold_left", "grace", "age"}
 
 func lineText(l trace.Line) string {
 	fields := []string{l.Time.Format("15:04:05.000"), l.Entry, l.Event}
--- a/core/retry/window.go
+++ b/core/retry/window.go
@@ -42,15 +42,23 @@
 // First records a first attempt.
 func (w *Window) First(now time.Time) { w.firsts[w.advance(now)%sliceCount]++ }
 
+// Retries returns the retries within the window.
+func (w *Window) Retries(now time.Time) (retries float64) {
+	w.advance(now)
+	return sum(w.retries)
+}
+
+func sum(slices [sliceCount]float64) (total float64) {
+	for _, n := range slices {
+		total += n
+	}
+	return total
+}
+
 // Withdraw records a retry if the limit allows one, and reports whether it does.
 func (w *Window) Withdraw(now time.Time) bool {
 	newest := w.advance(now)
-	firsts, retries := 0.0, 0.0
-	for i := range sliceCount {
-		firsts += w.firsts[i]
-		retries += w.retries[i]
-	}
-	if retries+1 > w.ratio*firsts+w.allowance {
+	if sum(w.retries)+1 > w.ratio*sum(w.firsts)+w.allowance {
 		return false
 	}
 	w.retries[newest%sliceCount]++
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/retry"
 	"cicadavalve/io/gossip"
@@ -57,6 +58,8 @@
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
 	clockOffset time.Duration
 	clockKnown  bool
+	// digester is nil until the secret has been loaded.
+	digester atomic.Pointer[poison.Digester]
 	// onConfig, if set, is called with each configuration that comes into force.
 	onConfig func(*conf.Set)
 }
@@ -157,10 +160,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.budget(service)
-	w.SetAllowance(d.settings.RetryAllowance * budgetShare / float64(len(d.mesh.Alive(now))))
+	w.SetAllowance(d.retryAllowance(now))
 	return w.Withdraw(now)
 }
 
+// retryAllowance is this entry's part of the fixed allowance of each service's retry budget; the lock is held.
+func (d *Controller) retryAllowance(now time.Time) float64 {
+	return d.settings.RetryAllowance * budgetShare / float64(len(d.mesh.Alive(now)))
+}
+
 // FetchDeadline implements [relay.Controller].
 func (d *Controller) FetchDeadline() time.Time {
 	d.mu.Lock()
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -161,7 +161,7 @@
 	loops := []func(context.Context){
 		newFeed(d, port.Operator, operatorWait, 0, operatorMaxAge).run,
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
-		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&clock{d: d}).run,
+		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&clock{d: d}).run,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -217,17 +217,7 @@
 }
 
 // run retries until the entry has been announced and the entries announced before it have been greeted.
-func (i *introduction) run(ctx context.Context) {
-	for ctx.Err() == nil {
-		if i.step(ctx) == nil {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retryDelay):
-		}
-	}
-}
+func (i *introduction) run(ctx context.Context) { retryUntilDone(ctx, i.step) }
 
 func (i *introduction) step(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
@@ -297,6 +287,12 @@
 	attrs := []any{
 		"version", set.Version(), "entries", len(d.mesh.Alive(now)), "serving", len(d.mesh.Serving(now)), "upstreams", len(d.fleet.All()),
 		"usable", usable, "cold", cold, "busy", busy, "waiting", d.place.Waiting(),
+		"retry_allowance", d.retryAllowance(now),
+	}
+	for _, s := range set.Services() {
+		if w, used := d.budgets[s.Name]; used && w.Retries(now) > 0 {
+			attrs = append(attrs, "retries_"+string(s.Name), w.Retries(now))
+		}
 	}
 	for i := range set.Services() {
 		if s := set.Services()[i].Store; s != nil {
--- a/io/entry/digest.go
+++ b/io/entry/digest.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"hash"
-	"strconv"
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/poison"
@@ -27,9 +26,5 @@
 
 // digest identifies an organisation's request without revealing its content.
 func (d *Daemon) digest(org ident.OrgID, parts ...string) poison.Digest {
-	h := d.mac("request digest")
-	for _, part := range append([]string{string(org)}, parts...) {
-		_, _ = h.Write([]byte(strconv.Itoa(len(part)) + ":" + part))
-	}
-	return poison.Digest(hex.EncodeToString(h.Sum(nil)))
+	return poison.NewDigester(d.cacheSecret).Digest(org, parts...)
 }
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -92,6 +92,8 @@
 	Entries
 	// Claims carries the claims of the lease on giving orders.
 	Claims
+	// Verdicts carries what the daemons must remember of crashing requests.
+	Verdicts
 )
 
 // ConfigEvent is an accepted configuration.
@@ -132,6 +134,9 @@
 	Boot   int64
 }
 
+// SecretEvent is the secret under which all daemons compute the digests of requests.
+type SecretEvent struct{ Secret []byte }
+
 // Batch holds consecutive decoded records.
 type Batch struct {
 	// Next is the offset of the next read.
@@ -161,6 +166,8 @@
 	Announce(ctx context.Context, id string) (err error)
 	// Claim appends a claim on the condition that the topic ends at an offset. It returns the offset of the claim.
 	Claim(ctx context.Context, at int64, claim ClaimEvent) (offset int64, err error)
+	// ProposeSecret records the secret for digests on the condition that the topic of verdicts ends at an offset.
+	ProposeSecret(ctx context.Context, at int64, secret []byte) (err error)
 	// ReportRollout records the state of a rollout.
 	ReportRollout(ctx context.Context, service ident.ServiceName, release, state string) (err error)
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -145,6 +145,7 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
+	x.sentAt = time.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if err != nil {
 		x.cause = err
@@ -175,13 +176,24 @@
 }
 
 // reportBroken reports that the upstream broke the exchange off. If the context has ended, the caller or the deadline
-// did, and nothing is reported.
+// did, and only an upstream that had been silent for long is logged.
 func (x *exchange) reportBroken(ctx context.Context, cmd *place.SendCmd) {
-	if ctx.Err() == nil {
+	age := time.Since(x.sentAt)
+	ended := ctx.Err() != nil
+	if ended && (age < silenceThreshold || !x.firstAt.IsZero()) {
+		return
+	}
+	x.h.log.Info("attempt_broken", "request", x.head.ID, "digest", x.identify(), "upstream", cmd.Upstream.ID, "born", cmd.Upstream.Born,
+		"route", x.route.Name, "age", age, "silent", ended, "began", !x.firstAt.IsZero(), "cause", errorText(x.cause))
+	if !ended {
 		x.h.controller.ObserveBreak(cmd.Upstream.ID)
 	}
 }
 
+// silenceThreshold is how long an upstream must have sent nothing before the end of an attempt by its caller or its
+// deadline may mean that the upstream has crashed: callers that change their mind leave sooner.
+const silenceThreshold = time.Second
+
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: time.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -17,6 +17,7 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/place"
+	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
@@ -44,6 +45,8 @@
 type Controller interface {
 	// Config returns the configuration in force, nil if there is none yet.
 	Config() *conf.Set
+	// Digester computes the digests by which all entries know a request. It is nil until the secret is known.
+	Digester() *poison.Digester
 	// FetchDeadline returns the deadline of transfers of parts that are decided now, on the engines' clock; zero if
 	// that clock is not known yet.
 	FetchDeadline() time.Time
@@ -133,6 +136,18 @@
 	tally *place.Tally
 	// cause is the last reason why an attempt failed.
 	cause error
+	// sentAt is when the last attempt was sent.
+	sentAt time.Time
+	// digest is computed at the first use of [exchange.identify].
+	digest poison.Digest
+}
+
+// identify returns the digest of the request. It is empty while the secret is unknown.
+func (x *exchange) identify() poison.Digest {
+	if digester := x.h.controller.Digester(); digester != nil && x.digest == "" {
+		x.digest = digester.Digest(x.org, x.r.Method, x.r.Host, target(x.r), string(x.body))
+	}
+	return x.digest
 }
 
 // ServeHTTP implements [http.Handler].
--- a/io/trace/trace.go
+++ b/io/trace/trace.go
@@ -39,6 +39,9 @@
 	Request string
 	// Lines are those of the request itself, ordered by time.
 	Lines []Line
+	// Related are the other lines about its digest, at any entry and any time, ordered by time: earlier and later
+	// attempts of its caller, and what was decided about them.
+	Related []Line
 	// Context holds events shortly before, during and after the request, ordered by time: those about the same
 	// upstreams at any entry, and those at the same entries that concern no upstream. It has no lines of other requests.
 	Context []Line
@@ -131,8 +134,12 @@
 func Find(request string, lines []Line) (s History) {
 	s.Request = request
 	entries, upstreams := map[string]bool{}, map[string]bool{}
+	digest := digestOf(request, lines)
 	for _, l := range lines {
 		if l.Fields["request"] != request {
+			if digest != "" && l.Fields["digest"] == digest {
+				s.Related = append(s.Related, l)
+			}
 			continue
 		}
 		s.Lines = append(s.Lines, l)
@@ -141,13 +148,15 @@
 			upstreams[id] = true
 		}
 	}
-	slices.SortStableFunc(s.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	sortByTime(s.Lines)
+	sortByTime(s.Related)
 	if len(s.Lines) == 0 {
 		return s
 	}
 	begin, end := s.begin().Add(-contextWindow), s.Lines[len(s.Lines)-1].Time.Add(contextWindow)
 	for _, l := range lines {
-		if _, ofRequest := l.Fields["request"]; ofRequest || l.Time.Before(begin) || l.Time.After(end) {
+		_, ofRequest := l.Fields["request"]
+		if ofRequest || digest != "" && l.Fields["digest"] == digest || l.Time.Before(begin) || l.Time.After(end) {
 			continue
 		}
 		id, _ := l.Fields["upstream"].(string)
@@ -155,10 +164,25 @@
 			s.Context = append(s.Context, l)
 		}
 	}
-	slices.SortStableFunc(s.Context, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	sortByTime(s.Context)
 	return s
 }
 
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+}
+
+// digestOf returns the digest that the lines of a request name, empty if none does. Lines with the same digest concern
+// other attempts of its caller, at any entry.
+func digestOf(request string, lines []Line) string {
+	for _, l := range lines {
+		if digest, ok := l.Fields["digest"].(string); ok && l.Fields["request"] == request {
+			return digest
+		}
+	}
+	return ""
+}
+
 // begin returns when the request arrived: computed from the duration in its last line, or the time of the first line if
 // there is none.
 func (s History) begin() time.Time {
--- a/io/trace/trace_test.go
+++ b/io/trace/trace_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// TestFindFollowsTheDigest finds the lines about other attempts of the same caller, at other entries and outside the
+// window of the context.
+func TestFindFollowsTheDigest(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:01Z","msg":"attempt_broken","entry":"b","request":"r0","digest":"d1","upstream":"u0"}
+{"time":"2026-01-01T00:00:05Z","msg":"loss_confirmed","entry":"c","digest":"d1","upstream":"u0"}
+{"time":"2026-01-01T00:00:09Z","msg":"attempt_broken","entry":"a","request":"r1","digest":"d1","upstream":"u1"}
+{"time":"2026-01-01T00:00:09Z","msg":"loss_confirmed","entry":"a","digest":"d2","upstream":"u1"}
+{"time":"2026-01-01T00:00:10Z","msg":"request_ended","entry":"a","request":"r1","upstream":"u1","status":502}
+`
+	lines, _, err := trace.Read([]string{"-"}, strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := trace.Find("r1", lines)
+	got := [][]string{events(s.Lines), events(s.Related), events(s.Context)}
+	want := [][]string{{"attempt_broken a", "request_ended a"}, {"attempt_broken b", "loss_confirmed c"}, {"loss_confirmed a"}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("events (-want +got):\n%s", diff)
+	}
+}
+
 func events(lines []trace.Line) (names []string) {
 	for _, l := range lines {
 		names = append(names, l.Event+" "+l.Entry)
