--- a/cmd/cicadavalve/explain.go
+++ b/cmd/cicadavalve/explain.go
@@ -65,7 +65,7 @@
 }
 
 // durationFields lists the fields that hold durations in nanoseconds.
-var durationFields = []string{"first", "whole", "expected", "after", "cold_left", "grace", "age"}
+var durationFields = []string{"first", "whole", "expected", "after", "cold_left", "grace", "age", "evidence_age"}
 
 func lineText(l trace.Line) string {
 	fields := []string{l.Time.Format("15:04:05.000"), l.Entry, l.Event}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -81,7 +81,7 @@
 	find := newFinder(m, now, need, service)
 	step := m.urgencyStep(now, need)
 	subset, position := sample{all: true}, -1
-	if only == "" {
+	if only == "" && need.Spread == "" {
 		subset = m.sample(find)
 	}
 	var chosen, candidate option
@@ -102,6 +102,9 @@
 			tally.FullBy[bound]++
 			return
 		}
+		if need.Spread != "" {
+			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
+		}
 		tally.Open++
 		if best == nil || candidate.cost < best.cost {
 			ties = 0
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -28,6 +28,9 @@
 	// Objective is the time after Arrived within which the first byte is due.
 	Objective time.Duration
 	Deadline  time.Time
+	// Spread, if not empty, makes the upstream depend on a hash of it alone, rather than on load and cached context, so
+	// that requests with different values are unlikely to meet on one.
+	Spread string
 }
 
 // Shared returns the chain without its last part, nil if there are no other parts.
@@ -47,7 +50,11 @@
 }
 
 // ArriveMsg is a new request.
-type ArriveMsg struct{ Need Need }
+type ArriveMsg struct {
+	Need Need
+	// Avoid lists the upstreams to which it must not be sent.
+	Avoid []ident.UpstreamID
+}
 
 // RetryMsg retries a request that its upstream did not run, or whose answer broke off and may be generated again.
 type RetryMsg struct {
@@ -55,6 +62,8 @@
 	Outcome Outcome
 	// Avoid lists the upstreams to which it must not be sent.
 	Avoid []ident.UpstreamID
+	// Spread replaces that of the request's need.
+	Spread string
 }
 
 // WithdrawMsg removes a queued request whose caller has disconnected.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -168,7 +168,7 @@
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	switch msg := msg.(type) {
 	case ArriveMsg:
-		return m.place(now, &waiting{need: msg.Need}, "")
+		return m.place(now, &waiting{need: msg.Need, avoid: msg.Avoid}, "")
 	case RetryMsg:
 		return m.retry(now, msg)
 	case WithdrawMsg:
@@ -209,6 +209,7 @@
 		return []ident.Cmd{RefuseCmd{Ticket: msg.Ticket, RetryAfter: minRetryAfter, Reason: NoUpstream}}
 	}
 	need := s.need
+	need.Spread = msg.Spread
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
 	return m.place(now, &waiting{need: need, avoid: msg.Avoid}, "")
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,9 +1,12 @@
 // Package poison detects and quarantines requests that crash every upstream that runs them.
 //
 // An upstream lost while requests are in flight counts as a loss for each of them. A request with losses on
-// several upstreams is suspect: it runs alone on an upstream, on one entry at a time, which trial records in the
-// log arbitrate. If that upstream is lost too, the request is quarantined on every entry. Requests are identified
-// only by a keyed digest.
+// several upstreams is suspect: it runs on trial, on one entry at a time and on an upstream without another trial.
+// If that upstream is lost too, the request is quarantined on every entry. A complete answer disproves the losses.
+// Requests are identified only by a keyed digest.
+//
+// Entries share their evidence as records: in a log, whose order arbitrates trials, or in messages without an order
+// ([WithMessages]), where a record takes effect on arrival.
 package poison
 
 import (
@@ -19,9 +22,10 @@
 	suspectAfter = 2
 	// MaxLosses is the maximum number of upstreams that a request can crash if its attempts run one after another.
 	MaxLosses = suspectAfter + 1
-	// confirmTimeout is how long a loss counts without confirmation that the upstream restarted or became
-	// unreachable.
-	confirmTimeout = 3 * time.Second
+	// defaultConfirmTimeout applies without [WithConfirmTimeout].
+	defaultConfirmTimeout = 3 * time.Second
+	// maxExplained limits the losses that are attributed to one request in quarantine.
+	maxExplained = 64
 	// maxDigests limits the number of requests with claims, and of those in quarantine.
 	maxDigests = 4096
 )
@@ -57,25 +61,47 @@
 // claim is a loss reported by this entry or another one.
 type claim struct {
 	loss Loss
-	// alone is true if the request was the only one that its entry had on the upstream.
+	// alone is true if the request was on trial.
 	alone bool
-	since time.Time
+	// silent is true if the upstream did not break the attempt off but sent nothing. Such a loss counts, and is
+	// published, only once it is confirmed.
+	silent bool
+	since  time.Time
+	// confirmBy is when the loss stops to count unless it is confirmed.
+	confirmBy time.Time
 	// confirmed is true once the upstream is known to have restarted or become unreachable.
 	confirmed bool
 }
 
+// quarantine is a request in quarantine.
+type quarantine struct {
+	// losses are those that the request explains.
+	losses []Loss
+	since  time.Time
+}
+
 // Model holds one entry's evidence about crashing requests.
 type Model struct {
-	entry  ident.EntryID
+	entry ident.EntryID
+	// confirmTimeout is how long a loss counts without confirmation that the upstream restarted or became
+	// unreachable.
+	confirmTimeout time.Duration
+	// retention is how long a quarantine lasts, 0 for no limit.
+	retention time.Duration
+	// sharing is nil if the entries share records in a log.
+	sharing *sharing
+	// events holds the changes since the last call of [Model.TakeEvents]. They are kept only with [WithMessages].
+	events []ident.Cmd
 	claims map[Digest][]claim
 	// claimOrder lists the keys of claims, the oldest first.
-	claimOrder []Digest
-	// quarantined holds, for each request in quarantine, the losses that led to it.
-	quarantined map[Digest][]Loss
+	claimOrder  []Digest
+	quarantined map[Digest]*quarantine
 	// quarantineOrder lists the keys of quarantined, the oldest first.
 	quarantineOrder []Digest
-	// released holds the losses of each released request up to its release; they no longer count.
+	// released holds the losses of each request that were released or disproved; they no longer count.
 	released map[Digest][]Loss
+	// releaseOrder lists the keys of released, the oldest first.
+	releaseOrder []Digest
 	// foldedReleases holds the ids of the folded releases, so that each is applied once.
 	foldedReleases map[string]bool
 	// trials holds the open trials, at most one per request.
@@ -90,82 +116,146 @@
 	next int64
 }
 
+// Option sets one property of a [Model].
+type Option func(*Model)
+
+// WithConfirmTimeout sets how long a loss counts without confirmation that the upstream restarted or became
+// unreachable.
+func WithConfirmTimeout(d time.Duration) Option { return func(m *Model) { m.confirmTimeout = d } }
+
+// WithRetention sets how long a quarantine lasts. Without it, a quarantine lasts until it is released.
+func WithRetention(d time.Duration) Option { return func(m *Model) { m.retention = d } }
+
+// WithMessages makes the entries share records in messages, which may be lost, instead of a log: see [Model.Share] and
+// [Model.Receive].
+func WithMessages() Option { return func(m *Model) { m.sharing = &sharing{} } }
+
 // NewModel returns a model without evidence.
 //
 //	m := poison.NewModel("entry-0")
 //	cmds := m.RecordLoss(now, started, digest, poison.Loss{Upstream: "engine-1", Boot: boot}, false)
-func NewModel(entry ident.EntryID) *Model {
-	return &Model{
-		entry: entry, claims: map[Digest][]claim{}, quarantined: map[Digest][]Loss{},
+func NewModel(entry ident.EntryID, options ...Option) *Model {
+	m := &Model{
+		entry: entry, confirmTimeout: defaultConfirmTimeout, claims: map[Digest][]claim{}, quarantined: map[Digest]*quarantine{},
 		released: map[Digest][]Loss{}, foldedReleases: map[string]bool{},
 		trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
 	}
+	for _, o := range options {
+		o(m)
+	}
+	return m
+}
+
+// IsEmpty reports whether every request is clear.
+func (m *Model) IsEmpty() bool { return len(m.claims)+len(m.quarantined) == 0 }
+
+// Quarantined reports whether a request is in quarantine. [Model.Standing] also returns [Quarantined] while the loss on
+// its trial is yet to be confirmed.
+func (m *Model) Quarantined(d Digest) bool { return m.quarantined[d] != nil }
+
+// LastEvidence returns when a request came into quarantine or, otherwise, when its last loss became known; the zero time
+// if there is neither.
+func (m *Model) LastEvidence(d Digest) (at time.Time) {
+	if q := m.quarantined[d]; q != nil {
+		return q.since
+	}
+	for _, c := range m.claims[d] {
+		if c.since.After(at) {
+			at = c.since
+		}
+	}
+	return at
 }
 
 // Standing returns the standing of a request, by the losses that count at now. A request without a digest is
 // always clear.
 func (m *Model) Standing(now time.Time, d Digest) Standing {
-	if _, held := m.quarantined[d]; held {
+	if m.Quarantined(d) {
 		return Quarantined
 	}
-	losses := 0
+	losses, alone := 0, false
 	for _, c := range m.claims[d] {
-		if !c.isActive(now) {
-			continue
-		}
-		if c.alone {
-			return Quarantined
+		if c.isActive(now) {
+			losses++
+			alone = alone || c.alone
 		}
-		losses++
 	}
-	if losses >= suspectAfter {
+	switch {
+	case isProof(losses, alone):
+		return Quarantined
+	case losses >= suspectAfter:
 		return Suspect
 	}
 	return Clear
 }
 
-// isActive reports whether a claim counts: it is confirmed, or pending and not on a version on trial.
+// isProof reports whether a number of losses, of which one was on trial or not, leads to the quarantine.
+func isProof(losses int, alone bool) bool { return alone && losses >= MaxLosses }
+
+// isActive reports whether a claim counts: it is confirmed, or pending and in no doubt.
 func (c *claim) isActive(now time.Time) bool {
-	return c.confirmed || c.isPending(now) && !c.loss.OnTrial
+	return c.confirmed || c.isPending(now) && !c.loss.OnTrial && !c.silent
 }
 
-// isPending reports whether a claim is recent enough to be confirmed.
-func (c *claim) isPending(now time.Time) bool {
-	return now.Sub(c.since) < confirmTimeout
-}
+// isPending reports whether a claim may still be confirmed.
+func (c *claim) isPending(now time.Time) bool { return now.Before(c.confirmBy) }
 
-// RecordLoss records that an attempt, begun at started, broke off, and publishes the loss to the other entries.
+// RecordLoss records that an attempt, begun at started, broke off, and publishes the loss to the other entries. Alone is
+// set if the request was on trial.
 func (m *Model) RecordLoss(now, started time.Time, d Digest, loss Loss, alone bool) []ident.Cmd {
-	if d == "" {
+	loss.EarlierLosses = m.countEarlier(started, d, loss)
+	if d == "" || !m.addClaim(d, claim{loss: loss, alone: alone, since: now}) {
 		return nil
 	}
+	return m.publish(now, lossRecord(m.entry, d, loss, alone, false))
+}
+
+// RecordSilence records that an attempt, begun at started, ended without a byte from its upstream. Alone is set if the
+// request was on trial.
+func (m *Model) RecordSilence(now, started time.Time, d Digest, loss Loss, alone bool) {
+	if d == "" {
+		return
+	}
+	loss.EarlierLosses = m.countEarlier(started, d, loss)
+	m.addClaim(d, claim{loss: loss, alone: alone, silent: true, since: now})
+}
+
+// countEarlier counts the losses of a request on one boot before an attempt began.
+func (m *Model) countEarlier(started time.Time, d Digest, loss Loss) (earlier int) {
 	for _, c := range m.claims[d] {
 		if c.loss.Upstream == loss.Upstream && c.loss.Boot == loss.Boot && c.since.Before(started) {
-			loss.EarlierLosses++
+			earlier++
 		}
 	}
-	if !m.addClaim(now, d, loss, alone) {
-		return nil
-	}
-	return m.publish(lossRecord(m.entry, d, loss, alone))
+	return earlier
 }
 
-// addClaim adds a loss and reports whether it is new. Losses that are explained or released are ignored.
-func (m *Model) addClaim(now time.Time, d Digest, loss Loss, alone bool) bool {
-	if m.isExplained(loss) || slices.Contains(m.released[d], loss) {
+// addClaim adds a loss and reports whether it adds evidence. Losses that are explained or released are ignored.
+func (m *Model) addClaim(d Digest, added claim) bool {
+	if m.isExplained(added.loss) || slices.Contains(m.released[d], added.loss) {
 		return false
 	}
+	if q := m.quarantined[d]; q != nil {
+		if added.silent || len(q.losses) >= maxExplained {
+			return false
+		}
+		q.losses = append(q.losses, added.loss)
+		m.dropExplained([]Loss{added.loss})
+		return true
+	}
+	added.confirmBy = added.since.Add(m.confirmTimeout)
 	claims, known := m.claims[d]
 	for i := range claims {
-		if claims[i].loss == loss {
-			claims[i].alone = claims[i].alone || alone
-			return false
+		if c := &claims[i]; c.loss == added.loss {
+			isNews := added.confirmed && !c.confirmed || added.alone && !c.alone || c.silent && !added.silent
+			c.confirmed, c.alone, c.silent = c.confirmed || added.confirmed, c.alone || added.alone, c.silent && added.silent
+			return isNews
 		}
 	}
 	if !known {
 		m.claimOrder = append(m.claimOrder, d)
 	}
-	m.claims[d] = append(claims, claim{loss: loss, alone: alone, since: now})
+	m.claims[d] = append(claims, added)
 	m.evictOldest()
 	return true
 }
@@ -179,6 +269,10 @@
 		delete(m.quarantined, m.quarantineOrder[0])
 		m.quarantineOrder = m.quarantineOrder[1:]
 	}
+	for len(m.releaseOrder) > maxDigests {
+		delete(m.released, m.releaseOrder[0])
+		m.releaseOrder = m.releaseOrder[1:]
+	}
 }
 
 // ObserveBoot records the boot that an upstream reports, which confirms the losses under any other boot of it.
@@ -195,49 +289,92 @@
 	for _, d := range slices.Clone(m.claimOrder) {
 		for i := range m.claims[d] {
 			c := &m.claims[d][i]
-			if !c.confirmed && !c.isPending(now) || !isConfirmed(c.loss) {
+			if c.confirmed || !c.isPending(now) || !isConfirmed(c.loss) {
 				continue
 			}
 			c.confirmed = true
+			m.notify(ConfirmedCmd{Digest: d, Loss: c.loss, Alone: c.alone, Age: now.Sub(c.since)})
+			if c.silent || m.sharing != nil {
+				c.silent = false
+				cmds = append(cmds, m.publish(now, lossRecord(m.entry, d, c.loss, c.alone, true))...)
+			}
 		}
-		cmds = append(cmds, m.quarantineIfProven(d)...)
+		cmds = append(cmds, m.quarantineIfProven(now, d)...)
 	}
 	return cmds
 }
 
-// quarantineIfProven quarantines a request if a loss in which it ran alone is confirmed.
-func (m *Model) quarantineIfProven(d Digest) []ident.Cmd {
-	var losses []Loss
-	proven := false
+// quarantineIfProven quarantines a request if enough of its losses are confirmed, with the one on its trial.
+func (m *Model) quarantineIfProven(now time.Time, d Digest) []ident.Cmd {
+	losses, proven := m.confirmedLosses(d)
+	if !proven {
+		return nil
+	}
+	m.quarantine(d, losses, now)
+	return m.publish(now, m.quarantineRecord(d, losses, now))
+}
+
+// confirmedLosses returns the confirmed losses of a request; proven is set if they lead to its quarantine.
+func (m *Model) confirmedLosses(d Digest) (losses []Loss, proven bool) {
+	alone := false
 	for _, c := range m.claims[d] {
 		if c.confirmed {
 			losses = append(losses, c.loss)
-			proven = proven || c.alone
+			alone = alone || c.alone
 		}
 	}
-	if !proven {
-		return nil
-	}
-	m.quarantine(d, losses)
-	return m.publish(quarantineRecord(m.entry, d, losses))
+	return losses, isProof(len(losses), alone)
 }
 
 // quarantine quarantines a request, unless all its losses were released, and drops the claims of other requests
 // for the same losses.
-func (m *Model) quarantine(d Digest, losses []Loss) {
-	if _, held := m.quarantined[d]; held || m.isReleased(d, losses) {
+func (m *Model) quarantine(d Digest, losses []Loss, since time.Time) {
+	if m.Quarantined(d) || m.isReleased(d, losses) {
 		return
 	}
-	m.quarantined[d] = losses
+	m.quarantined[d] = &quarantine{losses: losses, since: since}
 	m.quarantineOrder = append(m.quarantineOrder, d)
 	m.dropClaims(d)
-	for _, other := range slices.Clone(m.claimOrder) {
-		m.claims[other] = slices.DeleteFunc(m.claims[other], func(c claim) bool { return slices.Contains(losses, c.loss) })
-		if len(m.claims[other]) == 0 {
-			m.dropClaims(other)
+	m.dropExplained(losses)
+	m.evictOldest()
+	m.notify(QuarantinedCmd{Digest: d, Losses: losses, Since: since})
+}
+
+// dropExplained drops the claims for losses that are attributed to a request in quarantine.
+func (m *Model) dropExplained(losses []Loss) {
+	for _, d := range slices.Clone(m.claimOrder) {
+		m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return slices.Contains(losses, c.loss) })
+		if len(m.claims[d]) == 0 {
+			m.dropClaims(d)
 		}
 	}
-	m.evictOldest()
+}
+
+// ObserveAnswer records that an upstream answered a request completely and outlived it, which disproves the losses known
+// by now.
+func (m *Model) ObserveAnswer(now time.Time, d Digest) []ident.Cmd {
+	var losses []Loss
+	for _, c := range m.claims[d] {
+		losses = append(losses, c.loss)
+	}
+	if len(losses) == 0 {
+		return nil
+	}
+	m.disprove(d, losses)
+	return m.publish(now, answerRecord(m.entry, d, losses))
+}
+
+// disprove drops losses of a request and remembers them, so that duplicate records of them are ignored.
+func (m *Model) disprove(d Digest, losses []Loss) {
+	if m.isReleased(d, losses) {
+		return
+	}
+	m.release(d, losses)
+	m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return slices.Contains(losses, c.loss) })
+	if len(m.claims[d]) == 0 {
+		m.dropClaims(d)
+	}
+	m.notify(DisprovedCmd{Digest: d, Losses: losses})
 }
 
 func (m *Model) dropClaims(d Digest) {
@@ -248,14 +385,15 @@
 // isExplained reports whether a loss is attributed to a request in quarantine.
 func (m *Model) isExplained(loss Loss) bool {
 	for _, d := range m.quarantineOrder {
-		if slices.Contains(m.quarantined[d], loss) {
+		if slices.Contains(m.quarantined[d].losses, loss) {
 			return true
 		}
 	}
 	return false
 }
 
-// Tick drops the claims that were not confirmed in time, expires trials and resends the outbox.
+// Tick drops the claims that were not confirmed in time, ends quarantines and trials that have lasted long enough, and
+// resends the outbox.
 func (m *Model) Tick(now time.Time) []ident.Cmd {
 	for _, d := range slices.Clone(m.claimOrder) {
 		m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return !c.confirmed && !c.isPending(now) })
@@ -264,9 +402,43 @@
 		}
 	}
 	m.expireTrials(now)
+	m.expireQuarantines(now)
 	return m.resend(now)
 }
 
+// expireQuarantines ends the quarantines that have lasted for the retention.
+func (m *Model) expireQuarantines(now time.Time) {
+	if m.retention == 0 {
+		return
+	}
+	for _, d := range slices.Clone(m.quarantineOrder) {
+		q := m.quarantined[d]
+		if now.Sub(q.since) < m.retention {
+			continue
+		}
+		m.release(d, q.losses)
+		m.dropQuarantine(d)
+		m.notify(ExpiredCmd{Digest: d})
+	}
+}
+
+func (m *Model) dropQuarantine(d Digest) {
+	delete(m.quarantined, d)
+	m.quarantineOrder = slices.DeleteFunc(m.quarantineOrder, func(q Digest) bool { return q == d })
+}
+
+// Postpone gives the pending losses the whole time for their confirmation again, as while the upstreams can't be
+// observed.
+func (m *Model) Postpone(now time.Time) {
+	for _, claims := range m.claims {
+		for i := range claims {
+			if c := &claims[i]; !c.confirmed && c.isPending(now) {
+				c.confirmBy = now.Add(m.confirmTimeout)
+			}
+		}
+	}
+}
+
 // Pending reports whether a tick may have an effect: a record has not been read back, a trial is open
 // or a claim is unconfirmed.
 func (m *Model) Pending() bool {
--- a/core/poison/poison_test.go
+++ b/core/poison/poison_test.go
@@ -141,12 +141,12 @@
 		}
 		return records
 	}
-	if got := m.Release("d", "rule"); got != nil {
+	if got := m.Release(start, "d", "rule"); got != nil {
 		t.Errorf("release without a quarantine: %v", got)
 	}
 	old = crash("old")
 	m.Fold(start, batch(0, old))
-	release := appended(m.Release("d", "rule"))
+	release := appended(m.Release(start, "d", "rule"))
 	if diff := cmp.Diff(1, len(release)); diff != "" {
 		t.Fatalf("release records (-want +got):\n%s", diff)
 	}
@@ -165,10 +165,10 @@
 	if diff := cmp.Diff([]poison.Standing{poison.Quarantined, poison.Quarantined}, standings()); diff != "" {
 		t.Errorf("after new losses and the same release again (-want +got):\n%s", diff)
 	}
-	if got := m.Release("d", "rule"); got != nil {
+	if got := m.Release(start, "d", "rule"); got != nil {
 		t.Errorf("second release by one rule: %v", got)
 	}
-	if diff := cmp.Diff(1, len(m.Release("d", "another rule"))); diff != "" {
+	if diff := cmp.Diff(1, len(m.Release(start, "d", "another rule"))); diff != "" {
 		t.Errorf("release by another rule (-want +got):\n%s", diff)
 	}
 }
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -14,6 +14,7 @@
 const (
 	KindLoss       ledger.Kind = "loss"
 	KindQuarantine ledger.Kind = "quarantine"
+	KindAnswer     ledger.Kind = "answer"
 )
 
 const (
@@ -27,8 +28,10 @@
 type LossBody struct {
 	Digest Digest `json:"digest"`
 	Loss   Loss   `json:"loss"`
-	// Alone is true if the request was the only one that its entry had on the upstream.
+	// Alone is true if the request was on trial.
 	Alone bool `json:"alone"`
+	// Confirmed is true if the upstream is known to have restarted or become unreachable.
+	Confirmed bool `json:"confirmed,omitempty"`
 }
 
 // QuarantineBody is the body of a [KindQuarantine] record.
@@ -36,6 +39,15 @@
 	Digest Digest `json:"digest"`
 	// Losses are the confirmed losses of the request.
 	Losses []Loss `json:"losses"`
+	// SinceMS is when the quarantine began, in Unix ms. It is 0 for a quarantine that lasts until it is released.
+	SinceMS int64 `json:"since_ms,omitempty"`
+}
+
+// AnswerBody is the body of a [KindAnswer] record: the request was answered completely by an upstream that outlived it.
+type AnswerBody struct {
+	Digest Digest `json:"digest"`
+	// Losses are those that the answer disproves.
+	Losses []Loss `json:"losses"`
 }
 
 // AppendCmd asks to append a record to [ledger.StreamVerdict].
@@ -44,13 +56,32 @@
 }
 
 // lossRecord returns a loss record; its id is the same on every entry that observed the loss.
-func lossRecord(entry ident.EntryID, d Digest, loss Loss, alone bool) ledger.Record {
-	id := fmt.Sprintf("loss/%s/%s/%s/%d", d, loss.Upstream, loss.Boot, loss.EarlierLosses)
-	return newRecord(id, KindLoss, entry, LossBody{d, loss, alone})
+func lossRecord(entry ident.EntryID, d Digest, loss Loss, alone, confirmed bool) ledger.Record {
+	id := fmt.Sprintf("loss/%s/%s", d, lossID(loss))
+	if confirmed {
+		id += "/confirmed"
+	}
+	return newRecord(id, KindLoss, entry, LossBody{d, loss, alone, confirmed})
 }
 
-func quarantineRecord(entry ident.EntryID, d Digest, losses []Loss) ledger.Record {
-	return newRecord("quarantine/"+string(d), KindQuarantine, entry, QuarantineBody{d, losses})
+func lossID(loss Loss) string {
+	return fmt.Sprintf("%s/%s/%d", loss.Upstream, loss.Boot, loss.EarlierLosses)
+}
+
+func (m *Model) quarantineRecord(d Digest, losses []Loss, since time.Time) ledger.Record {
+	body := QuarantineBody{Digest: d, Losses: losses}
+	if m.retention > 0 {
+		body.SinceMS = since.UnixMilli()
+	}
+	return newRecord("quarantine/"+string(d), KindQuarantine, m.entry, body)
+}
+
+func answerRecord(entry ident.EntryID, d Digest, losses []Loss) ledger.Record {
+	id := "answer/" + string(d)
+	for _, loss := range losses {
+		id += "/" + lossID(loss)
+	}
+	return newRecord(id, KindAnswer, entry, AnswerBody{d, losses})
 }
 
 func newRecord(id string, kind ledger.Kind, entry ident.EntryID, body any) ledger.Record {
@@ -61,8 +92,16 @@
 	return rec
 }
 
-// publish adds a record to the outbox and appends it.
-func (m *Model) publish(rec ledger.Record) []ident.Cmd {
+// publish adds a record to the outbox and appends it, or shares it in messages.
+func (m *Model) publish(now time.Time, rec ledger.Record) []ident.Cmd {
+	if m.sharing != nil {
+		m.sharing.add(rec)
+		// Other records take effect before they are published.
+		if rec.Kind == KindTrial || rec.Kind == KindTrialEnd {
+			m.foldTrial(now, rec)
+		}
+		return nil
+	}
 	m.outbox = append(m.outbox, rec)
 	if len(m.outbox) > maxOutbox {
 		m.outbox = m.outbox[1:]
@@ -70,6 +109,14 @@
 	return []ident.Cmd{AppendCmd{rec}}
 }
 
+// withdraw stops the resends of a record.
+func (m *Model) withdraw(id string) {
+	m.outbox = slices.DeleteFunc(m.outbox, func(r ledger.Record) bool { return r.ID == id })
+	if m.sharing != nil {
+		m.sharing.fresh = slices.DeleteFunc(m.sharing.fresh, func(r freshRecord) bool { return r.record.ID == id })
+	}
+}
+
 // resend appends the outbox again, in case the log was unavailable.
 func (m *Model) resend(now time.Time) (cmds []ident.Cmd) {
 	if len(m.outbox) == 0 || now.Sub(m.lastResend) < resendInterval {
@@ -115,12 +162,17 @@
 	case KindLoss:
 		var body LossBody
 		if json.Unmarshal(rec.Body, &body) == nil {
-			m.addClaim(now, body.Digest, body.Loss, body.Alone)
+			m.foldLoss(now, body)
+		}
+	case KindAnswer:
+		var body AnswerBody
+		if json.Unmarshal(rec.Body, &body) == nil {
+			m.disprove(body.Digest, body.Losses)
 		}
 	case KindQuarantine:
 		var body QuarantineBody
 		if json.Unmarshal(rec.Body, &body) == nil {
-			m.quarantine(body.Digest, body.Losses)
+			m.foldQuarantine(now, body)
 		}
 	}
 }
@@ -136,3 +188,22 @@
 	}
 	m.openTrial(now, body)
 }
+
+// foldLoss adds a loss. A confirmed one on a trial is enough for the quarantine, should the record of that be lost.
+func (m *Model) foldLoss(now time.Time, body LossBody) {
+	m.addClaim(body.Digest, claim{loss: body.Loss, alone: body.Alone, confirmed: body.Confirmed, since: now})
+	if losses, proven := m.confirmedLosses(body.Digest); proven && body.Confirmed {
+		m.quarantine(body.Digest, losses, now)
+	}
+}
+
+// foldQuarantine applies a quarantine unless it has lasted for the retention.
+func (m *Model) foldQuarantine(now time.Time, body QuarantineBody) {
+	since := now
+	if body.SinceMS > 0 {
+		since = time.UnixMilli(body.SinceMS)
+	}
+	if m.retention == 0 || now.Sub(since) < m.retention {
+		m.quarantine(body.Digest, body.Losses, since)
+	}
+}
--- a/core/poison/release.go
+++ b/core/poison/release.go
@@ -20,13 +20,13 @@
 
 // Release appends a record that ends the quarantine of a request, unless the request is in none or the id was used
 // before. The record's position in the log determines which losses it releases.
-func (m *Model) Release(d Digest, id string) []ident.Cmd {
+func (m *Model) Release(now time.Time, d Digest, id string) []ident.Cmd {
 	recordID := "release/" + id
 	requested := slices.ContainsFunc(m.outbox, func(r ledger.Record) bool { return r.ID == recordID })
-	if _, held := m.quarantined[d]; !held || m.foldedReleases[id] || requested {
+	if !m.Quarantined(d) || m.foldedReleases[id] || requested {
 		return nil
 	}
-	return m.publish(newRecord(recordID, KindRelease, m.entry, ReleaseBody{d, id}))
+	return m.publish(now, newRecord(recordID, KindRelease, m.entry, ReleaseBody{d, id}))
 }
 
 // applyRelease drops the request's quarantine and claims, and remembers their losses as released, so that
@@ -36,16 +36,33 @@
 		return
 	}
 	m.foldedReleases[body.ID] = true
-	released := m.quarantined[body.Digest]
+	var released []Loss
+	if q := m.quarantined[body.Digest]; q != nil {
+		released = q.losses
+	}
 	for _, c := range m.claims[body.Digest] {
 		released = append(released, c.loss)
 	}
-	m.released[body.Digest] = append(m.released[body.Digest], released...)
-	delete(m.quarantined, body.Digest)
-	m.quarantineOrder = slices.DeleteFunc(m.quarantineOrder, func(d Digest) bool { return d == body.Digest })
+	m.release(body.Digest, released)
+	m.dropQuarantine(body.Digest)
 	m.dropClaims(body.Digest)
 }
 
+// release remembers losses of a request that no longer count.
+func (m *Model) release(d Digest, losses []Loss) {
+	known, held := m.released[d]
+	if !held {
+		m.releaseOrder = append(m.releaseOrder, d)
+	}
+	for _, loss := range losses {
+		if !slices.Contains(known, loss) {
+			known = append(known, loss)
+		}
+	}
+	m.released[d] = known
+	m.evictOldest()
+}
+
 // isReleased reports whether the request was released from all the losses.
 func (m *Model) isReleased(d Digest, losses []Loss) bool {
 	released, known := m.released[d]
@@ -65,7 +82,7 @@
 func (m *Model) Views(now time.Time) []View {
 	views := []View{}
 	for _, d := range m.quarantineOrder {
-		views = append(views, View{d, standingNames[Quarantined], m.quarantined[d]})
+		views = append(views, View{d, standingNames[Quarantined], m.quarantined[d].losses})
 	}
 	for _, d := range m.claimOrder {
 		v := View{Digest: d, Standing: standingNames[m.Standing(now, d)]}
--- /dev/null
+++ b/core/poison/share.go
@@ -0,0 +1,146 @@
+package poison
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
+)
+
+const (
+	// maxSends is how often a new record is sent, since messages may be lost.
+	maxSends = 4
+	// sendInterval is the least time between two sends of a new record. Together with maxSends, a record survives the
+	// loss of every message in a third of a second.
+	sendInterval = 150 * time.Millisecond
+	// maxNew limits the new records in one message.
+	maxNew = 24
+	// repeatInterval is the least time between two messages with known records.
+	repeatInterval = 250 * time.Millisecond
+	// repeatedRecords is about how many known records an entry receives from all others per repeatInterval, so that
+	// their number does not grow with the number of entries.
+	repeatedRecords = 32
+	// maxEvents limits the events that wait to be taken.
+	maxEvents = 4096
+)
+
+// sharing shares records in messages.
+type sharing struct {
+	// fresh holds the records that have been sent fewer than maxSends times, the oldest first.
+	fresh []freshRecord
+	// repeatedAt is when known records were last sent; position counts those sent so far.
+	repeatedAt time.Time
+	position   int
+}
+
+// freshRecord is a record that is sent to the other entries.
+type freshRecord struct {
+	record ledger.Record
+	sends  int
+	sentAt time.Time
+}
+
+func (s *sharing) add(rec ledger.Record) {
+	s.fresh = append(s.fresh, freshRecord{record: rec})
+	if len(s.fresh) > maxOutbox {
+		s.fresh = s.fresh[1:]
+	}
+}
+
+// Share returns the records for the next message to all other entries: new ones a few times each, and in turn those
+// already known, from which an entry that has started or was cut off learns what it has missed. Entries is how many
+// entries share records.
+//
+//	for _, rec := range m.Share(now, len(alive)) { message.Add(rec.Kind, rec.Body) }
+func (m *Model) Share(now time.Time, entries int) (records []ledger.Record) {
+	s := m.sharing
+	if s == nil {
+		return nil
+	}
+	for i := range s.fresh {
+		r := &s.fresh[i]
+		if len(records) == maxNew {
+			break
+		}
+		if r.sends == 0 || now.Sub(r.sentAt) >= sendInterval {
+			records = append(records, r.record)
+			r.sends, r.sentAt = r.sends+1, now
+		}
+	}
+	s.fresh = slices.DeleteFunc(s.fresh, func(r freshRecord) bool { return r.sends >= maxSends })
+	if now.Sub(s.repeatedAt) < repeatInterval || m.IsEmpty() {
+		return records
+	}
+	s.repeatedAt = now
+	return append(records, m.repeat(max(1, repeatedRecords/max(entries, 1)))...)
+}
+
+// HasNew reports whether [Model.Share] would return a record that has not been sent yet.
+func (m *Model) HasNew() bool {
+	return m.sharing != nil && slices.ContainsFunc(m.sharing.fresh, func(r freshRecord) bool { return r.sends == 0 })
+}
+
+// repeat returns the next n known records in turn, the quarantines and then the confirmed losses.
+func (m *Model) repeat(n int) (records []ledger.Record) {
+	total := len(m.quarantineOrder) + len(m.claimOrder)
+	for range min(n, total) {
+		i := m.sharing.position % total
+		m.sharing.position++
+		if i < len(m.quarantineOrder) {
+			d := m.quarantineOrder[i]
+			records = append(records, m.quarantineRecord(d, m.quarantined[d].losses, m.quarantined[d].since))
+			continue
+		}
+		d := m.claimOrder[i-len(m.quarantineOrder)]
+		for _, c := range m.claims[d] {
+			if c.confirmed {
+				records = append(records, lossRecord(m.entry, d, c.loss, c.alone, true))
+			}
+		}
+	}
+	return records
+}
+
+// Receive applies a record that another entry shared. Records that can't be decoded are ignored.
+func (m *Model) Receive(now time.Time, kind ledger.Kind, body json.RawMessage) {
+	m.foldRecord(now, ledger.Record{Kind: kind, Body: body})
+}
+
+// ConfirmedCmd reports that a loss was confirmed.
+type ConfirmedCmd struct {
+	Digest Digest
+	Loss   Loss
+	Alone  bool
+	// Age is the time since the loss became known to this entry.
+	Age time.Duration
+}
+
+// QuarantinedCmd reports that a request is in quarantine.
+type QuarantinedCmd struct {
+	Digest Digest
+	Losses []Loss
+	Since  time.Time
+}
+
+// DisprovedCmd reports that an answer disproved losses of a request.
+type DisprovedCmd struct {
+	Digest Digest
+	Losses []Loss
+}
+
+// ExpiredCmd reports that the quarantine of a request has lasted for its retention.
+type ExpiredCmd struct{ Digest Digest }
+
+func (m *Model) notify(event ident.Cmd) {
+	if m.sharing != nil && len(m.events) < maxEvents {
+		m.events = append(m.events, event)
+	}
+}
+
+// TakeEvents returns the changes since the last call.
+func (m *Model) TakeEvents() (events []ident.Cmd) {
+	events, m.events = m.events, nil
+	return events
+}
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -8,7 +9,8 @@
 	"cicadavalve/core/ledger"
 )
 
-// KindTrial and KindTrialEnd mark the start and the end of a trial: the run of a suspect request alone on an upstream.
+// KindTrial and KindTrialEnd mark the start and the end of a trial: the run of a suspect request on an upstream without
+// another trial. Where a log arbitrates, the upstream also runs nothing else of the same entry.
 const (
 	KindTrial    ledger.Kind = "trial"
 	KindTrialEnd ledger.Kind = "trial_end"
@@ -32,8 +34,8 @@
 }
 
 // RequestTrial requests a trial; the request may run once [Model.Granted] returns true.
-func (m *Model) RequestTrial(body TrialBody) []ident.Cmd {
-	return m.publish(newRecord("trial/"+body.ID, KindTrial, m.entry, body))
+func (m *Model) RequestTrial(now time.Time, body TrialBody) []ident.Cmd {
+	return m.publish(now, newRecord("trial/"+body.ID, KindTrial, m.entry, body))
 }
 
 // Granted reports whether the trial is open: its record was folded while no other trial was open for its request
@@ -55,13 +57,16 @@
 	return open && holder != id
 }
 
+// OccupiedUpstreams returns the upstreams that are reserved for open trials, sorted.
+func (m *Model) OccupiedUpstreams() []ident.UpstreamID { return slices.Sorted(maps.Keys(m.occupied)) }
+
 // Trials returns the number of open trials.
 func (m *Model) Trials() int { return len(m.trials) }
 
 // EndTrial appends the end of a trial, whatever its result, and stops resending its [KindTrial] record.
-func (m *Model) EndTrial(body TrialBody) []ident.Cmd {
-	m.outbox = slices.DeleteFunc(m.outbox, func(r ledger.Record) bool { return r.ID == "trial/"+body.ID })
-	return m.publish(newRecord("trial_end/"+body.ID, KindTrialEnd, m.entry, body))
+func (m *Model) EndTrial(now time.Time, body TrialBody) []ident.Cmd {
+	m.withdraw("trial/" + body.ID)
+	return m.publish(now, newRecord("trial_end/"+body.ID, KindTrialEnd, m.entry, body))
 }
 
 // openTrial opens a trial unless one is open for its request or its upstream.
--- a/core/sched/attempt.go
+++ b/core/sched/attempt.go
@@ -82,7 +82,7 @@
 	m.release(now, r, true)
 	m.budgets.RecordSuccess(r.Org)
 	delete(m.requests, r.ID)
-	return m.endTrial(r)
+	return append(m.endTrial(now, r), m.poison.ObserveAnswer(now, r.Digest)...)
 }
 
 // handleFirst records the first token of an attempt: its prompt is computed and now cached on the upstream.
@@ -109,5 +109,5 @@
 	cancel := CancelCmd{Request: r.ID, Attempt: r.attempt, Upstream: r.upstream}
 	m.release(now, r, false)
 	delete(m.requests, r.ID)
-	return append(m.endTrial(r), cancel)
+	return append(m.endTrial(now, r), cancel)
 }
--- a/core/sched/isolate.go
+++ b/core/sched/isolate.go
@@ -27,12 +27,12 @@
 func (m *Model) Suspects(now time.Time) []poison.View { return m.poison.Views(now) }
 
 // liftQuarantines ends the quarantines that the rules file releases.
-func (m *Model) liftQuarantines() (cmds []ident.Cmd) {
+func (m *Model) liftQuarantines(now time.Time) (cmds []ident.Cmd) {
 	if m.rules == nil {
 		return nil
 	}
 	for _, r := range m.rules.Released() {
-		cmds = append(cmds, m.poison.Release(poison.Digest(r.Digest), r.ID)...)
+		cmds = append(cmds, m.poison.Release(now, poison.Digest(r.Digest), r.ID)...)
 	}
 	return cmds
 }
@@ -125,7 +125,7 @@
 		r.trials++
 		r.trial = poison.TrialBody{Digest: r.Digest, ID: fmt.Sprintf("%s/%d", r.ID, r.trials), Upstream: r.reserved}
 		r.trialSince = now
-		return m.poison.RequestTrial(r.trial)
+		return m.poison.RequestTrial(now, r.trial)
 	}
 	waiting := now.Sub(r.trialSince) < trialTimeout
 	if waiting && !m.poison.Granted(r.Digest, r.trial.ID) {
@@ -140,14 +140,14 @@
 }
 
 // endTrial releases a request's reserved upstream and ends its trial, if it has one.
-func (m *Model) endTrial(r *request) []ident.Cmd {
+func (m *Model) endTrial(now time.Time, r *request) []ident.Cmd {
 	m.unreserve(r)
 	if r.trial.ID == "" {
 		return nil
 	}
 	ended := r.trial
 	r.trial, r.confirmRequested, r.confirmed = poison.TrialBody{}, false, false
-	return m.poison.EndTrial(ended)
+	return m.poison.EndTrial(now, ended)
 }
 
 // reservedForOther reports whether an upstream is reserved for another request, by this entry or another.
@@ -187,7 +187,7 @@
 	if held && m.trialAllowed(now, r) && m.eligible(now, u, r, suspected) {
 		return m.startIsolated(now, r)
 	}
-	cmds := m.endTrial(r)
+	cmds := m.endTrial(now, r)
 	return append(m.send(now, r), cmds...)
 }
 
--- a/core/sched/resend.go
+++ b/core/sched/resend.go
@@ -26,7 +26,7 @@
 	cmds := m.recordLoss(now, r, msg.Cause)
 	m.assumeCold(now, r, msg.Cause)
 	m.release(now, r, msg.Cause == CauseConnect || msg.Cause == CauseRefused)
-	cmds = append(cmds, m.endTrial(r)...)
+	cmds = append(cmds, m.endTrial(now, r)...)
 	return append(m.retryOrRefuse(now, r, msg.Cause), cmds...)
 }
 
@@ -36,7 +36,7 @@
 	r.delivered = msg.Delivered
 	r.mayHaveRun = true
 	m.release(now, r, false)
-	cmds := m.endTrial(r)
+	cmds := m.endTrial(now, r)
 	if !r.Repeatable {
 		return append(m.refuse(now, r, CodeOutcomeUnknown, "the upstream may have run the request"), cmds...)
 	}
@@ -82,5 +82,5 @@
 	delete(m.requests, r.ID)
 	refusal := r.refusal(code, message)
 	refusal.RetryAfter = m.budgets.Backoff(now, r.Org, m.rng)
-	return append([]ident.Cmd{refusal}, m.endTrial(r)...)
+	return append([]ident.Cmd{refusal}, m.endTrial(now, r)...)
 }
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -116,7 +116,7 @@
 	case RulesMsg:
 		m.setRules(msg)
 		m.updateClosed(now)
-		return m.liftQuarantines()
+		return m.liftQuarantines(now)
 	case ArriveMsg:
 		return m.handleArrive(now, msg)
 	case FirstMsg:
@@ -143,7 +143,7 @@
 func (m *Model) handleTick(now time.Time) (cmds []ident.Cmd) {
 	m.lag.observeTick(now)
 	cmds = append(cmds, m.poison.Tick(now)...)
-	cmds = append(cmds, m.liftQuarantines()...)
+	cmds = append(cmds, m.liftQuarantines(now)...)
 	cmds = append(cmds, m.moveOffClosed(now)...)
 	return append(cmds, m.resendOverdue(now)...)
 }
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -58,8 +58,18 @@
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
 	clockOffset time.Duration
 	clockKnown  bool
+	// poison holds the evidence about crashing requests.
+	poison *poison.Model
+	// hasEvidence is set while there is evidence against any request.
+	hasEvidence atomic.Bool
 	// digester is nil until the secret has been loaded.
 	digester atomic.Pointer[poison.Digester]
+	// trials counts the trials that this entry has begun.
+	trials int
+	// verdicts holds the quarantines that are to be recorded in the store.
+	verdicts chan verdict
+	// listLost is set while the list of upstreams can't be read.
+	listLost bool
 	// onConfig, if set, is called with each configuration that comes into force.
 	onConfig func(*conf.Set)
 }
@@ -70,7 +80,8 @@
 	rng := rand.New(rand.NewPCG(seed, 0))
 	d := &Controller{
 		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(self),
-		place:   place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
+		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
+		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
 	d.place.SetMembers(place.Members{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
@@ -81,8 +92,8 @@
 func (d *Controller) Config() *conf.Set { return d.set.Load() }
 
 // Place implements [relay.Controller].
-func (d *Controller) Place(ctx context.Context, need place.Need) (decision relay.Decision, err error) {
-	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need}, func(now time.Time) { d.budget(need.Service).First(now) })
+func (d *Controller) Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (decision relay.Decision, err error) {
+	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need, Avoid: avoid}, func(now time.Time) { d.budget(need.Service).First(now) })
 }
 
 // Retry implements [relay.Controller].
@@ -117,10 +128,7 @@
 		switch cmd := cmd.(type) {
 		case place.SendCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Send: &cmd})
-			select {
-			case d.changed <- struct{}{}:
-			default:
-			}
+			d.wakeHeartbeat()
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.SavingCmd:
@@ -130,10 +138,19 @@
 		case fleet.GoneCmd:
 			d.place.Update(time.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
+			d.observeEnd(time.Now(), cmd.ID)
 		}
 	}
 }
 
+// wakeHeartbeat makes the next heartbeat follow as soon as its interval allows.
+func (d *Controller) wakeHeartbeat() {
+	select {
+	case d.changed <- struct{}{}:
+	default:
+	}
+}
+
 func (d *Controller) deliver(t place.Ticket, decision relay.Decision) {
 	if ch, ok := d.waiters[t]; ok {
 		delete(d.waiters, t)
@@ -209,6 +226,7 @@
 	case reply.Misdirected && reply.Upstream != "" && reply.Upstream != id:
 		d.fleet.Update(now, fleet.AddressReusedMsg{ID: id})
 		d.log.Warn("upstream_address_moved", "upstream", id, "answered_by", reply.Upstream)
+		d.observeEnd(now, id)
 	case reply.NotRun:
 		d.fleet.Update(now, fleet.OrderedMsg{ID: id, Until: now.Add(rejectionPause)})
 	default:
@@ -220,11 +238,19 @@
 }
 
 // ObserveBreak implements [relay.Controller].
-func (d *Controller) ObserveBreak(id ident.UpstreamID) {
+func (d *Controller) ObserveBreak(b relay.Break) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.fleet.Update(now, fleet.BrokenMsg{ID: id})
+	if !b.Silent {
+		d.fleet.Update(now, fleet.BrokenMsg{ID: b.Upstream})
+	}
+	if b.Refused {
+		d.observeEnd(now, b.Upstream)
+	}
+	if !b.Unsent {
+		d.recordLoss(now, b)
+	}
 }
 
 // Tick removes lapsed upstreams and decides about waiting requests whose time has come.
@@ -233,6 +259,7 @@
 	defer d.mu.Unlock()
 	d.perform(d.fleet.DropLapsed(now))
 	d.perform(d.place.Update(now, place.TickMsg{}))
+	d.tickEvidence(now)
 }
 
 // Ready implements [port.Advice].
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -219,6 +219,12 @@
 func (d *Controller) updateFleet(msg ident.Msg) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	switch msg.(type) {
+	case fleet.ListLostMsg:
+		d.listLost = true
+	case fleet.ListRestoredMsg:
+		d.listLost = false
+	}
 	d.perform(d.fleet.Update(time.Now(), msg))
 }
 
@@ -262,6 +268,9 @@
 	}
 	d.log.Info("upstreams_listed", "count", len(listed))
 	d.perform(d.fleet.Update(now, fleet.SnapshotMsg{Upstreams: listed}))
+	for _, u := range listed {
+		d.observeRecord(now, u)
+	}
 	d.upstreamsListed = true
 	d.updateReadiness()
 }
@@ -273,6 +282,7 @@
 			"cold_left", u.ColdLeft, "born", u.Born)
 	}
 	d.perform(d.fleet.Update(now, fleet.ListedMsg{Upstream: u}))
+	d.observeRecord(now, u)
 }
 
 // applyConfig puts a configuration in force unless its version is at most that of the one in force.
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -162,6 +162,8 @@
 		f.boot, f.next = h.Boot, 0
 		if f.store {
 			f.boot = 0
+		} else {
+			f.d.controller.observeRestart(time.Now(), f.addr)
 		}
 		f.d.controller.applyHoldings(f.addr, port.Holdings{Boot: h.Boot}, false)
 		return
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"encoding/json"
 	"time"
 
 	"cicadavalve/core/poison"
@@ -10,17 +11,36 @@
 )
 
 const (
-	// verdictTimeout bounds one attempt to load the verdicts.
+	// verdictTimeout bounds one attempt to load the verdicts, or to record one.
 	verdictTimeout = 2 * time.Second
+	// maxWaitingVerdicts bounds the verdicts that wait for the store.
+	maxWaitingVerdicts = 256
 	// secretSize is the size of the secret for digests, in bytes.
 	secretSize = 32
 )
 
-// verdicts loads what entries must remember of crashing requests across restarts, with the secret for their digests.
+// verdict is a quarantine to record in the store, or to remove from it if its body is empty.
+type verdict struct {
+	digest poison.Digest
+	body   json.RawMessage
+}
+
+// verdicts loads what entries must remember of crashing requests across restarts, with the secret for their digests, and
+// records what is added to it.
 type verdicts struct{ d *Daemon }
 
-// run retries until the verdicts have been loaded.
-func (v *verdicts) run(ctx context.Context) { retryUntilDone(ctx, v.load) }
+// run loads the verdicts and then records new ones until the context ends.
+func (v *verdicts) run(ctx context.Context) {
+	retryUntilDone(ctx, v.load)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case added := <-v.d.controller.verdicts:
+			retryUntilDone(ctx, func(ctx context.Context) error { return v.record(ctx, added) })
+		}
+	}
+}
 
 // load reads the verdicts. The first entry of the fleet also chooses the secret.
 func (v *verdicts) load(ctx context.Context) (err error) {
@@ -35,7 +55,10 @@
 	if err != nil {
 		return err
 	}
-	if v.d.controller.applyVerdicts(batch.Events) {
+	for _, fault := range batch.Faults {
+		v.d.log.Warn("record_unreadable", "topic", port.Verdicts, "error", fault)
+	}
+	if v.d.controller.applyVerdicts(time.Now(), batch.Events) {
 		v.d.log.Info("verdicts_loaded", "count", len(batch.Events)-1)
 		return nil
 	}
@@ -51,20 +74,36 @@
 	return nil
 }
 
+func (v *verdicts) record(ctx context.Context, added verdict) (err error) {
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	if err := v.d.store.RecordQuarantine(ctx, string(added.digest), added.body); err != nil {
+		v.d.log.Info("verdict_not_recorded", "digest", added.digest, "error", err)
+		return err
+	}
+	v.d.log.Info("verdict_recorded", "digest", added.digest, "removed", added.body == nil)
+	return nil
+}
+
 // applyVerdicts applies the records of the topic and reports whether the secret is among them.
-func (d *Controller) applyVerdicts(events []any) (hasSecret bool) {
+func (d *Controller) applyVerdicts(now time.Time, events []any) (hasSecret bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, event := range events {
-		if e, ok := event.(port.SecretEvent); ok {
+		switch e := event.(type) {
+		case port.SecretEvent:
 			d.digester.Store(poison.NewDigester(e.Secret))
 			hasSecret = true
+		case port.QuarantineEvent:
+			d.poison.Receive(now, poison.KindQuarantine, e.Body)
 		}
 	}
+	// These are in the store already, so nothing of them is recorded again.
+	d.poison.TakeEvents()
+	d.handleEvidence(now)
 	return hasSecret
 }
 
-// Digester implements [relay.Controller].
-func (d *Controller) Digester() *poison.Digester { return d.digester.Load() }
-
 // retryUntilDone calls step until it succeeds or the context ends, with [retryDelay] in between.
 func retryUntilDone(ctx context.Context, step func(context.Context) error) {
 	for ctx.Err() == nil {
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -58,6 +59,13 @@
 	AgeMS   int
 }
 
+// Verdict is a record about a crashing request. Body is in JSON, as in a log.
+type Verdict struct {
+	_    struct{} `cbor:",toarray"`
+	Kind string
+	Body []byte
+}
+
 // Message is the content of one datagram. Long reports are split over several messages, of which the first carries the
 // other fields.
 type Message struct {
@@ -84,6 +92,8 @@
 	// Prefills lists parts that upstreams are prefilling or about to; Store is the upstream.
 	Prefills []Save `cbor:"15,keyasint,omitempty"`
 	Marks    []Mark `cbor:"16,keyasint,omitempty"`
+	// Verdicts are sent in messages of their own.
+	Verdicts []Verdict `cbor:"17,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -162,13 +172,16 @@
 	return err
 }
 
+// maxVerdicts bounds the size of one datagram, counted in verdicts of about 200 bytes each.
+const maxVerdicts = 5
+
 // maxChanges bounds the size of one datagram, counted in changes of parts of about 13 bytes each.
 const maxChanges = 80
 
 // split divides long reports over several messages. The first also carries all other fields of the message.
 func split(m Message) (parts []Message) {
-	reports := m.Reports
-	m.Reports = nil
+	reports, verdicts := m.Reports, m.Verdicts
+	m.Reports, m.Verdicts = nil, nil
 	parts = []Message{m}
 	for _, r := range reports {
 		for {
@@ -176,7 +189,7 @@
 			chunk := Report{Holder: r.Holder, Epoch: r.Epoch, Changes: r.Changes[:n]}
 			last := &parts[len(parts)-1]
 			if size(*last)+n > maxChanges {
-				parts = append(parts, Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot})
+				parts = append(parts, m.empty())
 				last = &parts[len(parts)-1]
 			}
 			last.Reports = append(last.Reports, chunk)
@@ -185,9 +198,19 @@
 			}
 		}
 	}
+	for chunk := range slices.Chunk(verdicts, maxVerdicts) {
+		part := m.empty()
+		part.Verdicts = chunk
+		parts = append(parts, part)
+	}
 	return parts
 }
 
+// empty returns a message of the same sender without content.
+func (m Message) empty() Message {
+	return Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot}
+}
+
 // size estimates the size of a message, counted in changes of parts.
 func size(m Message) (n int) {
 	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks)
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -137,6 +138,9 @@
 // SecretEvent is the secret under which all daemons compute the digests of requests.
 type SecretEvent struct{ Secret []byte }
 
+// QuarantineEvent is a request in quarantine. Body is the body of the daemons' own record.
+type QuarantineEvent struct{ Body json.RawMessage }
+
 // Batch holds consecutive decoded records.
 type Batch struct {
 	// Next is the offset of the next read.
@@ -168,6 +172,8 @@
 	Claim(ctx context.Context, at int64, claim ClaimEvent) (offset int64, err error)
 	// ProposeSecret records the secret for digests on the condition that the topic of verdicts ends at an offset.
 	ProposeSecret(ctx context.Context, at int64, secret []byte) (err error)
+	// RecordQuarantine records a request in quarantine by its digest; an empty body removes the record.
+	RecordQuarantine(ctx context.Context, digest string, body json.RawMessage) (err error)
 	// ReportRollout records the state of a rollout.
 	ReportRollout(ctx context.Context, service ident.ServiceName, release, state string) (err error)
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -45,7 +47,13 @@
 
 // run makes attempts until the request is answered, refused, or out of time or retries.
 func (x *exchange) run(ctx context.Context) {
-	d, err := x.h.controller.Place(ctx, x.need)
+	defer x.endTrial()
+	if s := x.screen(); s.Blocked {
+		x.refuseBlocked(result{})
+		return
+	}
+	d, err := x.h.controller.Place(ctx, x.need, x.screening.Avoid)
+	var res result
 	for {
 		switch {
 		case err != nil:
@@ -54,9 +62,17 @@
 		case d.Refuse != nil:
 			x.refusePlacement(d.Refuse)
 			return
+		case !x.approve(d.Send):
+			x.h.controller.End(x.need.Ticket, place.Rejected)
+			x.refuseBlocked(res)
+			return
 		}
 		x.upstream, x.sent, x.expected = d.Send.Upstream.ID, d.Send, d.Send.Expected
-		res := x.attempt(ctx, d.Send)
+		res = x.attempt(ctx, d.Send)
+		x.endTrial()
+		if res.done || res.ending == retry.Failure {
+			x.h.controller.ObserveAnswer(x.identify)
+		}
 		if res.done {
 			return
 		}
@@ -66,22 +82,31 @@
 			x.expire(res.ending >= retry.Unknown || x.history.Runs > 0)
 			return
 		}
-		x.countAttempt(res.ending)
-		x.avoid = append(x.avoid, x.upstream)
-		if !retry.May(x.route, res.ending, x.history) || res.ending.UsesBudget() && !x.h.controller.AllowRetry(x.need.Service) {
+		if !x.mayRetry(res) {
 			x.h.controller.End(x.need.Ticket, outcomes[res.ending])
 			x.finish(res)
 			return
 		}
 		x.h.log.Info("request_sent_again", "request", x.head.ID, "upstream", x.upstream, "ending", endingNames[res.ending],
 			"cause", errorText(x.cause), "runs", x.history.Runs, "spared", x.history.NotRun)
-		if d, err = x.h.controller.Retry(ctx, place.RetryMsg{Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: x.avoid}); err == nil && d.Refuse != nil {
+		msg := place.RetryMsg{
+			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
+		}
+		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Refuse != nil {
 			x.finish(res)
 			return
 		}
 	}
 }
 
+// mayRetry counts an attempt that failed and reports whether another one may follow.
+func (x *exchange) mayRetry(res result) bool {
+	x.countAttempt(res.ending)
+	x.avoid = append(x.avoid, x.upstream)
+	return retry.May(x.route, res.ending, x.history) && !x.screen().Blocked &&
+		(!res.ending.UsesBudget() || x.h.controller.AllowRetry(x.need.Service))
+}
+
 var endingNames = map[retry.Ending]string{
 	retry.NotSent: "not_sent", retry.NotRun: "not_run", retry.Unknown: "unknown", retry.Failure: "failure",
 }
@@ -149,8 +174,9 @@
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if err != nil {
 		x.cause = err
-		x.reportBroken(ctx, cmd)
-		if errors.Is(err, link.ErrNotSent) {
+		unsent := errors.Is(err, link.ErrNotSent)
+		x.reportBroken(ctx, cmd, Break{Unsent: unsent, Refused: unsent && errors.Is(err, syscall.ECONNREFUSED)})
+		if unsent {
 			return result{ending: retry.NotSent}
 		}
 		return result{ending: retry.Unknown}
@@ -175,25 +201,6 @@
 	return x.relayPlain(ctx, cmd, answer)
 }
 
-// reportBroken reports that the upstream broke the exchange off. If the context has ended, the caller or the deadline
-// did, and only an upstream that had been silent for long is logged.
-func (x *exchange) reportBroken(ctx context.Context, cmd *place.SendCmd) {
-	age := time.Since(x.sentAt)
-	ended := ctx.Err() != nil
-	if ended && (age < silenceThreshold || !x.firstAt.IsZero()) {
-		return
-	}
-	x.h.log.Info("attempt_broken", "request", x.head.ID, "digest", x.identify(), "upstream", cmd.Upstream.ID, "born", cmd.Upstream.Born,
-		"route", x.route.Name, "age", age, "silent", ended, "began", !x.firstAt.IsZero(), "cause", errorText(x.cause))
-	if !ended {
-		x.h.controller.ObserveBreak(cmd.Upstream.ID)
-	}
-}
-
-// silenceThreshold is how long an upstream must have sent nothing before the end of an attempt by its caller or its
-// deadline may mean that the upstream has crashed: callers that change their mind leave sooner.
-const silenceThreshold = time.Second
-
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: time.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
@@ -212,7 +219,7 @@
 	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
 	if err != nil {
 		x.cause = errors.Wrap(err, "read answer of upstream")
-		x.reportBroken(ctx, cmd)
+		x.reportBroken(ctx, cmd, Break{})
 		return result{ending: retry.Unknown}
 	}
 	x.firstAt = time.Now()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -50,8 +50,17 @@
 	// FetchDeadline returns the deadline of transfers of parts that are decided now, on the engines' clock; zero if
 	// that clock is not known yet.
 	FetchDeadline() time.Time
-	// Place waits for a decision. It returns an error only if the context ends.
-	Place(ctx context.Context, need place.Need) (d Decision, err error)
+	// Screen returns what is known about crashes of a request. It calls identify only if something is known of any.
+	Screen(identify func() poison.Digest) Screening
+	// BeginTrial opens the trial of a suspect request on an upstream; blocked is set if another trial is in the way.
+	BeginTrial(request string, digest poison.Digest, ticket place.Ticket, upstream ident.UpstreamID) (trial poison.TrialBody, blocked bool)
+	// EndTrial ends a trial, whatever its result.
+	EndTrial(trial poison.TrialBody)
+	// ObserveAnswer records that an upstream answered a request completely. It calls identify as Screen does.
+	ObserveAnswer(identify func() poison.Digest)
+	// Place waits for a decision. The request is not sent to the upstreams to avoid. It returns an error only if the
+	// context ends.
+	Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (d Decision, err error)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
 	// AllowRetry takes a retry from the budget of a service and reports whether one was left.
@@ -62,8 +71,8 @@
 	End(ticket place.Ticket, outcome place.Outcome)
 	// ObserveReply applies what the head of an answer reports about the upstream.
 	ObserveReply(id ident.UpstreamID, reply port.Reply)
-	// ObserveBreak records that an upstream broke an exchange off.
-	ObserveBreak(id ident.UpstreamID)
+	// ObserveBreak records an attempt without a complete answer.
+	ObserveBreak(b Break)
 }
 
 // Meter counts the outcomes of requests and attempts.
@@ -140,14 +149,10 @@
 	sentAt time.Time
 	// digest is computed at the first use of [exchange.identify].
 	digest poison.Digest
-}
-
-// identify returns the digest of the request. It is empty while the secret is unknown.
-func (x *exchange) identify() poison.Digest {
-	if digester := x.h.controller.Digester(); digester != nil && x.digest == "" {
-		x.digest = digester.Digest(x.org, x.r.Method, x.r.Host, target(x.r), string(x.body))
-	}
-	return x.digest
+	// screening is the last result of [exchange.screen].
+	screening Screening
+	// trial is the trial of the current attempt; its ID is empty if the attempt is none.
+	trial poison.TrialBody
 }
 
 // ServeHTTP implements [http.Handler].
@@ -326,6 +331,10 @@
 	if retryAfter >= 0 {
 		attrs = append(attrs, slog.Duration("after", retryAfter))
 	}
+	if x.screening.Blocked || x.screening.Suspect {
+		attrs = append(attrs, slog.String("digest", string(x.digest)), slog.String("blocked", string(x.screening.Reason)),
+			slog.Duration("evidence_age", x.screening.EvidenceAge))
+	}
 	if x.cause != nil {
 		attrs = append(attrs, slog.String("cause", x.cause.Error()))
 	}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -62,7 +62,7 @@
 			return result{ending: retry.Unknown}
 		case err != nil:
 			x.cause = errors.Wrap(err, "read stream of upstream")
-			x.reportBroken(ctx, cmd)
+			x.reportBroken(ctx, cmd, Break{})
 			return result{ending: retry.Unknown}
 		}
 	}
