Keep the shared retry budget while entries can't hear each other

The allowance is now divided by all entries heard within an hour, but for those that announced their leaving; in the first 1.6 s of its life an entry uses the share of its own requests alone. An entry that ended without a word costs the others its part of the allowance for an hour.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -13,9 +13,9 @@
 	// silenceTimeout is how long after its last heartbeat an entry counts as dead: several heartbeat intervals, and
 	// well below the time after which an answer must no longer name a stopped entry.
 	silenceTimeout = 1600 * time.Millisecond
-	// retention is how long an entry is kept after its last heartbeat. Until then heartbeats of an earlier boot
-	// are ignored.
-	retention = time.Minute
+	// retention is how long an entry is kept after its last heartbeat: longer than availability zones may be cut off
+	// from each other. Until then heartbeats of an earlier boot are ignored.
+	retention = 2 * time.Hour
 )
 
 // State is the state that an entry announces for itself.
@@ -47,8 +47,9 @@
 
 // Model holds one entry's view of all entries. Its methods aren't safe for concurrent use.
 type Model struct {
-	self  Peer
-	peers map[string]*peerState
+	self      Peer
+	startedAt time.Time
+	peers     map[string]*peerState
 }
 
 // peerState is a peer with the time of its last heartbeat.
@@ -59,8 +60,10 @@
 
 // NewModel returns a model that contains only the entry itself.
 //
-//	m := mesh.NewModel(mesh.Peer{ID: "10.0.0.1:7700", Zone: "a"})
-func NewModel(self Peer) *Model { return &Model{self: self, peers: map[string]*peerState{}} }
+//	m := mesh.NewModel(now, mesh.Peer{ID: "10.0.0.1:7700", Zone: "a"})
+func NewModel(now time.Time, self Peer) *Model {
+	return &Model{self: self, startedAt: now, peers: map[string]*peerState{}}
+}
 
 // Update applies one message; it returns no commands.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
@@ -99,6 +102,21 @@
 	return alive
 }
 
+// Sharers returns the entries that may still use a part of a shared limit, including this one, sorted by ID. An entry
+// that has fallen silent may only be cut off, and counts for the memory given, unless it was leaving. Right after its own
+// start an entry has heard too little to tell, and known is false.
+func (m *Model) Sharers(now time.Time, memory time.Duration) (sharers []Peer, known bool) {
+	sharers = append(sharers, m.self)
+	for _, p := range m.peers {
+		silence := now.Sub(p.lastSeen)
+		if silence < silenceTimeout || silence < memory && p.State != Leaving {
+			sharers = append(sharers, p.Peer)
+		}
+	}
+	slices.SortFunc(sharers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return sharers, now.Sub(m.startedAt) >= silenceTimeout
+}
+
 // IsAlive reports whether an entry is alive; it is always true for this entry.
 func (m *Model) IsAlive(now time.Time, id string) bool {
 	p, ok := m.peers[id]
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -11,7 +11,7 @@
 
 func TestServingExcludesSilentAndLeavingEntries(t *testing.T) {
 	start := time.Unix(1000, 0)
-	m := mesh.NewModel(mesh.Peer{ID: "self", State: mesh.Ready})
+	m := mesh.NewModel(start, mesh.Peer{ID: "self", State: mesh.Ready})
 	m.Update(start, mesh.HeartbeatMsg{Peer: mesh.Peer{ID: "ready", State: mesh.Ready, Boot: 2}})
 	m.Update(start, mesh.HeartbeatMsg{Peer: mesh.Peer{ID: "leaving", State: mesh.Leaving}})
 	m.Update(start, mesh.HeartbeatMsg{Peer: mesh.Peer{ID: "ready", State: mesh.Starting, Boot: 1}}) // A delayed datagram of an earlier boot.
@@ -21,3 +21,23 @@
 		t.Errorf("serving, alive, serving later (-want +got):\n%s", diff)
 	}
 }
+
+// TestSilentEntriesStillShare lets entries fall silent. One that was leaving has gone; the other may only be cut off.
+func TestSilentEntriesStillShare(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := mesh.NewModel(start, mesh.Peer{ID: "self", State: mesh.Ready})
+	m.Update(start, mesh.HeartbeatMsg{Peer: mesh.Peer{ID: "cut", State: mesh.Ready}})
+	m.Update(start, mesh.HeartbeatMsg{Peer: mesh.Peer{ID: "leaving", State: mesh.Leaving}})
+	var got [][]string
+	var known []bool
+	for _, after := range []time.Duration{0, 2 * time.Second, time.Hour} {
+		sharers, ok := m.Sharers(start.Add(after), time.Minute)
+		got, known = append(got, mesh.IDs(sharers)), append(known, ok)
+	}
+	if diff := cmp.Diff([][]string{{"cut", "leaving", "self"}, {"cut", "self"}, {"self"}}, got); diff != "" {
+		t.Errorf("sharers at once, after the silence and after the memory (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]bool{false, true, true}, known); diff != "" {
+		t.Errorf("known (-want +got):\n%s", diff)
+	}
+}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -79,7 +79,7 @@
 	upstreams, index := fleet.NewModel(), parts.NewIndex()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	d := &Controller{
-		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(self),
+		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(time.Now(), self),
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
@@ -181,9 +181,16 @@
 	return w.Withdraw(now)
 }
 
+// budgetMemory is how long an entry that has fallen silent counts as one that uses its part of the retry budget.
+const budgetMemory = time.Hour
+
 // retryAllowance is this entry's part of the fixed allowance of each service's retry budget; the lock is held.
 func (d *Controller) retryAllowance(now time.Time) float64 {
-	return d.settings.RetryAllowance * budgetShare / float64(len(d.mesh.Alive(now)))
+	sharers, known := d.mesh.Sharers(now, budgetMemory)
+	if !known {
+		return 0
+	}
+	return d.settings.RetryAllowance * budgetShare / float64(len(sharers))
 }
 
 // FetchDeadline implements [relay.Controller].
