Keep the rate of a cold upstream while entries can't hear each other

Found by looking for the cause of the shared retry budget elsewhere: a cold upstream's rate was divided by the entries heard within 1.6 s, too.

The rate is now divided by the entries heard within a minute, but for those that announced their leaving.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -149,8 +149,8 @@
 	if !ok || service.ColdRate <= 0 {
 		return -1, false
 	}
-	users := max(1, min(len(m.members.IDs), int(coldRateShare*service.ColdRate/minColdRate)))
-	if len(m.members.IDs) > users && route.Rank(string(u.ID), m.members.Self, m.members.IDs) >= users {
+	users := max(1, min(len(m.members.Sharers), int(coldRateShare*service.ColdRate/minColdRate)))
+	if len(m.members.Sharers) > users && route.Rank(string(u.ID), m.members.Self, m.members.Sharers) >= users {
 		return 0, true
 	}
 	return coldRateShare * service.ColdRate / float64(users), true
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -21,8 +21,8 @@
 type Members struct {
 	// Self is this entry's id.
 	Self string
-	// IDs lists all live entries, including this one.
-	IDs []string
+	// Sharers lists all entries that may send to a cold upstream, including this one.
+	Sharers []string
 	// Zone is this entry's availability zone.
 	Zone ident.Zone
 	// ReportInterval is the interval at which each other entry reports its load.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -36,7 +36,7 @@
 	b.place.SetConfig(conf.NewSet(conf.Data{Services: services, Routes: []conf.Route{
 		{Objective: 300 * time.Millisecond, Shares: []conf.Share{{Service: "llm", Weight: 1}}},
 	}}))
-	b.place.SetMembers(place.Members{Self: "self", IDs: []string{"self"}, Zone: "z"})
+	b.place.SetMembers(place.Members{Self: "self", Sharers: []string{"self"}, Zone: "z"})
 	for i := range engines {
 		b.fleet.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{
 			ID: engineID(i), Service: "llm", Address: string(engineID(i)), Zone: "z", Slots: 16, Weights: map[ident.ModelName]int64{model: 1},
@@ -266,7 +266,7 @@
 	total := 0
 	for _, id := range ids {
 		b := newBench(1, 1_000_000)
-		b.place.SetMembers(place.Members{Self: id, IDs: ids, Zone: "z"})
+		b.place.SetMembers(place.Members{Self: id, Sharers: ids, Zone: "z"})
 		b.fleet.Update(start, fleet.ColdMsg{ID: engineID(0), Left: time.Minute})
 		for ms := range 1000 {
 			now := start.Add(time.Duration(ms) * time.Millisecond)
--- a/core/place/sample_test.go
+++ b/core/place/sample_test.go
@@ -64,7 +64,7 @@
 // TestSampleIncludesEligibleUpstreams has the target weights on one engine of thirty: each prompt must be sent there.
 func TestSampleIncludesEligibleUpstreams(t *testing.T) {
 	b := newBench(30, 1_000_000)
-	b.place.SetMembers(place.Members{Self: "self", IDs: []string{"self"}, Zone: "z", ReportInterval: 500 * time.Millisecond})
+	b.place.SetMembers(place.Members{Self: "self", Sharers: []string{"self"}, Zone: "z", ReportInterval: 500 * time.Millisecond})
 	b.fleet.Update(start, fleet.WeightsMsg{ID: engineID(17), Model: model, Version: 2})
 	b.place.SetTargetVersion(start, model, 2, false)
 	now := start.Add(9 * time.Second)
--- a/io/daemon/budget_test.go
+++ b/io/daemon/budget_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"cicadavalve/core/conf"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/place"
 	"cicadavalve/io/gossip"
 )
 
@@ -43,6 +45,35 @@
 	}
 }
 
+// TestCutEntriesKeepTheRateOfAColdUpstream lets entries hear nothing of each other and offers each of them far more requests
+// than a cold upstream takes. Together they must not send it more in a second than its rate and the burst that each
+// of its users may have.
+func TestCutEntriesKeepTheRateOfAColdUpstream(t *testing.T) {
+	const coldRate, entries = 4.0, 6
+	now := time.Now()
+	for _, silence := range []time.Duration{0, 3 * time.Second, 30 * time.Second} {
+		sent := 0
+		for _, d := range newFleet(Settings{}, entries, now) {
+			at := now.Add(silence)
+			d.applyConfig(conf.Data{Version: 1, Services: []conf.Service{{Name: "app", ColdRate: coldRate}}})
+			d.applyUpstream(at, conf.Upstream{ID: "cold", Service: "app", Address: "a", Zone: "z", Slots: 8, ColdLeft: time.Minute, Born: 1})
+			d.message(at)
+			for ticket := range 100 {
+				need := place.Need{Ticket: place.Ticket(ticket), Service: "app", Arrived: at, Objective: time.Second, Deadline: at.Add(time.Minute)}
+				for _, cmd := range d.place.Update(at, place.ArriveMsg{Need: need}) {
+					if _, ok := cmd.(place.SendCmd); ok {
+						sent++
+					}
+				}
+				at = at.Add(10 * time.Millisecond)
+			}
+		}
+		if sent == 0 || sent > int(2*coldRate) {
+			t.Errorf("after %v of silence %d requests were sent in a second, the rate is %v", silence, sent, coldRate)
+		}
+	}
+}
+
 // TestNewEntriesKeepTheSharedRetryBudget starts entries that have not had the time to hear each other.
 func TestNewEntriesKeepTheSharedRetryBudget(t *testing.T) {
 	settings := Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 52}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -84,7 +84,7 @@
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
-	d.place.SetMembers(place.Members{Self: self.ID, IDs: []string{self.ID}, Zone: self.Zone})
+	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
 	return d
 }
 
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -37,6 +37,9 @@
 	// orderedTTL is how long an upstream counts as carrying out an order after the last heartbeat that lists it, unless
 	// a later heartbeat of the same entry no longer does.
 	orderedTTL = 3 * maxBeatInterval
+	// coldMemory is how long an entry that has fallen silent counts as one that sends to cold upstreams. It is short
+	// beside the memory for retries, since the part of an entry that has ended is missing while upstreams warm up.
+	coldMemory = time.Minute
 	// greetInterval is the interval at which heartbeats are also sent to the seeds.
 	greetInterval = time.Second
 )
@@ -131,7 +134,8 @@
 	defer d.mu.Unlock()
 	self := d.mesh.Self()
 	alive := d.mesh.Alive(now)
-	d.place.SetMembers(place.Members{Self: self.ID, IDs: mesh.IDs(alive), Zone: self.Zone, ReportInterval: beatInterval(len(alive))})
+	sharers, _ := d.mesh.Sharers(now, coldMemory)
+	d.place.SetMembers(place.Members{Self: self.ID, Sharers: mesh.IDs(sharers), Zone: self.Zone, ReportInterval: beatInterval(len(alive))})
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot,
 		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)),
