Count upstreams that fall silent until the deadline as lost

A request whose engine falls silent ends at its deadline, 2.5 s for most calls; the engine's registration may have lapsed by then, and the loss was not counted since the engine was not listed any more.

An upstream that was removed without notice is remembered, and silence there is a confirmed loss; a connection that breaks after the removal is none, since upstreams that leave without notice end so, too. TestWhichBreaksAreLosses has the eleven cases.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -105,7 +105,12 @@
 }
 
 // GoneCmd reports that an upstream was removed.
-type GoneCmd struct{ ID ident.UpstreamID }
+type GoneCmd struct {
+	ID ident.UpstreamID
+	// Born is its last incarnation. Draining is set if it had announced that it would leave.
+	Born     int64
+	Draining bool
+}
 
 // Update applies a message and returns the resulting commands.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
@@ -199,9 +204,14 @@
 	if s.Draining {
 		m.departed[id] = s.Born
 	}
+	return []ident.Cmd{m.drop(id)}
+}
+
+func (m *Model) drop(id ident.UpstreamID) GoneCmd {
+	s := m.byID[id]
 	delete(m.byID, id)
 	m.byService = nil
-	return []ident.Cmd{GoneCmd{id}}
+	return GoneCmd{ID: id, Born: s.Born, Draining: s.Draining}
 }
 
 // applySnapshot applies the listed records and removes the upstreams that aren't listed.
@@ -228,9 +238,7 @@
 	}
 	for id, s := range m.byID {
 		if !s.lapsedAt.IsZero() {
-			delete(m.byID, id)
-			m.byService = nil
-			cmds = append(cmds, GoneCmd{id})
+			cmds = append(cmds, m.drop(id))
 		}
 	}
 	return cmds
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -85,7 +85,7 @@
 	if diff := cmp.Diff([][]bool{{true, true}, {true, false}}, got); diff != "" {
 		t.Errorf("usable during and after the grace (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff([]ident.Cmd{fleet.GoneCmd{ID: "gone"}}, cmds); diff != "" {
+	if diff := cmp.Diff([]ident.Cmd{fleet.GoneCmd{ID: "gone", Born: 1}}, cmds); diff != "" {
 		t.Errorf("commands (-want +got):\n%s", diff)
 	}
 }
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -28,8 +28,8 @@
 	// Objective is the time after Arrived within which the first byte is due.
 	Objective time.Duration
 	Deadline  time.Time
-	// Spread, if not empty, makes the upstream depend on a hash of it alone, rather than on load and cached context, so
-	// that requests with different values are unlikely to meet on one.
+	// Spread, if not empty, makes the choice among upstreams with capacity depend on a hash of it alone, so that
+	// requests with different values are unlikely to meet on one.
 	Spread string
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -360,3 +360,28 @@
 		t.Errorf("salt (-want +got):\n%s", diff)
 	}
 }
+
+// TestSpreadIgnoresLoadAndCache places requests with the same spread value on one upstream, though another one has the
+// prompt and their own has more load each time, and those with different values on several.
+func TestSpreadIgnoresLoadAndCache(t *testing.T) {
+	b := newBench(6, 200_000)
+	chosen, all := map[string]map[ident.UpstreamID]bool{}, map[ident.UpstreamID]bool{}
+	for i := range 20 {
+		n := need(place.Ticket(i+1), start, 50, "doc", time.Second)
+		n.Spread = fmt.Sprint("digest-", i%10)
+		for _, s := range sends(b.place.Update(start, place.ArriveMsg{Need: n})) {
+			if chosen[n.Spread] == nil {
+				chosen[n.Spread] = map[ident.UpstreamID]bool{}
+			}
+			chosen[n.Spread][s.Upstream.ID], all[s.Upstream.ID] = true, true
+		}
+	}
+	for spread, upstreams := range chosen {
+		if len(upstreams) != 1 {
+			t.Errorf("%s went to %d upstreams", spread, len(upstreams))
+		}
+	}
+	if len(chosen) != 10 || len(all) < 3 {
+		t.Errorf("%d values went to %d of 6 upstreams", len(chosen), len(all))
+	}
+}
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -149,6 +149,9 @@
 // IsEmpty reports whether every request is clear.
 func (m *Model) IsEmpty() bool { return len(m.claims)+len(m.quarantined) == 0 }
 
+// Counts returns the number of requests in quarantine and of the others with losses.
+func (m *Model) Counts() (quarantined, withLosses int) { return len(m.quarantined), len(m.claims) }
+
 // Quarantined reports whether a request is in quarantine. [Model.Standing] also returns [Quarantined] while the loss on
 // its trial is yet to be confirmed.
 func (m *Model) Quarantined(d Digest) bool { return m.quarantined[d] != nil }
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -66,6 +66,10 @@
 	digester atomic.Pointer[poison.Digester]
 	// trials counts the trials that this entry has begun.
 	trials int
+	// vanished holds the last incarnation of upstreams that were removed without notice; vanishedOrder lists its keys,
+	// the oldest first.
+	vanished      map[ident.UpstreamID]int64
+	vanishedOrder []ident.UpstreamID
 	// verdicts holds the quarantines that are to be recorded in the store.
 	verdicts chan verdict
 	// listLost is set while the list of upstreams can't be read.
@@ -81,7 +85,7 @@
 	d := &Controller{
 		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(time.Now(), self),
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
-		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts),
+		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: map[ident.UpstreamID]int64{},
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
@@ -138,7 +142,7 @@
 		case fleet.GoneCmd:
 			d.place.Update(time.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
-			d.observeEnd(time.Now(), cmd.ID)
+			d.observeGone(time.Now(), cmd)
 		}
 	}
 }
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 	"cicadavalve/core/mesh"
@@ -23,6 +24,8 @@
 	// missedHeartbeats is how many heartbeats after its last one a crashed upstream has left the list, or is listed as
 	// another incarnation, with one to spare.
 	missedHeartbeats = 4
+	// maxVanished bounds the upstreams that are remembered after they were removed: more than crash while a request runs.
+	maxVanished = 1024
 	// quarantineRetention is how long a request that crashes upstreams is refused. It may then run on trial again, in
 	// case the upstreams were mended.
 	quarantineRetention = 24 * time.Hour
@@ -105,23 +108,46 @@
 	d.handleEvidence(now)
 }
 
-// recordLoss records the loss of an upstream that broke an attempt off. An upstream that is about to leave, or has left
-// the list, ends its exchanges without having crashed. The lock is held.
+// recordLoss records the loss of an upstream that broke an attempt off, or stayed silent. An upstream that is about to
+// leave, or has left the list, breaks its exchanges off without having crashed; it does not stay silent. The lock is
+// held.
 func (d *Controller) recordLoss(now time.Time, b relay.Break) {
 	u, listed := d.fleet.Get(b.Upstream)
-	if !listed || u.Born != b.Born || u.Draining {
-		return
-	}
+	born, vanished := d.vanished[b.Upstream]
+	ended := listed && u.Born > b.Born || !listed && vanished && born == b.Born
 	loss := poison.Loss{Upstream: b.Upstream, Boot: bootID(b.Born)}
 	alone := b.Trial != "" && d.poison.Granted(b.Digest, b.Trial)
-	if b.Silent {
+	switch {
+	case b.Silent && ended:
+		d.poison.RecordSilence(now, b.SentAt, b.Digest, loss, alone)
+		d.poison.Unreachable(now, b.Upstream)
+	case !listed || u.Born != b.Born || u.Draining:
+		return
+	case b.Silent:
 		d.poison.RecordSilence(now, b.SentAt, b.Digest, loss, alone)
-	} else {
+	default:
 		d.poison.RecordLoss(now, b.SentAt, b.Digest, loss, alone)
 	}
 	d.handleEvidence(now)
 }
 
+// observeGone confirms the losses of an upstream that was removed, and remembers it if that was without notice. The lock
+// is held.
+func (d *Controller) observeGone(now time.Time, gone fleet.GoneCmd) {
+	d.observeEnd(now, gone.ID)
+	if gone.Draining {
+		return
+	}
+	if _, known := d.vanished[gone.ID]; !known {
+		d.vanishedOrder = append(d.vanishedOrder, gone.ID)
+	}
+	d.vanished[gone.ID] = gone.Born
+	if len(d.vanishedOrder) > maxVanished {
+		delete(d.vanished, d.vanishedOrder[0])
+		d.vanishedOrder = d.vanishedOrder[1:]
+	}
+}
+
 func bootID(born int64) ident.BootID { return ident.BootID(strconv.FormatInt(born, 10)) }
 
 // observeRecord confirms losses by the record of an upstream: under another incarnation, or at the address of another
@@ -193,6 +219,13 @@
 	}
 }
 
+// countEvidence returns the number of requests in quarantine and of those with losses.
+func (d *Controller) countEvidence() (quarantined, suspected int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.poison.Counts()
+}
+
 // lossTexts formats losses as upstream/incarnation.
 func lossTexts(losses []poison.Loss) (texts []string) {
 	for _, l := range losses {
--- /dev/null
+++ b/io/daemon/crash_test.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/poison"
+	"cicadavalve/io/relay"
+)
+
+func identify(d poison.Digest) func() poison.Digest { return func() poison.Digest { return d } }
+
+func upstream(id ident.UpstreamID, born int64) conf.Upstream {
+	return conf.Upstream{ID: id, Service: "app", Address: "addr-" + string(id), Zone: "z", Slots: 8, Born: born}
+}
+
+// TestWhichBreaksAreLosses breaks attempts off, or leaves them silent, at upstreams in various conditions, and then
+// removes the upstreams. The request is suspect only if they count as losses.
+func TestWhichBreaksAreLosses(t *testing.T) {
+	type step func(d *Controller, now time.Time, id ident.UpstreamID)
+	listed := func(d *Controller, now time.Time, id ident.UpstreamID) { d.applyUpstream(now, upstream(id, 1)) }
+	draining := func(d *Controller, now time.Time, id ident.UpstreamID) {
+		u := upstream(id, 1)
+		u.Draining = true
+		d.applyUpstream(now, u)
+	}
+	reborn := func(d *Controller, now time.Time, id ident.UpstreamID) { d.applyUpstream(now, upstream(id, 2)) }
+	gone := func(d *Controller, now time.Time, id ident.UpstreamID) {
+		d.perform(d.fleet.Update(now, fleet.RemovedMsg{ID: id}))
+	}
+	breakOff := func(d *Controller, now time.Time, id ident.UpstreamID) {
+		d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now.Add(-2 * time.Second)})
+	}
+	silence := func(d *Controller, now time.Time, id ident.UpstreamID) {
+		d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now.Add(-2 * time.Second), Silent: true})
+	}
+	refuse := func(d *Controller, now time.Time, id ident.UpstreamID) { d.observeEnd(now, id) }
+	cases := map[string][]step{
+		"broken off and removed":            {listed, breakOff, gone},
+		"broken off and reborn":             {listed, breakOff, reborn},
+		"broken off and refusing":           {listed, breakOff, refuse},
+		"broken off and still there":        {listed, breakOff},
+		"broken off while draining":         {listed, draining, breakOff, gone},
+		"broken off after its removal":      {listed, gone, breakOff},
+		"silent and removed":                {listed, silence, gone},
+		"silent and still there":            {listed, silence},
+		"silent until after its removal":    {listed, gone, silence},
+		"silent until after its rebirth":    {listed, reborn, silence},
+		"silent after draining and removal": {listed, draining, gone, silence},
+	}
+	want := map[string]bool{
+		"broken off and removed": true, "broken off and reborn": true, "broken off and refusing": true, "broken off and still there": false,
+		"broken off while draining": false, "broken off after its removal": false, "silent and removed": true, "silent and still there": false,
+		"silent until after its removal": true, "silent until after its rebirth": true, "silent after draining and removal": false,
+	}
+	got := map[string]bool{}
+	for name, steps := range cases {
+		now := time.Now()
+		d := newFleet(Settings{}, 1, now)[0]
+		for i := range 2 {
+			for _, s := range steps {
+				s(d, now, ident.UpstreamID(fmt.Sprint("u", i)))
+			}
+		}
+		// A loss without confirmation stops to count after this time.
+		d.poison.Tick(now.Add(time.Minute))
+		d.handleEvidence(now)
+		got[name] = d.Screen(identify("d")).Suspect
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("suspect after two of them (-want +got):\n%s", diff)
+	}
+}
+
+// TestLostListKeepsLossesPending lets the list of upstreams be unreadable for longer than a loss may take to be confirmed.
+func TestLostListKeepsLossesPending(t *testing.T) {
+	now := time.Now()
+	d := newFleet(Settings{}, 1, now)[0]
+	for i := range 2 {
+		id := ident.UpstreamID(fmt.Sprint("u", i))
+		d.applyUpstream(now, upstream(id, 1))
+		d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now})
+	}
+	d.updateFleet(fleet.ListLostMsg{})
+	for i := range 30 {
+		d.Tick(now.Add(time.Duration(i) * time.Second))
+	}
+	now = now.Add(30 * time.Second)
+	d.updateFleet(fleet.ListRestoredMsg{})
+	for i := range 2 {
+		d.applyUpstream(now, upstream(ident.UpstreamID(fmt.Sprint("u", i)), 2))
+	}
+	d.Tick(now.Add(time.Minute))
+	if !d.Screen(identify("d")).Suspect {
+		t.Error("the losses were dropped while they could not be confirmed")
+	}
+}
+
+// BenchmarkScreen screens a request with a body of 8 KiB while nothing has crashed, and after a crash.
+func BenchmarkScreen(b *testing.B) {
+	digester, body := poison.NewDigester(make([]byte, secretSize)), string(make([]byte, 8<<10))
+	for _, crashes := range []int{0, 1} {
+		b.Run(fmt.Sprint("losses=", crashes), func(b *testing.B) {
+			now := time.Now()
+			d := newFleet(Settings{}, 1, now)[0]
+			for i := range crashes {
+				id := ident.UpstreamID(fmt.Sprint("u", i))
+				d.applyUpstream(now, upstream(id, 1))
+				d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now})
+			}
+			for b.Loop() {
+				d.Screen(func() poison.Digest { return digester.Digest("org", "POST", "host", "/path", body) })
+			}
+		})
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -85,6 +85,7 @@
 		settings: s, log: log, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
 		controller: NewController(s, self, log, uint64(boot)), pool: link.NewPool(), meter: NewMeter(),
 	}
+	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)))
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/io/relay"
 )
 
 // maxSeries bounds the counters per organisation; all further organisations share one.
@@ -52,6 +53,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("attempts_failed_total{ending=%q}", ending)).Inc()
 }
 
+// CountBlocked implements [relay.Meter].
+func (m *Meter) CountBlocked(reason relay.BlockReason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("requests_blocked_total{reason=%q}", reason)).Inc()
+}
+
+// watchEvidence serves the number of requests in quarantine and of those with losses, as count returns them.
+func (m *Meter) watchEvidence(count func() (quarantined, suspected int)) {
+	m.set.NewGauge("requests_quarantined", func() float64 { quarantined, _ := count(); return float64(quarantined) })
+	m.set.NewGauge("requests_with_losses", func() float64 { _, suspected := count(); return float64(suspected) })
+}
+
 // ServeHTTP implements [http.Handler].
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadavalve/core/poison"
 	"cicadavalve/io/port"
 )
@@ -47,7 +49,10 @@
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
 	defer func() {
-		if err != nil {
+		switch {
+		case errors.Is(err, port.ErrConflict):
+			// Another entry has just chosen the secret; the next attempt reads it.
+		case err != nil:
 			v.d.log.Warn("verdicts_not_loaded", "error", err)
 		}
 	}()
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -82,6 +82,8 @@
 	ObserveAnswer(class string, org ident.OrgID, status int, first, whole time.Duration)
 	// CountFailure counts an attempt that failed.
 	CountFailure(ending string)
+	// CountBlocked counts a request that must not run, since it crashes upstreams or may.
+	CountBlocked(reason BlockReason)
 }
 
 // Handler serves the requests of callers.
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -105,6 +105,7 @@
 
 // refuseBlocked answers a request that must not run: as not run, unless an attempt may have run it before.
 func (x *exchange) refuseBlocked(res result) {
+	x.h.meter.CountBlocked(x.screening.Reason)
 	if x.history.Runs > 0 || x.committed || res.failure != nil {
 		x.finish(res)
 		return
