Treat a connection that times out as a silent upstream

TCP gives a dead upstream up after 3 s; where upstreams register often, it has left the list by then, and a broken connection after that counts as no loss. A timeout is silence, not the end of a connection, so it counts once the upstream is known to have gone. Found by reading; no test has a machine that drops packets.

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -253,7 +253,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !b.Silent {
+	if !b.Abandoned {
 		d.fleet.Update(now, fleet.BrokenMsg{ID: b.Upstream})
 	}
 	if b.Refused {
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadavalve/core/ident"
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
@@ -61,8 +64,9 @@
 	Trial string
 	// Unsent is set if no byte of the request was written, Refused if the upstream refused the connection.
 	Unsent, Refused bool
-	// Silent is set if the upstream sent nothing until the caller left or the time was over.
-	Silent bool
+	// Silent is set if the upstream did not break the connection off but stopped to respond. Abandoned is set if the
+	// caller or the deadline then ended the attempt.
+	Silent, Abandoned bool
 }
 
 // identify returns the digest of the request. It is empty while the secret is unknown.
@@ -117,10 +121,11 @@
 // the attempt, and it is reported only if the upstream had been silent for long.
 func (x *exchange) reportBroken(ctx context.Context, cmd *place.SendCmd, b Break) {
 	age := time.Since(x.sentAt)
-	b.Silent = ctx.Err() != nil
-	if b.Silent && (age < silenceThreshold || !x.firstAt.IsZero()) {
+	b.Abandoned = ctx.Err() != nil
+	if b.Abandoned && (age < silenceThreshold || !x.firstAt.IsZero()) {
 		return
 	}
+	b.Silent = b.Abandoned || errors.Is(x.cause, syscall.ETIMEDOUT)
 	b.Upstream, b.Born, b.SentAt, b.Trial = cmd.Upstream.ID, cmd.Upstream.Born, x.sentAt, x.trial.ID
 	if !b.Unsent {
 		b.Digest = x.identify()
