--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -218,7 +218,7 @@
 }
 
 // run retries until the entry has been announced and the entries announced before it have been greeted.
-func (i *introduction) run(ctx context.Context) { retryUntilDone(ctx, i.step) }
+func (i *introduction) run(ctx context.Context) { retryUntilDone(ctx, retryDelay, i.step) }
 
 func (i *introduction) step(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -15,6 +15,8 @@
 const (
 	// verdictTimeout bounds one attempt to load the verdicts, or to record one.
 	verdictTimeout = 2 * time.Second
+	// verdictRetryDelay is the delay after a failed attempt.
+	verdictRetryDelay = 500 * time.Millisecond
 	// maxWaitingVerdicts bounds the verdicts that wait for the store.
 	maxWaitingVerdicts = 256
 	// secretSize is the size of the secret for digests, in bytes.
@@ -29,17 +31,21 @@
 
 // verdicts loads what entries must remember of crashing requests across restarts, with the secret for their digests, and
 // records what is added to it.
-type verdicts struct{ d *Daemon }
+type verdicts struct {
+	d *Daemon
+	// failing is set after a failed attempt, until one succeeds.
+	failing bool
+}
 
 // run loads the verdicts and then records new ones until the context ends.
 func (v *verdicts) run(ctx context.Context) {
-	retryUntilDone(ctx, v.load)
+	retryUntilDone(ctx, verdictRetryDelay, v.load)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case added := <-v.d.controller.verdicts:
-			retryUntilDone(ctx, func(ctx context.Context) error { return v.record(ctx, added) })
+			retryUntilDone(ctx, verdictRetryDelay, func(ctx context.Context) error { return v.record(ctx, added) })
 		}
 	}
 }
@@ -49,12 +55,11 @@
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
 	defer func() {
-		switch {
-		case errors.Is(err, port.ErrConflict):
-			// Another entry has just chosen the secret; the next attempt reads it.
-		case err != nil:
+		// At a conflict another entry has just chosen the secret; the next attempt reads it.
+		if err != nil && !errors.Is(err, port.ErrConflict) && !v.failing {
 			v.d.log.Warn("verdicts_not_loaded", "error", err)
 		}
+		v.failing = err != nil
 	}()
 	batch, err := v.d.store.Snapshot(ctx, port.Verdicts)
 	if err != nil {
@@ -82,10 +87,15 @@
 func (v *verdicts) record(ctx context.Context, added verdict) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
-	if err := v.d.store.RecordQuarantine(ctx, string(added.digest), added.body); err != nil {
-		v.d.log.Info("verdict_not_recorded", "digest", added.digest, "error", err)
+	err = v.d.store.RecordQuarantine(ctx, string(added.digest), added.body)
+	if err != nil {
+		if !v.failing {
+			v.d.log.Warn("verdict_not_recorded", "digest", added.digest, "error", err)
+		}
+		v.failing = true
 		return err
 	}
+	v.failing = false
 	v.d.log.Info("verdict_recorded", "digest", added.digest, "removed", added.body == nil)
 	return nil
 }
@@ -109,15 +119,15 @@
 	return hasSecret
 }
 
-// retryUntilDone calls step until it succeeds or the context ends, with [retryDelay] in between.
-func retryUntilDone(ctx context.Context, step func(context.Context) error) {
+// retryUntilDone calls step until it succeeds or the context ends, with a delay in between.
+func retryUntilDone(ctx context.Context, delay time.Duration, step func(context.Context) error) {
 	for ctx.Err() == nil {
 		if step(ctx) == nil {
 			return
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryDelay):
+		case <-time.After(delay):
 		}
 	}
 }
