Know the fleet and the verdicts before the first requests

It now divides the allowance by the entries that the store lists at its start, as far as these are more than it hears.

--- a/io/daemon/budget_test.go
+++ b/io/daemon/budget_test.go
@@ -74,14 +74,18 @@
 	}
 }
 
-// TestNewEntriesKeepTheSharedRetryBudget starts entries that have not had the time to hear each other.
+// TestNewEntriesKeepTheSharedRetryBudget starts entries that have not had the time to hear each other, before and after the
+// store has told them of each other.
 func TestNewEntriesKeepTheSharedRetryBudget(t *testing.T) {
 	settings := Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 52}
-	now, total := time.Now(), 0.0
+	now, before, after := time.Now(), 0.0, 0.0
 	for range 6 {
-		total += newFleet(settings, 1, now)[0].retryAllowance(now)
+		d := newFleet(settings, 1, now)[0]
+		before += d.retryAllowance(now)
+		d.setAnnounced(6)
+		after += d.retryAllowance(now)
 	}
-	if total > settings.RetryAllowance {
-		t.Errorf("the allowances add up to %.0f, the shared one is %.0f", total, settings.RetryAllowance)
+	if before > 0 || after < settings.RetryAllowance/2 || after > settings.RetryAllowance {
+		t.Errorf("the allowances add up to %.0f before and %.0f after, the shared one is %.0f", before, after, settings.RetryAllowance)
 	}
 }
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -63,7 +63,10 @@
 	// hasEvidence is set while there is evidence against any request.
 	hasEvidence atomic.Bool
 	// digester is nil until the secret has been loaded.
-	digester atomic.Pointer[poison.Digester]
+	digester  atomic.Pointer[poison.Digester]
+	startedAt time.Time
+	// announced is the number of entries that the store listed at the start, 0 before it was read. Some may have gone.
+	announced int
 	// evidenceTickedAt is when outdated evidence was last dropped.
 	evidenceTickedAt time.Time
 	// trials counts the trials that this entry has begun.
@@ -82,10 +85,10 @@
 
 // NewController returns a controller without configuration or upstreams; the seed is for its random choices.
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
-	upstreams, index := fleet.NewModel(), parts.NewIndex()
+	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	d := &Controller{
-		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(time.Now(), self),
+		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: map[ident.UpstreamID]int64{},
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
@@ -193,10 +196,14 @@
 // retryAllowance is this entry's part of the fixed allowance of each service's retry budget; the lock is held.
 func (d *Controller) retryAllowance(now time.Time) float64 {
 	sharers, known := d.mesh.Sharers(now, budgetMemory)
+	count := len(sharers)
 	if !known {
+		count = max(count, d.announced)
+	}
+	if !known && d.announced == 0 {
 		return 0
 	}
-	return d.settings.RetryAllowance * budgetShare / float64(len(sharers))
+	return d.settings.RetryAllowance * budgetShare / float64(count)
 }
 
 // FetchDeadline implements [relay.Controller].
@@ -273,6 +280,7 @@
 	d.perform(d.fleet.DropLapsed(now))
 	d.perform(d.place.Update(now, place.TickMsg{}))
 	d.tickEvidence(now)
+	d.updateReadiness(now)
 }
 
 // Ready implements [port.Advice].
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -211,6 +211,12 @@
 	d.mesh.SetState(state)
 }
 
+func (d *Controller) setAnnounced(entries int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.announced = entries
+}
+
 // introduction announces the entry in the store and finds the other entries there.
 type introduction struct {
 	d         *Daemon
@@ -237,6 +243,7 @@
 			i.d.greet(e.ID)
 		}
 	}
+	i.d.controller.setAnnounced(len(batch.Events))
 	return nil
 }
 
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -256,7 +256,7 @@
 			d.perform(d.fleet.Update(now, fleet.RemovedMsg{ID: e.ID}))
 		}
 	}
-	d.updateReadiness()
+	d.updateReadiness(now)
 }
 
 func (d *Controller) applyUpstreamList(now time.Time, events []any) {
@@ -272,7 +272,7 @@
 		d.observeRecord(now, u)
 	}
 	d.upstreamsListed = true
-	d.updateReadiness()
+	d.updateReadiness(now)
 }
 
 func (d *Controller) applyUpstream(now time.Time, u conf.Upstream) {
@@ -301,9 +301,15 @@
 	d.log.Info("configuration_in_force", "version", data.Version, "routes", len(data.Routes), "services", len(data.Services))
 }
 
-// updateReadiness makes a starting entry ready once it has a configuration and the list of the upstreams.
-func (d *Controller) updateReadiness() {
-	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil {
+// verdictPatience is how long an entry that is otherwise ready waits for the verdicts: it can't tell crashing requests
+// without them, but serves all others.
+const verdictPatience = 3 * time.Second
+
+// updateReadiness makes a starting entry ready once it has a configuration, the list of the upstreams and, within
+// verdictPatience of its start, the verdicts; the lock is held.
+func (d *Controller) updateReadiness(now time.Time) {
+	hasVerdicts := d.digester.Load() != nil || now.Sub(d.startedAt) >= verdictPatience
+	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil && hasVerdicts {
 		d.mesh.SetState(mesh.Ready)
 		d.log.Info("ready", "version", d.set.Load().Version())
 	}
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -55,35 +55,51 @@
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
 	defer func() {
-		// At a conflict another entry has just chosen the secret; the next attempt reads it.
-		if err != nil && !errors.Is(err, port.ErrConflict) && !v.failing {
+		if err != nil && !v.failing {
 			v.d.log.Warn("verdicts_not_loaded", "error", err)
 		}
 		v.failing = err != nil
 	}()
-	batch, err := v.d.store.Snapshot(ctx, port.Verdicts)
-	if err != nil {
+	hasSecret, end, err := v.read(ctx)
+	if err != nil || hasSecret {
 		return err
 	}
-	for _, fault := range batch.Faults {
-		v.d.log.Warn("record_unreadable", "topic", port.Verdicts, "error", fault)
-	}
-	if v.d.controller.applyVerdicts(time.Now(), batch.Events) {
-		v.d.log.Info("verdicts_loaded", "count", len(batch.Events)-1)
-		return nil
-	}
 	secret := make([]byte, secretSize)
 	if _, err := rand.Read(secret); err != nil {
 		return err
 	}
-	if err := v.d.store.ProposeSecret(ctx, batch.Next, secret); err != nil {
+	err = v.d.store.ProposeSecret(ctx, end, secret)
+	if errors.Is(err, port.ErrConflict) {
+		// Another entry has just chosen the secret.
+		hasSecret, _, err = v.read(ctx)
+		if err == nil && !hasSecret {
+			err = port.ErrConflict
+		}
+		return err
+	}
+	if err != nil {
 		return err
 	}
-	v.d.controller.digester.Store(poison.NewDigester(secret))
+	v.d.controller.setSecret(secret)
 	v.d.log.Info("verdicts_loaded", "count", 0)
 	return nil
 }
 
+// read applies the verdicts in the store. It reports whether the secret is among them, and where the topic ends.
+func (v *verdicts) read(ctx context.Context) (hasSecret bool, end int64, err error) {
+	batch, err := v.d.store.Snapshot(ctx, port.Verdicts)
+	if err != nil {
+		return false, 0, err
+	}
+	for _, fault := range batch.Faults {
+		v.d.log.Warn("record_unreadable", "topic", port.Verdicts, "error", fault)
+	}
+	if hasSecret = v.d.controller.applyVerdicts(time.Now(), batch.Events); hasSecret {
+		v.d.log.Info("verdicts_loaded", "count", len(batch.Events)-1)
+	}
+	return hasSecret, batch.Next, nil
+}
+
 func (v *verdicts) record(ctx context.Context, added verdict) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
@@ -100,6 +116,13 @@
 	return nil
 }
 
+func (d *Controller) setSecret(secret []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.digester.Store(poison.NewDigester(secret))
+	d.updateReadiness(time.Now())
+}
+
 // applyVerdicts applies the records of the topic and reports whether the secret is among them.
 func (d *Controller) applyVerdicts(now time.Time, events []any) (hasSecret bool) {
 	d.mu.Lock()
@@ -108,6 +131,7 @@
 		switch e := event.(type) {
 		case port.SecretEvent:
 			d.digester.Store(poison.NewDigester(e.Secret))
+			d.updateReadiness(now)
 			hasSecret = true
 		case port.QuarantineEvent:
 			d.poison.Receive(now, poison.KindQuarantine, e.Body)
