--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -122,7 +122,11 @@
 	switch {
 	case b.Silent && ended:
 		d.poison.RecordSilence(now, b.SentAt, b.Digest, loss, alone)
-		d.poison.Unreachable(now, b.Upstream)
+		if listed {
+			d.poison.ObserveBoot(now, b.Upstream, bootID(u.Born))
+		} else {
+			d.poison.Unreachable(now, b.Upstream)
+		}
 	case !listed || u.Born != b.Born || u.Draining:
 		return
 	case b.Silent:
