--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 )
@@ -98,7 +100,9 @@
 		m.sharing.add(rec)
 		// Other records take effect before they are published.
 		if rec.Kind == KindTrial || rec.Kind == KindTrialEnd {
-			m.foldTrial(now, rec)
+			if err := m.foldTrial(now, rec); err != nil {
+				panic(err) // The record was encoded by this entry.
+			}
 		}
 		return nil
 	}
@@ -146,47 +150,55 @@
 		}
 		m.next = e.Offset + 1
 		m.outbox = slices.DeleteFunc(m.outbox, func(r ledger.Record) bool { return r.ID == e.Record.ID })
-		m.foldRecord(now, e.Record)
+		// A record that can't be decoded has no effect on any entry.
+		_ = m.foldRecord(now, e.Record)
 	}
 }
 
-func (m *Model) foldRecord(now time.Time, rec ledger.Record) {
+func (m *Model) foldRecord(now time.Time, rec ledger.Record) (err error) {
+	defer func() { err = errors.Wrapf(err, "record of kind %q", rec.Kind) }()
 	switch rec.Kind {
 	case KindTrial, KindTrialEnd:
-		m.foldTrial(now, rec)
+		return m.foldTrial(now, rec)
 	case KindRelease:
 		var body ReleaseBody
-		if json.Unmarshal(rec.Body, &body) == nil {
-			m.applyRelease(body)
+		if err := json.Unmarshal(rec.Body, &body); err != nil {
+			return err
 		}
+		m.applyRelease(body)
 	case KindLoss:
 		var body LossBody
-		if json.Unmarshal(rec.Body, &body) == nil {
-			m.foldLoss(now, body)
+		if err := json.Unmarshal(rec.Body, &body); err != nil {
+			return err
 		}
+		m.foldLoss(now, body)
 	case KindAnswer:
 		var body AnswerBody
-		if json.Unmarshal(rec.Body, &body) == nil {
-			m.disprove(body.Digest, body.Losses)
+		if err := json.Unmarshal(rec.Body, &body); err != nil {
+			return err
 		}
+		m.disprove(body.Digest, body.Losses)
 	case KindQuarantine:
 		var body QuarantineBody
-		if json.Unmarshal(rec.Body, &body) == nil {
-			m.foldQuarantine(now, body)
+		if err := json.Unmarshal(rec.Body, &body); err != nil {
+			return err
 		}
+		m.foldQuarantine(now, body)
 	}
+	return nil
 }
 
-func (m *Model) foldTrial(now time.Time, rec ledger.Record) {
+func (m *Model) foldTrial(now time.Time, rec ledger.Record) (err error) {
 	var body TrialBody
-	if json.Unmarshal(rec.Body, &body) != nil {
-		return
+	if err := json.Unmarshal(rec.Body, &body); err != nil {
+		return err
 	}
 	if rec.Kind == KindTrialEnd {
 		m.closeTrial(body)
-		return
+		return nil
 	}
 	m.openTrial(now, body)
+	return nil
 }
 
 // foldLoss adds a loss. A confirmed one on a trial is enough for the quarantine, should the record of that be lost.
--- a/core/poison/share.go
+++ b/core/poison/share.go
@@ -114,9 +114,9 @@
 	return m.claimOrder[first:]
 }
 
-// Receive applies a record that another entry shared. Records that can't be decoded are ignored.
-func (m *Model) Receive(now time.Time, kind ledger.Kind, body json.RawMessage) {
-	m.foldRecord(now, ledger.Record{Kind: kind, Body: body})
+// Receive applies a record that another entry shared. A record that can't be decoded has no effect.
+func (m *Model) Receive(now time.Time, kind ledger.Kind, body json.RawMessage) (err error) {
+	return m.foldRecord(now, ledger.Record{Kind: kind, Body: body})
 }
 
 // ConfirmedCmd reports that a loss was confirmed.
--- a/core/poison/share_test.go
+++ b/core/poison/share_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/ledger"
 	"cicadavalve/core/poison"
 )
 
@@ -41,8 +42,11 @@
 	for from, sender := range g.entries {
 		for _, rec := range sender.Share(g.now, len(g.entries)) {
 			for to, receiver := range g.entries {
-				if to != from && !isLost(from, to) {
-					receiver.Receive(g.now, rec.Kind, rec.Body)
+				if to == from || isLost(from, to) {
+					continue
+				}
+				if err := receiver.Receive(g.now, rec.Kind, rec.Body); err != nil {
+					panic(err)
 				}
 			}
 		}
@@ -259,6 +263,18 @@
 	}
 }
 
+// TestUnreadableRecordHasNoEffect receives records that are no JSON, or of another shape.
+func TestUnreadableRecordHasNoEffect(t *testing.T) {
+	for _, kind := range []ledger.Kind{poison.KindLoss, poison.KindQuarantine, poison.KindAnswer, poison.KindTrial, poison.KindTrialEnd, poison.KindRelease} {
+		for _, body := range []string{"", "{", `{"digest":1}`} {
+			m := newModel(0)
+			if err := m.Receive(start, kind, []byte(body)); err == nil || !m.IsEmpty() {
+				t.Errorf("%s %q: error %v", kind, body, err)
+			}
+		}
+	}
+}
+
 // BenchmarkTick drops outdated evidence, with as many losses as a model holds, none of them pending.
 func BenchmarkTick(b *testing.B) {
 	m := newModel(0)
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -270,7 +270,9 @@
 // applyEvidence applies the records of another entry; the lock is held.
 func (d *Controller) applyEvidence(now time.Time, shared []gossip.Verdict) {
 	for _, v := range shared {
-		d.poison.Receive(now, ledger.Kind(v.Kind), v.Body)
+		if err := d.poison.Receive(now, ledger.Kind(v.Kind), v.Body); err != nil {
+			d.log.Debug("verdict_unreadable", "error", err)
+		}
 	}
 	if len(shared) > 0 {
 		d.handleEvidence(now)
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -134,7 +134,9 @@
 			d.updateReadiness(now)
 			hasSecret = true
 		case port.QuarantineEvent:
-			d.poison.Receive(now, poison.KindQuarantine, e.Body)
+			if err := d.poison.Receive(now, poison.KindQuarantine, e.Body); err != nil {
+				d.log.Warn("verdict_unreadable", "error", err)
+			}
 		}
 	}
 	// These are in the store already, so nothing of them is recorded again.
