Ask upstreams whether they restarted where a quarantine depends on it

With the store down and no request placed on the engine while it was down, nothing confirmed it, and the request was refused as on trial, with a time to come back, for as long as the store was away.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -10,6 +10,7 @@
 package poison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -356,15 +357,17 @@
 		return
 	}
 	m.release(d, losses)
-	m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return slices.Contains(losses, c.loss) })
-	if len(m.claims[d]) == 0 {
-		m.dropClaims(d)
-	}
+	m.dropClaimsIf(d, func(c claim) bool { return slices.Contains(losses, c.loss) })
 	if len(losses) >= suspectAfter {
 		m.notify(DisprovedCmd{Digest: d, Losses: losses})
 	}
 }
 
+func (m *Model) dropClaims(d Digest) {
+	delete(m.claims, d)
+	m.claimOrder = slices.DeleteFunc(m.claimOrder, func(s Digest) bool { return s == d })
+}
+
 // Tick drops the claims that were not confirmed in time, ends quarantines and trials that have lasted long enough, and
 // resends the outbox.
 func (m *Model) Tick(now time.Time) []ident.Cmd {
@@ -381,11 +384,41 @@
 
 func (m *Model) dropUnconfirmed(now time.Time) {
 	for _, d := range slices.Clone(m.claimOrder) {
-		m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return !c.confirmed && !c.isPending(now) })
-		if len(m.claims[d]) == 0 {
-			m.dropClaims(d)
+		m.dropClaimsIf(d, func(c claim) bool { return !c.confirmed && !c.isPending(now) })
+	}
+}
+
+// dropClaimsIf drops the claims of a request for which isDropped returns true.
+func (m *Model) dropClaimsIf(d Digest, isDropped func(claim) bool) {
+	m.claims[d] = slices.DeleteFunc(m.claims[d], isDropped)
+	if len(m.claims[d]) == 0 {
+		m.dropClaims(d)
+	}
+}
+
+// Undecided returns the losses that this entry observed itself, of requests with losses enough for a suspicion, which are
+// neither confirmed nor refuted yet.
+func (m *Model) Undecided(now time.Time) (losses []Loss) {
+	for _, upstream := range slices.Sorted(maps.Keys(m.pending)) {
+		for _, d := range m.pending[upstream] {
+			for _, c := range m.claims[d] {
+				if c.loss.Upstream == upstream && c.own && !c.confirmed && c.isPending(now) && len(m.claims[d]) >= suspectAfter && !slices.Contains(losses, c.loss) {
+					losses = append(losses, c.loss)
+				}
+			}
 		}
 	}
+	return losses
+}
+
+// Refute drops the unconfirmed losses of an upstream that were known before it was asked at asked, and then answered under
+// the same boot.
+func (m *Model) Refute(asked time.Time, upstream ident.UpstreamID, boot ident.BootID) {
+	for _, d := range slices.Clone(m.pending[upstream]) {
+		m.dropClaimsIf(d, func(c claim) bool {
+			return !c.confirmed && c.loss.Upstream == upstream && c.loss.Boot == boot && c.since.Before(asked)
+		})
+	}
 }
 
 // Postpone gives the pending losses the whole time for their confirmation again, as while the upstreams can't be
--- a/core/poison/quarantine.go
+++ b/core/poison/quarantine.go
@@ -53,10 +53,7 @@
 // dropExplained drops the claims for losses that are attributed to a request in quarantine.
 func (m *Model) dropExplained(losses []Loss) {
 	for _, d := range slices.Clone(m.claimOrder) {
-		m.claims[d] = slices.DeleteFunc(m.claims[d], func(c claim) bool { return slices.Contains(losses, c.loss) })
-		if len(m.claims[d]) == 0 {
-			m.dropClaims(d)
-		}
+		m.dropClaimsIf(d, func(c claim) bool { return slices.Contains(losses, c.loss) })
 	}
 }
 
@@ -81,11 +78,6 @@
 	m.quarantineOrder = slices.DeleteFunc(m.quarantineOrder, func(q Digest) bool { return q == d })
 }
 
-func (m *Model) dropClaims(d Digest) {
-	delete(m.claims, d)
-	m.claimOrder = slices.DeleteFunc(m.claimOrder, func(s Digest) bool { return s == d })
-}
-
 // isExplained reports whether a loss is attributed to a request in quarantine.
 func (m *Model) isExplained(loss Loss) bool {
 	for _, d := range m.quarantineOrder {
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -187,6 +187,8 @@
 	Weights          map[ident.ModelName]int64
 	// Boot identifies the incarnation of a store.
 	Boot int64
+	// Born identifies the incarnation of an upstream, 0 if it does not report it.
+	Born int64
 }
 
 // LoadOrder orders an engine to load a version of weights.
@@ -201,6 +203,9 @@
 	Seq int64
 }
 
+// ErrMisdirected means that another upstream answers at the address.
+var ErrMisdirected = errors.New("another upstream answered")
+
 // Errors of an order.
 var (
 	// ErrOutdated means that the engine has seen a higher fencing token.
