Test the confirmation of losses without the list and without chance

TestInspectionDecidesLosses has the four answers; TestSilenceConfirmsTheEarlierIncarnationAlone is the case that lacked.

--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/poison"
+	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
 )
 
@@ -102,6 +103,54 @@
 	}
 }
 
+// TestInspectionDecidesLosses asks the upstreams of a suspect while the list can't be read, and lets them answer in various
+// ways. Losses that nothing decides stay pending.
+func TestInspectionDecidesLosses(t *testing.T) {
+	cases := map[string]struct {
+		state port.State
+		ended bool
+	}{
+		"restarted": {state: port.State{Born: 2}}, "not there": {ended: true}, "the same": {state: port.State{Born: 1}}, "unknown": {},
+	}
+	type outcome struct{ Suspect, Asked bool }
+	got := map[string]outcome{}
+	for name, answer := range cases {
+		now := time.Now()
+		d := newFleet(Settings{}, 1, now)[0]
+		d.updateFleet(fleet.ListLostMsg{})
+		for i := range 2 {
+			id := ident.UpstreamID(fmt.Sprint("u", i))
+			d.applyUpstream(now, upstream(id, 1))
+			d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now})
+		}
+		asked := d.questions(now)
+		if diff := cmp.Diff([]string{"addr-u0", "addr-u1"}, []string{asked[0].addr, asked[1].addr}); diff != "" {
+			t.Errorf("asked (-want +got):\n%s", diff)
+		}
+		for _, q := range asked {
+			d.applyInspection(now.Add(time.Millisecond), q.loss, answer.state, answer.ended)
+		}
+		got[name] = outcome{d.Screen(identify("d")).Suspect, len(d.questions(now)) > 0}
+	}
+	want := map[string]outcome{"restarted": {Suspect: true}, "not there": {Suspect: true}, "the same": {}, "unknown": {Suspect: true, Asked: true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("suspect, and asked again, after the answers (-want +got):\n%s", diff)
+	}
+}
+
+// TestSilenceConfirmsTheEarlierIncarnationAlone confirms only losses of the earlier incarnation when an upstream stayed silent until after its restart.
+func TestSilenceConfirmsTheEarlierIncarnationAlone(t *testing.T) {
+	now := time.Now()
+	d := newFleet(Settings{}, 1, now)[0]
+	d.applyUpstream(now, upstream("u", 2))
+	d.recordLoss(now, relay.Break{Upstream: "u", Born: 2, Digest: "later", SentAt: now})
+	d.recordLoss(now, relay.Break{Upstream: "u", Born: 1, Digest: "d", SentAt: now.Add(-2 * time.Second), Silent: true})
+	d.poison.Tick(now.Add(time.Minute))
+	if got := d.poison.Views(now); len(got) != 1 || got[0].Digest != "d" {
+		t.Errorf("requests with losses that count: %+v", got)
+	}
+}
+
 // BenchmarkScreen screens a request with a body of 8 KiB while nothing has crashed, and after a crash.
 func BenchmarkScreen(b *testing.B) {
 	digester, body := poison.NewDigester(make([]byte, secretSize)), string(make([]byte, 8<<10))
