Keep bounded maps that drop their oldest entry in one place

Losses, quarantines, released losses and removed upstreams each had a map with a list of its keys beside it and code of its own to drop the oldest. core/fifo holds them; no decision changes.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -16,6 +16,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cicadavalve/core/fifo"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ledger"
 )
@@ -90,20 +91,15 @@
 	sharing *sharing
 	// events holds the changes since the last call of [Model.TakeEvents]. They are kept only with [WithMessages].
 	events []ident.Cmd
-	claims map[Digest][]claim
-	// claimOrder lists the keys of claims, the oldest first.
-	claimOrder []Digest
+	// claims holds the losses of each request, at least one.
+	claims *fifo.Map[Digest, []claim]
 	// pending lists the requests with unconfirmed claims by upstream; some may be confirmed or dropped by now.
 	pending map[ident.UpstreamID][]Digest
 	// pendingUntil is when the last pending claim stops to count; sweptAt is when such claims were last dropped.
 	pendingUntil, sweptAt time.Time
-	quarantined           map[Digest]*quarantine
-	// quarantineOrder lists the keys of quarantined, the oldest first.
-	quarantineOrder []Digest
+	quarantined           *fifo.Map[Digest, *quarantine]
 	// released holds the losses of each request that were released or disproved; they no longer count.
-	released map[Digest][]Loss
-	// releaseOrder lists the keys of released, the oldest first.
-	releaseOrder []Digest
+	released *fifo.Map[Digest, []Loss]
 	// foldedReleases holds the ids of the folded releases, so that each is applied once.
 	foldedReleases map[string]bool
 	// trials holds the open trials, at most one per request.
@@ -140,8 +136,9 @@
 //	cmds := m.RecordLoss(now, started, digest, poison.Loss{Upstream: "engine-1", Boot: boot}, false)
 func NewModel(entry ident.EntryID, options ...Option) *Model {
 	m := &Model{
-		entry: entry, confirmTimeout: defaultConfirmTimeout, claims: map[Digest][]claim{}, pending: map[ident.UpstreamID][]Digest{}, quarantined: map[Digest]*quarantine{},
-		released: map[Digest][]Loss{}, foldedReleases: map[string]bool{},
+		entry: entry, confirmTimeout: defaultConfirmTimeout, claims: fifo.NewMap[Digest, []claim](maxDigests),
+		pending: map[ident.UpstreamID][]Digest{}, quarantined: fifo.NewMap[Digest, *quarantine](maxDigests),
+		released: fifo.NewMap[Digest, []Loss](maxDigests), foldedReleases: map[string]bool{},
 		trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
 	}
 	for _, o := range options {
@@ -151,22 +148,34 @@
 }
 
 // IsEmpty reports whether every request is clear.
-func (m *Model) IsEmpty() bool { return len(m.claims)+len(m.quarantined) == 0 }
+func (m *Model) IsEmpty() bool { return m.claims.Len()+m.quarantined.Len() == 0 }
 
 // Counts returns the number of requests in quarantine and of the others with losses.
-func (m *Model) Counts() (quarantined, withLosses int) { return len(m.quarantined), len(m.claims) }
+func (m *Model) Counts() (quarantined, withLosses int) { return m.quarantined.Len(), m.claims.Len() }
 
 // Quarantined reports whether a request is in quarantine. [Model.Standing] also returns [Quarantined] while the loss on
 // its trial is yet to be confirmed.
-func (m *Model) Quarantined(d Digest) bool { return m.quarantined[d] != nil }
+func (m *Model) Quarantined(d Digest) bool { return m.quarantineOf(d) != nil }
+
+// quarantineOf returns the quarantine of a request, nil if there is none.
+func (m *Model) quarantineOf(d Digest) *quarantine {
+	q, _ := m.quarantined.Get(d)
+	return q
+}
+
+// claimsOf returns the losses of a request.
+func (m *Model) claimsOf(d Digest) []claim {
+	claims, _ := m.claims.Get(d)
+	return claims
+}
 
 // LastEvidence returns when a request came into quarantine or, otherwise, when its last loss became known; the zero time
 // if there is neither.
 func (m *Model) LastEvidence(d Digest) (at time.Time) {
-	if q := m.quarantined[d]; q != nil {
+	if q := m.quarantineOf(d); q != nil {
 		return q.since
 	}
-	for _, c := range m.claims[d] {
+	for _, c := range m.claimsOf(d) {
 		if c.since.After(at) {
 			at = c.since
 		}
@@ -181,7 +190,7 @@
 		return Quarantined
 	}
 	losses, alone := 0, false
-	for _, c := range m.claims[d] {
+	for _, c := range m.claimsOf(d) {
 		if c.isActive(now) {
 			losses++
 			alone = alone || c.alone
@@ -229,7 +238,7 @@
 
 // countEarlier counts the losses of a request on one boot before an attempt began.
 func (m *Model) countEarlier(started time.Time, d Digest, loss Loss) (earlier int) {
-	for _, c := range m.claims[d] {
+	for _, c := range m.claimsOf(d) {
 		if c.loss.Upstream == loss.Upstream && c.loss.Boot == loss.Boot && c.since.Before(started) {
 			earlier++
 		}
@@ -239,10 +248,10 @@
 
 // addClaim adds a loss and reports whether it adds evidence. Losses that are explained or released are ignored.
 func (m *Model) addClaim(d Digest, added claim) bool {
-	if m.isExplained(added.loss) || slices.Contains(m.released[d], added.loss) {
+	if m.isExplained(added.loss) || m.isReleased(d, []Loss{added.loss}) {
 		return false
 	}
-	if q := m.quarantined[d]; q != nil {
+	if q := m.quarantineOf(d); q != nil {
 		if added.silent || len(q.losses) >= maxExplained {
 			return false
 		}
@@ -251,7 +260,7 @@
 		return true
 	}
 	added.confirmBy = added.since.Add(m.confirmTimeout)
-	claims, known := m.claims[d]
+	claims := m.claimsOf(d)
 	for i := range claims {
 		if c := &claims[i]; c.loss == added.loss {
 			isNews := added.confirmed && !c.confirmed || added.alone && !c.alone || c.silent && !added.silent
@@ -259,15 +268,11 @@
 			return isNews
 		}
 	}
-	if !known {
-		m.claimOrder = append(m.claimOrder, d)
-	}
-	m.claims[d] = append(claims, added)
+	m.claims.Set(d, append(claims, added))
 	if !added.confirmed {
 		m.pending[added.loss.Upstream] = append(m.pending[added.loss.Upstream], d)
 		m.awaitConfirmation(added.confirmBy)
 	}
-	m.evictOldest()
 	return true
 }
 
@@ -278,21 +283,6 @@
 	}
 }
 
-func (m *Model) evictOldest() {
-	for len(m.claimOrder) > maxDigests {
-		delete(m.claims, m.claimOrder[0])
-		m.claimOrder = m.claimOrder[1:]
-	}
-	for len(m.quarantineOrder) > maxDigests {
-		delete(m.quarantined, m.quarantineOrder[0])
-		m.quarantineOrder = m.quarantineOrder[1:]
-	}
-	for len(m.releaseOrder) > maxDigests {
-		delete(m.released, m.releaseOrder[0])
-		m.releaseOrder = m.releaseOrder[1:]
-	}
-}
-
 // ObserveBoot records the boot that an upstream reports, which confirms the losses under any other boot of it.
 func (m *Model) ObserveBoot(now time.Time, upstream ident.UpstreamID, boot ident.BootID) []ident.Cmd {
 	return m.confirm(now, upstream, func(l Loss) bool { return l.Boot != boot })
@@ -306,8 +296,9 @@
 // confirm confirms the pending losses of an upstream for which isConfirmed returns true.
 func (m *Model) confirm(now time.Time, upstream ident.UpstreamID, isConfirmed func(Loss) bool) (cmds []ident.Cmd) {
 	for _, d := range slices.Clone(m.pending[upstream]) {
-		for i := range m.claims[d] {
-			c := &m.claims[d][i]
+		claims := m.claimsOf(d)
+		for i := range claims {
+			c := &claims[i]
 			if c.loss.Upstream != upstream || c.confirmed || !c.isPending(now) || !isConfirmed(c.loss) {
 				continue
 			}
@@ -322,7 +313,7 @@
 // reportConfirmed shares the confirmation of a loss as far as the others need it: they don't know of a silent loss, and
 // observe the upstreams of all others themselves, but one that can't must know of suspects.
 func (m *Model) reportConfirmed(now time.Time, d Digest, c *claim) (cmds []ident.Cmd) {
-	suspect := len(m.claims[d]) >= suspectAfter
+	suspect := len(m.claimsOf(d)) >= suspectAfter
 	if c.own || suspect {
 		m.notify(ConfirmedCmd{Digest: d, Loss: c.loss, Alone: c.alone, Age: now.Sub(c.since)})
 	}
@@ -337,7 +328,7 @@
 // by now.
 func (m *Model) ObserveAnswer(now time.Time, d Digest) []ident.Cmd {
 	var losses []Loss
-	for _, c := range m.claims[d] {
+	for _, c := range m.claimsOf(d) {
 		losses = append(losses, c.loss)
 	}
 	if len(losses) == 0 {
@@ -363,11 +354,6 @@
 	}
 }
 
-func (m *Model) dropClaims(d Digest) {
-	delete(m.claims, d)
-	m.claimOrder = slices.DeleteFunc(m.claimOrder, func(s Digest) bool { return s == d })
-}
-
 // Tick drops the claims that were not confirmed in time, ends quarantines and trials that have lasted long enough, and
 // resends the outbox.
 func (m *Model) Tick(now time.Time) []ident.Cmd {
@@ -383,17 +369,19 @@
 }
 
 func (m *Model) dropUnconfirmed(now time.Time) {
-	for _, d := range slices.Clone(m.claimOrder) {
+	for _, d := range m.claims.Keys() {
 		m.dropClaimsIf(d, func(c claim) bool { return !c.confirmed && !c.isPending(now) })
 	}
 }
 
 // dropClaimsIf drops the claims of a request for which isDropped returns true.
 func (m *Model) dropClaimsIf(d Digest, isDropped func(claim) bool) {
-	m.claims[d] = slices.DeleteFunc(m.claims[d], isDropped)
-	if len(m.claims[d]) == 0 {
-		m.dropClaims(d)
+	kept := slices.DeleteFunc(m.claimsOf(d), isDropped)
+	if len(kept) == 0 {
+		m.claims.Delete(d)
+		return
 	}
+	m.claims.Set(d, kept)
 }
 
 // Undecided returns the losses that this entry observed itself, of requests with losses enough for a suspicion, which are
@@ -401,8 +389,8 @@
 func (m *Model) Undecided(now time.Time) (losses []Loss) {
 	for _, upstream := range slices.Sorted(maps.Keys(m.pending)) {
 		for _, d := range m.pending[upstream] {
-			for _, c := range m.claims[d] {
-				if c.loss.Upstream == upstream && c.own && !c.confirmed && c.isPending(now) && len(m.claims[d]) >= suspectAfter && !slices.Contains(losses, c.loss) {
+			for _, c := range m.claimsOf(d) {
+				if c.loss.Upstream == upstream && c.own && !c.confirmed && c.isPending(now) && len(m.claimsOf(d)) >= suspectAfter && !slices.Contains(losses, c.loss) {
 					losses = append(losses, c.loss)
 				}
 			}
@@ -427,7 +415,8 @@
 	if !now.Before(m.pendingUntil) {
 		return
 	}
-	for _, claims := range m.claims {
+	for _, d := range m.claims.Keys() {
+		claims := m.claimsOf(d)
 		for i := range claims {
 			if c := &claims[i]; !c.confirmed && c.isPending(now) {
 				c.confirmBy = now.Add(m.confirmTimeout)
@@ -443,7 +432,8 @@
 	if len(m.outbox)+len(m.trials) > 0 {
 		return true
 	}
-	for _, claims := range m.claims {
+	for _, d := range m.claims.Keys() {
+		claims := m.claimsOf(d)
 		if slices.ContainsFunc(claims, func(c claim) bool { return !c.confirmed }) {
 			return true
 		}
--- a/core/poison/quarantine.go
+++ b/core/poison/quarantine.go
@@ -27,7 +27,7 @@
 // confirmedLosses returns the confirmed losses of a request; proven is set if they lead to its quarantine.
 func (m *Model) confirmedLosses(d Digest) (losses []Loss, proven bool) {
 	alone := false
-	for _, c := range m.claims[d] {
+	for _, c := range m.claimsOf(d) {
 		if c.confirmed {
 			losses = append(losses, c.loss)
 			alone = alone || c.alone
@@ -42,17 +42,15 @@
 	if m.Quarantined(d) || m.isReleased(d, losses) {
 		return
 	}
-	m.quarantined[d] = &quarantine{losses: losses, since: since}
-	m.quarantineOrder = append(m.quarantineOrder, d)
-	m.dropClaims(d)
+	m.quarantined.Set(d, &quarantine{losses: losses, since: since})
+	m.claims.Delete(d)
 	m.dropExplained(losses)
-	m.evictOldest()
 	m.notify(QuarantinedCmd{Digest: d, Losses: losses, Since: since})
 }
 
 // dropExplained drops the claims for losses that are attributed to a request in quarantine.
 func (m *Model) dropExplained(losses []Loss) {
-	for _, d := range slices.Clone(m.claimOrder) {
+	for _, d := range m.claims.Keys() {
 		m.dropClaimsIf(d, func(c claim) bool { return slices.Contains(losses, c.loss) })
 	}
 }
@@ -62,26 +60,21 @@
 	if m.retention == 0 {
 		return
 	}
-	for _, d := range slices.Clone(m.quarantineOrder) {
-		q := m.quarantined[d]
+	for _, d := range m.quarantined.Keys() {
+		q := m.quarantineOf(d)
 		if now.Sub(q.since) < m.retention {
 			continue
 		}
 		m.release(d, q.losses)
-		m.dropQuarantine(d)
+		m.quarantined.Delete(d)
 		m.notify(ExpiredCmd{Digest: d})
 	}
 }
 
-func (m *Model) dropQuarantine(d Digest) {
-	delete(m.quarantined, d)
-	m.quarantineOrder = slices.DeleteFunc(m.quarantineOrder, func(q Digest) bool { return q == d })
-}
-
 // isExplained reports whether a loss is attributed to a request in quarantine.
 func (m *Model) isExplained(loss Loss) bool {
-	for _, d := range m.quarantineOrder {
-		if slices.Contains(m.quarantined[d].losses, loss) {
+	for _, d := range m.quarantined.Keys() {
+		if slices.Contains(m.quarantineOf(d).losses, loss) {
 			return true
 		}
 	}
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -116,7 +116,7 @@
 // sendsOf returns how often a record is to be sent in messages.
 func (m *Model) sendsOf(rec ledger.Record) int {
 	var body LossBody
-	if rec.Kind == KindLoss && json.Unmarshal(rec.Body, &body) == nil && len(m.claims[body.Digest]) < suspectAfter && !m.Quarantined(body.Digest) {
+	if rec.Kind == KindLoss && json.Unmarshal(rec.Body, &body) == nil && len(m.claimsOf(body.Digest)) < suspectAfter && !m.Quarantined(body.Digest) {
 		return maxFirstLossSends
 	}
 	return maxSends
--- a/core/poison/release.go
+++ b/core/poison/release.go
@@ -37,35 +37,31 @@
 	}
 	m.foldedReleases[body.ID] = true
 	var released []Loss
-	if q := m.quarantined[body.Digest]; q != nil {
+	if q := m.quarantineOf(body.Digest); q != nil {
 		released = q.losses
 	}
-	for _, c := range m.claims[body.Digest] {
+	for _, c := range m.claimsOf(body.Digest) {
 		released = append(released, c.loss)
 	}
 	m.release(body.Digest, released)
-	m.dropQuarantine(body.Digest)
-	m.dropClaims(body.Digest)
+	m.quarantined.Delete(body.Digest)
+	m.claims.Delete(body.Digest)
 }
 
 // release remembers losses of a request that no longer count.
 func (m *Model) release(d Digest, losses []Loss) {
-	known, held := m.released[d]
-	if !held {
-		m.releaseOrder = append(m.releaseOrder, d)
-	}
+	known, _ := m.released.Get(d)
 	for _, loss := range losses {
 		if !slices.Contains(known, loss) {
 			known = append(known, loss)
 		}
 	}
-	m.released[d] = known
-	m.evictOldest()
+	m.released.Set(d, known)
 }
 
 // isReleased reports whether the request was released from all the losses.
 func (m *Model) isReleased(d Digest, losses []Loss) bool {
-	released, known := m.released[d]
+	released, known := m.released.Get(d)
 	return known && !slices.ContainsFunc(losses, func(l Loss) bool { return !slices.Contains(released, l) })
 }
 
@@ -81,12 +77,12 @@
 // Views returns the requests in quarantine and then those with claims, each oldest first.
 func (m *Model) Views(now time.Time) []View {
 	views := []View{}
-	for _, d := range m.quarantineOrder {
-		views = append(views, View{d, standingNames[Quarantined], m.quarantined[d].losses})
+	for _, d := range m.quarantined.Keys() {
+		views = append(views, View{d, standingNames[Quarantined], m.quarantineOf(d).losses})
 	}
-	for _, d := range m.claimOrder {
+	for _, d := range m.claims.Keys() {
 		v := View{Digest: d, Standing: standingNames[m.Standing(now, d)]}
-		for _, c := range m.claims[d] {
+		for _, c := range m.claimsOf(d) {
 			v.Losses = append(v.Losses, c.loss)
 		}
 		views = append(views, v)
--- a/core/poison/share.go
+++ b/core/poison/share.go
@@ -90,18 +90,20 @@
 // repeat returns the records of the next request in turn, of those in quarantine and those with recent losses.
 func (m *Model) repeat(now time.Time) (records []ledger.Record) {
 	recent := m.recentClaims(now)
-	total := uint64(len(m.quarantineOrder) + len(recent))
+	quarantined := m.quarantined.Keys()
+	total := uint64(len(quarantined) + len(recent))
 	if total == 0 {
 		return nil
 	}
 	i := m.sharing.position % total
 	m.sharing.position++
-	if i < uint64(len(m.quarantineOrder)) {
-		d := m.quarantineOrder[i]
-		return []ledger.Record{m.quarantineRecord(d, m.quarantined[d].losses, m.quarantined[d].since)}
+	if i < uint64(len(quarantined)) {
+		d := quarantined[i]
+		q := m.quarantineOf(d)
+		return []ledger.Record{m.quarantineRecord(d, q.losses, q.since)}
 	}
-	d := recent[i-uint64(len(m.quarantineOrder))]
-	for _, c := range m.claims[d] {
+	d := recent[i-uint64(len(quarantined))]
+	for _, c := range m.claimsOf(d) {
 		if c.confirmed {
 			records = append(records, lossRecord(m.entry, d, c.loss, c.alone, true))
 		}
@@ -111,11 +113,12 @@
 
 // recentClaims returns the requests whose first loss is so recent that it is repeated.
 func (m *Model) recentClaims(now time.Time) []Digest {
-	first := len(m.claimOrder)
-	for first > 0 && now.Sub(m.claims[m.claimOrder[first-1]][0].since) < repeatPeriod {
+	digests := m.claims.Keys()
+	first := len(digests)
+	for first > 0 && now.Sub(m.claimsOf(digests[first-1])[0].since) < repeatPeriod {
 		first--
 	}
-	return m.claimOrder[first:]
+	return digests[first:]
 }
 
 // Receive applies a record that another entry shared. A record that can't be decoded has no effect.
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cicadavalve/core/conf"
+	"cicadavalve/core/fifo"
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/mesh"
@@ -71,10 +72,8 @@
 	evidenceTickedAt time.Time
 	// trials counts the trials that this entry has begun.
 	trials int
-	// vanished holds the last incarnation of upstreams that were removed without notice; vanishedOrder lists its keys,
-	// the oldest first.
-	vanished      map[ident.UpstreamID]int64
-	vanishedOrder []ident.UpstreamID
+	// vanished holds the last incarnation of upstreams that were removed without notice.
+	vanished *fifo.Map[ident.UpstreamID, int64]
 	// verdicts holds the quarantines that are to be recorded in the store.
 	verdicts chan verdict
 	// listLost is set while the list of upstreams can't be read.
@@ -90,7 +89,7 @@
 	d := &Controller{
 		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
-		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: map[ident.UpstreamID]int64{},
+		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -115,7 +115,7 @@
 // held.
 func (d *Controller) recordLoss(now time.Time, b relay.Break) {
 	u, listed := d.fleet.Get(b.Upstream)
-	born, vanished := d.vanished[b.Upstream]
+	born, vanished := d.vanished.Get(b.Upstream)
 	ended := listed && u.Born > b.Born || !listed && vanished && born == b.Born
 	loss := poison.Loss{Upstream: b.Upstream, Boot: bootID(b.Born)}
 	alone := b.Trial != "" && d.poison.Granted(b.Digest, b.Trial)
@@ -141,16 +141,8 @@
 // is held.
 func (d *Controller) observeGone(now time.Time, gone fleet.GoneCmd) {
 	d.observeEnd(now, gone.ID)
-	if gone.Draining {
-		return
-	}
-	if _, known := d.vanished[gone.ID]; !known {
-		d.vanishedOrder = append(d.vanishedOrder, gone.ID)
-	}
-	d.vanished[gone.ID] = gone.Born
-	if len(d.vanishedOrder) > maxVanished {
-		delete(d.vanished, d.vanishedOrder[0])
-		d.vanishedOrder = d.vanishedOrder[1:]
+	if !gone.Draining {
+		d.vanished.Set(gone.ID, gone.Born)
 	}
 }
 
