Decode the limit that an upstream names, and log it

The logs of an entry could not tell whether it had heard that an upstream names a limit of requests: the answer's header was forwarded and not decoded. No decision uses it yet.

A limit that is no finite number of at least 0 is logged and leaves what was known; of several the lowest holds. An answer that may be of another upstream changes nothing.

--- a/core/conf/upstream.go
+++ b/core/conf/upstream.go
@@ -31,6 +31,14 @@
 		u.Release == v.Release && u.Slots == v.Slots && u.Draining == v.Draining && u.Born == v.Born
 }
 
+// NamedLimit is the rate of requests that an upstream takes from all entries together, as it names it in its answers.
+type NamedLimit struct {
+	// Named reports that there is a limit.
+	Named bool
+	// PerSecond is at least 0, and 0 without a limit.
+	PerSecond float64
+}
+
 // Part is a section of a prompt.
 type Part struct {
 	ID     string
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,6 +32,7 @@
 	lapsedAt time.Time
 	// orderedUntil is until when it starts no work; see [OrderedMsg].
 	orderedUntil time.Time
+	limit        limitState
 }
 
 // Model holds the state of all upstreams. Its methods aren't safe for concurrent use.
@@ -139,6 +140,8 @@
 		if s := m.byID[msg.ID]; s != nil {
 			s.coldUntil = now.Add(msg.Left)
 		}
+	case LimitMsg:
+		return m.applyLimit(now, msg)
 	case OrderedMsg:
 		if s := m.byID[msg.ID]; s != nil {
 			s.orderedUntil = msg.Until
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cicadavalve/core/conf"
 	"cicadavalve/core/fifo"
 	"cicadavalve/core/fleet"
@@ -26,6 +28,9 @@
 // rejectionPause is how long an upstream that rejected a request gets no new ones: a few steps of an engine.
 const rejectionPause = 100 * time.Millisecond
 
+// limitFaultInterval is the minimum interval between two log lines about limits that can't be read.
+const limitFaultInterval = time.Second
+
 // Controller serialises access to the models that place requests. It is safe for concurrent use.
 type Controller struct {
 	log      *slog.Logger
@@ -76,6 +81,8 @@
 	vanished *fifo.Map[ident.UpstreamID, int64]
 	// verdicts holds the quarantines that are to be recorded in the store.
 	verdicts chan verdict
+	// limitFaults bounds the log lines about limits that can't be read.
+	limitFaults rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
 	listLost bool
 	// onConfig, if set, is called with each configuration that comes into force.
@@ -90,7 +97,7 @@
 		log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
 	return d
@@ -147,6 +154,12 @@
 			d.place.Update(time.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
 			d.observeGone(time.Now(), cmd)
+		case fleet.LimitCmd:
+			if cmd.Limit.Named {
+				d.log.Info("upstream_limit_named", "upstream", cmd.ID, "per_second", cmd.Limit.PerSecond, "age", cmd.Age)
+			} else {
+				d.log.Info("upstream_limit_ended", "upstream", cmd.ID, "age", cmd.Age)
+			}
 		}
 	}
 }
@@ -251,6 +264,7 @@
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
+	d.observeLimit(now, id, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -282,7 +282,7 @@
 	if set == nil {
 		return
 	}
-	usable, cold, busy := 0, 0, 0
+	usable, cold, limited, busy := 0, 0, 0, 0
 	for _, u := range d.fleet.All() {
 		if d.fleet.Usable(now, u.ID) {
 			usable++
@@ -290,11 +290,14 @@
 		if d.fleet.Cold(now, u.ID) {
 			cold++
 		}
+		if d.fleet.Limit(u.ID).Named {
+			limited++
+		}
 		busy += d.place.InFlight(now, u.ID)
 	}
 	attrs := []any{
 		"version", set.Version(), "entries", len(d.mesh.Alive(now)), "serving", len(d.mesh.Serving(now)), "upstreams", len(d.fleet.All()),
-		"usable", usable, "cold", cold, "busy", busy, "waiting", d.place.Waiting(),
+		"usable", usable, "cold", cold, "limited", limited, "busy", busy, "waiting", d.place.Waiting(),
 		"retry_allowance", d.retryAllowance(now),
 	}
 	for _, s := range set.Services() {
--- /dev/null
+++ b/io/daemon/limit.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"time"
+
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/io/port"
+)
+
+// observeLimit applies the limit that an answer names, or its end; the lock is held. An answer that may be of another
+// service, or whose limit can't be read, changes nothing.
+func (d *Controller) observeLimit(now time.Time, id ident.UpstreamID, reply port.Reply) {
+	if reply.LimitFault != nil {
+		d.limitFaults.Do(func() { d.log.Warn("upstream_limit_unreadable", "upstream", id, "error", reply.LimitFault) })
+	}
+	ofOther := reply.Upstream != "" && reply.Upstream != id || reply.Misdirected && reply.Upstream == ""
+	u, known := d.fleet.Get(id)
+	if !known || ofOther || !reply.Signed && !reply.NotRun || reply.LimitFault != nil && !reply.Limit.Named {
+		return
+	}
+	d.perform(d.fleet.Update(now, fleet.LimitMsg{ID: id, Born: u.Born, Limit: reply.Limit, At: now}))
+}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -62,6 +62,10 @@
 	Running, Waiting int
 	// Version is the version of the weights, 0 if the answer does not state it.
 	Version int64
+	// Limit is the limit that the answer names.
+	Limit conf.NamedLimit
+	// LimitFault is why a limit of the answer can't be used, nil if there is no such limit.
+	LimitFault error
 }
 
 // Dialect translates the heads of requests and answers.
