Keep the limit of requests that an upstream names

Callers saw an upstream in need get twice the requests that it said it takes.

Cause: no decider heard the limit.

The rate of an upstream has one limiter now, core/place/rate.go, for a cold start as for a limit that the upstream names: all entries together use four fifths of the lower rate, an equal part belongs to each of the entries that rendezvous hashing ranks first for the upstream, as few as make a part useful, and each request that is sent takes a token, repeats, trials and resumed streams too. An entry that has just started divides by the number of entries in the store until it has heard the others; one that falls silent counts for a minute. core/fleet keeps the limit by incarnation; entries tell each other of a limit within a heartbeat, repeat it every second, tell its end three times, and correct one that has missed the end. What only others have seen is forgotten after 10 s without a word. A limit below one request in 5 s is tried at that rate, so that its end is noticed.

If all upstreams that could take a request are at their rates, it is refused at once when no token is due before its wait limit (rate_limited), with a time to come back for each token, instead of waiting first. request_ended counts the upstreams at their rates apart from closed ones.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -277,6 +277,10 @@
 type Status struct {
 	// Usable, Cold and Ordered are the results of the methods of these names.
 	Usable, Cold, Ordered bool
+	// Returning is set if an upstream that isn't usable may be so again shortly, since it only pauses after a failure.
+	Returning bool
+	// Limit is the limit that it names.
+	Limit conf.NamedLimit
 }
 
 // Each calls visit with the record and the status of each upstream of a service, in no particular order. The record
@@ -294,9 +298,10 @@
 }
 
 func (m *Model) status(now time.Time, s *state) Status {
+	serves, paused := !s.Draining && !m.avoided[s.Zone], now.Before(s.pausedUntil)
 	return Status{
-		Usable: !s.Draining && !m.avoided[s.Zone] && !now.Before(s.pausedUntil),
-		Cold:   now.Before(s.coldUntil), Ordered: now.Before(s.orderedUntil),
+		Usable: serves && !paused, Returning: serves && paused, Limit: s.limit.current(now),
+		Cold: now.Before(s.coldUntil), Ordered: now.Before(s.orderedUntil),
 	}
 }
 
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -37,7 +37,7 @@
 	}
 	for _, s := range steps {
 		m.Update(at(1000), s.msg)
-		if diff := cmp.Diff(s.want, m.Limit("a")); diff != "" {
+		if diff := cmp.Diff(s.want, m.Limit(at(1000), "a")); diff != "" {
 			t.Errorf("%s (-want +got):\n%s", s.name, diff)
 		}
 	}
@@ -56,3 +56,53 @@
 		t.Errorf("%d reports in 3 s", reports)
 	}
 }
+
+// TestLimitIsToldToOtherEntries passes a limit and its end between entries, of which one has missed the end.
+func TestLimitIsToldToOtherEntries(t *testing.T) {
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	newModel := func() *fleet.Model {
+		m := fleet.NewModel()
+		m.Update(start, listed("a", 1))
+		return m
+	}
+	exchange := func(ms int, from, to *fleet.Model) (told int) {
+		for _, msg := range from.TakeLimits(at(ms), 10) {
+			to.Update(at(ms), msg)
+			told++
+		}
+		return told
+	}
+	first, second := newModel(), newModel()
+	first.Update(at(0), fleet.LimitMsg{ID: "a", Born: 1, Limit: named(3), At: at(1)})
+	told := []int{exchange(10, first, second), exchange(20, first, second), exchange(20, second, first), exchange(1100, first, second)}
+	if diff := cmp.Diff([]int{1, 0, 0, 1}, told); diff != "" {
+		t.Errorf("limits told at once, again, by another entry and a second later (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(named(3), second.Limit(at(1100), "a")); diff != "" {
+		t.Errorf("limit heard (-want +got):\n%s", diff)
+	}
+	second.Update(at(2000), fleet.LimitMsg{ID: "a", Born: 1, At: at(2000)})
+	lost := 0
+	for ms := 2000; ms < 9000; ms += 100 {
+		lost += len(second.TakeLimits(at(ms), 10))
+	}
+	if diff := cmp.Diff(3, lost); diff != "" {
+		t.Errorf("ends told (-want +got):\n%s", diff)
+	}
+	exchange(9000, first, second)
+	exchange(9100, second, first)
+	if diff := cmp.Diff(conf.NamedLimit{}, first.Limit(at(9100), "a")); diff != "" {
+		t.Errorf("limit of the entry that had missed the end (-want +got):\n%s", diff)
+	}
+}
+
+// TestHeardLimitExpires hears of a limit once, from an entry that tells nothing more.
+func TestHeardLimitExpires(t *testing.T) {
+	m := fleet.NewModel()
+	m.Update(start, listed("a", 1))
+	m.Update(start, fleet.LimitMsg{ID: "a", Born: 1, Limit: named(3), At: start, Heard: true})
+	got := []conf.NamedLimit{m.Limit(start.Add(9*time.Second), "a"), m.Limit(start.Add(11*time.Second), "a")}
+	if diff := cmp.Diff([]conf.NamedLimit{named(3), {}}, got); diff != "" {
+		t.Errorf("limit after 9 and 11 s (-want +got):\n%s", diff)
+	}
+}
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -12,13 +12,6 @@
 )
 
 const (
-	// coldBurst is how many requests one entry may send to a cold upstream in a burst.
-	coldBurst = 1
-	// coldRateShare is the fraction of a cold upstream's configured rate that all entries together use.
-	coldRateShare = 0.8
-	// minColdRate is the smallest useful share of a cold upstream's rate, in requests a second. If an equal
-	// share would be smaller, fewer entries use that upstream.
-	minColdRate = 1.0
 	// crossZoneCost is added for an upstream in another availability zone, about the time of a few round trips.
 	crossZoneCost = 4 * time.Millisecond
 	// recomputeWeight is the extra cost of a token that another holder has or prefills, relative to a new one.
@@ -36,8 +29,8 @@
 // option is an upstream scored for a request.
 type option struct {
 	upstream *conf.Upstream
-	// cold is set if the upstream accepts requests only at a limited rate.
-	cold bool
+	// quota is this entry's part of the rate of requests to the upstream.
+	quota quota
 	// firstByte is the expected time to the first byte.
 	firstByte time.Duration
 	// cost is the score in ns; the option with the lowest one is chosen.
@@ -64,18 +57,19 @@
 
 // Tally counts the upstreams of a service by whether they can take a request.
 type Tally struct {
-	// Closed upstreams are not eligible, Full ones lack capacity for the request, Open ones can take it.
-	Closed, Full, Open int
+	// Closed upstreams are not eligible, those Limited have no token left for this entry, Full ones lack capacity for
+	// the request, Open ones can take it.
+	Closed, Limited, Full, Open int
 	// FullBy counts the full ones by the exhausted resource.
 	FullBy [boundCount]int
 }
 
 // choose scores the upstreams of a service and returns the best option, nil if none can take the request. In a large
 // fleet it scores a sample; if only isn't empty, it scores that upstream alone.
-func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID) (best *option, tally Tally) {
+func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID) (best *option, tally Tally, ahead outlook) {
 	service, ok := m.set.Service(need.Service)
 	if !ok {
-		return nil, tally
+		return nil, tally, ahead
 	}
 	m.expirePeers(now)
 	find := newFinder(m, now, need, service)
@@ -92,9 +86,16 @@
 		}
 		if slices.Contains(avoid, u.ID) || !m.open(now, u, status, service, need) {
 			tally.Closed++
+			ahead.others = ahead.others || mayReturn(status)
 			return
 		}
-		candidate = option{upstream: u, cold: status.Cold}
+		q := m.quota(u, status.Cold, status.Limit)
+		if tokens := m.tokens(now, u.ID, q); tokens < 1 {
+			tally.Limited++
+			ahead.add(q, tokens)
+			return
+		}
+		candidate = option{upstream: u, quota: q}
 		if service.Engine == nil || len(need.Chain) == 0 {
 			m.scoreCall(now, need, &candidate)
 		} else if bound := m.scoreEngine(now, need, step, find, &candidate); bound != Free {
@@ -119,17 +120,14 @@
 	if best != nil && len(find.shared) > 0 {
 		find.nameSources(best)
 	}
-	return best, tally
+	return best, tally, ahead
 }
 
-// open reports whether an upstream is eligible for the request, whatever its load.
+// open reports whether an upstream is eligible for the request, whatever its load and the rate of requests to it.
 func (m *Model) open(now time.Time, u *conf.Upstream, status fleet.Status, service *conf.Service, need *Need) bool {
 	if !status.Usable || status.Ordered {
 		return false
 	}
-	if rate, cold := m.coldRate(u, status.Cold); cold && (rate == 0 || rate > 0 && m.load(u.ID).cold.refill(now, rate, coldBurst) < 1) {
-		return false
-	}
 	if service.Engine == nil || need.Model == "" {
 		return true
 	}
@@ -139,23 +137,6 @@
 	return true
 }
 
-// coldRate returns this entry's share of a cold upstream's rate limit, in requests a second; the share is 0 if the
-// upstream is left to other entries. bounded is false if the upstream isn't cold or has no limit.
-func (m *Model) coldRate(u *conf.Upstream, cold bool) (rate float64, bounded bool) {
-	if !cold {
-		return -1, false
-	}
-	service, ok := m.set.Service(u.Service)
-	if !ok || service.ColdRate <= 0 {
-		return -1, false
-	}
-	users := max(1, min(len(m.members.Sharers), int(coldRateShare*service.ColdRate/minColdRate)))
-	if len(m.members.Sharers) > users && route.Rank(string(u.ID), m.members.Self, m.members.Sharers) >= users {
-		return 0, true
-	}
-	return coldRateShare * service.ColdRate / float64(users), true
-}
-
 // scoreCall scores an upstream for a plain call.
 func (m *Model) scoreCall(now time.Time, need *Need, o *option) {
 	u := o.upstream
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -23,8 +23,8 @@
 	// reported is the number of requests that the upstream reported at reportedAt.
 	reported   int
 	reportedAt time.Time
-	// cold limits the request rate while the upstream is cold.
-	cold bucket
+	// rate limits the requests while the upstream is cold or names a limit.
+	rate bucket
 }
 
 // peer holds the newest loads reported by another entry. They are included in the others field of each load until they
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -167,6 +167,7 @@
 	NoUpstream Reason = "no_upstream"
 	Overloaded Reason = "overloaded"
 	TooLate    Reason = "deadline_too_close"
+	Limited    Reason = "rate_limited"
 )
 
 // PrefillingCmd announces to the other entries a part that an upstream is about to prefill or fetch.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -21,8 +21,10 @@
 type Members struct {
 	// Self is this entry's id.
 	Self string
-	// Sharers lists all entries that may send to a cold upstream, including this one.
+	// Sharers lists all entries that share the rate of requests to an upstream, including this one.
 	Sharers []string
+	// Count is the number of entries that may share it, if that is more than the Sharers heard of so far.
+	Count int
 	// Zone is this entry's availability zone.
 	Zone ident.Zone
 	// ReportInterval is the interval at which each other entry reports its load.
@@ -313,7 +315,7 @@
 }
 
 // enqueue queues a request, or refuses it once its wait limit is reached.
-func (m *Model) enqueue(now time.Time, w *waiting, tally Tally) (cmds []ident.Cmd) {
+func (m *Model) enqueue(now time.Time, w *waiting, tally Tally, ahead *outlook) (cmds []ident.Cmd) {
 	if w.until.IsZero() {
 		w.until = now.Add(min(time.Duration(waitFactor*float64(w.need.Objective)), w.need.Deadline.Sub(now)/waitDivisor))
 	}
@@ -324,6 +326,9 @@
 		}
 		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(minRetryAfter), Reason: reason, Tally: tally}}
 	}
+	if cmds := m.refuseLimited(now, w, tally, ahead); cmds != nil {
+		return cmds
+	}
 	m.queue = append(m.queue, w)
 	return nil
 }
@@ -349,9 +354,12 @@
 // place sends, refuses or queues a request. If only isn't empty, it considers that upstream alone and doesn't refuse a
 // request that would be late there.
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
-	best, tally := m.choose(now, &w.need, w.avoid, only)
+	best, tally, ahead := m.choose(now, &w.need, w.avoid, only)
 	if best == nil {
-		return m.enqueue(now, w, tally)
+		if only != "" {
+			ahead.others = true
+		}
+		return m.enqueue(now, w, tally, &ahead)
 	}
 	need := &w.need
 	waited := now.Sub(need.Arrived)
@@ -381,8 +389,8 @@
 func (m *Model) send(now time.Time, need *Need, o *option) (cmds []ident.Cmd) {
 	u := *o.upstream
 	l := m.load(u.ID)
-	if rate, cold := m.coldRate(&u, o.cold); cold && rate > 0 {
-		l.cold.take(now, rate, coldBurst)
+	if o.quota.bounded {
+		l.rate.take(now, o.quota.perSecond, o.quota.burst)
 	}
 	s := &sent{
 		need: *need, upstream: u.ID, at: now, rank: clampRank(need.Rank), backlog: o.missing,
--- /dev/null
+++ b/core/place/rate.go
@@ -0,0 +1,135 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/fleet"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/route"
+)
+
+// All entries share the rate of requests to an upstream that is cold or names a limit itself. An equal part of it
+// belongs to each of the entries that rendezvous hashing ranks first for the upstream, few enough for each part to be
+// useful. Every request that is sent counts, whatever it is sent for.
+
+const (
+	// limitShare is the fraction of an upstream's rate that all entries together use. It leaves a reserve for bursts
+	// and for entries that disagree on how many of them share the rate.
+	limitShare = 0.8
+	// coldBurst is how many requests one entry may send to a cold upstream in a burst.
+	coldBurst = 1
+	// minColdRate is the smallest useful part of a cold upstream's rate, in requests a second.
+	minColdRate = 1.0
+	// minNamedRate is the smallest useful part of a named limit, in requests a second.
+	minNamedRate = 0.4
+	// namedBurst is the time whose part of a named limit one entry may use in a burst, though at least one request.
+	namedBurst = 500 * time.Millisecond
+	// trialRate is the rate, in requests a second, at which all entries together find out whether an upstream still
+	// names a limit below it.
+	trialRate = 0.2
+)
+
+// quota is this entry's part of the rate of requests to one upstream.
+type quota struct {
+	// bounded is false if the rate has no limit.
+	bounded bool
+	// perSecond is 0 if the upstream is left to other entries.
+	perSecond float64
+	// burst is at least 1.
+	burst float64
+}
+
+// quota returns this entry's part of the rate of requests to an upstream in a condition.
+func (m *Model) quota(u *conf.Upstream, cold bool, limit conf.NamedLimit) (q quota) {
+	total, users, burst := math.Inf(1), max(1, len(m.members.Sharers), m.members.Count), math.Inf(1)
+	if limit.Named {
+		total = max(limitShare*limit.PerSecond, trialRate)
+		users = min(users, max(1, int(min(total/minNamedRate, math.MaxInt32))))
+	}
+	if service, ok := m.set.Service(u.Service); cold && ok && service.ColdRate > 0 {
+		rate := limitShare * service.ColdRate
+		total, burst = min(total, rate), coldBurst
+		users = min(users, max(1, int(rate/minColdRate)))
+	}
+	if math.IsInf(total, 1) {
+		return quota{}
+	}
+	q = quota{bounded: true, burst: 1}
+	if len(m.members.Sharers) > users && route.Rank(string(u.ID), m.members.Self, m.members.Sharers) >= users {
+		return q
+	}
+	q.perSecond = total / float64(users)
+	q.burst = max(1, min(burst, q.perSecond*namedBurst.Seconds()))
+	return q
+}
+
+// tokens returns how many requests the entry may send to an upstream now.
+func (m *Model) tokens(now time.Time, upstream ident.UpstreamID, q quota) float64 {
+	switch {
+	case !q.bounded:
+		return math.Inf(1)
+	case q.perSecond == 0:
+		return 0
+	}
+	return m.load(upstream).rate.refill(now, q.perSecond, q.burst)
+}
+
+// outlook is when the upstreams of a service that have no tokens will have some.
+type outlook struct {
+	// limited is set if there are such upstreams; perSecond and tokens are sums over them.
+	limited           bool
+	perSecond, tokens float64
+	// others is set if the service has upstreams that may take the request before.
+	others bool
+}
+
+// add adds an upstream that lacks a token.
+func (o *outlook) add(q quota, tokens float64) {
+	o.limited = true
+	o.perSecond += q.perSecond
+	o.tokens += tokens
+}
+
+// mayReturn reports whether an upstream without work may take some shortly.
+func mayReturn(status fleet.Status) bool { return status.Returning || status.Ordered }
+
+// delay returns when a request will have a token if ahead others get theirs first. It is unlimited if this entry has no
+// part in the rates.
+func (o *outlook) delay(ahead int) time.Duration {
+	seconds := max(0, float64(ahead+1)-o.tokens) / o.perSecond
+	if math.IsNaN(seconds) || seconds > math.MaxInt32 {
+		return math.MaxInt32 * time.Second
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// refuseLimited returns the refusal of a request that gets no token before its wait limit, nil if it may wait. Callers
+// that are refused in a row are told different times, one for each token.
+func (m *Model) refuseLimited(now time.Time, w *waiting, tally Tally, o *outlook) []ident.Cmd {
+	if !o.limited || o.others || tally.Full > 0 {
+		return nil
+	}
+	ahead := 0
+	for _, q := range m.queue {
+		if q.need.Service == w.need.Service {
+			ahead++
+		}
+	}
+	delay := o.delay(ahead)
+	if !now.Add(delay).After(w.until) {
+		return nil
+	}
+	after := maxRetryAfter
+	if o.perSecond > 0 {
+		stats := m.serviceStats(w.need.Service)
+		at := now.Add(delay)
+		if at.Before(stats.returnsUntil) {
+			at = stats.returnsUntil
+		}
+		after = min(max(at.Sub(now), minRetryAfter), maxRetryAfter)
+		stats.returnsUntil = now.Add(after + time.Duration(float64(time.Second)/o.perSecond))
+	}
+	return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(after), Reason: Limited, Expected: delay, Tally: tally}}
+}
--- a/core/place/sample.go
+++ b/core/place/sample.go
@@ -54,7 +54,7 @@
 	var hashes []uint64
 	position, newest := 0, int64(0)
 	m.fleet.Each(find.now, find.need.Service, func(u *conf.Upstream, status fleet.Status) {
-		if m.open(find.now, u, status, find.service, find.need) {
+		if m.open(find.now, u, status, find.service, find.need) && m.tokens(find.now, u.ID, m.quota(u, status.Cold, status.Limit)) >= 1 {
 			open, hashes = append(open, position), append(hashes, route.HashID(u.ID))
 		}
 		position, newest = position+1, max(newest, u.Weights[find.need.Model])
--- a/core/place/stats.go
+++ b/core/place/stats.go
@@ -36,6 +36,8 @@
 	call float64
 	// failureRate is the fraction of failed or broken answers.
 	failureRate float64
+	// returnsUntil is when the last of the callers returns that were refused for the rate of requests.
+	returnsUntil time.Time
 }
 
 // upstreamStats holds the moving averages of one upstream.
--- a/io/daemon/budget_test.go
+++ b/io/daemon/budget_test.go
@@ -10,6 +10,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/place"
 	"cicadavalve/io/gossip"
+	"cicadavalve/io/port"
 )
 
 // newFleet returns the controllers of entries that have heard each other at now.
@@ -74,6 +75,37 @@
 	}
 }
 
+// TestCutEntriesKeepALimitThatAnUpstreamNames lets entries that have all seen a limit hear nothing of each other and offers
+// each of them far more requests. The bound is the one that the platform states for 4 s.
+func TestCutEntriesKeepALimitThatAnUpstreamNames(t *testing.T) {
+	const perSecond, entries = 2.7, 6
+	now := time.Now()
+	for _, silence := range []time.Duration{0, 3 * time.Second, 30 * time.Second} {
+		sent := 0
+		for _, d := range newFleet(Settings{}, entries, now) {
+			at := now.Add(silence)
+			d.applyConfig(conf.Data{Version: 1, Services: []conf.Service{{Name: "app"}}})
+			d.applyUpstream(at, conf.Upstream{ID: "limited", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
+			d.observeLimit(at, "limited", port.Reply{Signed: true, Limit: conf.NamedLimit{Named: true, PerSecond: perSecond}})
+			d.message(at)
+			for n := range 400 {
+				at := at.Add(time.Duration(n) * 10 * time.Millisecond)
+				ticket := place.Ticket(n + 1)
+				for _, cmd := range d.place.Update(at, place.ArriveMsg{Need: place.Need{Ticket: ticket, Service: "app", Arrived: at, Objective: time.Second, Deadline: at.Add(time.Second)}}) {
+					if _, ok := cmd.(place.SendCmd); ok {
+						sent++
+						d.place.Update(at, place.EndMsg{Ticket: ticket})
+					}
+				}
+				d.place.Update(at, place.WithdrawMsg{Ticket: ticket})
+			}
+		}
+		if most := int(1.5*perSecond*(4*time.Second).Seconds()) + 5; sent < 5 || sent > most {
+			t.Errorf("after %v of silence %d requests were sent in 4 s, at most %d are allowed", silence, sent, most)
+		}
+	}
+}
+
 // TestNewEntriesKeepTheSharedRetryBudget starts entries that have not had the time to hear each other, before and after the
 // store has told them of each other.
 func TestNewEntriesKeepTheSharedRetryBudget(t *testing.T) {
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -156,9 +156,9 @@
 			d.observeGone(time.Now(), cmd)
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
-				d.log.Info("upstream_limit_named", "upstream", cmd.ID, "per_second", cmd.Limit.PerSecond, "age", cmd.Age)
+				d.log.Info("upstream_limit_named", "upstream", cmd.ID, "per_second", cmd.Limit.PerSecond, "heard", cmd.Heard, "age", cmd.Age)
 			} else {
-				d.log.Info("upstream_limit_ended", "upstream", cmd.ID, "age", cmd.Age)
+				d.log.Info("upstream_limit_ended", "upstream", cmd.ID, "heard", cmd.Heard, "age", cmd.Age)
 			}
 		}
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -290,7 +290,7 @@
 		if d.fleet.Cold(now, u.ID) {
 			cold++
 		}
-		if d.fleet.Limit(u.ID).Named {
+		if d.fleet.Limit(now, u.ID).Named {
 			limited++
 		}
 		busy += d.place.InFlight(now, u.ID)
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -37,9 +37,11 @@
 	// orderedTTL is how long an upstream counts as carrying out an order after the last heartbeat that lists it, unless
 	// a later heartbeat of the same entry no longer does.
 	orderedTTL = 3 * maxBeatInterval
-	// coldMemory is how long an entry that has fallen silent counts as one that sends to cold upstreams. It is short
-	// beside the memory for retries, since the part of an entry that has ended is missing while upstreams warm up.
-	coldMemory = time.Minute
+	// rateMemory is how long an entry that has fallen silent counts as one that uses its part of the rate of requests to
+	// an upstream. It is short beside the memory for retries, since the part of an entry that has ended is missing.
+	rateMemory = time.Minute
+	// maxLimits bounds the limits of upstreams that a heartbeat tells.
+	maxLimits = 20
 	// greetInterval is the interval at which heartbeats are also sent to the seeds.
 	greetInterval = time.Second
 )
@@ -134,8 +136,7 @@
 	defer d.mu.Unlock()
 	self := d.mesh.Self()
 	alive := d.mesh.Alive(now)
-	sharers, _ := d.mesh.Sharers(now, coldMemory)
-	d.place.SetMembers(place.Members{Self: self.ID, Sharers: mesh.IDs(sharers), Zone: self.Zone, ReportInterval: beatInterval(len(alive))})
+	d.place.SetMembers(d.members(now, self, len(alive)))
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot,
 		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)),
@@ -150,11 +151,26 @@
 	for _, r := range d.reports {
 		m.Reports = append(m.Reports, *r)
 	}
+	for _, l := range d.fleet.TakeLimits(now, maxLimits) {
+		m.Limits = append(m.Limits, gossip.Limit{
+			Upstream: string(l.ID), Born: l.Born, Named: l.Limit.Named, PerSecond: l.Limit.PerSecond, AgeMS: int(now.Sub(l.At).Milliseconds()),
+		})
+	}
 	d.saves, d.prefills, d.weights = nil, nil, nil
 	clear(d.reports)
 	return m, mesh.IDs(alive)
 }
 
+// members describes this entry and those that share the rates of requests with it; the lock is held.
+func (d *Controller) members(now time.Time, self mesh.Peer, alive int) (members place.Members) {
+	sharers, known := d.mesh.Sharers(now, rateMemory)
+	members = place.Members{Self: self.ID, Sharers: mesh.IDs(sharers), Zone: self.Zone, ReportInterval: beatInterval(alive)}
+	if !known {
+		members.Count = d.announced
+	}
+	return members
+}
+
 // maxPeers bounds the entries that a heartbeat lists. Random picks list each entry often enough to be found within a
 // few heartbeats, and the size of a heartbeat doesn't grow with the number of entries.
 const maxPeers = 4
@@ -231,6 +247,9 @@
 	if m.Heartbeat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
+	for _, l := range m.Limits {
+		d.applyLimit(now, l)
+	}
 	for _, w := range m.Weights {
 		d.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(w.Upstream), Model: ident.ModelName(w.Model), Version: w.Version})
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -59,6 +59,17 @@
 	AgeMS   int
 }
 
+// Limit is the limit of requests that the newest answer of an upstream at the sender names, or its end. AgeMS is how
+// long ago the answer arrived, in milliseconds.
+type Limit struct {
+	_         struct{} `cbor:",toarray"`
+	Upstream  string
+	Born      int64
+	Named     bool
+	PerSecond float64
+	AgeMS     int
+}
+
 // Loss is the loss of an upstream while a request ran there. It has a form of its own since each request that was in
 // flight at a crash has one.
 type Loss struct {
@@ -108,6 +119,8 @@
 	// Verdicts and Losses are sent in messages of their own.
 	Verdicts []Verdict `cbor:"17,keyasint,omitempty"`
 	Losses   []Loss    `cbor:"18,keyasint,omitempty"`
+	// Limits are sent in a message of their own.
+	Limits []Limit `cbor:"19,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -197,8 +210,8 @@
 
 // split divides long reports over several messages. The first also carries all other fields of the message.
 func split(m Message) (parts []Message) {
-	reports, verdicts, losses := m.Reports, m.Verdicts, m.Losses
-	m.Reports, m.Verdicts, m.Losses = nil, nil, nil
+	reports, verdicts, losses, limits := m.Reports, m.Verdicts, m.Losses, m.Limits
+	m.Reports, m.Verdicts, m.Losses, m.Limits = nil, nil, nil, nil
 	parts = []Message{m}
 	for _, r := range reports {
 		for {
@@ -225,6 +238,11 @@
 		part.Losses = chunk
 		parts = append(parts, part)
 	}
+	if len(limits) > 0 {
+		part := m.empty()
+		part.Limits = limits
+		parts = append(parts, part)
+	}
 	return parts
 }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -326,7 +326,7 @@
 			slog.Int("fetched", x.sent.Fetched), slog.Int("again", x.sent.Recomputed), slog.String("from", fetchSources(x.sent.Fetch)))
 	}
 	if x.tally != nil {
-		attrs = append(attrs, slog.Int("closed", x.tally.Closed), slog.Int("full", x.tally.Full), slog.Int("open", x.tally.Open),
+		attrs = append(attrs, slog.Int("closed", x.tally.Closed), slog.Int("limited", x.tally.Limited), slog.Int("full", x.tally.Full), slog.Int("open", x.tally.Open),
 			slog.Int("full_memory", x.tally.FullBy[place.Memory]), slog.Int("full_slots", x.tally.FullBy[place.Slots]),
 			slog.Int("full_backlog", x.tally.FullBy[place.Backlog]))
 	}
