Relay long failures of an upstream whole

Callers got an answer of status 5xx cut at 1 MiB with a length of its own, so that it looked complete. A failure was held back for another attempt, or sent at once, from the buffer alone; only successes went on to the rest of a long answer. Found by looking for parts of an upstream's answer that no decider hears. A failure too long to be held back is relayed without another attempt and still counts as a failure of the upstream.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -224,23 +224,20 @@
 	}
 	x.firstAt = time.Now()
 	x.h.controller.FirstByte(x.need.Ticket)
+	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
-		x.cause = errors.Newf("status %d", answer.Status)
-		if retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
+		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
+		if len(body) <= maxBuffered && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
 			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, body}}
 		}
-		x.h.controller.End(x.need.Ticket, place.Failed)
-		x.h.dialect.Return(x.w.Header(), answer.Header)
-		x.writeAnswer(answer.Status, body, int64(len(body)))
-		return result{done: true}
 	}
 	x.h.dialect.Return(x.w.Header(), answer.Header)
 	if len(body) <= maxBuffered {
-		x.h.controller.End(x.need.Ticket, place.Good)
+		x.h.controller.End(x.need.Ticket, outcome)
 		x.writeAnswer(answer.Status, body, int64(len(body)))
 		return result{done: true}
 	}
-	x.relayLong(answer, body)
+	x.relayLong(answer, body, outcome)
 	return result{done: true}
 }
 
@@ -262,8 +259,9 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// relayLong relays an answer that is too long to buffer; start is what was read of it.
-func (x *exchange) relayLong(answer *link.Answer, start []byte) {
+// relayLong relays an answer that is too long to buffer; start is what was read of it, and outcome that of the attempt
+// if the rest follows.
+func (x *exchange) relayLong(answer *link.Answer, start []byte, outcome place.Outcome) {
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
@@ -278,6 +276,6 @@
 		x.h.controller.End(x.need.Ticket, place.Broken)
 		x.abort("answer_broken")
 	}
-	x.h.controller.End(x.need.Ticket, place.Good)
+	x.h.controller.End(x.need.Ticket, outcome)
 	x.report(answer.Status, "answered", -1)
 }
