Remember requests with several losses across the end of all entries

What engines saw (soak, real processes): a request that had crashed three of them came again after all entries had been killed, and crashed three more, each time anew.

Cause: only quarantines are in the store; the losses that lead to one were held in the entries' memories alone.

Once a request has two losses, one entry, the first in the rendezvous order, records them in the topic of verdicts, again when one more is known or confirmed, and removes the record when an answer disproves them or the request comes into quarantine. A new entry continues the count: the next run is a trial. Losses that nobody has confirmed meanwhile are decided by the list of upstreams.

A first loss is still in no store: each request that was in flight at a crash has one.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -91,6 +91,10 @@
 	sharing *sharing
 	// events holds the changes since the last call of [Model.TakeEvents]. They are kept only with [WithMessages].
 	events []ident.Cmd
+	// touched holds the requests whose losses have changed since the last call of [Model.TakeEvents], remembered those
+	// that are remembered outside of the entries. Both are used only with [WithMessages].
+	touched    map[Digest]bool
+	remembered map[Digest]remembered
 	// claims holds the losses of each request, at least one.
 	claims *fifo.Map[Digest, []claim]
 	// pending lists the requests with unconfirmed claims by upstream; some may be confirmed or dropped by now.
@@ -139,7 +143,7 @@
 		entry: entry, confirmTimeout: defaultConfirmTimeout, claims: fifo.NewMap[Digest, []claim](maxDigests),
 		pending: map[ident.UpstreamID][]Digest{}, quarantined: fifo.NewMap[Digest, *quarantine](maxDigests),
 		released: fifo.NewMap[Digest, []Loss](maxDigests), foldedReleases: map[string]bool{},
-		trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
+		touched: map[Digest]bool{}, remembered: map[Digest]remembered{}, trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
 	}
 	for _, o := range options {
 		o(m)
@@ -259,6 +263,7 @@
 		m.dropExplained([]Loss{added.loss})
 		return true
 	}
+	m.touch(d)
 	added.confirmBy = added.since.Add(m.confirmTimeout)
 	claims := m.claimsOf(d)
 	for i := range claims {
@@ -303,6 +308,7 @@
 				continue
 			}
 			c.confirmed = true
+			m.touch(d)
 			cmds = append(cmds, m.reportConfirmed(now, d, c)...)
 		}
 		cmds = append(cmds, m.quarantineIfProven(now, d)...)
@@ -376,6 +382,7 @@
 
 // dropClaimsIf drops the claims of a request for which isDropped returns true.
 func (m *Model) dropClaimsIf(d Digest, isDropped func(claim) bool) {
+	m.touch(d)
 	kept := slices.DeleteFunc(m.claimsOf(d), isDropped)
 	if len(kept) == 0 {
 		m.claims.Delete(d)
--- a/core/poison/quarantine.go
+++ b/core/poison/quarantine.go
@@ -44,6 +44,7 @@
 	}
 	m.quarantined.Set(d, &quarantine{losses: losses, since: since})
 	m.claims.Delete(d)
+	m.touch(d)
 	m.dropExplained(losses)
 	m.notify(QuarantinedCmd{Digest: d, Losses: losses, Since: since})
 }
--- a/core/poison/release.go
+++ b/core/poison/release.go
@@ -46,6 +46,7 @@
 	m.release(body.Digest, released)
 	m.quarantined.Delete(body.Digest)
 	m.claims.Delete(body.Digest)
+	m.touch(body.Digest)
 }
 
 // release remembers losses of a request that no longer count.
--- a/core/poison/share.go
+++ b/core/poison/share.go
@@ -162,6 +162,7 @@
 
 // TakeEvents returns the changes since the last call.
 func (m *Model) TakeEvents() (events []ident.Cmd) {
+	m.remember()
 	events, m.events = m.events, nil
 	return events
 }
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -203,10 +203,14 @@
 			d.log.Info("loss_disproved", "digest", e.Digest, "count", len(e.Losses))
 		case poison.QuarantinedCmd:
 			d.log.Warn("quarantine_begun", "digest", e.Digest, "losses", lossTexts(e.Losses), "age", now.Sub(e.Since))
-			d.recordVerdict(now, e.Digest, quarantineBody(e))
+			d.recordVerdict(now, verdict{digest: e.Digest, body: encodeBody(quarantineBody(e))})
 		case poison.ExpiredCmd:
 			d.log.Info("quarantine_ended", "digest", e.Digest)
-			d.recordVerdict(now, e.Digest, nil)
+			d.recordVerdict(now, verdict{digest: e.Digest})
+		case poison.RememberCmd:
+			d.recordVerdict(now, verdict{digest: e.Body.Digest, suspect: true, body: encodeBody(e.Body)})
+		case poison.ForgetCmd:
+			d.recordVerdict(now, verdict{digest: e.Digest, suspect: true})
 		}
 	}
 	d.hasEvidence.Store(!d.poison.IsEmpty())
@@ -230,24 +234,27 @@
 	return texts
 }
 
-func quarantineBody(e poison.QuarantinedCmd) json.RawMessage {
-	body, err := json.Marshal(poison.QuarantineBody{Digest: e.Digest, Losses: e.Losses, SinceMS: e.Since.UnixMilli()})
+func quarantineBody(e poison.QuarantinedCmd) poison.QuarantineBody {
+	return poison.QuarantineBody{Digest: e.Digest, Losses: e.Losses, SinceMS: e.Since.UnixMilli()}
+}
+
+func encodeBody(body any) json.RawMessage {
+	raw, err := json.Marshal(body)
 	if err != nil {
-		panic(err) // The body holds only strings and numbers.
+		panic(err) // The bodies hold only strings and numbers.
 	}
-	return body
+	return raw
 }
 
-// recordVerdict queues a quarantine for the store, or its removal if the body is empty. All entries learn of it, so one
-// of them records it. The lock is held.
-func (d *Controller) recordVerdict(now time.Time, digest poison.Digest, body json.RawMessage) {
-	if route.Rank(string(digest), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now))) != 0 {
+// recordVerdict queues a verdict for the store. All entries learn of it, so one of them records it. The lock is held.
+func (d *Controller) recordVerdict(now time.Time, v verdict) {
+	if route.Rank(string(v.digest), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now))) != 0 {
 		return
 	}
 	select {
-	case d.verdicts <- verdict{digest, body}:
+	case d.verdicts <- v:
 	default:
-		d.log.Warn("verdict_not_recorded", "digest", digest, "error", "too many are waiting for the store")
+		d.log.Warn("verdict_not_recorded", "digest", v.digest, "error", "too many are waiting for the store")
 	}
 }
 
--- a/io/daemon/era.go
+++ b/io/daemon/era.go
@@ -25,8 +25,10 @@
 	d.log.Warn("store_restored", "era", era)
 	d.perform(d.fleet.Update(now, fleet.ListRestoredMsg{}))
 	for _, q := range d.poison.Quarantines() {
-		d.recordVerdict(now, q.Digest, quarantineBody(q))
+		d.recordVerdict(now, verdict{digest: q.Digest, body: encodeBody(quarantineBody(q))})
 	}
+	d.poison.RememberAgain()
+	d.handleEvidence(now)
 	for _, ch := range d.restored {
 		signal(ch)
 	}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -285,6 +285,8 @@
 		d.observeRecord(now, u)
 	}
 	d.upstreamsListed = true
+	d.confirmRecalled(now)
+	d.handleEvidence(now)
 	d.updateReadiness(now)
 }
 
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -23,10 +23,12 @@
 	secretSize = 32
 )
 
-// verdict is a quarantine to record in the store, or to remove from it if its body is empty.
+// verdict is a quarantine to record in the store, or to remove from it if its body is empty. If suspect is set, it is
+// what to remember of a request with several losses.
 type verdict struct {
-	digest poison.Digest
-	body   json.RawMessage
+	digest  poison.Digest
+	suspect bool
+	body    json.RawMessage
 }
 
 // verdicts loads what entries must remember of crashing requests across restarts, with the secret for their digests, and
@@ -111,7 +113,11 @@
 func (v *verdicts) record(ctx context.Context, added verdict) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
 	defer cancel()
-	err = v.d.store.RecordQuarantine(ctx, string(added.digest), added.body)
+	write := v.d.store.RecordQuarantine
+	if added.suspect {
+		write = v.d.store.RecordSuspect
+	}
+	err = write(ctx, string(added.digest), added.body)
 	if err != nil {
 		if !v.failing {
 			v.d.log.Warn("verdict_not_recorded", "digest", added.digest, "error", err)
@@ -120,7 +126,7 @@
 		return err
 	}
 	v.failing = false
-	v.d.log.Info("verdict_recorded", "digest", added.digest, "removed", added.body == nil)
+	v.d.log.Info("verdict_recorded", "digest", added.digest, "suspect", added.suspect, "removed", added.body == nil)
 	return nil
 }
 
@@ -158,12 +164,47 @@
 			d.applyQuarantine(now, e)
 		}
 	}
+	// What is in quarantine is no suspect any more.
+	for _, event := range events {
+		if e, ok := event.(port.SuspectEvent); ok {
+			d.applySuspect(now, e)
+		}
+	}
 	// These are in the store already, so nothing of them is recorded again.
 	d.poison.TakeEvents()
+	d.confirmRecalled(now)
 	d.handleEvidence(now)
 	return hasSecret
 }
 
+// applySuspect applies what the store holds of a request with several losses, and removes what no longer counts. The lock
+// is held.
+func (d *Controller) applySuspect(now time.Time, e port.SuspectEvent) {
+	counts, err := d.poison.Recall(now, e.Body)
+	if err != nil {
+		d.log.Warn("verdict_unreadable", "digest", e.Digest, "error", err)
+		return
+	}
+	if !counts {
+		d.recordVerdict(now, verdict{digest: poison.Digest(e.Digest), suspect: true})
+	}
+}
+
+// confirmRecalled confirms the losses of upstreams that the list shows to have gone or restarted while no entry was there
+// to see it; the lock is held.
+func (d *Controller) confirmRecalled(now time.Time) {
+	if !d.upstreamsListed {
+		return
+	}
+	for _, loss := range d.poison.Unconfirmed(now) {
+		if u, listed := d.fleet.Get(loss.Upstream); listed {
+			d.poison.ObserveBoot(now, loss.Upstream, bootID(u.Born))
+		} else {
+			d.poison.Unreachable(now, loss.Upstream)
+		}
+	}
+}
+
 // applyQuarantine applies a quarantine of the store. The record of one that has ended while no entry ran is removed. The
 // lock is held.
 func (d *Controller) applyQuarantine(now time.Time, e port.QuarantineEvent) {
@@ -173,7 +214,7 @@
 		return
 	}
 	if !d.poison.Quarantined(digest) {
-		d.recordVerdict(now, digest, nil)
+		d.recordVerdict(now, verdict{digest: digest})
 	}
 }
 
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -148,6 +148,12 @@
 	Body   json.RawMessage
 }
 
+// SuspectEvent is a request with several losses. Body is the body of the daemons' own record.
+type SuspectEvent struct {
+	Digest string
+	Body   json.RawMessage
+}
+
 // Batch holds consecutive decoded records.
 type Batch struct {
 	// Next is the offset of the next read; with ErrTrimmed, the first offset that is kept.
@@ -186,6 +192,9 @@
 	ProposeSecret(ctx context.Context, at int64, secret []byte) (err error)
 	// RecordQuarantine records a request in quarantine by its digest; an empty body removes the record.
 	RecordQuarantine(ctx context.Context, digest string, body json.RawMessage) (err error)
+	// RecordSuspect records what is remembered of a request with several losses, by its digest; an empty body removes
+	// the record.
+	RecordSuspect(ctx context.Context, digest string, body json.RawMessage) (err error)
 	// ReportRollout records the state of a rollout.
 	ReportRollout(ctx context.Context, service ident.ServiceName, release, state string) (err error)
 }
