Give the slow version in the take-back test steps that a busy machine can't hide

The stand-in's steps last 1 ms, the slow version's 5 ms, and a busy machine delays each step by several, so that five times slower isn't what anybody sees; the analysis counts a time between tokens as slow from twice the old median and 2 ms above it.

The engines of this case have steps of 10 ms now.

--- a/io/entry/moves_test.go
+++ b/io/entry/moves_test.go
@@ -84,7 +84,7 @@
 
 // startMove starts three entries, and engines that load v2 when ordered to, with a move to v2 in force whose
 // deadline is timeLeft from now.
-func startMove(t *testing.T, timeLeft time.Duration) (*bench.Cluster, context.Context, string) {
+func startMove(t *testing.T, timeLeft time.Duration, adjust ...func(*fakes.EngineSettings)) (*bench.Cluster, context.Context, string) {
 	t.Helper()
 	rules := testRules + "move model m from v1 to v2 by " + time.Now().Add(timeLeft).UTC().Format(time.RFC3339) +
 		" share 5%  # asked by: test\n"
@@ -104,6 +104,9 @@
 	for range moveEngines {
 		s := engineSettings()
 		s.WeightsURL = weights
+		for _, a := range adjust {
+			a(&s)
+		}
 		if _, err := c.AddEngine("dunedin", s); err != nil {
 			t.Fatal(err)
 		}
@@ -212,8 +215,16 @@
 	}
 }
 
+// slowCaseStep is the duration of a step where a version is slow. A busy machine delays each step by several ms, beside
+// which a step of 1 ms and one of 5 ms take the same time.
+const slowCaseStep = 10 * time.Millisecond
+
 func checkTakeBack(t *testing.T, fault fakes.EngineFaults, outage bool) {
-	c, ctx, _ := startMove(t, 2*time.Minute)
+	c, ctx, _ := startMove(t, 2*time.Minute, func(s *fakes.EngineSettings) {
+		if fault.BadSlowBy > 0 {
+			s.StepDuration = slowCaseStep
+		}
+	})
 	l := startLoad(ctx, t, c)
 	if !bench.Wait(ctx, func() bool { return startedOn(c, "v2") > 5 }) {
 		t.Fatal("the new version got no requests")
