Update the models of an engine in a fixed order

An engine that is behind in several models never finished one: each tick took the first one in the order of a map, and a step for another model than the last tick's was given up. Found by looking for deciders that ignore part of what they read. TestModelsOfAnEngineAreUpdatedInOrder got orders for m5, m7, m1, m3 and so on before; it gets m0 alone now.

--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -3,6 +3,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -124,11 +125,11 @@
 	return false
 }
 
-// nextTarget returns a model of an engine whose weights are older than their target version, and that version. Behind
+// nextTarget returns the first model of an engine whose weights are older than their target version, and that version. Behind
 // is false if there is none or the engine is draining.
 func (m *Model) nextTarget(u conf.Upstream) (model ident.ModelName, version int64, behind bool) {
-	for name, have := range u.Weights {
-		if w := m.targetVersions[name]; w > have && !u.Draining {
+	for _, name := range slices.Sorted(maps.Keys(u.Weights)) {
+		if w := m.targetVersions[name]; w > u.Weights[name] && !u.Draining {
 			return name, w, true
 		}
 	}
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,6 +93,36 @@
 	}
 }
 
+// TestModelsOfAnEngineAreUpdatedInOrder has an engine behind in eight models: it is never taken for behind in another one
+// while it is updated.
+func TestModelsOfAnEngineAreUpdatedInOrder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	upstreams := fleet.NewModel()
+	m := reload.NewModel(upstreams)
+	weights := map[ident.ModelName]int64{}
+	for i := range 8 {
+		name := ident.ModelName(fmt.Sprint("m", i))
+		weights[name] = 1
+		m.SetTargetVersion(now, name, 2)
+	}
+	upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: "e", Service: "llm", Address: "a", Slots: 1, Weights: weights}})
+	var ordered []ident.ModelName
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for _, cmd := range m.Update(now, reload.TickMsg{Holds: true, InFlight: func(ident.UpstreamID) int { return 0 }}) {
+			switch cmd := cmd.(type) {
+			case reload.QueryCmd:
+				m.Update(now, reload.StateMsg{Upstream: "e", Seq: 1, Weights: weights})
+			case reload.OrderCmd:
+				ordered = append(ordered, cmd.Model)
+			}
+		}
+	}
+	if diff := cmp.Diff([]ident.ModelName{"m0"}, slices.Compact(ordered)); diff != "" {
+		t.Errorf("models ordered while the first is not loaded (-want +got):\n%s", diff)
+	}
+}
+
 func TestNoOrdersWithoutTheDuty(t *testing.T) {
 	now := time.Unix(1000, 0)
 	upstreams := fleet.NewModel()
