--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -338,6 +338,16 @@
 	return ok && m.status(now, s).Ordered
 }
 
+// AvoidedZones returns the availability zones that are out of service.
+func (m *Model) AvoidedZones() (zones []ident.Zone) {
+	for zone, avoided := range m.avoided {
+		if avoided {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
 // Avoided reports whether an availability zone is out of service.
 func (m *Model) Avoided(zone ident.Zone) bool { return m.avoided[zone] }
 
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,6 +47,8 @@
 	watch *watch.Model
 	// wake is signalled when a read has become due earlier than scheduled.
 	wake chan struct{}
+	// snapshotEra is the era of the last snapshot, -1 before the first.
+	snapshotEra int64
 	// listed holds the newest record of each upstream, to find out whether a record changes anything.
 	listed   map[ident.UpstreamID]conf.Upstream
 	lost     bool
@@ -55,7 +58,7 @@
 func newFeed(d *Daemon, topic port.Topic, wait, interval, maxAge time.Duration) *feed {
 	f := &feed{
 		d: d, topic: topic, wait: wait, watch: watch.NewModel(interval, maxAge), wake: make(chan struct{}, 1),
-		listed: map[ident.UpstreamID]conf.Upstream{},
+		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{},
 	}
 	d.controller.feeds = append(d.controller.feeds, f)
 	return f
@@ -164,6 +167,13 @@
 	if f.era() <= batch.Era {
 		f.updateWatch(batch.Era, nil)
 		f.d.controller.applyRecords(now, f.topic, batch.Events, snapshot)
+		if snapshot {
+			// In a new era, orders that were lost are written again.
+			if f.topic == port.Operator && f.snapshotEra == batch.Era {
+				f.d.controller.takeBackZones(now, batch.Events)
+			}
+			f.snapshotEra = batch.Era
+		}
 		f.updateWatch(batch.Era, watch.ReadMsg{Era: batch.Era, Next: batch.Next, At: now, Changed: f.hasChanges(batch), Snapshot: snapshot})
 	}
 	return nil
@@ -272,6 +282,18 @@
 	d.updateReadiness(now)
 }
 
+// takeBackZones takes the availability zones back into use that a snapshot of the operator's records does not take out.
+func (d *Controller) takeBackZones(now time.Time, events []any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, zone := range d.fleet.AvoidedZones() {
+		if !slices.ContainsFunc(events, func(event any) bool { return event == port.ZoneEvent{Zone: zone, Avoided: true} }) {
+			d.log.Info("zone_changed", "zone", zone, "avoided", false)
+			d.perform(d.fleet.Update(now, fleet.AvoidMsg{Zone: zone}))
+		}
+	}
+}
+
 func (d *Controller) applyUpstreamList(now time.Time, events []any) {
 	var listed []conf.Upstream
 	for _, event := range events {
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -169,6 +169,11 @@
 		return
 	}
 	f.boot, f.next = h.Boot, h.Next
+	if h.HasGap && f.store {
+		// The list is read again. Engines are not asked for theirs, which stalls them: their parts are hints.
+		f.d.log.Info("holder_changes_lost", "holder", f.addr, "incarnation", h.Boot)
+		f.boot = 0
+	}
 	f.d.controller.applyHoldings(f.addr, h, complete)
 }
 
