Keep a limit that another entry goes on telling

Found by reading the diff: an entry that only heard of a limit forgot it after 10 s although the entry that had seen it repeated it every second, since the answer it told of was not a newer one. An upstream with a limit below one request in 10 s sends no newer answer in that time. Hearing of the same answer again counts now (TestHeardLimitExpires: forgotten after 14 s before, kept now). A refusal by an entry that has no part in the rates states no expected time, in place of 68 years.

--- a/core/fleet/limit.go
+++ b/core/fleet/limit.go
@@ -80,7 +80,11 @@
 	}
 	l := &s.limit
 	if !msg.At.After(l.at) {
-		if msg.Heard && msg.Limit.Named && !l.Named {
+		switch {
+		case !msg.Heard || !msg.Limit.Named:
+		case l.Named:
+			l.heardAt = now
+		default:
 			// The sender has missed the end of the limit.
 			l.tells = max(l.tells, 1)
 		}
--- a/core/fleet/limit_test.go
+++ b/core/fleet/limit_test.go
@@ -96,13 +96,15 @@
 	}
 }
 
-// TestHeardLimitExpires hears of a limit once, from an entry that tells nothing more.
+// TestHeardLimitExpires hears of a limit twice, from an entry that got one answer and tells nothing more.
 func TestHeardLimitExpires(t *testing.T) {
 	m := fleet.NewModel()
 	m.Update(start, listed("a", 1))
-	m.Update(start, fleet.LimitMsg{ID: "a", Born: 1, Limit: named(3), At: start, Heard: true})
-	got := []conf.NamedLimit{m.Limit(start.Add(9*time.Second), "a"), m.Limit(start.Add(11*time.Second), "a")}
+	msg := fleet.LimitMsg{ID: "a", Born: 1, Limit: named(3), At: start, Heard: true}
+	m.Update(start, msg)
+	m.Update(start.Add(5*time.Second), msg)
+	got := []conf.NamedLimit{m.Limit(start.Add(14*time.Second), "a"), m.Limit(start.Add(16*time.Second), "a")}
 	if diff := cmp.Diff([]conf.NamedLimit{named(3), {}}, got); diff != "" {
-		t.Errorf("limit after 9 and 11 s (-want +got):\n%s", diff)
+		t.Errorf("limit after 14 and 16 s (-want +got):\n%s", diff)
 	}
 }
--- a/core/place/rate.go
+++ b/core/place/rate.go
@@ -121,8 +121,9 @@
 	if !now.Add(delay).After(w.until) {
 		return nil
 	}
-	after := maxRetryAfter
+	after, expected := maxRetryAfter, time.Duration(0)
 	if o.perSecond > 0 {
+		expected = delay
 		stats := m.serviceStats(w.need.Service)
 		at := now.Add(delay)
 		if at.Before(stats.returnsUntil) {
@@ -131,5 +132,5 @@
 		after = min(max(at.Sub(now), minRetryAfter), maxRetryAfter)
 		stats.returnsUntil = now.Add(after + time.Duration(float64(time.Second)/o.perSecond))
 	}
-	return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(after), Reason: Limited, Expected: delay, Tally: tally}}
+	return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(after), Reason: Limited, Expected: expected, Tally: tally}}
 }
