Ask to remember suspects in a fixed order

Found by reading the diff: core/poison went through a map, so that equal models asked for different requests, in another order, once more changed at a time than are remembered. A decider must repeat its decisions. TestOrderOfWhatIsRememberedIsFixed failed before; the digests are sorted now. The rate of writes and what a record holds are the same.

--- a/core/poison/remember.go
+++ b/core/poison/remember.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,7 +50,7 @@
 
 // RememberAgain asks for everything again that is remembered, as if it had been lost.
 func (m *Model) RememberAgain() {
-	for d := range m.remembered {
+	for _, d := range slices.Sorted(maps.Keys(m.remembered)) {
 		m.touched[d] = true
 	}
 	clear(m.remembered)
@@ -56,7 +58,7 @@
 
 // remember reports the requests whose losses are to be remembered or forgotten since the last call.
 func (m *Model) remember() {
-	for d := range m.touched {
+	for _, d := range slices.Sorted(maps.Keys(m.touched)) {
 		body, extent := m.suspectBody(d)
 		last, known := m.remembered[d]
 		switch {
@@ -111,7 +113,7 @@
 
 // Unconfirmed returns the pending losses of suspects, whoever observed them.
 func (m *Model) Unconfirmed(now time.Time) (losses []Loss) {
-	for d := range m.remembered {
+	for _, d := range slices.Sorted(maps.Keys(m.remembered)) {
 		for _, c := range m.claimsOf(d) {
 			if !c.confirmed && c.isPending(now) {
 				losses = append(losses, c.loss)
--- a/core/poison/remember_test.go
+++ b/core/poison/remember_test.go
@@ -127,3 +127,19 @@
 		}
 	}
 }
+
+// TestOrderOfWhatIsRememberedIsFixed has many requests change at once: equal models must ask for the same ones in the same order.
+func TestOrderOfWhatIsRememberedIsFixed(t *testing.T) {
+	run := func() []ident.Cmd {
+		m := newModel(0)
+		for i := range 100 {
+			for upstream := range 2 {
+				m.RecordLoss(start, start, poison.Digest(fmt.Sprint("d", i)), lossOf(upstream), false)
+			}
+		}
+		return m.TakeEvents()
+	}
+	if diff := cmp.Diff(run(), run()); diff != "" {
+		t.Errorf("events of two equal models:\n%.600s", diff)
+	}
+}
