Log that an entry stood still

That two entries were frozen while the weights were named shows only in the platform's figures of their processor time. No decision uses it.

--- /dev/null
+++ b/core/stall/stall.go
@@ -0,0 +1,69 @@
+// Package stall notices that a process stood still, as when its VM is frozen or starved, by ticks that come late.
+//
+// What a process reads right after it stood still may have arrived at any time since it last ran.
+package stall
+
+import (
+	"time"
+
+	"cicadavalve/core/ident"
+)
+
+// DefaultThreshold is how late a tick must be for the process to count as having stood still: several intervals of the
+// tick, and well above what a busy VM delays it.
+const DefaultThreshold = 250 * time.Millisecond
+
+// settleTime is how long after it stood still a process may still read what arrived meanwhile.
+const settleTime = 500 * time.Millisecond
+
+// TickMsg reports that the process runs. Ticks are due at an interval well below the threshold.
+type TickMsg struct{}
+
+// StalledCmd reports that the process stood still.
+type StalledCmd struct {
+	// From is the last tick before.
+	From time.Time
+	For  time.Duration
+}
+
+// Model holds when the process last ran. Its methods aren't safe for concurrent use.
+type Model struct {
+	threshold time.Duration
+	// lastTick is zero before the first tick.
+	lastTick time.Time
+	// from and to are the bounds of the last time that the process stood still, both zero if it never did.
+	from, to time.Time
+}
+
+// NewModel returns a model without a tick.
+//
+//	m := stall.NewModel(stall.DefaultThreshold)
+//	for _, cmd := range m.Update(now, stall.TickMsg{}) { log(cmd) }
+func NewModel(threshold time.Duration) *Model { return &Model{threshold: threshold} }
+
+// Update applies a message and returns a [StalledCmd] if the process stood still before it.
+func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	if _, ok := msg.(TickMsg); !ok {
+		return nil
+	}
+	if m.isLate(now) {
+		m.from, m.to = m.lastTick, now
+		cmds = append(cmds, StalledCmd{From: m.from, For: now.Sub(m.from)})
+	}
+	m.lastTick = now
+	return cmds
+}
+
+func (m *Model) isLate(now time.Time) bool { return !m.lastTick.IsZero() && now.Sub(m.lastTick) > m.threshold }
+
+// ArrivedSince returns the earliest time at which something that is read at now can have arrived, which is now unless
+// the process has just stood still.
+func (m *Model) ArrivedSince(now time.Time) time.Time {
+	switch {
+	case m.isLate(now):
+		return m.lastTick
+	case !m.to.IsZero() && now.Sub(m.to) < settleTime:
+		return m.from
+	}
+	return now
+}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -20,6 +20,7 @@
 	"cicadavalve/core/poison"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/retry"
+	"cicadavalve/core/stall"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
@@ -87,6 +88,8 @@
 	vanished *fifo.Map[ident.UpstreamID, int64]
 	// verdicts holds the quarantines that are to be recorded in the store.
 	verdicts chan verdict
+	// stall notices that the process stood still.
+	stall *stall.Model
 	// limitFaults bounds the log lines about limits that can't be read.
 	limitFaults rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
@@ -102,6 +105,7 @@
 	d := &Controller{
 		era: -1, log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
+		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
@@ -160,6 +164,8 @@
 			d.place.Update(time.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
 			d.observeGone(time.Now(), cmd)
+		case stall.StalledCmd:
+			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
 				d.log.Info("upstream_limit_named", "upstream", cmd.ID, "per_second", cmd.Limit.PerSecond, "heard", cmd.Heard, "age", cmd.Age)
@@ -291,6 +297,7 @@
 func (d *Controller) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.perform(d.stall.Update(now, stall.TickMsg{}))
 	d.perform(d.fleet.DropLapsed(now))
 	d.perform(d.place.Update(now, place.TickMsg{}))
 	d.tickEvidence(now)
