Count the grace of older weights from when newer ones can have been named

Callers were answered by weights that had been replaced up to 8.8 s before where 6 s are allowed. An entry counted the grace from the moment at which it handled the record; one that was frozen or cut off from the store while the record was written started it anew when it was back.

A read shows the topic as it was at some time after the read was sent, and what it brings can have been written at any time since the previous answer's state. core/watch now keeps the latest time as of which an entry knows all changes (property test: no record that is new was written before it), marks of other entries included, across eras and trims. Weights count from that time: in core/place until when requests may start on older ones, in core/reload when an update is overdue. The wait of a long poll that ends without a record counts as known, so that undisturbed entries lose at most the length of one read. A store that failed the entry until just now proves nothing about when the weights were named; the entry then keeps the short grace of one that has just started, counted from its last failed read.

Ruled out: the time between the last two finished reads. After a freeze an answer that waited in the socket is handled first, so that time is some 20 to 50 ms.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -131,10 +131,8 @@
 	if service.Engine == nil || need.Model == "" {
 		return true
 	}
-	if since := m.newerSince(need.Model, u.Weights[need.Model]); !since.IsZero() && now.Sub(since) > m.versionGrace-versionMargin {
-		return false
-	}
-	return true
+	until, outdated := m.outdated(need.Model, u.Weights[need.Model])
+	return !outdated || !now.After(until)
 }
 
 // scoreCall scores an upstream for a plain call.
@@ -178,7 +176,7 @@
 	o.firstByte = time.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.penalty(need, u, stats)
 	o.cost += service.perToken * (recomputeWeight*float64(o.recomputed) + fetchWeight*float64(o.fetched))
-	if !m.newerSince(need.Model, o.version).IsZero() {
+	if _, outdated := m.outdated(need.Model, o.version); outdated {
 		o.cost += oldWeightsCost * float64(need.Objective)
 	}
 	return Free
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -124,6 +124,16 @@
 	Transfers []Transfer
 }
 
+// TargetMsg reports the target version of a model's weights.
+type TargetMsg struct {
+	Model   ident.ModelName
+	Version int64
+	// Since is the earliest time at which the version can have become the target, zero if that is unknown.
+	Since time.Time
+	// Ready is when the entry started, or last failed to learn whether there is a newer version, whichever is later.
+	Ready time.Time
+}
+
 // TickMsg places or refuses the queued requests as of now.
 type TickMsg struct{}
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -85,10 +85,10 @@
 	links map[parts.Holder]*link
 }
 
-// namedVersion is a version of a model's weights and when it became the target.
+// namedVersion is a version of a model's weights and until when requests may start on older ones.
 type namedVersion struct {
 	version int64
-	since   time.Time
+	until   time.Time
 }
 
 // Option sets one property of a [Model].
@@ -133,37 +133,36 @@
 // SetMembers sets the entries.
 func (m *Model) SetMembers(members Members) { m.members = members }
 
-// SetTargetVersion sets the target version of a model's weights; a version that is not newer than the last one is
-// ignored. Set old if the version became the target at an unknown time before this process started: requests may then
-// start on older weights only for startupGrace.
-func (m *Model) SetTargetVersion(now time.Time, model ident.ModelName, version int64, old bool) {
-	versions := m.versions[model]
-	if n := len(versions); n > 0 && version <= versions[n-1].version {
+// setTarget sets the target version of a model's weights; a version that is not newer than the last one is ignored.
+func (m *Model) setTarget(msg TargetMsg) {
+	versions := m.versions[msg.Model]
+	if n := len(versions); n > 0 && msg.Version <= versions[n-1].version {
 		return
 	}
-	since := now
-	if old {
-		since = now.Add(startupGrace + versionMargin - m.versionGrace)
+	until := msg.Ready.Add(startupGrace)
+	if bound := msg.Since.Add(m.versionGrace - versionMargin); !msg.Since.IsZero() && bound.After(until) {
+		until = bound
 	}
-	m.versions[model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{version, since})
+	m.versions[msg.Model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{msg.Version, until})
 }
 
 // maxVersions is how many older versions of a model are kept when a newer one is added. Those dropped are so old that
 // versionGrace is taken to be over for them.
 const maxVersions = 16
 
-// newerSince returns when a version newer than the given one became the target, the zero time if there is none.
-func (m *Model) newerSince(model ident.ModelName, version int64) time.Time {
+// outdated reports whether a newer version than the given one is the target, and until when requests may start on the
+// given one.
+func (m *Model) outdated(model ident.ModelName, version int64) (until time.Time, outdated bool) {
 	for _, n := range m.versions[model] {
 		if n.version > version {
-			return n.since
+			return n.until, true
 		}
 	}
-	return time.Time{}
+	return time.Time{}, false
 }
 
-// startupGrace is how long a process that has just started may use older weights when it can't tell how long they
-// have been outdated. The platform measures a VM from three seconds after its start.
+// startupGrace is how long after its start, or after the store last failed it, an entry may use older weights when it can't
+// tell how long they have been outdated. The platform measures a VM from three seconds after such a disturbance.
 const startupGrace = 2500 * time.Millisecond
 
 // Update applies a message and returns the resulting commands.
@@ -179,6 +178,8 @@
 		return m.placeQueued(now, m.firstByte(now, msg.Ticket))
 	case EndMsg:
 		return m.placeQueued(now, m.end(now, msg))
+	case TargetMsg:
+		m.setTarget(msg)
 	case LoadMsg:
 		l := m.load(msg.Upstream)
 		l.reported, l.reportedAt = msg.Running+msg.Waiting, now
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -283,7 +283,7 @@
 // TestOlderWeightsGetNoWorkNearGraceEnd sends requests 1, 9 and 11 s after a new version is set.
 func TestOlderWeightsGetNoWorkNearGraceEnd(t *testing.T) {
 	b := newBench(1, 100_000)
-	b.place.SetTargetVersion(start, model, 2, false)
+	b.place.Update(start, place.TargetMsg{Model: model, Version: 2, Since: start})
 	var got []int
 	for i, after := range []time.Duration{time.Second, 9 * time.Second, 11 * time.Second} {
 		now := start.Add(after)
@@ -298,8 +298,8 @@
 // TestNewerVersionDoesNotExtendGrace sets a second version just before the grace period of the first ends.
 func TestNewerVersionDoesNotExtendGrace(t *testing.T) {
 	b := newBench(1, 100_000)
-	b.place.SetTargetVersion(start, model, 2, false)
-	b.place.SetTargetVersion(start.Add(8*time.Second), model, 3, false)
+	b.place.Update(start, place.TargetMsg{Model: model, Version: 2, Since: start})
+	b.place.Update(start.Add(8*time.Second), place.TargetMsg{Model: model, Version: 3, Since: start.Add(8 * time.Second)})
 	now := start.Add(9 * time.Second)
 	cmds := b.place.Update(now, place.ArriveMsg{Need: need(1, now, 100, "doc", time.Second)})
 	if diff := cmp.Diff(0, len(sends(cmds))); diff != "" {
@@ -311,7 +311,7 @@
 // time.
 func TestStartedEntryUsesOldWeightsBriefly(t *testing.T) {
 	b := newBench(1, 100_000)
-	b.place.SetTargetVersion(start, model, 2, true)
+	b.place.Update(start, place.TargetMsg{Model: model, Version: 2, Ready: start})
 	var got []int
 	for i, after := range []time.Duration{time.Second, 3 * time.Second} {
 		now := start.Add(after)
@@ -322,6 +322,31 @@
 	}
 }
 
+// TestOldWeightsGetNoWorkAtAnEntryThatLearnsLate tells an entry of a version at start, in four ways, and sends requests 2 and
+// 3 s later.
+func TestOldWeightsGetNoWorkAtAnEntryThatLearnsLate(t *testing.T) {
+	ago := func(d time.Duration) time.Time { return start.Add(-d) }
+	got := map[string][]int{}
+	for name, msg := range map[string]place.TargetMsg{
+		"at once":               {Since: ago(100 * time.Millisecond), Ready: ago(time.Minute)},
+		"frozen for 6 s":        {Since: ago(6 * time.Second), Ready: ago(time.Minute)},
+		"frozen for 30 s":       {Since: ago(30 * time.Second), Ready: ago(time.Minute)},
+		"store away until just": {Since: ago(30 * time.Second), Ready: ago(100 * time.Millisecond)},
+	} {
+		b := newBench(1, 100_000)
+		msg.Model, msg.Version = model, 2
+		b.place.Update(start, msg)
+		for i, after := range []time.Duration{2 * time.Second, 3 * time.Second} {
+			now := start.Add(after)
+			got[name] = append(got[name], len(sends(b.place.Update(now, place.ArriveMsg{Need: need(place.Ticket(i+1), now, 100, "doc", time.Second)}))))
+		}
+	}
+	want := map[string][]int{"at once": {1, 1}, "frozen for 6 s": {1, 0}, "frozen for 30 s": {0, 0}, "store away until just": {1, 0}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("sent 2 and 3 s after the entry learned of the version (-want +got):\n%s", diff)
+	}
+}
+
 // TestQueuedRequestGoesToFreedEngine fills two engines and ends a request on one of them.
 func TestQueuedRequestGoesToFreedEngine(t *testing.T) {
 	b := newBench(2, 1000)
--- a/core/place/sample_test.go
+++ b/core/place/sample_test.go
@@ -66,7 +66,7 @@
 	b := newBench(30, 1_000_000)
 	b.place.SetMembers(place.Members{Self: "self", Sharers: []string{"self"}, Zone: "z", ReportInterval: 500 * time.Millisecond})
 	b.fleet.Update(start, fleet.WeightsMsg{ID: engineID(17), Model: model, Version: 2})
-	b.place.SetTargetVersion(start, model, 2, false)
+	b.place.Update(start, place.TargetMsg{Model: model, Version: 2, Since: start})
 	now := start.Add(9 * time.Second)
 	var got []ident.UpstreamID
 	for ticket := place.Ticket(1); ticket <= 5; ticket++ {
--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -91,7 +91,7 @@
 type Model struct {
 	fleet          *fleet.Model
 	targetVersions map[ident.ModelName]int64
-	// targetSince holds when the target versions were set.
+	// targetSince holds the earliest times at which the versions can have become targets.
 	targetSince map[ident.ModelName]time.Time
 	steps       map[ident.UpstreamID]*step
 	pausedUntil map[ident.UpstreamID]time.Time
@@ -100,7 +100,7 @@
 // NewModel returns a model that updates the engines of a fleet.
 //
 //	m := reload.NewModel(upstreams)
-//	m.SetTargetVersion(now, "m0", 2)
+//	m.SetTargetVersion(since, "m0", 2)
 func NewModel(upstreams *fleet.Model) *Model {
 	return &Model{
 		fleet: upstreams, targetVersions: map[ident.ModelName]int64{}, targetSince: map[ident.ModelName]time.Time{},
@@ -108,10 +108,11 @@
 	}
 }
 
-// SetTargetVersion sets the target version of a model; a version that is not newer is ignored.
-func (m *Model) SetTargetVersion(now time.Time, model ident.ModelName, version int64) {
+// SetTargetVersion sets the target version of a model, which can have become the target at the given time at the earliest;
+// a version that is not newer is ignored.
+func (m *Model) SetTargetVersion(since time.Time, model ident.ModelName, version int64) {
 	if version > m.targetVersions[model] {
-		m.targetVersions[model], m.targetSince[model] = version, now
+		m.targetVersions[model], m.targetSince[model] = version, since
 	}
 }
 
@@ -241,7 +242,7 @@
 	return cmds
 }
 
-// overdue reports whether the target version of a model was set longer than overdueAge ago.
+// overdue reports whether the target version of a model may have been set longer than overdueAge ago.
 func (m *Model) overdue(now time.Time, model ident.ModelName) bool {
 	return now.Sub(m.targetSince[model]) > overdueAge
 }
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -37,7 +37,7 @@
 	Next int64
 	// Changed is the offset after the last record that changed something; it is at most Next.
 	Changed int64
-	// At is the latest time at which the topic is known to have ended at Next.
+	// At is the latest time at which the topic is known to have ended at Next. It is not later than that was so.
 	At time.Time
 }
 
@@ -46,7 +46,8 @@
 	Era int64
 	// Next is the offset of the first unread record.
 	Next int64
-	// At is when the store answered.
+	// At is the latest time at which the topic is known to have ended at Next: an answer shows its state at some time
+	// after the read was sent, and may be handled much later than it was made.
 	At time.Time
 	// Changed means that one of the records read changed something.
 	Changed bool
@@ -70,6 +71,8 @@
 	ownRead bool
 	// changedEnd is the highest Changed offset among the marks received of this era.
 	changedEnd int64
+	// knownAt is the latest time as of which this entry knows all changes, in any era; zero before the first read.
+	knownAt time.Time
 }
 
 // NewModel returns a model that has read nothing.
@@ -94,6 +97,7 @@
 		}
 		m.mark.Next, m.mark.At = max(m.mark.Next, msg.Next), msg.At
 		m.ownRead = !msg.Snapshot
+		m.know(msg.At)
 	case MarkMsg:
 		m.applyMark(msg.Mark)
 	case TrimmedMsg:
@@ -126,8 +130,19 @@
 	if mark.At.After(m.mark.At) {
 		m.mark.At = mark.At
 	}
+	m.know(mark.At)
 }
 
+func (m *Model) know(at time.Time) {
+	if at.After(m.knownAt) {
+		m.knownAt = at
+	}
+}
+
+// KnownAt returns the latest time as of which this entry knows all changes, the zero time before its first read. What the
+// next read finds new was written after that.
+func (m *Model) KnownAt() time.Time { return m.knownAt }
+
 // Era returns the newest known era of the store.
 func (m *Model) Era() int64 { return m.mark.Era }
 
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -45,6 +45,8 @@
 	seen map[int]bool
 	// reads counts the calls to the store.
 	reads int
+	// tooOld holds the numbers of records that were new although they had been written before KnownAt.
+	tooOld []int
 }
 
 func newEntry(name string) *entry {
@@ -61,6 +63,9 @@
 	msg := watch.ReadMsg{Era: p.era, Next: int64(len(p.records)), At: now, Snapshot: e.Next() < 0}
 	for _, number := range p.records[max(e.Next(), 0):] {
 		if p.matters[number] {
+			if !e.seen[number] && p.written[number].Before(e.KnownAt()) {
+				e.tooOld = append(e.tooOld, number)
+			}
 			e.seen[number], msg.Changed = true, true
 		}
 	}
@@ -113,6 +118,9 @@
 			}
 		}
 		for _, e := range entries {
+			if len(e.tooOld) > 0 {
+				t.Fatalf("%s found records %v new, which are older than what it knew", e.name, e.tooOld)
+			}
 			for _, number := range p.records {
 				if age := now.Sub(p.written[number]); p.matters[number] && age > maxAge+beat && !e.seen[number] {
 					t.Fatalf("%s has not read record %d after %v", e.name, number, age)
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -62,8 +62,8 @@
 	prefills []gossip.Save
 	reports  map[string]*gossip.Report
 	weights  []gossip.Weights
-	// targetVersions is the newest announced version of each model's weights.
-	targetVersions map[ident.ModelName]int64
+	// targets holds the newest announced version of each model's weights.
+	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
 	ordered map[string][]string
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
@@ -98,6 +98,12 @@
 	onConfig func(*conf.Set)
 }
 
+// target is an announced version of a model's weights, and the earliest time at which it can have been announced.
+type target struct {
+	version int64
+	since   time.Time
+}
+
 // NewController returns a controller without configuration or upstreams; the seed is for its random choices.
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
 	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
@@ -107,7 +113,7 @@
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
 	return d
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -117,9 +117,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
-	for model, version := range u.d.controller.targetVersions {
-		u.reload.SetTargetVersion(now, model, version)
-		u.purge.SetTargetVersion(model, version)
+	for model, target := range u.d.controller.targets {
+		u.reload.SetTargetVersion(target.since, model, target.version)
+		u.purge.SetTargetVersion(model, target.version)
 	}
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -12,6 +12,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/place"
 	"cicadavalve/core/watch"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
@@ -53,6 +54,8 @@
 	listed   map[ident.UpstreamID]conf.Upstream
 	lost     bool
 	failures int
+	// failedAt is when the last failed read was sent, zero before the first.
+	failedAt time.Time
 }
 
 func newFeed(d *Daemon, topic port.Topic, wait, interval, maxAge time.Duration) *feed {
@@ -142,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(parent, wait+timeout)
 	defer cancel()
 	var batch port.Batch
-	snapshot := next < 0
+	sentAt, snapshot := time.Now(), next < 0
 	if snapshot {
 		batch, err = f.d.store.Snapshot(ctx, f.topic)
 	} else {
@@ -155,6 +158,7 @@
 	}
 	if err != nil {
 		if parent.Err() == nil {
+			f.failedAt = sentAt
 			f.recordFailure(err)
 		}
 		return err
@@ -166,7 +170,7 @@
 	now := time.Now()
 	if f.era() <= batch.Era {
 		f.updateWatch(batch.Era, nil)
-		f.d.controller.applyRecords(now, f.topic, batch.Events, snapshot)
+		f.d.controller.applyRecords(now, f.topic, records{events: batch.Events, snapshot: snapshot, since: f.knownAt(), failedAt: f.failedAt})
 		if snapshot {
 			// In a new era, orders that were lost are written again.
 			if f.topic == port.Operator && f.snapshotEra == batch.Era {
@@ -174,11 +178,33 @@
 			}
 			f.snapshotEra = batch.Era
 		}
-		f.updateWatch(batch.Era, watch.ReadMsg{Era: batch.Era, Next: batch.Next, At: now, Changed: f.hasChanges(batch), Snapshot: snapshot})
+		f.updateWatch(batch.Era, watch.ReadMsg{
+			Era: batch.Era, Next: batch.Next, At: asOf(now, sentAt, wait, batch.Next == next), Changed: f.hasChanges(batch), Snapshot: snapshot,
+		})
 	}
 	return nil
 }
 
+// asOf returns the latest time at which the topic is known to have been as an answer shows it. It is the time at which the
+// read was sent, unless the store waited for a record in vain: then it was so at the end of the wait.
+func asOf(now, sentAt time.Time, wait time.Duration, empty bool) time.Time {
+	if waited := sentAt.Add(wait); empty && waited.Before(now) {
+		return waited
+	}
+	return sentAt
+}
+
+// records are the records of one read.
+type records struct {
+	events []any
+	// snapshot is set if they are the newest of every key.
+	snapshot bool
+	// since is the earliest time at which those that are new to this entry can have been written, zero if that is unknown.
+	since time.Time
+	// failedAt is when the last failed read of their topic was sent, zero before the first.
+	failedAt time.Time
+}
+
 // era returns the newest era of the store that is known.
 func (f *feed) era() int64 {
 	f.d.controller.mu.Lock()
@@ -186,6 +212,13 @@
 	return f.d.controller.era
 }
 
+// knownAt returns the latest time as of which this entry knows all changes of the topic, zero before its first read.
+func (f *feed) knownAt() time.Time {
+	f.d.controller.mu.Lock()
+	defer f.d.controller.mu.Unlock()
+	return f.watch.KnownAt()
+}
+
 // updateWatch applies what an answer in an era of the store said; msg is nil if that was the era alone.
 func (f *feed) updateWatch(era int64, msg ident.Msg) {
 	f.d.controller.mu.Lock()
@@ -251,22 +284,20 @@
 	d.perform(d.fleet.Update(time.Now(), msg))
 }
 
-// applyRecords applies decoded records to the models; snapshot is set if they are the newest of every key.
-func (d *Controller) applyRecords(now time.Time, topic port.Topic, events []any, snapshot bool) {
+// applyRecords applies decoded records to the models.
+func (d *Controller) applyRecords(now time.Time, topic port.Topic, r records) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if topic == port.Upstreams && snapshot {
-		d.applyUpstreamList(now, events)
+	if topic == port.Upstreams && r.snapshot {
+		d.applyUpstreamList(now, r.events)
 		return
 	}
-	for _, event := range events {
+	for _, event := range r.events {
 		switch e := event.(type) {
 		case port.ConfigEvent:
 			d.applyConfig(e.Data)
 		case port.VersionEvent:
-			d.log.Info("weights_named", "model", e.Model, "version", e.Version)
-			d.place.SetTargetVersion(now, e.Model, e.Version, snapshot)
-			d.targetVersions[e.Model] = max(d.targetVersions[e.Model], e.Version)
+			d.applyTarget(now, e, r)
 		case port.ZoneEvent:
 			d.log.Info("zone_changed", "zone", e.Zone, "avoided", e.Avoided)
 			d.perform(d.fleet.Update(now, fleet.AvoidMsg{Zone: e.Zone, Avoided: e.Avoided}))
@@ -282,6 +313,24 @@
 	d.updateReadiness(now)
 }
 
+// applyTarget applies an announced version of weights unless it is known; the lock is held.
+func (d *Controller) applyTarget(now time.Time, e port.VersionEvent, r records) {
+	if e.Version <= d.targets[e.Model].version {
+		return
+	}
+	ready := d.startedAt
+	if r.failedAt.After(ready) {
+		ready = r.failedAt
+	}
+	d.targets[e.Model] = target{e.Version, r.since}
+	d.place.Update(now, place.TargetMsg{Model: e.Model, Version: e.Version, Since: r.since, Ready: ready})
+	attrs := []any{"model", e.Model, "version", e.Version}
+	if !r.since.IsZero() {
+		attrs = append(attrs, "max_age", now.Sub(r.since))
+	}
+	d.log.Info("weights_named", attrs...)
+}
+
 // takeBackZones takes the availability zones back into use that a snapshot of the operator's records does not take out.
 func (d *Controller) takeBackZones(now time.Time, events []any) {
 	d.mu.Lock()
