Age what other entries tell by how long it may have waited

An entry that wakes handles messages that arrived while it stood still and took their content for fresh: the end of a limit that had been told 4 s before replaced a newer limit of the entry's own answers, and a position in a topic of the store counted as known up to the moment of waking, so that newer weights would again be taken for just named. What is read right after the process stood still now counts from the last time that it ran: limits heard, limits of own answers, marks of topics.

Left as they are, since taking them for fresh errs on the safe side or lasts one heartbeat: signs of life of other entries and of the holder of the duty, loads, engines out for an order, cold times, evidence about crashing requests.

TestLimitHeardDuringAFreezeDoesNotReplaceANewerOne and TestMarkHeardDuringAFreezeIsNotTakenAsFresh failed before (the limit was gone; the topic counted as known 3.98 s into the freeze).

--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -117,9 +117,9 @@
 	return marks
 }
 
-// applyMarks applies the read positions of another entry in an era of the store and wakes feeds that must catch up; the
-// lock is held.
-func (d *Controller) applyMarks(now time.Time, era int64, marks []gossip.Mark) {
+// applyMarks applies the read positions of another entry in an era of the store, which arrived at the given time at the
+// earliest, and wakes feeds that must catch up; the lock is held.
+func (d *Controller) applyMarks(now, arrived time.Time, era int64, marks []gossip.Mark) {
 	if len(marks) > 0 {
 		d.observeEra(now, era)
 	}
@@ -128,7 +128,7 @@
 			if int(f.topic) != mark.Topic {
 				continue
 			}
-			at := now.Add(-time.Duration(mark.AgeMS) * time.Millisecond)
+			at := arrived.Add(-time.Duration(mark.AgeMS) * time.Millisecond)
 			f.watch.Update(watch.MarkMsg{Mark: watch.Mark{Era: era, Next: mark.Next, Changed: mark.Changed, At: at}})
 			if f.watch.Due(false).IsZero() {
 				signal(f.wake)
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -242,13 +242,14 @@
 	for _, r := range m.Reports {
 		d.index.Update(now, reportMsg(r))
 	}
-	d.applyMarks(now, m.Era, m.Marks)
+	arrived := d.stall.ArrivedSince(now)
+	d.applyMarks(now, arrived, m.Era, m.Marks)
 	d.applyEvidence(now, &m)
 	if m.Heartbeat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
 	for _, l := range m.Limits {
-		d.applyLimit(now, l)
+		d.applyLimit(now, arrived, l)
 	}
 	for _, w := range m.Weights {
 		d.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(w.Upstream), Model: ident.ModelName(w.Model), Version: w.Version})
--- a/io/daemon/limit.go
+++ b/io/daemon/limit.go
@@ -22,19 +22,20 @@
 		return
 	}
 	changed := d.fleet.Limit(now, id) != reply.Limit
-	d.perform(d.fleet.Update(now, fleet.LimitMsg{ID: id, Born: u.Born, Limit: reply.Limit, At: now}))
+	d.perform(d.fleet.Update(now, fleet.LimitMsg{ID: id, Born: u.Born, Limit: reply.Limit, At: d.stall.ArrivedSince(now)}))
 	if changed {
 		d.wakeHeartbeat()
 	}
 }
 
-// applyLimit applies a limit that another entry tells; the lock is held.
-func (d *Controller) applyLimit(now time.Time, l gossip.Limit) {
+// applyLimit applies a limit that another entry tells, whose message arrived at the given time at the earliest; the lock is
+// held.
+func (d *Controller) applyLimit(now, arrived time.Time, l gossip.Limit) {
 	if !(l.PerSecond >= 0) {
 		d.log.Debug("datagram_unreadable", "upstream", l.Upstream, "limit", l.PerSecond)
 		return
 	}
 	limit := conf.NamedLimit{Named: l.Named, PerSecond: l.PerSecond}
-	at := now.Add(-time.Duration(max(l.AgeMS, 0)) * time.Millisecond)
+	at := arrived.Add(-time.Duration(max(l.AgeMS, 0)) * time.Millisecond)
 	d.perform(d.fleet.Update(now, fleet.LimitMsg{ID: ident.UpstreamID(l.Upstream), Born: l.Born, Limit: limit, At: at, Heard: true}))
 }
