Count the time of a suspended VM in every decision

Go's monotonic clock stands still while a VM is suspended, so an entry that was suspended for seconds took everything for that much younger: the grace of older weights went on, limits and cold times lasted longer, engines were handed more time than their callers had left. Only the lease used a clock that counts it.

io/clock reads the time since boot, suspensions included; the daemon, the relay and the pool of connections use it for all that they decide, and convert to Go's clock where the runtime's timers need it (clock.Deadline). The lease uses the same one, so that there is one clock.

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -21,6 +21,7 @@
 	"cicadavalve/core/purge"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
@@ -106,7 +107,7 @@
 
 // NewController returns a controller without configuration or upstreams; the seed is for its random choices.
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
-	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
+	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), clock.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	d := &Controller{
 		era: -1, log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
@@ -134,7 +135,7 @@
 
 func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
 	ch := make(chan relay.Decision, 1)
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	before(now)
 	d.waiters[t] = ch
@@ -148,8 +149,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiters, t)
-	d.place.Update(time.Now(), place.WithdrawMsg{Ticket: t})
-	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
+	d.place.Update(clock.Now(), place.WithdrawMsg{Ticket: t})
+	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
 	return relay.Decision{}, ctx.Err()
 }
 
@@ -167,9 +168,9 @@
 		case place.PrefillingCmd:
 			d.prefills = append(d.prefills, gossip.Save{Store: string(cmd.Prefilling.Holder), Key: uint64(cmd.Prefilling.Key), Tokens: cmd.Prefilling.Tokens})
 		case fleet.GoneCmd:
-			d.place.Update(time.Now(), cmd)
+			d.place.Update(clock.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
-			d.observeGone(time.Now(), cmd)
+			d.observeGone(clock.Now(), cmd)
 		case stall.StalledCmd:
 			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
@@ -207,7 +208,7 @@
 
 // AllowRetry implements [relay.Controller].
 func (d *Controller) AllowRetry(service ident.ServiceName) bool {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.budget(service)
@@ -242,29 +243,29 @@
 }
 
 // processStart carries a monotonic reading, from which [monotonicNow] counts.
-var processStart = time.Now()
+var processStart = clock.Now()
 
 // monotonicNow is the time since the process started, as a time after the Unix epoch. Steps of the wall clock don't
 // affect it, so offsets to other clocks can be computed from it.
-func monotonicNow() time.Time { return time.Unix(0, 0).Add(time.Since(processStart)) }
+func monotonicNow() time.Time { return time.Unix(0, 0).Add(clock.Since(processStart)) }
 
 // FirstByte implements [relay.Controller].
 func (d *Controller) FirstByte(t place.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.perform(d.place.Update(time.Now(), place.FirstByteMsg{Ticket: t}))
+	d.perform(d.place.Update(clock.Now(), place.FirstByteMsg{Ticket: t}))
 }
 
 // End implements [relay.Controller].
 func (d *Controller) End(t place.Ticket, outcome place.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
+	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
 }
 
 // ObserveReply implements [relay.Controller].
 func (d *Controller) ObserveReply(id ident.UpstreamID, reply port.Reply) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -285,7 +286,7 @@
 
 // ObserveBreak implements [relay.Controller].
 func (d *Controller) ObserveBreak(b relay.Break) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !b.Abandoned {
@@ -325,7 +326,7 @@
 func (d *Controller) Addresses(_ ident.Zone) (addresses []string, ttl time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.mesh.Serving(time.Now()) {
+	for _, p := range d.mesh.Serving(clock.Now()) {
 		addresses = append(addresses, p.Address)
 	}
 	return addresses, addressTTL
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/route"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/relay"
 )
@@ -51,7 +52,7 @@
 	if !d.hasEvidence.Load() {
 		return s
 	}
-	digest, now := identify(), time.Now()
+	digest, now := identify(), clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	age := now.Sub(d.poison.LastEvidence(digest))
@@ -74,7 +75,7 @@
 func (d *Controller) BeginTrial(
 	request string, digest poison.Digest, upstream ident.UpstreamID,
 ) (trial poison.TrialBody, blocked bool) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.poison.TriedElsewhere(digest, "") || d.poison.Occupied(upstream, "") {
@@ -91,7 +92,7 @@
 
 // EndTrial implements [relay.Controller].
 func (d *Controller) EndTrial(trial poison.TrialBody) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.poison.EndTrial(now, trial)
@@ -103,7 +104,7 @@
 	if !d.hasEvidence.Load() {
 		return
 	}
-	digest, now := identify(), time.Now()
+	digest, now := identify(), clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.poison.ObserveAnswer(now, digest)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/parts"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/reload"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
@@ -162,7 +163,7 @@
 	loops := []func(context.Context){
 		newFeed(d, port.Operator, operatorWait, 0, operatorMaxAge).run,
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
-		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&inspector{d: d}).run, (&clock{d: d}).run,
+		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
@@ -254,29 +255,29 @@
 	return nil
 }
 
-// clock drives the periodic work: decisions that depend on time, the sweep of connections and the state log line.
-type clock struct{ d *Daemon }
+// ticker drives the periodic work: decisions that depend on time, the sweep of connections and the state log line.
+type ticker struct{ d *Daemon }
 
 // run works at each tick until the context ends.
-func (c *clock) run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	lastSweep, lastState := time.Now(), time.Now()
+func (k *ticker) run(ctx context.Context) {
+	ticks := time.NewTicker(tickInterval)
+	defer ticks.Stop()
+	lastSweep, lastState := clock.Now(), clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-ticks.C:
 		}
-		now := time.Now()
-		c.d.controller.Tick(now)
+		now := clock.Now()
+		k.d.controller.Tick(now)
 		if now.Sub(lastSweep) > sweepInterval {
 			lastSweep = now
-			c.d.pool.Sweep(now)
+			k.d.pool.Sweep(now)
 		}
 		if now.Sub(lastState) > stateInterval {
 			lastState = now
-			c.d.controller.logState(now)
+			k.d.controller.logState(now)
 		}
 	}
 }
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
@@ -16,6 +15,7 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/reload"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 )
@@ -29,9 +29,8 @@
 
 // duty competes for the lease on giving orders to engines and stores, and gives the orders while it holds the lease.
 type duty struct {
-	d  *Daemon
-	mu sync.Mutex
-	// lease runs on [sinceBoot], so that its time includes suspensions of the VM.
+	d      *Daemon
+	mu     sync.Mutex
 	lease  *lease.Model
 	reload *reload.Model
 	purge  *purge.Model
@@ -43,19 +42,10 @@
 	held      bool
 }
 
-// sinceBoot reads a clock that keeps running while the VM is suspended.
-func sinceBoot() time.Time {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Now()
-	}
-	return time.Unix(t.Unix())
-}
-
 func (u *duty) update(msg ident.Msg) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.lease.Update(sinceBoot(), msg)
+	u.lease.Update(clock.Now(), msg)
 }
 
 // status returns for the heartbeat whether this entry has the newest claim of the lease, though it may still have to
@@ -63,7 +53,7 @@
 func (u *duty) status(time.Time) (holds bool, ordered []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	holds = u.lease.HasNewestClaim(sinceBoot())
+	holds = u.lease.HasNewestClaim(clock.Now())
 	return holds, u.loading()
 }
 
@@ -90,7 +80,7 @@
 }
 
 func (u *duty) tick(ctx context.Context) {
-	now := sinceBoot()
+	now := clock.Now()
 	alive, ready := u.d.controller.leaseCandidates()
 	u.mu.Lock()
 	u.lease.SetMembers(alive)
@@ -116,7 +106,7 @@
 	defer u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for model, target := range u.d.controller.targets {
 		u.reload.SetTargetVersion(target.since, model, target.version)
 		u.purge.SetTargetVersion(model, target.version)
@@ -152,7 +142,7 @@
 }
 
 func (u *duty) readClaims(ctx context.Context) {
-	sentAt := sinceBoot()
+	sentAt := clock.Now()
 	u.mu.Lock()
 	next := u.next
 	u.mu.Unlock()
@@ -181,7 +171,7 @@
 			u.lastClaim = &lease.Claim{Holder: c.Holder, Boot: c.Boot}
 		}
 	}
-	u.lease.Update(sinceBoot(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
+	u.lease.Update(clock.Now(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
 }
 
 // enter reports whether an answer of the store is of the known era. If the era is newer, claims are read again from the
@@ -192,12 +182,12 @@
 		return era == u.era
 	}
 	u.era, u.next, u.lastClaim = era, 0, nil
-	u.lease.Update(sinceBoot(), lease.RestoredMsg{Era: era})
+	u.lease.Update(clock.Now(), lease.RestoredMsg{Era: era})
 	return false
 }
 
 func (u *duty) claim(ctx context.Context, cmd lease.ClaimCmd) {
-	sentAt := sinceBoot()
+	sentAt := clock.Now()
 	offset, era, err := u.d.store.Claim(ctx, cmd.End, port.ClaimEvent{Holder: cmd.Claim.Holder, Boot: cmd.Claim.Boot})
 	if err != nil {
 		u.d.log.Info("claim_failed", "end", cmd.End, "error", err)
@@ -215,18 +205,18 @@
 	}
 	u.d.controller.mu.Lock()
 	for model, version := range state.Weights {
-		u.d.controller.fleet.Update(time.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
+		u.d.controller.fleet.Update(clock.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
 		u.d.controller.weights = append(u.d.controller.weights, gossip.Weights{Upstream: string(cmd.Upstream.ID), Model: string(model), Version: version})
 	}
 	u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.reload.Update(time.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
+	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
 }
 
 func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
 	u.mu.Lock()
-	holds, token := u.lease.Holds(sinceBoot()), u.lease.Token()
+	holds, token := u.lease.Holds(clock.Now()), u.lease.Token()
 	u.mu.Unlock()
 	if !holds {
 		return
@@ -240,9 +230,9 @@
 	defer u.mu.Unlock()
 	switch {
 	case errors.Is(err, port.ErrOutdated):
-		u.lease.Update(sinceBoot(), lease.TokenOutdatedMsg{})
+		u.lease.Update(clock.Now(), lease.TokenOutdatedMsg{})
 	case errors.Is(err, port.ErrBusy), errors.Is(err, port.ErrRefused):
-		u.reload.Update(time.Now(), reload.RefusedMsg{Upstream: cmd.Upstream.ID})
+		u.reload.Update(clock.Now(), reload.RefusedMsg{Upstream: cmd.Upstream.ID})
 	}
 }
 
@@ -290,12 +280,12 @@
 	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.purge.Update(time.Now(), purge.DoneMsg{Cmd: cmd})
+	u.purge.Update(clock.Now(), purge.DoneMsg{Cmd: cmd})
 }
 
 // leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may.
 func (d *Controller) leaseCandidates() (ids []string, ready bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return mesh.IDs(d.mesh.Serving(time.Now())), d.mesh.Self().State == mesh.Ready
+	return mesh.IDs(d.mesh.Serving(clock.Now())), d.mesh.Self().State == mesh.Ready
 }
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/place"
 	"cicadavalve/core/watch"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 )
@@ -70,8 +71,8 @@
 // run reads until the context ends.
 func (f *feed) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		due, wait, next := f.d.controller.due(time.Now(), f)
-		delay := time.Until(due)
+		due, wait, next := f.d.controller.due(clock.Now(), f)
+		delay := clock.Until(due)
 		if delay <= 0 && f.step(ctx, next, wait) != nil {
 			delay = retryDelay
 		}
@@ -145,7 +146,7 @@
 	ctx, cancel := context.WithTimeout(parent, wait+timeout)
 	defer cancel()
 	var batch port.Batch
-	sentAt, snapshot := time.Now(), next < 0
+	sentAt, snapshot := clock.Now(), next < 0
 	if snapshot {
 		batch, err = f.d.store.Snapshot(ctx, f.topic)
 	} else {
@@ -167,7 +168,7 @@
 	for _, fault := range batch.Faults {
 		f.d.log.Warn("record_unreadable", "topic", f.topic, "error", fault)
 	}
-	now := time.Now()
+	now := clock.Now()
 	if f.era() <= batch.Era {
 		f.updateWatch(batch.Era, nil)
 		f.d.controller.applyRecords(now, f.topic, records{events: batch.Events, snapshot: snapshot, since: f.knownAt(), failedAt: f.failedAt})
@@ -223,7 +224,7 @@
 func (f *feed) updateWatch(era int64, msg ident.Msg) {
 	f.d.controller.mu.Lock()
 	defer f.d.controller.mu.Unlock()
-	f.d.controller.observeEra(time.Now(), era)
+	f.d.controller.observeEra(clock.Now(), era)
 	f.watch.Update(msg)
 }
 
@@ -281,7 +282,7 @@
 	case fleet.ListRestoredMsg:
 		d.listLost = false
 	}
-	d.perform(d.fleet.Update(time.Now(), msg))
+	d.perform(d.fleet.Update(clock.Now(), msg))
 }
 
 // applyRecords applies decoded records to the models.
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/route"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 )
@@ -73,14 +74,14 @@
 }
 
 func (f *followers) assign(ctx context.Context) {
-	own := f.d.controller.ownHolders(time.Now())
+	own := f.d.controller.ownHolders(clock.Now())
 	for addr, stop := range f.running {
 		if _, still := own[addr]; !still {
 			stop()
 			delete(f.running, addr)
 		}
 	}
-	for _, addr := range f.takeOver(time.Now(), own) {
+	for _, addr := range f.takeOver(clock.Now(), own) {
 		followCtx, stop := context.WithCancel(ctx)
 		f.running[addr] = stop
 		go (&follower{d: f.d, addr: addr, store: own[addr]}).run(followCtx)
@@ -126,11 +127,11 @@
 // run reads changes until the context ends.
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		start := time.Now()
+		start := clock.Now()
 		f.step(ctx)
 		select {
 		case <-ctx.Done():
-		case <-time.After(max(followInterval-time.Since(start), followInterval/4)):
+		case <-time.After(max(followInterval-clock.Since(start), followInterval/4)):
 		}
 	}
 }
@@ -163,7 +164,7 @@
 		if f.store {
 			f.boot = 0
 		} else {
-			f.d.controller.observeRestart(time.Now(), f.addr)
+			f.d.controller.observeRestart(clock.Now(), f.addr)
 		}
 		f.d.controller.applyHoldings(f.addr, port.Holdings{Boot: h.Boot}, false)
 		return
@@ -196,5 +197,5 @@
 		msg.Changes = append(msg.Changes, parts.Change{Key: key, Tokens: k.Tokens})
 		r.Changes = append(r.Changes, gossip.Change{Key: uint64(key), Tokens: k.Tokens})
 	}
-	d.index.Update(time.Now(), msg)
+	d.index.Update(clock.Now(), msg)
 }
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -12,6 +12,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 )
 
@@ -57,11 +58,11 @@
 // run sends a heartbeat after each change, and at idleBeatInterval without changes, until the context ends.
 func (t *heartbeat) run(ctx context.Context) {
 	for {
-		begun := time.Now()
-		entries := t.beat(ctx, time.Now())
+		begun := clock.Now()
+		entries := t.beat(ctx, clock.Now())
 		interval := time.Duration(float64(beatInterval(entries)) * (1 - beatJitter*rand.Float64()))
 		if entries > sendBurst {
-			interval -= time.Since(begun)
+			interval -= clock.Since(begun)
 		}
 		select {
 		case <-ctx.Done():
@@ -185,7 +186,7 @@
 
 // receive applies a message of another entry and greets the entries that it lists and this one does not know.
 func (d *Daemon) receive(m gossip.Message) {
-	now := time.Now()
+	now := clock.Now()
 	if m.HoldsLease {
 		d.duty.update(lease.HolderMsg{Holder: m.ID})
 	}
--- a/io/daemon/inspect.go
+++ b/io/daemon/inspect.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/poison"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/port"
 )
 
@@ -35,7 +36,7 @@
 			return
 		case <-ticker.C:
 		}
-		for _, q := range i.d.controller.questions(time.Now()) {
+		for _, q := range i.d.controller.questions(clock.Now()) {
 			i.ask(ctx, q)
 		}
 	}
@@ -69,7 +70,7 @@
 func (i *inspector) ask(ctx context.Context, q question) {
 	ctx, cancel := context.WithTimeout(ctx, inspectTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := clock.Now()
 	state, err := i.d.engines.State(ctx, q.loss.Upstream, q.addr)
 	if err != nil && !errors.Is(err, port.ErrMisdirected) && !errors.Is(err, syscall.ECONNREFUSED) {
 		i.d.log.Debug("upstream_not_inspected", "upstream", q.loss.Upstream, "error", err)
@@ -81,7 +82,7 @@
 // applyInspection applies what an upstream that was asked at a time said of its incarnation; ended is set if it is not
 // there any more.
 func (d *Controller) applyInspection(asked time.Time, loss poison.Loss, state port.State, ended bool) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	boot := bootID(state.Born)
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/poison"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/port"
 )
 
@@ -104,7 +105,7 @@
 	for _, fault := range batch.Faults {
 		v.d.log.Warn("record_unreadable", "topic", port.Verdicts, "error", fault)
 	}
-	if hasSecret = v.d.controller.applyVerdicts(time.Now(), batch.Events); hasSecret {
+	if hasSecret = v.d.controller.applyVerdicts(clock.Now(), batch.Events); hasSecret {
 		v.d.log.Info("verdicts_loaded", "count", len(batch.Events)-1)
 	}
 	return hasSecret, batch.Next, nil
@@ -134,7 +135,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.useSecret(secret)
-	d.updateReadiness(time.Now())
+	d.updateReadiness(clock.Now())
 }
 
 // useSecret makes digests depend on a secret; the lock is held.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -19,6 +19,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"cicadavalve/io/clock"
 )
 
 const (
@@ -258,7 +260,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expiresAt) && c.usable() {
+		if clock.Now().Before(c.expiresAt) && c.usable() {
 			return c, nil
 		}
 		_ = c.Close()
@@ -324,7 +326,7 @@
 }
 
 func (p *Pool) release(addr string, c *conn, idleTimeout time.Duration) {
-	c.expiresAt = time.Now().Add(idleTimeout)
+	c.expiresAt = clock.Now().Add(idleTimeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[addr] = append(p.idle[addr], c)
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/place"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -170,7 +171,7 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
-	x.sentAt = time.Now()
+	x.sentAt = clock.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if err != nil {
 		x.cause = err
@@ -203,7 +204,7 @@
 
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
-		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: time.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
+		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
 		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: x.head.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
@@ -222,7 +223,7 @@
 		x.reportBroken(ctx, cmd, Break{})
 		return result{ending: retry.Unknown}
 	}
-	x.firstAt = time.Now()
+	x.firstAt = clock.Now()
 	x.h.controller.FirstByte(x.need.Ticket)
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -161,7 +162,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now()}
+	x := &exchange{h: h, w: w, r: r, arrived: clock.Now()}
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -188,7 +189,7 @@
 		x.refuse(status, -1, reason)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), clock.Deadline(x.deadline))
 	defer cancel()
 	x.run(ctx)
 }
@@ -254,13 +255,13 @@
 		limit = defaultMaxBody
 	}
 	control := http.NewResponseController(x.w)
-	if err := control.SetWriteDeadline(x.deadline.Add(writeMargin)); err != nil {
+	if err := control.SetWriteDeadline(clock.Deadline(x.deadline.Add(writeMargin))); err != nil {
 		x.h.log.Debug("write_deadline_not_set", "error", err)
 	}
 	if x.r.ContentLength == 0 {
 		return 0, ""
 	}
-	if err := control.SetReadDeadline(x.deadline); err != nil {
+	if err := control.SetReadDeadline(clock.Deadline(x.deadline)); err != nil {
 		x.h.log.Debug("read_deadline_not_set", "error", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
@@ -269,7 +270,7 @@
 		if errors.As(err, &tooLarge) {
 			return http.StatusRequestEntityTooLarge, "body_too_large"
 		}
-		if time.Now().Before(x.deadline) {
+		if clock.Now().Before(x.deadline) {
 			return http.StatusBadRequest, "body_broken"
 		}
 		return http.StatusRequestTimeout, "body_late"
@@ -298,7 +299,7 @@
 
 // report logs and counts the end of the request. A negative retryAfter is not logged.
 func (x *exchange) report(status int, outcome string, retryAfter time.Duration) {
-	whole := time.Since(x.arrived)
+	whole := clock.Since(x.arrived)
 	first := whole
 	if !x.firstAt.IsZero() {
 		first = x.firstAt.Sub(x.arrived)
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
+	"cicadavalve/io/clock"
 )
 
 // Screening is what is known about crashes of a request before it is sent to an upstream. The zero value restricts
@@ -120,7 +121,7 @@
 // reportBroken reports an attempt without a complete answer. If the context has ended, the caller or the deadline ended
 // the attempt, and it is reported only if the upstream had been silent for long.
 func (x *exchange) reportBroken(ctx context.Context, cmd *place.SendCmd, b Break) {
-	age := time.Since(x.sentAt)
+	age := clock.Since(x.sentAt)
 	b.Abandoned = ctx.Err() != nil
 	if b.Abandoned && (age < silenceThreshold || !x.firstAt.IsZero()) {
 		return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -6,12 +6,12 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/place"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/link"
 )
 
@@ -77,7 +77,7 @@
 		}
 	}
 	if !x.committed {
-		x.firstAt = time.Now()
+		x.firstAt = clock.Now()
 		x.h.dialect.Return(x.w.Header(), answer.Header)
 		x.w.WriteHeader(answer.Status)
 		x.committed = true
