Ignore reports of engines from before an order when judging it

A report that was asked for before an order and handled long after it, as by an entry that was frozen or behind a slow link, showed an idle engine and made the duty order the load again. Reports carry when they were asked for, and only one that was asked for after the time for an order to show speaks against it.

--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -26,7 +26,8 @@
 	overdueAge = 2500 * time.Millisecond
 	// queryInterval is the minimum time between two queries of an engine's state.
 	queryInterval = 250 * time.Millisecond
-	// orderTimeout is how long an order without visible effect is assumed to be in flight.
+	// orderTimeout is how long an order without visible effect is assumed to be in flight. Reports of engines lag by some
+	// hundred milliseconds.
 	orderTimeout = 600 * time.Millisecond
 	// updateTimeout is how long an engine may be without new work before its update is aborted in favour of another.
 	updateTimeout = 5 * time.Second
@@ -78,6 +79,8 @@
 // StateMsg is an engine's report of its state.
 type StateMsg struct {
 	Upstream ident.UpstreamID
+	// AskedAt is when the engine was asked. The report may be handled much later.
+	AskedAt time.Time
 	Loading  bool
 	Seq      int64
 	Weights  map[ident.ModelName]int64
@@ -147,7 +150,7 @@
 		}
 		return m.tick(now, msg.InFlight)
 	case StateMsg:
-		m.applyState(now, msg)
+		m.applyState(msg)
 	case RefusedMsg:
 		delete(m.steps, msg.Upstream)
 		m.pausedUntil[msg.Upstream] = now.Add(refusalPause)
@@ -155,7 +158,7 @@
 	return nil
 }
 
-func (m *Model) applyState(now time.Time, msg StateMsg) {
+func (m *Model) applyState(msg StateMsg) {
 	s, ok := m.steps[msg.Upstream]
 	if !ok {
 		return
@@ -164,7 +167,7 @@
 		delete(m.steps, msg.Upstream)
 		return
 	}
-	if s.phase == querying || s.phase == ordered && !msg.Loading && now.Sub(s.orderedAt) > orderTimeout {
+	if s.phase == querying || s.phase == ordered && !msg.Loading && msg.AskedAt.Sub(s.orderedAt) > orderTimeout {
 		s.phase, s.seq = querying, msg.Seq
 	}
 }
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -79,7 +79,7 @@
 		e.finishLoad(now)
 		weights := map[ident.ModelName]int64{model: e.version}
 		upstreams.Update(now, fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: e.version})
-		m.Update(now, reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: e.pending != 0, Seq: e.seq, Weights: weights})
+		m.Update(now, reload.StateMsg{Upstream: cmd.Upstream.ID, AskedAt: now, Loading: e.pending != 0, Seq: e.seq, Weights: weights})
 	case reload.OrderCmd:
 		e := engines[cmd.Upstream.ID]
 		if e.finishLoad(now); lost {
@@ -134,3 +134,37 @@
 		t.Errorf("commands (-want +got):\n%s", diff)
 	}
 }
+
+// TestReportFromBeforeAnOrderDoesNotRepeatIt has an engine's report arrive 3 s late, after the engine was ordered to load.
+func TestReportFromBeforeAnOrderDoesNotRepeatIt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	upstreams := fleet.NewModel()
+	upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: "e", Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
+	m := reload.NewModel(upstreams)
+	m.SetTargetVersion(now, model, 2)
+	orders := 0
+	tick := func() {
+		for _, cmd := range m.Update(now, reload.TickMsg{Holds: true, InFlight: func(ident.UpstreamID) int { return 0 }}) {
+			if _, ok := cmd.(reload.OrderCmd); ok {
+				orders++
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	report := func(askedAt time.Time) {
+		m.Update(now, reload.StateMsg{Upstream: "e", AskedAt: askedAt, Seq: 0, Weights: map[ident.ModelName]int64{model: 1}})
+	}
+	tick()
+	asked := now
+	report(asked)
+	tick()
+	now = now.Add(3 * time.Second)
+	report(asked)
+	tick()
+	late := orders
+	report(now)
+	tick()
+	if diff := cmp.Diff([]int{1, 2}, []int{late, orders}); diff != "" {
+		t.Errorf("orders after a report from before the first one, after a newer report (-want +got):\n%s", diff)
+	}
+}
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -198,6 +198,7 @@
 }
 
 func (u *duty) queryState(ctx context.Context, cmd reload.QueryCmd) {
+	askedAt := clock.Now()
 	state, err := u.d.engines.State(ctx, cmd.Upstream.ID, cmd.Upstream.Address)
 	if err != nil {
 		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
@@ -211,7 +212,7 @@
 	u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
+	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, AskedAt: askedAt, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
 }
 
 func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
