Repeat orders to load weights that get no answer, and update other engines meanwhile

Where orders are carried out seconds late, engines stayed on old weights for long: an order without an answer was taken for a load under way for 0.6 s and more, two such orders held up the updates of all others, and an engine could keep its turn for 5 s.

The duty now repeats an order that got no answer after 0.3 s, as soon as a report shows no effect. That is safe, since an engine accepts one order at each number of accepted ones; the refusal of a repetition means that an earlier order was accepted. Such an engine doesn't count as loading, gets work again after four orders, and is updated after those that have not been tried.

Ruled out: never putting an engine off, which starves the others where three never answer.

--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -29,6 +29,12 @@
 	// orderTimeout is how long an order without visible effect is assumed to be in flight. Reports of engines lag by some
 	// hundred milliseconds.
 	orderTimeout = 600 * time.Millisecond
+	// answerTimeout is how long the answer to an order may take. Without it the order may take effect at once, seconds
+	// later or never; a repetition is safe, since the engine accepts only one at each number of accepted orders.
+	answerTimeout = 300 * time.Millisecond
+	// maxUnanswered is the number of orders without an answer after which an engine gets new work again and others are
+	// updated before it.
+	maxUnanswered = 4
 	// updateTimeout is how long an engine may be without new work before its update is aborted in favour of another.
 	updateTimeout = 5 * time.Second
 	// refusalPause is how long no update is tried on an engine that refused one or whose update was aborted.
@@ -52,6 +58,9 @@
 	since     time.Time
 	queriedAt time.Time
 	orderedAt time.Time
+	// orders counts the orders given, accepted is set once the engine is known to have accepted one.
+	orders   int
+	accepted bool
 	// seq is the number of orders that the engine had accepted at its last report, -1 if that is unknown.
 	seq int64
 }
@@ -81,11 +90,14 @@
 	Upstream ident.UpstreamID
 	// AskedAt is when the engine was asked. The report may be handled much later.
 	AskedAt time.Time
-	Loading  bool
-	Seq      int64
-	Weights  map[ident.ModelName]int64
+	Loading bool
+	Seq     int64
+	Weights map[ident.ModelName]int64
 }
 
+// AcceptedMsg reports that an engine accepted an order.
+type AcceptedMsg struct{ Upstream ident.UpstreamID }
+
 // RefusedMsg reports that an engine refused an order.
 type RefusedMsg struct{ Upstream ident.UpstreamID }
 
@@ -98,6 +110,8 @@
 	targetSince map[ident.ModelName]time.Time
 	steps       map[ident.UpstreamID]*step
 	pausedUntil map[ident.UpstreamID]time.Time
+	// aborted counts the aborted updates of engines that are behind.
+	aborted map[ident.UpstreamID]int
 }
 
 // NewModel returns a model that updates the engines of a fleet.
@@ -107,7 +121,7 @@
 func NewModel(upstreams *fleet.Model) *Model {
 	return &Model{
 		fleet: upstreams, targetVersions: map[ident.ModelName]int64{}, targetSince: map[ident.ModelName]time.Time{},
-		steps: map[ident.UpstreamID]*step{}, pausedUntil: map[ident.UpstreamID]time.Time{},
+		steps: map[ident.UpstreamID]*step{}, pausedUntil: map[ident.UpstreamID]time.Time{}, aborted: map[ident.UpstreamID]int{},
 	}
 }
 
@@ -151,13 +165,35 @@
 		return m.tick(now, msg.InFlight)
 	case StateMsg:
 		m.applyState(msg)
+	case AcceptedMsg:
+		if s := m.steps[msg.Upstream]; s != nil {
+			s.accepted = true
+		}
 	case RefusedMsg:
-		delete(m.steps, msg.Upstream)
-		m.pausedUntil[msg.Upstream] = now.Add(refusalPause)
+		m.refuse(now, msg.Upstream)
 	}
 	return nil
 }
 
+// refuse aborts an update whose order was refused. The refusal of a repeated order means that an earlier one was accepted.
+func (m *Model) refuse(now time.Time, id ident.UpstreamID) {
+	if s := m.steps[id]; s != nil && s.phase == ordered && s.orders > 1 && !s.accepted {
+		s.orderedAt, s.accepted = now, true
+		return
+	}
+	m.abort(now, id)
+}
+
+// abort gives an engine new work again and updates others before it.
+func (m *Model) abort(now time.Time, id ident.UpstreamID) {
+	delete(m.steps, id)
+	m.pausedUntil[id] = now.Add(refusalPause)
+	m.aborted[id]++
+}
+
+// isLoading reports whether an update counts as a load: not while it drains, nor while its orders get no answer.
+func (s *step) isLoading() bool { return s.phase != draining && (s.accepted || s.orders < 2) }
+
 func (m *Model) applyState(msg StateMsg) {
 	s, ok := m.steps[msg.Upstream]
 	if !ok {
@@ -167,15 +203,24 @@
 		delete(m.steps, msg.Upstream)
 		return
 	}
-	if s.phase == querying || s.phase == ordered && !msg.Loading && msg.AskedAt.Sub(s.orderedAt) > orderTimeout {
-		s.phase, s.seq = querying, msg.Seq
+	timeout := answerTimeout
+	if s.accepted = s.accepted || msg.Loading; s.accepted {
+		timeout = orderTimeout
+	}
+	if s.phase == querying || s.phase == ordered && !msg.Loading && msg.AskedAt.Sub(s.orderedAt) > timeout {
+		s.phase, s.seq, s.accepted = querying, msg.Seq, false
 	}
 }
 
 func (m *Model) tick(now time.Time, inFlight func(ident.UpstreamID) int) (cmds []ident.Cmd) {
 	all := m.fleet.All()
+	maps.DeleteFunc(m.aborted, func(id ident.UpstreamID, _ int) bool {
+		u, known := m.fleet.Get(id)
+		_, _, behind := m.nextTarget(u)
+		return !known || !behind
+	})
 	slices.SortFunc(all, func(a, b conf.Upstream) int {
-		return cmp.Or(cmp.Compare(inFlight(a.ID), inFlight(b.ID)), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(m.aborted[a.ID], m.aborted[b.ID]), cmp.Compare(inFlight(a.ID), inFlight(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
 	engines, loading, out := 0, 0, 0
 	for _, u := range all {
@@ -195,13 +240,12 @@
 		case s.phase != ordered:
 			s.version = version
 		}
-		if now.Sub(s.since) > updateTimeout {
-			delete(m.steps, u.ID)
-			m.pausedUntil[u.ID] = now.Add(refusalPause)
+		if now.Sub(s.since) > updateTimeout || s.phase == querying && s.orders >= maxUnanswered && !s.accepted {
+			m.abort(now, u.ID)
 			continue
 		}
 		out++
-		if s.phase != draining {
+		if s.isLoading() {
 			loading++
 		}
 	}
@@ -235,7 +279,7 @@
 				cmds = append(cmds, m.query(now, s, u)...)
 				continue
 			}
-			s.phase, s.orderedAt = ordered, now
+			s.phase, s.orderedAt, s.orders = ordered, now, s.orders+1
 			cmds = append(cmds, OrderCmd{Upstream: u, Model: s.model, Version: s.version, Seq: s.seq})
 			s.seq = -1
 		case ordered:
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -168,3 +168,70 @@
 		t.Errorf("orders after a report from before the first one, after a newer report (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnansweredOrdersDontHoldUpTheOthers updates nine engines of which three leave every order unanswered. They must be
+// ordered again soon, and the others be updated meanwhile.
+func TestUnansweredOrdersDontHoldUpTheOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	upstreams, engines := fleet.NewModel(), map[ident.UpstreamID]*engine{}
+	for i := range 9 {
+		id := ident.UpstreamID(fmt.Sprintf("e%d", i))
+		engines[id] = &engine{version: 1}
+		upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
+	}
+	m := reload.NewModel(upstreams)
+	m.SetTargetVersion(now, model, 2)
+	orders := map[ident.UpstreamID]int{}
+	for range 80 {
+		for _, cmd := range m.Update(now, reload.TickMsg{Holds: true, InFlight: func(ident.UpstreamID) int { return 0 }}) {
+			order, isOrder := cmd.(reload.OrderCmd)
+			lost := isOrder && order.Upstream.ID < "e3"
+			perform(now, upstreams, m, engines, cmd, lost)
+			if isOrder {
+				orders[order.Upstream.ID]++
+			}
+			if isOrder && !lost {
+				m.Update(now, reload.AcceptedMsg{Upstream: order.Upstream.ID})
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	behind := 0
+	for id, e := range engines {
+		if e.version != 2 && id >= "e3" {
+			behind++
+		}
+	}
+	if behind > 0 {
+		t.Errorf("%d of 6 engines that answer are behind after 8 s", behind)
+	}
+	if orders["e0"] < 8 || orders["e8"] != 1 {
+		t.Errorf("%d orders to an engine without answers, %d to another one", orders["e0"], orders["e8"])
+	}
+}
+
+// TestRepeatedOrderThatIsRefusedWasAccepted lets the answer to an order get lost and the engine begin to load unseen.
+func TestRepeatedOrderThatIsRefusedWasAccepted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	upstreams := fleet.NewModel()
+	upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: "e", Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
+	m := reload.NewModel(upstreams)
+	m.SetTargetVersion(now, model, 2)
+	orders := 0
+	for range 12 {
+		for _, cmd := range m.Update(now, reload.TickMsg{Holds: true, InFlight: func(ident.UpstreamID) int { return 0 }}) {
+			switch cmd.(type) {
+			case reload.QueryCmd:
+				m.Update(now, reload.StateMsg{Upstream: "e", AskedAt: now, Weights: map[ident.ModelName]int64{model: 1}})
+			case reload.OrderCmd:
+				if orders++; orders > 1 {
+					m.Update(now, reload.RefusedMsg{Upstream: "e"})
+				}
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if diff := cmp.Diff([]ident.UpstreamID{"e"}, m.Updating()); diff != "" || orders != 2 {
+		t.Errorf("%d orders, want 2; engines without new work (-want +got):\n%s", orders, diff)
+	}
+}
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -230,6 +230,8 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
+	case err == nil:
+		u.reload.Update(clock.Now(), reload.AcceptedMsg{Upstream: cmd.Upstream.ID})
 	case errors.Is(err, port.ErrOutdated):
 		u.lease.Update(clock.Now(), lease.TokenOutdatedMsg{})
 	case errors.Is(err, port.ErrBusy), errors.Is(err, port.ErrRefused):
