Check the choice of an upstream again when it is carried out late

A request was sent to the upstream that had been chosen for it, however long ago: a connection may take 600 ms to open, and the process may stand still in between, while the upstream's weights are outdated, it begins to leave or its zone is taken out. A choice that is more than 20 ms old is now checked again right before the first byte is written; a request that is withdrawn is placed anew and counts as not sent, without harm to the upstream's record.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -125,9 +125,11 @@
 
 // open reports whether an upstream is eligible for the request, whatever its load and the rate of requests to it.
 func (m *Model) open(now time.Time, u *conf.Upstream, status fleet.Status, service *conf.Service, need *Need) bool {
-	if !status.Usable || status.Ordered {
-		return false
-	}
+	return status.Usable && !status.Ordered && m.mayStart(now, u, service, need)
+}
+
+// mayStart reports whether the weights of an upstream are new enough for the request.
+func (m *Model) mayStart(now time.Time, u *conf.Upstream, service *conf.Service, need *Need) bool {
 	if service.Engine == nil || need.Model == "" {
 		return true
 	}
@@ -135,6 +137,18 @@
 	return !outdated || !now.After(until)
 }
 
+// StillEligible reports whether the upstream that was chosen for a request may still get it: a decision may be old when it
+// is carried out. An upstream that began to carry out an order since decides about the request itself.
+func (m *Model) StillEligible(now time.Time, t Ticket) bool {
+	s, ok := m.sent[t]
+	if !ok {
+		return false
+	}
+	u, listed := m.fleet.Get(s.upstream)
+	service, known := m.set.Service(s.need.Service)
+	return listed && known && m.fleet.Usable(now, u.ID) && m.mayStart(now, &u, service, &s.need)
+}
+
 // scoreCall scores an upstream for a plain call.
 func (m *Model) scoreCall(now time.Time, need *Need, o *option) {
 	u := o.upstream
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -347,6 +347,32 @@
 	}
 }
 
+// TestDecisionIsCheckedAgainWhenCarriedOutLate chooses an engine for a request, after which the engine is outdated, leaves, or
+// neither.
+func TestDecisionIsCheckedAgainWhenCarriedOutLate(t *testing.T) {
+	got := map[string]bool{}
+	for name, change := range map[string]func(b *bench){
+		"unchanged": func(*bench) {},
+		"outdated":  func(b *bench) { b.place.Update(start, place.TargetMsg{Model: model, Version: 2, Since: start}) },
+		"draining": func(b *bench) {
+			u, _ := b.fleet.Get(engineID(0))
+			u.Draining = true
+			b.fleet.Update(start, fleet.ListedMsg{Upstream: u})
+		},
+		"zone taken out": func(b *bench) { b.fleet.Update(start, fleet.AvoidMsg{Zone: "z", Avoided: true}) },
+		"ended":          func(b *bench) { b.place.Update(start, place.EndMsg{Ticket: 1, Outcome: place.Cancelled}) },
+	} {
+		b := newBench(1, 100_000)
+		b.place.Update(start, place.ArriveMsg{Need: need(1, start, 100, "doc", time.Second)})
+		change(b)
+		got[name] = b.place.StillEligible(start.Add(9*time.Second), 1)
+	}
+	want := map[string]bool{"unchanged": true, "outdated": false, "draining": false, "zone taken out": false, "ended": false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("still eligible 9 s later (-want +got):\n%s", diff)
+	}
+}
+
 // TestQueuedRequestGoesToFreedEngine fills two engines and ends a request on one of them.
 func TestQueuedRequestGoesToFreedEngine(t *testing.T) {
 	b := newBench(2, 1000)
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -133,6 +133,13 @@
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
+// StillEligible implements [relay.Controller].
+func (d *Controller) StillEligible(ticket place.Ticket) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.place.StillEligible(clock.Now(), ticket)
+}
+
 func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
 	ch := make(chan relay.Decision, 1)
 	now := clock.Now()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -50,6 +50,8 @@
 var (
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = errors.New("request not sent")
+	// ErrWithdrawn means that the request was no longer to be sent once a connection was open. No byte of it was written.
+	ErrWithdrawn = errors.New("request withdrawn before it was sent")
 	// ErrBroken means that the connection ended before the head of an answer.
 	ErrBroken = errors.New("connection broken before the answer")
 	// ErrGarbled means that the upstream sent something other than an answer to the request.
@@ -69,6 +71,8 @@
 	// IDHeader names the header whose value the answer repeats; ID is that value.
 	IDHeader string
 	ID       string
+	// Approve, if set, reports whether the request is still to be sent. It is called right before the first byte is written.
+	Approve func() bool
 }
 
 // Pool keeps idle connections by address.
@@ -116,6 +120,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Approve != nil && !r.Approve() {
+		_ = c.Close()
+		return nil, ErrWithdrawn
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	w := &writer{conn: c, head: head(r), body: r.Body, done: make(chan struct{})}
 	w.start()
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -173,6 +173,10 @@
 	u := cmd.Upstream
 	x.sentAt = clock.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
+	if errors.Is(err, link.ErrWithdrawn) {
+		x.cause = err
+		return result{ending: retry.NotSent}
+	}
 	if err != nil {
 		x.cause = err
 		unsent := errors.Is(err, link.ErrNotSent)
@@ -211,9 +215,16 @@
 	return link.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
 		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
+		Approve: func() bool {
+			return clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket)
+		},
 	}
 }
 
+// maxDecisionAge is the age from which on the choice of an upstream is checked again before the request is written. It can
+// be that old if the connection took long to open, or the process stood still.
+const maxDecisionAge = 20 * time.Millisecond
+
 // relayPlain relays an answer that is not a stream. An answer of at most [maxBuffered] bytes is buffered whole, so that
 // another attempt is possible if it breaks off.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -64,6 +64,8 @@
 	Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (d Decision, err error)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
+	// StillEligible reports whether the upstream that was chosen for a request may still run it.
+	StillEligible(ticket place.Ticket) bool
 	// AllowRetry takes a retry from the budget of a service and reports whether one was left.
 	AllowRetry(service ident.ServiceName) bool
 	// FirstByte reports that the answer of the current attempt has begun. Further calls have no effect.
