Keep the grace of old weights when many newer versions are named

Of the versions of a model 16 are kept. An engine older than all of them got the grace of the oldest that was kept, which is later with each one that is named: forty versions in 8 s let requests start on the first weights 9 s after the second were named, 8.5 s are allowed by default. The oldest kept version now inherits the earlier end of those dropped.

TestManyNewerVersionsDontExtendGrace: one request sent before, none now.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -143,13 +143,24 @@
 	if bound := msg.Since.Add(m.versionGrace - versionMargin); !msg.Since.IsZero() && bound.After(until) {
 		until = bound
 	}
+	if len(versions) > maxVersions {
+		// What is older than a version that is dropped must not get more time by that.
+		oldest := &versions[len(versions)-maxVersions]
+		oldest.until = earlier(oldest.until, versions[0].until)
+	}
 	m.versions[msg.Model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{msg.Version, until})
 }
 
-// maxVersions is how many older versions of a model are kept when a newer one is added. Those dropped are so old that
-// versionGrace is taken to be over for them.
+// maxVersions is how many older versions of a model are kept when a newer one is added.
 const maxVersions = 16
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // outdated reports whether a newer version than the given one is the target, and until when requests may start on the
 // given one.
 func (m *Model) outdated(model ident.ModelName, version int64) (until time.Time, outdated bool) {
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -307,6 +307,20 @@
 	}
 }
 
+// TestManyNewerVersionsDontExtendGrace sets forty versions within the grace of the first.
+func TestManyNewerVersionsDontExtendGrace(t *testing.T) {
+	b := newBench(1, 100_000)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		b.place.Update(now, place.TargetMsg{Model: model, Version: int64(i + 2), Since: now})
+	}
+	now := start.Add(9 * time.Second)
+	cmds := b.place.Update(now, place.ArriveMsg{Need: need(1, now, 100, "doc", time.Second)})
+	if diff := cmp.Diff(0, len(sends(cmds))); diff != "" {
+		t.Errorf("sent (-want +got):\n%s", diff)
+	}
+}
+
 // TestStartedEntryUsesOldWeightsBriefly sets, at the start of an entry, a version that became the target at an unknown
 // time.
 func TestStartedEntryUsesOldWeightsBriefly(t *testing.T) {
