Keep plain services out of kept context

Callers saw no answer to a request of a plain service that named a model and the parts of a prompt, and then no answers at all from that entry: the placement looked up the kept parts of a call that has none (an index out of range in planSaves; with a store that holds the first part, a nil pointer in finder.origins before it) and panicked under the lock of the controller.

What a request requires is now taken as its service is configured when it is placed: without an engine, or without a model, it has no model and no chain, whatever headers came. What the caller asked for is kept for a retry, since the service may be one of engines by then. The headers of a prompt (priority, salt, versions, transfers) are added by what is sent rather than by what was named.

Failed before: TestPromptOfPlainServiceStopsNoEntry (two daemons; hung until its time-out of 60 s), TestPlainServiceTakesNoPartInKeptContext and TestServiceThatBecomesPlainKeepsItsRequests (nil pointer). They pass now, with -race.

--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -34,11 +34,13 @@
 }
 
 // Shared returns the chain without its last part, nil if there are no other parts.
-func (n *Need) Shared() []conf.Part {
-	if len(n.Chain) < 2 {
+func (n *Need) Shared() []conf.Part { return shared(n.Chain) }
+
+func shared(chain []conf.Part) []conf.Part {
+	if len(chain) < 2 {
 		return nil
 	}
-	return n.Chain[:len(n.Chain)-1]
+	return chain[:len(chain)-1]
 }
 
 // Tokens returns the length of the prompt.
@@ -132,6 +134,8 @@
 	Ticket   Ticket
 	Upstream conf.Upstream
 	Priority int
+	// Model is the model that runs it, empty for a plain call.
+	Model ident.ModelName
 	// Version is the version of the weights that must run it, 0 if no model is needed.
 	Version int64
 	Salt    string
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -35,8 +35,10 @@
 type sent struct {
 	need     Need
 	upstream ident.UpstreamID
-	at       time.Time
-	rank     int
+	// chain is the prompt that the upstream runs, empty for a plain call.
+	chain []conf.Part
+	at    time.Time
+	rank  int
 	// backlog is the number of prompt tokens still to be prefilled.
 	backlog int
 	memory  int
@@ -233,13 +235,13 @@
 		return ""
 	}
 	s.answered = true
-	if len(s.need.Chain) > 0 {
-		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: s.need.Shared()})
+	if len(s.chain) > 0 {
+		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: shared(s.chain)})
 	}
 	m.load(s.upstream).finishPrefill(s)
 	elapsed := now.Sub(s.at)
 	service, upstream := m.serviceStats(s.need.Service), m.upstreamStats(s.upstream)
-	if len(s.need.Chain) == 0 {
+	if len(s.chain) == 0 {
 		service.observeCall(elapsed)
 		upstream.observe(now, float64(elapsed)/service.call)
 		return s.upstream
@@ -354,14 +356,14 @@
 // place sends, refuses or queues a request. If only isn't empty, it considers that upstream alone and doesn't refuse a
 // request that would be late there.
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
-	best, tally, ahead := m.choose(now, &w.need, w.avoid, only)
+	need := m.served(&w.need)
+	best, tally, ahead := m.choose(now, need, w.avoid, only)
 	if best == nil {
 		if only != "" {
 			ahead.others = true
 		}
 		return m.enqueue(now, w, tally, &ahead)
 	}
-	need := &w.need
 	waited := now.Sub(need.Arrived)
 	switch {
 	case now.Add(best.firstByte).After(need.Deadline):
@@ -369,7 +371,7 @@
 	case float64(waited+best.firstByte) > lateFactor*float64(need.Objective) && !best.idle:
 		cmds = m.refuse(need, best, tally, Overloaded)
 	default:
-		return m.send(now, need, best)
+		return m.send(now, w.need, need, best)
 	}
 	if only != "" {
 		// Another upstream may still serve the request in time.
@@ -385,22 +387,35 @@
 	return []ident.Cmd{RefuseCmd{Ticket: need.Ticket, RetryAfter: m.jitter(after), Reason: reason, Expected: best.firstByte, Tally: tally}}
 }
 
-// send records the request at the option's upstream and returns the commands that send it.
-func (m *Model) send(now time.Time, need *Need, o *option) (cmds []ident.Cmd) {
+// served returns what the request requires of its service as configured now. A service without engines takes no part in
+// kept context, whatever the caller names.
+func (m *Model) served(need *Need) *Need {
+	service, ok := m.set.Service(need.Service)
+	if !ok || service.Engine != nil && need.Model != "" {
+		return need
+	}
+	plain := *need
+	plain.Model, plain.Chain, plain.Output = "", nil, 0
+	return &plain
+}
+
+// send records the request at the option's upstream and returns the commands that send it. need is what it requires of
+// its service now, asked what its caller asked for.
+func (m *Model) send(now time.Time, asked Need, need *Need, o *option) (cmds []ident.Cmd) {
 	u := *o.upstream
 	l := m.load(u.ID)
 	if o.quota.bounded {
 		l.rate.take(now, o.quota.perSecond, o.quota.burst)
 	}
 	s := &sent{
-		need: *need, upstream: u.ID, at: now, rank: clampRank(need.Rank), backlog: o.missing,
+		need: asked, upstream: u.ID, chain: need.Chain, at: now, rank: clampRank(need.Rank), backlog: o.missing,
 		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte,
 		fetchFrom: o.source, fetchDelay: o.fetchDelay, address: parts.Holder(u.Address), salt: o.salt,
 	}
 	l.begin(s)
 	m.sent[need.Ticket] = s
 	cmd := SendCmd{
-		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Version: o.version, Salt: o.salt,
+		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Model: need.Model, Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.firstByte, Missing: o.missing,
 		Cached: o.cached, Fetched: o.fetched, Recomputed: o.recomputed,
 	}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -204,7 +204,7 @@
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: time.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
-		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: x.head.Model != "",
+		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
 	return link.Request{
