End a process whose decisions panic, and confine a request that panics

A panic in a handler is swallowed by net/http.

The locks of the controller and of the duty see a panic in their deferred Unlock, so every lock of the product is now released by deferral, which a test over the source checks (nine places were not). A flush of the log waits for lines that another flush is writing, within a bound, so that the last line is not lost. TestEveryEventIsDocumented reads io/guard too.

Tests, failing first: TestPanicUnderLockEndsProcess with the check of the lock out (the process runs on and its request is not answered for 20 s); TestPanicInPlacementEndsOneRequest with the confinement out (panics); TestLocksEndWithTheirFunction on the former logbuf.go (2 places). New besides: TestPanicOutsideLocksEndsOneRequest, TestPanicAfterLoadWasCountedTakesItBack, TestHandlerCutsOneRequest, TestFlushWithinWaitsForLinesOfAnotherFlush.

--- a/cmd/cicadavalve/daemon.go
+++ b/cmd/cicadavalve/daemon.go
@@ -36,6 +36,9 @@
 	return cmd
 }
 
+// flushTimeout is how long the end of the process waits for a slow reader of its last log lines.
+const flushTimeout = 500 * time.Millisecond
+
 func runDaemon(ctx context.Context, path string) (err error) {
 	settings, storeAddress, err := platform.LoadSettings(path)
 	if err != nil {
@@ -45,7 +48,8 @@
 	log := slog.New(logWriter.Handler(slog.LevelInfo)).With("entry", settings.Name)
 	writerCtx, stopWriter := context.WithCancel(context.WithoutCancel(ctx))
 	go logWriter.Run(writerCtx)
-	defer logWriter.Flush()
+	flush := func() { logWriter.FlushWithin(flushTimeout) }
+	defer flush()
 	defer stopWriter()
 	client := platform.NewClient(storeAddress, link.Dial)
 	outside := daemon.Adapters{
@@ -57,7 +61,7 @@
 	signal.Notify(checker.signals, syscall.SIGHUP)
 	go checker.run(writerCtx)
 	log.Info("starting", "zone", settings.Zone, "front", settings.Front)
-	return daemon.NewDaemon(settings, outside, log, time.Now().UnixNano()).Run(ctx)
+	return daemon.NewDaemon(settings, outside, log, time.Now().UnixNano(), daemon.WithFlush(flush)).Run(ctx)
 }
 
 // settingsChecker reads and checks the settings file on SIGHUP.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -356,6 +356,7 @@
 // place sends, refuses or queues a request. If only isn't empty, it considers that upstream alone and doesn't refuse a
 // request that would be late there.
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
+	defer m.confine(w.need.Ticket, &cmds)
 	need := m.served(&w.need)
 	best, tally, ahead := m.choose(now, need, w.avoid, only)
 	if best == nil {
--- a/io/bench/entry.go
+++ b/io/bench/entry.go
@@ -137,8 +137,12 @@
 	if !e.paused.Load() {
 		return
 	}
+	<-e.resumed()
+}
+
+// resumed returns the channel that the end of the last pause closes.
+func (e *Entry) resumed() <-chan struct{} {
 	e.mu.Lock()
-	resume := e.resume
-	e.mu.Unlock()
-	<-resume
+	defer e.mu.Unlock()
+	return e.resume
 }
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +21,7 @@
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
 	"cicadavalve/io/gossip"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
 )
@@ -37,7 +37,8 @@
 	log      *slog.Logger
 	settings Settings
 	set      atomic.Pointer[conf.Set]
-	mu       sync.Mutex
+	guard    *guard.Guard
+	mu       *guard.Mutex
 	fleet    *fleet.Model
 	index    *parts.Index
 	place    *place.Model
@@ -98,17 +99,29 @@
 	onConfig func(*conf.Set)
 }
 
+// Option sets one property of a [Controller].
+type Option func(*Controller)
+
+// WithFlush sets what writes the buffered log lines before a panic ends the process.
+func WithFlush(flush func()) Option {
+	return func(d *Controller) { d.guard = guard.New(d.log, flush) }
+}
+
 // NewController returns a controller without configuration or upstreams; the seed is for its random choices.
-func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
+func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64, options ...Option) *Controller {
 	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	d := &Controller{
-		era: -1, log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
+		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
 	}
+	for _, o := range options {
+		o(d)
+	}
+	d.mu = d.guard.NewMutex()
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
 	return d
 }
@@ -127,24 +140,35 @@
 }
 
 func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
+	ch := d.ask(t, msg, before)
+	select {
+	case decision = <-ch:
+		return decision, nil
+	case <-ctx.Done():
+	}
+	d.withdraw(t)
+	return relay.Decision{}, ctx.Err()
+}
+
+// ask applies a message that asks for a decision and returns the channel to which the decision is sent.
+func (d *Controller) ask(t place.Ticket, msg ident.Msg, before func(time.Time)) <-chan relay.Decision {
 	ch := make(chan relay.Decision, 1)
 	now := time.Now()
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	before(now)
 	d.waiters[t] = ch
 	d.perform(d.place.Update(now, msg))
-	d.mu.Unlock()
-	select {
-	case decision = <-ch:
-		return decision, nil
-	case <-ctx.Done():
-	}
+	return ch
+}
+
+// withdraw ends a request that no longer waits for a decision.
+func (d *Controller) withdraw(t place.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiters, t)
 	d.place.Update(time.Now(), place.WithdrawMsg{Ticket: t})
 	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
-	return relay.Decision{}, ctx.Err()
 }
 
 // perform carries out commands; the lock is held.
@@ -156,6 +180,9 @@
 			d.wakeHeartbeat()
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
+		case place.PanicCmd:
+			d.log.Error("decision_panicked", "ticket", cmd.Ticket, "cause", cmd.Cause, "stack", cmd.Stack)
+			d.deliver(cmd.Ticket, relay.Decision{Panic: &cmd})
 		case place.SavingCmd:
 			d.saves = append(d.saves, gossip.Save{Store: string(cmd.Save.Store), Key: uint64(cmd.Save.Key), Tokens: cmd.Save.Tokens})
 		case place.PrefillingCmd:
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -79,17 +79,17 @@
 }
 
 // NewDaemon returns a daemon that [Daemon.Run] starts. Boot identifies the incarnation and must grow with each restart.
-func NewDaemon(s Settings, outside Adapters, log *slog.Logger, boot int64) *Daemon {
+func NewDaemon(s Settings, outside Adapters, log *slog.Logger, boot int64, options ...Option) *Daemon {
 	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, State: mesh.Starting, Boot: boot}
 	d := &Daemon{
 		settings: s, log: log, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
-		controller: NewController(s, self, log, uint64(boot)), pool: link.NewPool(), meter: NewMeter(),
+		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(), meter: NewMeter(),
 	}
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
-	d.duty = &duty{d: d, era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
+	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)))
-	d.server = relay.NewServer(d.handler)
+	d.server = relay.NewServer(d.controller.guard.Handler(d.handler))
 	d.controller.onConfig = func(set *conf.Set) { d.server.SetIdleTimeout(set.Limits().IdleTimeout) }
 	return d
 }
@@ -110,6 +110,7 @@
 	}
 	d.start(running, group)
 	group.Go(func() error {
+		defer d.controller.guard.Check()
 		select {
 		case <-running.Done():
 		case <-ctx.Done():
@@ -135,7 +136,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: adviceHeaderTimeout, IdleTimeout: adviceIdleTimeout}
+		server := &http.Server{Handler: d.controller.guard.Handler(handler), ReadHeaderTimeout: adviceHeaderTimeout, IdleTimeout: adviceIdleTimeout}
 		group.Go(func() error { return serve(ctx, server, func() error { return server.Serve(l) }) })
 	}
 	return nil
@@ -166,11 +167,13 @@
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
+			defer d.controller.guard.Check()
 			loop(ctx)
 			return nil
 		})
 	}
 	group.Go(func() error {
+		defer d.controller.guard.Check()
 		d.socket.Run(ctx, d.receive, func(err error) { d.log.Debug("datagram_unreadable", "error", err) })
 		return nil
 	})
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,7 @@
 	"cicadavalve/core/purge"
 	"cicadavalve/core/reload"
 	"cicadavalve/io/gossip"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/port"
 )
 
@@ -30,7 +30,7 @@
 // duty competes for the lease on giving orders to engines and stores, and gives the orders while it holds the lease.
 type duty struct {
 	d  *Daemon
-	mu sync.Mutex
+	mu *guard.Mutex
 	// lease runs on [sinceBoot], so that its time includes suspensions of the VM.
 	lease  *lease.Model
 	reload *reload.Model
@@ -92,22 +92,27 @@
 func (u *duty) tick(ctx context.Context) {
 	now := sinceBoot()
 	alive, ready := u.d.controller.leaseCandidates()
+	holds, cmds := u.updateLease(now, alive, ready)
+	cmds = append(cmds, u.orders(holds)...)
+	for _, cmd := range cmds {
+		go (&task{u, cmd}).run(ctx)
+	}
+}
+
+// updateLease reports whether this entry holds the lease, and returns the calls that are due for it.
+func (u *duty) updateLease(now time.Time, alive []string, ready bool) (holds bool, cmds []ident.Cmd) {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.lease.SetMembers(alive)
-	var cmds []ident.Cmd
 	if ready {
 		cmds = u.lease.Update(now, lease.TickMsg{})
 	}
-	holds := u.lease.Holds(now)
+	holds = u.lease.Holds(now)
 	if holds != u.held {
 		u.held = holds
 		u.d.log.Info("duty_changed", "holds", holds, "token", u.lease.Token())
 	}
-	u.mu.Unlock()
-	cmds = append(cmds, u.orders(holds)...)
-	for _, cmd := range cmds {
-		go (&task{u, cmd}).run(ctx)
-	}
+	return holds, cmds
 }
 
 // orders returns the calls that are due: queries and load orders to engines, and the freeing of outdated parts.
@@ -137,6 +142,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	u := t.duty
+	defer u.d.controller.guard.Check()
 	switch cmd := t.cmd.(type) {
 	case lease.ReadCmd:
 		u.readClaims(ctx)
@@ -151,11 +157,16 @@
 	}
 }
 
+// nextClaim returns the offset from which claims are read next.
+func (u *duty) nextClaim() int64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.next
+}
+
 func (u *duty) readClaims(ctx context.Context) {
 	sentAt := sinceBoot()
-	u.mu.Lock()
-	next := u.next
-	u.mu.Unlock()
+	next := u.nextClaim()
 	batch, err := u.d.store.Read(ctx, port.Claims, next, 0)
 	trimmed := errors.Is(err, port.ErrTrimmed)
 	if err != nil && !trimmed {
@@ -213,21 +224,31 @@
 		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
 		return
 	}
-	u.d.controller.mu.Lock()
-	for model, version := range state.Weights {
-		u.d.controller.fleet.Update(time.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
-		u.d.controller.weights = append(u.d.controller.weights, gossip.Weights{Upstream: string(cmd.Upstream.ID), Model: string(model), Version: version})
-	}
-	u.d.controller.mu.Unlock()
+	u.d.controller.applyWeights(cmd.Upstream.ID, state.Weights)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.reload.Update(time.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
 }
 
-func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
+// applyWeights applies the weights that an engine reports.
+func (d *Controller) applyWeights(upstream ident.UpstreamID, weights map[ident.ModelName]int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for model, version := range weights {
+		d.fleet.Update(time.Now(), fleet.WeightsMsg{ID: upstream, Model: model, Version: version})
+		d.weights = append(d.weights, gossip.Weights{Upstream: string(upstream), Model: string(model), Version: version})
+	}
+}
+
+// leaseToken reports whether this entry holds the lease, and its fencing token.
+func (u *duty) leaseToken() (holds bool, token int64) {
 	u.mu.Lock()
-	holds, token := u.lease.Holds(sinceBoot()), u.lease.Token()
-	u.mu.Unlock()
+	defer u.mu.Unlock()
+	return u.lease.Holds(sinceBoot()), u.lease.Token()
+}
+
+func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
+	holds, token := u.leaseToken()
 	if !holds {
 		return
 	}
--- a/io/daemon/events_test.go
+++ b/io/daemon/events_test.go
@@ -15,7 +15,7 @@
 func TestEveryEventIsDocumented(t *testing.T) {
 	logged := regexp.MustCompile(`(?:[lL]og\.(?:Debug|Info|Warn|Error)\(|\)\)\.Warn\(|LogAttrs\([^"\n]*)"([a-z_]+)"`)
 	inCode := map[string]bool{}
-	for _, pattern := range []string{"*.go", "../relay/*.go", "../logbuf/*.go", "../../platform/*.go", "../../cmd/cicadavalve/daemon.go"} {
+	for _, pattern := range []string{"*.go", "../relay/*.go", "../guard/*.go", "../logbuf/*.go", "../../platform/*.go", "../../cmd/cicadavalve/daemon.go"} {
 		files, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -125,6 +125,7 @@
 
 // run reads changes until the context ends.
 func (f *follower) run(ctx context.Context) {
+	defer f.d.controller.guard.Check()
 	for ctx.Err() == nil {
 		start := time.Now()
 		f.step(ctx)
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -26,6 +26,7 @@
 	"cicadavalve/io/caller"
 	"cicadavalve/io/config"
 	"cicadavalve/io/engine"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/logsvc"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
@@ -217,8 +218,9 @@
 	defer stopLoops()
 	group, loops := errgroup.WithContext(loops)
 	d.startLoops(loops, group)
-	callers := newServer(&drainHandler{d, caller.NewServer(d, d.settings.MaxBodyBytes, d.log)}, l.caller)
-	peers := newServer(peer.NewHandler(d), l.peer)
+	reports := guard.New(d.log, func() {})
+	callers := newServer(reports.Handler(&drainHandler{d, caller.NewServer(d, d.settings.MaxBodyBytes, d.log)}), l.caller)
+	peers := newServer(reports.Handler(peer.NewHandler(d)), l.peer)
 	d.secure(peers)
 	group.Go(callers.run)
 	group.Go(peers.run)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -267,10 +267,14 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	p.countOpened()
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+func (p *Pool) countOpened() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.opened++
-	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
 // Dial opens a connection that fails if the other side stops responding.
--- a/io/logbuf/logbuf.go
+++ b/io/logbuf/logbuf.go
@@ -21,7 +21,9 @@
 // Writer buffers lines and writes them in the background.
 type Writer struct {
 	to io.Writer
-	mu sync.Mutex
+	// writing is held from when lines are taken until they are written, so that Flush also waits for those of another.
+	writing sync.Mutex
+	mu      sync.Mutex
 	// lines never holds more than maxBufferBytes.
 	lines []byte
 	// dropped counts the lines dropped since the last flush.
@@ -45,12 +47,12 @@
 // add buffers a line if the buffer then holds at most limit bytes, and drops it otherwise.
 func (w *Writer) add(line []byte, limit int) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if len(w.lines)+len(line) > limit {
 		w.dropped++
 	} else {
 		w.lines = append(w.lines, line...)
 	}
-	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
 	default:
@@ -90,12 +92,21 @@
 	}
 }
 
-// Flush writes the buffered lines, followed by a warning with the number of dropped lines if there are any.
-func (w *Writer) Flush() {
+// take empties the buffer and returns what was in it, and how many lines were dropped.
+func (w *Writer) take() (lines []byte, dropped int) {
 	w.mu.Lock()
-	lines, dropped := w.lines, w.dropped
+	defer w.mu.Unlock()
+	lines, dropped = w.lines, w.dropped
 	w.lines, w.dropped = nil, 0
-	w.mu.Unlock()
+	return lines, dropped
+}
+
+// Flush writes the buffered lines, followed by a warning with the number of dropped lines if there are any. Lines
+// buffered before the call have been written when it returns.
+func (w *Writer) Flush() {
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	lines, dropped := w.take()
 	if dropped > 0 {
 		slog.New(slog.NewJSONHandler(&sliceWriter{&lines}, nil)).Warn("log_lines_left_out", "count", dropped)
 	}
@@ -105,6 +116,19 @@
 	}
 }
 
+// FlushWithin flushes, and gives up on a slow reader after a time.
+func (w *Writer) FlushWithin(d time.Duration) {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		w.Flush()
+	}()
+	select {
+	case <-flushed:
+	case <-time.After(d):
+	}
+}
+
 // sliceWriter is an [io.Writer] that appends to a slice.
 type sliceWriter struct{ to *[]byte }
 
--- a/io/logbuf/logbuf_test.go
+++ b/io/logbuf/logbuf_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -41,6 +42,32 @@
 	<-done
 }
 
+// TestFlushWithinWaitsForLinesOfAnotherFlush has one flush blocked in its write: another one waits until those lines are
+// written, but no longer than it may.
+func TestFlushWithinWaitsForLinesOfAnotherFlush(t *testing.T) {
+	s := stalled{make(chan struct{})}
+	w := logbuf.NewWriter(s)
+	slog.New(w.Handler(slog.LevelInfo)).Info("first")
+	first, second := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(first)
+		w.Flush()
+	}()
+	w.FlushWithin(10 * time.Millisecond)
+	go func() {
+		defer close(second)
+		w.FlushWithin(time.Minute)
+	}()
+	select {
+	case <-second:
+		t.Error("flushed although the reader has read nothing")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(s.release)
+	<-first
+	<-second
+}
+
 // TestWarningsHaveReservedSpace fills the buffer with info lines: a later warning must still be written, and the
 // loss reported.
 func TestWarningsHaveReservedSpace(t *testing.T) {
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -62,6 +62,9 @@
 		case d.Refuse != nil:
 			x.refusePlacement(d.Refuse)
 			return
+		case d.Panic != nil:
+			x.refuse(http.StatusInternalServerError, -1, "panicked")
+			return
 		case !x.approve(d.Send):
 			x.h.controller.End(x.need.Ticket, place.Rejected)
 			x.refuseBlocked(res)
@@ -92,7 +95,7 @@
 		msg := place.RetryMsg{
 			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
-		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Refuse != nil {
+		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			x.finish(res)
 			return
 		}
@@ -246,6 +249,7 @@
 	if length >= 0 && bodyAllowed(x.r.Method, status) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if bodyAllowed(x.r.Method, status) {
 		if _, err := x.w.Write(body); err != nil {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -39,6 +40,7 @@
 type Decision struct {
 	Send   *place.SendCmd
 	Refuse *place.RefuseCmd
+	Panic  *place.PanicCmd
 }
 
 // Controller places requests and observes their progress. Its methods are safe for concurrent use.
@@ -162,6 +164,7 @@
 	h.running.Add(1)
 	defer h.running.Add(-1)
 	x := &exchange{h: h, w: w, r: r, arrived: time.Now()}
+	defer x.confine()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -289,6 +292,7 @@
 	if err != nil {
 		body = nil
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		x.cause = errors.CombineErrors(x.cause, err)
@@ -363,6 +367,24 @@
 	return r.URL.RequestURI()
 }
 
+// confine ends a request whose handling has panicked: with the daemon's own answer, or with a closed connection if an
+// answer has begun. It must be deferred. A panic under the lock of the controller does not get here.
+func (x *exchange) confine() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if guard.IsAbort(p) {
+		panic(p)
+	}
+	x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	x.h.controller.End(x.need.Ticket, place.Broken)
+	if x.committed {
+		x.abort("panicked")
+	}
+	x.refuse(http.StatusInternalServerError, -1, "panicked")
+}
+
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
