Count a request's end at the load that counted its start

The load of an upstream that returned after its removal was one request and its prompt too low (down to -1), for as long as the process ran: the end of a request sent before the removal was counted at a load that had never counted its start. The entry so sent that upstream more than it could take. A request now ends at the load where it began.

Failed before: TestLoadOfRemovedUpstreamIsNotTakenFromItsSuccessor.

--- a/core/place/load_test.go
+++ b/core/place/load_test.go
@@ -68,3 +68,26 @@
 		}
 	})
 }
+
+// TestLoadOfRemovedUpstreamIsNotTakenFromItsSuccessor removes an upstream while a request is under way there, and lists it
+// again: the end of the request must not be counted against the load of the upstream that returned.
+func TestLoadOfRemovedUpstreamIsNotTakenFromItsSuccessor(t *testing.T) {
+	b := newBench(1, 200_000)
+	id := engineID(0)
+	listed, _ := b.fleet.Get(id)
+	b.place.Update(start, place.ArriveMsg{Need: need(1, start, 800, "doc", 800*time.Millisecond)})
+	for _, cmd := range b.fleet.Update(start, fleet.RemovedMsg{ID: id}) {
+		b.place.Update(start, cmd)
+	}
+	b.fleet.Update(start, fleet.ListedMsg{Upstream: listed})
+	b.place.Update(start, place.ArriveMsg{Need: need(2, start, 800, "doc", 800*time.Millisecond)})
+	got := []int{b.place.InFlight(start, id)}
+	for ticket := range place.Ticket(2) {
+		b.place.Update(start, place.FirstByteMsg{Ticket: ticket + 1})
+		b.place.Update(start, place.EndMsg{Ticket: ticket + 1})
+		got = append(got, b.place.InFlight(start, id))
+	}
+	if diff := cmp.Diff([]int{1, 1, 0}, got); diff != "" {
+		t.Errorf("requests in flight after each step (-want +got):\n%s", diff)
+	}
+}
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -35,6 +35,8 @@
 type sent struct {
 	need     Need
 	upstream ident.UpstreamID
+	// load counts the request. It is no longer that of the upstream once the upstream has been removed.
+	load *load
 	// chain is the prompt that the upstream runs, empty for a plain call.
 	chain []conf.Part
 	at    time.Time
@@ -222,7 +224,7 @@
 // release removes a request from its upstream's load.
 func (m *Model) release(t Ticket) {
 	if s, ok := m.sent[t]; ok {
-		m.load(s.upstream).end(s)
+		s.load.end(s)
 		delete(m.sent, t)
 	}
 }
@@ -238,7 +240,7 @@
 	if len(s.chain) > 0 {
 		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: shared(s.chain)})
 	}
-	m.load(s.upstream).finishPrefill(s)
+	s.load.finishPrefill(s)
 	elapsed := now.Sub(s.at)
 	service, upstream := m.serviceStats(s.need.Service), m.upstreamStats(s.upstream)
 	if len(s.chain) == 0 {
@@ -409,7 +411,7 @@
 		l.rate.take(now, o.quota.perSecond, o.quota.burst)
 	}
 	s := &sent{
-		need: asked, upstream: u.ID, chain: need.Chain, at: now, rank: clampRank(need.Rank), backlog: o.missing,
+		need: asked, upstream: u.ID, load: l, chain: need.Chain, at: now, rank: clampRank(need.Rank), backlog: o.missing,
 		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte,
 		fetchFrom: o.source, fetchDelay: o.fetchDelay, address: parts.Holder(u.Address), salt: o.salt,
 	}
