--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -63,6 +63,9 @@
 		case d.Refuse != nil:
 			x.refusePlacement(d.Refuse)
 			return
+		case d.Panic != nil:
+			x.refuse(http.StatusInternalServerError, -1, "panicked")
+			return
 		case !x.approve(d.Send):
 			x.h.controller.End(x.need.Ticket, place.Rejected)
 			x.refuseBlocked(res)
@@ -93,7 +96,7 @@
 		msg := place.RetryMsg{
 			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
-		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Refuse != nil {
+		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			x.finish(res)
 			return
 		}
@@ -209,7 +212,7 @@
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
-		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: x.head.Model != "",
+		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
 	return link.Request{
@@ -258,6 +261,7 @@
 	if length >= 0 && bodyAllowed(x.r.Method, status) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if bodyAllowed(x.r.Method, status) {
 		if _, err := x.w.Write(body); err != nil {
