Age what arrived in an earlier stall of two in a row

A process that stood still, ran for less than it takes to read what had arrived, and stood still again, took the arrivals of the first stall for no older than the second one. A VM that is starved rather than frozen does that. The bounds now cover both. TestWhatArrivedInAnEarlierStallKeepsItsAge failed before (4.1 s too young).

--- a/core/stall/stall.go
+++ b/core/stall/stall.go
@@ -31,7 +31,8 @@
 	threshold time.Duration
 	// lastTick is zero before the first tick.
 	lastTick time.Time
-	// from and to are the bounds of the last time that the process stood still, both zero if it never did.
+	// from and to are the bounds of the last time that the process stood still, both zero if it never did. If it did so
+	// again while it still read what had arrived before, they are those of both times together.
 	from, to time.Time
 }
 
@@ -47,8 +48,8 @@
 		return nil
 	}
 	if m.isLate(now) {
-		m.from, m.to = m.lastTick, now
-		cmds = append(cmds, StalledCmd{From: m.from, For: now.Sub(m.from)})
+		cmds = append(cmds, StalledCmd{From: m.lastTick, For: now.Sub(m.lastTick)})
+		m.from, m.to = m.ArrivedSince(m.lastTick), now
 	}
 	m.lastTick = now
 	return cmds
--- a/core/stall/stall_test.go
+++ b/core/stall/stall_test.go
@@ -42,3 +42,17 @@
 		t.Errorf("ages of arrivals before the first tick, between ticks, before the late tick; its commands; ages soon after and later (-want +got):\n%s", diff)
 	}
 }
+
+// TestWhatArrivedInAnEarlierStallKeepsItsAge stalls a process for 4 s and, 100 ms after it woke, for 300 ms. What it reads then
+// may have arrived while it stood still for the first time.
+func TestWhatArrivedInAnEarlierStallKeepsItsAge(t *testing.T) {
+	m, lastRun := stall.NewModel(stall.DefaultThreshold), time.Unix(1000, 0)
+	now := lastRun
+	for _, pause := range []time.Duration{0, 4 * time.Second, 100 * time.Millisecond, 300 * time.Millisecond} {
+		now = now.Add(pause)
+		m.Update(now, stall.TickMsg{})
+	}
+	if diff := cmp.Diff(lastRun, m.ArrivedSince(now.Add(50*time.Millisecond))); diff != "" {
+		t.Errorf("earliest arrival (-want +got):\n%s", diff)
+	}
+}
