Bound the head of an upstream's answer

An engine that sent bytes without end in place of an answer's head was read on until the caller's deadline: junk, a status line, a header line or header lines without end, in interim answers too. Callers saw a 504 at their deadline though another engine could have answered, and the entry took what was sent: 32 MiB, the most that the test's source sends, for each of these requests.

Cause: http.ReadResponse has no bound. The connection's reader now counts the bytes of a head and fails after 64 KiB, the bound of a caller's own head. The exchange ends as any malformed answer does, and its connection is closed. Chunk sizes, their extensions and trailers are bounded by net/http already: these cases of the test passed before.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -42,6 +42,8 @@
 	readBuffer = 4 << 10
 	// maxDrained is the maximum size of an answer to another request that is read and discarded, in bytes.
 	maxDrained = 1 << 20
+	// maxHead is the maximum size of the head of an answer, in bytes.
+	maxHead = 64 << 10
 )
 
 // Errors of an exchange.
@@ -51,7 +53,8 @@
 	// ErrBroken means that the connection ended before the head of an answer.
 	ErrBroken = errors.New("connection broken before the answer")
 	// ErrGarbled means that the upstream sent something other than an answer to the request.
-	ErrGarbled = errors.New("answer is malformed")
+	ErrGarbled  = errors.New("answer is malformed")
+	errLongHead = errors.New("head of an answer exceeds the maximum size")
 )
 
 // Request is a request to an upstream.
@@ -86,7 +89,9 @@
 // conn is one connection. It serves one exchange at a time.
 type conn struct {
 	net.Conn
+	// reader reads from source.
 	reader *bufio.Reader
+	source *headReader
 	// expiresAt is when an idle connection must no longer be used.
 	expiresAt time.Time
 }
@@ -179,7 +184,9 @@
 
 func (p *Pool) readAnswer(c *conn, r Request) (a *Answer, err error) {
 	for range maxForeignAnswers {
+		c.source.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.source.end()
 		if err != nil {
 			if isNetwork(err) {
 				return nil, errors.Mark(err, ErrBroken)
@@ -270,7 +277,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	source := &headReader{Reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}, nil
 }
 
 // Dial opens a connection that fails if the other side stops responding.
