Don't wait for the body of a rejection

An engine that refused a request, with a body that came slowly and did not end, held the request until its deadline: the body was read for as long as it came, so that the connection could be reused. The request itself may go on as soon as the head says that it did not run.

The body is now discarded within 50 ms and 1 MiB; the connection is closed if that isn't enough.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -40,8 +40,11 @@
 	maxForeignAnswers = 3
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 4 << 10
-	// maxDrained is the maximum size of an answer to another request that is read and discarded, in bytes.
+	// maxDrained is the maximum size of a body that is read and discarded, in bytes.
 	maxDrained = 1 << 20
+	// discardTimeout bounds the wait for a body that is discarded. It arrives with its head unless the upstream is at
+	// fault; a new connection then costs less than the wait.
+	discardTimeout = 50 * time.Millisecond
 	// maxHead is the maximum size of the head of an answer, in bytes.
 	maxHead = 64 << 10
 )
@@ -241,6 +244,20 @@
 	return n, err
 }
 
+// Discard reads what is left of the body, so that the connection can be reused. It gives up on a body that is long or
+// slow; the connection can then not be used any more.
+func (a *Answer) Discard() (err error) {
+	timer := time.AfterFunc(discardTimeout, func() { _ = a.conn.Close() })
+	_, err = io.CopyN(io.Discard, a, maxDrained)
+	if !timer.Stop() {
+		a.complete = false
+	}
+	if a.complete {
+		return nil
+	}
+	return errors.CombineErrors(errors.New("body is too long or too slow to discard"), err)
+}
+
 // Close ends the exchange. It keeps the connection if the request was written and the answer read completely, and
 // closes it otherwise.
 func (a *Answer) Close() {
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -187,8 +187,7 @@
 	switch {
 	case reply.NotRun:
 		x.cause = errors.Newf("status %d", answer.Status)
-		_, err := io.CopyN(io.Discard, answer, maxBuffered)
-		if !errors.Is(err, io.EOF) {
+		if err := answer.Discard(); err != nil {
 			x.h.log.Debug("rejection_not_read", "error", err)
 		}
 		return result{ending: retry.NotRun}
