Bound the answers to the daemon's own calls

An engine or the store whose answer to a report, a list or a page had no end was read up to 32 MiB for each call, one of a head up to 10 MB, in a process that may have 134 MB in all; and a body that was cut at the bound was handed on as if it were whole.

The answers of engines together take a tenth of the memory at most while they are read; a call that finds no room fails and is made again as after any failure. Calls to the store don't share that, so that engines can't keep it from being read.

--- a/cmd/cicadavalve/daemon.go
+++ b/cmd/cicadavalve/daemon.go
@@ -19,6 +19,9 @@
 	"cicadavalve/platform"
 )
 
+// engineShare is the fraction of the memory limit that the answers of engines to the daemon's own calls may take.
+const engineShare = 0.1
+
 func newDaemonCommand() *cobra.Command {
 	var path string
 	cmd := &cobra.Command{
@@ -47,7 +50,7 @@
 	go logWriter.Run(writerCtx)
 	defer logWriter.Flush()
 	defer stopWriter()
-	client := platform.NewClient(storeAddress, link.Dial)
+	client := platform.NewClient(storeAddress, link.Dial, platform.WithEngineMemory(int64(engineShare*float64(settings.Memory))))
 	outside := daemon.Adapters{
 		Dialect: platform.Dialect{}, Store: client, Engines: client,
 		Ready:     platform.NewReadyHandler,
