Bound the memory of answers that are held back

Many answers at once took more memory than the process may have, which ends it: each may be held back up to 1 MiB, plain ones whole, so that another attempt is possible, and streams up to the end of an event; only request bodies had a bound in common.

A plain answer that finds no room is passed on as it comes, as one of more than 1 MiB is; it can't be sent again then, and looks incomplete if it breaks off. A stream that finds no room for an event breaks off: its outcome is unknown. The end of an event is no longer searched for in all that is held at each read.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -36,6 +36,8 @@
 	heapShare = 0.6
 	// bodyShare is the fraction of the memory limit that request bodies may take.
 	bodyShare = 0.2
+	// answerShare is the fraction of the memory limit that the answers that are held back may take.
+	answerShare = 0.15
 	// acceptPeriod is how long a stopping entry still accepts requests. Callers keep its address for the TTL of the
 	// directory's answer, some of them for three times that. A request accepted more than three seconds after the
 	// signal must not be cut, so accepting ends before that.
@@ -88,7 +90,7 @@
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
-	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)))
+	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.handler)
 	d.controller.onConfig = func(set *conf.Set) { d.server.SetIdleTimeout(set.Limits().IdleTimeout) }
 	return d
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	// maxBuffered is the longest answer that is buffered whole before it is sent to the caller, in bytes.
+	// maxBuffered bounds what is held back of an answer before it is sent to the caller, in bytes.
 	maxBuffered = 1 << 20
 	// rejectedRetryAfter is the delay before the retry of a caller whose request no upstream ran.
 	rejectedRetryAfter = 400 * time.Millisecond
@@ -170,6 +170,7 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
+	x.held.release()
 	x.sentAt = time.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if err != nil {
@@ -212,10 +213,24 @@
 	}
 }
 
-// relayPlain relays an answer that is not a stream. An answer of at most [maxBuffered] bytes is buffered whole, so that
-// another attempt is possible if it breaks off.
+// holdBack buffers an answer. It reports whether the answer is whole; if not, it is too long to hold back.
+func (x *exchange) holdBack(answer *link.Answer) (whole bool, err error) {
+	for err == nil {
+		_, err = x.held.readFrom(answer, maxBuffered)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return true, nil
+	case errors.Is(err, errFull), errors.Is(err, errNoMemory):
+		return false, nil
+	}
+	return false, err
+}
+
+// relayPlain relays an answer that is not a stream. An answer of less than [maxBuffered] bytes is buffered whole, unless
+// the answers of other exchanges take the memory, so that another attempt is possible if it breaks off.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
+	whole, err := x.holdBack(answer)
 	if err != nil {
 		x.cause = errors.Wrap(err, "read answer of upstream")
 		x.reportBroken(ctx, cmd, Break{})
@@ -226,17 +241,17 @@
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
 		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
-		if len(body) <= maxBuffered && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
-			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, body}}
+		if whole && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
+			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, x.held.data}}
 		}
 	}
 	x.h.dialect.Return(x.w.Header(), answer.Header)
-	if len(body) <= maxBuffered {
+	if whole {
 		x.h.controller.End(x.need.Ticket, outcome)
-		x.writeAnswer(answer.Status, body, int64(len(body)))
+		x.writeAnswer(answer.Status, x.held.data, int64(len(x.held.data)))
 		return result{done: true}
 	}
-	x.relayLong(answer, body, outcome)
+	x.relayLong(answer, outcome)
 	return result{done: true}
 }
 
@@ -258,15 +273,15 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// relayLong relays an answer that is too long to buffer; start is what was read of it, and outcome that of the attempt
-// if the rest follows.
-func (x *exchange) relayLong(answer *link.Answer, start []byte, outcome place.Outcome) {
+// relayLong relays an answer that is too long to hold back; outcome is that of the attempt if all of it follows.
+func (x *exchange) relayLong(answer *link.Answer, outcome place.Outcome) {
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
-	_, err := x.w.Write(start)
+	_, err := x.w.Write(x.held.data)
+	x.held.release()
 	if err == nil {
 		_, err = io.Copy(x.w, answer)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -94,19 +94,22 @@
 	log        *slog.Logger
 	meter      Meter
 	tickets    atomic.Uint64
-	// bodyBytes is the size of the request bodies in memory, at most maxBodyBytes.
-	bodyBytes    atomic.Int64
-	maxBodyBytes int64
+	// bodies is the memory of request bodies, and answers that of what is held back of answers.
+	bodies, answers memory
 	// leaving is set while answers ask callers to close their connections.
 	leaving atomic.Bool
 	// running counts the requests in flight.
 	running atomic.Int64
 }
 
-// NewHandler returns a handler that sends requests through a pool of connections. maxBodyBytes bounds the request
-// bodies in memory.
-func NewHandler(controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodyBytes int64) *Handler {
-	return &Handler{controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, maxBodyBytes: maxBodyBytes}
+// NewHandler returns a handler that sends requests through a pool of connections. maxBodies bounds the request
+// bodies in memory, and maxAnswers what is held back of answers, in bytes.
+func NewHandler(
+	controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodies, maxAnswers int64,
+) *Handler {
+	return &Handler{
+		controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, bodies: memory{max: maxBodies}, answers: memory{max: maxAnswers},
+	}
 }
 
 // Leave makes all further answers ask callers to close their connections.
@@ -131,6 +134,8 @@
 	deadline time.Time
 	history  retry.History
 	avoid    []ident.UpstreamID
+	// held is what is held back of the answer to the last attempt.
+	held buffer
 	// committed is set once the head of an answer has been sent to the caller.
 	committed bool
 	// lastEvent is the id of the last event sent to the caller, empty before the first.
@@ -161,7 +166,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now()}
+	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), held: buffer{memory: &h.answers}}
+	defer x.held.release()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -178,12 +184,11 @@
 	if size < 0 {
 		size = set.Limits().BodySize
 	}
-	if h.bodyBytes.Add(size) > h.maxBodyBytes {
-		h.bodyBytes.Add(-size)
+	if !h.bodies.take(size) {
 		x.refuse(http.StatusServiceUnavailable, unreadyRetryAfter, "memory")
 		return
 	}
-	defer h.bodyBytes.Add(-size)
+	defer h.bodies.give(size)
 	if status, reason := x.readBody(set.Limits().BodySize); status != 0 {
 		x.refuse(status, -1, reason)
 		return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// streamBuffer is the maximum size of one read from a stream, in bytes.
+	// streamBuffer is the smallest size of a buffer, in bytes.
 	streamBuffer = 4 << 10
-	// maxEvent is the maximum size of one event, in bytes.
+	// maxEvent bounds what is held back of one event, in bytes.
 	maxEvent = 1 << 20
 )
 
@@ -31,25 +31,18 @@
 // relayStream relays events as they arrive. It sends only complete events, so that another upstream can continue a
 // broken stream after the last one sent.
 func (x *exchange) relayStream(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
-	var pending []byte
-	buffer := make([]byte, streamBuffer)
 	for {
-		n, err := answer.Read(buffer)
-		pending = append(pending, buffer[:n]...)
-		if end := bytes.LastIndex(pending, eventSeparator); end >= 0 {
-			end += len(eventSeparator)
-			if writeErr := x.writeEvents(answer, pending[:end]); writeErr != nil {
+		n, err := x.held.readFrom(answer, maxEvent)
+		if end := lastSeparator(x.held.data, n); end >= 0 {
+			if writeErr := x.writeEvents(answer, x.held.data[:end]); writeErr != nil {
 				x.cause = errors.Wrap(writeErr, "write event to caller")
 				x.h.controller.End(x.need.Ticket, place.Cancelled)
 				x.abort("caller_left")
 			}
-			pending = append(pending[:0], pending[end:]...)
-		}
-		if err == nil && len(pending) > maxEvent {
-			err = errors.New("event exceeds the maximum size")
+			x.held.drop(end)
 		}
 		ended := errors.Is(err, io.EOF)
-		if ended && len(pending) > 0 {
+		if ended && len(x.held.data) > 0 {
 			err, ended = errTornEvent, false
 		}
 		switch {
@@ -60,6 +53,9 @@
 		case ended:
 			x.cause = errors.New("stream without events")
 			return result{ending: retry.Unknown}
+		case errors.Is(err, errNoMemory):
+			x.cause = err
+			return result{ending: retry.Unknown}
 		case err != nil:
 			x.cause = errors.Wrap(err, "read stream of upstream")
 			x.reportBroken(ctx, cmd, Break{})
@@ -68,6 +64,16 @@
 	}
 }
 
+// lastSeparator returns the end of the last separator of events, of which the last n bytes are new; -1 if none is among
+// those.
+func lastSeparator(events []byte, n int) (end int) {
+	start := max(0, len(events)-n-len(eventSeparator)+1)
+	if at := bytes.LastIndex(events[start:], eventSeparator); at >= 0 {
+		return start + at + len(eventSeparator)
+	}
+	return -1
+}
+
 // writeEvents sends complete events to the caller, except those sent by an earlier attempt.
 func (x *exchange) writeEvents(answer *link.Answer, events []byte) (err error) {
 	if x.lastEvent != "" {
