--- a/io/link/link.go
+++ b/io/link/link.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -42,8 +43,13 @@
 	maxForeignAnswers = 3
 	// readBuffer is the size of a connection's read buffer, in bytes.
 	readBuffer = 4 << 10
-	// maxDrained is the maximum size of an answer to another request that is read and discarded, in bytes.
+	// maxDrained is the maximum size of a body that is read and discarded, in bytes.
 	maxDrained = 1 << 20
+	// discardTimeout bounds the wait for a body that is discarded. It arrives with its head unless the upstream is at
+	// fault; a new connection then costs less than the wait.
+	discardTimeout = 50 * time.Millisecond
+	// maxHead is the maximum size of the head of an answer, in bytes.
+	maxHead = 64 << 10
 )
 
 // Errors of an exchange.
@@ -55,7 +61,8 @@
 	// ErrBroken means that the connection ended before the head of an answer.
 	ErrBroken = errors.New("connection broken before the answer")
 	// ErrGarbled means that the upstream sent something other than an answer to the request.
-	ErrGarbled = errors.New("answer is malformed")
+	ErrGarbled  = errors.New("answer is malformed")
+	errLongHead = errors.New("head of an answer exceeds the maximum size")
 )
 
 // Request is a request to an upstream.
@@ -92,9 +99,13 @@
 // conn is one connection. It serves one exchange at a time.
 type conn struct {
 	net.Conn
+	// reader reads from source.
 	reader *bufio.Reader
+	source *headReader
 	// expiresAt is when an idle connection must no longer be used.
 	expiresAt time.Time
+	// watch is that of an idle connection, nil before it was idle.
+	watch *watch
 }
 
 // Answer is the head of an answer and its body. The caller must call Close.
@@ -189,7 +200,9 @@
 
 func (p *Pool) readAnswer(c *conn, r Request) (a *Answer, err error) {
 	for range maxForeignAnswers {
+		c.source.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		c.source.end()
 		if err != nil {
 			if isNetwork(err) {
 				return nil, errors.Mark(err, ErrBroken)
@@ -244,6 +257,20 @@
 	return n, err
 }
 
+// Discard reads what is left of the body, so that the connection can be reused. It gives up on a body that is long or
+// slow; the connection can then not be used any more.
+func (a *Answer) Discard() (err error) {
+	timer := time.AfterFunc(discardTimeout, func() { _ = a.conn.Close() })
+	_, err = io.CopyN(io.Discard, a, maxDrained)
+	if !timer.Stop() {
+		a.complete = false
+	}
+	if a.complete {
+		return nil
+	}
+	return errors.CombineErrors(errors.New("body is too long or too slow to discard"), err)
+}
+
 // Close ends the exchange. It keeps the connection if the request was written and the answer read completely, and
 // closes it otherwise.
 func (a *Answer) Close() {
@@ -268,7 +295,7 @@
 		if c == nil {
 			break
 		}
-		if clock.Now().Before(c.expiresAt) && c.usable() {
+		if c.unwatch() && clock.Now().Before(c.expiresAt) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -278,7 +305,8 @@
 		return nil, errors.Mark(err, ErrNotSent)
 	}
 	p.countOpened()
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	source := &headReader{Reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}, nil
 }
 
 func (p *Pool) countOpened() {
@@ -305,25 +333,6 @@
 	return errors.CombineErrors(controlErr, err)
 }
 
-// usable reports whether an idle connection is open and has nothing to read.
-func (c *conn) usable() (ok bool) {
-	sc, isTCP := c.Conn.(syscall.Conn)
-	if !isTCP {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		ok = err == unix.EAGAIN || err == unix.EWOULDBLOCK
-		return true
-	})
-	return ok && err == nil
-}
-
 func (p *Pool) pop(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -339,11 +348,27 @@
 
 func (p *Pool) release(addr string, c *conn, idleTimeout time.Duration) {
 	c.expiresAt = clock.Now().Add(idleTimeout)
+	c.watch = newWatch(p, addr, c)
+	p.addIdle(addr, c)
+	go c.watch.run()
+}
+
+func (p *Pool) addIdle(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.idle[addr] = append(p.idle[addr], c)
 }
 
+// drop removes a connection that is no longer usable from the idle ones.
+func (p *Pool) drop(addr string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[addr] = slices.DeleteFunc(p.idle[addr], func(other *conn) bool { return other == c })
+	if len(p.idle[addr]) == 0 {
+		delete(p.idle, addr)
+	}
+}
+
 // Sweep closes idle connections that have expired.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
