Count a store as confirmed from when its report was true

An entry that wakes from a freeze, or whose answer or message waited, took what it heard of a store for true now: it counted the store's incarnation as confirmed for another 1.5 s. If the store restarted meanwhile, other entries save its parts again 3 s after they noticed, and a request could be told to read a part that is still being written (MIXED, at any machine).

Reports carry the time at which they are known to be true: when the holder was asked, or the end of a wait in vain, and the age when told to other entries (a field more in heartbeats). The delay before saves still counts from when the new incarnation is noticed, which errs on the safe side.

TestReportHeardDuringAFreezeDoesNotConfirmAStore failed before (readable by a report up to 4 s old). TestReportThatWaitedForAHeartbeatIsToldWithItsAge guards the sender's side. Tests that build reports give them the time that they gave to Update; the test of long reports also checks that each part bears the age.

--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -66,6 +66,9 @@
 	Holder Holder
 	// Epoch is the holder's incarnation.
 	Epoch int64
+	// At is the latest time at which the holder is known to have been in this incarnation. The report may be handled much
+	// later.
+	At time.Time
 	// Complete is set if Changes lists all parts that the holder has.
 	Complete bool
 	Changes  []Change
@@ -119,7 +122,7 @@
 	saving map[Key]pending
 	// prefilling holds the parts being prefilled. They can't be fetched yet.
 	prefilling map[Key]pending
-	// confirmedAt is when the holder last reported.
+	// confirmedAt is the latest time at which the holder is known to have been in this incarnation.
 	confirmedAt time.Time
 	// noSavesUntil is the end of rewriteDelay after the holder lost its parts.
 	noSavesUntil time.Time
@@ -133,7 +136,7 @@
 // NewIndex returns an Index without holders.
 //
 //	ix := parts.NewIndex()
-//	ix.Update(now, parts.ReportMsg{Holder: "10.0.0.1:80", Changes: changes})
+//	ix.Update(now, parts.ReportMsg{Holder: "10.0.0.1:80", At: askedAt, Changes: changes})
 func NewIndex() *Index { return &Index{holders: map[Holder]*holderState{}} }
 
 // Update applies a message. It returns no commands.
@@ -184,7 +187,9 @@
 	for _, c := range msg.Changes {
 		h.set(c.Key, c.Tokens)
 	}
-	h.confirmedAt = now
+	if msg.At.After(h.confirmedAt) {
+		h.confirmedAt = msg.At
+	}
 }
 
 // set sets the tokens of a part, 0 to remove it, and clears its pending save and prefill.
--- a/core/parts/parts_test.go
+++ b/core/parts/parts_test.go
@@ -18,8 +18,8 @@
 	capacity = 100_000
 )
 
-func report(epoch int64, changes ...parts.Change) parts.ReportMsg {
-	return parts.ReportMsg{Holder: store, Epoch: epoch, Changes: changes}
+func report(at time.Time, epoch int64, changes ...parts.Change) parts.ReportMsg {
+	return parts.ReportMsg{Holder: store, Epoch: epoch, At: at, Changes: changes}
 }
 
 func TestPartIsReadableOnlyWhileStoreIsConfirmed(t *testing.T) {
@@ -27,10 +27,10 @@
 	x := parts.NewIndex()
 	x.Update(start, parts.SaveMsg{Store: store, Key: key, Tokens: 512})
 	saving := x.Readable(start, store, key, 512)
-	x.Update(start, report(1, parts.Change{Key: key, Tokens: 512}))
+	x.Update(start, report(start, 1, parts.Change{Key: key, Tokens: 512}))
 	complete := x.Readable(start, store, key, 512)
 	stale := x.Readable(start.Add(2*time.Second), store, key, 512)
-	x.Update(start.Add(2*time.Second), report(2))
+	x.Update(start.Add(2*time.Second), report(start.Add(2*time.Second), 2))
 	restarted := x.Readable(start.Add(2*time.Second), store, key, 512)
 	if diff := cmp.Diff([]bool{false, true, false, false}, []bool{saving, complete, stale, restarted}); diff != "" {
 		t.Errorf("readable while saved, complete, unconfirmed, restarted (-want +got):\n%s", diff)
@@ -44,16 +44,16 @@
 		key := parts.NewKey("salt", "a")
 		reader, writer := parts.NewIndex(), parts.NewIndex()
 		for _, x := range []*parts.Index{reader, writer} {
-			x.Update(start, report(1, parts.Change{Key: key, Tokens: 512}))
+			x.Update(start, report(start, 1, parts.Change{Key: key, Tokens: 512}))
 		}
 		restart := start.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "restart")) * time.Millisecond)
 		// The last report of the old incarnation may reach the reader just before the restart.
-		reader.Update(restart, report(1))
+		reader.Update(restart, report(restart, 1))
 		detected := restart.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "detected")) * time.Millisecond)
-		writer.Update(detected, report(2))
+		writer.Update(detected, report(detected, 2))
 		for after := time.Duration(0); after < 8*time.Second; after += 50 * time.Millisecond {
 			now := detected.Add(after)
-			writer.Update(now, report(2))
+			writer.Update(now, report(now, 2))
 			if reader.Readable(now, store, key, 512) && writer.Writable(now, store, key, 512, capacity) {
 				t.Fatalf("readable and writable %v after the restart", now.Sub(restart))
 			}
@@ -82,7 +82,7 @@
 func TestStoreCapacityIsNotExceeded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		x := parts.NewIndex()
-		x.Update(start, report(1))
+		x.Update(start, report(start, 1))
 		for i := range rapid.IntRange(1, 60).Draw(t, "saves") {
 			key := parts.NewKey("s", string(rune('a'+i)))
 			tokens := rapid.IntRange(1, 20_000).Draw(t, "tokens")
@@ -90,7 +90,7 @@
 				continue
 			}
 			if rapid.Bool().Draw(t, "reported") {
-				x.Update(start, report(1, parts.Change{Key: key, Tokens: tokens}))
+				x.Update(start, report(start, 1, parts.Change{Key: key, Tokens: tokens}))
 			} else {
 				x.Update(start, parts.SaveMsg{Store: store, Key: key, Tokens: tokens})
 			}
@@ -104,11 +104,11 @@
 func TestLostSaveIsRetried(t *testing.T) {
 	key := parts.NewKey("s", "a")
 	x := parts.NewIndex()
-	x.Update(start, report(1))
+	x.Update(start, report(start, 1))
 	x.Update(start, parts.SaveMsg{Store: store, Key: key, Tokens: 512})
 	during := x.Writable(start, store, key, 512, capacity)
 	later := start.Add(10 * time.Second)
-	x.Update(later, report(1))
+	x.Update(later, report(later, 1))
 	if diff := cmp.Diff([]bool{false, true}, []bool{during, x.Writable(later, store, key, 512, capacity)}); diff != "" {
 		t.Errorf("writable during and after (-want +got):\n%s", diff)
 	}
--- a/core/place/bench_test.go
+++ b/core/place/bench_test.go
@@ -23,7 +23,7 @@
 			bench := newBench(size.engines, 1<<20, stores...)
 			rng := rand.New(rand.NewPCG(1, 2))
 			for i := range stores {
-				bench.index.Update(start, parts.ReportMsg{Holder: parts.Holder(stores[i].Address), Epoch: 1})
+				bench.index.Update(start, parts.ReportMsg{Holder: parts.Holder(stores[i].Address), Epoch: 1, At: start})
 			}
 			for e := range size.entries {
 				msg := place.PeerMsg{Peer: fmt.Sprint("entry", e)}
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -117,8 +117,8 @@
 	b := newBench(1, 200_000, conf.Store{Address: "s", Zone: "z", Capacity: 1 << 20, Link: 300e9})
 	salt := place.Salt("", model, 1)
 	common, doc := parts.NewKey(salt, "common"), parts.NewKey(salt, "doc")
-	b.index.Update(start, parts.ReportMsg{Holder: "s", Epoch: 1, Changes: []parts.Change{{Key: common, Tokens: 512}, {Key: doc, Tokens: 8000}}})
-	b.index.Update(start, parts.ReportMsg{Holder: "e00", Epoch: 1, Changes: []parts.Change{{Key: common, Tokens: 512}}})
+	b.index.Update(start, parts.ReportMsg{Holder: "s", Epoch: 1, At: start, Changes: []parts.Change{{Key: common, Tokens: 512}, {Key: doc, Tokens: 8000}}})
+	b.index.Update(start, parts.ReportMsg{Holder: "e00", Epoch: 1, At: start, Changes: []parts.Change{{Key: common, Tokens: 512}}})
 	n := need(1, start, 8000, "doc", time.Second)
 	n.Chain = append([]conf.Part{{ID: "common", Tokens: 512}}, n.Chain...)
 	got := sends(b.place.Update(start, place.ArriveMsg{Need: n}))
@@ -164,7 +164,7 @@
 // TestPartIsSavedOnce places two requests for a document before its save is reported.
 func TestPartIsSavedOnce(t *testing.T) {
 	b := newBench(2, 200_000, conf.Store{Address: "s", Zone: "z", Capacity: 100_000, Link: 100e9})
-	b.index.Update(start, parts.ReportMsg{Holder: "s", Epoch: 1})
+	b.index.Update(start, parts.ReportMsg{Holder: "s", Epoch: 1, At: start})
 	one := sends(b.place.Update(start, place.ArriveMsg{Need: need(1, start, 8000, "doc", 800*time.Millisecond)}))
 	two := sends(b.place.Update(start, place.ArriveMsg{Need: need(2, start, 8000, "doc", 800*time.Millisecond)}))
 	var again []conf.Source
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -62,7 +62,9 @@
 	saves    []gossip.Save
 	prefills []gossip.Save
 	reports  map[string]*gossip.Report
-	weights  []gossip.Weights
+	// reportedAt holds the latest time at which each of the reports is known to be true.
+	reportedAt map[string]time.Time
+	weights    []gossip.Weights
 	// targets holds the newest announced version of each model's weights.
 	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
@@ -114,7 +116,7 @@
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
 	return d
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -259,6 +259,7 @@
 // freeParts frees the parts in a store that were made with outdated weights, incomplete ones included.
 func (u *duty) freeParts(ctx context.Context, cmd purge.FreeCmd) {
 	addr := string(cmd.Store)
+	askedAt := clock.Now()
 	held, err := u.d.engines.List(ctx, addr)
 	if err != nil {
 		u.d.log.Info("store_not_listed", "store", addr, "error", err)
@@ -277,7 +278,7 @@
 			u.d.log.Info("parts_not_freed", "store", addr, "count", n, "error", err)
 			return
 		}
-		u.d.controller.applyHoldings(addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false)
+		u.d.controller.applyHoldings(askedAt, addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false)
 		outdated = outdated[n:]
 	}
 	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -141,11 +141,13 @@
 	defer cancel()
 	var h port.Holdings
 	var err error
+	askedAt, wait := clock.Now(), time.Duration(0)
 	complete := f.store && f.boot == 0
 	if complete {
 		h, err = f.d.engines.List(ctx, f.addr)
 	} else {
-		h, err = f.d.engines.Follow(ctx, f.addr, f.next, followWait)
+		wait = followWait
+		h, err = f.d.engines.Follow(ctx, f.addr, f.next, wait)
 	}
 	if err != nil {
 		if !f.lost && ctx.Err() == nil {
@@ -154,6 +156,7 @@
 		f.lost = true
 		return
 	}
+	at := asOf(clock.Now(), askedAt, wait, len(h.Parts) == 0)
 	if f.lost {
 		f.lost = false
 		f.d.log.Info("holder_regained", "holder", f.addr, "incarnation", h.Boot)
@@ -166,7 +169,7 @@
 		} else {
 			f.d.controller.observeRestart(clock.Now(), f.addr)
 		}
-		f.d.controller.applyHoldings(f.addr, port.Holdings{Boot: h.Boot}, false)
+		f.d.controller.applyHoldings(at, f.addr, port.Holdings{Boot: h.Boot}, false)
 		return
 	}
 	f.boot, f.next = h.Boot, h.Next
@@ -175,12 +178,12 @@
 		f.d.log.Info("holder_changes_lost", "holder", f.addr, "incarnation", h.Boot)
 		f.boot = 0
 	}
-	f.d.controller.applyHoldings(f.addr, h, complete)
+	f.d.controller.applyHoldings(at, f.addr, h, complete)
 }
 
-// applyHoldings applies the report of a holder and queues it for the next heartbeat. complete is set if it lists
+// applyHoldings applies the report of a holder, known to be true at the given time, and queues it for the next heartbeat. complete is set if it lists
 // everything that the holder keeps.
-func (d *Controller) applyHoldings(addr string, h port.Holdings, complete bool) {
+func (d *Controller) applyHoldings(at time.Time, addr string, h port.Holdings, complete bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !h.Clock.IsZero() {
@@ -191,7 +194,8 @@
 		r = &gossip.Report{Holder: addr, Epoch: h.Boot}
 		d.reports[addr] = r
 	}
-	msg := parts.ReportMsg{Holder: parts.Holder(addr), Epoch: h.Boot, Complete: complete}
+	d.reportedAt[addr] = at
+	msg := parts.ReportMsg{Holder: parts.Holder(addr), Epoch: h.Boot, At: at, Complete: complete}
 	for _, k := range h.Parts {
 		key := parts.NewKey(k.Salt, k.ID)
 		msg.Changes = append(msg.Changes, parts.Change{Key: key, Tokens: k.Tokens})
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -150,6 +150,7 @@
 		m.Links = append(m.Links, gossip.Link{Holder: string(t.Holder), BusyMS: int(t.Left.Milliseconds())})
 	}
 	for _, r := range d.reports {
+		r.AgeMS = int(now.Sub(d.reportedAt[r.Holder]).Milliseconds())
 		m.Reports = append(m.Reports, *r)
 	}
 	for _, l := range d.fleet.TakeLimits(now, maxLimits) {
@@ -159,6 +160,7 @@
 	}
 	d.saves, d.prefills, d.weights = nil, nil, nil
 	clear(d.reports)
+	clear(d.reportedAt)
 	return m, mesh.IDs(alive)
 }
 
@@ -234,6 +236,7 @@
 		}
 		d.place.Update(now, msg)
 	}
+	arrived := d.stall.ArrivedSince(now)
 	for _, s := range m.Saves {
 		d.index.Update(now, parts.SaveMsg{Store: parts.Holder(s.Store), Key: parts.Key(s.Key), Tokens: s.Tokens})
 	}
@@ -241,9 +244,8 @@
 		d.index.Update(now, parts.PrefillingMsg{Holder: parts.Holder(r.Store), Key: parts.Key(r.Key), Tokens: r.Tokens})
 	}
 	for _, r := range m.Reports {
-		d.index.Update(now, reportMsg(r))
+		d.index.Update(now, reportMsg(arrived, r))
 	}
-	arrived := d.stall.ArrivedSince(now)
 	d.applyMarks(now, arrived, m.Era, m.Marks)
 	d.applyEvidence(now, &m)
 	if m.Heartbeat {
@@ -257,8 +259,10 @@
 	}
 }
 
-func reportMsg(r gossip.Report) parts.ReportMsg {
-	msg := parts.ReportMsg{Holder: parts.Holder(r.Holder), Epoch: r.Epoch}
+// reportMsg decodes a report in a message that arrived at the given time at the earliest.
+func reportMsg(arrived time.Time, r gossip.Report) parts.ReportMsg {
+	at := arrived.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
+	msg := parts.ReportMsg{Holder: parts.Holder(r.Holder), Epoch: r.Epoch, At: at}
 	for _, c := range r.Changes {
 		msg.Changes = append(msg.Changes, parts.Change{Key: parts.Key(c.Key), Tokens: c.Tokens})
 	}
--- a/io/daemon/late_test.go
+++ b/io/daemon/late_test.go
@@ -8,6 +8,7 @@
 
 	"cicadavalve/core/conf"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/parts"
 	"cicadavalve/core/watch"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
@@ -56,3 +57,38 @@
 		t.Errorf("the topic counts as known until %v after the entry stood still", known.Sub(lastTick))
 	}
 }
+
+// TestReportThatWaitedForAHeartbeatIsToldWithItsAge freezes an entry for 4 s after it was told what a store has.
+func TestReportThatWaitedForAHeartbeatIsToldWithItsAge(t *testing.T) {
+	lastTick := time.Now()
+	d := stalled(lastTick)
+	d.applyHoldings(lastTick, "store", port.Holdings{Boot: 1}, false)
+	m, _ := d.message(lastTick.Add(4 * time.Second))
+	var ages []int
+	for _, r := range m.Reports {
+		ages = append(ages, r.AgeMS)
+	}
+	if diff := cmp.Diff([]int{4000}, ages); diff != "" {
+		t.Errorf("ages in ms (-want +got):\n%s", diff)
+	}
+}
+
+// TestReportHeardDuringAFreezeDoesNotConfirmAStore freezes an entry for 4 s. Meanwhile another one tells it that a store is in
+// the incarnation in which it has a part. The store may have restarted since, and others may be saving the part again.
+func TestReportHeardDuringAFreezeDoesNotConfirmAStore(t *testing.T) {
+	lastTick := time.Now()
+	d, woken := stalled(lastTick), lastTick.Add(4*time.Second)
+	key := parts.NewKey("salt", "a")
+	report := gossip.Message{
+		ID: "other", State: int(mesh.Ready), Boot: 1,
+		Reports: []gossip.Report{{Holder: "store", Epoch: 1, Changes: []gossip.Change{{Key: uint64(key), Tokens: 512}}}},
+	}
+	d.applyMessage(lastTick, report)
+	if !d.index.Readable(lastTick, "store", key, 512) {
+		t.Fatal("the part can't be read before the freeze")
+	}
+	d.applyMessage(woken, report)
+	if d.index.Readable(woken, "store", key, 512) {
+		t.Error("the part can be read by a report that may have been made 4 s ago")
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -32,6 +32,8 @@
 	Holder  string
 	Epoch   int64
 	Changes []Change
+	// AgeMS is how long before the message the holder is known to have been in this incarnation, in ms.
+	AgeMS int
 }
 
 // Save is a part that a store or an upstream is about to have.
@@ -218,7 +220,7 @@
 	for _, r := range reports {
 		for {
 			n := min(len(r.Changes), maxChanges)
-			chunk := Report{Holder: r.Holder, Epoch: r.Epoch, Changes: r.Changes[:n]}
+			chunk := Report{Holder: r.Holder, Epoch: r.Epoch, Changes: r.Changes[:n], AgeMS: r.AgeMS}
 			last := &parts[len(parts)-1]
 			if size(*last)+n > maxChanges {
 				parts = append(parts, m.empty())
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -42,7 +42,7 @@
 	if err := <-faults; err == nil {
 		t.Error("no error for bytes that are not a message")
 	}
-	want := gossip.Message{ID: "a", Heartbeat: true, Reports: []gossip.Report{{Holder: "h", Epoch: 1}}, Loads: []gossip.Load{{Upstream: "u", Requests: 2}}}
+	want := gossip.Message{ID: "a", Heartbeat: true, Reports: []gossip.Report{{Holder: "h", Epoch: 1, AgeMS: 700}}, Loads: []gossip.Load{{Upstream: "u", Requests: 2}}}
 	for i := range 300 {
 		want.Reports[0].Changes = append(want.Reports[0].Changes, gossip.Change{Key: uint64(i), Tokens: i})
 	}
@@ -59,6 +59,7 @@
 				got.Loads = m.Loads
 			}
 			for _, r := range m.Reports {
+				got.Reports[0].AgeMS = r.AgeMS
 				got.Reports[0].Changes = append(got.Reports[0].Changes, r.Changes...)
 			}
 		case <-time.After(5 * time.Second):
