Let an answer to a request sent after a stall change a limit

For half a second after an entry stood still, all its own answers counted as arrived when it last ran. Answers that are no newer than the last one are ignored, so after the first one a limit that an upstream newly named, or its end, had no effect; on a VM that is starved again and again hardly any had. Not seen in a run; found by reading. An answer can't have arrived before its request was sent, so answers to requests sent since then count from there.

TestLimitOfAnOwnAnswerCountsRightAfterAFreeze failed before (no limit).

--- a/io/daemon/budget_test.go
+++ b/io/daemon/budget_test.go
@@ -86,7 +86,7 @@
 			at := now.Add(silence)
 			d.applyConfig(conf.Data{Version: 1, Services: []conf.Service{{Name: "app"}}})
 			d.applyUpstream(at, conf.Upstream{ID: "limited", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
-			d.observeLimit(at, "limited", port.Reply{Signed: true, Limit: conf.NamedLimit{Named: true, PerSecond: perSecond}})
+			d.observeLimit(at, at, "limited", port.Reply{Signed: true, Limit: conf.NamedLimit{Named: true, PerSecond: perSecond}})
 			d.message(at)
 			for n := range 400 {
 				at := at.Add(time.Duration(n) * 10 * time.Millisecond)
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -266,7 +266,7 @@
 }
 
 // ObserveReply implements [relay.Controller].
-func (d *Controller) ObserveReply(id ident.UpstreamID, reply port.Reply) {
+func (d *Controller) ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply) {
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -280,7 +280,7 @@
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
-	d.observeLimit(now, id, reply)
+	d.observeLimit(now, sentAt, id, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
--- a/io/daemon/late_test.go
+++ b/io/daemon/late_test.go
@@ -31,7 +31,7 @@
 		d, woken := stalled(lastTick), lastTick.Add(4*time.Second)
 		d.applyUpstream(lastTick, conf.Upstream{ID: "u", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
 		limit := conf.NamedLimit{Named: true, PerSecond: 3}
-		d.observeLimit(lastTick.Add(-100*time.Millisecond), "u", port.Reply{Signed: true, Limit: limit})
+		d.observeLimit(lastTick.Add(-100*time.Millisecond), lastTick.Add(-200*time.Millisecond), "u", port.Reply{Signed: true, Limit: limit})
 		if lag > 0 {
 			d.Tick(woken)
 		}
@@ -92,3 +92,22 @@
 		t.Error("the part can be read by a report that may have been made 4 s ago")
 	}
 }
+
+// TestLimitOfAnOwnAnswerCountsRightAfterAFreeze freezes an entry for 4 s. An answer without a limit is handled when it wakes, and
+// one that names a limit 300 ms later, to a request that was sent after it woke.
+func TestLimitOfAnOwnAnswerCountsRightAfterAFreeze(t *testing.T) {
+	lastTick := time.Now()
+	d, woken := stalled(lastTick), lastTick.Add(4*time.Second)
+	d.applyUpstream(lastTick, conf.Upstream{ID: "u", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
+	d.Tick(woken)
+	d.observeLimit(woken.Add(10*time.Millisecond), lastTick, "u", port.Reply{Signed: true})
+	limit, now := conf.NamedLimit{Named: true, PerSecond: 3}, woken
+	for now.Before(woken.Add(300 * time.Millisecond)) {
+		now = now.Add(tickInterval)
+		d.Tick(now)
+	}
+	d.observeLimit(now, woken.Add(200*time.Millisecond), "u", port.Reply{Signed: true, Limit: limit})
+	if diff := cmp.Diff(limit, d.fleet.Limit(now, "u")); diff != "" {
+		t.Errorf("limit (-want +got):\n%s", diff)
+	}
+}
--- a/io/daemon/limit.go
+++ b/io/daemon/limit.go
@@ -10,9 +10,9 @@
 	"cicadavalve/io/port"
 )
 
-// observeLimit applies the limit that an answer names, or its end; the lock is held. An answer that may be of another
+// observeLimit applies the limit that the answer to a request names, or its end; the lock is held. An answer that may be of another
 // service, or whose limit can't be read, changes nothing.
-func (d *Controller) observeLimit(now time.Time, id ident.UpstreamID, reply port.Reply) {
+func (d *Controller) observeLimit(now, sentAt time.Time, id ident.UpstreamID, reply port.Reply) {
 	if reply.LimitFault != nil {
 		d.limitFaults.Do(func() { d.log.Warn("upstream_limit_unreadable", "upstream", id, "error", reply.LimitFault) })
 	}
@@ -22,7 +22,11 @@
 		return
 	}
 	changed := d.fleet.Limit(now, id) != reply.Limit
-	d.perform(d.fleet.Update(now, fleet.LimitMsg{ID: id, Born: u.Born, Limit: reply.Limit, At: d.stall.ArrivedSince(now)}))
+	arrived := d.stall.ArrivedSince(now)
+	if sentAt.After(arrived) {
+		arrived = sentAt
+	}
+	d.perform(d.fleet.Update(now, fleet.LimitMsg{ID: id, Born: u.Born, Limit: reply.Limit, At: arrived}))
 	if changed {
 		d.wakeHeartbeat()
 	}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -184,7 +184,7 @@
 	}
 	defer answer.Close()
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
-	x.h.controller.ObserveReply(u.ID, reply)
+	x.h.controller.ObserveReply(u.ID, x.sentAt, reply)
 	switch {
 	case reply.NotRun:
 		x.cause = errors.Newf("status %d", answer.Status)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -70,8 +70,8 @@
 	FirstByte(ticket place.Ticket)
 	// End reports the outcome of an attempt.
 	End(ticket place.Ticket, outcome place.Outcome)
-	// ObserveReply applies what the head of an answer reports about the upstream.
-	ObserveReply(id ident.UpstreamID, reply port.Reply)
+	// ObserveReply applies what the head of an answer reports about the upstream; sentAt is when the request was sent.
+	ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply)
 	// ObserveBreak records an attempt without a complete answer.
 	ObserveBreak(b Break)
 }
