Start nothing on old weights whose first token comes after the grace

A run begins with its first token, but the grace of older weights was compared with the time at which a request is sent, less a fixed margin of 1.5 s.

TestOldWeightsGetNoWorkThatBeginsAfterTheGrace failed before (840 ms late).

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -22,7 +22,8 @@
 	oldWeightsCost = 0.3
 	// failureCost is how many objectives are added for an upstream that fails every request.
 	failureCost = 4
-	// versionMargin is subtracted from versionGrace, since requests queue at an engine before they start.
+	// versionMargin is subtracted from versionGrace, since the time to the first token, with which a run begins, can only
+	// be estimated.
 	versionMargin = 1500 * time.Millisecond
 )
 
@@ -103,6 +104,10 @@
 			tally.FullBy[bound]++
 			return
 		}
+		if until, outdated := m.outdated(need.Model, u.Weights[need.Model]); outdated && service.Engine != nil && now.Add(candidate.firstByte).After(until) {
+			tally.Closed++
+			return
+		}
 		if need.Spread != "" {
 			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
 		}
