Count the time to hear other entries from when a stalled entry goes on

An entry that stood still soon after its start counted as one that had had the time to hear all others, and took the whole retry allowance (and the whole rate of a cold upstream) for its own until their heartbeats were handled: 36.4 where a sixth of the shared one is 8.7. Retries and cold rates are counted at machines out of touch too. The time to hear others now starts when it goes on. TestEntryFrozenAtItsStartKeepsTheSharedRetryBudget failed before.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -45,9 +45,16 @@
 // HeartbeatMsg reports a message of another entry, which shows that it is alive.
 type HeartbeatMsg struct{ Peer Peer }
 
+// StalledMsg reports that this entry has stood still and heard nothing.
+type StalledMsg struct {
+	// From is when it last ran before.
+	From time.Time
+}
+
 // Model holds one entry's view of all entries. Its methods aren't safe for concurrent use.
 type Model struct {
-	self      Peer
+	self Peer
+	// startedAt is when this entry started, or when it went on after it stood still soon after its start.
 	startedAt time.Time
 	peers     map[string]*peerState
 }
@@ -67,6 +74,9 @@
 
 // Update applies one message; it returns no commands.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
+	if stalled, ok := msg.(StalledMsg); ok && stalled.From.Sub(m.startedAt) < silenceTimeout {
+		m.startedAt = now
+	}
 	heartbeat, ok := msg.(HeartbeatMsg)
 	if !ok || heartbeat.Peer.ID == m.self.ID {
 		return nil
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -174,6 +174,7 @@
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
 			d.observeGone(clock.Now(), cmd)
 		case stall.StalledCmd:
+			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
--- a/io/daemon/late_test.go
+++ b/io/daemon/late_test.go
@@ -111,3 +111,19 @@
 		t.Errorf("limit (-want +got):\n%s", diff)
 	}
 }
+
+// TestEntryFrozenAtItsStartKeepsTheSharedRetryBudget freezes an entry for 4 s from its start, so that it has heard no other of
+// the six when it wakes.
+func TestEntryFrozenAtItsStartKeepsTheSharedRetryBudget(t *testing.T) {
+	const entries = 6
+	settings := Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 52}
+	begun := time.Now()
+	d := newFleet(settings, 1, begun)[0]
+	d.Tick(begun)
+	d.setAnnounced(entries)
+	woken := begun.Add(4 * time.Second)
+	d.Tick(woken)
+	if got, most := d.retryAllowance(woken), settings.RetryAllowance/entries; got > most {
+		t.Errorf("allowance of %.1f right after the freeze, one part in %d of the shared one is %.1f", got, entries, most)
+	}
+}
