Free outdated parts only after watching all engines for the whole delay

The holder of the duty counted the delay before parts are freed from the first tick at which all engines had newer weights, whether it ran meanwhile or not. One that was frozen for longer than the delay freed at once when it woke, before it had read whether an engine with older weights had been listed again (MIXED, if that one still reads such a part). Not seen in a run; found by reading. The delay starts anew after a gap between ticks. TestPartsAreNotFreedRightAfterAFreeze failed before.

--- a/core/purge/purge.go
+++ b/core/purge/purge.go
@@ -20,6 +20,8 @@
 const (
 	// settleDelay is how long all engines must have had newer weights: the bound of a transfer plus the lag of reports.
 	settleDelay = FetchTimeout + 500*time.Millisecond
+	// maxTickGap is the longest time between two ticks in which the list of engines counts as known throughout.
+	maxTickGap = 500 * time.Millisecond
 	// retryInterval is the delay before a purge that has not succeeded is retried.
 	retryInterval = 2 * time.Second
 )
@@ -46,8 +48,9 @@
 type Model struct {
 	fleet          *fleet.Model
 	targetVersions map[ident.ModelName]int64
-	// settledSince holds since when all engines have had the target version of a model.
+	// settledSince holds since when all engines are known to have had the target version of a model.
 	settledSince map[ident.ModelName]time.Time
+	tickedAt     time.Time
 	done         map[FreeCmd]bool
 	sentAt       map[FreeCmd]time.Time
 }
@@ -83,6 +86,10 @@
 }
 
 func (m *Model) tick(now time.Time, msg TickMsg) (cmds []ident.Cmd) {
+	if now.Sub(m.tickedAt) > maxTickGap {
+		clear(m.settledSince)
+	}
+	m.tickedAt = now
 	behind := map[ident.ModelName]bool{}
 	m.fleet.Scan(func(u *conf.Upstream) {
 		for model, have := range u.Weights {
--- a/core/purge/purge_test.go
+++ b/core/purge/purge_test.go
@@ -47,3 +47,18 @@
 		t.Errorf("commands (-want +got):\n%s", diff)
 	}
 }
+
+// TestPartsAreNotFreedRightAfterAFreeze freezes the entry for 5 s while all engines that it knows have newer weights. It can't
+// know that this was so meanwhile, so it must not free anything before it has seen it for as long as a transfer may take.
+func TestPartsAreNotFreedRightAfterAFreeze(t *testing.T) {
+	start := time.Unix(1000, 0)
+	upstreams := fleet.NewModel()
+	upstreams.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{ID: "a", Weights: map[ident.ModelName]int64{"m": 2}}})
+	m := purge.NewModel(upstreams)
+	m.SetTargetVersion("m", 2)
+	tick := purge.TickMsg{Holds: true, Stores: []parts.Holder{"s"}}
+	m.Update(start, tick)
+	if diff := cmp.Diff([]ident.Cmd(nil), m.Update(start.Add(5*time.Second), tick)); diff != "" {
+		t.Errorf("commands (-want +got):\n%s", diff)
+	}
+}
