--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -307,6 +307,20 @@
 	}
 }
 
+// TestManyNewerVersionsDontExtendGrace sets forty versions within the grace of the first.
+func TestManyNewerVersionsDontExtendGrace(t *testing.T) {
+	b := newBench(1, 100_000)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		b.place.Update(now, place.TargetMsg{Model: model, Version: int64(i + 2), Since: now})
+	}
+	now := start.Add(9 * time.Second)
+	cmds := b.place.Update(now, place.ArriveMsg{Need: need(1, now, 100, "doc", time.Second)})
+	if diff := cmp.Diff(0, len(sends(cmds))); diff != "" {
+		t.Errorf("sent (-want +got):\n%s", diff)
+	}
+}
+
 // TestStartedEntryUsesOldWeightsBriefly sets, at the start of an entry, a version that became the target at an unknown
 // time.
 func TestStartedEntryUsesOldWeightsBriefly(t *testing.T) {
@@ -347,6 +361,32 @@
 	}
 }
 
+// TestDecisionIsCheckedAgainWhenCarriedOutLate chooses an engine for a request, after which the engine is outdated, leaves, or
+// neither.
+func TestDecisionIsCheckedAgainWhenCarriedOutLate(t *testing.T) {
+	got := map[string]bool{}
+	for name, change := range map[string]func(b *bench){
+		"unchanged": func(*bench) {},
+		"outdated":  func(b *bench) { b.place.Update(start, place.TargetMsg{Model: model, Version: 2, Since: start}) },
+		"draining": func(b *bench) {
+			u, _ := b.fleet.Get(engineID(0))
+			u.Draining = true
+			b.fleet.Update(start, fleet.ListedMsg{Upstream: u})
+		},
+		"zone taken out": func(b *bench) { b.fleet.Update(start, fleet.AvoidMsg{Zone: "z", Avoided: true}) },
+		"ended":          func(b *bench) { b.place.Update(start, place.EndMsg{Ticket: 1, Outcome: place.Cancelled}) },
+	} {
+		b := newBench(1, 100_000)
+		b.place.Update(start, place.ArriveMsg{Need: need(1, start, 100, "doc", time.Second)})
+		change(b)
+		got[name] = b.place.StillEligible(start.Add(9*time.Second), 1)
+	}
+	want := map[string]bool{"unchanged": true, "outdated": false, "draining": false, "zone taken out": false, "ended": false}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("still eligible 9 s later (-want +got):\n%s", diff)
+	}
+}
+
 // TestQueuedRequestGoesToFreedEngine fills two engines and ends a request on one of them.
 func TestQueuedRequestGoesToFreedEngine(t *testing.T) {
 	b := newBench(2, 1000)
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -63,6 +63,9 @@
 		case d.Refuse != nil:
 			x.refusePlacement(d.Refuse)
 			return
+		case d.Panic != nil:
+			x.refuse(http.StatusInternalServerError, -1, "panicked")
+			return
 		case !x.approve(d.Send):
 			x.h.controller.End(x.need.Ticket, place.Rejected)
 			x.refuseBlocked(res)
@@ -93,7 +96,7 @@
 		msg := place.RetryMsg{
 			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
-		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Refuse != nil {
+		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			x.finish(res)
 			return
 		}
@@ -173,6 +176,10 @@
 	u := cmd.Upstream
 	x.sentAt = clock.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
+	if errors.Is(err, link.ErrWithdrawn) {
+		x.cause = err
+		return result{ending: retry.NotSent}
+	}
 	if err != nil {
 		x.cause = err
 		unsent := errors.Is(err, link.ErrNotSent)
@@ -205,15 +212,22 @@
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
-		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: x.head.Model != "",
+		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
 	return link.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
 		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
+		Approve: func() bool {
+			return clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket)
+		},
 	}
 }
 
+// maxDecisionAge is the age from which on the choice of an upstream is checked again before the request is written. It can
+// be that old if the connection took long to open, or the process stood still.
+const maxDecisionAge = 20 * time.Millisecond
+
 // relayPlain relays an answer that is not a stream. An answer of at most [maxBuffered] bytes is buffered whole, so that
 // another attempt is possible if it breaks off.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
@@ -247,6 +261,7 @@
 	if length >= 0 && bodyAllowed(x.r.Method, status) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if bodyAllowed(x.r.Method, status) {
 		if _, err := x.w.Write(body); err != nil {
