--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -63,7 +63,9 @@
 	saves    []gossip.Save
 	prefills []gossip.Save
 	reports  map[string]*gossip.Report
-	weights  []gossip.Weights
+	// reportedAt holds the latest time at which each of the reports is known to be true.
+	reportedAt map[string]time.Time
+	weights    []gossip.Weights
 	// targets holds the newest announced version of each model's weights.
 	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
@@ -123,7 +125,7 @@
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
@@ -206,6 +208,7 @@
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
 			d.observeGone(clock.Now(), cmd)
 		case stall.StalledCmd:
+			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
@@ -298,7 +301,7 @@
 }
 
 // ObserveReply implements [relay.Controller].
-func (d *Controller) ObserveReply(id ident.UpstreamID, reply port.Reply) {
+func (d *Controller) ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply) {
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -312,7 +315,7 @@
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
-	d.observeLimit(now, id, reply)
+	d.observeLimit(now, sentAt, id, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
