Drive whole requests of every shape through the deciders

One request with unexpected headers stopped an entry; this looks for its kin.

Not covered: bodies, answers' bodies, the poison model (its results are made up), and the wrappers of io/daemon.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	go test -run '^$$' -fuzz FuzzBody -fuzztime $(FUZZ_TIME) ./io/caller
 	go test -run '^$$' -fuzz FuzzContent -fuzztime $(FUZZ_TIME) ./platform
 	go test -run '^$$' -fuzz FuzzHead -fuzztime $(FUZZ_TIME) ./platform
+	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x ./platform
 
 # soak runs the long randomised tests; each prints its seed.
 soak:
