--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -20,6 +20,7 @@
 	"cicadavalve/core/purge"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/guard"
 	"cicadavalve/io/port"
@@ -63,8 +64,8 @@
 	prefills []gossip.Save
 	reports  map[string]*gossip.Report
 	weights  []gossip.Weights
-	// targetVersions is the newest announced version of each model's weights.
-	targetVersions map[ident.ModelName]int64
+	// targets holds the newest announced version of each model's weights.
+	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
 	ordered map[string][]string
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
@@ -107,16 +108,22 @@
 	return func(d *Controller) { d.guard = guard.New(d.log, flush) }
 }
 
+// target is an announced version of a model's weights, and the earliest time at which it can have been announced.
+type target struct {
+	version int64
+	since   time.Time
+}
+
 // NewController returns a controller without configuration or upstreams; the seed is for its random choices.
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64, options ...Option) *Controller {
-	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
+	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), clock.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
 	d := &Controller{
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
@@ -139,6 +146,13 @@
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
+// StillEligible implements [relay.Controller].
+func (d *Controller) StillEligible(ticket place.Ticket) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.place.StillEligible(clock.Now(), ticket)
+}
+
 func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
 	ch := d.ask(t, msg, before)
 	select {
@@ -153,7 +167,7 @@
 // ask applies a message that asks for a decision and returns the channel to which the decision is sent.
 func (d *Controller) ask(t place.Ticket, msg ident.Msg, before func(time.Time)) <-chan relay.Decision {
 	ch := make(chan relay.Decision, 1)
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	before(now)
@@ -167,8 +181,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiters, t)
-	d.place.Update(time.Now(), place.WithdrawMsg{Ticket: t})
-	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
+	d.place.Update(clock.Now(), place.WithdrawMsg{Ticket: t})
+	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
 }
 
 // perform carries out commands; the lock is held.
@@ -188,9 +202,9 @@
 		case place.PrefillingCmd:
 			d.prefills = append(d.prefills, gossip.Save{Store: string(cmd.Prefilling.Holder), Key: uint64(cmd.Prefilling.Key), Tokens: cmd.Prefilling.Tokens})
 		case fleet.GoneCmd:
-			d.place.Update(time.Now(), cmd)
+			d.place.Update(clock.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
-			d.observeGone(time.Now(), cmd)
+			d.observeGone(clock.Now(), cmd)
 		case stall.StalledCmd:
 			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
@@ -228,7 +242,7 @@
 
 // AllowRetry implements [relay.Controller].
 func (d *Controller) AllowRetry(service ident.ServiceName) bool {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.budget(service)
@@ -263,29 +277,29 @@
 }
 
 // processStart carries a monotonic reading, from which [monotonicNow] counts.
-var processStart = time.Now()
+var processStart = clock.Now()
 
 // monotonicNow is the time since the process started, as a time after the Unix epoch. Steps of the wall clock don't
 // affect it, so offsets to other clocks can be computed from it.
-func monotonicNow() time.Time { return time.Unix(0, 0).Add(time.Since(processStart)) }
+func monotonicNow() time.Time { return time.Unix(0, 0).Add(clock.Since(processStart)) }
 
 // FirstByte implements [relay.Controller].
 func (d *Controller) FirstByte(t place.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.perform(d.place.Update(time.Now(), place.FirstByteMsg{Ticket: t}))
+	d.perform(d.place.Update(clock.Now(), place.FirstByteMsg{Ticket: t}))
 }
 
 // End implements [relay.Controller].
 func (d *Controller) End(t place.Ticket, outcome place.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
+	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
 }
 
 // ObserveReply implements [relay.Controller].
 func (d *Controller) ObserveReply(id ident.UpstreamID, reply port.Reply) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -306,7 +320,7 @@
 
 // ObserveBreak implements [relay.Controller].
 func (d *Controller) ObserveBreak(b relay.Break) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !b.Abandoned {
@@ -346,7 +360,7 @@
 func (d *Controller) Addresses(_ ident.Zone) (addresses []string, ttl time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.mesh.Serving(time.Now()) {
+	for _, p := range d.mesh.Serving(clock.Now()) {
 		addresses = append(addresses, p.Address)
 	}
 	return addresses, addressTTL
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
@@ -15,6 +14,7 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/reload"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/guard"
 	"cicadavalve/io/port"
@@ -29,9 +29,8 @@
 
 // duty competes for the lease on giving orders to engines and stores, and gives the orders while it holds the lease.
 type duty struct {
-	d  *Daemon
-	mu *guard.Mutex
-	// lease runs on [sinceBoot], so that its time includes suspensions of the VM.
+	d      *Daemon
+	mu     *guard.Mutex
 	lease  *lease.Model
 	reload *reload.Model
 	purge  *purge.Model
@@ -43,19 +42,10 @@
 	held      bool
 }
 
-// sinceBoot reads a clock that keeps running while the VM is suspended.
-func sinceBoot() time.Time {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Now()
-	}
-	return time.Unix(t.Unix())
-}
-
 func (u *duty) update(msg ident.Msg) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.lease.Update(sinceBoot(), msg)
+	u.lease.Update(clock.Now(), msg)
 }
 
 // status returns for the heartbeat whether this entry has the newest claim of the lease, though it may still have to
@@ -63,7 +53,7 @@
 func (u *duty) status(time.Time) (holds bool, ordered []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	holds = u.lease.HasNewestClaim(sinceBoot())
+	holds = u.lease.HasNewestClaim(clock.Now())
 	return holds, u.loading()
 }
 
@@ -90,7 +80,7 @@
 }
 
 func (u *duty) tick(ctx context.Context) {
-	now := sinceBoot()
+	now := clock.Now()
 	alive, ready := u.d.controller.leaseCandidates()
 	holds, cmds := u.updateLease(now, alive, ready)
 	cmds = append(cmds, u.orders(holds)...)
@@ -121,10 +111,10 @@
 	defer u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := time.Now()
-	for model, version := range u.d.controller.targetVersions {
-		u.reload.SetTargetVersion(now, model, version)
-		u.purge.SetTargetVersion(model, version)
+	now := clock.Now()
+	for model, target := range u.d.controller.targets {
+		u.reload.SetTargetVersion(target.since, model, target.version)
+		u.purge.SetTargetVersion(model, target.version)
 	}
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
@@ -165,7 +155,7 @@
 }
 
 func (u *duty) readClaims(ctx context.Context) {
-	sentAt := sinceBoot()
+	sentAt := clock.Now()
 	next := u.nextClaim()
 	batch, err := u.d.store.Read(ctx, port.Claims, next, 0)
 	trimmed := errors.Is(err, port.ErrTrimmed)
@@ -192,7 +182,7 @@
 			u.lastClaim = &lease.Claim{Holder: c.Holder, Boot: c.Boot}
 		}
 	}
-	u.lease.Update(sinceBoot(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
+	u.lease.Update(clock.Now(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
 }
 
 // enter reports whether an answer of the store is of the known era. If the era is newer, claims are read again from the
@@ -203,12 +193,12 @@
 		return era == u.era
 	}
 	u.era, u.next, u.lastClaim = era, 0, nil
-	u.lease.Update(sinceBoot(), lease.RestoredMsg{Era: era})
+	u.lease.Update(clock.Now(), lease.RestoredMsg{Era: era})
 	return false
 }
 
 func (u *duty) claim(ctx context.Context, cmd lease.ClaimCmd) {
-	sentAt := sinceBoot()
+	sentAt := clock.Now()
 	offset, era, err := u.d.store.Claim(ctx, cmd.End, port.ClaimEvent{Holder: cmd.Claim.Holder, Boot: cmd.Claim.Boot})
 	if err != nil {
 		u.d.log.Info("claim_failed", "end", cmd.End, "error", err)
@@ -219,6 +209,7 @@
 }
 
 func (u *duty) queryState(ctx context.Context, cmd reload.QueryCmd) {
+	askedAt := clock.Now()
 	state, err := u.d.engines.State(ctx, cmd.Upstream.ID, cmd.Upstream.Address)
 	if err != nil {
 		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
@@ -227,7 +218,7 @@
 	u.d.controller.applyWeights(cmd.Upstream.ID, state.Weights)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.reload.Update(time.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
+	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, AskedAt: askedAt, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
 }
 
 // applyWeights applies the weights that an engine reports.
@@ -235,7 +226,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for model, version := range weights {
-		d.fleet.Update(time.Now(), fleet.WeightsMsg{ID: upstream, Model: model, Version: version})
+		d.fleet.Update(clock.Now(), fleet.WeightsMsg{ID: upstream, Model: model, Version: version})
 		d.weights = append(d.weights, gossip.Weights{Upstream: string(upstream), Model: string(model), Version: version})
 	}
 }
@@ -244,7 +235,7 @@
 func (u *duty) leaseToken() (holds bool, token int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.lease.Holds(sinceBoot()), u.lease.Token()
+	return u.lease.Holds(clock.Now()), u.lease.Token()
 }
 
 func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
@@ -260,10 +251,12 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
+	case err == nil:
+		u.reload.Update(clock.Now(), reload.AcceptedMsg{Upstream: cmd.Upstream.ID})
 	case errors.Is(err, port.ErrOutdated):
-		u.lease.Update(sinceBoot(), lease.TokenOutdatedMsg{})
+		u.lease.Update(clock.Now(), lease.TokenOutdatedMsg{})
 	case errors.Is(err, port.ErrBusy), errors.Is(err, port.ErrRefused):
-		u.reload.Update(time.Now(), reload.RefusedMsg{Upstream: cmd.Upstream.ID})
+		u.reload.Update(clock.Now(), reload.RefusedMsg{Upstream: cmd.Upstream.ID})
 	}
 }
 
@@ -311,12 +304,12 @@
 	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.purge.Update(time.Now(), purge.DoneMsg{Cmd: cmd})
+	u.purge.Update(clock.Now(), purge.DoneMsg{Cmd: cmd})
 }
 
 // leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may.
 func (d *Controller) leaseCandidates() (ids []string, ready bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return mesh.IDs(d.mesh.Serving(time.Now())), d.mesh.Self().State == mesh.Ready
+	return mesh.IDs(d.mesh.Serving(clock.Now())), d.mesh.Self().State == mesh.Ready
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/place"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -173,8 +174,12 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
-	x.sentAt = time.Now()
+	x.sentAt = clock.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
+	if errors.Is(err, link.ErrWithdrawn) {
+		x.cause = err
+		return result{ending: retry.NotSent}
+	}
 	if err != nil {
 		x.cause = err
 		unsent := errors.Is(err, link.ErrNotSent)
@@ -206,16 +211,23 @@
 
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
-		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: time.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
+		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
 		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
 	return link.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
 		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
+		Approve: func() bool {
+			return clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket)
+		},
 	}
 }
 
+// maxDecisionAge is the age from which on the choice of an upstream is checked again before the request is written. It can
+// be that old if the connection took long to open, or the process stood still.
+const maxDecisionAge = 20 * time.Millisecond
+
 // relayPlain relays an answer that is not a stream. An answer of at most [maxBuffered] bytes is buffered whole, so that
 // another attempt is possible if it breaks off.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
@@ -225,7 +237,7 @@
 		x.reportBroken(ctx, cmd, Break{})
 		return result{ending: retry.Unknown}
 	}
-	x.firstAt = time.Now()
+	x.firstAt = clock.Now()
 	x.h.controller.FirstByte(x.need.Ticket)
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
