Become ready only with a part of the retry budget

A request that an entry took in its first milliseconds could not be sent again after a failed attempt: callers got a 502 or a 500 where another engine would have answered (TestFaultyUpstreamResponses once at a load of 20 to 28, and TestEndlessBytesEndTheAttempt/trailers/safe/x once at 17).

Cause: an entry was ready as soon as it had its configuration, the upstreams and the verdicts, 13 ms before it had read how many entries share the retry budget; until then its part is 0. It now waits for its part.

TestReadyEntryHasARetryAllowance failed before (ready with an allowance of 0) and passes.

--- a/io/daemon/budget_test.go
+++ b/io/daemon/budget_test.go
@@ -121,3 +121,36 @@
 		t.Errorf("the allowances add up to %.0f before and %.0f after, the shared one is %.0f", before, after, settings.RetryAllowance)
 	}
 }
+
+// TestReadyEntryHasARetryAllowance starts an entry that learns last how many entries share the retry budget. A request
+// that it takes before that could not be sent again.
+func TestReadyEntryHasARetryAllowance(t *testing.T) {
+	d := NewController(Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 52}, mesh.Peer{ID: "entry-0"}, slog.New(slog.DiscardHandler), 1)
+	d.applyConfig(conf.Data{Version: 1, Services: []conf.Service{{Name: "app"}}})
+	d.setSecret([]byte("secret"))
+	d.mu.Lock()
+	d.applyUpstreamList(d.startedAt, nil)
+	d.mu.Unlock()
+	if d.Tick(d.startedAt); d.Ready() {
+		t.Errorf("ready with a retry allowance of %.0f", d.retryAllowance(d.startedAt))
+	}
+	d.setAnnounced(2)
+	if d.Tick(d.startedAt); !d.Ready() || d.retryAllowance(d.startedAt) <= 0 {
+		t.Errorf("ready %v, retry allowance %.0f after the entries were read", d.Ready(), d.retryAllowance(d.startedAt))
+	}
+}
+
+// TestEntryIsReadyWithoutTheStoresEntries starts an entry that can't read the entries: it becomes ready after a bounded time.
+func TestEntryIsReadyWithoutTheStoresEntries(t *testing.T) {
+	d := NewController(Settings{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryAllowance: 52}, mesh.Peer{ID: "entry-0"}, slog.New(slog.DiscardHandler), 1)
+	d.applyConfig(conf.Data{Version: 1, Services: []conf.Service{{Name: "app"}}})
+	d.mu.Lock()
+	d.applyUpstreamList(d.startedAt, nil)
+	d.mu.Unlock()
+	if d.Tick(d.startedAt.Add(maxVerdictWait - time.Millisecond)); d.Ready() {
+		t.Error("ready without verdicts and entries before the bound")
+	}
+	if d.Tick(d.startedAt.Add(maxVerdictWait)); !d.Ready() {
+		t.Error("not ready at the bound")
+	}
+}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -212,19 +212,26 @@
 // budgetMemory is how long an entry that has fallen silent counts as one that uses its part of the retry budget.
 const budgetMemory = time.Hour
 
-// retryAllowance is this entry's part of the fixed allowance of each service's retry budget; the lock is held.
+// retryAllowance is this entry's part of the fixed allowance of each service's retry budget, 0 while it can't tell its
+// part; the lock is held.
 func (d *Controller) retryAllowance(now time.Time) float64 {
-	sharers, known := d.mesh.Sharers(now, budgetMemory)
-	count := len(sharers)
+	count, known := d.countSharers(now)
 	if !known {
-		count = max(count, d.announced)
-	}
-	if !known && d.announced == 0 {
 		return 0
 	}
 	return d.settings.RetryAllowance * budgetShare / float64(count)
 }
 
+// countSharers returns how many entries share the retry budget. Until an entry has had the time to hear the others, it
+// knows only once it has read those that the store lists; the lock is held.
+func (d *Controller) countSharers(now time.Time) (count int, known bool) {
+	sharers, known := d.mesh.Sharers(now, budgetMemory)
+	if known {
+		return len(sharers), true
+	}
+	return max(len(sharers), d.announced), d.announced > 0
+}
+
 // FetchDeadline implements [relay.Controller].
 func (d *Controller) FetchDeadline() time.Time {
 	d.mu.Lock()
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -342,11 +342,13 @@
 // without them, but serves all others.
 const maxVerdictWait = 3 * time.Second
 
-// updateReadiness makes a starting entry ready once it has a configuration, the list of the upstreams and, within
-// maxVerdictWait of its start, the verdicts; the lock is held.
+// updateReadiness makes a starting entry ready once it has a configuration, the list of the upstreams, its part of the
+// retry budget and, within maxVerdictWait of its start, the verdicts; the lock is held. It knows its part soon also
+// without the store.
 func (d *Controller) updateReadiness(now time.Time) {
 	hasVerdicts := d.digester.Load() != nil || now.Sub(d.startedAt) >= maxVerdictWait
-	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil && hasVerdicts {
+	_, hasPart := d.countSharers(now)
+	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil && hasVerdicts && hasPart {
 		d.mesh.SetState(mesh.Ready)
 		d.log.Info("ready", "version", d.set.Load().Version())
 	}
