Refuse a body that is too long by its stated length

A request with a Content-Length far above the limit got a 503 with a time to come back, as if memory were short for the moment, though it can never be taken; two with 2^62 each could overflow the count of the bodies' memory. A body without a length counted as none where no limit was configured.

The length is compared with the limit first, and the default limit counts as one.

TestLongBodyIsRefusedByItsLength failed before (503 in place of 413) and passes. TestEndlessRequestsAreRefused, requests without end to each address of the daemon, passed before and passes.

--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -2,6 +2,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -180,16 +181,21 @@
 		x.refuse(status, -1, reason)
 		return
 	}
+	limit := cmp.Or(max(set.Limits().BodySize, 0), defaultMaxBody)
 	size := r.ContentLength
-	if size < 0 {
-		size = set.Limits().BodySize
+	switch {
+	case size > limit:
+		x.refuse(http.StatusRequestEntityTooLarge, -1, "body_too_large")
+		return
+	case size < 0:
+		size = limit
 	}
 	if !h.bodies.take(size) {
 		x.refuse(http.StatusServiceUnavailable, unreadyRetryAfter, "memory")
 		return
 	}
 	defer h.bodies.give(size)
-	if status, reason := x.readBody(set.Limits().BodySize); status != 0 {
+	if status, reason := x.readBody(limit); status != 0 {
 		x.refuse(status, -1, reason)
 		return
 	}
@@ -255,9 +261,6 @@
 // status and the reason of a refusal, zero if there is none.
 func (x *exchange) readBody(limit int64) (status int, reason string) {
 	x.hasBody = x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != ""
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
 	control := http.NewResponseController(x.w)
 	if err := control.SetWriteDeadline(x.deadline.Add(writeMargin)); err != nil {
 		x.h.log.Debug("write_deadline_not_set", "error", err)
