Don't wait for the body of a request that is refused by its head

A caller that was refused by its head (no such route, unknown key, no memory) and sent its body slowly, or never, held its connection and a goroutine for as long as it liked: the server reads some of the body before it answers, without a deadline. The same held for bodies sent to the readiness, directory and metrics addresses, which also took headers up to 1 MB.

Such a body now gets a second, and requests to the other addresses 3 s in all and 16 KiB of headers.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -137,15 +137,17 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadHeaderTimeout: adviceHeaderTimeout, IdleTimeout: adviceIdleTimeout}
+		server := &http.Server{Handler: handler, ReadTimeout: adviceReadTimeout, IdleTimeout: adviceIdleTimeout, MaxHeaderBytes: adviceMaxHeader}
 		group.Go(func() error { return serve(ctx, server, func() error { return server.Serve(l) }) })
 	}
 	return nil
 }
 
 const (
-	// adviceHeaderTimeout bounds the read of a request header at the readiness, directory and metrics addresses.
-	adviceHeaderTimeout = 3 * time.Second
+	// adviceReadTimeout bounds the read of a request at the readiness, directory and metrics addresses.
+	adviceReadTimeout = 3 * time.Second
+	// adviceMaxHeader bounds the header of a request to these addresses, in bytes.
+	adviceMaxHeader = 16 << 10
 	// adviceIdleTimeout is how long a connection to these addresses may stay idle.
 	adviceIdleTimeout = 15 * time.Second
 )
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -30,6 +30,8 @@
 	// unreadyRetryAfter is the delay before the retry of callers whose request the entry can't take yet: about the
 	// time that it needs to become ready.
 	unreadyRetryAfter = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for the body of a request that is refused by its head.
+	unreadBodyTimeout = time.Second
 	// writeMargin is how long after the deadline the answer may still be written to a slow caller.
 	writeMargin = time.Second
 	// defaultMaxBody bounds a request body if the configuration does not, in bytes.
@@ -291,6 +293,12 @@
 
 // refuse sends the daemon's own answer. A negative retryAfter is not sent.
 func (x *exchange) refuse(status int, retryAfter time.Duration, reason string) {
+	if x.body == nil && x.r.ContentLength != 0 {
+		// The server reads some of the body before it answers.
+		if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+			x.h.log.Debug("read_deadline_not_set", "error", err)
+		}
+	}
 	x.h.dialect.Refuse(x.w.Header(), x.head.ID, retryAfter)
 	x.w.Header().Set("Content-Type", "application/json")
 	body, err := json.Marshal(map[string]string{"error": reason})
