Apply the configured time-out of a request's header

The header of a request had 3 s on a new connection and the idle time-out of 15 s on one that was used before, whatever header_timeout_ms said: a client that is slow within the limit was cut, one that sends nothing more was kept.

The deadlines that the server sets for a connection are told apart by its state: the first one of an idle connection is for the idleness, the next for the header.

TestHeaderTimeoutOfTheConfigurationHolds failed before, on new and on used connections, and passes under the race detector.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -92,7 +92,10 @@
 	d.duty = &duty{d: d, era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.handler)
-	d.controller.onConfig = func(set *conf.Set) { d.server.SetIdleTimeout(set.Limits().IdleTimeout) }
+	d.controller.onConfig = func(set *conf.Set) {
+		d.server.SetIdleTimeout(set.Limits().IdleTimeout)
+		d.server.SetHeaderTimeout(set.Limits().HeaderTimeout)
+	}
 	return d
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -18,21 +18,22 @@
 	maxHeader = 64 << 10
 )
 
-// Server serves callers with an idle timeout that may change while it runs.
+// Server serves callers with timeouts that may change while it runs.
 type Server struct {
-	http        *http.Server
-	idleTimeout atomic.Int64
+	http                       *http.Server
+	idleTimeout, headerTimeout atomic.Int64
 }
 
 // NewServer returns a server for a handler; [Server.Serve] starts it.
 func NewServer(h http.Handler) *Server {
 	s := &Server{}
 	s.SetIdleTimeout(defaultIdleTimeout)
+	s.SetHeaderTimeout(defaultHeaderTimeout)
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeader,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*callerConn); ok {
-				conn.idle.Store(state == http.StateIdle)
+				conn.observe(state)
 			}
 		},
 	}
@@ -46,6 +47,13 @@
 	}
 }
 
+// SetHeaderTimeout changes how long the header of a request may take; values that are not positive are ignored.
+func (s *Server) SetHeaderTimeout(d time.Duration) {
+	if d > 0 {
+		s.headerTimeout.Store(int64(d))
+	}
+}
+
 // HTTP returns the underlying server.
 func (s *Server) HTTP() *http.Server { return s.http }
 
@@ -72,17 +80,47 @@
 	return &callerConn{Conn: c, server: l.server}, nil
 }
 
-// callerConn applies the server's current idle timeout.
+// phase is what the next read deadline of a connection is for.
+type phase int32
+
+const (
+	// inHeader is the phase before and within the header of a request.
+	inHeader phase = iota
+	// inRequest is the phase after it, in which the handler sets deadlines.
+	inRequest
+	// betweenRequests is the phase in which the connection is idle.
+	betweenRequests
+)
+
+// callerConn applies the server's current timeouts.
 type callerConn struct {
 	net.Conn
 	server *Server
-	idle   atomic.Bool
+	phase  atomic.Int32
+}
+
+// observe follows the state that the server reports.
+func (c *callerConn) observe(state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		c.phase.Store(int32(inRequest))
+	case http.StateIdle:
+		c.phase.Store(int32(betweenRequests))
+	}
 }
 
-// SetReadDeadline implements [net.Conn].
+// SetReadDeadline implements [net.Conn]. The server sets the deadline of an idle connection once, and then that of the
+// next header.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if c.idle.Load() && !t.IsZero() && time.Until(t) > time.Second {
+	if t.IsZero() || time.Until(t) <= time.Second {
+		return c.Conn.SetReadDeadline(t)
+	}
+	switch phase(c.phase.Load()) {
+	case inHeader:
+		t = time.Now().Add(time.Duration(c.server.headerTimeout.Load()))
+	case betweenRequests:
 		t = time.Now().Add(time.Duration(c.server.idleTimeout.Load()))
+		c.phase.Store(int32(inHeader))
 	}
 	return c.Conn.SetReadDeadline(t)
 }
