--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -93,7 +93,10 @@
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.controller.guard.Handler(d.handler))
-	d.controller.onConfig = func(set *conf.Set) { d.server.SetIdleTimeout(set.Limits().IdleTimeout) }
+	d.controller.onConfig = func(set *conf.Set) {
+		d.server.SetIdleTimeout(set.Limits().IdleTimeout)
+		d.server.SetHeaderTimeout(set.Limits().HeaderTimeout)
+	}
 	return d
 }
 
@@ -139,15 +142,17 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: d.controller.guard.Handler(handler), ReadHeaderTimeout: adviceHeaderTimeout, IdleTimeout: adviceIdleTimeout}
+		server := &http.Server{Handler: d.controller.guard.Handler(handler), ReadTimeout: adviceReadTimeout, IdleTimeout: adviceIdleTimeout, MaxHeaderBytes: adviceMaxHeader}
 		group.Go(func() error { return serve(ctx, server, func() error { return server.Serve(l) }) })
 	}
 	return nil
 }
 
 const (
-	// adviceHeaderTimeout bounds the read of a request header at the readiness, directory and metrics addresses.
-	adviceHeaderTimeout = 3 * time.Second
+	// adviceReadTimeout bounds the read of a request at the readiness, directory and metrics addresses.
+	adviceReadTimeout = 3 * time.Second
+	// adviceMaxHeader bounds the header of a request to these addresses, in bytes.
+	adviceMaxHeader = 16 << 10
 	// adviceIdleTimeout is how long a connection to these addresses may stay idle.
 	adviceIdleTimeout = 15 * time.Second
 )
