Carry out roll-outs and take bad releases back

Callers got several times slower answers from a release that was to be taken back, since nothing moved traffic to a new release, judged it or reported a state: its engines got requests as any others.

core/ramp decides, as docs/design/platform.md says: a small share of each route counted at each entry, comparison with the old release by route and at the same time on the counts of all entries, a way back at any entry, steps and the end by the holder of the duty. The placement asks it which releases may get a request and tells it how attempts go.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -103,6 +103,7 @@
 			tally.FullBy[bound]++
 			return
 		}
+		m.gather(need, &candidate)
 		if need.Spread != "" {
 			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
 		}
@@ -125,7 +126,7 @@
 
 // open reports whether an upstream is eligible for the request, whatever its load and the rate of requests to it.
 func (m *Model) open(now time.Time, u *conf.Upstream, status fleet.Status, service *conf.Service, need *Need) bool {
-	if !status.Usable || status.Ordered {
+	if !status.Usable || status.Ordered || !m.releaseAllowed(now, u, need) {
 		return false
 	}
 	if service.Engine == nil || need.Model == "" {
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -15,6 +15,10 @@
 type Need struct {
 	Ticket  Ticket
 	Service ident.ServiceName
+	// Route is the name of the route.
+	Route string
+	// Sampled is set for requests that are to go to the release that is being rolled out.
+	Sampled bool
 	// CacheScope is the scope in which cached context is shared: the organisation if it is isolated, else empty.
 	CacheScope string
 	Model      ident.ModelName
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/parts"
+	"cicadavalve/core/ramp"
 )
 
 // Members describes this entry and the other ones.
@@ -83,6 +84,8 @@
 	upstreams      map[ident.UpstreamID]*upstreamStats
 	// links holds the estimates for the links over which parts are fetched.
 	links map[parts.Holder]*link
+	// ramp decides about software releases; nil if there are no roll-outs.
+	ramp *ramp.Model
 }
 
 // namedVersion is a version of a model's weights and when it became the target.
@@ -170,6 +173,7 @@
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	switch msg := msg.(type) {
 	case ArriveMsg:
+		m.pick(now, &msg.Need)
 		return m.place(now, &waiting{need: msg.Need, avoid: msg.Avoid}, "")
 	case RetryMsg:
 		return m.retry(now, msg)
@@ -212,6 +216,7 @@
 	}
 	need := s.need
 	need.Spread = msg.Spread
+	m.again(&need)
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
 	return m.place(now, &waiting{need: need, avoid: msg.Avoid}, "")
@@ -233,6 +238,7 @@
 		return ""
 	}
 	s.answered = true
+	m.noteFirstByte(now, t)
 	if len(s.need.Chain) > 0 {
 		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: s.need.Shared()})
 	}
@@ -266,6 +272,7 @@
 
 // recordOutcome updates the failure rates of the upstream and its service. Rejected and cancelled requests don't count.
 func (m *Model) recordOutcome(now time.Time, s *sent, outcome Outcome) {
+	m.noteOutcome(now, s, outcome)
 	if outcome == Rejected || outcome == Cancelled {
 		return
 	}
@@ -355,6 +362,9 @@
 // request that would be late there.
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
 	best, tally, ahead := m.choose(now, &w.need, w.avoid, only)
+	if best == nil && only == "" && m.unsample(&w.need, tally) {
+		best, tally, ahead = m.choose(now, &w.need, w.avoid, only)
+	}
 	if best == nil {
 		if only != "" {
 			ahead.others = true
@@ -399,6 +409,7 @@
 	}
 	l.begin(s)
 	m.sent[need.Ticket] = s
+	m.noteSent(now, need, o)
 	cmd := SendCmd{
 		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.firstByte, Missing: o.missing,
--- /dev/null
+++ b/core/place/ramp.go
@@ -0,0 +1,96 @@
+package place
+
+import (
+	"time"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ramp"
+	"cicadavalve/core/route"
+)
+
+// WithRamp sets the model of roll-outs, which decides what upstreams of each software release may get.
+func WithRamp(r *ramp.Model) Option {
+	return func(m *Model) { m.ramp = r }
+}
+
+// pick marks a new request as a sample for the release that is being rolled out, or not.
+func (m *Model) pick(now time.Time, need *Need) {
+	need.Sampled = m.ramp != nil && m.ramp.Pick(now, need.Service, need.Route)
+}
+
+// again is like pick for a request that is sent once more.
+func (m *Model) again(need *Need) { need.Sampled = m.ramp != nil && m.ramp.Again(need.Service) }
+
+// releaseAllowed reports whether an upstream's release may get a request.
+func (m *Model) releaseAllowed(now time.Time, u *conf.Upstream, need *Need) bool {
+	return m.ramp == nil || m.ramp.Allows(now, need.Service, u.Release, need.Sampled)
+}
+
+// unsample turns a sample that no upstream can take into an ordinary request and reports whether it did. After the move to
+// the new release samples wait for busy upstreams, as other requests do.
+func (m *Model) unsample(need *Need, tally Tally) bool {
+	if !need.Sampled || m.ramp.Moved(need.Service) && tally.Full+tally.Limited > 0 {
+		return false
+	}
+	need.Sampled = false
+	return true
+}
+
+// gather lowers the cost of an idle upstream for a sample by a hash of its id. Samples of all entries so meet on few
+// upstreams, whose load is then near that of the old ones.
+func (m *Model) gather(need *Need, o *option) {
+	if need.Sampled && o.idle && m.ramp.Testing(need.Service) {
+		o.cost = -float64(route.HashID(o.upstream.ID))
+	}
+}
+
+// noteSent tells the model of roll-outs of an attempt.
+func (m *Model) noteSent(now time.Time, need *Need, o *option) {
+	if m.ramp == nil {
+		return
+	}
+	expected := time.Duration(float64(o.firstByte-o.fetchDelay)/m.upstreamStats(o.upstream.ID).slowdown) + o.fetchDelay
+	m.ramp.Update(now, ramp.SentMsg{Attempt: ramp.Attempt{
+		ID: uint64(need.Ticket), Service: need.Service, Route: need.Route, Upstream: o.upstream.ID, Release: o.upstream.Release,
+		Cold: m.fleet.Cold(now, o.upstream.ID), Expected: expected, Output: need.Output,
+	}})
+}
+
+// noteFirstByte tells the model of roll-outs of the first byte of an attempt's answer.
+func (m *Model) noteFirstByte(now time.Time, t Ticket) {
+	if m.ramp != nil {
+		m.ramp.Update(now, ramp.FirstByteMsg{ID: uint64(t)})
+	}
+}
+
+// noteOutcome tells the model of roll-outs how an attempt ended.
+func (m *Model) noteOutcome(now time.Time, s *sent, outcome Outcome) {
+	if m.ramp != nil {
+		m.ramp.Update(now, ramp.EndMsg{
+			ID: uint64(s.need.Ticket), Failed: outcome == Failed || outcome == Broken, Broken: outcome == Broken,
+			Void: outcome == Rejected || outcome == Cancelled,
+		})
+	}
+}
+
+// PoolOf describes the upstreams of a service for a roll-out to a release.
+func (m *Model) PoolOf(now time.Time, service ident.ServiceName, target ramp.Release) (p ramp.Pool) {
+	m.fleet.Scan(func(u *conf.Upstream) {
+		if u.Service != service {
+			return
+		}
+		serves := m.fleet.Usable(now, u.ID) && !m.fleet.Cold(now, u.ID)
+		switch {
+		case u.Release != target:
+			p.Old++
+			p.OldInFlight += m.InFlight(now, u.ID)
+			if serves {
+				p.OldSlots += u.Slots
+			}
+		case serves:
+			p.NewSlots += u.Slots
+		}
+	})
+	return p
+}
--- /dev/null
+++ b/core/ramp/evidence.go
@@ -0,0 +1,221 @@
+package ramp
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cicadavalve/core/ident"
+)
+
+// Indicator is a sign of a bad release.
+type Indicator int
+
+// The indicators, which index [Counts].
+const (
+	Failed Indicator = iota
+	SlowFirst
+	SlowWhole
+	indicators
+)
+
+var indicatorNames = [indicators]string{"failed", "slow_first", "slow_whole"}
+
+// String returns the name of the indicator.
+func (i Indicator) String() string { return indicatorNames[i] }
+
+// Tally counts attempts and how many of them show an indicator.
+type Tally struct{ N, Bad int }
+
+// Counts holds a tally for each indicator.
+type Counts [indicators]Tally
+
+func (c *Counts) add(o Counts) {
+	for i := range c {
+		c[i].N, c[i].Bad = c[i].N+o[i].N, c[i].Bad+o[i].Bad
+	}
+}
+
+// since returns what was added to an earlier count, or all if it began anew.
+func (c Counts) since(earlier Counts) (added Counts) {
+	for i := range c {
+		added[i] = Tally{c[i].N - earlier[i].N, c[i].Bad - earlier[i].Bad}
+		if added[i].N < 0 || added[i].Bad < 0 {
+			return c
+		}
+	}
+	return added
+}
+
+const (
+	// breakInterval is the time within which several attempts that break off at one upstream count once: an upstream that
+	// ends breaks all of them off.
+	breakInterval = time.Second
+	// maxCells bounds the routes in a report.
+	maxCells = 20
+)
+
+// sent notes an attempt.
+func (m *Model) sent(now time.Time, a Attempt) {
+	s := m.service(a.Service)
+	r := s.run
+	t := &attempt{Attempt: a, sentAt: now, isNew: r.isNew(a.Release)}
+	if r != nil && r.verdict == Undecided {
+		t.run = r
+		if t.isNew {
+			r.share.charge(a.Route)
+		}
+	}
+	m.attempts[a.ID] = t
+}
+
+// firstByte compares the time to the first byte.
+func (m *Model) firstByte(now time.Time, id uint64) {
+	a, known := m.attempts[id]
+	if !known || a.first {
+		return
+	}
+	a.first = true
+	m.timed(a, SlowFirst, a.firstPace(now), a.slowFirst)
+}
+
+// timed counts how long an answer took; counted is set if the attempt was counted as slow before. Answers of cold
+// upstreams are left out.
+func (m *Model) timed(a *attempt, i Indicator, v float64, counted bool) {
+	if a.Cold {
+		return
+	}
+	s, whole := m.service(a.Service), i == SlowWhole
+	limit, ok := s.pace.limit(a.Route, whole)
+	if ok && !counted {
+		m.count(a, i, v > limit)
+	}
+	if !a.isNew && !s.barred[a.Release] {
+		s.pace.add(a.Route, whole, v)
+	}
+}
+
+// count adds an attempt to what this entry tells and judges.
+func (m *Model) count(a *attempt, i Indicator, bad bool) {
+	if a.run == nil {
+		return
+	}
+	var c Counts
+	c[i].N = 1
+	if bad {
+		c[i].Bad = 1
+	}
+	cell, known := a.run.own[a.Route]
+	if !known {
+		if len(a.run.own) >= maxRoutes {
+			return
+		}
+		cell = &Cell{Route: a.Route}
+		a.run.own[a.Route] = cell
+	}
+	added := Cell{Route: a.Route}
+	if a.isNew {
+		cell.New.add(c)
+		added.New = c
+	} else {
+		cell.Old.add(c)
+		added.Old = c
+	}
+	a.run.judge.add(added)
+}
+
+// ended counts the end of an attempt.
+func (m *Model) ended(now time.Time, msg EndMsg) {
+	a, known := m.attempts[msg.ID]
+	if !known {
+		return
+	}
+	delete(m.attempts, msg.ID)
+	s := m.service(a.Service)
+	switch {
+	case msg.Void:
+		return
+	case msg.Broken:
+		if last, broke := s.brokeAt[a.Upstream]; broke && now.Sub(last) < breakInterval {
+			return
+		}
+		m.noteBreak(now, s, a.Upstream)
+	case !msg.Failed:
+		if v, ok := a.wholePace(now); ok {
+			m.timed(a, SlowWhole, v, a.slowWhole)
+		}
+	}
+	m.count(a, Failed, msg.Failed)
+}
+
+// noteBreak notes that an attempt broke off at an upstream, and forgets those that no longer count.
+func (m *Model) noteBreak(now time.Time, s *service, upstream ident.UpstreamID) {
+	for id, at := range s.brokeAt {
+		if now.Sub(at) >= breakInterval {
+			delete(s.brokeAt, id)
+		}
+	}
+	s.brokeAt[upstream] = now
+}
+
+// countOverdue counts the attempts under way that are slow already.
+func (m *Model) countOverdue(now time.Time) {
+	for _, a := range m.attempts {
+		if a.run == nil || !a.isNew || a.Cold {
+			continue
+		}
+		s := m.service(a.Service)
+		if limit, ok := s.pace.limit(a.Route, false); ok && !a.first && !a.slowFirst && a.firstPace(now) > limit {
+			a.slowFirst = true
+			m.count(a, SlowFirst, true)
+		}
+		v, timed := a.wholePace(now)
+		if limit, ok := s.pace.limit(a.Route, true); ok && timed && !a.slowWhole && v > limit {
+			a.slowWhole = true
+			m.count(a, SlowWhole, true)
+		}
+	}
+}
+
+// hear applies what another entry tells.
+func (m *Model) hear(now time.Time, msg ReportMsg) (cmds []ident.Cmd) {
+	r := m.service(msg.Report.Service).run
+	if r == nil || r.target != msg.Report.Target {
+		return nil
+	}
+	if since := now.Add(-msg.Report.Age); since.Before(r.since) {
+		r.since = since
+	}
+	earlier := map[string]Cell{}
+	for _, c := range r.others[msg.Entry].Cells {
+		earlier[c.Route] = c
+	}
+	for _, c := range msg.Report.Cells {
+		last := earlier[c.Route]
+		r.judge.add(Cell{Route: c.Route, Old: c.Old.since(last.Old), New: c.New.since(last.New)})
+	}
+	r.others[msg.Entry] = msg.Report
+	if msg.Report.Step > r.step && r.verdict == Undecided {
+		cmds = append(cmds, r.enter(now, min(msg.Report.Step, fullStep)))
+	}
+	if m.decide(r, msg.Report.Verdict) {
+		cmds = append(cmds, r.verdictCmd(now, nil))
+	}
+	return cmds
+}
+
+// Reports returns what this entry tells the others, with the routes that have the most samples.
+func (m *Model) Reports(now time.Time) (reports []Report) {
+	for _, r := range m.runs() {
+		report := Report{Service: r.service, Target: r.target, Age: r.age(now), Step: r.step, Verdict: r.verdict}
+		for _, c := range r.own {
+			report.Cells = append(report.Cells, *c)
+		}
+		slices.SortFunc(report.Cells, func(a, b Cell) int {
+			return cmp.Or(cmp.Compare(b.New[Failed].N, a.New[Failed].N), cmp.Compare(b.Old[Failed].N, a.Old[Failed].N), cmp.Compare(a.Route, b.Route))
+		})
+		report.Cells = report.Cells[:min(len(report.Cells), maxCells)]
+		reports = append(reports, report)
+	}
+	return reports
+}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/purge"
+	"cicadavalve/core/ramp"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
 	"cicadavalve/io/gossip"
@@ -90,6 +91,9 @@
 	verdicts chan verdict
 	// stall notices that the process stood still.
 	stall *stall.Model
+	// ramp decides about software releases; rampToldAt is when its reports were last sent.
+	ramp       *ramp.Model
+	rampToldAt time.Time
 	// limitFaults bounds the log lines about limits that can't be read.
 	limitFaults rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
@@ -102,9 +106,11 @@
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
 	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
+	roll := newRampModel(s, rng)
 	d := &Controller{
 		era: -1, log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
+		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
+		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
 	"cicadavalve/core/purge"
+	"cicadavalve/core/ramp"
 	"cicadavalve/core/reload"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
@@ -122,6 +123,7 @@
 		u.purge.SetTargetVersion(model, version)
 	}
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
+	cmds = append(cmds, u.d.controller.tickRamp(now, holds)...)
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
 	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.controller.stores()})...)
 }
@@ -148,6 +150,8 @@
 		u.orderLoad(ctx, cmd)
 	case purge.FreeCmd:
 		u.freeParts(ctx, cmd)
+	case ramp.RecordCmd:
+		u.recordRollout(ctx, cmd)
 	}
 }
 
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -171,6 +171,7 @@
 			// In a new era, orders that were lost are written again.
 			if f.topic == port.Operator && f.snapshotEra == batch.Era {
 				f.d.controller.takeBackZones(now, batch.Events)
+				f.d.controller.endRollouts(now, batch.Events)
 			}
 			f.snapshotEra = batch.Era
 		}
@@ -271,8 +272,7 @@
 			d.log.Info("zone_changed", "zone", e.Zone, "avoided", e.Avoided)
 			d.perform(d.fleet.Update(now, fleet.AvoidMsg{Zone: e.Zone, Avoided: e.Avoided}))
 		case port.RolloutEvent:
-			// Moving traffic to another release is not implemented; the warning reports that to the operator.
-			d.log.Warn("rollout_not_carried_out", "service", e.Service, "release", e.Release, "ended", e.Ended)
+			d.applyRollout(now, now, e)
 		case port.UpstreamEvent:
 			d.applyUpstream(now, e.Upstream)
 		case port.UpstreamGoneEvent:
@@ -304,6 +304,7 @@
 	d.log.Info("upstreams_listed", "count", len(listed))
 	d.perform(d.fleet.Update(now, fleet.SnapshotMsg{Upstreams: listed}))
 	for _, u := range listed {
+		d.seeRelease(now, u)
 		d.observeRecord(now, u)
 	}
 	d.upstreamsListed = true
@@ -318,6 +319,7 @@
 		d.log.Info("upstream_changed", "upstream", u.ID, "service", u.Service, "address", u.Address, "draining", u.Draining,
 			"cold_left", u.ColdLeft, "born", u.Born)
 	}
+	d.seeRelease(now, u)
 	d.perform(d.fleet.Update(now, fleet.ListedMsg{Upstream: u}))
 	if !known || old.Born != u.Born {
 		d.observeRecord(now, u)
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -142,6 +142,7 @@
 		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
 	}
 	d.shareEvidence(now, len(alive), &m)
+	d.shareRollouts(now, &m)
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 	}
@@ -244,6 +245,7 @@
 	}
 	d.applyMarks(now, m.Era, m.Marks)
 	d.applyEvidence(now, &m)
+	d.hearRollouts(now, &m)
 	if m.Heartbeat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -40,6 +40,9 @@
 	RetryRatio     float64
 	RetryWindow    time.Duration
 	RetryAllowance float64
+	// ExposeShare and ExposeSlack bound the requests to a bad release while it is rolled out: a share of all requests to its
+	// service, and a number.
+	ExposeShare, ExposeSlack float64
 }
 
 // portsNeeded is the number of internal ports: one for datagrams between daemons, one for metrics.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -90,6 +90,26 @@
 	Body []byte
 }
 
+// Rollout is what the sender knows of a roll-out. AgeMS is the time since the order, in milliseconds.
+type Rollout struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Release string
+	AgeMS   int
+	Step    int
+	Verdict int
+	Cells   []RolloutCell
+}
+
+// RolloutCell counts the attempts of one route at the old and the new release. The lists hold for each indicator the
+// number of attempts and how many of them show it.
+type RolloutCell struct {
+	_     struct{} `cbor:",toarray"`
+	Route string
+	Old   []int
+	New   []int
+}
+
 // Message is the content of one datagram. Long reports are split over several messages, of which the first carries the
 // other fields.
 type Message struct {
@@ -123,6 +143,8 @@
 	Limits []Limit `cbor:"19,keyasint,omitempty"`
 	// Era is the era of the store in which the offsets of Marks count.
 	Era int64 `cbor:"20,keyasint,omitempty"`
+	// Rollouts are sent in a message each.
+	Rollouts []Rollout `cbor:"21,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -212,8 +234,8 @@
 
 // split divides long reports over several messages. The first also carries all other fields of the message.
 func split(m Message) (parts []Message) {
-	reports, verdicts, losses, limits := m.Reports, m.Verdicts, m.Losses, m.Limits
-	m.Reports, m.Verdicts, m.Losses, m.Limits = nil, nil, nil, nil
+	reports, verdicts, losses, limits, rollouts := m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts
+	m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts = nil, nil, nil, nil, nil
 	parts = []Message{m}
 	for _, r := range reports {
 		for {
@@ -245,6 +267,11 @@
 		part.Limits = limits
 		parts = append(parts, part)
 	}
+	for chunk := range slices.Chunk(rollouts, 1) {
+		part := m.empty()
+		part.Rollouts = chunk
+		parts = append(parts, part)
+	}
 	return parts
 }
 
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -99,6 +99,8 @@
 	Claims
 	// Verdicts carries what the daemons must remember of crashing requests.
 	Verdicts
+	// Rollouts carries the states of roll-outs that the daemons have recorded.
+	Rollouts
 )
 
 // ConfigEvent is an accepted configuration.
@@ -124,6 +126,13 @@
 	Ended   bool
 }
 
+// RolloutStateEvent is the state of a roll-out that a daemon has recorded.
+type RolloutStateEvent struct {
+	Service ident.ServiceName
+	Release string
+	State   string
+}
+
 // UpstreamEvent is a listed upstream.
 type UpstreamEvent struct{ Upstream conf.Upstream }
 
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -231,7 +231,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.need = place.Need{
-		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
+		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
 	}
 	return 0, ""
