Load few upstreams of a release before it gets more requests

A release may be bad under load alone. Before the share is raised, each entry sends what is left of its part of the bound at once, to few upstreams.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -365,6 +365,9 @@
 	if best == nil && only == "" && m.unsample(&w.need, tally) {
 		best, tally, ahead = m.choose(now, &w.need, w.avoid, only)
 	}
+	if best != nil && only == "" && m.lateSample(now, &w.need, best) && m.unsample(&w.need, Tally{}) {
+		best, tally, ahead = m.choose(now, &w.need, w.avoid, only)
+	}
 	if best == nil {
 		if only != "" {
 			ahead.others = true
@@ -372,11 +375,10 @@
 		return m.enqueue(now, w, tally, &ahead)
 	}
 	need := &w.need
-	waited := now.Sub(need.Arrived)
 	switch {
 	case now.Add(best.firstByte).After(need.Deadline):
 		cmds = m.refuse(need, best, tally, TooLate)
-	case float64(waited+best.firstByte) > lateFactor*float64(need.Objective) && !best.idle:
+	case m.late(now, need, best):
 		cmds = m.refuse(need, best, tally, Overloaded)
 	default:
 		return m.send(now, need, best)
@@ -389,6 +391,11 @@
 	return cmds
 }
 
+// late reports whether a request is expected to be much too late at an option that is busy.
+func (m *Model) late(now time.Time, need *Need, o *option) bool {
+	return float64(now.Sub(need.Arrived)+o.firstByte) > lateFactor*float64(need.Objective) && !o.idle
+}
+
 // refuse returns the refusal of a request that is expected to be late at the best upstream.
 func (m *Model) refuse(need *Need, best *option, tally Tally, reason Reason) []ident.Cmd {
 	after := min(max(best.firstByte-need.Objective/2, minRetryAfter), maxRetryAfter)
--- a/core/place/ramp.go
+++ b/core/place/ramp.go
@@ -37,10 +37,18 @@
 	return true
 }
 
-// gather lowers the cost of an idle upstream for a sample by a hash of its id. Samples of all entries so meet on few
-// upstreams, whose load is then near that of the old ones.
+// lateSample reports whether a sample would be refused at its best upstream, though another release may serve it.
+func (m *Model) lateSample(now time.Time, need *Need, o *option) bool {
+	return need.Sampled && !m.ramp.Moved(need.Service) && (now.Add(o.firstByte).After(need.Deadline) || m.late(now, need, o))
+}
+
+// gather lowers the cost of an upstream for a sample by a hash of its id, so that samples of all entries meet on few
+// upstreams.
 func (m *Model) gather(need *Need, o *option) {
-	if need.Sampled && o.idle && m.ramp.Testing(need.Service) {
+	if !need.Sampled {
+		return
+	}
+	if idle, busy := m.ramp.Gathers(need.Service); busy || idle && o.idle {
 		o.cost = -float64(route.HashID(o.upstream.ID))
 	}
 }
--- a/core/ramp/evidence.go
+++ b/core/ramp/evidence.go
@@ -60,6 +60,7 @@
 	s := m.service(a.Service)
 	r := s.run
 	t := &attempt{Attempt: a, sentAt: now, isNew: r.isNew(a.Release)}
+	t.loaded = t.isNew && now.Before(r.loadedUntil)
 	if r != nil && r.verdict == Undecided {
 		t.run = r
 		if t.isNew {
@@ -86,7 +87,7 @@
 		return
 	}
 	s, whole := m.service(a.Service), i == SlowWhole
-	limit, ok := s.pace.limit(a.Route, whole)
+	limit, ok := a.limit(s, whole)
 	if ok && !counted {
 		m.count(a, i, v > limit)
 	}
@@ -165,12 +166,12 @@
 			continue
 		}
 		s := m.service(a.Service)
-		if limit, ok := s.pace.limit(a.Route, false); ok && !a.first && !a.slowFirst && a.firstPace(now) > limit {
+		if limit, ok := a.limit(s, false); ok && !a.first && !a.slowFirst && a.firstPace(now) > limit {
 			a.slowFirst = true
 			m.count(a, SlowFirst, true)
 		}
 		v, timed := a.wholePace(now)
-		if limit, ok := s.pace.limit(a.Route, true); ok && timed && !a.slowWhole && v > limit {
+		if limit, ok := a.limit(s, true); ok && timed && !a.slowWhole && v > limit {
 			a.slowWhole = true
 			m.count(a, SlowWhole, true)
 		}
--- a/core/ramp/pace.go
+++ b/core/ramp/pace.go
@@ -8,6 +8,8 @@
 const (
 	// slowFactor is how many times the median of the old release an answer takes to count as slow.
 	slowFactor = 2.0
+	// loadedFactor is by how much more answers of an upstream with much load may take.
+	loadedFactor = 1.75
 	// minExcess is how much longer than that median it takes at least, as a part of what was expected.
 	minExcess = 0.5
 	// minPace is the number of answers from which there is a median.
@@ -82,6 +84,15 @@
 	return limit, true
 }
 
+// limit returns from which value on the attempt is slow; ok is false if too little is known.
+func (a *attempt) limit(s *service, whole bool) (limit float64, ok bool) {
+	limit, ok = s.pace.limit(a.Route, whole)
+	if a.loaded {
+		limit *= loadedFactor
+	}
+	return limit, ok
+}
+
 // firstPace is the time to the first byte relative to what was expected.
 func (a *attempt) firstPace(now time.Time) float64 {
 	return float64(now.Sub(a.sentAt)) / float64(max(a.Expected, time.Millisecond))
--- a/core/ramp/plan.go
+++ b/core/ramp/plan.go
@@ -16,9 +16,16 @@
 
 // steps are the steps of a roll-out. The test lasts as long as possible, since a release may turn bad late; the last steps
 // are short, since the deadline bounds what a bad one gets.
-var steps = []step{{}, {share: 0.25, lead: 1}, {share: 0.5, lead: 0.7}, {share: 1, lead: 0.55}}
+var steps = []step{testStep: {}, loadStep: {lead: 1.3}, 2: {share: 0.25, lead: 0.85}, fullStep: {share: 1, lead: 0.6}}
 
-const fullStep = 3
+const (
+	// In testStep a few requests go to the release.
+	testStep = iota
+	// In loadStep a part of what is allowed goes at once to few upstreams, since a release may be bad under load alone.
+	loadStep
+	// In fullStep all requests go to the release.
+	fullStep = 3
+)
 
 const (
 	// leadShare, minLead and maxLead set how long before the deadline the first step is due.
@@ -38,6 +45,8 @@
 	minSlotShare = 0.6
 	// absentAfter is how long no upstream of another release must have been listed for there to be nothing to compare with.
 	absentAfter = 3 * time.Second
+	// loadTime is how long attempts from loadStep on count as sent to upstreams with much load.
+	loadTime = 1500 * time.Millisecond
 	// recordRetry is the time after which a state is recorded again if that was not confirmed.
 	recordRetry = time.Second
 )
@@ -117,6 +126,9 @@
 // enter begins a step.
 func (r *run) enter(now time.Time, step int) StepCmd {
 	r.step, r.stepAt = step, now
+	if step == loadStep {
+		r.loadedUntil = now.Add(loadTime)
+	}
 	return StepCmd{Service: r.service, Target: r.target, Step: step, Share: steps[step].share, Age: r.age(now)}
 }
 
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -53,6 +53,8 @@
 	sentAt time.Time
 	isNew  bool
 	run    *run
+	// loaded is set if the upstream may have much more load than the old ones have.
+	loaded bool
 	// first is set once the first byte has come, slowFirst and slowWhole once the attempt was counted as slow.
 	first, slowFirst, slowWhole bool
 }
@@ -68,6 +70,8 @@
 	// oldAt is when an upstream of another release was last listed.
 	oldAt   time.Time
 	verdict Verdict
+	// loadedUntil is until when upstreams may have much load from loadStep.
+	loadedUntil time.Time
 	// written is the newest state known to be in the store; writing is when it was last tried to record another.
 	written State
 	writing time.Time
--- a/core/ramp/share.go
+++ b/core/ramp/share.go
@@ -12,6 +12,9 @@
 	// testSlack is the part of the allowed number that the entries use together while a release is on test, so that
 	// services with few requests are tested too.
 	testSlack = 0.3
+	// loadShare and loadSlack are the parts that the release may have got at the end of loadStep.
+	loadShare = 0.85
+	loadSlack = 0.6
 	// slackPeriod is the part of the time of a roll-out over which that number is used.
 	slackPeriod = 0.5
 	// maxCredit bounds the samples that a route may catch up on after its upstreams were not available.
@@ -41,11 +44,14 @@
 	}
 	r := s.run
 	r.share.total++
-	if r.step > 0 {
+	spent, entries := float64(r.share.sampled+1), float64(max(m.entries, 1))
+	if r.step == loadStep {
+		return spent <= m.limits.Share*loadShare*float64(r.share.total)+m.limits.Slack*loadSlack/entries
+	}
+	if r.step > loadStep {
 		return m.rng.Float64() < steps[r.step].share
 	}
-	slack := m.limits.Slack * testSlack / float64(max(m.entries, 1))
-	spent := float64(r.share.sampled + 1)
+	slack := m.limits.Slack * testSlack / entries
 	if spent <= slack*min(1, r.age(now).Seconds()/(slackPeriod*max(r.within.Seconds(), 1))) {
 		return true
 	}
@@ -99,10 +105,14 @@
 	return r.isNew(release) == sampled
 }
 
-// Testing reports whether samples of a service are to meet on few upstreams, so that these are under load as the old ones.
-func (m *Model) Testing(name ident.ServiceName) bool {
+// Gathers reports whether samples of a service are to meet on few upstreams, so that these are under load as the old ones,
+// and whether also on busy ones, so that they are under more.
+func (m *Model) Gathers(name ident.ServiceName) (idle, busy bool) {
 	s, known := m.services[name]
-	return known && s.run != nil && s.run.verdict == Undecided && s.run.step == 0
+	if !known || s.run == nil || s.run.verdict != Undecided {
+		return false, false
+	}
+	return s.run.step <= loadStep, s.run.step == loadStep
 }
 
 // Moved reports whether all requests of a service go to the new release, which is not judged yet.
