Test roll-outs in simulated fleets and keep their deadline over a restart

The simulated fleets roll out releases that are good, bad at once, late, under load or on one route, with several entries, restarts, a decider that is cut off or changes, the store away and lost reports.

--- a/core/ramp/messages.go
+++ b/core/ramp/messages.go
@@ -37,7 +37,7 @@
 	Service ident.ServiceName
 	Target  Release
 	Within  time.Duration
-	// Since is when the order was given at the earliest.
+	// Since is when the order was given at the earliest, zero if that is not known.
 	Since time.Time
 }
 
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -42,7 +42,9 @@
 	barred map[Release]bool
 	// listed holds when each release was first seen.
 	listed map[Release]time.Time
-	pace   pace
+	// born holds when the first listed upstream of each release started, by the clock of upstreams.
+	born map[Release]time.Time
+	pace pace
 	// brokeAt holds when an attempt last broke off at each upstream.
 	brokeAt map[ident.UpstreamID]time.Time
 }
@@ -65,6 +67,8 @@
 	target  Release
 	within  time.Duration
 	since   time.Time
+	// guessed is set if since is not known.
+	guessed bool
 	step    int
 	stepAt  time.Time
 	// oldAt is when an upstream of another release was last listed.
@@ -94,7 +98,7 @@
 func (m *Model) service(name ident.ServiceName) *service {
 	s, known := m.services[name]
 	if !known {
-		s = &service{barred: map[Release]bool{}, listed: map[Release]time.Time{}, pace: newPace(), brokeAt: map[ident.UpstreamID]time.Time{}}
+		s = &service{barred: map[Release]bool{}, listed: map[Release]time.Time{}, born: map[Release]time.Time{}, pace: newPace(), brokeAt: map[ident.UpstreamID]time.Time{}}
 		m.services[name] = s
 	}
 	return s
@@ -141,13 +145,29 @@
 	}
 	m.end(msg.Service)
 	delete(s.barred, msg.Target)
+	since, guessed := msg.Since, msg.Since.IsZero()
+	if guessed {
+		since = now
+	}
 	s.run = &run{
-		service: msg.Service, target: msg.Target, within: msg.Within, since: msg.Since, stepAt: now, oldAt: now, share: newShare(),
+		service: msg.Service, target: msg.Target, within: msg.Within, since: since, guessed: guessed, stepAt: now, oldAt: now, share: newShare(),
 		own: map[string]*Cell{}, others: map[string]Report{}, judge: newJudge(),
 	}
+	s.run.estimate(now, s.born)
 	m.recall(s.run)
 }
 
+// estimate takes the start of the first upstream of the target for the time of an order that was given before this process
+// started. A target that had upstreams long before says nothing.
+func (r *run) estimate(now time.Time, born map[Release]time.Time) {
+	if r == nil || !r.guessed {
+		return
+	}
+	if first, known := born[r.target]; known && first.Before(r.since) && now.Sub(first) < r.within {
+		r.since = first
+	}
+}
+
 // end forgets a roll-out whose order was removed or replaced. A release that was not judged gets no more requests.
 func (m *Model) end(name ident.ServiceName) {
 	s := m.service(name)
--- /dev/null
+++ b/core/ramp/ramp_test.go
@@ -0,0 +1,452 @@
+package ramp_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/ramp"
+)
+
+const (
+	service = ident.ServiceName("chat")
+	within  = 15 * time.Second
+	tick    = 100 * time.Millisecond
+	// perTick is the number of requests in each tick.
+	perTick = 12
+	// rollbackBound and badAnswers bound how long a release may get requests after its bad answers.
+	rollbackBound = 5 * time.Second
+	badAnswers    = 50
+)
+
+var (
+	limits = ramp.Limits{Share: 0.1, Slack: 50}
+	start  = time.Unix(1_000, 0)
+	routes = []string{"a", "b", "c", "d"}
+)
+
+// answer is how an upstream answers: after its normal time times a factor, or with a failure.
+type answer struct {
+	factor float64
+	fails  bool
+}
+
+// release returns the answer of the new release to a request, given the time since the order and its number of requests in
+// flight.
+type release func(rng *rand.Rand, age time.Duration, route string, inFlight int) answer
+
+// reply is an answer that is due.
+type reply struct {
+	entry   int
+	id      uint64
+	firstAt time.Time
+	endsAt  time.Time
+	isNew   bool
+	bad     bool
+	failed  bool
+	first   bool
+}
+
+// fleet simulates entries and the upstreams of an old and a new release, from five seconds before the order on.
+type fleet struct {
+	rng     *rand.Rand
+	entries []*ramp.Model
+	// cut entries neither hear others nor are heard; the one at holder decides unless the store is away.
+	cut    map[int]bool
+	holder int
+	away   bool
+	now    time.Time
+	next   uint64
+	due    []reply
+	answer release
+	// total counts the requests until the deadline, exposed those at the new release.
+	total, exposed int
+	inFlight       map[bool]int
+	bad            []time.Time
+	lastNew        time.Time
+	states         []ramp.Recorded
+	// loss is the probability that a report is lost.
+	loss float64
+}
+
+func newFleet(seed uint64, entries int, answer release) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: start.Add(-5 * time.Second), answer: answer, cut: map[int]bool{}, inFlight: map[bool]int{}}
+	for range entries {
+		f.entries = append(f.entries, f.newEntry())
+	}
+	return f
+}
+
+func (f *fleet) newEntry() *ramp.Model {
+	m := ramp.NewModel(limits, rand.New(rand.NewPCG(f.rng.Uint64(), 1)))
+	m.Update(f.now, ramp.StatesMsg{States: f.newest()})
+	m.See(f.now, service, "v1", start.Add(-time.Hour))
+	return m
+}
+
+// newest returns the newest state in the store.
+func (f *fleet) newest() []ramp.Recorded {
+	if len(f.states) == 0 {
+		return nil
+	}
+	return f.states[len(f.states)-1:]
+}
+
+// order gives an entry the order. One that has just started doesn't know when it was given.
+func (f *fleet) order(entry int) {
+	since := f.now
+	if f.now.After(start) {
+		since = time.Time{}
+	}
+	f.entries[entry].Update(f.now, ramp.OrderMsg{Service: service, Target: "v2", Within: within, Since: since})
+	f.entries[entry].See(f.now, service, "v2", start)
+}
+
+// run plays until an age of the order; at each tick it calls disturb.
+func (f *fleet) run(until time.Duration, disturb func(age time.Duration)) {
+	ordered := false
+	for ; f.now.Before(start.Add(until)); f.now = f.now.Add(tick) {
+		if !ordered && !f.now.Before(start) {
+			ordered = true
+			for i := range f.entries {
+				f.order(i)
+			}
+		}
+		if disturb != nil {
+			disturb(f.now.Sub(start))
+		}
+		f.deliver()
+		for range perTick {
+			f.send(f.rng.IntN(len(f.entries)))
+		}
+		f.gossip()
+		for i, m := range f.entries {
+			f.perform(i, m.Update(f.now, f.tickMsg(i)))
+		}
+	}
+}
+
+func (f *fleet) tickMsg(i int) ramp.TickMsg {
+	var others []string
+	for j := range f.entries {
+		if j != i && !f.cut[j] && !f.cut[i] {
+			others = append(others, fmt.Sprint(j))
+		}
+	}
+	return ramp.TickMsg{Holds: i == f.holder && !f.away, Entries: others, Pool: func(ident.ServiceName, ramp.Release) ramp.Pool {
+		return ramp.Pool{OldSlots: 100, NewSlots: 100, Old: 4, OldInFlight: f.inFlight[false]}
+	}}
+}
+
+func (f *fleet) perform(entry int, cmds []ident.Cmd) {
+	for _, cmd := range cmds {
+		if c, ok := cmd.(ramp.RecordCmd); ok {
+			if !f.away {
+				f.states = append(f.states, c.Recorded)
+			}
+			f.entries[entry].Update(f.now, ramp.RecordedMsg{Recorded: c.Recorded, Failed: f.away})
+		}
+	}
+}
+
+func (f *fleet) gossip() {
+	for i, from := range f.entries {
+		for _, report := range from.Reports(f.now) {
+			for j, to := range f.entries {
+				if i != j && !f.cut[i] && !f.cut[j] && f.rng.Float64() >= f.loss {
+					f.perform(j, to.Update(f.now, ramp.ReportMsg{Entry: fmt.Sprint(i), Report: report}))
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) send(entry int) {
+	m, route := f.entries[entry], routes[f.rng.IntN(len(routes))]
+	sampled := m.Pick(f.now, service, route)
+	var allowed []ramp.Release
+	for _, r := range []ramp.Release{"v1", "v2"} {
+		if (r == "v1" || !f.now.Before(start)) && m.Allows(f.now, service, r, sampled) {
+			allowed = append(allowed, r)
+		}
+	}
+	if len(allowed) == 0 {
+		return
+	}
+	to := allowed[f.rng.IntN(len(allowed))]
+	isNew := to == "v2"
+	f.next++
+	a := answer{factor: 1}
+	if isNew {
+		a = f.answer(f.rng, f.now.Sub(start), route, f.inFlight[true])
+		f.lastNew = f.now
+	}
+	if age := f.now.Sub(start); age >= 0 && age < within {
+		f.total++
+		if isNew {
+			f.exposed++
+		}
+	}
+	// Times vary by a factor of about two, and by route.
+	normal := 100 * time.Millisecond * time.Duration(1+slices.Index(routes, route))
+	first := time.Duration(float64(normal) * (0.6 + f.rng.ExpFloat64()*0.4) * a.factor)
+	whole := time.Duration(float64(2*normal) * (0.6 + f.rng.ExpFloat64()*0.4) * a.factor)
+	f.due = append(f.due, reply{
+		entry: entry, id: f.next, firstAt: f.now.Add(first), endsAt: f.now.Add(max(first, whole)), isNew: isNew, bad: a.fails || a.factor > 2, failed: a.fails,
+	})
+	f.inFlight[isNew]++
+	m.Update(f.now, ramp.SentMsg{Attempt: ramp.Attempt{
+		ID: f.next, Service: service, Route: route, Upstream: ident.UpstreamID(to), Release: to, Expected: normal, Output: 100,
+	}})
+}
+
+func (f *fleet) deliver() {
+	var left []reply
+	for _, r := range f.due {
+		m := f.entries[r.entry]
+		if !r.first && !f.now.Before(r.firstAt) {
+			r.first = true
+			m.Update(f.now, ramp.FirstByteMsg{ID: r.id})
+		}
+		if f.now.Before(r.endsAt) {
+			left = append(left, r)
+			continue
+		}
+		m.Update(f.now, ramp.EndMsg{ID: r.id, Failed: r.failed})
+		f.inFlight[r.isNew]--
+		if r.bad {
+			f.bad = append(f.bad, f.now)
+		}
+	}
+	f.due = left
+}
+
+// check checks what the new release has got and the newest state in the store.
+func (f *fleet) check(t *testing.T, want ramp.State) {
+	t.Helper()
+	got := ramp.Recorded{}
+	if newest := f.newest(); newest != nil {
+		got = newest[0]
+	}
+	if diff := cmp.Diff(ramp.Recorded{Service: service, Target: "v2", State: want}, got); diff != "" {
+		t.Errorf("state (-want +got):\n%s", diff)
+	}
+	if want != ramp.StateRolledBack {
+		return
+	}
+	if allowed := int(limits.Share*float64(f.total) + limits.Slack); f.exposed > allowed {
+		t.Errorf("a bad release got %d of %d requests, %d are allowed", f.exposed, f.total, allowed)
+	}
+	if len(f.bad) >= badAnswers && f.lastNew.Sub(f.bad[badAnswers-1]) > rollbackBound {
+		t.Errorf("a bad release got a request %v after its bad answer number %d", f.lastNew.Sub(f.bad[badAnswers-1]), badAnswers)
+	}
+}
+
+func good(*rand.Rand, time.Duration, string, int) answer { return answer{factor: 1} }
+
+// sometimes returns an answer with a probability, a good one else.
+func sometimes(p float64, bad answer) release {
+	return func(rng *rand.Rand, _ time.Duration, _ string, _ int) answer {
+		if rng.Float64() < p {
+			return bad
+		}
+		return answer{factor: 1}
+	}
+}
+
+// when returns the answers of a bad release as long as a condition holds.
+func when(holds func(age time.Duration, route string, inFlight int) bool, bad release) release {
+	return func(rng *rand.Rand, age time.Duration, route string, inFlight int) answer {
+		if holds(age, route, inFlight) {
+			return bad(rng, age, route, inFlight)
+		}
+		return answer{factor: 1}
+	}
+}
+
+var bad = map[string]release{
+	"fails":       sometimes(0.5, answer{1, true}),
+	"fails_fifth": sometimes(0.2, answer{1, true}),
+	"slow":        sometimes(1, answer{factor: 3}),
+	"slow_half":   sometimes(0.5, answer{factor: 5}),
+	"slow_third":  sometimes(0.3, answer{factor: 5}),
+	"late": when(func(age time.Duration, _ string, _ int) bool { return age > 6*time.Second },
+		sometimes(0.5, answer{1, true})),
+	"late_slow": when(func(age time.Duration, _ string, _ int) bool { return age > 7*time.Second },
+		sometimes(0.6, answer{factor: 4})),
+	"one_route": when(func(_ time.Duration, route string, _ int) bool { return route == "b" },
+		sometimes(0.6, answer{1, true})),
+	"one_route_slow": when(func(_ time.Duration, route string, _ int) bool { return route == "c" },
+		sometimes(0.8, answer{factor: 4})),
+	"under_load": when(func(_ time.Duration, _ string, inFlight int) bool { return inFlight > 20 },
+		sometimes(0.7, answer{1, true})),
+}
+
+const seeds = 4
+
+// TestBadReleaseIsRolledBackWithinItsBound rolls out bad releases of several kinds on several entries.
+func TestBadReleaseIsRolledBackWithinItsBound(t *testing.T) {
+	for name, answer := range bad {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(seeds) {
+				f := newFleet(seed, 7, answer)
+				f.run(within+2*time.Second, nil)
+				f.check(t, ramp.StateRolledBack)
+				if t.Failed() {
+					t.Fatalf("seed %d", seed)
+				}
+			}
+		})
+	}
+}
+
+// TestGoodReleaseIsDoneInTime rolls out a good release on one entry and on several.
+func TestGoodReleaseIsDoneInTime(t *testing.T) {
+	for _, entries := range []int{1, 3, 12} {
+		for seed := range uint64(seeds) {
+			f := newFleet(seed, entries, good)
+			f.run(within, nil)
+			f.check(t, ramp.StateDone)
+			if t.Failed() {
+				t.Fatalf("%d entries, seed %d", entries, seed)
+			}
+		}
+	}
+}
+
+// TestDisturbedRollouts restarts entries, takes the store away, cuts entries off and loses reports.
+func TestDisturbedRollouts(t *testing.T) {
+	restart := func(f *fleet, entries ...int) {
+		for _, i := range entries {
+			f.due = slices.DeleteFunc(f.due, func(r reply) bool {
+				if r.entry == i {
+					f.inFlight[r.isNew]--
+				}
+				return r.entry == i
+			})
+			f.entries[i] = f.newEntry()
+			f.order(i)
+		}
+	}
+	all := []int{0, 1, 2, 3, 4}
+	for name, disturb := range map[string]func(f *fleet, age time.Duration){
+		"decider_restarts": func(f *fleet, age time.Duration) {
+			if age == 8*time.Second {
+				restart(f, 0)
+			}
+		},
+		"decider_changes": func(f *fleet, age time.Duration) {
+			if age == 11*time.Second {
+				f.holder = 3
+			}
+		},
+		"decider_is_cut_off": func(f *fleet, age time.Duration) {
+			f.cut[0] = age > 3*time.Second && age < 9*time.Second
+			if age == 5*time.Second {
+				f.holder = 1
+			}
+		},
+		"store_is_away":    func(f *fleet, age time.Duration) { f.away = age > 2*time.Second && age < 10*time.Second },
+		"reports_are_lost": func(f *fleet, _ time.Duration) { f.loss = 0.5 },
+		"all_restart_early": func(f *fleet, age time.Duration) {
+			if age == time.Second {
+				restart(f, all...)
+			}
+		},
+		"all_restart_on_test": func(f *fleet, age time.Duration) {
+			if age == 7*time.Second {
+				restart(f, all...)
+			}
+		},
+	} {
+		for kind, answer := range map[string]release{"good": good, "slow": bad["slow_half"], "late": bad["late"]} {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				t.Parallel()
+				for seed := range uint64(seeds) {
+					f := newFleet(seed, 5, answer)
+					f.run(within+time.Second, func(age time.Duration) { disturb(f, age) })
+					want := ramp.StateRolledBack
+					if kind == "good" {
+						want = ramp.StateDone
+					}
+					f.check(t, want)
+					if t.Failed() {
+						t.Fatalf("seed %d", seed)
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestRestartAfterTheVerdictKeepsIt restarts all entries after a release was rolled back.
+func TestRestartAfterTheVerdictKeepsIt(t *testing.T) {
+	f := newFleet(1, 3, bad["slow"])
+	f.run(within, func(age time.Duration) {
+		if age == 8*time.Second {
+			for i := range f.entries {
+				f.entries[i] = f.newEntry()
+				f.order(i)
+			}
+			f.bad, f.exposed, f.lastNew = nil, 0, time.Time{}
+		}
+	})
+	f.check(t, ramp.StateRolledBack)
+	if f.exposed > 0 {
+		t.Errorf("a release that was rolled back got %d requests after the restart", f.exposed)
+	}
+}
+
+// TestNothingIsSampledBeforeTheStatesAreRead orders a release at a process that has not read the states in the store.
+func TestNothingIsSampledBeforeTheStatesAreRead(t *testing.T) {
+	m := ramp.NewModel(limits, rand.New(rand.NewPCG(1, 1)))
+	m.Update(start, ramp.OrderMsg{Service: service, Target: "v2", Within: within, Since: start})
+	for i := range 1000 {
+		if m.Pick(start.Add(time.Duration(i)*tick), service, "a") {
+			t.Fatal("a request was sampled")
+		}
+	}
+	if m.Allows(start, service, "v2", false) {
+		t.Error("the release may get requests that aren't samples")
+	}
+}
+
+// TestReplacedOrderBarsItsRelease replaces an order while its release is on test.
+func TestReplacedOrderBarsItsRelease(t *testing.T) {
+	m := ramp.NewModel(limits, rand.New(rand.NewPCG(1, 1)))
+	m.Update(start, ramp.StatesMsg{})
+	for _, r := range []ramp.Release{"v1", "v2", "v3"} {
+		m.See(start, service, r, start)
+	}
+	for _, target := range []ramp.Release{"v2", "v3"} {
+		m.Update(start, ramp.OrderMsg{Service: service, Target: target, Within: within, Since: start})
+	}
+	got := map[ramp.Release][2]bool{}
+	for _, r := range []ramp.Release{"v1", "v2", "v3"} {
+		got[r] = [2]bool{m.Allows(start, service, r, false), m.Allows(start, service, r, true)}
+	}
+	want := map[ramp.Release][2]bool{"v1": {true, false}, "v2": {false, false}, "v3": {false, true}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("allowed for ordinary requests and samples (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnorderedReleaseWaits lists a release shortly before its order can be read.
+func TestUnorderedReleaseWaits(t *testing.T) {
+	m := ramp.NewModel(limits, rand.New(rand.NewPCG(1, 1)))
+	m.See(start, service, "v1", start)
+	m.See(start, service, "v2", start)
+	var got []bool
+	for _, at := range []time.Time{start, start.Add(time.Second), start.Add(3 * time.Second)} {
+		got = append(got, m.Allows(at, service, "v1", false), m.Allows(at, service, "v2", false))
+	}
+	if diff := cmp.Diff([]bool{true, false, true, false, true, true}, got); diff != "" {
+		t.Errorf("allowed (-want +got):\n%s", diff)
+	}
+}
--- a/core/ramp/share.go
+++ b/core/ramp/share.go
@@ -118,9 +118,13 @@
 // Moved reports whether all requests of a service go to the new release, which is not judged yet.
 func (m *Model) Moved(name ident.ServiceName) bool { return m.Again(name) }
 
-// See notes that an upstream of a release is listed.
-func (m *Model) See(now time.Time, name ident.ServiceName, release Release) {
+// See notes that an upstream of a release is listed, and when it started.
+func (m *Model) See(now time.Time, name ident.ServiceName, release Release, born time.Time) {
 	s := m.service(name)
+	if first, known := s.born[release]; !known || born.Before(first) {
+		s.born[release] = born
+		s.run.estimate(now, s.born)
+	}
 	if _, known := s.listed[release]; known {
 		return
 	}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -272,7 +272,11 @@
 			d.log.Info("zone_changed", "zone", e.Zone, "avoided", e.Avoided)
 			d.perform(d.fleet.Update(now, fleet.AvoidMsg{Zone: e.Zone, Avoided: e.Avoided}))
 		case port.RolloutEvent:
-			d.applyRollout(now, now, e)
+			since := now
+			if snapshot {
+				since = time.Time{}
+			}
+			d.applyRollout(now, since, e)
 		case port.UpstreamEvent:
 			d.applyUpstream(now, e.Upstream)
 		case port.UpstreamGoneEvent:
--- a/io/daemon/rollout.go
+++ b/io/daemon/rollout.go
@@ -98,7 +98,7 @@
 
 // seeRelease notes the software release of a listed upstream; the lock is held.
 func (d *Controller) seeRelease(now time.Time, u conf.Upstream) {
-	d.ramp.See(now, u.Service, u.Release)
+	d.ramp.See(now, u.Service, u.Release, time.UnixMilli(u.Born))
 }
 
 // tickRamp makes the periodic decisions and returns what is to be recorded; the lock is held.
