--- a/io/daemon/rollout.go
+++ b/io/daemon/rollout.go
@@ -10,6 +10,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/ramp"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 )
@@ -17,6 +18,8 @@
 const (
 	// rolloutReportInterval is the interval at which entries tell each other what they know of roll-outs.
 	rolloutReportInterval = 200 * time.Millisecond
+	// maxOrderAge is how long before it was read an order is taken to have been given, in place of when it was read.
+	maxOrderAge = operatorMaxAge + operatorWait
 	// rolloutsTimeout bounds one attempt to read the states of roll-outs, rolloutsRetryDelay is the delay after a failed one.
 	rolloutsTimeout    = 2 * time.Second
 	rolloutsRetryDelay = 500 * time.Millisecond
@@ -69,16 +72,20 @@
 func (d *Controller) updateRamp(msg ident.Msg) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.logRamp(d.ramp.Update(time.Now(), msg))
+	d.logRamp(d.ramp.Update(clock.Now(), msg))
 }
 
-// applyRollout applies an order of the operator that was given at the earliest at a time; the lock is held.
+// applyRollout applies an order of the operator that was given at the earliest at a time, zero if that is unknown; the lock
+// is held. After a long gap between reads that time says little, and one that is too early would end the test too soon.
 func (d *Controller) applyRollout(now, since time.Time, e port.RolloutEvent) {
 	d.log.Info("rollout_ordered", "service", e.Service, "release", e.Release, "within", e.Within, "ended", e.Ended)
 	if e.Ended {
 		d.ramp.Update(now, ramp.EndedMsg{Service: e.Service})
 		return
 	}
+	if now.Sub(since) > maxOrderAge {
+		since = time.Time{}
+	}
 	d.ramp.Update(now, ramp.OrderMsg{Service: e.Service, Target: e.Release, Within: e.Within, Since: since})
 }
 
@@ -98,7 +105,7 @@
 
 // seeRelease notes the software release of a listed upstream; the lock is held.
 func (d *Controller) seeRelease(now time.Time, u conf.Upstream) {
-	d.ramp.See(now, u.Service, u.Release, time.UnixMilli(u.Born))
+	d.ramp.See(now, u.Service, u.Release, now.Add(-time.Since(time.UnixMilli(u.Born))))
 }
 
 // tickRamp makes the periodic decisions and returns what is to be recorded; the lock is held.
