Test releases in fleets whose entries get few requests each

In a fleet of 60 entries with half a request a second each no entry ever reached a whole sample, so a release was never tested and a good one not done. The fraction that each entry cuts off is now random, so that the sum over all entries is right.

Entries tell a verdict alone, every 2 s, once a roll-out has ended; times of the accepted release count as the old one's for the next roll-out.

--- a/core/ramp/evidence.go
+++ b/core/ramp/evidence.go
@@ -59,10 +59,10 @@
 func (m *Model) sent(now time.Time, a Attempt) {
 	s := m.service(a.Service)
 	r := s.run
-	t := &attempt{Attempt: a, sentAt: now, isNew: r.isNew(a.Release)}
-	t.loaded = t.isNew && now.Before(r.loadedUntil)
+	t := &attempt{Attempt: a, sentAt: now}
 	if r != nil && r.verdict == Undecided {
-		t.run = r
+		t.run, t.isNew = r, r.target == a.Release
+		t.loaded = t.isNew && now.Before(r.loadedUntil)
 		if t.isNew {
 			r.share.charge(a.Route)
 		}
@@ -205,10 +205,20 @@
 	return cmds
 }
 
-// Reports returns what this entry tells the others, with the routes that have the most samples.
+// Active reports whether a roll-out goes on.
+func (m *Model) Active() bool {
+	return slices.ContainsFunc(m.runs(), func(r *run) bool { return r.verdict == Undecided })
+}
+
+// Reports returns what this entry tells the others, with the routes that have the most samples. Of a roll-out that has ended
+// it is the verdict alone.
 func (m *Model) Reports(now time.Time) (reports []Report) {
 	for _, r := range m.runs() {
 		report := Report{Service: r.service, Target: r.target, Age: r.age(now), Step: r.step, Verdict: r.verdict}
+		if r.verdict != Undecided {
+			reports = append(reports, report)
+			continue
+		}
 		for _, c := range r.own {
 			report.Cells = append(report.Cells, *c)
 		}
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -150,7 +150,7 @@
 		since = now
 	}
 	s.run = &run{
-		service: msg.Service, target: msg.Target, within: msg.Within, since: since, guessed: guessed, stepAt: now, oldAt: now, share: newShare(),
+		service: msg.Service, target: msg.Target, within: msg.Within, since: since, guessed: guessed, stepAt: now, oldAt: now, share: newShare(m.rng),
 		own: map[string]*Cell{}, others: map[string]Report{}, judge: newJudge(),
 	}
 	s.run.estimate(now, s.born)
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -17,8 +17,8 @@
 	service = ident.ServiceName("chat")
 	within  = 15 * time.Second
 	tick    = 100 * time.Millisecond
-	// perTick is the number of requests in each tick.
-	perTick = 12
+	// normalLoad is the number of requests in each tick.
+	normalLoad = 12
 	// rollbackBound and badAnswers bound how long a release may get requests after its bad answers.
 	rollbackBound = 5 * time.Second
 	badAnswers    = 50
@@ -72,10 +72,12 @@
 	states         []ramp.Recorded
 	// loss is the probability that a report is lost.
 	loss float64
+	// perTick is the number of requests in each tick.
+	perTick int
 }
 
 func newFleet(seed uint64, entries int, answer release) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: start.Add(-5 * time.Second), answer: answer, cut: map[int]bool{}, inFlight: map[bool]int{}}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: start.Add(-5 * time.Second), answer: answer, cut: map[int]bool{}, perTick: normalLoad, inFlight: map[bool]int{}}
 	for range entries {
 		f.entries = append(f.entries, f.newEntry())
 	}
@@ -121,7 +123,7 @@
 			disturb(f.now.Sub(start))
 		}
 		f.deliver()
-		for range perTick {
+		for range f.perTick {
 			f.send(f.rng.IntN(len(f.entries)))
 		}
 		f.gossip()
@@ -320,6 +322,23 @@
 	}
 }
 
+// TestManyEntriesWithFewRequests rolls out releases on so many entries that each of them sends a few requests alone.
+func TestManyEntriesWithFewRequests(t *testing.T) {
+	for kind, want := range map[string]ramp.State{"good": ramp.StateDone, "slow": ramp.StateRolledBack, "fails": ramp.StateRolledBack} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			answer := bad[kind]
+			if kind == "good" {
+				answer = good
+			}
+			f := newFleet(1, 60, answer)
+			f.perTick = 3
+			f.run(within, nil)
+			f.check(t, want)
+		})
+	}
+}
+
 // TestDisturbedRollouts restarts entries, takes the store away, cuts entries off and loses reports.
 func TestDisturbedRollouts(t *testing.T) {
 	restart := func(f *fleet, entries ...int) {
--- a/core/ramp/share.go
+++ b/core/ramp/share.go
@@ -1,6 +1,7 @@
 package ramp
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -32,9 +33,12 @@
 	total, sampled int
 	// credit holds the samples that are due on each route.
 	credit map[string]float64
+	// round is added to what the entry may send before the fraction is cut off. It is random, so that the sum over many
+	// entries with few requests each is right.
+	round float64
 }
 
-func newShare() share { return share{credit: map[string]float64{}} }
+func newShare(rng *rand.Rand) share { return share{credit: map[string]float64{}, round: rng.Float64()} }
 
 // Pick reports whether a new request is to be sent to the release that is being rolled out.
 func (m *Model) Pick(now time.Time, name ident.ServiceName, route string) (sampled bool) {
@@ -44,7 +48,7 @@
 	}
 	r := s.run
 	r.share.total++
-	spent, entries := float64(r.share.sampled+1), float64(max(m.entries, 1))
+	spent, entries := float64(r.share.sampled+1)-r.share.round, float64(max(m.entries, 1))
 	if r.step == loadStep {
 		return spent <= m.limits.Share*loadShare*float64(r.share.total)+m.limits.Slack*loadSlack/entries
 	}
--- a/io/daemon/rollout.go
+++ b/io/daemon/rollout.go
@@ -18,6 +18,8 @@
 const (
 	// rolloutReportInterval is the interval at which entries tell each other what they know of roll-outs.
 	rolloutReportInterval = 200 * time.Millisecond
+	// verdictInterval replaces it while no roll-out goes on.
+	verdictInterval = 2 * time.Second
 	// maxOrderAge is how long before it was read an order is taken to have been given, in place of when it was read.
 	maxOrderAge = operatorMaxAge + operatorWait
 	// rolloutsTimeout bounds one attempt to read the states of roll-outs, rolloutsRetryDelay is the delay after a failed one.
@@ -146,7 +148,11 @@
 // shareRollouts adds what this entry knows of roll-outs to a heartbeat, at most every rolloutReportInterval; the lock is
 // held.
 func (d *Controller) shareRollouts(now time.Time, m *gossip.Message) {
-	if now.Sub(d.rampToldAt) < rolloutReportInterval {
+	interval := rolloutReportInterval
+	if !d.ramp.Active() {
+		interval = verdictInterval
+	}
+	if now.Sub(d.rampToldAt) < interval {
 		return
 	}
 	d.rampToldAt = now
