--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -108,6 +108,7 @@
 			tally.Closed++
 			return
 		}
+		m.gather(need, &candidate)
 		if need.Spread != "" {
 			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
 		}
@@ -130,7 +131,7 @@
 
 // open reports whether an upstream is eligible for the request, whatever its load and the rate of requests to it.
 func (m *Model) open(now time.Time, u *conf.Upstream, status fleet.Status, service *conf.Service, need *Need) bool {
-	return status.Usable && !status.Ordered && m.mayStart(now, u, service, need)
+	return status.Usable && !status.Ordered && m.releaseAllowed(now, u, need) && m.mayStart(now, u, service, need)
 }
 
 // mayStart reports whether the weights of an upstream are new enough for the request.
@@ -151,7 +152,7 @@
 	}
 	u, listed := m.fleet.Get(s.upstream)
 	service, known := m.set.Service(s.need.Service)
-	return listed && known && m.fleet.Usable(now, u.ID) && m.mayStart(now, &u, service, &s.need)
+	return listed && known && m.fleet.Usable(now, u.ID) && m.mayStart(now, &u, service, &s.need) && m.releaseAllowed(now, &u, &s.need)
 }
 
 // scoreCall scores an upstream for a plain call.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/parts"
+	"cicadavalve/core/ramp"
 )
 
 // Members describes this entry and the other ones.
@@ -87,6 +88,8 @@
 	upstreams      map[ident.UpstreamID]*upstreamStats
 	// links holds the estimates for the links over which parts are fetched.
 	links map[parts.Holder]*link
+	// ramp decides about software releases; nil if there are no roll-outs.
+	ramp *ramp.Model
 }
 
 // namedVersion is a version of a model's weights and until when requests may start on older ones.
@@ -184,6 +187,7 @@
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	switch msg := msg.(type) {
 	case ArriveMsg:
+		m.pick(now, &msg.Need)
 		return m.place(now, &waiting{need: msg.Need, avoid: msg.Avoid}, "")
 	case RetryMsg:
 		return m.retry(now, msg)
@@ -228,6 +232,7 @@
 	}
 	need := s.need
 	need.Spread = msg.Spread
+	m.again(&need)
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
 	return m.place(now, &waiting{need: need, avoid: msg.Avoid}, "")
@@ -249,6 +254,7 @@
 		return ""
 	}
 	s.answered = true
+	m.noteFirstByte(now, t)
 	if len(s.chain) > 0 {
 		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: shared(s.chain)})
 	}
@@ -282,6 +288,7 @@
 
 // recordOutcome updates the failure rates of the upstream and its service. Rejected and cancelled requests don't count.
 func (m *Model) recordOutcome(now time.Time, s *sent, outcome Outcome) {
+	m.noteOutcome(now, s, outcome)
 	if outcome == Rejected || outcome == Cancelled {
 		return
 	}
@@ -373,17 +380,24 @@
 	defer m.confine(w.need.Ticket, &cmds)
 	need := m.served(&w.need)
 	best, tally, ahead := m.choose(now, need, w.avoid, only)
+	if best == nil && only == "" && m.unsample(&w.need, tally) {
+		need = m.served(&w.need)
+		best, tally, ahead = m.choose(now, need, w.avoid, only)
+	}
+	if best != nil && only == "" && m.lateSample(now, need, best) && m.unsample(&w.need, Tally{}) {
+		need = m.served(&w.need)
+		best, tally, ahead = m.choose(now, need, w.avoid, only)
+	}
 	if best == nil {
 		if only != "" {
 			ahead.others = true
 		}
 		return m.enqueue(now, w, tally, &ahead)
 	}
-	waited := now.Sub(need.Arrived)
 	switch {
 	case now.Add(best.firstByte).After(need.Deadline):
 		cmds = m.refuse(need, best, tally, TooLate)
-	case float64(waited+best.firstByte) > lateFactor*float64(need.Objective) && !best.idle:
+	case m.late(now, need, best):
 		cmds = m.refuse(need, best, tally, Overloaded)
 	default:
 		return m.send(now, w.need, need, best)
@@ -396,6 +410,11 @@
 	return cmds
 }
 
+// late reports whether a request is expected to be much too late at an option that is busy.
+func (m *Model) late(now time.Time, need *Need, o *option) bool {
+	return float64(now.Sub(need.Arrived)+o.firstByte) > lateFactor*float64(need.Objective) && !o.idle
+}
+
 // refuse returns the refusal of a request that is expected to be late at the best upstream.
 func (m *Model) refuse(need *Need, best *option, tally Tally, reason Reason) []ident.Cmd {
 	after := min(max(best.firstByte-need.Objective/2, minRetryAfter), maxRetryAfter)
@@ -429,6 +448,7 @@
 	}
 	l.begin(s)
 	m.sent[need.Ticket] = s
+	m.noteSent(now, need, o)
 	cmd := SendCmd{
 		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Model: need.Model, Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.firstByte, Missing: o.missing,
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -13,6 +13,7 @@
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
 	"cicadavalve/core/purge"
+	"cicadavalve/core/ramp"
 	"cicadavalve/core/reload"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
@@ -117,6 +118,7 @@
 		u.purge.SetTargetVersion(model, target.version)
 	}
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
+	cmds = append(cmds, u.d.controller.tickRamp(now, holds)...)
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
 	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.controller.stores()})...)
 }
@@ -144,6 +146,8 @@
 		u.orderLoad(ctx, cmd)
 	case purge.FreeCmd:
 		u.freeParts(ctx, cmd)
+	case ramp.RecordCmd:
+		u.recordRollout(ctx, cmd)
 	}
 }
 
