Don't take too many calls of our own for a failure of the store

An entry whose reads are refused since the entries make too many calls had the grace of a failed store for old weights, anew with each refused read. TestOwnExcessOfCallsGivesNoGrace failed before for that case.

--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -55,7 +55,7 @@
 	listed   map[ident.UpstreamID]conf.Upstream
 	lost     bool
 	failures int
-	// failedAt is when the last failed read was sent, zero before the first.
+	// failedAt is when the last read was sent that failed by no fault of the entries, zero before the first.
 	failedAt time.Time
 }
 
@@ -159,7 +159,9 @@
 	}
 	if err != nil {
 		if parent.Err() == nil {
-			f.failedAt = sentAt
+			if !errors.Is(err, port.ErrOverRate) {
+				f.failedAt = sentAt
+			}
 			f.recordFailure(err)
 		}
 		return err
--- a/io/daemon/late_test.go
+++ b/io/daemon/late_test.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -127,3 +129,31 @@
 		t.Errorf("allowance of %.1f right after the freeze, one part in %d of the shared one is %.1f", got, entries, most)
 	}
 }
+
+// failingStore fails every read.
+type failingStore struct {
+	port.Store
+	err error
+}
+
+func (s failingStore) Read(context.Context, port.Topic, int64, time.Duration) (batch port.Batch, err error) {
+	return batch, s.err
+}
+
+// TestOwnExcessOfCallsGivesNoGrace has reads fail since the store is out of reach, and since the entries make too many calls.
+// Only the former excuses that the entry learns late of new weights.
+func TestOwnExcessOfCallsGivesNoGrace(t *testing.T) {
+	got := map[string]bool{}
+	for name, err := range map[string]error{"out of reach": context.DeadlineExceeded, "refused": port.ErrRefused, "too many calls": port.ErrOverRate} {
+		log := slog.New(slog.DiscardHandler)
+		f := newFeed(&Daemon{store: failingStore{err: err}, log: log, controller: newFleet(Settings{}, 1, time.Now())[0]}, port.Operator, 0, 0, operatorMaxAge)
+		f.watch.Update(watch.ReadMsg{Next: 5, At: time.Now(), Snapshot: true})
+		if f.step(t.Context(), 5, 0) == nil {
+			t.Fatal("the read did not fail")
+		}
+		got[name] = !f.failedAt.IsZero()
+	}
+	if diff := cmp.Diff(map[string]bool{"out of reach": true, "refused": true, "too many calls": false}, got); diff != "" {
+		t.Errorf("reads that excuse the entry (-want +got):\n%s", diff)
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -32,8 +32,9 @@
 	Holder  string
 	Epoch   int64
 	Changes []Change
-	// AgeMS is how long before the message the holder is known to have been in this incarnation, in ms.
-	AgeMS int
+	// AgeMS is how long before the message the holder is known to have been in this incarnation, in ms. It is sent in
+	// ReportAges, since entries of an earlier build don't read arrays with further elements.
+	AgeMS int `cbor:"-"`
 }
 
 // Save is a part that a store or an upstream is about to have.
@@ -147,6 +148,8 @@
 	Era int64 `cbor:"20,keyasint,omitempty"`
 	// Rollouts are sent in a message each.
 	Rollouts []Rollout `cbor:"21,keyasint,omitempty"`
+	// ReportAges holds the ages of Reports while they are sent.
+	ReportAges []int `cbor:"22,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -248,7 +251,7 @@
 				parts = append(parts, m.empty())
 				last = &parts[len(parts)-1]
 			}
-			last.Reports = append(last.Reports, chunk)
+			last.Reports, last.ReportAges = append(last.Reports, chunk), append(last.ReportAges, chunk.AgeMS)
 			if r.Changes = r.Changes[n:]; len(r.Changes) == 0 {
 				break
 			}
@@ -310,6 +313,15 @@
 			fail(errors.Wrap(err, "datagram"))
 			continue
 		}
+		m.applyAges()
 		handle(m)
 	}
 }
+
+// applyAges moves the ages of reports to the reports. Entries of an earlier build send none.
+func (m *Message) applyAges() {
+	for i := range min(len(m.Reports), len(m.ReportAges)) {
+		m.Reports[i].AgeMS = m.ReportAges[i]
+	}
+	m.ReportAges = nil
+}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -186,6 +186,8 @@
 	ErrConflict = errors.New("condition did not hold")
 	// ErrRefused means that the call was refused, so that nothing was done.
 	ErrRefused = errors.New("call refused")
+	// ErrOverRate means that it was refused since the daemons together make too many calls.
+	ErrOverRate = errors.Wrap(ErrRefused, "rate of calls exceeded")
 )
 
 // Store is the log that the daemons share with the operator and the upstreams.
