Name the parts of a broken attempt, and what its upstream had sent

The logs of BUDGET by a part can't tell whether the requests that crash engines share a part of their prompts: attempt_broken has one digest of the whole request. It lists the parts but the last one too, by HMACs under the same secret with a purpose of their own, within the scope in which callers share parts. It also says what the upstream of this attempt had sent (nothing, the head, content): began is that of the request, so a resumed stream that broke before its first event on the second engine counts as begun. No decision uses either.

--- a/core/stall/stall.go
+++ b/core/stall/stall.go
@@ -54,7 +54,9 @@
 	return cmds
 }
 
-func (m *Model) isLate(now time.Time) bool { return !m.lastTick.IsZero() && now.Sub(m.lastTick) > m.threshold }
+func (m *Model) isLate(now time.Time) bool {
+	return !m.lastTick.IsZero() && now.Sub(m.lastTick) > m.threshold
+}
 
 // ArrivedSince returns the earliest time at which something that is read at now can have arrived, which is now unless
 // the process has just stood still.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -38,6 +38,18 @@
 	failure *failure
 }
 
+// progress is what an upstream has sent in one attempt.
+type progress int
+
+const (
+	gotNothing progress = iota
+	gotHead
+	// gotContent is a complete event of a stream, or what may be buffered of a plain answer.
+	gotContent
+)
+
+func (p progress) String() string { return [...]string{"nothing", "head", "content"}[p] }
+
 // failure is a complete answer that reports a failure.
 type failure struct {
 	status int
@@ -71,7 +83,7 @@
 		res = x.attempt(ctx, d.Send)
 		x.endTrial()
 		if res.done || res.ending == retry.Failure {
-			x.h.controller.ObserveAnswer(x.identify)
+			x.h.controller.ObserveAnswer(x.identifyRequest)
 		}
 		if res.done {
 			return
@@ -170,7 +182,7 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
-	x.sentAt = time.Now()
+	x.sentAt, x.progress = time.Now(), gotNothing
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if err != nil {
 		x.cause = err
@@ -182,6 +194,7 @@
 		return result{ending: retry.Unknown}
 	}
 	defer answer.Close()
+	x.progress = gotHead
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
 	x.h.controller.ObserveReply(u.ID, reply)
 	switch {
@@ -222,7 +235,7 @@
 		x.reportBroken(ctx, cmd, Break{})
 		return result{ending: retry.Unknown}
 	}
-	x.firstAt = time.Now()
+	x.firstAt, x.progress = time.Now(), gotContent
 	x.h.controller.FirstByte(x.need.Ticket)
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -149,8 +149,10 @@
 	cause error
 	// sentAt is when the last attempt was sent.
 	sentAt time.Time
-	// digest is computed at the first use of [exchange.identify].
-	digest poison.Digest
+	// progress is what the upstream of the last attempt has sent.
+	progress progress
+	// keys are computed at the first use of [exchange.identify].
+	keys poison.Keys
 	// screening is the last result of [exchange.screen].
 	screening Screening
 	// trial is the trial of the current attempt; its ID is empty if the attempt is none.
@@ -334,7 +336,7 @@
 		attrs = append(attrs, slog.Duration("after", retryAfter))
 	}
 	if x.screening.Blocked || x.screening.Suspect {
-		attrs = append(attrs, slog.String("digest", string(x.digest)), slog.String("blocked", string(x.screening.Reason)),
+		attrs = append(attrs, slog.String("digest", string(x.keys.Request)), slog.String("blocked", string(x.screening.Reason)),
 			slog.Duration("evidence_age", x.screening.EvidenceAge))
 	}
 	if x.cause != nil {
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -69,20 +70,40 @@
 	Silent, Abandoned bool
 }
 
-// identify returns the digest of the request. It is empty while the secret is unknown.
-func (x *exchange) identify() poison.Digest {
-	if digester := x.h.controller.Digester(); digester != nil && x.digest == "" {
-		x.digest = digester.Digest(x.org, x.r.Method, x.r.Host, target(x.r), string(x.body))
+// identify returns the digests of the request and of the parts of its prompt. They are empty while the secret is unknown.
+func (x *exchange) identify() poison.Keys {
+	digester := x.h.controller.Digester()
+	if digester == nil || x.keys.Request != "" {
+		return x.keys
 	}
-	return x.digest
+	x.keys.Request = digester.Digest(x.org, x.r.Method, x.r.Host, target(x.r), string(x.body))
+	for _, part := range x.need.Shared() {
+		x.keys.Parts = append(x.keys.Parts, digester.Part(x.need.CacheScope, part.ID))
+	}
+	return x.keys
+}
+
+// maxLoggedParts bounds the parts that one log line names.
+const maxLoggedParts = 16
+
+// partTexts joins the digests of the parts, at most [maxLoggedParts].
+func (x *exchange) partTexts() string {
+	var texts []string
+	for _, d := range x.keys.Parts[:min(len(x.keys.Parts), maxLoggedParts)] {
+		texts = append(texts, string(d))
+	}
+	return strings.Join(texts, " ")
 }
 
+// identifyRequest returns the digest of the request, empty while the secret is unknown.
+func (x *exchange) identifyRequest() poison.Digest { return x.identify().Request }
+
 // screen applies what is known about crashes of the request to its need.
 func (x *exchange) screen() Screening {
-	x.screening = x.h.controller.Screen(x.identify)
+	x.screening = x.h.controller.Screen(x.identifyRequest)
 	x.need.Spread = ""
 	if x.screening.Suspect {
-		x.need.Spread = string(x.digest)
+		x.need.Spread = string(x.keys.Request)
 	}
 	return x.screening
 }
@@ -91,7 +112,7 @@
 // request may be sent.
 func (x *exchange) approve(cmd *place.SendCmd) bool {
 	if s := x.screen(); s.Suspect && !s.Blocked {
-		x.trial, x.screening.Blocked = x.h.controller.BeginTrial(x.head.ID, x.digest, cmd.Upstream.ID)
+		x.trial, x.screening.Blocked = x.h.controller.BeginTrial(x.head.ID, x.keys.Request, cmd.Upstream.ID)
 		if x.screening.Blocked {
 			x.screening = NewBlock(OnTrial, s.EvidenceAge)
 		}
@@ -128,9 +149,9 @@
 	b.Silent = b.Abandoned || errors.Is(x.cause, syscall.ETIMEDOUT)
 	b.Upstream, b.Born, b.SentAt, b.Trial = cmd.Upstream.ID, cmd.Upstream.Born, x.sentAt, x.trial.ID
 	if !b.Unsent {
-		b.Digest = x.identify()
+		b.Digest = x.identify().Request
 	}
-	x.h.log.Info("attempt_broken", "request", x.head.ID, "digest", b.Digest, "upstream", b.Upstream, "born", b.Born, "route", x.route.Name,
+	x.h.log.Info("attempt_broken", "request", x.head.ID, "digest", b.Digest, "parts", x.partTexts(), "got", x.progress.String(), "upstream", b.Upstream, "born", b.Born, "route", x.route.Name,
 		"age", age, "silent", b.Silent, "unsent", b.Unsent, "began", !x.firstAt.IsZero(), "trial", b.Trial != "", "cause", errorText(x.cause))
 	x.h.controller.ObserveBreak(b)
 }
