Find and quarantine a part of prompts that crashes upstreams

Evidence was kept by the digest of a whole request alone, so that each of these requests began with a clean sheet.

core/poison keeps evidence about keys now: a whole request, or a part but the last one, each with losses, trials and a quarantine.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -1,9 +1,9 @@
-// Package poison detects and quarantines requests that crash every upstream that runs them.
+// Package poison detects and quarantines requests, and parts of prompts, that crash every upstream that runs them.
 //
 // An upstream lost while requests are in flight counts as a loss for each of them. A request with losses on
 // several upstreams is suspect: it runs on trial, on one entry at a time and on an upstream without another trial.
 // If that upstream is lost too, the request is quarantined on every entry. A complete answer disproves the losses.
-// Requests are identified only by a keyed digest.
+// Requests and parts are identified only by keyed digests; both are keys with evidence of their own.
 //
 // Entries share their evidence as records: in a log, whose order arbitrates trials, or in messages without an order
 // ([WithMessages]), where a record takes effect on arrival.
@@ -34,7 +34,7 @@
 	maxDigests = 4096
 )
 
-// Digest is a keyed hash of an organisation and its request.
+// Digest is a keyed hash of an organisation and its request, or of a part of prompts.
 type Digest string
 
 // Loss describes an upstream that was lost while a request ran there, by the boot that it had at the time.
@@ -95,6 +95,8 @@
 	// that are remembered outside of the entries. Both are used only with [WithMessages].
 	touched    map[Digest]bool
 	remembered map[Digest]remembered
+	// accusedBy counts the parts, but the suspect ones, that each loss was recorded against at this entry.
+	accusedBy *fifo.Map[Loss, int]
 	// claims holds the losses of each request, at least one.
 	claims *fifo.Map[Digest, []claim]
 	// pending lists the requests with unconfirmed claims by upstream; some may be confirmed or dropped by now.
@@ -142,7 +144,7 @@
 	m := &Model{
 		entry: entry, confirmTimeout: defaultConfirmTimeout, claims: fifo.NewMap[Digest, []claim](maxDigests),
 		pending: map[ident.UpstreamID][]Digest{}, quarantined: fifo.NewMap[Digest, *quarantine](maxDigests),
-		released: fifo.NewMap[Digest, []Loss](maxDigests), foldedReleases: map[string]bool{},
+		released: fifo.NewMap[Digest, []Loss](maxDigests), accusedBy: fifo.NewMap[Loss, int](maxDigests), foldedReleases: map[string]bool{},
 		touched: map[Digest]bool{}, remembered: map[Digest]remembered{}, trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
 	}
 	for _, o := range options {
@@ -242,6 +244,10 @@
 
 // countEarlier counts the losses of a request on one boot before an attempt began.
 func (m *Model) countEarlier(started time.Time, d Digest, loss Loss) (earlier int) {
+	if d.IsPart() {
+		// Several requests with the part may be lost with one boot.
+		return 0
+	}
 	for _, c := range m.claimsOf(d) {
 		if c.loss.Upstream == loss.Upstream && c.loss.Boot == loss.Boot && c.since.Before(started) {
 			earlier++
@@ -252,15 +258,15 @@
 
 // addClaim adds a loss and reports whether it adds evidence. Losses that are explained or released are ignored.
 func (m *Model) addClaim(d Digest, added claim) bool {
-	if m.isExplained(added.loss) || m.isReleased(d, []Loss{added.loss}) {
+	if m.isExplained(d, added.loss) || m.isReleased(d, []Loss{added.loss}) {
 		return false
 	}
 	if q := m.quarantineOf(d); q != nil {
-		if added.silent || len(q.losses) >= maxExplained {
+		if added.silent || len(q.losses) >= maxExplained || slices.Contains(q.losses, added.loss) {
 			return false
 		}
 		q.losses = append(q.losses, added.loss)
-		m.dropExplained([]Loss{added.loss})
+		m.dropExplained(d, []Loss{added.loss})
 		return true
 	}
 	m.touch(d)
@@ -320,7 +326,7 @@
 // observe the upstreams of all others themselves, but one that can't must know of suspects.
 func (m *Model) reportConfirmed(now time.Time, d Digest, c *claim) (cmds []ident.Cmd) {
 	suspect := len(m.claimsOf(d)) >= suspectAfter
-	if c.own || suspect {
+	if c.own && !d.IsPart() || suspect {
 		m.notify(ConfirmedCmd{Digest: d, Loss: c.loss, Alone: c.alone, Age: now.Sub(c.since)})
 	}
 	if c.silent || m.sharing != nil && c.own && suspect {
@@ -341,8 +347,9 @@
 		return nil
 	}
 	m.disprove(d, losses)
-	if m.sharing != nil && len(losses) < suspectAfter {
-		// A single loss restricts nothing, and each request that was in flight at a crash has one.
+	if m.sharing != nil && len(losses) < suspectAfter && !d.IsPart() {
+		// A single loss restricts nothing, and each request that was in flight at a crash has one. Those of a part that come
+		// one by one are disproved one by one, though, and other entries may not see an answer to it in between.
 		return nil
 	}
 	return m.publish(now, answerRecord(m.entry, d, losses))
@@ -354,6 +361,11 @@
 		return
 	}
 	m.release(d, losses)
+	if q := m.quarantineOf(d); q != nil && d.IsPart() {
+		m.release(d, q.losses)
+		m.quarantined.Delete(d)
+		m.notify(ReleasedCmd{Digest: d})
+	}
 	m.dropClaimsIf(d, func(c claim) bool { return slices.Contains(losses, c.loss) })
 	if len(losses) >= suspectAfter {
 		m.notify(DisprovedCmd{Digest: d, Losses: losses})
--- a/core/poison/record.go
+++ b/core/poison/record.go
@@ -43,6 +43,8 @@
 	Losses []Loss `json:"losses"`
 	// SinceMS is when the quarantine began, in Unix ms. It is 0 for a quarantine that lasts until it is released.
 	SinceMS int64 `json:"since_ms,omitempty"`
+	// Tried is how often a part in quarantine was tried again.
+	Tried int `json:"tried,omitempty"`
 }
 
 // AnswerBody is the body of a [KindAnswer] record: the request was answered completely by an upstream that outlived it.
@@ -72,6 +74,9 @@
 
 func (m *Model) quarantineRecord(d Digest, losses []Loss, since time.Time) ledger.Record {
 	body := QuarantineBody{Digest: d, Losses: losses}
+	if q := m.quarantineOf(d); q != nil {
+		body.Tried = q.tried
+	}
 	if m.retention > 0 {
 		body.SinceMS = since.UnixMilli()
 	}
@@ -115,13 +120,25 @@
 
 // sendsOf returns how often a record is to be sent in messages.
 func (m *Model) sendsOf(rec ledger.Record) int {
-	var body LossBody
-	if rec.Kind == KindLoss && json.Unmarshal(rec.Body, &body) == nil && len(m.claimsOf(body.Digest)) < suspectAfter && !m.Quarantined(body.Digest) {
+	if m.isMinor(rec) {
 		return maxFirstLossSends
 	}
 	return maxSends
 }
 
+// isMinor reports whether a record is about a single loss, which restricts nothing.
+func (m *Model) isMinor(rec ledger.Record) bool {
+	switch rec.Kind {
+	case KindLoss:
+		var body LossBody
+		return json.Unmarshal(rec.Body, &body) == nil && len(m.claimsOf(body.Digest)) < suspectAfter && !m.Quarantined(body.Digest)
+	case KindAnswer:
+		var body AnswerBody
+		return json.Unmarshal(rec.Body, &body) == nil && len(body.Losses) < suspectAfter
+	}
+	return false
+}
+
 // withdraw stops the resends of a record.
 func (m *Model) withdraw(id string) {
 	m.outbox = slices.DeleteFunc(m.outbox, func(r ledger.Record) bool { return r.ID == id })
@@ -203,7 +220,7 @@
 		return err
 	}
 	if rec.Kind == KindTrialEnd {
-		m.closeTrial(body)
+		m.endTrial(now, body)
 		return nil
 	}
 	m.openTrial(now, body)
@@ -213,8 +230,8 @@
 // foldLoss adds a loss. It is enough for the quarantine if the others are known, should the record of that be lost.
 func (m *Model) foldLoss(now time.Time, body LossBody) {
 	m.addClaim(body.Digest, claim{loss: body.Loss, alone: body.Alone, confirmed: body.Confirmed, since: now})
-	if losses, proven := m.confirmedLosses(body.Digest); proven {
-		m.quarantine(body.Digest, losses, now)
+	if losses, proven := m.confirmedLosses(body.Digest); proven && !m.isOutweighed(body.Digest) {
+		m.quarantine(body.Digest, losses, now, 0)
 	}
 }
 
@@ -225,6 +242,9 @@
 		since = time.UnixMilli(body.SinceMS)
 	}
 	if m.retention == 0 || now.Sub(since) < m.retention {
-		m.quarantine(body.Digest, body.Losses, since)
+		m.quarantine(body.Digest, body.Losses, since, body.Tried)
+	}
+	if q := m.quarantineOf(body.Digest); q != nil && body.Tried > q.tried {
+		q.tried, q.triedAt = body.Tried, now
 	}
 }
--- a/core/poison/remember.go
+++ b/core/poison/remember.go
@@ -67,7 +67,7 @@
 				delete(m.remembered, d)
 				m.notify(ForgetCmd{Digest: d})
 			}
-		case extent != last && (known || len(m.remembered) < maxRemembered):
+		case extent != last && (known || m.mayRemember(d)):
 			m.remembered[d] = extent
 			m.notify(RememberCmd{Body: body})
 		}
@@ -75,6 +75,20 @@
 	clear(m.touched)
 }
 
+// mayRemember reports whether one more key of this kind may be remembered.
+func (m *Model) mayRemember(d Digest) bool {
+	parts := 0
+	for other := range m.remembered {
+		if other.IsPart() {
+			parts++
+		}
+	}
+	if d.IsPart() {
+		return parts < maxRememberedParts
+	}
+	return len(m.remembered)-parts < maxRemembered
+}
+
 // suspectBody returns what is to be remembered of a request, without the losses that don't count until confirmed.
 func (m *Model) suspectBody(d Digest) (body SuspectBody, extent remembered) {
 	body.Digest = d
--- a/core/poison/share.go
+++ b/core/poison/share.go
@@ -44,11 +44,13 @@
 	// left is how often it is still to be sent.
 	left   int
 	sentAt time.Time
+	// minor is set if the record is about a single loss.
+	minor bool
 }
 
 // add adds a record that is to be sent a number of times.
 func (s *sharing) add(rec ledger.Record, sends int) {
-	s.fresh = append(s.fresh, freshRecord{record: rec, left: sends})
+	s.fresh = append(s.fresh, freshRecord{record: rec, left: sends, minor: sends < maxSends})
 	if len(s.fresh) > maxOutbox {
 		s.fresh = s.fresh[1:]
 	}
@@ -64,14 +66,14 @@
 	if s == nil {
 		return nil
 	}
-	for i := range s.fresh {
-		r := &s.fresh[i]
-		if len(records) == maxNew {
-			break
-		}
-		if now.Sub(r.sentAt) >= sendInterval {
-			records = append(records, r.record)
-			r.left, r.sentAt = r.left-1, now
+	// Single losses are many after a crash; other records don't wait for them.
+	for _, areMinor := range []bool{false, true} {
+		for i := range s.fresh {
+			r := &s.fresh[i]
+			if len(records) < maxNew && r.minor == areMinor && now.Sub(r.sentAt) >= sendInterval {
+				records = append(records, r.record)
+				r.left, r.sentAt = r.left-1, now
+			}
 		}
 	}
 	s.fresh = slices.DeleteFunc(s.fresh, func(r freshRecord) bool { return r.left == 0 })
@@ -113,7 +115,8 @@
 
 // recentClaims returns the requests whose first loss is so recent that it is repeated.
 func (m *Model) recentClaims(now time.Time) []Digest {
-	digests := m.claims.Keys()
+	// Each request that was in flight at a crash has parts with one loss, which restrict nothing.
+	digests := slices.DeleteFunc(m.claims.Keys(), func(d Digest) bool { return d.IsPart() && len(m.claimsOf(d)) < suspectAfter })
 	first := len(digests)
 	for first > 0 && now.Sub(m.claimsOf(digests[first-1])[0].since) < repeatPeriod {
 		first--
@@ -143,8 +146,13 @@
 	Digest Digest
 	Losses []Loss
 	Since  time.Time
+	// Tried is how often a part in quarantine was tried again.
+	Tried int
 }
 
+// ReleasedCmd reports that an answer disproved the losses of a key in quarantine.
+type ReleasedCmd struct{ Digest Digest }
+
 // DisprovedCmd reports that an answer disproved several losses of a request.
 type DisprovedCmd struct {
 	Digest Digest
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -82,6 +82,10 @@
 	announced int
 	// evidenceTickedAt is when outdated evidence was last dropped.
 	evidenceTickedAt time.Time
+	// judgedVersions is the sum of targetVersions under which the present verdicts on parts came about, doubtAt when they
+	// are to be doubted, zero if they are not.
+	judgedVersions int64
+	doubtAt        time.Time
 	// trials counts the trials that this entry has begun.
 	trials int
 	// vanished holds the last incarnation of upstreams that were removed without notice.
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -47,66 +48,92 @@
 func (d *Controller) Digester() *poison.Digester { return d.digester.Load() }
 
 // Screen implements [relay.Controller].
-func (d *Controller) Screen(identify func() poison.Digest) (s relay.Screening) {
+func (d *Controller) Screen(identify func() poison.Keys) (s relay.Screening) {
 	if !d.hasEvidence.Load() {
 		return s
 	}
-	digest, now := identify(), time.Now()
+	keys, now := identify(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	age := now.Sub(d.poison.LastEvidence(digest))
-	switch d.poison.Standing(now, digest) {
-	case poison.Quarantined:
-		if d.poison.Quarantined(digest) {
-			return relay.NewBlock(relay.InQuarantine, age)
-		}
-		return relay.NewBlock(relay.OnTrial, age)
-	case poison.Suspect:
-		if d.poison.TriedElsewhere(digest, "") {
-			return relay.NewBlock(relay.OnTrial, age)
-		}
-		return relay.Screening{Suspect: true, Avoid: d.poison.OccupiedUpstreams(), EvidenceAge: age}
+	v := d.poison.Judge(now, keys, func(key poison.Digest) poison.Turn { return d.turn(now, key) })
+	age := now.Sub(v.Evidence)
+	switch {
+	case v.Held:
+		return relay.NewBlock(relay.InQuarantine, v.Key, age)
+	case v.Standing == poison.Quarantined:
+		return relay.NewBlock(relay.OnTrial, v.Key, age)
+	case v.Standing == poison.Suspect:
+		return relay.Screening{Trials: v.Trials, Avoid: d.poison.OccupiedUpstreams(), Key: v.Key, EvidenceAge: age}
 	}
 	return s
 }
 
+// turn returns this entry's place in the order in which entries try a key; the lock is held.
+func (d *Controller) turn(now time.Time, key poison.Digest) poison.Turn {
+	alive := mesh.IDs(d.mesh.Alive(now))
+	return poison.Turn{Rank: route.Rank(string(key), d.mesh.Self().ID, alive), Entries: len(alive)}
+}
+
 // BeginTrial implements [relay.Controller].
 func (d *Controller) BeginTrial(
-	request string, digest poison.Digest, upstream ident.UpstreamID,
-) (trial poison.TrialBody, blocked bool) {
+	request string, keys []poison.Digest, upstream ident.UpstreamID,
+) (trial relay.Trial, blocked bool) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.poison.TriedElsewhere(digest, "") || d.poison.Occupied(upstream, "") {
+	isTried := func(key poison.Digest) bool { return d.poison.TriedElsewhere(key, "") }
+	if slices.ContainsFunc(keys, isTried) || d.poison.Occupied(upstream, "") {
 		return trial, true
 	}
 	d.trials++
 	self := d.mesh.Self()
-	trial = poison.TrialBody{Digest: digest, ID: fmt.Sprintf("%s/%d/%d", self.ID, self.Boot, d.trials), Upstream: upstream}
-	d.poison.RequestTrial(now, trial)
-	d.log.Info("trial_begun", "request", request, "digest", digest, "upstream", upstream, "trial", trial.ID)
+	trial = relay.Trial{ID: fmt.Sprintf("%s/%d/%d", self.ID, self.Boot, d.trials), Upstream: upstream, Keys: keys}
+	for _, key := range keys {
+		d.poison.RequestTrial(now, trialBody(trial, key))
+		d.log.Info("trial_begun", "request", request, "digest", key, "upstream", upstream, "trial", trial.ID)
+	}
 	d.handleEvidence(now)
 	return trial, false
 }
 
 // EndTrial implements [relay.Controller].
-func (d *Controller) EndTrial(trial poison.TrialBody) {
+func (d *Controller) EndTrial(trial relay.Trial) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.poison.EndTrial(now, trial)
+	for _, key := range trial.Keys {
+		if d.poison.Granted(key, trial.ID) {
+			d.poison.EndTrial(now, trialBody(trial, key))
+		}
+	}
+	d.handleEvidence(now)
+}
+
+func trialBody(trial relay.Trial, key poison.Digest) poison.TrialBody {
+	return poison.TrialBody{Digest: key, ID: trial.ID, Upstream: trial.Upstream}
+}
+
+// ObserveBegan implements [relay.Controller].
+func (d *Controller) ObserveBegan(identify func() poison.Keys, trial string) {
+	if !d.hasEvidence.Load() {
+		return
+	}
+	keys, now := identify(), time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.poison.ObserveBegan(now, keys.Parts, trial)
 	d.handleEvidence(now)
 }
 
 // ObserveAnswer implements [relay.Controller].
-func (d *Controller) ObserveAnswer(identify func() poison.Digest) {
+func (d *Controller) ObserveAnswer(identify func() poison.Keys) {
 	if !d.hasEvidence.Load() {
 		return
 	}
-	digest, now := identify(), time.Now()
+	keys, now := identify(), time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.poison.ObserveAnswer(now, digest)
+	d.poison.ObserveAnswer(now, keys.Request)
 	d.handleEvidence(now)
 }
 
@@ -117,11 +144,13 @@
 	u, listed := d.fleet.Get(b.Upstream)
 	born, vanished := d.vanished.Get(b.Upstream)
 	ended := listed && u.Born > b.Born || !listed && vanished && born == b.Born
-	loss := poison.Loss{Upstream: b.Upstream, Boot: bootID(b.Born)}
-	alone := b.Trial != "" && d.poison.Granted(b.Digest, b.Trial)
+	lost := poison.Break{
+		Keys: poison.Keys{Request: b.Digest, Parts: b.Parts}, Loss: poison.Loss{Upstream: b.Upstream, Boot: bootID(b.Born)},
+		Started: b.SentAt, Trial: b.Trial, Silent: b.Silent,
+	}
 	switch {
 	case b.Silent && ended:
-		d.poison.RecordSilence(now, b.SentAt, b.Digest, loss, alone)
+		d.poison.RecordBreak(now, lost)
 		if listed {
 			d.poison.ObserveBoot(now, b.Upstream, bootID(u.Born))
 		} else {
@@ -129,10 +158,8 @@
 		}
 	case !listed || u.Born != b.Born || u.Draining:
 		return
-	case b.Silent:
-		d.poison.RecordSilence(now, b.SentAt, b.Digest, loss, alone)
 	default:
-		d.poison.RecordLoss(now, b.SentAt, b.Digest, loss, alone)
+		d.poison.RecordBreak(now, lost)
 	}
 	d.handleEvidence(now)
 }
@@ -188,10 +215,27 @@
 	if d.listLost {
 		d.poison.Postpone(now)
 	}
+	d.doubtVerdicts(now)
 	d.poison.Tick(now)
 	d.handleEvidence(now)
 }
 
+// doubtVerdicts lets parts in quarantine be tried again once upstreams have had the time to load newer weights, which they
+// may not crash. The lock is held.
+func (d *Controller) doubtVerdicts(now time.Time) {
+	sum := int64(0)
+	for _, version := range d.targetVersions {
+		sum += version
+	}
+	if sum != d.judgedVersions {
+		d.judgedVersions, d.doubtAt = sum, now.Add(d.settings.VersionGrace)
+	}
+	if !d.doubtAt.IsZero() && !now.Before(d.doubtAt) {
+		d.doubtAt = time.Time{}
+		d.poison.Doubt(now)
+	}
+}
+
 // handleEvidence logs and records what has changed, and wakes the heartbeat if there is anything to share. The lock is
 // held.
 func (d *Controller) handleEvidence(now time.Time) {
@@ -202,8 +246,14 @@
 		case poison.DisprovedCmd:
 			d.log.Info("loss_disproved", "digest", e.Digest, "count", len(e.Losses))
 		case poison.QuarantinedCmd:
-			d.log.Warn("quarantine_begun", "digest", e.Digest, "losses", lossTexts(e.Losses), "age", now.Sub(e.Since))
+			d.log.Warn("quarantine_begun", "digest", e.Digest, "part", e.Digest.IsPart(), "losses", lossTexts(e.Losses), "age", now.Sub(e.Since))
 			d.recordVerdict(now, verdict{digest: e.Digest, body: encodeBody(quarantineBody(e))})
+		case poison.TriedCmd:
+			d.log.Info("quarantine_tried", "digest", e.Digest, "count", e.Tried)
+			d.recordVerdict(now, verdict{digest: e.Digest, body: encodeBody(quarantineBody(e.QuarantinedCmd))})
+		case poison.ReleasedCmd:
+			d.log.Info("quarantine_disproved", "digest", e.Digest)
+			d.recordVerdict(now, verdict{digest: e.Digest})
 		case poison.ExpiredCmd:
 			d.log.Info("quarantine_ended", "digest", e.Digest)
 			d.recordVerdict(now, verdict{digest: e.Digest})
@@ -235,7 +285,7 @@
 }
 
 func quarantineBody(e poison.QuarantinedCmd) poison.QuarantineBody {
-	return poison.QuarantineBody{Digest: e.Digest, Losses: e.Losses, SinceMS: e.Since.UnixMilli()}
+	return poison.QuarantineBody{Digest: e.Digest, Losses: e.Losses, SinceMS: e.Since.UnixMilli(), Tried: e.Tried}
 }
 
 func encodeBody(body any) json.RawMessage {
--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -15,7 +15,14 @@
 	"cicadavalve/io/relay"
 )
 
-func identify(d poison.Digest) func() poison.Digest { return func() poison.Digest { return d } }
+func identify(d poison.Digest) func() poison.Keys {
+	return func() poison.Keys { return poison.Keys{Request: d} }
+}
+
+// isSuspect reports whether a request may run only on trial.
+func isSuspect(d *Controller, request poison.Digest) bool {
+	return len(d.Screen(identify(request)).Trials) > 0
+}
 
 func upstream(id ident.UpstreamID, born int64) conf.Upstream {
 	return conf.Upstream{ID: id, Service: "app", Address: "addr-" + string(id), Zone: "z", Slots: 8, Born: born}
@@ -72,7 +79,7 @@
 		// A loss without confirmation stops to count after this time.
 		d.poison.Tick(now.Add(time.Minute))
 		d.handleEvidence(now)
-		got[name] = d.Screen(identify("d")).Suspect
+		got[name] = isSuspect(d, "d")
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("suspect after two of them (-want +got):\n%s", diff)
@@ -98,7 +105,7 @@
 		d.applyUpstream(now, upstream(ident.UpstreamID(fmt.Sprint("u", i)), 2))
 	}
 	d.Tick(now.Add(time.Minute))
-	if !d.Screen(identify("d")).Suspect {
+	if !isSuspect(d, "d") {
 		t.Error("the losses were dropped while they could not be confirmed")
 	}
 }
@@ -130,7 +137,7 @@
 		for _, q := range asked {
 			d.applyInspection(now.Add(time.Millisecond), q.loss, answer.state, answer.ended)
 		}
-		got[name] = outcome{d.Screen(identify("d")).Suspect, len(d.questions(now)) > 0}
+		got[name] = outcome{isSuspect(d, "d"), len(d.questions(now)) > 0}
 	}
 	want := map[string]outcome{"restarted": {Suspect: true}, "not there": {Suspect: true}, "the same": {}, "unknown": {Suspect: true, Asked: true}}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -164,7 +171,9 @@
 				d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now})
 			}
 			for b.Loop() {
-				d.Screen(func() poison.Digest { return digester.Digest("org", "POST", "host", "/path", body) })
+				d.Screen(func() poison.Keys {
+					return poison.Keys{Request: digester.Digest("org", "POST", "host", "/path", body)}
+				})
 			}
 		})
 	}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -83,7 +83,7 @@
 		res = x.attempt(ctx, d.Send)
 		x.endTrial()
 		if res.done || res.ending == retry.Failure {
-			x.h.controller.ObserveAnswer(x.identifyRequest)
+			x.h.controller.ObserveAnswer(x.identify)
 		}
 		if res.done {
 			return
@@ -237,6 +237,9 @@
 	}
 	x.firstAt, x.progress = time.Now(), gotContent
 	x.h.controller.FirstByte(x.need.Ticket)
+	if answer.Status < http.StatusMultipleChoices {
+		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
+	}
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
 		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -51,13 +51,17 @@
 	// that clock is not known yet.
 	FetchDeadline() time.Time
 	// Screen returns what is known about crashes of a request. It calls identify only if something is known of any.
-	Screen(identify func() poison.Digest) Screening
-	// BeginTrial opens the trial of a suspect request on an upstream; blocked is set if another trial is in the way.
-	BeginTrial(request string, digest poison.Digest, upstream ident.UpstreamID) (trial poison.TrialBody, blocked bool)
+	Screen(identify func() poison.Keys) Screening
+	// BeginTrial opens the trial of the suspect keys of a request on an upstream; blocked is set if another trial is in the
+	// way.
+	BeginTrial(request string, keys []poison.Digest, upstream ident.UpstreamID) (trial Trial, blocked bool)
 	// EndTrial ends a trial, whatever its result.
-	EndTrial(trial poison.TrialBody)
+	EndTrial(trial Trial)
+	// ObserveBegan records that an upstream began to answer a request, on the trial with the given id if it is not empty.
+	// It calls identify as Screen does.
+	ObserveBegan(identify func() poison.Keys, trial string)
 	// ObserveAnswer records that an upstream answered a request completely. It calls identify as Screen does.
-	ObserveAnswer(identify func() poison.Digest)
+	ObserveAnswer(identify func() poison.Keys)
 	// Place waits for a decision. The request is not sent to the upstreams to avoid. It returns an error only if the
 	// context ends.
 	Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (d Decision, err error)
@@ -156,7 +160,7 @@
 	// screening is the last result of [exchange.screen].
 	screening Screening
 	// trial is the trial of the current attempt; its ID is empty if the attempt is none.
-	trial poison.TrialBody
+	trial Trial
 }
 
 // ServeHTTP implements [http.Handler].
@@ -335,8 +339,9 @@
 	if retryAfter >= 0 {
 		attrs = append(attrs, slog.Duration("after", retryAfter))
 	}
-	if x.screening.Blocked || x.screening.Suspect {
+	if x.screening.Blocked || len(x.screening.Trials) > 0 {
 		attrs = append(attrs, slog.String("digest", string(x.keys.Request)), slog.String("blocked", string(x.screening.Reason)),
+			slog.String("blocked_by", string(x.screening.Key)),
 			slog.Duration("evidence_age", x.screening.EvidenceAge))
 	}
 	if x.cause != nil {
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -22,8 +22,10 @@
 	Reason  BlockReason
 	// RetryAfter is when the caller may try again, negative if there is no such time.
 	RetryAfter time.Duration
-	// Suspect is set if the request may run only on trial.
-	Suspect bool
+	// Trials lists the keys for which the request may run only on trial.
+	Trials []poison.Digest
+	// Key is the one that restricts the request most.
+	Key poison.Digest
 	// Avoid lists the upstreams on which other requests are on trial.
 	Avoid []ident.UpstreamID
 	// EvidenceAge is the time since the newest evidence against the request.
@@ -46,20 +48,30 @@
 const trialRetryAfter = time.Second
 
 // NewBlock returns the screening of a request that must not run.
-func NewBlock(reason BlockReason, evidenceAge time.Duration) Screening {
-	s := Screening{Blocked: true, Reason: reason, RetryAfter: trialRetryAfter, EvidenceAge: evidenceAge}
+func NewBlock(reason BlockReason, key poison.Digest, evidenceAge time.Duration) Screening {
+	s := Screening{Blocked: true, Reason: reason, RetryAfter: trialRetryAfter, Key: key, EvidenceAge: evidenceAge}
 	if reason == InQuarantine {
 		s.RetryAfter = -1
 	}
 	return s
 }
 
+// Trial is the run of a request on trial, on an upstream without another one.
+type Trial struct {
+	ID       string
+	Upstream ident.UpstreamID
+	// Keys are those that are tried, at least one.
+	Keys []poison.Digest
+}
+
 // Break is an attempt that an upstream broke off, or never began to answer.
 type Break struct {
 	Upstream ident.UpstreamID
 	// Born is the incarnation of the upstream to which the request was sent.
 	Born   int64
 	Digest poison.Digest
+	// Parts are those that may be at fault, none if an answer of the request had begun.
+	Parts  []poison.Digest
 	SentAt time.Time
 	// Trial is the id of the trial that the attempt was, empty if it was none.
 	Trial string
@@ -95,15 +107,12 @@
 	return strings.Join(texts, " ")
 }
 
-// identifyRequest returns the digest of the request, empty while the secret is unknown.
-func (x *exchange) identifyRequest() poison.Digest { return x.identify().Request }
-
 // screen applies what is known about crashes of the request to its need.
 func (x *exchange) screen() Screening {
-	x.screening = x.h.controller.Screen(x.identifyRequest)
+	x.screening = x.h.controller.Screen(x.identify)
 	x.need.Spread = ""
-	if x.screening.Suspect {
-		x.need.Spread = string(x.keys.Request)
+	if len(x.screening.Trials) > 0 {
+		x.need.Spread = string(x.screening.Trials[0])
 	}
 	return x.screening
 }
@@ -111,10 +120,10 @@
 // approve screens the request once its upstream is chosen, and opens its trial if it needs one. It reports whether the
 // request may be sent.
 func (x *exchange) approve(cmd *place.SendCmd) bool {
-	if s := x.screen(); s.Suspect && !s.Blocked {
-		x.trial, x.screening.Blocked = x.h.controller.BeginTrial(x.head.ID, x.keys.Request, cmd.Upstream.ID)
+	if s := x.screen(); len(s.Trials) > 0 {
+		x.trial, x.screening.Blocked = x.h.controller.BeginTrial(x.head.ID, s.Trials, cmd.Upstream.ID)
 		if x.screening.Blocked {
-			x.screening = NewBlock(OnTrial, s.EvidenceAge)
+			x.screening = NewBlock(OnTrial, s.Key, s.EvidenceAge)
 		}
 	}
 	return !x.screening.Blocked
@@ -124,7 +133,7 @@
 func (x *exchange) endTrial() {
 	if x.trial.ID != "" {
 		x.h.controller.EndTrial(x.trial)
-		x.trial = poison.TrialBody{}
+		x.trial = Trial{}
 	}
 }
 
@@ -150,6 +159,9 @@
 	b.Upstream, b.Born, b.SentAt, b.Trial = cmd.Upstream.ID, cmd.Upstream.Born, x.sentAt, x.trial.ID
 	if !b.Unsent {
 		b.Digest = x.identify().Request
+		if x.firstAt.IsZero() {
+			b.Parts = x.keys.Parts
+		}
 	}
 	x.h.log.Info("attempt_broken", "request", x.head.ID, "digest", b.Digest, "parts", x.partTexts(), "got", x.progress.String(), "upstream", b.Upstream, "born", b.Born, "route", x.route.Name,
 		"age", age, "silent", b.Silent, "unsent", b.Unsent, "began", !x.firstAt.IsZero(), "trial", b.Trial != "", "cause", errorText(x.cause))
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -70,7 +70,10 @@
 
 // writeEvents sends complete events to the caller, except those sent by an earlier attempt.
 func (x *exchange) writeEvents(answer *link.Answer, events []byte) (err error) {
-	x.progress = gotContent
+	if x.progress != gotContent {
+		x.progress = gotContent
+		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
+	}
 	if x.lastEvent != "" {
 		events = eventsAfter(events, x.lastEvent)
 		if len(events) == 0 {
