Don't take upstreams that end together for a part that crashes them

Losses of a part restrict requests only once one comes 250 ms or more after another: a part that crashes upstreams does so one request after the other. Then 150 ms pass instead of 300. A trial of a part alone is placed like any other request.

--- a/core/poison/part.go
+++ b/core/poison/part.go
@@ -14,8 +14,11 @@
 // once, so that entries take turns to try a part, and a part in quarantine is tried again.
 
 const (
-	// settleTime is how long the losses of a part restrict nothing, in which answers disprove those of sound ones.
-	settleTime = 300 * time.Millisecond
+	// burstTime is how long after the first loss of a part further ones restrict nothing: upstreams that end together don't
+	// end by a part, and busy parts are in flight on several of them.
+	burstTime = 250 * time.Millisecond
+	// settleTime is how long the next loss restricts nothing either, in which answers disprove the losses of sound parts.
+	settleTime = 150 * time.Millisecond
 	// turnTime is the time from one entry's turn to try a suspect part to the next one's.
 	turnTime = 250 * time.Millisecond
 	// retryDelay is how long after the quarantine of a part, or after the last attempt to try it again, it may be tried.
@@ -120,7 +123,7 @@
 	return Verdict{Standing: Suspect}
 }
 
-// suspectSince returns when the losses of a key became enough for a suspicion.
+// suspectSince returns when the losses of a part became more than one burst, now if they are not.
 func (m *Model) suspectSince(now time.Time, d Digest) (at time.Time) {
 	var times []time.Time
 	for _, c := range m.claimsOf(d) {
@@ -128,11 +131,13 @@
 			times = append(times, c.since)
 		}
 	}
-	if len(times) < suspectAfter {
-		return now
-	}
 	slices.SortFunc(times, time.Time.Compare)
-	return times[suspectAfter-1]
+	for _, t := range times {
+		if t.Sub(times[0]) >= burstTime {
+			return t
+		}
+	}
+	return now
 }
 
 // mayBeTried reports whether a part in quarantine may be tried again by this entry now.
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -111,8 +112,8 @@
 func (x *exchange) screen() Screening {
 	x.screening = x.h.controller.Screen(x.identify)
 	x.need.Spread = ""
-	if len(x.screening.Trials) > 0 {
-		x.need.Spread = string(x.screening.Trials[0])
+	if slices.Contains(x.screening.Trials, x.keys.Request) {
+		x.need.Spread = string(x.keys.Request)
 	}
 	return x.screening
 }
