Give parts no new trial because an entry starts

Parts in quarantine are tried once more after new weights were named, which an entry sees by its sum of versions. An entry that starts with named weights saw that as a change, and its quarantines were tried once more. While it starts, versions are those under which the verdicts came about.

Tests: TestNewWeightsGivePartsAnotherTrial (before, soon after and later than new weights), TestPartsReachOtherEntriesInDatagrams.

--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -227,6 +227,10 @@
 	for _, version := range d.targetVersions {
 		sum += version
 	}
+	if d.mesh.Self().State == mesh.Starting {
+		// These were in use when the verdicts in the store came about.
+		d.judgedVersions = sum
+	}
 	if sum != d.judgedVersions {
 		d.judgedVersions, d.doubtAt = sum, now.Add(d.settings.VersionGrace)
 	}
--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/poison"
+	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
 )
@@ -178,3 +179,54 @@
 		})
 	}
 }
+
+// TestNewWeightsGivePartsAnotherTrial names new weights after a part came into quarantine, which these may run. It is tried
+// again once the upstreams have had the time to load them, and not before.
+func TestNewWeightsGivePartsAnotherTrial(t *testing.T) {
+	const grace = 6 * time.Second
+	now := time.Now().Add(-time.Minute)
+	d := newFleet(Settings{VersionGrace: grace}, 1, now)[0]
+	part := poison.NewDigester([]byte("s")).Part("", "p")
+	body := encodeBody(poison.QuarantineBody{
+		Digest: part, Losses: []poison.Loss{{Upstream: "u", Boot: "1"}}, SinceMS: now.UnixMilli(), Tried: 1,
+	})
+	if err := d.poison.Receive(now, poison.KindQuarantine, body); err != nil {
+		t.Fatal(err)
+	}
+	mayRun := func(at time.Time) bool {
+		alone := func(poison.Digest) poison.Turn { return poison.Turn{Entries: 1} }
+		return d.poison.Judge(at, poison.Keys{Request: "r", Parts: []poison.Digest{part}}, alone).Standing == poison.Suspect
+	}
+	d.Tick(now)
+	got := []bool{mayRun(now.Add(30 * time.Second))}
+	d.applyRecords(now, port.Operator, []any{port.VersionEvent{Model: "m", Version: 2}}, false)
+	for _, after := range []time.Duration{time.Second, grace + time.Second} {
+		d.Tick(now.Add(after))
+		got = append(got, mayRun(now.Add(after+15*time.Second)))
+	}
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Errorf("tried again before new weights, soon after they were named, and later (-want +got):\n%s", diff)
+	}
+}
+
+// TestPartsReachOtherEntriesInDatagrams sends the records about a part through the form that they have between entries.
+func TestPartsReachOtherEntriesInDatagrams(t *testing.T) {
+	now := time.Now()
+	entries := newFleet(Settings{}, 2, now)
+	part := poison.NewDigester([]byte("s")).Part("", "p")
+	for i := range 2 {
+		id := ident.UpstreamID(fmt.Sprint("u", i))
+		for _, d := range entries {
+			d.applyUpstream(now, upstream(id, 1))
+		}
+		entries[0].recordLoss(now, relay.Break{
+			Upstream: id, Born: 1, Digest: poison.Digest(fmt.Sprintf("%064d", i)), Parts: []poison.Digest{part}, SentAt: now,
+		})
+	}
+	var m gossip.Message
+	entries[0].shareEvidence(now, 2, &m)
+	entries[1].applyEvidence(now, &m)
+	if got := entries[1].poison.Standing(now, part); got != poison.Suspect {
+		t.Errorf("standing %d at the other entry", got)
+	}
+}
