--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -11,11 +11,19 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/poison"
+	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
 )
 
-func identify(d poison.Digest) func() poison.Digest { return func() poison.Digest { return d } }
+func identify(d poison.Digest) func() poison.Keys {
+	return func() poison.Keys { return poison.Keys{Request: d} }
+}
+
+// isSuspect reports whether a request may run only on trial.
+func isSuspect(d *Controller, request poison.Digest) bool {
+	return len(d.Screen(identify(request)).Trials) > 0
+}
 
 func upstream(id ident.UpstreamID, born int64) conf.Upstream {
 	return conf.Upstream{ID: id, Service: "app", Address: "addr-" + string(id), Zone: "z", Slots: 8, Born: born}
@@ -72,7 +80,7 @@
 		// A loss without confirmation stops to count after this time.
 		d.poison.Tick(now.Add(time.Minute))
 		d.handleEvidence(now)
-		got[name] = d.Screen(identify("d")).Suspect
+		got[name] = isSuspect(d, "d")
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("suspect after two of them (-want +got):\n%s", diff)
@@ -98,7 +106,7 @@
 		d.applyUpstream(now, upstream(ident.UpstreamID(fmt.Sprint("u", i)), 2))
 	}
 	d.Tick(now.Add(time.Minute))
-	if !d.Screen(identify("d")).Suspect {
+	if !isSuspect(d, "d") {
 		t.Error("the losses were dropped while they could not be confirmed")
 	}
 }
@@ -130,7 +138,7 @@
 		for _, q := range asked {
 			d.applyInspection(now.Add(time.Millisecond), q.loss, answer.state, answer.ended)
 		}
-		got[name] = outcome{d.Screen(identify("d")).Suspect, len(d.questions(now)) > 0}
+		got[name] = outcome{isSuspect(d, "d"), len(d.questions(now)) > 0}
 	}
 	want := map[string]outcome{"restarted": {Suspect: true}, "not there": {Suspect: true}, "the same": {}, "unknown": {Suspect: true, Asked: true}}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -164,8 +172,61 @@
 				d.recordLoss(now, relay.Break{Upstream: id, Born: 1, Digest: "d", SentAt: now})
 			}
 			for b.Loop() {
-				d.Screen(func() poison.Digest { return digester.Digest("org", "POST", "host", "/path", body) })
+				d.Screen(func() poison.Keys {
+					return poison.Keys{Request: digester.Digest("org", "POST", "host", "/path", body)}
+				})
 			}
 		})
 	}
 }
+
+// TestNewWeightsGivePartsAnotherTrial names new weights after a part came into quarantine, which these may run. It is tried
+// again once the upstreams have had the time to load them, and not before.
+func TestNewWeightsGivePartsAnotherTrial(t *testing.T) {
+	const grace = 6 * time.Second
+	now := time.Now().Add(-time.Minute)
+	d := newFleet(Settings{VersionGrace: grace}, 1, now)[0]
+	part := poison.NewDigester([]byte("s")).Part("", "p")
+	body := encodeBody(poison.QuarantineBody{
+		Digest: part, Losses: []poison.Loss{{Upstream: "u", Boot: "1"}}, SinceMS: now.UnixMilli(), Tried: 1,
+	})
+	if err := d.poison.Receive(now, poison.KindQuarantine, body); err != nil {
+		t.Fatal(err)
+	}
+	mayRun := func(at time.Time) bool {
+		alone := func(poison.Digest) poison.Turn { return poison.Turn{Entries: 1} }
+		return d.poison.Judge(at, poison.Keys{Request: "r", Parts: []poison.Digest{part}}, alone).Standing == poison.Suspect
+	}
+	d.Tick(now)
+	got := []bool{mayRun(now.Add(30 * time.Second))}
+	d.applyRecords(now, port.Operator, records{events: []any{port.VersionEvent{Model: "m", Version: 2}}, since: now})
+	for _, after := range []time.Duration{time.Second, grace + time.Second} {
+		d.Tick(now.Add(after))
+		got = append(got, mayRun(now.Add(after+15*time.Second)))
+	}
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Errorf("tried again before new weights, soon after they were named, and later (-want +got):\n%s", diff)
+	}
+}
+
+// TestPartsReachOtherEntriesInDatagrams sends the records about a part through the form that they have between entries.
+func TestPartsReachOtherEntriesInDatagrams(t *testing.T) {
+	now := time.Now()
+	entries := newFleet(Settings{}, 2, now)
+	part := poison.NewDigester([]byte("s")).Part("", "p")
+	for i := range 2 {
+		id := ident.UpstreamID(fmt.Sprint("u", i))
+		for _, d := range entries {
+			d.applyUpstream(now, upstream(id, 1))
+		}
+		entries[0].recordLoss(now, relay.Break{
+			Upstream: id, Born: 1, Digest: poison.Digest(fmt.Sprintf("%064d", i)), Parts: []poison.Digest{part}, SentAt: now,
+		})
+	}
+	var m gossip.Message
+	entries[0].shareEvidence(now, 2, &m)
+	entries[1].applyEvidence(now, &m)
+	if got := entries[1].poison.Standing(now, part); got != poison.Suspect {
+		t.Errorf("standing %d at the other entry", got)
+	}
+}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -39,6 +39,18 @@
 	failure *failure
 }
 
+// progress is what an upstream has sent in one attempt.
+type progress int
+
+const (
+	gotNothing progress = iota
+	gotHead
+	// gotContent is a complete event of a stream, or what may be buffered of a plain answer.
+	gotContent
+)
+
+func (p progress) String() string { return [...]string{"nothing", "head", "content"}[p] }
+
 // failure is a complete answer that reports a failure.
 type failure struct {
 	status int
@@ -175,7 +187,7 @@
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
 	x.held.release()
-	x.sentAt = clock.Now()
+	x.sentAt, x.progress = clock.Now(), gotNothing
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if errors.Is(err, link.ErrWithdrawn) {
 		x.cause = err
@@ -191,6 +203,7 @@
 		return result{ending: retry.Unknown}
 	}
 	defer answer.Close()
+	x.progress = gotHead
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
 	x.h.controller.ObserveReply(u.ID, x.sentAt, reply)
 	switch {
@@ -251,8 +264,11 @@
 		x.reportBroken(ctx, cmd, Break{})
 		return result{ending: retry.Unknown}
 	}
-	x.firstAt = clock.Now()
+	x.firstAt, x.progress = clock.Now(), gotContent
 	x.h.controller.FirstByte(x.need.Ticket)
+	if answer.Status < http.StatusMultipleChoices {
+		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
+	}
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
 		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -76,6 +76,10 @@
 
 // writeEvents sends complete events to the caller, except those sent by an earlier attempt.
 func (x *exchange) writeEvents(answer *link.Answer, events []byte) (err error) {
+	if x.progress != gotContent {
+		x.progress = gotContent
+		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
+	}
 	if x.lastEvent != "" {
 		events = eventsAfter(events, x.lastEvent)
 		if len(events) == 0 {
