Bound the log lines of panics that one caller can repeat

A request that panics is confined, so a caller can repeat it: each time a line of up to 8 KiB with the stack, which could push other warnings out of the log's buffer. The stack is now logged once a second at most; each request keeps its own line (request_ended, outcome "panicked").

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -33,6 +33,9 @@
 // limitFaultInterval is the minimum interval between two log lines about limits that can't be read.
 const limitFaultInterval = time.Second
 
+// panicInterval is the minimum interval between two log lines with the stack of a placement that panicked.
+const panicInterval = time.Second
+
 // Controller serialises access to the models that place requests. It is safe for concurrent use.
 type Controller struct {
 	log      *slog.Logger
@@ -94,6 +97,8 @@
 	stall *stall.Model
 	// limitFaults bounds the log lines about limits that can't be read.
 	limitFaults rate.Sometimes
+	// panics bounds the log lines with the stacks of panics.
+	panics rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
 	listLost bool
 	// onConfig, if set, is called with each configuration that comes into force.
@@ -123,7 +128,7 @@
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
@@ -195,7 +200,9 @@
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.PanicCmd:
-			d.log.Error("decision_panicked", "ticket", cmd.Ticket, "cause", cmd.Cause, "stack", cmd.Stack)
+			d.panics.Do(func() {
+				d.log.Error("decision_panicked", "ticket", cmd.Ticket, "cause", cmd.Cause, "stack", cmd.Stack)
+			})
 			d.deliver(cmd.Ticket, relay.Decision{Panic: &cmd})
 		case place.SavingCmd:
 			d.saves = append(d.saves, gossip.Save{Store: string(cmd.Save.Store), Key: uint64(cmd.Save.Key), Tokens: cmd.Save.Tokens})
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/time/rate"
 
 	"cicadavalve/core/conf"
 	"cicadavalve/core/ident"
@@ -35,6 +36,8 @@
 	writeMargin = time.Second
 	// defaultMaxBody bounds a request body if the configuration does not, in bytes.
 	defaultMaxBody = 4 << 20
+	// panicInterval is the minimum interval between two log lines with the stack of a panic.
+	panicInterval = time.Second
 )
 
 // Decision is the outcome of the placement of a request. Exactly one field is set.
@@ -106,12 +109,14 @@
 	leaving atomic.Bool
 	// running counts the requests in flight.
 	running atomic.Int64
+	// panics bounds the log lines with the stacks of panics.
+	panics rate.Sometimes
 }
 
 // NewHandler returns a handler that sends requests through a pool of connections. maxBodyBytes bounds the request
 // bodies in memory.
 func NewHandler(controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodyBytes int64) *Handler {
-	return &Handler{controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, maxBodyBytes: maxBodyBytes}
+	return &Handler{controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, maxBodyBytes: maxBodyBytes, panics: rate.Sometimes{First: 1, Interval: panicInterval}}
 }
 
 // Leave makes all further answers ask callers to close their connections.
@@ -380,7 +385,9 @@
 	if guard.IsAbort(p) {
 		panic(p)
 	}
-	x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	x.h.panics.Do(func() {
+		x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	})
 	x.h.controller.End(x.need.Ticket, place.Broken)
 	if x.committed {
 		x.abort("panicked")
