Try a limit again that nobody has confirmed for a while

An upstream that had named a limit got nothing more while others had room and were the better choice, long after it was out of need: an entry that has a limit from its own answers learns of its end only by another answer of that upstream.

A request that would not be late there now goes to such an upstream if no answer is newer than a while. The entries that share the limit do so at 0.2 requests a second together, the rate at which limits below it are tried already, and these requests take tokens as all others.

TestLimitThatNobodyConfirmsIsTriedAgain failed before (0 requests in 60 s) and passes. The other tests of core/place, core/fleet and io/daemon pass under the race detector.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -279,8 +279,9 @@
 	Usable, Cold, Ordered bool
 	// Returning is set if an upstream that isn't usable may be so again shortly, since it only pauses after a failure.
 	Returning bool
-	// Limit is the limit that it names.
-	Limit conf.NamedLimit
+	// Limit is the limit that it names, and LimitAge the time since an answer last did.
+	Limit    conf.NamedLimit
+	LimitAge time.Duration
 }
 
 // Each calls visit with the record and the status of each upstream of a service, in no particular order. The record
@@ -300,7 +301,7 @@
 func (m *Model) status(now time.Time, s *state) Status {
 	serves, paused := !s.Draining && !m.avoided[s.Zone], now.Before(s.pausedUntil)
 	return Status{
-		Usable: serves && !paused, Returning: serves && paused, Limit: s.limit.current(now),
+		Usable: serves && !paused, Returning: serves && paused, Limit: s.limit.current(now), LimitAge: now.Sub(s.limit.at),
 		Cold: now.Before(s.coldUntil), Ordered: now.Before(s.orderedUntil),
 	}
 }
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -103,8 +104,11 @@
 			tally.FullBy[bound]++
 			return
 		}
-		if need.Spread != "" {
+		switch {
+		case need.Spread != "":
 			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
+		case m.mustTry(now, need, status, &candidate):
+			candidate.cost = math.Inf(-1)
 		}
 		tally.Open++
 		if best == nil || candidate.cost < best.cost {
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -25,6 +25,8 @@
 	reportedAt time.Time
 	// rate limits the requests while the upstream is cold or names a limit.
 	rate bucket
+	// limitedAt is when such a request was last sent.
+	limitedAt time.Time
 }
 
 // peer holds the newest loads reported by another entry. They are included in the others field of each load until they
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -391,6 +391,7 @@
 	l := m.load(u.ID)
 	if o.quota.bounded {
 		l.rate.take(now, o.quota.perSecond, o.quota.burst)
+		l.limitedAt = now
 	}
 	s := &sent{
 		need: *need, upstream: u.ID, at: now, rank: clampRank(need.Rank), backlog: o.missing,
--- a/core/place/rate.go
+++ b/core/place/rate.go
@@ -39,6 +39,8 @@
 	perSecond float64
 	// burst is at least 1.
 	burst float64
+	// trialInterval is how long a named limit may go unconfirmed before this entry tries it again, 0 without a limit.
+	trialInterval time.Duration
 }
 
 // quota returns this entry's part of the rate of requests to an upstream in a condition.
@@ -62,9 +64,20 @@
 	}
 	q.perSecond = total / float64(users)
 	q.burst = max(1, min(burst, q.perSecond*namedBurst.Seconds()))
+	if limit.Named {
+		q.trialInterval = time.Duration(float64(users) / trialRate * float64(time.Second))
+	}
 	return q
 }
 
+// mustTry reports whether the request should find out if an upstream still names its limit: only an answer of the
+// upstream ends the limit, and it gets no requests while others are the better choice. The request must not be late for it.
+func (m *Model) mustTry(now time.Time, need *Need, status fleet.Status, o *option) bool {
+	interval := o.quota.trialInterval
+	return status.Limit.Named && interval > 0 && status.LimitAge >= interval && now.Sub(m.load(o.upstream.ID).limitedAt) >= interval &&
+		o.firstByte <= need.Objective
+}
+
 // tokens returns how many requests the entry may send to an upstream now.
 func (m *Model) tokens(now time.Time, upstream ident.UpstreamID, q quota) float64 {
 	switch {
--- a/core/place/rate_test.go
+++ b/core/place/rate_test.go
@@ -153,3 +153,36 @@
 		t.Errorf("waiting requests (-want +got):\n%s", diff)
 	}
 }
+
+// TestLimitThatNobodyConfirmsIsTriedAgain offers requests to an engine that has named a limit and is further away than one
+// with room. Its limit may be over, which only another answer tells.
+func TestLimitThatNobodyConfirmsIsTriedAgain(t *testing.T) {
+	const duration = 60 * time.Second
+	ids := []string{"entry0", "entry1", "entry2"}
+	var tried []time.Time
+	for _, id := range ids {
+		b := newBench(1, 1_000_000)
+		b.place.SetMembers(place.Members{Self: id, Sharers: ids, Zone: "z"})
+		b.fleet.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{
+			ID: engineID(1), Service: "llm", Address: "far", Zone: "far", Slots: 16, Weights: map[ident.ModelName]int64{model: 1},
+		}})
+		b.nameLimit(start, 1, 2.5)
+		for n := range int(duration / (100 * time.Millisecond)) {
+			now, ticket := start.Add(time.Duration(n)*100*time.Millisecond), place.Ticket(n+1)
+			for _, s := range sends(b.place.Update(now, place.ArriveMsg{Need: need(ticket, now, 100, "doc", time.Second)})) {
+				if s.Upstream.ID == engineID(1) {
+					tried = append(tried, now)
+				}
+				b.place.Update(now, place.EndMsg{Ticket: ticket})
+			}
+		}
+	}
+	slices.SortFunc(tried, time.Time.Compare)
+	// The rate of trials is 0.2 a second.
+	if len(tried) < 3 || len(tried) > 15 {
+		t.Fatalf("%d requests tried the limit within %v", len(tried), duration)
+	}
+	if first := tried[0].Sub(start); first < 5*time.Second || first > 20*time.Second {
+		t.Errorf("tried after %v for the first time", first)
+	}
+}
