--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -23,7 +23,8 @@
 	oldWeightsCost = 0.3
 	// failureCost is how many objectives are added for an upstream that fails every request.
 	failureCost = 4
-	// versionMargin is subtracted from versionGrace, since requests queue at an engine before they start.
+	// versionMargin is subtracted from versionGrace, since the time to the first token, with which a run begins, can only
+	// be estimated.
 	versionMargin = 1500 * time.Millisecond
 )
 
@@ -104,6 +105,11 @@
 			tally.FullBy[bound]++
 			return
 		}
+		if until, outdated := m.outdated(need.Model, u.Weights[need.Model]); outdated && service.Engine != nil && now.Add(candidate.firstByte).After(until) {
+			tally.Closed++
+			return
+		}
+		m.gather(need, &candidate)
 		switch {
 		case need.Spread != "":
 			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
@@ -129,16 +135,28 @@
 
 // open reports whether an upstream is eligible for the request, whatever its load and the rate of requests to it.
 func (m *Model) open(now time.Time, u *conf.Upstream, status fleet.Status, service *conf.Service, need *Need) bool {
-	if !status.Usable || status.Ordered {
-		return false
-	}
+	return status.Usable && !status.Ordered && m.releaseAllowed(now, u, need) && m.mayStart(now, u, service, need)
+}
+
+// mayStart reports whether the weights of an upstream are new enough for the request.
+func (m *Model) mayStart(now time.Time, u *conf.Upstream, service *conf.Service, need *Need) bool {
 	if service.Engine == nil || need.Model == "" {
 		return true
 	}
-	if since := m.newerSince(need.Model, u.Weights[need.Model]); !since.IsZero() && now.Sub(since) > m.versionGrace-versionMargin {
+	until, outdated := m.outdated(need.Model, u.Weights[need.Model])
+	return !outdated || !now.After(until)
+}
+
+// StillEligible reports whether the upstream that was chosen for a request may still get it: a decision may be old when it
+// is carried out. An upstream that began to carry out an order since decides about the request itself.
+func (m *Model) StillEligible(now time.Time, t Ticket) bool {
+	s, ok := m.sent[t]
+	if !ok {
 		return false
 	}
-	return true
+	u, listed := m.fleet.Get(s.upstream)
+	service, known := m.set.Service(s.need.Service)
+	return listed && known && m.fleet.Usable(now, u.ID) && m.mayStart(now, &u, service, &s.need) && m.releaseAllowed(now, &u, &s.need)
 }
 
 // scoreCall scores an upstream for a plain call.
@@ -182,7 +200,7 @@
 	o.firstByte = time.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.penalty(need, u, stats)
 	o.cost += service.perToken * (recomputeWeight*float64(o.recomputed) + fetchWeight*float64(o.fetched))
-	if !m.newerSince(need.Model, o.version).IsZero() {
+	if _, outdated := m.outdated(need.Model, o.version); outdated {
 		o.cost += oldWeightsCost * float64(need.Objective)
 	}
 	return Free
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/parts"
+	"cicadavalve/core/ramp"
 )
 
 // Members describes this entry and the other ones.
@@ -35,8 +36,12 @@
 type sent struct {
 	need     Need
 	upstream ident.UpstreamID
-	at       time.Time
-	rank     int
+	// load counts the request. It is no longer that of the upstream once the upstream has been removed.
+	load *load
+	// chain is the prompt that the upstream runs, empty for a plain call.
+	chain []conf.Part
+	at    time.Time
+	rank  int
 	// backlog is the number of prompt tokens still to be prefilled.
 	backlog int
 	memory  int
@@ -83,12 +88,14 @@
 	upstreams      map[ident.UpstreamID]*upstreamStats
 	// links holds the estimates for the links over which parts are fetched.
 	links map[parts.Holder]*link
+	// ramp decides about software releases; nil if there are no roll-outs.
+	ramp *ramp.Model
 }
 
-// namedVersion is a version of a model's weights and when it became the target.
+// namedVersion is a version of a model's weights and until when requests may start on older ones.
 type namedVersion struct {
 	version int64
-	since   time.Time
+	until   time.Time
 }
 
 // Option sets one property of a [Model].
@@ -133,43 +140,54 @@
 // SetMembers sets the entries.
 func (m *Model) SetMembers(members Members) { m.members = members }
 
-// SetTargetVersion sets the target version of a model's weights; a version that is not newer than the last one is
-// ignored. Set old if the version became the target at an unknown time before this process started: requests may then
-// start on older weights only for startupGrace.
-func (m *Model) SetTargetVersion(now time.Time, model ident.ModelName, version int64, old bool) {
-	versions := m.versions[model]
-	if n := len(versions); n > 0 && version <= versions[n-1].version {
+// setTarget sets the target version of a model's weights; a version that is not newer than the last one is ignored.
+func (m *Model) setTarget(msg TargetMsg) {
+	versions := m.versions[msg.Model]
+	if n := len(versions); n > 0 && msg.Version <= versions[n-1].version {
 		return
 	}
-	since := now
-	if old {
-		since = now.Add(startupGrace + versionMargin - m.versionGrace)
+	until := msg.Ready.Add(startupGrace)
+	if bound := msg.Since.Add(m.versionGrace - versionMargin); !msg.Since.IsZero() && bound.After(until) {
+		until = bound
 	}
-	m.versions[model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{version, since})
+	if len(versions) > maxVersions {
+		// What is older than a version that is dropped must not get more time by that.
+		oldest := &versions[len(versions)-maxVersions]
+		oldest.until = earlier(oldest.until, versions[0].until)
+	}
+	m.versions[msg.Model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{msg.Version, until})
 }
 
-// maxVersions is how many older versions of a model are kept when a newer one is added. Those dropped are so old that
-// versionGrace is taken to be over for them.
+// maxVersions is how many older versions of a model are kept when a newer one is added.
 const maxVersions = 16
 
-// newerSince returns when a version newer than the given one became the target, the zero time if there is none.
-func (m *Model) newerSince(model ident.ModelName, version int64) time.Time {
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// outdated reports whether a newer version than the given one is the target, and until when requests may start on the
+// given one.
+func (m *Model) outdated(model ident.ModelName, version int64) (until time.Time, outdated bool) {
 	for _, n := range m.versions[model] {
 		if n.version > version {
-			return n.since
+			return n.until, true
 		}
 	}
-	return time.Time{}
+	return time.Time{}, false
 }
 
-// startupGrace is how long a process that has just started may use older weights when it can't tell how long they
-// have been outdated. The platform measures a VM from three seconds after its start.
+// startupGrace is how long after its start, or after the store last failed it, an entry may use older weights when it can't
+// tell how long they have been outdated. The platform measures a VM from three seconds after such a disturbance.
 const startupGrace = 2500 * time.Millisecond
 
 // Update applies a message and returns the resulting commands.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	switch msg := msg.(type) {
 	case ArriveMsg:
+		m.pick(now, &msg.Need)
 		return m.place(now, &waiting{need: msg.Need, avoid: msg.Avoid}, "")
 	case RetryMsg:
 		return m.retry(now, msg)
@@ -179,6 +197,8 @@
 		return m.placeQueued(now, m.firstByte(now, msg.Ticket))
 	case EndMsg:
 		return m.placeQueued(now, m.end(now, msg))
+	case TargetMsg:
+		m.setTarget(msg)
 	case LoadMsg:
 		l := m.load(msg.Upstream)
 		l.reported, l.reportedAt = msg.Running+msg.Waiting, now
@@ -212,6 +232,7 @@
 	}
 	need := s.need
 	need.Spread = msg.Spread
+	m.again(&need)
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
 	return m.place(now, &waiting{need: need, avoid: msg.Avoid}, "")
@@ -220,7 +241,7 @@
 // release removes a request from its upstream's load.
 func (m *Model) release(t Ticket) {
 	if s, ok := m.sent[t]; ok {
-		m.load(s.upstream).end(s)
+		s.load.end(s)
 		delete(m.sent, t)
 	}
 }
@@ -233,13 +254,14 @@
 		return ""
 	}
 	s.answered = true
-	if len(s.need.Chain) > 0 {
-		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: s.need.Shared()})
+	m.noteFirstByte(now, t)
+	if len(s.chain) > 0 {
+		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: shared(s.chain)})
 	}
-	m.load(s.upstream).finishPrefill(s)
+	s.load.finishPrefill(s)
 	elapsed := now.Sub(s.at)
 	service, upstream := m.serviceStats(s.need.Service), m.upstreamStats(s.upstream)
-	if len(s.need.Chain) == 0 {
+	if len(s.chain) == 0 {
 		service.observeCall(elapsed)
 		upstream.observe(now, float64(elapsed)/service.call)
 		return s.upstream
@@ -266,6 +288,7 @@
 
 // recordOutcome updates the failure rates of the upstream and its service. Rejected and cancelled requests don't count.
 func (m *Model) recordOutcome(now time.Time, s *sent, outcome Outcome) {
+	m.noteOutcome(now, s, outcome)
 	if outcome == Rejected || outcome == Cancelled {
 		return
 	}
@@ -354,22 +377,30 @@
 // place sends, refuses or queues a request. If only isn't empty, it considers that upstream alone and doesn't refuse a
 // request that would be late there.
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
-	best, tally, ahead := m.choose(now, &w.need, w.avoid, only)
+	defer m.confine(w.need.Ticket, &cmds)
+	need := m.served(&w.need)
+	best, tally, ahead := m.choose(now, need, w.avoid, only)
+	if best == nil && only == "" && m.unsample(&w.need, tally) {
+		need = m.served(&w.need)
+		best, tally, ahead = m.choose(now, need, w.avoid, only)
+	}
+	if best != nil && only == "" && m.lateSample(now, need, best) && m.unsample(&w.need, Tally{}) {
+		need = m.served(&w.need)
+		best, tally, ahead = m.choose(now, need, w.avoid, only)
+	}
 	if best == nil {
 		if only != "" {
 			ahead.others = true
 		}
 		return m.enqueue(now, w, tally, &ahead)
 	}
-	need := &w.need
-	waited := now.Sub(need.Arrived)
 	switch {
 	case now.Add(best.firstByte).After(need.Deadline):
 		cmds = m.refuse(need, best, tally, TooLate)
-	case float64(waited+best.firstByte) > lateFactor*float64(need.Objective) && !best.idle:
+	case m.late(now, need, best):
 		cmds = m.refuse(need, best, tally, Overloaded)
 	default:
-		return m.send(now, need, best)
+		return m.send(now, w.need, need, best)
 	}
 	if only != "" {
 		// Another upstream may still serve the request in time.
@@ -379,14 +410,32 @@
 	return cmds
 }
 
+// late reports whether a request is expected to be much too late at an option that is busy.
+func (m *Model) late(now time.Time, need *Need, o *option) bool {
+	return float64(now.Sub(need.Arrived)+o.firstByte) > lateFactor*float64(need.Objective) && !o.idle
+}
+
 // refuse returns the refusal of a request that is expected to be late at the best upstream.
 func (m *Model) refuse(need *Need, best *option, tally Tally, reason Reason) []ident.Cmd {
 	after := min(max(best.firstByte-need.Objective/2, minRetryAfter), maxRetryAfter)
 	return []ident.Cmd{RefuseCmd{Ticket: need.Ticket, RetryAfter: m.jitter(after), Reason: reason, Expected: best.firstByte, Tally: tally}}
 }
 
-// send records the request at the option's upstream and returns the commands that send it.
-func (m *Model) send(now time.Time, need *Need, o *option) (cmds []ident.Cmd) {
+// served returns what the request requires of its service as configured now. A service without engines takes no part in
+// kept context, whatever the caller names.
+func (m *Model) served(need *Need) *Need {
+	service, ok := m.set.Service(need.Service)
+	if !ok || service.Engine != nil && need.Model != "" {
+		return need
+	}
+	plain := *need
+	plain.Model, plain.Chain, plain.Output = "", nil, 0
+	return &plain
+}
+
+// send records the request at the option's upstream and returns the commands that send it. need is what it requires of
+// its service now, asked what its caller asked for.
+func (m *Model) send(now time.Time, asked Need, need *Need, o *option) (cmds []ident.Cmd) {
 	u := *o.upstream
 	l := m.load(u.ID)
 	if o.quota.bounded {
@@ -394,14 +443,15 @@
 		l.limitedAt = now
 	}
 	s := &sent{
-		need: *need, upstream: u.ID, at: now, rank: clampRank(need.Rank), backlog: o.missing,
+		need: asked, upstream: u.ID, load: l, chain: need.Chain, at: now, rank: clampRank(need.Rank), backlog: o.missing,
 		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte,
 		fetchFrom: o.source, fetchDelay: o.fetchDelay, address: parts.Holder(u.Address), salt: o.salt,
 	}
 	l.begin(s)
 	m.sent[need.Ticket] = s
+	m.noteSent(now, need, o)
 	cmd := SendCmd{
-		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Version: o.version, Salt: o.salt,
+		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Model: need.Model, Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.firstByte, Missing: o.missing,
 		Cached: o.cached, Fetched: o.fetched, Recomputed: o.recomputed,
 	}
--- a/core/place/rate.go
+++ b/core/place/rate.go
@@ -74,7 +74,7 @@
 // upstream ends the limit, and it gets no requests while others are the better choice. The request must not be late for it.
 func (m *Model) mustTry(now time.Time, need *Need, status fleet.Status, o *option) bool {
 	interval := o.quota.trialInterval
-	return status.Limit.Named && interval > 0 && status.LimitAge >= interval && now.Sub(m.load(o.upstream.ID).limitedAt) >= interval &&
+	return status.Limit.Named && interval > 0 && !need.Sampled && status.LimitAge >= interval && now.Sub(m.load(o.upstream.ID).limitedAt) >= interval &&
 		o.firstByte <= need.Objective
 }
 
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/parts"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/reload"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
@@ -81,17 +82,17 @@
 }
 
 // NewDaemon returns a daemon that [Daemon.Run] starts. Boot identifies the incarnation and must grow with each restart.
-func NewDaemon(s Settings, outside Adapters, log *slog.Logger, boot int64) *Daemon {
+func NewDaemon(s Settings, outside Adapters, log *slog.Logger, boot int64, options ...Option) *Daemon {
 	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, State: mesh.Starting, Boot: boot}
 	d := &Daemon{
 		settings: s, log: log, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
-		controller: NewController(s, self, log, uint64(boot)), pool: link.NewPool(), meter: NewMeter(),
+		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(), meter: NewMeter(),
 	}
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
-	d.duty = &duty{d: d, era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
+	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
-	d.server = relay.NewServer(d.handler)
+	d.server = relay.NewServer(d.controller.guard.Handler(d.handler))
 	d.controller.onConfig = func(set *conf.Set) {
 		d.server.SetIdleTimeout(set.Limits().IdleTimeout)
 		d.server.SetHeaderTimeout(set.Limits().HeaderTimeout)
@@ -115,6 +116,7 @@
 	}
 	d.start(running, group)
 	group.Go(func() error {
+		defer d.controller.guard.Check()
 		select {
 		case <-running.Done():
 		case <-ctx.Done():
@@ -140,7 +142,7 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: handler, ReadTimeout: adviceReadTimeout, IdleTimeout: adviceIdleTimeout, MaxHeaderBytes: adviceMaxHeader}
+		server := &http.Server{Handler: d.controller.guard.Handler(handler), ReadTimeout: adviceReadTimeout, IdleTimeout: adviceIdleTimeout, MaxHeaderBytes: adviceMaxHeader}
 		group.Go(func() error { return serve(ctx, server, func() error { return server.Serve(l) }) })
 	}
 	return nil
@@ -169,15 +171,17 @@
 	loops := []func(context.Context){
 		newFeed(d, port.Operator, operatorWait, 0, operatorMaxAge).run,
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
-		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&inspector{d: d}).run, (&clock{d: d}).run,
+		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
 	}
 	for _, loop := range loops {
 		group.Go(func() error {
+			defer d.controller.guard.Check()
 			loop(ctx)
 			return nil
 		})
 	}
 	group.Go(func() error {
+		defer d.controller.guard.Check()
 		d.socket.Run(ctx, d.receive, func(err error) { d.log.Debug("datagram_unreadable", "error", err) })
 		return nil
 	})
@@ -261,29 +265,29 @@
 	return nil
 }
 
-// clock drives the periodic work: decisions that depend on time, the sweep of connections and the state log line.
-type clock struct{ d *Daemon }
+// ticker drives the periodic work: decisions that depend on time, the sweep of connections and the state log line.
+type ticker struct{ d *Daemon }
 
 // run works at each tick until the context ends.
-func (c *clock) run(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	lastSweep, lastState := time.Now(), time.Now()
+func (k *ticker) run(ctx context.Context) {
+	ticks := time.NewTicker(tickInterval)
+	defer ticks.Stop()
+	lastSweep, lastState := clock.Now(), clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-ticks.C:
 		}
-		now := time.Now()
-		c.d.controller.Tick(now)
+		now := clock.Now()
+		k.d.controller.Tick(now)
 		if now.Sub(lastSweep) > sweepInterval {
 			lastSweep = now
-			c.d.pool.Sweep(now)
+			k.d.pool.Sweep(now)
 		}
 		if now.Sub(lastState) > stateInterval {
 			lastState = now
-			c.d.controller.logState(now)
+			k.d.controller.logState(now)
 		}
 	}
 }
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -12,6 +12,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 )
 
@@ -57,11 +58,11 @@
 // run sends a heartbeat after each change, and at idleBeatInterval without changes, until the context ends.
 func (t *heartbeat) run(ctx context.Context) {
 	for {
-		begun := time.Now()
-		entries := t.beat(ctx, time.Now())
+		begun := clock.Now()
+		entries := t.beat(ctx, clock.Now())
 		interval := time.Duration(float64(beatInterval(entries)) * (1 - beatJitter*rand.Float64()))
 		if entries > sendBurst {
-			interval -= time.Since(begun)
+			interval -= clock.Since(begun)
 		}
 		select {
 		case <-ctx.Done():
@@ -142,6 +143,7 @@
 		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
 	}
 	d.shareEvidence(now, len(alive), &m)
+	d.shareRollouts(now, &m)
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 	}
@@ -149,6 +151,7 @@
 		m.Links = append(m.Links, gossip.Link{Holder: string(t.Holder), BusyMS: int(t.Left.Milliseconds())})
 	}
 	for _, r := range d.reports {
+		r.AgeMS = int(now.Sub(d.reportedAt[r.Holder]).Milliseconds())
 		m.Reports = append(m.Reports, *r)
 	}
 	for _, l := range d.fleet.TakeLimits(now, maxLimits) {
@@ -158,6 +161,7 @@
 	}
 	d.saves, d.prefills, d.weights = nil, nil, nil
 	clear(d.reports)
+	clear(d.reportedAt)
 	return m, mesh.IDs(alive)
 }
 
@@ -185,7 +189,7 @@
 
 // receive applies a message of another entry and greets the entries that it lists and this one does not know.
 func (d *Daemon) receive(m gossip.Message) {
-	now := time.Now()
+	now := clock.Now()
 	if m.HoldsLease {
 		d.duty.update(lease.HolderMsg{Holder: m.ID})
 	}
@@ -233,6 +237,7 @@
 		}
 		d.place.Update(now, msg)
 	}
+	arrived := d.stall.ArrivedSince(now)
 	for _, s := range m.Saves {
 		d.index.Update(now, parts.SaveMsg{Store: parts.Holder(s.Store), Key: parts.Key(s.Key), Tokens: s.Tokens})
 	}
@@ -240,23 +245,26 @@
 		d.index.Update(now, parts.PrefillingMsg{Holder: parts.Holder(r.Store), Key: parts.Key(r.Key), Tokens: r.Tokens})
 	}
 	for _, r := range m.Reports {
-		d.index.Update(now, reportMsg(r))
+		d.index.Update(now, reportMsg(arrived, r))
 	}
-	d.applyMarks(now, m.Era, m.Marks)
+	d.applyMarks(now, arrived, m.Era, m.Marks)
 	d.applyEvidence(now, &m)
+	d.hearRollouts(now, &m)
 	if m.Heartbeat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
 	for _, l := range m.Limits {
-		d.applyLimit(now, l)
+		d.applyLimit(now, arrived, l)
 	}
 	for _, w := range m.Weights {
 		d.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(w.Upstream), Model: ident.ModelName(w.Model), Version: w.Version})
 	}
 }
 
-func reportMsg(r gossip.Report) parts.ReportMsg {
-	msg := parts.ReportMsg{Holder: parts.Holder(r.Holder), Epoch: r.Epoch}
+// reportMsg decodes a report in a message that arrived at the given time at the earliest.
+func reportMsg(arrived time.Time, r gossip.Report) parts.ReportMsg {
+	at := arrived.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
+	msg := parts.ReportMsg{Holder: parts.Holder(r.Holder), Epoch: r.Epoch, At: at}
 	for _, c := range r.Changes {
 		msg.Changes = append(msg.Changes, parts.Change{Key: parts.Key(c.Key), Tokens: c.Tokens})
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -20,6 +20,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"cicadavalve/io/clock"
 )
 
 const (
@@ -54,6 +56,8 @@
 var (
 	// ErrNotSent means that no byte of the request was written.
 	ErrNotSent = errors.New("request not sent")
+	// ErrWithdrawn means that the request was no longer to be sent once a connection was open. No byte of it was written.
+	ErrWithdrawn = errors.New("request withdrawn before it was sent")
 	// ErrBroken means that the connection ended before the head of an answer.
 	ErrBroken = errors.New("connection broken before the answer")
 	// ErrGarbled means that the upstream sent something other than an answer to the request.
@@ -74,6 +78,8 @@
 	// IDHeader names the header whose value the answer repeats; ID is that value.
 	IDHeader string
 	ID       string
+	// Approve, if set, reports whether the request is still to be sent. It is called right before the first byte is written.
+	Approve func() bool
 }
 
 // Pool keeps idle connections by address.
@@ -125,6 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if r.Approve != nil && !r.Approve() {
+		_ = c.Close()
+		return nil, ErrWithdrawn
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
 	w := &writer{conn: c, head: head(r), body: r.Body, done: make(chan struct{})}
 	w.start()
@@ -285,7 +295,7 @@
 		if c == nil {
 			break
 		}
-		if c.unwatch() && time.Now().Before(c.expiresAt) {
+		if c.unwatch() && clock.Now().Before(c.expiresAt) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -294,13 +304,17 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	p.mu.Lock()
-	p.opened++
-	p.mu.Unlock()
+	p.countOpened()
 	source := &headReader{Reader: raw}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}, nil
 }
 
+func (p *Pool) countOpened() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opened++
+}
+
 // Dial opens a connection that fails if the other side stops responding.
 func Dial(ctx context.Context, network, addr string) (c net.Conn, err error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: setOptions, KeepAliveConfig: KeepAlive()}
@@ -333,12 +347,16 @@
 }
 
 func (p *Pool) release(addr string, c *conn, idleTimeout time.Duration) {
-	c.expiresAt = time.Now().Add(idleTimeout)
+	c.expiresAt = clock.Now().Add(idleTimeout)
 	c.watch = newWatch(p, addr, c)
+	p.addIdle(addr, c)
+	go c.watch.run()
+}
+
+func (p *Pool) addIdle(addr string, c *conn) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.idle[addr] = append(p.idle[addr], c)
-	p.mu.Unlock()
-	go c.watch.run()
 }
 
 // drop removes a connection that is no longer usable from the idle ones.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -20,6 +20,8 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -42,6 +44,7 @@
 type Decision struct {
 	Send   *place.SendCmd
 	Refuse *place.RefuseCmd
+	Panic  *place.PanicCmd
 }
 
 // Controller places requests and observes their progress. Its methods are safe for concurrent use.
@@ -66,14 +69,16 @@
 	Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (d Decision, err error)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
+	// StillEligible reports whether the upstream that was chosen for a request may still run it.
+	StillEligible(ticket place.Ticket) bool
 	// AllowRetry takes a retry from the budget of a service and reports whether one was left.
 	AllowRetry(service ident.ServiceName) bool
 	// FirstByte reports that the answer of the current attempt has begun. Further calls have no effect.
 	FirstByte(ticket place.Ticket)
 	// End reports the outcome of an attempt.
 	End(ticket place.Ticket, outcome place.Outcome)
-	// ObserveReply applies what the head of an answer reports about the upstream.
-	ObserveReply(id ident.UpstreamID, reply port.Reply)
+	// ObserveReply applies what the head of an answer reports about the upstream; sentAt is when the request was sent.
+	ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply)
 	// ObserveBreak records an attempt without a complete answer.
 	ObserveBreak(b Break)
 }
@@ -169,8 +174,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now(), held: buffer{memory: &h.answers}}
+	x := &exchange{h: h, w: w, r: r, arrived: clock.Now(), held: buffer{memory: &h.answers}}
 	defer x.held.release()
+	defer x.confine()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -201,7 +207,7 @@
 		x.refuse(status, -1, reason)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), clock.Deadline(x.deadline))
 	defer cancel()
 	x.run(ctx)
 }
@@ -244,7 +250,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.need = place.Need{
-		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
+		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
 	}
 	return 0, ""
@@ -264,13 +270,13 @@
 func (x *exchange) readBody(limit int64) (status int, reason string) {
 	x.hasBody = x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != ""
 	control := http.NewResponseController(x.w)
-	if err := control.SetWriteDeadline(x.deadline.Add(writeMargin)); err != nil {
+	if err := control.SetWriteDeadline(clock.Deadline(x.deadline.Add(writeMargin))); err != nil {
 		x.h.log.Debug("write_deadline_not_set", "error", err)
 	}
 	if x.r.ContentLength == 0 {
 		return 0, ""
 	}
-	if err := control.SetReadDeadline(x.deadline); err != nil {
+	if err := control.SetReadDeadline(clock.Deadline(x.deadline)); err != nil {
 		x.h.log.Debug("read_deadline_not_set", "error", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
@@ -279,7 +285,7 @@
 		if errors.As(err, &tooLarge) {
 			return http.StatusRequestEntityTooLarge, "body_too_large"
 		}
-		if time.Now().Before(x.deadline) {
+		if clock.Now().Before(x.deadline) {
 			return http.StatusBadRequest, "body_broken"
 		}
 		return http.StatusRequestTimeout, "body_late"
@@ -305,6 +311,7 @@
 	if err != nil {
 		body = nil
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		x.cause = errors.CombineErrors(x.cause, err)
@@ -314,7 +321,7 @@
 
 // report logs and counts the end of the request. A negative retryAfter is not logged.
 func (x *exchange) report(status int, outcome string, retryAfter time.Duration) {
-	whole := time.Since(x.arrived)
+	whole := clock.Since(x.arrived)
 	first := whole
 	if !x.firstAt.IsZero() {
 		first = x.firstAt.Sub(x.arrived)
@@ -379,6 +386,24 @@
 	return r.URL.RequestURI()
 }
 
+// confine ends a request whose handling has panicked: with the daemon's own answer, or with a closed connection if an
+// answer has begun. It must be deferred. A panic under the lock of the controller does not get here.
+func (x *exchange) confine() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if guard.IsAbort(p) {
+		panic(p)
+	}
+	x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	x.h.controller.End(x.need.Ticket, place.Broken)
+	if x.committed {
+		x.abort("panicked")
+	}
+	x.refuse(http.StatusInternalServerError, -1, "panicked")
+}
+
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
