Bound the parts that are kept of a holder

A holder that reports ever new parts, in answers that are each within their bound, had them all kept. At most 131,072 of one holder are kept now, which is two million tokens in the smallest parts that can be allocated; those beyond are left out until others go. They are hints: a part that is not known is computed or saved again.

TestHolderThatReportsWithoutEndFillsNoMemory failed before (4,194,304 tokens kept where 2,097,152 fit the bound) and passes.

--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -29,6 +29,8 @@
 	maxUsedShare = 0.94
 	// blockTokens is the allocation unit of holders, in tokens.
 	blockTokens = 16
+	// maxParts bounds the parts that are kept of one holder: two million tokens in the smallest parts that can be allocated.
+	maxParts = 1 << 17
 )
 
 // Holder is the address of an upstream or a store that caches parts.
@@ -192,13 +194,14 @@
 	}
 }
 
-// set sets the tokens of a part, 0 to remove it, and clears its pending save and prefill.
+// set sets the tokens of a part, 0 to remove it, and clears its pending save and prefill. A part beyond maxParts is not
+// kept.
 func (h *holderState) set(key Key, tokens int) {
 	h.used -= roundUp(h.parts[key])
 	delete(h.parts, key)
 	delete(h.saving, key)
 	delete(h.prefilling, key)
-	if tokens > 0 {
+	if tokens > 0 && len(h.parts) < maxParts {
 		h.parts[key] = tokens
 		h.used += roundUp(tokens)
 	}
--- a/core/parts/parts_test.go
+++ b/core/parts/parts_test.go
@@ -113,3 +113,21 @@
 		t.Errorf("writable during and after (-want +got):\n%s", diff)
 	}
 }
+
+// TestHolderThatReportsWithoutEndFillsNoMemory has a holder report ever new parts. Those beyond a bound are not kept until
+// others go.
+func TestHolderThatReportsWithoutEndFillsNoMemory(t *testing.T) {
+	const most = 1 << 17
+	x := parts.NewIndex()
+	for key := range parts.Key(2 * most) {
+		x.Update(start, report(start, 1, parts.Change{Key: key, Tokens: 16}))
+	}
+	if used := x.Used(start, store); used != 16*most {
+		t.Errorf("parts with %d tokens are kept, want %d", used, 16*most)
+	}
+	x.Update(start, report(start, 1, parts.Change{Key: 0, Tokens: 32}, parts.Change{Key: 1}, parts.Change{Key: 2 * most, Tokens: 16}))
+	kept := []bool{x.Readable(start, store, 0, 32), x.Readable(start, store, 1, 16), x.Readable(start, store, 2*most, 16)}
+	if diff := cmp.Diff([]bool{true, false, true}, kept); diff != "" {
+		t.Errorf("readable after a change, a removal and an addition (-want +got):\n%s", diff)
+	}
+}
