--- a/core/place/place.go
+++ b/core/place/place.go
@@ -440,6 +440,7 @@
 	l := m.load(u.ID)
 	if o.quota.bounded {
 		l.rate.take(now, o.quota.perSecond, o.quota.burst)
+		l.limitedAt = now
 	}
 	s := &sent{
 		need: asked, upstream: u.ID, load: l, chain: need.Chain, at: now, rank: clampRank(need.Rank), backlog: o.missing,
