Let a trial of a request convict none of its parts

A request that crashes upstreams by itself, whatever parts it holds, took its parts into quarantine with it: they were tried together. Sound requests with one of them were then refused for ten seconds and more, until the part was tried again. Now a trial of a request decides about the request alone; its parts stay suspect, and the next request with one of them is on trial and shows which it is. A part that crashes upstreams thus ends one more if its requests are repeated.

Test: TestCrashingRequestBlocksNoneOfItsParts; before, 0 of nearly 30 others were served.

--- a/core/poison/part.go
+++ b/core/poison/part.go
@@ -179,10 +179,12 @@
 	Silent bool
 }
 
-// RecordBreak records the loss of an upstream against each key that may be at fault, and publishes it.
+// RecordBreak records the loss of an upstream against each key that may be at fault, and publishes it. If the request
+// itself was on trial, the loss convicts no part of it: others with the part decide about that.
 func (m *Model) RecordBreak(now time.Time, b Break) (cmds []ident.Cmd) {
+	requestTried := b.Trial != "" && m.Granted(b.Keys.Request, b.Trial)
 	for _, d := range append([]Digest{b.Keys.Request}, m.accused(b.Keys.Parts, b.Loss)...) {
-		alone := b.Trial != "" && m.Granted(d, b.Trial)
+		alone := b.Trial != "" && m.Granted(d, b.Trial) && (d == b.Keys.Request || !requestTried)
 		if alone {
 			t := m.trials[d]
 			t.broken = true
