--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -15,6 +15,10 @@
 type Need struct {
 	Ticket  Ticket
 	Service ident.ServiceName
+	// Route is the name of the route.
+	Route string
+	// Sampled is set for requests that are to go to the release that is being rolled out.
+	Sampled bool
 	// CacheScope is the scope in which cached context is shared: the organisation if it is isolated, else empty.
 	CacheScope string
 	Model      ident.ModelName
@@ -34,11 +38,13 @@
 }
 
 // Shared returns the chain without its last part, nil if there are no other parts.
-func (n *Need) Shared() []conf.Part {
-	if len(n.Chain) < 2 {
+func (n *Need) Shared() []conf.Part { return shared(n.Chain) }
+
+func shared(chain []conf.Part) []conf.Part {
+	if len(chain) < 2 {
 		return nil
 	}
-	return n.Chain[:len(n.Chain)-1]
+	return chain[:len(chain)-1]
 }
 
 // Tokens returns the length of the prompt.
@@ -124,6 +130,16 @@
 	Transfers []Transfer
 }
 
+// TargetMsg reports the target version of a model's weights.
+type TargetMsg struct {
+	Model   ident.ModelName
+	Version int64
+	// Since is the earliest time at which the version can have become the target, zero if that is unknown.
+	Since time.Time
+	// Ready is when the entry started, or last failed to learn whether there is a newer version, whichever is later.
+	Ready time.Time
+}
+
 // TickMsg places or refuses the queued requests as of now.
 type TickMsg struct{}
 
@@ -132,6 +148,8 @@
 	Ticket   Ticket
 	Upstream conf.Upstream
 	Priority int
+	// Model is the model that runs it, empty for a plain call.
+	Model ident.ModelName
 	// Version is the version of the weights that must run it, 0 if no model is needed.
 	Version int64
 	Salt    string
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -4,7 +4,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,9 +18,12 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/purge"
+	"cicadavalve/core/ramp"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/port"
 	"cicadavalve/io/relay"
 )
@@ -37,7 +39,8 @@
 	log      *slog.Logger
 	settings Settings
 	set      atomic.Pointer[conf.Set]
-	mu       sync.Mutex
+	guard    *guard.Guard
+	mu       *guard.Mutex
 	fleet    *fleet.Model
 	index    *parts.Index
 	place    *place.Model
@@ -61,9 +64,11 @@
 	saves    []gossip.Save
 	prefills []gossip.Save
 	reports  map[string]*gossip.Report
-	weights  []gossip.Weights
-	// targetVersions is the newest announced version of each model's weights.
-	targetVersions map[ident.ModelName]int64
+	// reportedAt holds the latest time at which each of the reports is known to be true.
+	reportedAt map[string]time.Time
+	weights    []gossip.Weights
+	// targets holds the newest announced version of each model's weights.
+	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
 	ordered map[string][]string
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
@@ -82,7 +87,7 @@
 	announced int
 	// evidenceTickedAt is when outdated evidence was last dropped.
 	evidenceTickedAt time.Time
-	// judgedVersions is the sum of targetVersions under which the present verdicts on parts came about, doubtAt when they
+	// judgedVersions is the sum of the target versions under which the present verdicts on parts came about, doubtAt when they
 	// are to be doubted, zero if they are not.
 	judgedVersions int64
 	doubtAt        time.Time
@@ -94,6 +99,9 @@
 	verdicts chan verdict
 	// stall notices that the process stood still.
 	stall *stall.Model
+	// ramp decides about software releases; rampToldAt is when its reports were last sent.
+	ramp       *ramp.Model
+	rampToldAt time.Time
 	// limitFaults bounds the log lines about limits that can't be read.
 	limitFaults rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
@@ -102,17 +110,37 @@
 	onConfig func(*conf.Set)
 }
 
+// Option sets one property of a [Controller].
+type Option func(*Controller)
+
+// WithFlush sets what writes the buffered log lines before a panic ends the process.
+func WithFlush(flush func()) Option {
+	return func(d *Controller) { d.guard = guard.New(d.log, flush) }
+}
+
+// target is an announced version of a model's weights, and the earliest time at which it can have been announced.
+type target struct {
+	version int64
+	since   time.Time
+}
+
 // NewController returns a controller without configuration or upstreams; the seed is for its random choices.
-func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64) *Controller {
-	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), time.Now()
+func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64, options ...Option) *Controller {
+	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), clock.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
+	roll := newRampModel(s, rng)
 	d := &Controller{
-		era: -1, log: log, settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace)),
+		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
+		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
+		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targetVersions: map[ident.ModelName]int64{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
+	for _, o := range options {
+		o(d)
+	}
+	d.mu = d.guard.NewMutex()
 	d.place.SetMembers(place.Members{Self: self.ID, Sharers: []string{self.ID}, Zone: self.Zone})
 	return d
 }
@@ -130,25 +158,43 @@
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
-func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
-	ch := make(chan relay.Decision, 1)
-	now := time.Now()
+// StillEligible implements [relay.Controller].
+func (d *Controller) StillEligible(ticket place.Ticket) bool {
 	d.mu.Lock()
-	before(now)
-	d.waiters[t] = ch
-	d.perform(d.place.Update(now, msg))
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	return d.place.StillEligible(clock.Now(), ticket)
+}
+
+func (d *Controller) await(ctx context.Context, t place.Ticket, msg ident.Msg, before func(time.Time)) (decision relay.Decision, err error) {
+	ch := d.ask(t, msg, before)
 	select {
 	case decision = <-ch:
 		return decision, nil
 	case <-ctx.Done():
 	}
+	d.withdraw(t)
+	return relay.Decision{}, ctx.Err()
+}
+
+// ask applies a message that asks for a decision and returns the channel to which the decision is sent.
+func (d *Controller) ask(t place.Ticket, msg ident.Msg, before func(time.Time)) <-chan relay.Decision {
+	ch := make(chan relay.Decision, 1)
+	now := clock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before(now)
+	d.waiters[t] = ch
+	d.perform(d.place.Update(now, msg))
+	return ch
+}
+
+// withdraw ends a request that no longer waits for a decision.
+func (d *Controller) withdraw(t place.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiters, t)
-	d.place.Update(time.Now(), place.WithdrawMsg{Ticket: t})
-	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
-	return relay.Decision{}, ctx.Err()
+	d.place.Update(clock.Now(), place.WithdrawMsg{Ticket: t})
+	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
 }
 
 // perform carries out commands; the lock is held.
@@ -160,15 +206,19 @@
 			d.wakeHeartbeat()
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
+		case place.PanicCmd:
+			d.log.Error("decision_panicked", "ticket", cmd.Ticket, "cause", cmd.Cause, "stack", cmd.Stack)
+			d.deliver(cmd.Ticket, relay.Decision{Panic: &cmd})
 		case place.SavingCmd:
 			d.saves = append(d.saves, gossip.Save{Store: string(cmd.Save.Store), Key: uint64(cmd.Save.Key), Tokens: cmd.Save.Tokens})
 		case place.PrefillingCmd:
 			d.prefills = append(d.prefills, gossip.Save{Store: string(cmd.Prefilling.Holder), Key: uint64(cmd.Prefilling.Key), Tokens: cmd.Prefilling.Tokens})
 		case fleet.GoneCmd:
-			d.place.Update(time.Now(), cmd)
+			d.place.Update(clock.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
-			d.observeGone(time.Now(), cmd)
+			d.observeGone(clock.Now(), cmd)
 		case stall.StalledCmd:
+			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
@@ -205,7 +255,7 @@
 
 // AllowRetry implements [relay.Controller].
 func (d *Controller) AllowRetry(service ident.ServiceName) bool {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w := d.budget(service)
@@ -216,19 +266,26 @@
 // budgetMemory is how long an entry that has fallen silent counts as one that uses its part of the retry budget.
 const budgetMemory = time.Hour
 
-// retryAllowance is this entry's part of the fixed allowance of each service's retry budget; the lock is held.
+// retryAllowance is this entry's part of the fixed allowance of each service's retry budget, 0 while it can't tell its
+// part; the lock is held.
 func (d *Controller) retryAllowance(now time.Time) float64 {
-	sharers, known := d.mesh.Sharers(now, budgetMemory)
-	count := len(sharers)
+	count, known := d.countSharers(now)
 	if !known {
-		count = max(count, d.announced)
-	}
-	if !known && d.announced == 0 {
 		return 0
 	}
 	return d.settings.RetryAllowance * budgetShare / float64(count)
 }
 
+// countSharers returns how many entries share the retry budget. Until an entry has had the time to hear the others, it
+// knows only once it has read those that the store lists; the lock is held.
+func (d *Controller) countSharers(now time.Time) (count int, known bool) {
+	sharers, known := d.mesh.Sharers(now, budgetMemory)
+	if known {
+		return len(sharers), true
+	}
+	return max(len(sharers), d.announced), d.announced > 0
+}
+
 // FetchDeadline implements [relay.Controller].
 func (d *Controller) FetchDeadline() time.Time {
 	d.mu.Lock()
@@ -240,29 +297,29 @@
 }
 
 // processStart carries a monotonic reading, from which [monotonicNow] counts.
-var processStart = time.Now()
+var processStart = clock.Now()
 
 // monotonicNow is the time since the process started, as a time after the Unix epoch. Steps of the wall clock don't
 // affect it, so offsets to other clocks can be computed from it.
-func monotonicNow() time.Time { return time.Unix(0, 0).Add(time.Since(processStart)) }
+func monotonicNow() time.Time { return time.Unix(0, 0).Add(clock.Since(processStart)) }
 
 // FirstByte implements [relay.Controller].
 func (d *Controller) FirstByte(t place.Ticket) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.perform(d.place.Update(time.Now(), place.FirstByteMsg{Ticket: t}))
+	d.perform(d.place.Update(clock.Now(), place.FirstByteMsg{Ticket: t}))
 }
 
 // End implements [relay.Controller].
 func (d *Controller) End(t place.Ticket, outcome place.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.perform(d.place.Update(time.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
+	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
 }
 
 // ObserveReply implements [relay.Controller].
-func (d *Controller) ObserveReply(id ident.UpstreamID, reply port.Reply) {
-	now := time.Now()
+func (d *Controller) ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply) {
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
@@ -275,7 +332,7 @@
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
-	d.observeLimit(now, id, reply)
+	d.observeLimit(now, sentAt, id, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
@@ -283,7 +340,7 @@
 
 // ObserveBreak implements [relay.Controller].
 func (d *Controller) ObserveBreak(b relay.Break) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !b.Abandoned {
@@ -323,7 +380,7 @@
 func (d *Controller) Addresses(_ ident.Zone) (addresses []string, ttl time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.mesh.Serving(time.Now()) {
+	for _, p := range d.mesh.Serving(clock.Now()) {
 		addresses = append(addresses, p.Address)
 	}
 	return addresses, addressTTL
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/route"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/relay"
 )
@@ -52,7 +53,7 @@
 	if !d.hasEvidence.Load() {
 		return s
 	}
-	keys, now := identify(), time.Now()
+	keys, now := identify(), clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	v := d.poison.Judge(now, keys, func(key poison.Digest) poison.Turn { return d.turn(now, key) })
@@ -78,7 +79,7 @@
 func (d *Controller) BeginTrial(
 	request string, keys []poison.Digest, upstream ident.UpstreamID,
 ) (trial relay.Trial, blocked bool) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	isTried := func(key poison.Digest) bool { return d.poison.TriedElsewhere(key, "") }
@@ -98,7 +99,7 @@
 
 // EndTrial implements [relay.Controller].
 func (d *Controller) EndTrial(trial relay.Trial) {
-	now := time.Now()
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, key := range trial.Keys {
@@ -118,7 +119,7 @@
 	if !d.hasEvidence.Load() {
 		return
 	}
-	keys, now := identify(), time.Now()
+	keys, now := identify(), clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.poison.ObserveBegan(now, keys.Parts, trial)
@@ -130,7 +131,7 @@
 	if !d.hasEvidence.Load() {
 		return
 	}
-	keys, now := identify(), time.Now()
+	keys, now := identify(), clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.poison.ObserveAnswer(now, keys.Request)
@@ -224,8 +225,8 @@
 // may not crash. The lock is held.
 func (d *Controller) doubtVerdicts(now time.Time) {
 	sum := int64(0)
-	for _, version := range d.targetVersions {
-		sum += version
+	for _, t := range d.targets {
+		sum += t.version
 	}
 	if d.mesh.Self().State == mesh.Starting {
 		// These were in use when the verdicts in the store came about.
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sys/unix"
 
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
@@ -15,8 +13,11 @@
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
 	"cicadavalve/core/purge"
+	"cicadavalve/core/ramp"
 	"cicadavalve/core/reload"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/port"
 )
 
@@ -29,9 +30,8 @@
 
 // duty competes for the lease on giving orders to engines and stores, and gives the orders while it holds the lease.
 type duty struct {
-	d  *Daemon
-	mu sync.Mutex
-	// lease runs on [sinceBoot], so that its time includes suspensions of the VM.
+	d      *Daemon
+	mu     *guard.Mutex
 	lease  *lease.Model
 	reload *reload.Model
 	purge  *purge.Model
@@ -43,19 +43,10 @@
 	held      bool
 }
 
-// sinceBoot reads a clock that keeps running while the VM is suspended.
-func sinceBoot() time.Time {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Now()
-	}
-	return time.Unix(t.Unix())
-}
-
 func (u *duty) update(msg ident.Msg) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.lease.Update(sinceBoot(), msg)
+	u.lease.Update(clock.Now(), msg)
 }
 
 // status returns for the heartbeat whether this entry has the newest claim of the lease, though it may still have to
@@ -63,7 +54,7 @@
 func (u *duty) status(time.Time) (holds bool, ordered []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	holds = u.lease.HasNewestClaim(sinceBoot())
+	holds = u.lease.HasNewestClaim(clock.Now())
 	return holds, u.loading()
 }
 
@@ -90,24 +81,29 @@
 }
 
 func (u *duty) tick(ctx context.Context) {
-	now := sinceBoot()
+	now := clock.Now()
 	alive, ready := u.d.controller.leaseCandidates()
+	holds, cmds := u.updateLease(now, alive, ready)
+	cmds = append(cmds, u.orders(holds)...)
+	for _, cmd := range cmds {
+		go (&task{u, cmd}).run(ctx)
+	}
+}
+
+// updateLease reports whether this entry holds the lease, and returns the calls that are due for it.
+func (u *duty) updateLease(now time.Time, alive []string, ready bool) (holds bool, cmds []ident.Cmd) {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	u.lease.SetMembers(alive)
-	var cmds []ident.Cmd
 	if ready {
 		cmds = u.lease.Update(now, lease.TickMsg{})
 	}
-	holds := u.lease.Holds(now)
+	holds = u.lease.Holds(now)
 	if holds != u.held {
 		u.held = holds
 		u.d.log.Info("duty_changed", "holds", holds, "token", u.lease.Token())
 	}
-	u.mu.Unlock()
-	cmds = append(cmds, u.orders(holds)...)
-	for _, cmd := range cmds {
-		go (&task{u, cmd}).run(ctx)
-	}
+	return holds, cmds
 }
 
 // orders returns the calls that are due: queries and load orders to engines, and the freeing of outdated parts.
@@ -116,12 +112,13 @@
 	defer u.d.controller.mu.Unlock()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	now := time.Now()
-	for model, version := range u.d.controller.targetVersions {
-		u.reload.SetTargetVersion(now, model, version)
-		u.purge.SetTargetVersion(model, version)
+	now := clock.Now()
+	for model, target := range u.d.controller.targets {
+		u.reload.SetTargetVersion(target.since, model, target.version)
+		u.purge.SetTargetVersion(model, target.version)
 	}
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
+	cmds = append(cmds, u.d.controller.tickRamp(now, holds)...)
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
 	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.controller.stores()})...)
 }
@@ -137,6 +134,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	u := t.duty
+	defer u.d.controller.guard.Check()
 	switch cmd := t.cmd.(type) {
 	case lease.ReadCmd:
 		u.readClaims(ctx)
@@ -148,14 +146,21 @@
 		u.orderLoad(ctx, cmd)
 	case purge.FreeCmd:
 		u.freeParts(ctx, cmd)
+	case ramp.RecordCmd:
+		u.recordRollout(ctx, cmd)
 	}
 }
 
-func (u *duty) readClaims(ctx context.Context) {
-	sentAt := sinceBoot()
+// nextClaim returns the offset from which claims are read next.
+func (u *duty) nextClaim() int64 {
 	u.mu.Lock()
-	next := u.next
-	u.mu.Unlock()
+	defer u.mu.Unlock()
+	return u.next
+}
+
+func (u *duty) readClaims(ctx context.Context) {
+	sentAt := clock.Now()
+	next := u.nextClaim()
 	batch, err := u.d.store.Read(ctx, port.Claims, next, 0)
 	trimmed := errors.Is(err, port.ErrTrimmed)
 	if err != nil && !trimmed {
@@ -181,7 +186,7 @@
 			u.lastClaim = &lease.Claim{Holder: c.Holder, Boot: c.Boot}
 		}
 	}
-	u.lease.Update(sinceBoot(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
+	u.lease.Update(clock.Now(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
 }
 
 // enter reports whether an answer of the store is of the known era. If the era is newer, claims are read again from the
@@ -192,12 +197,12 @@
 		return era == u.era
 	}
 	u.era, u.next, u.lastClaim = era, 0, nil
-	u.lease.Update(sinceBoot(), lease.RestoredMsg{Era: era})
+	u.lease.Update(clock.Now(), lease.RestoredMsg{Era: era})
 	return false
 }
 
 func (u *duty) claim(ctx context.Context, cmd lease.ClaimCmd) {
-	sentAt := sinceBoot()
+	sentAt := clock.Now()
 	offset, era, err := u.d.store.Claim(ctx, cmd.End, port.ClaimEvent{Holder: cmd.Claim.Holder, Boot: cmd.Claim.Boot})
 	if err != nil {
 		u.d.log.Info("claim_failed", "end", cmd.End, "error", err)
@@ -208,26 +213,37 @@
 }
 
 func (u *duty) queryState(ctx context.Context, cmd reload.QueryCmd) {
+	askedAt := clock.Now()
 	state, err := u.d.engines.State(ctx, cmd.Upstream.ID, cmd.Upstream.Address)
 	if err != nil {
 		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
 		return
 	}
-	u.d.controller.mu.Lock()
-	for model, version := range state.Weights {
-		u.d.controller.fleet.Update(time.Now(), fleet.WeightsMsg{ID: cmd.Upstream.ID, Model: model, Version: version})
-		u.d.controller.weights = append(u.d.controller.weights, gossip.Weights{Upstream: string(cmd.Upstream.ID), Model: string(model), Version: version})
+	u.d.controller.applyWeights(cmd.Upstream.ID, state.Weights)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, AskedAt: askedAt, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
+}
+
+// applyWeights applies the weights that an engine reports.
+func (d *Controller) applyWeights(upstream ident.UpstreamID, weights map[ident.ModelName]int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for model, version := range weights {
+		d.fleet.Update(clock.Now(), fleet.WeightsMsg{ID: upstream, Model: model, Version: version})
+		d.weights = append(d.weights, gossip.Weights{Upstream: string(upstream), Model: string(model), Version: version})
 	}
-	u.d.controller.mu.Unlock()
+}
+
+// leaseToken reports whether this entry holds the lease, and its fencing token.
+func (u *duty) leaseToken() (holds bool, token int64) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.reload.Update(time.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
+	return u.lease.Holds(clock.Now()), u.lease.Token()
 }
 
 func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
-	u.mu.Lock()
-	holds, token := u.lease.Holds(sinceBoot()), u.lease.Token()
-	u.mu.Unlock()
+	holds, token := u.leaseToken()
 	if !holds {
 		return
 	}
@@ -239,10 +255,12 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	switch {
+	case err == nil:
+		u.reload.Update(clock.Now(), reload.AcceptedMsg{Upstream: cmd.Upstream.ID})
 	case errors.Is(err, port.ErrOutdated):
-		u.lease.Update(sinceBoot(), lease.TokenOutdatedMsg{})
+		u.lease.Update(clock.Now(), lease.TokenOutdatedMsg{})
 	case errors.Is(err, port.ErrBusy), errors.Is(err, port.ErrRefused):
-		u.reload.Update(time.Now(), reload.RefusedMsg{Upstream: cmd.Upstream.ID})
+		u.reload.Update(clock.Now(), reload.RefusedMsg{Upstream: cmd.Upstream.ID})
 	}
 }
 
@@ -266,6 +284,7 @@
 // freeParts frees the parts in a store that were made with outdated weights, incomplete ones included.
 func (u *duty) freeParts(ctx context.Context, cmd purge.FreeCmd) {
 	addr := string(cmd.Store)
+	askedAt := clock.Now()
 	held, err := u.d.engines.List(ctx, addr)
 	if err != nil {
 		u.d.log.Info("store_not_listed", "store", addr, "error", err)
@@ -284,18 +303,18 @@
 			u.d.log.Info("parts_not_freed", "store", addr, "count", n, "error", err)
 			return
 		}
-		u.d.controller.applyHoldings(addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false)
+		u.d.controller.applyHoldings(askedAt, addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false)
 		outdated = outdated[n:]
 	}
 	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.purge.Update(time.Now(), purge.DoneMsg{Cmd: cmd})
+	u.purge.Update(clock.Now(), purge.DoneMsg{Cmd: cmd})
 }
 
 // leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may.
 func (d *Controller) leaseCandidates() (ids []string, ready bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return mesh.IDs(d.mesh.Serving(time.Now())), d.mesh.Self().State == mesh.Ready
+	return mesh.IDs(d.mesh.Serving(clock.Now())), d.mesh.Self().State == mesh.Ready
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -32,6 +32,9 @@
 	Holder  string
 	Epoch   int64
 	Changes []Change
+	// AgeMS is how long before the message the holder is known to have been in this incarnation, in ms. It is sent in
+	// ReportAges, since entries of an earlier build don't read arrays with further elements.
+	AgeMS int `cbor:"-"`
 }
 
 // Save is a part that a store or an upstream is about to have.
@@ -90,6 +93,26 @@
 	Body []byte
 }
 
+// Rollout is what the sender knows of a roll-out. AgeMS is the time since the order, in milliseconds.
+type Rollout struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Release string
+	AgeMS   int
+	Step    int
+	Verdict int
+	Cells   []RolloutCell
+}
+
+// RolloutCell counts the attempts of one route at the old and the new release. The lists hold for each indicator the
+// number of attempts and how many of them show it.
+type RolloutCell struct {
+	_     struct{} `cbor:",toarray"`
+	Route string
+	Old   []int
+	New   []int
+}
+
 // Message is the content of one datagram. Long reports are split over several messages, of which the first carries the
 // other fields.
 type Message struct {
@@ -123,6 +146,10 @@
 	Limits []Limit `cbor:"19,keyasint,omitempty"`
 	// Era is the era of the store in which the offsets of Marks count.
 	Era int64 `cbor:"20,keyasint,omitempty"`
+	// Rollouts are sent in a message each.
+	Rollouts []Rollout `cbor:"21,keyasint,omitempty"`
+	// ReportAges holds the ages of Reports while they are sent.
+	ReportAges []int `cbor:"22,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -212,19 +239,19 @@
 
 // split divides long reports over several messages. The first also carries all other fields of the message.
 func split(m Message) (parts []Message) {
-	reports, verdicts, losses, limits := m.Reports, m.Verdicts, m.Losses, m.Limits
-	m.Reports, m.Verdicts, m.Losses, m.Limits = nil, nil, nil, nil
+	reports, verdicts, losses, limits, rollouts := m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts
+	m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts = nil, nil, nil, nil, nil
 	parts = []Message{m}
 	for _, r := range reports {
 		for {
 			n := min(len(r.Changes), maxChanges)
-			chunk := Report{Holder: r.Holder, Epoch: r.Epoch, Changes: r.Changes[:n]}
+			chunk := Report{Holder: r.Holder, Epoch: r.Epoch, Changes: r.Changes[:n], AgeMS: r.AgeMS}
 			last := &parts[len(parts)-1]
 			if size(*last)+n > maxChanges {
 				parts = append(parts, m.empty())
 				last = &parts[len(parts)-1]
 			}
-			last.Reports = append(last.Reports, chunk)
+			last.Reports, last.ReportAges = append(last.Reports, chunk), append(last.ReportAges, chunk.AgeMS)
 			if r.Changes = r.Changes[n:]; len(r.Changes) == 0 {
 				break
 			}
@@ -245,6 +272,11 @@
 		part.Limits = limits
 		parts = append(parts, part)
 	}
+	for chunk := range slices.Chunk(rollouts, 1) {
+		part := m.empty()
+		part.Rollouts = chunk
+		parts = append(parts, part)
+	}
 	return parts
 }
 
@@ -281,6 +313,15 @@
 			fail(errors.Wrap(err, "datagram"))
 			continue
 		}
+		m.applyAges()
 		handle(m)
 	}
 }
+
+// applyAges moves the ages of reports to the reports. Entries of an earlier build send none.
+func (m *Message) applyAges() {
+	for i := range min(len(m.Reports), len(m.ReportAges)) {
+		m.Reports[i].AgeMS = m.ReportAges[i]
+	}
+	m.ReportAges = nil
+}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -99,6 +99,8 @@
 	Claims
 	// Verdicts carries what the daemons must remember of crashing requests.
 	Verdicts
+	// Rollouts carries the states of roll-outs that the daemons have recorded.
+	Rollouts
 )
 
 // ConfigEvent is an accepted configuration.
@@ -124,6 +126,13 @@
 	Ended   bool
 }
 
+// RolloutStateEvent is the state of a roll-out that a daemon has recorded.
+type RolloutStateEvent struct {
+	Service ident.ServiceName
+	Release string
+	State   string
+}
+
 // UpstreamEvent is a listed upstream.
 type UpstreamEvent struct{ Upstream conf.Upstream }
 
@@ -158,6 +167,9 @@
 type Batch struct {
 	// Next is the offset of the next read; with ErrTrimmed, the first offset that is kept.
 	Next int64
+	// End is where the topic ended when it was read; records up to it may be missing from a read, since its size is limited.
+	// It is 0 in a snapshot.
+	End int64
 	// Era counts how often the store has come back from a copy. Offsets of different eras don't compare.
 	Era    int64
 	Events []any
@@ -174,6 +186,8 @@
 	ErrConflict = errors.New("condition did not hold")
 	// ErrRefused means that the call was refused, so that nothing was done.
 	ErrRefused = errors.New("call refused")
+	// ErrOverRate means that it was refused since the daemons together make too many calls.
+	ErrOverRate = errors.Wrap(ErrRefused, "rate of calls exceeded")
 )
 
 // Store is the log that the daemons share with the operator and the upstreams.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -15,12 +15,13 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/place"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
 
 const (
-	// maxBuffered is the longest answer that is buffered whole before it is sent to the caller, in bytes.
+	// maxBuffered bounds what is held back of an answer before it is sent to the caller, in bytes.
 	maxBuffered = 1 << 20
 	// rejectedRetryAfter is the delay before the retry of a caller whose request no upstream ran.
 	rejectedRetryAfter = 400 * time.Millisecond
@@ -74,6 +75,9 @@
 		case d.Refuse != nil:
 			x.refusePlacement(d.Refuse)
 			return
+		case d.Panic != nil:
+			x.refuse(http.StatusInternalServerError, -1, "panicked")
+			return
 		case !x.approve(d.Send):
 			x.h.controller.End(x.need.Ticket, place.Rejected)
 			x.refuseBlocked(res)
@@ -104,7 +108,7 @@
 		msg := place.RetryMsg{
 			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
-		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Refuse != nil {
+		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			x.finish(res)
 			return
 		}
@@ -182,8 +186,13 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
-	x.sentAt, x.progress = time.Now(), gotNothing
+	x.held.release()
+	x.sentAt, x.progress = clock.Now(), gotNothing
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
+	if errors.Is(err, link.ErrWithdrawn) {
+		x.cause = err
+		return result{ending: retry.NotSent}
+	}
 	if err != nil {
 		x.cause = err
 		unsent := errors.Is(err, link.ErrNotSent)
@@ -196,12 +205,11 @@
 	defer answer.Close()
 	x.progress = gotHead
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
-	x.h.controller.ObserveReply(u.ID, reply)
+	x.h.controller.ObserveReply(u.ID, x.sentAt, reply)
 	switch {
 	case reply.NotRun:
 		x.cause = errors.Newf("status %d", answer.Status)
-		_, err := io.CopyN(io.Discard, answer, maxBuffered)
-		if !errors.Is(err, io.EOF) {
+		if err := answer.Discard(); err != nil {
 			x.h.log.Debug("rejection_not_read", "error", err)
 		}
 		return result{ending: retry.NotRun}
@@ -216,26 +224,47 @@
 
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
-		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: time.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
-		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: x.head.Model != "",
+		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
+		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
 	return link.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
 		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
+		Approve: func() bool {
+			return clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket)
+		},
+	}
+}
+
+// maxDecisionAge is the age from which on the choice of an upstream is checked again before the request is written. It can
+// be that old if the connection took long to open, or the process stood still.
+const maxDecisionAge = 20 * time.Millisecond
+
+// holdBack buffers an answer. It reports whether the answer is whole; if not, it is too long to hold back.
+func (x *exchange) holdBack(answer *link.Answer) (whole bool, err error) {
+	for err == nil {
+		_, err = x.held.readFrom(answer, maxBuffered)
 	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return true, nil
+	case errors.Is(err, errFull), errors.Is(err, errNoMemory):
+		return false, nil
+	}
+	return false, err
 }
 
-// relayPlain relays an answer that is not a stream. An answer of at most [maxBuffered] bytes is buffered whole, so that
-// another attempt is possible if it breaks off.
+// relayPlain relays an answer that is not a stream. An answer of less than [maxBuffered] bytes is buffered whole, unless
+// the answers of other exchanges take the memory, so that another attempt is possible if it breaks off.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
+	whole, err := x.holdBack(answer)
 	if err != nil {
 		x.cause = errors.Wrap(err, "read answer of upstream")
 		x.reportBroken(ctx, cmd, Break{})
 		return result{ending: retry.Unknown}
 	}
-	x.firstAt, x.progress = time.Now(), gotContent
+	x.firstAt, x.progress = clock.Now(), gotContent
 	x.h.controller.FirstByte(x.need.Ticket)
 	if answer.Status < http.StatusMultipleChoices {
 		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
@@ -243,17 +272,17 @@
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
 		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
-		if len(body) <= maxBuffered && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
-			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, body}}
+		if whole && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
+			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, x.held.data}}
 		}
 	}
 	x.h.dialect.Return(x.w.Header(), answer.Header)
-	if len(body) <= maxBuffered {
+	if whole {
 		x.h.controller.End(x.need.Ticket, outcome)
-		x.writeAnswer(answer.Status, body, int64(len(body)))
+		x.writeAnswer(answer.Status, x.held.data, int64(len(x.held.data)))
 		return result{done: true}
 	}
-	x.relayLong(answer, body, outcome)
+	x.relayLong(answer, outcome)
 	return result{done: true}
 }
 
@@ -262,6 +291,7 @@
 	if length >= 0 && bodyAllowed(x.r.Method, status) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if bodyAllowed(x.r.Method, status) {
 		if _, err := x.w.Write(body); err != nil {
@@ -275,15 +305,15 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// relayLong relays an answer that is too long to buffer; start is what was read of it, and outcome that of the attempt
-// if the rest follows.
-func (x *exchange) relayLong(answer *link.Answer, start []byte, outcome place.Outcome) {
+// relayLong relays an answer that is too long to hold back; outcome is that of the attempt if all of it follows.
+func (x *exchange) relayLong(answer *link.Answer, outcome place.Outcome) {
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
-	_, err := x.w.Write(start)
+	_, err := x.w.Write(x.held.data)
+	x.held.release()
 	if err == nil {
 		_, err = io.Copy(x.w, answer)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -2,6 +2,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -19,6 +20,8 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
+	"cicadavalve/io/clock"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -29,6 +32,8 @@
 	// unreadyRetryAfter is the delay before the retry of callers whose request the entry can't take yet: about the
 	// time that it needs to become ready.
 	unreadyRetryAfter = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for the body of a request that is refused by its head.
+	unreadBodyTimeout = time.Second
 	// writeMargin is how long after the deadline the answer may still be written to a slow caller.
 	writeMargin = time.Second
 	// defaultMaxBody bounds a request body if the configuration does not, in bytes.
@@ -39,6 +44,7 @@
 type Decision struct {
 	Send   *place.SendCmd
 	Refuse *place.RefuseCmd
+	Panic  *place.PanicCmd
 }
 
 // Controller places requests and observes their progress. Its methods are safe for concurrent use.
@@ -67,14 +73,16 @@
 	Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (d Decision, err error)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
+	// StillEligible reports whether the upstream that was chosen for a request may still run it.
+	StillEligible(ticket place.Ticket) bool
 	// AllowRetry takes a retry from the budget of a service and reports whether one was left.
 	AllowRetry(service ident.ServiceName) bool
 	// FirstByte reports that the answer of the current attempt has begun. Further calls have no effect.
 	FirstByte(ticket place.Ticket)
 	// End reports the outcome of an attempt.
 	End(ticket place.Ticket, outcome place.Outcome)
-	// ObserveReply applies what the head of an answer reports about the upstream.
-	ObserveReply(id ident.UpstreamID, reply port.Reply)
+	// ObserveReply applies what the head of an answer reports about the upstream; sentAt is when the request was sent.
+	ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply)
 	// ObserveBreak records an attempt without a complete answer.
 	ObserveBreak(b Break)
 }
@@ -98,19 +106,22 @@
 	log        *slog.Logger
 	meter      Meter
 	tickets    atomic.Uint64
-	// bodyBytes is the size of the request bodies in memory, at most maxBodyBytes.
-	bodyBytes    atomic.Int64
-	maxBodyBytes int64
+	// bodies is the memory of request bodies, and answers that of what is held back of answers.
+	bodies, answers memory
 	// leaving is set while answers ask callers to close their connections.
 	leaving atomic.Bool
 	// running counts the requests in flight.
 	running atomic.Int64
 }
 
-// NewHandler returns a handler that sends requests through a pool of connections. maxBodyBytes bounds the request
-// bodies in memory.
-func NewHandler(controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodyBytes int64) *Handler {
-	return &Handler{controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, maxBodyBytes: maxBodyBytes}
+// NewHandler returns a handler that sends requests through a pool of connections. maxBodies bounds the request
+// bodies in memory, and maxAnswers what is held back of answers, in bytes.
+func NewHandler(
+	controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodies, maxAnswers int64,
+) *Handler {
+	return &Handler{
+		controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, bodies: memory{max: maxBodies}, answers: memory{max: maxAnswers},
+	}
 }
 
 // Leave makes all further answers ask callers to close their connections.
@@ -135,6 +146,8 @@
 	deadline time.Time
 	history  retry.History
 	avoid    []ident.UpstreamID
+	// held is what is held back of the answer to the last attempt.
+	held buffer
 	// committed is set once the head of an answer has been sent to the caller.
 	committed bool
 	// lastEvent is the id of the last event sent to the caller, empty before the first.
@@ -167,7 +180,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	x := &exchange{h: h, w: w, r: r, arrived: time.Now()}
+	x := &exchange{h: h, w: w, r: r, arrived: clock.Now(), held: buffer{memory: &h.answers}}
+	defer x.held.release()
+	defer x.confine()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -180,21 +195,25 @@
 		x.refuse(status, -1, reason)
 		return
 	}
+	limit := cmp.Or(max(set.Limits().BodySize, 0), defaultMaxBody)
 	size := r.ContentLength
-	if size < 0 {
-		size = set.Limits().BodySize
+	switch {
+	case size > limit:
+		x.refuse(http.StatusRequestEntityTooLarge, -1, "body_too_large")
+		return
+	case size < 0:
+		size = limit
 	}
-	if h.bodyBytes.Add(size) > h.maxBodyBytes {
-		h.bodyBytes.Add(-size)
+	if !h.bodies.take(size) {
 		x.refuse(http.StatusServiceUnavailable, unreadyRetryAfter, "memory")
 		return
 	}
-	defer h.bodyBytes.Add(-size)
-	if status, reason := x.readBody(set.Limits().BodySize); status != 0 {
+	defer h.bodies.give(size)
+	if status, reason := x.readBody(limit); status != 0 {
 		x.refuse(status, -1, reason)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), clock.Deadline(x.deadline))
 	defer cancel()
 	x.run(ctx)
 }
@@ -237,7 +256,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.need = place.Need{
-		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
+		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
 	}
 	return 0, ""
@@ -256,17 +275,14 @@
 // status and the reason of a refusal, zero if there is none.
 func (x *exchange) readBody(limit int64) (status int, reason string) {
 	x.hasBody = x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != ""
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
 	control := http.NewResponseController(x.w)
-	if err := control.SetWriteDeadline(x.deadline.Add(writeMargin)); err != nil {
+	if err := control.SetWriteDeadline(clock.Deadline(x.deadline.Add(writeMargin))); err != nil {
 		x.h.log.Debug("write_deadline_not_set", "error", err)
 	}
 	if x.r.ContentLength == 0 {
 		return 0, ""
 	}
-	if err := control.SetReadDeadline(x.deadline); err != nil {
+	if err := control.SetReadDeadline(clock.Deadline(x.deadline)); err != nil {
 		x.h.log.Debug("read_deadline_not_set", "error", err)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
@@ -275,7 +291,7 @@
 		if errors.As(err, &tooLarge) {
 			return http.StatusRequestEntityTooLarge, "body_too_large"
 		}
-		if time.Now().Before(x.deadline) {
+		if clock.Now().Before(x.deadline) {
 			return http.StatusBadRequest, "body_broken"
 		}
 		return http.StatusRequestTimeout, "body_late"
@@ -289,12 +305,19 @@
 
 // refuse sends the daemon's own answer. A negative retryAfter is not sent.
 func (x *exchange) refuse(status int, retryAfter time.Duration, reason string) {
+	if x.body == nil && x.r.ContentLength != 0 {
+		// The server reads some of the body before it answers.
+		if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+			x.h.log.Debug("read_deadline_not_set", "error", err)
+		}
+	}
 	x.h.dialect.Refuse(x.w.Header(), x.head.ID, retryAfter)
 	x.w.Header().Set("Content-Type", "application/json")
 	body, err := json.Marshal(map[string]string{"error": reason})
 	if err != nil {
 		body = nil
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		x.cause = errors.CombineErrors(x.cause, err)
@@ -304,7 +327,7 @@
 
 // report logs and counts the end of the request. A negative retryAfter is not logged.
 func (x *exchange) report(status int, outcome string, retryAfter time.Duration) {
-	whole := time.Since(x.arrived)
+	whole := clock.Since(x.arrived)
 	first := whole
 	if !x.firstAt.IsZero() {
 		first = x.firstAt.Sub(x.arrived)
@@ -370,6 +393,24 @@
 	return r.URL.RequestURI()
 }
 
+// confine ends a request whose handling has panicked: with the daemon's own answer, or with a closed connection if an
+// answer has begun. It must be deferred. A panic under the lock of the controller does not get here.
+func (x *exchange) confine() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if guard.IsAbort(p) {
+		panic(p)
+	}
+	x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	x.h.controller.End(x.need.Ticket, place.Broken)
+	if x.committed {
+		x.abort("panicked")
+	}
+	x.refuse(http.StatusInternalServerError, -1, "panicked")
+}
+
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
