--- a/core/place/ramp.go
+++ b/core/place/ramp.go
@@ -27,14 +27,20 @@
 	return m.ramp == nil || m.ramp.Allows(now, need.Service, u.Release, need.Sampled)
 }
 
-// unsample turns a sample that no upstream can take into an ordinary request and reports whether it did. After the move to
-// the new release samples wait for busy upstreams, as other requests do.
-func (m *Model) unsample(need *Need, tally Tally) bool {
-	if !need.Sampled || m.ramp.Moved(need.Service) && tally.Full+tally.Limited > 0 {
-		return false
+// chooseRelease is like choose for a request that may be a sample. A sample that no upstream can take in time becomes an
+// ordinary request; after the move to the new release samples wait for busy upstreams, as other requests do.
+func (m *Model) chooseRelease(
+	now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID,
+) (best *option, tally Tally, ahead outlook) {
+	best, tally, ahead = m.choose(now, need, avoid, only)
+	if only != "" || !need.Sampled || best != nil && !m.lateSample(now, need, best) {
+		return best, tally, ahead
+	}
+	if best == nil && m.ramp.Moved(need.Service) && tally.Full+tally.Limited > 0 {
+		return best, tally, ahead
 	}
 	need.Sampled = false
-	return true
+	return m.choose(now, need, avoid, only)
 }
 
 // lateSample reports whether a sample would be refused at its best upstream, though another release may serve it.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -21,7 +21,7 @@
 )
 
 const (
-	// maxBuffered is the longest answer that is buffered whole before it is sent to the caller, in bytes.
+	// maxBuffered bounds what is held back of an answer before it is sent to the caller, in bytes.
 	maxBuffered = 1 << 20
 	// rejectedRetryAfter is the delay before the retry of a caller whose request no upstream ran.
 	rejectedRetryAfter = 400 * time.Millisecond
@@ -63,6 +63,9 @@
 		case d.Refuse != nil:
 			x.refusePlacement(d.Refuse)
 			return
+		case d.Panic != nil:
+			x.refuse(http.StatusInternalServerError, -1, "panicked")
+			return
 		case !x.approve(d.Send):
 			x.h.controller.End(x.need.Ticket, place.Rejected)
 			x.refuseBlocked(res)
@@ -93,7 +96,7 @@
 		msg := place.RetryMsg{
 			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
-		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Refuse != nil {
+		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			x.finish(res)
 			return
 		}
@@ -171,6 +174,7 @@
 // attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
+	x.held.release()
 	x.sentAt = clock.Now()
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
 	if errors.Is(err, link.ErrWithdrawn) {
@@ -192,8 +196,7 @@
 	switch {
 	case reply.NotRun:
 		x.cause = errors.Newf("status %d", answer.Status)
-		_, err := io.CopyN(io.Discard, answer, maxBuffered)
-		if !errors.Is(err, io.EOF) {
+		if err := answer.Discard(); err != nil {
 			x.h.log.Debug("rejection_not_read", "error", err)
 		}
 		return result{ending: retry.NotRun}
@@ -209,7 +212,7 @@
 func (x *exchange) request(cmd *place.SendCmd) link.Request {
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
-		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: x.head.Model != "",
+		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(),
 	}
 	return link.Request{
@@ -225,10 +228,24 @@
 // be that old if the connection took long to open, or the process stood still.
 const maxDecisionAge = 20 * time.Millisecond
 
-// relayPlain relays an answer that is not a stream. An answer of at most [maxBuffered] bytes is buffered whole, so that
-// another attempt is possible if it breaks off.
+// holdBack buffers an answer. It reports whether the answer is whole; if not, it is too long to hold back.
+func (x *exchange) holdBack(answer *link.Answer) (whole bool, err error) {
+	for err == nil {
+		_, err = x.held.readFrom(answer, maxBuffered)
+	}
+	switch {
+	case errors.Is(err, io.EOF):
+		return true, nil
+	case errors.Is(err, errFull), errors.Is(err, errNoMemory):
+		return false, nil
+	}
+	return false, err
+}
+
+// relayPlain relays an answer that is not a stream. An answer of less than [maxBuffered] bytes is buffered whole, unless
+// the answers of other exchanges take the memory, so that another attempt is possible if it breaks off.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
-	body, err := io.ReadAll(io.LimitReader(answer, maxBuffered+1))
+	whole, err := x.holdBack(answer)
 	if err != nil {
 		x.cause = errors.Wrap(err, "read answer of upstream")
 		x.reportBroken(ctx, cmd, Break{})
@@ -239,17 +256,17 @@
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
 		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
-		if len(body) <= maxBuffered && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
-			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, body}}
+		if whole && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
+			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, x.held.data}}
 		}
 	}
 	x.h.dialect.Return(x.w.Header(), answer.Header)
-	if len(body) <= maxBuffered {
+	if whole {
 		x.h.controller.End(x.need.Ticket, outcome)
-		x.writeAnswer(answer.Status, body, int64(len(body)))
+		x.writeAnswer(answer.Status, x.held.data, int64(len(x.held.data)))
 		return result{done: true}
 	}
-	x.relayLong(answer, body, outcome)
+	x.relayLong(answer, outcome)
 	return result{done: true}
 }
 
@@ -258,6 +275,7 @@
 	if length >= 0 && bodyAllowed(x.r.Method, status) {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if bodyAllowed(x.r.Method, status) {
 		if _, err := x.w.Write(body); err != nil {
@@ -271,15 +289,15 @@
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// relayLong relays an answer that is too long to buffer; start is what was read of it, and outcome that of the attempt
-// if the rest follows.
-func (x *exchange) relayLong(answer *link.Answer, start []byte, outcome place.Outcome) {
+// relayLong relays an answer that is too long to hold back; outcome is that of the attempt if all of it follows.
+func (x *exchange) relayLong(answer *link.Answer, outcome place.Outcome) {
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
-	_, err := x.w.Write(start)
+	_, err := x.w.Write(x.held.data)
+	x.held.release()
 	if err == nil {
 		_, err = io.Copy(x.w, answer)
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -20,6 +20,7 @@
 	"cicadavalve/core/poison"
 	"cicadavalve/core/retry"
 	"cicadavalve/io/clock"
+	"cicadavalve/io/guard"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
 )
@@ -40,6 +41,7 @@
 type Decision struct {
 	Send   *place.SendCmd
 	Refuse *place.RefuseCmd
+	Panic  *place.PanicCmd
 }
 
 // Controller places requests and observes their progress. Its methods are safe for concurrent use.
@@ -97,19 +99,22 @@
 	log        *slog.Logger
 	meter      Meter
 	tickets    atomic.Uint64
-	// bodyBytes is the size of the request bodies in memory, at most maxBodyBytes.
-	bodyBytes    atomic.Int64
-	maxBodyBytes int64
+	// bodies is the memory of request bodies, and answers that of what is held back of answers.
+	bodies, answers memory
 	// leaving is set while answers ask callers to close their connections.
 	leaving atomic.Bool
 	// running counts the requests in flight.
 	running atomic.Int64
 }
 
-// NewHandler returns a handler that sends requests through a pool of connections. maxBodyBytes bounds the request
-// bodies in memory.
-func NewHandler(controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodyBytes int64) *Handler {
-	return &Handler{controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, maxBodyBytes: maxBodyBytes}
+// NewHandler returns a handler that sends requests through a pool of connections. maxBodies bounds the request
+// bodies in memory, and maxAnswers what is held back of answers, in bytes.
+func NewHandler(
+	controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodies, maxAnswers int64,
+) *Handler {
+	return &Handler{
+		controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, bodies: memory{max: maxBodies}, answers: memory{max: maxAnswers},
+	}
 }
 
 // Leave makes all further answers ask callers to close their connections.
@@ -134,6 +139,8 @@
 	deadline time.Time
 	history  retry.History
 	avoid    []ident.UpstreamID
+	// held is what is held back of the answer to the last attempt.
+	held buffer
 	// committed is set once the head of an answer has been sent to the caller.
 	committed bool
 	// lastEvent is the id of the last event sent to the caller, empty before the first.
@@ -164,7 +171,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	x := &exchange{h: h, w: w, r: r, arrived: clock.Now()}
+	x := &exchange{h: h, w: w, r: r, arrived: clock.Now(), held: buffer{memory: &h.answers}}
+	defer x.held.release()
+	defer x.confine()
 	if h.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -181,12 +190,11 @@
 	if size < 0 {
 		size = set.Limits().BodySize
 	}
-	if h.bodyBytes.Add(size) > h.maxBodyBytes {
-		h.bodyBytes.Add(-size)
+	if !h.bodies.take(size) {
 		x.refuse(http.StatusServiceUnavailable, unreadyRetryAfter, "memory")
 		return
 	}
-	defer h.bodyBytes.Add(-size)
+	defer h.bodies.give(size)
 	if status, reason := x.readBody(set.Limits().BodySize); status != 0 {
 		x.refuse(status, -1, reason)
 		return
@@ -292,6 +300,7 @@
 	if err != nil {
 		body = nil
 	}
+	x.committed = true
 	x.w.WriteHeader(status)
 	if _, err := x.w.Write(body); err != nil {
 		x.cause = errors.CombineErrors(x.cause, err)
@@ -366,6 +375,24 @@
 	return r.URL.RequestURI()
 }
 
+// confine ends a request whose handling has panicked: with the daemon's own answer, or with a closed connection if an
+// answer has begun. It must be deferred. A panic under the lock of the controller does not get here.
+func (x *exchange) confine() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if guard.IsAbort(p) {
+		panic(p)
+	}
+	x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	x.h.controller.End(x.need.Ticket, place.Broken)
+	if x.committed {
+		x.abort("panicked")
+	}
+	x.refuse(http.StatusInternalServerError, -1, "panicked")
+}
+
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
