Let no isolated entry complete a roll-out

An entry that decides and is cut off from all others, but not from the store, saw no other entry alive and took their silence for agreement: it reported a release as done while the others still sent most requests to the old upstreams, which are stopped then. It now takes no step while most of the entries that it heard in the last minute are silent.

TestIsolatedDeciderDoesNotComplete failed before: state "done", not "running".

--- a/core/ramp/evidence.go
+++ b/core/ramp/evidence.go
@@ -195,7 +195,7 @@
 		last := earlier[c.Route]
 		r.judge.add(Cell{Route: c.Route, Old: c.Old.since(last.Old), New: c.New.since(last.New)})
 	}
-	r.others[msg.Entry] = msg.Report
+	r.others[msg.Entry], r.heardAt[msg.Entry] = msg.Report, now
 	if msg.Report.Step > r.step && r.verdict == Undecided {
 		cmds = append(cmds, r.enter(now, min(msg.Report.Step, fullStep)))
 	}
--- a/core/ramp/plan.go
+++ b/core/ramp/plan.go
@@ -47,6 +47,8 @@
 	absentAfter = 3 * time.Second
 	// loadTime is how long attempts from loadStep on count as sent to upstreams with much load.
 	loadTime = 1500 * time.Millisecond
+	// silenceMemory is how long an entry that has fallen silent counts as one that may be cut off.
+	silenceMemory = time.Minute
 	// recordRetry is the time after which a state is recorded again if that was not confirmed.
 	recordRetry = time.Second
 )
@@ -91,7 +93,7 @@
 	if r.step < fullStep && now.Sub(r.oldAt) >= absentAfter && pool.NewSlots > 0 {
 		return []ident.Cmd{r.enter(now, fullStep)}
 	}
-	if now.Sub(r.stepAt) < minStep || r.judge.doubtful() || !r.confirmed(msg.Entries) {
+	if now.Sub(r.stepAt) < minStep || r.isolated(now, msg.Entries) || r.judge.doubtful() || !r.confirmed(msg.Entries) {
 		return nil
 	}
 	if r.step == fullStep {
@@ -123,6 +125,18 @@
 	})
 }
 
+// isolated reports whether most of the entries that were heard lately have fallen silent: this entry may be cut off from
+// them, and they may have found the release to be bad.
+func (r *run) isolated(now time.Time, entries []string) bool {
+	lately := 0
+	for _, at := range r.heardAt {
+		if now.Sub(at) < silenceMemory {
+			lately++
+		}
+	}
+	return 2*len(entries) < lately
+}
+
 // enter begins a step.
 func (r *run) enter(now time.Time, step int) StepCmd {
 	r.step, r.stepAt = step, now
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -83,7 +83,9 @@
 	own     map[string]*Cell
 	// others holds the newest report of each other entry.
 	others map[string]Report
-	judge  judge
+	// heardAt holds when each of them was last heard.
+	heardAt map[string]time.Time
+	judge   judge
 }
 
 // NewModel returns a model without roll-outs.
@@ -151,7 +153,7 @@
 	}
 	s.run = &run{
 		service: msg.Service, target: msg.Target, within: msg.Within, since: since, guessed: guessed, stepAt: now, oldAt: now, share: newShare(m.rng),
-		own: map[string]*Cell{}, others: map[string]Report{}, judge: newJudge(),
+		own: map[string]*Cell{}, others: map[string]Report{}, heardAt: map[string]time.Time{}, judge: newJudge(),
 	}
 	s.run.estimate(now, s.born)
 	m.recall(s.run)
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -404,6 +404,14 @@
 	}
 }
 
+// TestIsolatedDeciderDoesNotComplete cuts the deciding entry off from all others, not from the store. The others still send
+// most requests to the old upstreams, which "done" would stop.
+func TestIsolatedDeciderDoesNotComplete(t *testing.T) {
+	f := newFleet(1, 5, good)
+	f.run(within+2*time.Second, func(age time.Duration) { f.cut[0] = age > time.Second })
+	f.check(t, ramp.StateRunning)
+}
+
 // TestRestartAfterTheVerdictKeepsIt restarts all entries after a release was rolled back.
 func TestRestartAfterTheVerdictKeepsIt(t *testing.T) {
 	f := newFleet(1, 3, bad["slow"])
