--- a/core/place/place.go
+++ b/core/place/place.go
@@ -379,15 +379,8 @@
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
 	defer m.confine(w.need.Ticket, &cmds)
 	need := m.served(&w.need)
-	best, tally, ahead := m.choose(now, need, w.avoid, only)
-	if best == nil && only == "" && m.unsample(&w.need, tally) {
-		need = m.served(&w.need)
-		best, tally, ahead = m.choose(now, need, w.avoid, only)
-	}
-	if best != nil && only == "" && m.lateSample(now, need, best) && m.unsample(&w.need, Tally{}) {
-		need = m.served(&w.need)
-		best, tally, ahead = m.choose(now, need, w.avoid, only)
-	}
+	best, tally, ahead := m.chooseRelease(now, need, w.avoid, only)
+	w.need.Sampled = need.Sampled
 	if best == nil {
 		if only != "" {
 			ahead.others = true
@@ -449,7 +442,6 @@
 	}
 	l.begin(s)
 	m.sent[need.Ticket] = s
-	m.noteSent(now, need, o)
 	cmd := SendCmd{
 		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Model: need.Model, Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.firstByte, Missing: o.missing,
@@ -462,5 +454,6 @@
 		cmd.Save, cmds = m.planSaves(now, need, o)
 		cmds = append(cmds, m.announcePrefills(now, need, o)...)
 	}
+	m.noteSent(now, need, o)
 	return append(cmds, cmd)
 }
