--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -64,7 +64,9 @@
 	saves    []gossip.Save
 	prefills []gossip.Save
 	reports  map[string]*gossip.Report
-	weights  []gossip.Weights
+	// reportedAt holds the latest time at which each of the reports is known to be true.
+	reportedAt map[string]time.Time
+	weights    []gossip.Weights
 	// targets holds the newest announced version of each model's weights.
 	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
@@ -129,7 +131,7 @@
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
@@ -212,6 +214,7 @@
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
 			d.observeGone(clock.Now(), cmd)
 		case stall.StalledCmd:
+			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
@@ -259,19 +262,26 @@
 // budgetMemory is how long an entry that has fallen silent counts as one that uses its part of the retry budget.
 const budgetMemory = time.Hour
 
-// retryAllowance is this entry's part of the fixed allowance of each service's retry budget; the lock is held.
+// retryAllowance is this entry's part of the fixed allowance of each service's retry budget, 0 while it can't tell its
+// part; the lock is held.
 func (d *Controller) retryAllowance(now time.Time) float64 {
-	sharers, known := d.mesh.Sharers(now, budgetMemory)
-	count := len(sharers)
+	count, known := d.countSharers(now)
 	if !known {
-		count = max(count, d.announced)
-	}
-	if !known && d.announced == 0 {
 		return 0
 	}
 	return d.settings.RetryAllowance * budgetShare / float64(count)
 }
 
+// countSharers returns how many entries share the retry budget. Until an entry has had the time to hear the others, it
+// knows only once it has read those that the store lists; the lock is held.
+func (d *Controller) countSharers(now time.Time) (count int, known bool) {
+	sharers, known := d.mesh.Sharers(now, budgetMemory)
+	if known {
+		return len(sharers), true
+	}
+	return max(len(sharers), d.announced), d.announced > 0
+}
+
 // FetchDeadline implements [relay.Controller].
 func (d *Controller) FetchDeadline() time.Time {
 	d.mu.Lock()
@@ -304,7 +314,7 @@
 }
 
 // ObserveReply implements [relay.Controller].
-func (d *Controller) ObserveReply(id ident.UpstreamID, reply port.Reply) {
+func (d *Controller) ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply) {
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -318,7 +328,7 @@
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
-	d.observeLimit(now, id, reply)
+	d.observeLimit(now, sentAt, id, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -55,7 +55,7 @@
 	listed   map[ident.UpstreamID]conf.Upstream
 	lost     bool
 	failures int
-	// failedAt is when the last failed read was sent, zero before the first.
+	// failedAt is when the last read was sent that failed by no fault of the entries, zero before the first.
 	failedAt time.Time
 }
 
@@ -159,7 +159,9 @@
 	}
 	if err != nil {
 		if parent.Err() == nil {
-			f.failedAt = sentAt
+			if !errors.Is(err, port.ErrOverRate) {
+				f.failedAt = sentAt
+			}
 			f.recordFailure(err)
 		}
 		return err
@@ -399,11 +401,13 @@
 // without them, but serves all others.
 const maxVerdictWait = 3 * time.Second
 
-// updateReadiness makes a starting entry ready once it has a configuration, the list of the upstreams and, within
-// maxVerdictWait of its start, the verdicts; the lock is held.
+// updateReadiness makes a starting entry ready once it has a configuration, the list of the upstreams, its part of the
+// retry budget and, within maxVerdictWait of its start, the verdicts; the lock is held. It knows its part soon also
+// without the store.
 func (d *Controller) updateReadiness(now time.Time) {
 	hasVerdicts := d.digester.Load() != nil || now.Sub(d.startedAt) >= maxVerdictWait
-	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil && hasVerdicts {
+	_, hasPart := d.countSharers(now)
+	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil && hasVerdicts && hasPart {
 		d.mesh.SetState(mesh.Ready)
 		d.log.Info("ready", "version", d.set.Load().Version())
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -2,6 +2,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -31,6 +32,8 @@
 	// unreadyRetryAfter is the delay before the retry of callers whose request the entry can't take yet: about the
 	// time that it needs to become ready.
 	unreadyRetryAfter = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for the body of a request that is refused by its head.
+	unreadBodyTimeout = time.Second
 	// writeMargin is how long after the deadline the answer may still be written to a slow caller.
 	writeMargin = time.Second
 	// defaultMaxBody bounds a request body if the configuration does not, in bytes.
@@ -74,8 +77,8 @@
 	FirstByte(ticket place.Ticket)
 	// End reports the outcome of an attempt.
 	End(ticket place.Ticket, outcome place.Outcome)
-	// ObserveReply applies what the head of an answer reports about the upstream.
-	ObserveReply(id ident.UpstreamID, reply port.Reply)
+	// ObserveReply applies what the head of an answer reports about the upstream; sentAt is when the request was sent.
+	ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply)
 	// ObserveBreak records an attempt without a complete answer.
 	ObserveBreak(b Break)
 }
@@ -186,16 +189,21 @@
 		x.refuse(status, -1, reason)
 		return
 	}
+	limit := cmp.Or(max(set.Limits().BodySize, 0), defaultMaxBody)
 	size := r.ContentLength
-	if size < 0 {
-		size = set.Limits().BodySize
+	switch {
+	case size > limit:
+		x.refuse(http.StatusRequestEntityTooLarge, -1, "body_too_large")
+		return
+	case size < 0:
+		size = limit
 	}
 	if !h.bodies.take(size) {
 		x.refuse(http.StatusServiceUnavailable, unreadyRetryAfter, "memory")
 		return
 	}
 	defer h.bodies.give(size)
-	if status, reason := x.readBody(set.Limits().BodySize); status != 0 {
+	if status, reason := x.readBody(limit); status != 0 {
 		x.refuse(status, -1, reason)
 		return
 	}
@@ -261,9 +269,6 @@
 // status and the reason of a refusal, zero if there is none.
 func (x *exchange) readBody(limit int64) (status int, reason string) {
 	x.hasBody = x.r.ContentLength != 0 || x.r.Header.Get("Content-Length") != ""
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
 	control := http.NewResponseController(x.w)
 	if err := control.SetWriteDeadline(clock.Deadline(x.deadline.Add(writeMargin))); err != nil {
 		x.h.log.Debug("write_deadline_not_set", "error", err)
@@ -294,6 +299,12 @@
 
 // refuse sends the daemon's own answer. A negative retryAfter is not sent.
 func (x *exchange) refuse(status int, retryAfter time.Duration, reason string) {
+	if x.body == nil && x.r.ContentLength != 0 {
+		// The server reads some of the body before it answers.
+		if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
+			x.h.log.Debug("read_deadline_not_set", "error", err)
+		}
+	}
 	x.h.dialect.Refuse(x.w.Header(), x.head.ID, retryAfter)
 	x.w.Header().Set("Content-Type", "application/json")
 	body, err := json.Marshal(map[string]string{"error": reason})
