Count a standstill until its process has run long enough

Stalls in a row were taken for one: with 300 ms of standstill after every 200 ms, arrivals counted as up to 19.5 s old after 20 s (TestStallsInARowDoNotAgeArrivalsWithoutBound), 1.7 s at most now.

--- a/core/stall/stall.go
+++ b/core/stall/stall.go
@@ -4,6 +4,7 @@
 package stall
 
 import (
+	"slices"
 	"time"
 
 	"cicadavalve/core/ident"
@@ -13,7 +14,7 @@
 // tick, and well above what a busy VM delays it.
 const DefaultThreshold = 250 * time.Millisecond
 
-// settleTime is how long after it stood still a process may still read what arrived meanwhile.
+// settleTime is how long a process may run after it stood still until it has read what arrived meanwhile.
 const settleTime = 500 * time.Millisecond
 
 // TickMsg reports that the process runs. Ticks are due at an interval well below the threshold.
@@ -31,9 +32,16 @@
 	threshold time.Duration
 	// lastTick is zero before the first tick.
 	lastTick time.Time
-	// from and to are the bounds of the last time that the process stood still, both zero if it never did. If it did so
-	// again while it still read what had arrived before, they are those of both times together.
-	from, to time.Time
+	// stalls holds the times that the process stood still and after which it may still read what arrived meanwhile, the
+	// oldest first.
+	stalls []stalled
+}
+
+// stalled is a time that the process stood still.
+type stalled struct {
+	from time.Time
+	// ran is how long the process has run since, at the last tick. Further stalls don't count.
+	ran time.Duration
 }
 
 // NewModel returns a model without a tick.
@@ -49,7 +57,12 @@
 	}
 	if m.isLate(now) {
 		cmds = append(cmds, StalledCmd{From: m.lastTick, For: now.Sub(m.lastTick)})
-		m.from, m.to = m.ArrivedSince(m.lastTick), now
+		m.stalls = append(m.stalls, stalled{from: m.lastTick})
+	} else if !m.lastTick.IsZero() {
+		for i := range m.stalls {
+			m.stalls[i].ran += now.Sub(m.lastTick)
+		}
+		m.stalls = slices.DeleteFunc(m.stalls, func(s stalled) bool { return s.ran >= settleTime })
 	}
 	m.lastTick = now
 	return cmds
@@ -62,11 +75,17 @@
 // ArrivedSince returns the earliest time at which something that is read at now can have arrived, which is now unless
 // the process has just stood still.
 func (m *Model) ArrivedSince(now time.Time) time.Time {
-	switch {
-	case m.isLate(now):
+	late, ran := m.isLate(now), time.Duration(0)
+	if !late {
+		ran = now.Sub(m.lastTick)
+	}
+	for _, s := range m.stalls {
+		if s.ran+ran < settleTime {
+			return s.from
+		}
+	}
+	if late {
 		return m.lastTick
-	case !m.to.IsZero() && now.Sub(m.to) < settleTime:
-		return m.from
 	}
 	return now
 }
--- a/core/stall/stall_test.go
+++ b/core/stall/stall_test.go
@@ -56,3 +56,22 @@
 		t.Errorf("earliest arrival (-want +got):\n%s", diff)
 	}
 }
+
+// TestStallsInARowDoNotAgeArrivalsWithoutBound lets a starved process stand still for 300 ms after every 200 ms, for 20 s. It has read what
+// arrived in a stall once it has run for half a second in all.
+func TestStallsInARowDoNotAgeArrivalsWithoutBound(t *testing.T) {
+	m, now := stall.NewModel(stall.DefaultThreshold), start
+	worst := time.Duration(0)
+	for range 40 {
+		for range 8 {
+			now = now.Add(25 * time.Millisecond)
+			m.Update(now, stall.TickMsg{})
+			worst = max(worst, now.Sub(m.ArrivedSince(now)))
+		}
+		now = now.Add(300 * time.Millisecond)
+		m.Update(now, stall.TickMsg{})
+	}
+	if most := 4*300*time.Millisecond + 500*time.Millisecond; worst > most {
+		t.Errorf("what arrives counts as up to %v old, at most %v can be", worst, most)
+	}
+}
