Do not continue a broken stream with the body of a failure

Cause: the answer of the upstream that was to continue a stream went to the caller whatever its status. TestBrokenStreamIsNotJoinedWithAFailure failed before.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -256,8 +256,13 @@
 }
 
 // relayPlain relays an answer that is not a stream. An answer of less than [maxBuffered] bytes is buffered whole, unless
-// the answers of other exchanges take the memory, so that another attempt is possible if it breaks off.
+// the answers of other exchanges take the memory, so that another attempt is possible if it breaks off. It can't continue a
+// stream.
 func (x *exchange) relayPlain(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
+	if x.committed {
+		x.cause = errors.Newf("status %d in place of the rest of the stream", answer.Status)
+		return result{ending: retry.Unknown}
+	}
 	whole, err := x.holdBack(answer)
 	if err != nil {
 		x.cause = errors.Wrap(err, "read answer of upstream")
