--- a/cmd/cicadavalve/daemon.go
+++ b/cmd/cicadavalve/daemon.go
@@ -57,7 +57,7 @@
 	client := platform.NewClient(storeAddress, link.Dial, platform.WithEngineMemory(int64(engineShare*float64(settings.Memory))))
 	outside := daemon.Adapters{
 		Dialect: platform.Dialect{}, Store: client, Engines: client,
-		Ready:     platform.NewReadyHandler,
+		Ready: platform.NewReadyHandler, Dial: link.Dial,
 		Directory: func(a port.Advice) http.Handler { return platform.NewDirectoryHandler(a, log) },
 	}
 	checker := &settingsChecker{log: log, path: path, signals: make(chan os.Signal, 1)}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -79,6 +79,8 @@
 	// Ready and Directory make the handlers that answer the platform's readiness probes and callers' queries for
 	// addresses.
 	Ready, Directory func(port.Advice) http.Handler
+	// Dial opens the connections to upstreams and to other entries.
+	Dial link.DialFunc
 }
 
 // NewDaemon returns a daemon that [Daemon.Run] starts. Boot identifies the incarnation and must grow with each restart.
@@ -86,7 +88,7 @@
 	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, State: mesh.Starting, Boot: boot}
 	d := &Daemon{
 		settings: s, log: log, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
-		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(), meter: NewMeter(),
+		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(link.WithDial(outside.Dial)), meter: NewMeter(),
 	}
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -88,13 +88,31 @@
 	idle map[string][]*conn
 	// opened counts new connections; reused counts idle connections taken out of the pool.
 	opened, reused int
+	dial           DialFunc
+}
+
+// DialFunc opens a connection, as [Dial] does.
+type DialFunc func(ctx context.Context, network, addr string) (c net.Conn, err error)
+
+// Option sets one property of a [Pool].
+type Option func(*Pool)
+
+// WithDial sets what opens the connections, in place of [Dial]. They must be sockets.
+func WithDial(dial DialFunc) Option {
+	return func(p *Pool) { p.dial = dial }
 }
 
 // NewPool returns an empty pool.
 //
 //	p := link.NewPool()
 //	answer, err := p.Do(ctx, "10.0.0.1:80", link.Request{Method: "GET", Target: "/", Host: "a"})
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}} }
+func NewPool(options ...Option) *Pool {
+	p := &Pool{idle: map[string][]*conn{}, dial: Dial}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
 
 // conn is one connection. It serves one exchange at a time.
 type conn struct {
@@ -114,7 +132,9 @@
 	Header http.Header
 	Body   io.Reader
 	// Length is the length of the body in bytes, -1 if unknown.
-	Length      int64
+	Length int64
+	// Opened is set if a connection was opened for the exchange.
+	Opened      bool
 	pool        *Pool
 	conn        *conn
 	addr        string
@@ -147,7 +167,7 @@
 		}
 		return nil, err
 	}
-	a.addr, a.stop, a.writer = addr, stop, w
+	a.addr, a.stop, a.writer, a.Opened = addr, stop, w, c.watch == nil
 	return a, nil
 }
 
@@ -300,7 +320,7 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := Dial(ctx, "tcp4", addr)
+	raw, err := p.dial(ctx, "tcp4", addr)
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
