--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -24,6 +24,8 @@
 type state struct {
 	conf.Upstream
 	coldUntil time.Time
+	// assumedColdUntil is like coldUntil, by the failures of this entry alone.
+	assumedColdUntil time.Time
 	// pausedUntil is until when it gets no work after a failure.
 	pausedUntil time.Time
 	// failures counts the pauses since the last answered exchange.
@@ -32,7 +34,9 @@
 	lapsedAt time.Time
 	// orderedUntil is until when it starts no work; see [OrderedMsg].
 	orderedUntil time.Time
-	limit        limitState
+	// isolated is set while only this entry can't reach it.
+	isolated bool
+	limit    limitState
 }
 
 // Model holds the state of all upstreams. Its methods aren't safe for concurrent use.
@@ -74,6 +78,12 @@
 // BrokenMsg reports an exchange that an upstream broke off or never answered.
 type BrokenMsg struct{ ID ident.UpstreamID }
 
+// IsolatedMsg reports that only this entry can't reach an upstream, or that it reaches the upstream again.
+type IsolatedMsg struct {
+	ID       ident.UpstreamID
+	Isolated bool
+}
+
 // AnsweredMsg reports an exchange that an upstream answered.
 type AnsweredMsg struct{ ID ident.UpstreamID }
 
@@ -128,6 +138,11 @@
 		m.graceUntil = now.Add(reregisterTimeout)
 	case BrokenMsg:
 		m.pause(now, msg.ID)
+	case IsolatedMsg:
+		if s := m.byID[msg.ID]; s != nil {
+			// Failures of the link say nothing of the upstream.
+			s.isolated, s.failures, s.pausedUntil, s.assumedColdUntil = msg.Isolated, 0, time.Time{}, time.Time{}
+		}
 	case AnsweredMsg:
 		if s := m.byID[msg.ID]; s != nil {
 			s.failures, s.pausedUntil = 0, time.Time{}
@@ -138,7 +153,7 @@
 		}
 	case ColdMsg:
 		if s := m.byID[msg.ID]; s != nil {
-			s.coldUntil = now.Add(msg.Left)
+			s.coldUntil, s.assumedColdUntil = now.Add(msg.Left), time.Time{}
 		}
 	case LimitMsg:
 		return m.applyLimit(now, msg)
@@ -180,7 +195,7 @@
 	}
 	u.Draining = u.Draining || known && s.Draining
 	s.Upstream, s.lapsedAt = u, time.Time{}
-	s.coldUntil = now.Add(u.ColdLeft)
+	s.coldUntil, s.assumedColdUntil = now.Add(u.ColdLeft), time.Time{}
 }
 
 // outdated reports whether a record is of an older incarnation than the listed one, or of one that has departed.
@@ -260,7 +275,7 @@
 	s.failures++
 	s.pausedUntil = now.Add(min(minPause<<min(s.failures-1, 8), maxPause))
 	if s.failures > 1 {
-		s.coldUntil = later(s.coldUntil, now.Add(assumedCold))
+		s.assumedColdUntil = now.Add(assumedCold)
 	}
 }
 
@@ -299,10 +314,10 @@
 }
 
 func (m *Model) status(now time.Time, s *state) Status {
-	serves, paused := !s.Draining && !m.avoided[s.Zone], now.Before(s.pausedUntil)
+	serves, paused := !s.Draining && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil)
 	return Status{
 		Usable: serves && !paused, Returning: serves && paused, Limit: s.limit.current(now), LimitAge: now.Sub(s.limit.at),
-		Cold: now.Before(s.coldUntil), Ordered: now.Before(s.orderedUntil),
+		Cold: now.Before(s.coldUntil) || now.Before(s.assumedColdUntil), Ordered: now.Before(s.orderedUntil),
 	}
 }
 
@@ -321,12 +336,19 @@
 	return all
 }
 
-// Usable reports whether an upstream may get new work: it isn't draining, paused or in a zone that is out of service.
+// Usable reports whether an upstream may get new work: it isn't draining, paused, isolated from this entry or in a zone that is out
+// of service.
 func (m *Model) Usable(now time.Time, id ident.UpstreamID) bool {
 	s, ok := m.byID[id]
 	return ok && m.status(now, s).Usable
 }
 
+// Isolated reports whether only this entry can't reach an upstream.
+func (m *Model) Isolated(id ident.UpstreamID) bool {
+	s, ok := m.byID[id]
+	return ok && s.isolated
+}
+
 // Cold reports whether an upstream accepts requests only at a limited rate.
 func (m *Model) Cold(now time.Time, id ident.UpstreamID) bool {
 	s, ok := m.byID[id]
@@ -351,10 +373,3 @@
 
 // Avoided reports whether an availability zone is out of service.
 func (m *Model) Avoided(zone ident.Zone) bool { return m.avoided[zone] }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -40,6 +40,8 @@
 	State   State
 	// Boot identifies the incarnation and increases from one to the next.
 	Boot int64
+	// Partitioned is set while the entry has lost most of its links to upstreams.
+	Partitioned bool
 }
 
 // HeartbeatMsg reports a message of another entry, which shows that it is alive.
@@ -97,6 +99,9 @@
 // SetState sets the state that the entry announces.
 func (m *Model) SetState(state State) { m.self.State = state }
 
+// SetPartitioned sets whether the entry announces that it has lost most of its links to upstreams.
+func (m *Model) SetPartitioned(partitioned bool) { m.self.Partitioned = partitioned }
+
 // Self returns the entry's own description.
 func (m *Model) Self() Peer { return m.self }
 
@@ -133,9 +138,27 @@
 	return id == m.self.ID || ok && now.Sub(p.lastSeen) < silenceTimeout
 }
 
-// Serving returns the live entries that are ready for callers, sorted by ID.
+// Serving returns the live entries that are ready for callers, sorted by ID. Partitioned entries are left out unless all are.
 func (m *Model) Serving(now time.Time) (serving []Peer) {
-	return slices.DeleteFunc(m.Alive(now), func(p Peer) bool { return p.State != Ready })
+	return PreferConnected(slices.DeleteFunc(m.Alive(now), func(p Peer) bool { return p.State != Ready }))
+}
+
+// PreferConnected returns those of the peers that are not partitioned, or all if all are.
+func PreferConnected(peers []Peer) (preferred []Peer) {
+	if connected := Connected(peers); len(connected) > 0 {
+		return connected
+	}
+	return peers
+}
+
+// Connected returns those of the peers that are not partitioned.
+func Connected(peers []Peer) (connected []Peer) {
+	for _, p := range peers {
+		if !p.Partitioned {
+			connected = append(connected, p)
+		}
+	}
+	return connected
 }
 
 // IDs returns the IDs of peers in their order.
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -17,6 +17,8 @@
 	Service ident.ServiceName
 	// Route is the name of the route.
 	Route string
+	// Counted is set if another entry has counted the request in the retry budget.
+	Counted bool
 	// Sampled is set for requests that are to go to the release that is being rolled out.
 	Sampled bool
 	// CacheScope is the scope in which cached context is shared: the organisation if it is isolated, else empty.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,6 +16,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/ramp"
+	"cicadavalve/core/times"
 )
 
 // Members describes this entry and the other ones.
@@ -153,7 +154,7 @@
 	if len(versions) > maxVersions {
 		// What is older than a version that is dropped must not get more time by that.
 		oldest := &versions[len(versions)-maxVersions]
-		oldest.until = earlier(oldest.until, versions[0].until)
+		oldest.until = times.Earlier(oldest.until, versions[0].until)
 	}
 	m.versions[msg.Model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{msg.Version, until})
 }
@@ -161,13 +162,6 @@
 // maxVersions is how many older versions of a model are kept when a newer one is added.
 const maxVersions = 16
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // outdated reports whether a newer version than the given one is the target, and until when requests may start on the
 // given one.
 func (m *Model) outdated(model ident.ModelName, version int64) (until time.Time, outdated bool) {
@@ -286,8 +280,12 @@
 	return s.upstream
 }
 
-// recordOutcome updates the failure rates of the upstream and its service. Rejected and cancelled requests don't count.
+// recordOutcome updates the failure rates of the upstream and its service. Rejected and cancelled requests don't count, nor do
+// those that broke off since this entry lost its link to the upstream.
 func (m *Model) recordOutcome(now time.Time, s *sent, outcome Outcome) {
+	if outcome == Broken && m.fleet.Isolated(s.upstream) {
+		outcome = Cancelled
+	}
 	m.noteOutcome(now, s, outcome)
 	if outcome == Rejected || outcome == Cancelled {
 		return
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -19,6 +19,7 @@
 	"cicadavalve/core/poison"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/ramp"
+	"cicadavalve/core/reach"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
 	"cicadavalve/io/clock"
@@ -48,6 +49,7 @@
 	index    *parts.Index
 	place    *place.Model
 	mesh     *mesh.Model
+	reach    *reach.Model
 	rng      *rand.Rand
 	// era is the newest known era of the store, -1 before its first answer.
 	era int64
@@ -63,6 +65,8 @@
 	budgets map[ident.ServiceName]*retry.Window
 	// changed wakes the heartbeat after a request has been placed.
 	changed chan struct{}
+	// probes holds the upstreams to which a connection is to be opened.
+	probes chan conf.Upstream
 	// saves, prefills, reports and weights are sent with the next heartbeat.
 	saves    []gossip.Save
 	prefills []gossip.Save
@@ -77,6 +81,10 @@
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
 	clockOffset time.Duration
 	clockKnown  bool
+	// refusals holds when upstreams that may have crashed refused a connection.
+	refusals map[ident.UpstreamID]refusal
+	// peers chooses the entries to which requests are handed over.
+	peers *reach.PeerModel
 	// poison holds the evidence about crashing requests.
 	poison *poison.Model
 	// hasEvidence is set while there is evidence against any request.
@@ -136,6 +144,8 @@
 	roll := newRampModel(s, rng)
 	d := &Controller{
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
+		refusals: map[ident.UpstreamID]refusal{},
+		reach:    reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
@@ -155,7 +165,11 @@
 
 // Place implements [relay.Controller].
 func (d *Controller) Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (decision relay.Decision, err error) {
-	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need, Avoid: avoid}, func(now time.Time) { d.budget(need.Service).First(now) })
+	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need, Avoid: avoid}, func(now time.Time) {
+		if !need.Counted {
+			d.budget(need.Service).First(now)
+		}
+	})
 }
 
 // Retry implements [relay.Controller].
@@ -221,9 +235,19 @@
 		case place.PrefillingCmd:
 			d.prefills = append(d.prefills, gossip.Save{Store: string(cmd.Prefilling.Holder), Key: uint64(cmd.Prefilling.Key), Tokens: cmd.Prefilling.Tokens})
 		case fleet.GoneCmd:
+			d.reach.Update(clock.Now(), reach.GoneMsg{ID: cmd.ID})
 			d.place.Update(clock.Now(), cmd)
 			d.log.Info("upstream_gone", "upstream", cmd.ID)
 			d.observeGone(clock.Now(), cmd)
+		case reach.ProbeCmd:
+			d.requestProbe(cmd.ID)
+		case reach.IsolatedCmd:
+			d.fleet.Update(clock.Now(), fleet.IsolatedMsg{ID: cmd.ID, Isolated: cmd.Isolated})
+			d.log.Info("upstream_isolated", "upstream", cmd.ID, "isolated", cmd.Isolated, "for", cmd.For)
+		case reach.PartitionedCmd:
+			d.mesh.SetPartitioned(cmd.Partitioned)
+			d.wakeHeartbeat()
+			d.log.Warn("entry_partitioned", "partitioned", cmd.Partitioned, "lost", cmd.Lost, "reached", cmd.Reached)
 		case stall.StalledCmd:
 			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
@@ -325,10 +349,13 @@
 }
 
 // ObserveReply implements [relay.Controller].
-func (d *Controller) ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply) {
-	now := clock.Now()
+func (d *Controller) ObserveReply(e relay.Exchange, reply port.Reply) {
+	now, id := clock.Now(), e.Upstream
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if reply.Upstream == "" || reply.Upstream == id {
+		d.perform(d.reach.Update(now, reach.ContactMsg{ID: id, At: e.SentAt, Opened: e.Opened}))
+	}
 	switch {
 	case reply.Misdirected && reply.Upstream != "" && reply.Upstream != id:
 		d.fleet.Update(now, fleet.AddressReusedMsg{ID: id})
@@ -339,7 +366,7 @@
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
-	d.observeLimit(now, sentAt, id, reply)
+	d.observeLimit(now, e.SentAt, id, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
@@ -347,14 +374,19 @@
 
 // ObserveBreak implements [relay.Controller].
 func (d *Controller) ObserveBreak(b relay.Break) {
-	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !b.Abandoned {
+	d.observeAttempt(clock.Now(), b)
+}
+
+// observeAttempt applies an attempt without a complete answer; the lock is held.
+func (d *Controller) observeAttempt(now time.Time, b relay.Break) {
+	d.observeLink(now, b)
+	if !b.Abandoned && !d.reach.Isolated(b.Upstream) {
 		d.fleet.Update(now, fleet.BrokenMsg{ID: b.Upstream})
 	}
 	if b.Refused {
-		d.observeEnd(now, b.Upstream)
+		d.observeRefusal(now, b.Upstream)
 	}
 	if !b.Unsent {
 		d.recordLoss(now, b)
@@ -367,6 +399,8 @@
 	defer d.mu.Unlock()
 	d.perform(d.stall.Update(now, stall.TickMsg{}))
 	d.perform(d.fleet.DropLapsed(now))
+	d.tickReach(now)
+	d.tickRefusals(now)
 	d.perform(d.place.Update(now, place.TickMsg{}))
 	d.tickEvidence(now)
 	d.updateReadiness(now)
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -194,6 +194,56 @@
 	d.handleEvidence(now)
 }
 
+const (
+	// refusalDelay is how long the other entries have, beside some heartbeats, to say that they reach an upstream which refused a
+	// connection of this one.
+	refusalDelay = 500 * time.Millisecond
+	// refusalTTL is how long a refusal may wait until the other entries are asked. An entry that has lost many links asks about
+	// some of them after the others.
+	refusalTTL = 10 * time.Second
+)
+
+// refusal is a connection that an upstream refused.
+type refusal struct {
+	at time.Time
+	// queriedAt is when the other entries were first asked about the upstream after that, zero before.
+	queriedAt time.Time
+}
+
+// observeRefusal records that an upstream refused a connection. It has crashed, unless another entry reaches it. The lock
+// is held.
+func (d *Controller) observeRefusal(now time.Time, id ident.UpstreamID) {
+	if len(d.mesh.Alive(now)) == 1 {
+		d.observeEnd(now, id)
+		return
+	}
+	if _, known := d.refusals[id]; !known {
+		d.refusals[id] = refusal{at: now}
+	}
+}
+
+// tickRefusals confirms the losses of upstreams that refused a connection and that no entry has reached since, once the others were
+// asked. What is refused to an entry that is partitioned confirms nothing. The lock is held.
+func (d *Controller) tickRefusals(now time.Time) {
+	if len(d.refusals) == 0 {
+		return
+	}
+	delay := refusalDelay + 3*beatInterval(len(d.mesh.Alive(now)))
+	for id, r := range d.refusals {
+		if queriedAt := d.reach.QueriedAt(id); r.queriedAt.IsZero() && !queriedAt.Before(r.at) {
+			r.queriedAt = queriedAt
+			d.refusals[id] = r
+		}
+		switch {
+		case d.reach.Contacted(id, r.at) || d.reach.Partitioned() || now.Sub(r.at) >= refusalTTL:
+			delete(d.refusals, id)
+		case !r.queriedAt.IsZero() && now.Sub(r.queriedAt) >= delay:
+			delete(d.refusals, id)
+			d.observeEnd(now, id)
+		}
+	}
+}
+
 // observeRestart confirms the losses of the upstreams at an address that has another incarnation now.
 func (d *Controller) observeRestart(now time.Time, addr string) {
 	d.mu.Lock()
--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -115,10 +115,10 @@
 // ways. Losses that nothing decides stay pending.
 func TestInspectionDecidesLosses(t *testing.T) {
 	cases := map[string]struct {
-		state port.State
-		ended bool
+		state          port.State
+		moved, refused bool
 	}{
-		"restarted": {state: port.State{Born: 2}}, "not there": {ended: true}, "the same": {state: port.State{Born: 1}}, "unknown": {},
+		"restarted": {state: port.State{Born: 2}}, "not there": {moved: true}, "refusing": {refused: true}, "the same": {state: port.State{Born: 1}}, "unknown": {},
 	}
 	type outcome struct{ Suspect, Asked bool }
 	got := map[string]outcome{}
@@ -136,11 +136,11 @@
 			t.Errorf("asked (-want +got):\n%s", diff)
 		}
 		for _, q := range asked {
-			d.applyInspection(now.Add(time.Millisecond), q.loss, answer.state, answer.ended)
+			d.applyInspection(now.Add(time.Millisecond), q.loss, answer.state, answer.moved, answer.refused)
 		}
 		got[name] = outcome{isSuspect(d, "d"), len(d.questions(now)) > 0}
 	}
-	want := map[string]outcome{"restarted": {Suspect: true}, "not there": {Suspect: true}, "the same": {}, "unknown": {Suspect: true, Asked: true}}
+	want := map[string]outcome{"restarted": {Suspect: true}, "not there": {Suspect: true}, "refusing": {Suspect: true}, "the same": {}, "unknown": {Suspect: true, Asked: true}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("suspect, and asked again, after the answers (-want +got):\n%s", diff)
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -56,6 +56,7 @@
 type Daemon struct {
 	settings   Settings
 	log        *slog.Logger
+	outside    Adapters
 	dialect    port.Dialect
 	store      port.Store
 	engines    port.Engines
@@ -67,8 +68,10 @@
 	duty       *duty
 	handler    *relay.Handler
 	server     *relay.Server
-	pool       *link.Pool
-	meter      *Meter
+	// handovers serves the requests that other entries hand over.
+	handovers *relay.Server
+	pool      *link.Pool
+	meter     *Meter
 }
 
 // Adapters holds the adapters to the outside systems.
@@ -87,14 +90,15 @@
 func NewDaemon(s Settings, outside Adapters, log *slog.Logger, boot int64, options ...Option) *Daemon {
 	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, State: mesh.Starting, Boot: boot}
 	d := &Daemon{
-		settings: s, log: log, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
+		settings: s, log: log, outside: outside, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
 		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(link.WithDial(outside.Dial)), meter: NewMeter(),
 	}
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
-	d.handler = relay.NewHandler(d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
+	d.handler = relay.NewHandler(self.ID, d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.controller.guard.Handler(d.handler))
+	d.handovers = relay.NewServer(d.controller.guard.Handler(d.handler.Handovers()))
 	d.controller.onConfig = func(set *conf.Set) {
 		d.server.SetIdleTimeout(set.Limits().IdleTimeout)
 		d.server.SetHeaderTimeout(set.Limits().HeaderTimeout)
@@ -137,6 +141,13 @@
 		return err
 	}
 	group.Go(func() error { return serve(ctx, d.server.HTTP(), func() error { return d.server.Serve(front) }) })
+	handovers, err := net.Listen("tcp4", d.self.ID)
+	if err != nil {
+		return err
+	}
+	group.Go(func() error {
+		return serve(ctx, d.handovers.HTTP(), func() error { return d.handovers.Serve(handovers) })
+	})
 	metrics := net.JoinHostPort(d.settings.IP, strconv.Itoa(d.settings.FirstPort+1))
 	handlers := map[string]http.Handler{d.settings.Ready: d.ready, d.settings.Directory: d.advice, metrics: d.meter}
 	for addr, handler := range handlers {
@@ -175,6 +186,9 @@
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
 		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
 	}
+	for range probers {
+		loops = append(loops, (&prober{d}).run)
+	}
 	for _, loop := range loops {
 		group.Go(func() error {
 			defer d.controller.guard.Check()
@@ -212,8 +226,10 @@
 	time.Sleep(accepting)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace-accepting-stopMargin)
 	defer cancel()
-	if err := d.server.HTTP().Shutdown(ctx); err != nil {
-		d.log.Warn("requests_cut", "running", d.handler.Running(), "error", err)
+	for _, server := range []*relay.Server{d.server, d.handovers} {
+		if err := server.HTTP().Shutdown(ctx); err != nil {
+			d.log.Warn("requests_cut", "running", d.handler.Running(), "error", err)
+		}
 	}
 	d.log.Info("stopped")
 }
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -312,9 +312,11 @@
 	u.purge.Update(clock.Now(), purge.DoneMsg{Cmd: cmd})
 }
 
-// leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may.
+// leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may. A
+// partitioned one reaches none that it could give orders to.
 func (d *Controller) leaseCandidates() (ids []string, ready bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return mesh.IDs(d.mesh.Serving(clock.Now())), d.mesh.Self().State == mesh.Ready
+	self := d.mesh.Self()
+	return mesh.IDs(d.mesh.Serving(clock.Now())), self.State == mesh.Ready && !self.Partitioned
 }
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/route"
+	"cicadavalve/core/watch"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
@@ -98,8 +99,16 @@
 	if set == nil {
 		return own
 	}
-	ids := mesh.IDs(d.mesh.Alive(now))
+	alive := d.mesh.Alive(now)
+	if !watch.Shared(len(alive)) {
+		// In a large fleet the reports of holders that change hands would fill narrow links.
+		alive = mesh.PreferConnected(alive)
+	}
+	ids := mesh.IDs(alive)
 	self := d.mesh.Self().ID
+	if !slices.Contains(ids, self) {
+		return own
+	}
 	for i := range set.Services() {
 		if s := set.Services()[i].Store; s != nil && route.Rank(s.Address, self, ids) == 0 {
 			own[s.Address] = true
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -141,7 +141,9 @@
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot,
 		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
+		Partitioned: self.Partitioned,
 	}
+	d.shareReach(now, &m)
 	d.shareEvidence(now, len(alive), &m)
 	d.shareRollouts(now, &m)
 	for _, l := range d.place.Loads() {
@@ -218,14 +220,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self = d.mesh.Self()
-	return gossip.Message{ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot}, self
+	return gossip.Message{
+		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned,
+	}, self
 }
 
 func (d *Controller) applyMessage(now time.Time, m gossip.Message) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mesh.Update(now, mesh.HeartbeatMsg{Peer: mesh.Peer{
-		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), State: mesh.State(m.State), Boot: m.Boot,
+		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), State: mesh.State(m.State), Boot: m.Boot, Partitioned: m.Partitioned,
 	}})
 	if m.Heartbeat {
 		msg := place.PeerMsg{Peer: m.ID}
@@ -238,6 +242,7 @@
 		d.place.Update(now, msg)
 	}
 	arrived := d.stall.ArrivedSince(now)
+	d.hearReach(now, arrived, &m)
 	for _, s := range m.Saves {
 		d.index.Update(now, parts.SaveMsg{Store: parts.Holder(s.Store), Key: parts.Key(s.Key), Tokens: s.Tokens})
 	}
--- a/io/daemon/inspect.go
+++ b/io/daemon/inspect.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/poison"
+	"cicadavalve/core/reach"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/port"
 )
@@ -76,18 +77,21 @@
 		i.d.log.Debug("upstream_not_inspected", "upstream", q.loss.Upstream, "error", err)
 		return
 	}
-	i.d.controller.applyInspection(asked, q.loss, state, err != nil)
+	i.d.controller.applyInspection(asked, q.loss, state, errors.Is(err, port.ErrMisdirected), errors.Is(err, syscall.ECONNREFUSED))
 }
 
-// applyInspection applies what an upstream that was asked at a time said of its incarnation; ended is set if it is not
-// there any more.
-func (d *Controller) applyInspection(asked time.Time, loss poison.Loss, state port.State, ended bool) {
+// applyInspection applies what an upstream that was asked at a time said of its incarnation; moved is set if another one
+// answered, and refused if none accepted the connection.
+func (d *Controller) applyInspection(asked time.Time, loss poison.Loss, state port.State, moved, refused bool) {
 	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	boot := bootID(state.Born)
 	switch {
-	case ended:
+	case refused:
+		d.perform(d.reach.Update(now, reach.FailedMsg{ID: loss.Upstream, At: asked}))
+		d.observeRefusal(now, loss.Upstream)
+	case moved:
 		d.poison.Unreachable(now, loss.Upstream)
 	case state.Born == 0:
 		return
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -113,6 +113,20 @@
 	New   []int
 }
 
+// Unreachable is an upstream to which the sender can't open connections. AgeMS is how long ago that began, in milliseconds.
+type Unreachable struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	AgeMS    int
+}
+
+// Contact is an upstream that has answered the sender. AgeMS is how long ago that was, in milliseconds.
+type Contact struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	AgeMS    int
+}
+
 // Message is the content of one datagram. Long reports are split over several messages, of which the first carries the
 // other fields.
 type Message struct {
@@ -150,6 +164,11 @@
 	Rollouts []Rollout `cbor:"21,keyasint,omitempty"`
 	// ReportAges holds the ages of Reports while they are sent.
 	ReportAges []int `cbor:"22,keyasint,omitempty"`
+	// Partitioned is set while the sender has lost most of its links to upstreams.
+	Partitioned bool `cbor:"23,keyasint,omitempty"`
+	// Unreachable asks whether other entries reach these upstreams, Contacts answers that.
+	Unreachable []Unreachable `cbor:"24,keyasint,omitempty"`
+	Contacts    []Contact     `cbor:"25,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -282,12 +301,12 @@
 
 // empty returns a message of the same sender without content.
 func (m Message) empty() Message {
-	return Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot}
+	return Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned}
 }
 
 // size estimates the size of a message, counted in changes of parts.
 func size(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -28,6 +28,20 @@
 	LastEvent string
 }
 
+// Handover is what an entry states of a request that it hands over to another one.
+type Handover struct {
+	// By is the id of the entry that hands the request over.
+	By string
+	// Runs counts the attempts that may have run the request.
+	Runs int
+	// Counted is set if the request counts as a first one in the retry budget already.
+	Counted bool
+	// Timeout is the time left for the request.
+	Timeout time.Duration
+	// LastEvent is the id of the last event of a stream that the caller has received.
+	LastEvent string
+}
+
 // ForwardValues are the values that the daemon adds to a request for an upstream.
 type ForwardValues struct {
 	ID           string
@@ -74,6 +88,10 @@
 	Head(header http.Header) (head Head, err error)
 	// Forward returns the header of the request to an upstream.
 	Forward(header http.Header, values ForwardValues) http.Header
+	// HandOver returns the header of a request that is handed over to another entry.
+	HandOver(header http.Header, handover Handover) http.Header
+	// Handover reads what an entry states of a request that it handed over; LastEvent and Timeout are part of the head.
+	Handover(header http.Header) (handover Handover, err error)
 	// Reply reads the head of an upstream's answer.
 	Reply(status int, header http.Header) Reply
 	// Return copies the header of an upstream's answer to the header of the answer to the caller.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -65,6 +65,9 @@
 		x.refuseBlocked(result{})
 		return
 	}
+	if x.handOver(ctx, LacksMost, false) {
+		return
+	}
 	d, err := x.h.controller.Place(ctx, x.need, x.screening.Avoid)
 	var res result
 	for {
@@ -73,7 +76,9 @@
 			x.expire(x.history.Runs > 0)
 			return
 		case d.Refuse != nil:
-			x.refusePlacement(d.Refuse)
+			if !x.handOver(ctx, x.refusedLack(), true) {
+				x.refusePlacement(d.Refuse)
+			}
 			return
 		case d.Panic != nil:
 			x.refuse(http.StatusInternalServerError, -1, "panicked")
@@ -98,7 +103,14 @@
 			x.expire(res.ending >= retry.Unknown || x.history.Runs > 0)
 			return
 		}
-		if !x.mayRetry(res) {
+		if res.ending == retry.NotSent && !errors.Is(x.cause, link.ErrWithdrawn) {
+			x.unreached++
+		}
+		mayRetry := x.mayRetry(res)
+		if res.ending == retry.NotSent && (mayRetry || x.history.Runs == 0) && x.handOver(ctx, x.unreachedLack(), true) {
+			return
+		}
+		if !mayRetry {
 			x.h.controller.End(x.need.Ticket, outcomes[res.ending])
 			x.finish(res)
 			return
@@ -109,7 +121,13 @@
 			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
 		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
-			x.finish(res)
+			switch {
+			case x.handOver(ctx, x.refusedLack(), true):
+			case d.Refuse != nil && x.history.Runs == 0 && !x.committed && res.failure == nil:
+				x.refusePlacement(d.Refuse)
+			default:
+				x.finish(res)
+			}
 			return
 		}
 	}
@@ -188,7 +206,10 @@
 	u := cmd.Upstream
 	x.held.release()
 	x.sentAt, x.progress = clock.Now(), gotNothing
+	sentAt := x.sentAt
+	silence := time.AfterFunc(max(minSilence, 2*cmd.Expected), func() { x.h.controller.ObserveSilence(u.ID, sentAt) })
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
+	silence.Stop()
 	if errors.Is(err, link.ErrWithdrawn) {
 		x.cause = err
 		return result{ending: retry.NotSent}
@@ -205,7 +226,7 @@
 	defer answer.Close()
 	x.progress = gotHead
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
-	x.h.controller.ObserveReply(u.ID, x.sentAt, reply)
+	x.h.controller.ObserveReply(Exchange{Upstream: u.ID, Born: u.Born, SentAt: x.sentAt, Opened: answer.Opened}, reply)
 	switch {
 	case reply.NotRun:
 		x.cause = errors.Newf("status %d", answer.Status)
@@ -241,6 +262,9 @@
 // be that old if the connection took long to open, or the process stood still.
 const maxDecisionAge = 20 * time.Millisecond
 
+// minSilence is how long an upstream may leave a request unanswered before the link to it is in doubt.
+const minSilence = 400 * time.Millisecond
+
 // holdBack buffers an answer. It reports whether the answer is whole; if not, it is too long to hold back.
 func (x *exchange) holdBack(answer *link.Answer) (whole bool, err error) {
 	for err == nil {
@@ -277,7 +301,7 @@
 	outcome := place.Good
 	if answer.Status >= http.StatusInternalServerError {
 		x.cause, outcome = errors.Newf("status %d", answer.Status), place.Failed
-		if whole && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
+		if whole && cmd != nil && retry.May(x.route, retry.Failure, retry.History{Runs: x.history.Runs + 1}) {
 			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, x.held.data}}
 		}
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -74,6 +74,11 @@
 	// Place waits for a decision. The request is not sent to the upstreams to avoid. It returns an error only if the
 	// context ends.
 	Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (d Decision, err error)
+	// Peer returns an entry to which a request for a service should be handed over, except those tried, if this entry lacks
+	// as many links as is given.
+	Peer(service ident.ServiceName, lack Lack, tried []string) (id string, ok bool)
+	// ObservePeer records whether a connection to an entry could be opened.
+	ObservePeer(id string, reached bool)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
 	// StillEligible reports whether the upstream that was chosen for a request may still run it.
@@ -84,12 +89,24 @@
 	FirstByte(ticket place.Ticket)
 	// End reports the outcome of an attempt.
 	End(ticket place.Ticket, outcome place.Outcome)
-	// ObserveReply applies what the head of an answer reports about the upstream; sentAt is when the request was sent.
-	ObserveReply(id ident.UpstreamID, sentAt time.Time, reply port.Reply)
+	// ObserveReply applies what the head of an answer reports about the upstream.
+	ObserveReply(e Exchange, reply port.Reply)
+	// ObserveSilence records that an upstream has not begun to answer a request within the time that was to be expected.
+	ObserveSilence(id ident.UpstreamID, sentAt time.Time)
 	// ObserveBreak records an attempt without a complete answer.
 	ObserveBreak(b Break)
 }
 
+// Exchange is a request to an upstream that it has answered.
+type Exchange struct {
+	Upstream ident.UpstreamID
+	// Born is the incarnation to which the request was sent.
+	Born   int64
+	SentAt time.Time
+	// Opened is set if a connection was opened for it.
+	Opened bool
+}
+
 // Meter counts the outcomes of requests and attempts.
 type Meter interface {
 	// ObserveAnswer counts a request and two times since its arrival: first until a plain answer was buffered or a
@@ -104,11 +121,13 @@
 // Handler serves the requests of callers.
 type Handler struct {
 	controller Controller
-	dialect    port.Dialect
-	pool       *link.Pool
-	log        *slog.Logger
-	meter      Meter
-	tickets    atomic.Uint64
+	// self is the id of this entry.
+	self    string
+	dialect port.Dialect
+	pool    *link.Pool
+	log     *slog.Logger
+	meter   Meter
+	tickets atomic.Uint64
 	// bodies is the memory of request bodies, and answers that of what is held back of answers.
 	bodies, answers memory
 	// leaving is set while answers ask callers to close their connections.
@@ -119,13 +138,13 @@
 	panics rate.Sometimes
 }
 
-// NewHandler returns a handler that sends requests through a pool of connections. maxBodies bounds the request
+// NewHandler returns a handler of the entry with the id self that sends requests through a pool of connections. maxBodies bounds the request
 // bodies in memory, and maxAnswers what is held back of answers, in bytes.
 func NewHandler(
-	controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodies, maxAnswers int64,
+	self string, controller Controller, dialect port.Dialect, pool *link.Pool, log *slog.Logger, meter Meter, maxBodies, maxAnswers int64,
 ) *Handler {
 	return &Handler{
-		controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, bodies: memory{max: maxBodies}, answers: memory{max: maxAnswers},
+		self: self, controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, bodies: memory{max: maxBodies}, answers: memory{max: maxAnswers},
 		panics: rate.Sometimes{First: 1, Interval: panicInterval},
 	}
 }
@@ -152,6 +171,12 @@
 	deadline time.Time
 	history  retry.History
 	avoid    []ident.UpstreamID
+	// handed is what the entry states that handed the request over, nil if its caller sent it.
+	handed *port.Handover
+	// peers lists the entries to which it was handed over.
+	peers []string
+	// unreached counts the attempts that found no connection to their upstream.
+	unreached int
 	// held is what is held back of the answer to the last attempt.
 	held buffer
 	// committed is set once the head of an answer has been sent to the caller.
@@ -183,10 +208,15 @@
 }
 
 // ServeHTTP implements [http.Handler].
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(w, r, nil) }
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request, handed *port.Handover) {
 	h.running.Add(1)
 	defer h.running.Add(-1)
-	x := &exchange{h: h, w: w, r: r, arrived: clock.Now(), held: buffer{memory: &h.answers}}
+	x := &exchange{h: h, w: w, r: r, arrived: clock.Now(), held: buffer{memory: &h.answers}, handed: handed}
+	if handed != nil {
+		x.history.Runs = handed.Runs
+	}
 	defer x.held.release()
 	defer x.confine()
 	if h.leaving.Load() {
@@ -232,7 +262,7 @@
 	if err != nil {
 		return http.StatusBadRequest, err.Error()
 	}
-	if limit := set.Limits().HeaderSize; limit > 0 && headerSize(x.r) > limit {
+	if limit := set.Limits().HeaderSize; limit > 0 && x.handed == nil && headerSize(x.r) > limit {
 		return http.StatusRequestHeaderFieldsTooLarge, "header_too_large"
 	}
 	route, ok := set.Match(x.r.Host, x.r.URL.EscapedPath())
@@ -264,6 +294,7 @@
 	x.need = place.Need{
 		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
+		Counted: x.handed != nil && x.handed.Counted,
 	}
 	return 0, ""
 }
@@ -309,8 +340,12 @@
 	return 0, ""
 }
 
-// refuse sends the daemon's own answer. A negative retryAfter is not sent.
+// refuse sends the daemon's own answer. A negative retryAfter is not sent. A request that may have run is never said not to
+// have run.
 func (x *exchange) refuse(status int, retryAfter time.Duration, reason string) {
+	if status == http.StatusServiceUnavailable && x.history.Runs > 0 {
+		status, retryAfter = http.StatusBadGateway, -1
+	}
 	if x.body == nil && x.r.ContentLength != 0 {
 		// The server reads some of the body before it answers.
 		if err := http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)); err != nil {
@@ -373,6 +408,12 @@
 			slog.String("blocked_by", string(x.screening.Key)),
 			slog.Duration("evidence_age", x.screening.EvidenceAge))
 	}
+	if x.handed != nil {
+		attrs = append(attrs, slog.String("handed_by", x.handed.By))
+	}
+	if n := len(x.peers); n > 0 {
+		attrs = append(attrs, slog.String("handed_to", x.peers[n-1]))
+	}
 	if x.cause != nil {
 		attrs = append(attrs, slog.String("cause", x.cause.Error()))
 	}
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -150,8 +150,12 @@
 }
 
 // reportBroken reports an attempt without a complete answer. If the context has ended, the caller or the deadline ended
-// the attempt, and it is reported only if the upstream had been silent for long.
+// the attempt, and it is reported only if the upstream had been silent for long. Another entry reports its own attempts; cmd is
+// nil then.
 func (x *exchange) reportBroken(ctx context.Context, cmd *place.SendCmd, b Break) {
+	if cmd == nil {
+		return
+	}
 	age := clock.Since(x.sentAt)
 	b.Abandoned = ctx.Err() != nil
 	if b.Abandoned && (age < silenceThreshold || !x.firstAt.IsZero()) {
