--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -32,8 +32,15 @@
 	failures int
 	// lapsedAt is when its record was removed during an outage of the list, zero while it is listed.
 	lapsedAt time.Time
-	// orderedUntil is until when it starts no work; see [OrderedMsg].
-	orderedUntil time.Time
+	// orderedUntil is until when it carries out an order, rejectingUntil until when it is taken to reject further requests.
+	orderedUntil, rejectingUntil time.Time
+	// backoffUntil is until when it asks this entry to back off. It never decreases.
+	backoffUntil time.Time
+	// leavingTells is how often the other entries are still to be told that it leaves, leavingToldAt when they last were.
+	leavingTells  int
+	leavingToldAt time.Time
+	// rejection is what its newest answer said of rejections.
+	rejection rejectionLimit
 	// isolated is set while only this entry can't reach it.
 	isolated bool
 	limit    limitState
@@ -48,6 +55,12 @@
 	avoided map[ident.Zone]bool
 	// departed holds the last incarnation of each upstream that was removed after draining.
 	departed map[ident.UpstreamID]int64
+	// telling is set while there may be upstreams whose leaving is to be told.
+	telling bool
+	// backoffsUntil is until when any upstream may ask this entry to back off.
+	backoffsUntil time.Time
+	// rejectionLimits holds what the newest answer of each service said.
+	rejectionLimits map[ident.ServiceName]rejectionLimit
 	// graceUntil is until when upstreams whose records are removed are kept, since they may register again.
 	graceUntil time.Time
 }
@@ -57,7 +70,10 @@
 //	m := fleet.NewModel()
 //	m.Update(now, fleet.ListedMsg{Upstream: u})
 func NewModel() *Model {
-	return &Model{byID: map[ident.UpstreamID]*state{}, avoided: map[ident.Zone]bool{}, departed: map[ident.UpstreamID]int64{}}
+	return &Model{
+		byID: map[ident.UpstreamID]*state{}, avoided: map[ident.Zone]bool{}, departed: map[ident.UpstreamID]int64{},
+		rejectionLimits: map[ident.ServiceName]rejectionLimit{},
+	}
 }
 
 // ListedMsg reports a record that was written.
@@ -96,7 +112,7 @@
 	Left time.Duration
 }
 
-// OrderedMsg reports that an upstream starts no work until a time, as it executes an order or has rejected a request.
+// OrderedMsg reports that an upstream starts no work until a time, as it carries out an order.
 type OrderedMsg struct {
 	ID    ident.UpstreamID
 	Until time.Time
@@ -161,6 +177,12 @@
 		if s := m.byID[msg.ID]; s != nil {
 			s.orderedUntil = msg.Until
 		}
+	case LeavingMsg:
+		return m.applyLeaving(msg)
+	case RejectionLimitMsg:
+		return m.applyRejectionLimit(msg)
+	case RejectedMsg:
+		m.applyRejection(now, msg)
 	case WeightsMsg:
 		if s := m.byID[msg.ID]; s != nil && s.Weights[msg.Model] < msg.Version {
 			s.Weights[msg.Model] = msg.Version
@@ -294,6 +316,12 @@
 	Usable, Cold, Ordered bool
 	// Returning is set if an upstream that isn't usable may be so again shortly, since it only pauses after a failure.
 	Returning bool
+	// Backoff is how long an upstream that serves otherwise asks this entry to back off; it isn't usable meanwhile.
+	Backoff time.Duration
+	// RejectionLimit is how many rejections a second it tolerates, if it says so. It is assumed, by what others of its service
+	// say, if this incarnation has not answered yet.
+	RejectionLimit        conf.NamedLimit
+	RejectionLimitAssumed bool
 	// Limit is the limit that it names, and LimitAge the time since an answer last did.
 	Limit    conf.NamedLimit
 	LimitAge time.Duration
@@ -314,10 +342,14 @@
 }
 
 func (m *Model) status(now time.Time, s *state) Status {
-	serves, paused := !s.Draining && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil)
+	serves, paused, backoff := !s.Draining && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil), time.Duration(0)
+	if serves {
+		backoff = max(s.backoffUntil.Sub(now), 0)
+	}
+	limit, assumed := m.rejectionLimit(s)
 	return Status{
-		Usable: serves && !paused, Returning: serves && paused, Limit: s.limit.current(now), LimitAge: now.Sub(s.limit.at),
-		Cold: now.Before(s.coldUntil) || now.Before(s.assumedColdUntil), Ordered: now.Before(s.orderedUntil),
+		Backoff: backoff, RejectionLimit: limit, RejectionLimitAssumed: assumed, Usable: serves && backoff == 0 && !paused, Returning: serves && backoff == 0 && paused, Limit: s.limit.current(now), LimitAge: now.Sub(s.limit.at),
+		Cold: now.Before(s.coldUntil) || now.Before(s.assumedColdUntil), Ordered: now.Before(s.orderedUntil) || now.Before(s.rejectingUntil),
 	}
 }
 
@@ -336,8 +368,8 @@
 	return all
 }
 
-// Usable reports whether an upstream may get new work: it isn't draining, paused, isolated from this entry or in a zone that is out
-// of service.
+// Usable reports whether an upstream may get new work: it isn't draining, paused, asking to back off, isolated from this entry or in a
+// zone that is out of service.
 func (m *Model) Usable(now time.Time, id ident.UpstreamID) bool {
 	s, ok := m.byID[id]
 	return ok && m.status(now, s).Usable
--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -88,7 +88,7 @@
 		}
 		if slices.Contains(avoid, u.ID) || !m.open(now, u, status, service, need) {
 			tally.Closed++
-			ahead.others = ahead.others || mayReturn(status)
+			ahead.close(status)
 			return
 		}
 		q := m.quota(u, status.Cold, status.Limit)
@@ -97,6 +97,11 @@
 			ahead.add(q, tokens)
 			return
 		}
+		if !m.belowLimit(now, u, status) {
+			tally.Full++
+			tally.FullBy[Slots]++
+			return
+		}
 		candidate = option{upstream: u, quota: q}
 		if service.Engine == nil || len(need.Chain) == 0 {
 			m.scoreCall(now, need, &candidate)
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -25,6 +25,8 @@
 	reportedAt time.Time
 	// rate limits the requests while the upstream is cold or names a limit.
 	rate bucket
+	// concurrency limits the requests while the upstream tolerates few rejections.
+	concurrency concurrencyLimit
 	// limitedAt is when such a request was last sent.
 	limitedAt time.Time
 }
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -188,6 +188,7 @@
 	Overloaded Reason = "overloaded"
 	TooLate    Reason = "deadline_too_close"
 	Limited    Reason = "rate_limited"
+	BackingOff Reason = "upstreams_backing_off"
 )
 
 // PrefillingCmd announces to the other entries a part that an upstream is about to prefill or fetch.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -72,6 +72,8 @@
 	members Members
 	rng     *rand.Rand
 	set     *conf.Set
+	// fractions holds what the last rejection left of an upstream's slots, by service, where few rejections are tolerated.
+	fractions map[ident.ServiceName]fraction
 	// objectives holds the shortest objective of the routes to each service.
 	objectives map[ident.ServiceName]time.Duration
 	// versions holds the target versions of each model, the oldest first.
@@ -113,7 +115,7 @@
 //	for _, cmd := range m.Update(now, place.ArriveMsg{Need: need}) { perform(cmd) }
 func NewModel(upstreams *fleet.Model, index *parts.Index, rng *rand.Rand, options ...Option) *Model {
 	m := &Model{
-		fleet: upstreams, index: index, rng: rng, set: conf.NewSet(conf.Data{}), versionGrace: defaultVersionGrace,
+		fleet: upstreams, index: index, rng: rng, fractions: map[ident.ServiceName]fraction{}, set: conf.NewSet(conf.Data{}), versionGrace: defaultVersionGrace,
 		versions: map[ident.ModelName][]namedVersion{}, sent: map[Ticket]*sent{}, loads: map[ident.UpstreamID]*load{}, peers: map[string]*peer{},
 		services: map[ident.ServiceName]*serviceStats{}, upstreams: map[ident.UpstreamID]*upstreamStats{}, links: map[parts.Holder]*link{},
 	}
@@ -196,6 +198,10 @@
 	case LoadMsg:
 		l := m.load(msg.Upstream)
 		l.reported, l.reportedAt = msg.Running+msg.Waiting, now
+	case RejectedMsg:
+		return m.decreaseLimit(now, msg.Upstream)
+	case ConcurrencyLimitMsg:
+		m.applyLimit(msg)
 	case PeerMsg:
 		m.updatePeer(now, msg)
 	case TickMsg:
@@ -347,7 +353,7 @@
 		}
 		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(minRetryAfter), Reason: reason, Tally: tally}}
 	}
-	if cmds := m.refuseLimited(now, w, tally, ahead); cmds != nil {
+	if cmds := m.refuseClosed(now, w, tally, ahead); cmds != nil {
 		return cmds
 	}
 	m.queue = append(m.queue, w)
--- a/core/place/rate.go
+++ b/core/place/rate.go
@@ -26,6 +26,9 @@
 	minNamedRate = 0.4
 	// namedBurst is the time whose part of a named limit one entry may use in a burst, though at least one request.
 	namedBurst = 500 * time.Millisecond
+	// maxBackoffRetryAfter is the longest delay, before jitter, for callers of upstreams that ask to back off. They ask again
+	// now and then, since others may come.
+	maxBackoffRetryAfter = 30 * time.Second
 	// trialRate is the rate, in requests a second, at which all entries together find out whether an upstream still
 	// names a limit below it.
 	trialRate = 0.2
@@ -89,8 +92,11 @@
 	return m.load(upstream).rate.refill(now, q.perSecond, q.burst)
 }
 
-// outlook is when the upstreams of a service that have no tokens will have some.
+// outlook is when the upstreams of a service that take no request now will take some.
 type outlook struct {
+	// backingOff is set if upstreams ask this entry to back off, the first of them for the time backoff.
+	backingOff bool
+	backoff    time.Duration
 	// limited is set if there are such upstreams; perSecond and tokens are sums over them.
 	limited           bool
 	perSecond, tokens float64
@@ -105,12 +111,32 @@
 	o.tokens += tokens
 }
 
+// close adds an upstream that is not eligible.
+func (o *outlook) close(status fleet.Status) {
+	o.others = o.others || mayReturn(status)
+	if status.Backoff > 0 && (!o.backingOff || status.Backoff < o.backoff) {
+		o.backingOff, o.backoff = true, status.Backoff
+	}
+}
+
 // mayReturn reports whether an upstream without work may take some shortly.
 func mayReturn(status fleet.Status) bool { return status.Returning || status.Ordered }
 
-// delay returns when a request will have a token if ahead others get theirs first. It is unlimited if this entry has no
-// part in the rates.
-func (o *outlook) delay(ahead int) time.Duration {
+// delay returns when a request will be taken if ahead others get their tokens first: at the end of the first back-off, or with a
+// token. It is unlimited if this entry has no part in the rates.
+func (o *outlook) delay(ahead int) (d time.Duration) {
+	d = math.MaxInt32 * time.Second
+	if o.backingOff {
+		d = o.backoff
+	}
+	if o.limited {
+		d = min(d, o.tokenDelay(ahead))
+	}
+	return d
+}
+
+// tokenDelay returns when a request will have a token if ahead others get theirs first.
+func (o *outlook) tokenDelay(ahead int) time.Duration {
 	seconds := max(0, float64(ahead+1)-o.tokens) / o.perSecond
 	if math.IsNaN(seconds) || seconds > math.MaxInt32 {
 		return math.MaxInt32 * time.Second
@@ -118,10 +144,11 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// refuseLimited returns the refusal of a request that gets no token before its wait limit, nil if it may wait. Callers
-// that are refused in a row are told different times, one for each token.
-func (m *Model) refuseLimited(now time.Time, w *waiting, tally Tally, o *outlook) []ident.Cmd {
-	if !o.limited || o.others || tally.Full > 0 {
+// refuseClosed returns the refusal of a request that no upstream will take before its wait limit, since they ask to back off or have no
+// token; nil if it may wait. Callers that are refused in a row are told different times: one for each token, or spread after the
+// end of the first back-off.
+func (m *Model) refuseClosed(now time.Time, w *waiting, tally Tally, o *outlook) []ident.Cmd {
+	if !o.limited && !o.backingOff || o.others || tally.Full > 0 {
 		return nil
 	}
 	ahead := 0
@@ -134,6 +161,10 @@
 	if !now.Add(delay).After(w.until) {
 		return nil
 	}
+	if o.backingOff && o.backoff <= delay {
+		after := max(min(o.backoff, maxBackoffRetryAfter), minRetryAfter)
+		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(after), Reason: BackingOff, Expected: delay, Tally: tally}}
+	}
 	after, expected := maxRetryAfter, time.Duration(0)
 	if o.perSecond > 0 {
 		expected = delay
--- a/io/daemon/budget_test.go
+++ b/io/daemon/budget_test.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/place"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
+	"cicadavalve/io/relay"
 )
 
 // newFleet returns the controllers of entries that have heard each other at now.
@@ -86,7 +87,7 @@
 			at := now.Add(silence)
 			d.applyConfig(conf.Data{Version: 1, Services: []conf.Service{{Name: "app"}}})
 			d.applyUpstream(at, conf.Upstream{ID: "limited", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
-			d.observeLimit(at, at, "limited", port.Reply{Signed: true, Limit: conf.NamedLimit{Named: true, PerSecond: perSecond}})
+			d.observeStatements(at, relay.Exchange{Upstream: "limited", Born: 1, SentAt: at}, port.Reply{Signed: true, Limit: conf.NamedLimit{Named: true, PerSecond: perSecond}})
 			d.message(at)
 			for n := range 400 {
 				at := at.Add(time.Duration(n) * 10 * time.Millisecond)
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -29,11 +29,8 @@
 	"cicadavalve/io/relay"
 )
 
-// rejectionPause is how long an upstream that rejected a request gets no new ones: a few steps of an engine.
-const rejectionPause = 100 * time.Millisecond
-
-// limitFaultInterval is the minimum interval between two log lines about limits that can't be read.
-const limitFaultInterval = time.Second
+// statementFaultInterval is the minimum interval between two log lines about statements of upstreams that can't be read.
+const statementFaultInterval = time.Second
 
 // panicInterval is the minimum interval between two log lines with the stack of a placement that panicked.
 const panicInterval = time.Second
@@ -81,6 +78,8 @@
 	// clockOffset is the engines' clock minus [monotonicNow]; it is valid once clockKnown is set.
 	clockOffset time.Duration
 	clockKnown  bool
+	// concurrencyLimits holds the limits that are to be told.
+	concurrencyLimits []toldConcurrencyLimit
 	// refusals holds when upstreams that may have crashed refused a connection.
 	refusals map[ident.UpstreamID]refusal
 	// peers chooses the entries to which requests are handed over.
@@ -113,8 +112,8 @@
 	// ramp decides about software releases; rampToldAt is when its reports were last sent.
 	ramp       *ramp.Model
 	rampToldAt time.Time
-	// limitFaults bounds the log lines about limits that can't be read.
-	limitFaults rate.Sometimes
+	// statementFaults bounds the log lines about statements of upstreams that can't be read.
+	statementFaults rate.Sometimes
 	// panics bounds the log lines with the stacks of panics.
 	panics rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
@@ -150,7 +149,7 @@
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, limitFaults: rate.Sometimes{First: 1, Interval: limitFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
@@ -251,6 +250,13 @@
 		case stall.StalledCmd:
 			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
+		case place.ConcurrencyLimitCmd:
+			d.queueConcurrencyLimit(clock.Now(), cmd)
+		case fleet.RejectionLimitCmd:
+			d.log.Info("upstream_rejection_limit", "upstream", cmd.ID, "named", cmd.Rejections.Named, "per_second", cmd.Rejections.PerSecond)
+		case fleet.LeavingCmd:
+			d.log.Info("upstream_leaves", "upstream", cmd.ID, "heard", cmd.Heard)
+			d.wakeHeartbeat()
 		case fleet.LimitCmd:
 			if cmd.Limit.Named {
 				d.log.Info("upstream_limit_named", "upstream", cmd.ID, "per_second", cmd.Limit.PerSecond, "heard", cmd.Heard, "age", cmd.Age)
@@ -362,11 +368,10 @@
 		d.log.Warn("upstream_address_moved", "upstream", id, "answered_by", reply.Upstream)
 		d.observeEnd(now, id)
 	case reply.NotRun:
-		d.fleet.Update(now, fleet.OrderedMsg{ID: id, Until: now.Add(rejectionPause)})
 	default:
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
-	d.observeLimit(now, e.SentAt, id, reply)
+	d.observeStatements(now, e, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -214,8 +214,12 @@
 
 func (u *duty) queryState(ctx context.Context, cmd reload.QueryCmd) {
 	askedAt := clock.Now()
+	if !u.d.controller.mayCall(askedAt, cmd.Upstream.ID) {
+		return
+	}
 	state, err := u.d.engines.State(ctx, cmd.Upstream.ID, cmd.Upstream.Address)
 	if err != nil {
+		u.d.controller.observeCallError(clock.Now(), cmd.Upstream.Address, err)
 		u.d.log.Debug("engine_not_asked", "upstream", cmd.Upstream.ID, "error", err)
 		return
 	}
@@ -244,13 +248,14 @@
 
 func (u *duty) orderLoad(ctx context.Context, cmd reload.OrderCmd) {
 	holds, token := u.leaseToken()
-	if !holds {
+	if !holds || !u.d.controller.mayCall(clock.Now(), cmd.Upstream.ID) {
 		return
 	}
 	err := u.d.engines.Load(ctx, port.LoadOrder{
 		Upstream: cmd.Upstream.ID, Address: cmd.Upstream.Address, Model: cmd.Model, Version: cmd.Version,
 		Holder: u.d.self.ID, Token: token, Seq: cmd.Seq,
 	})
+	u.d.controller.observeCallError(clock.Now(), cmd.Upstream.Address, err)
 	u.d.log.Info("weights_ordered", "upstream", cmd.Upstream.ID, "model", cmd.Model, "version", cmd.Version, "token", token, "seq", cmd.Seq, "error", err)
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/time/rate"
 
+	"cicadavalve/core/conf"
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/route"
@@ -123,6 +124,19 @@
 	return own
 }
 
+// backsOff reports whether the upstream at an address asks this entry to back off.
+func (d *Controller) backsOff(now time.Time, addr string) (backingOff bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.fleet.AnyBackoff(now) {
+		return false
+	}
+	d.fleet.Scan(func(u *conf.Upstream) {
+		backingOff = backingOff || u.Address == addr && d.fleet.BackingOff(now, u.ID)
+	})
+	return backingOff
+}
+
 // follower reads the changes of one holder.
 type follower struct {
 	d     *Daemon
@@ -133,12 +147,14 @@
 	lost  bool
 }
 
-// run reads changes until the context ends.
+// run reads changes until the context ends, except from an engine that asks to back off.
 func (f *follower) run(ctx context.Context) {
 	defer f.d.controller.guard.Check()
 	for ctx.Err() == nil {
 		start := clock.Now()
-		f.step(ctx)
+		if !f.d.controller.backsOff(start, f.addr) {
+			f.step(ctx)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(max(followInterval-clock.Since(start), followInterval/4)):
@@ -160,6 +176,7 @@
 		h, err = f.d.engines.Follow(ctx, f.addr, f.next, wait)
 	}
 	if err != nil {
+		f.d.controller.observeCallError(clock.Now(), f.addr, err)
 		if !f.lost && ctx.Err() == nil {
 			f.d.log.Warn("holder_lost", "holder", f.addr, "error", err)
 		}
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -41,6 +41,8 @@
 	// rateMemory is how long an entry that has fallen silent counts as one that uses its part of the rate of requests to
 	// an upstream. It is short beside the memory for retries, since the part of an entry that has ended is missing.
 	rateMemory = time.Minute
+	// maxLeaving bounds the leaving upstreams that a heartbeat tells.
+	maxLeaving = 20
 	// maxLimits bounds the limits of upstreams that a heartbeat tells.
 	maxLimits = 20
 	// greetInterval is the interval at which heartbeats are also sent to the seeds.
@@ -161,6 +163,10 @@
 			Upstream: string(l.ID), Born: l.Born, Named: l.Limit.Named, PerSecond: l.Limit.PerSecond, AgeMS: int(now.Sub(l.At).Milliseconds()),
 		})
 	}
+	m.ConcurrencyLimits = d.takeConcurrencyLimits(now)
+	for _, l := range d.fleet.TakeLeaving(now, maxLeaving) {
+		m.Leaving = append(m.Leaving, gossip.Leaving{Upstream: string(l.ID), Born: l.Born})
+	}
 	d.saves, d.prefills, d.weights = nil, nil, nil
 	clear(d.reports)
 	clear(d.reportedAt)
@@ -258,6 +264,12 @@
 	if m.Heartbeat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
+	for _, l := range m.ConcurrencyLimits {
+		d.applyConcurrencyLimit(now, arrived, l)
+	}
+	for _, l := range m.Leaving {
+		d.perform(d.fleet.Update(now, fleet.LeavingMsg{ID: ident.UpstreamID(l.Upstream), Born: l.Born, Heard: true}))
+	}
 	for _, l := range m.Limits {
 		d.applyLimit(now, arrived, l)
 	}
--- a/io/daemon/inspect.go
+++ b/io/daemon/inspect.go
@@ -49,7 +49,8 @@
 	addr string
 }
 
-// questions returns the undecided losses of listed upstreams, one for each upstream and at most maxInspected.
+// questions returns the undecided losses of listed upstreams that don't ask to back off, one for each upstream and at most
+// maxInspected.
 func (d *Controller) questions(now time.Time) (questions []question) {
 	if !d.hasEvidence.Load() {
 		return nil
@@ -59,7 +60,7 @@
 	seen := map[string]bool{}
 	for _, loss := range d.poison.Undecided(now) {
 		u, listed := d.fleet.Get(loss.Upstream)
-		if listed && !seen[u.Address] && len(questions) < maxInspected {
+		if listed && !seen[u.Address] && !d.fleet.BackingOff(now, u.ID) && len(questions) < maxInspected {
 			seen[u.Address] = true
 			questions = append(questions, question{loss, u.Address})
 		}
@@ -74,6 +75,7 @@
 	asked := clock.Now()
 	state, err := i.d.engines.State(ctx, q.loss.Upstream, q.addr)
 	if err != nil && !errors.Is(err, port.ErrMisdirected) && !errors.Is(err, syscall.ECONNREFUSED) {
+		i.d.controller.observeCallError(clock.Now(), q.addr, err)
 		i.d.log.Debug("upstream_not_inspected", "upstream", q.loss.Upstream, "error", err)
 		return
 	}
--- a/io/daemon/late_test.go
+++ b/io/daemon/late_test.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/watch"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
+	"cicadavalve/io/relay"
 )
 
 // stalled returns a controller that ticked until lastTick and has not run since.
@@ -33,7 +34,7 @@
 		d, woken := stalled(lastTick), lastTick.Add(4*time.Second)
 		d.applyUpstream(lastTick, conf.Upstream{ID: "u", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
 		limit := conf.NamedLimit{Named: true, PerSecond: 3}
-		d.observeLimit(lastTick.Add(-100*time.Millisecond), lastTick.Add(-200*time.Millisecond), "u", port.Reply{Signed: true, Limit: limit})
+		d.observeStatements(lastTick.Add(-100*time.Millisecond), relay.Exchange{Upstream: "u", Born: 1, SentAt: lastTick.Add(-200 * time.Millisecond)}, port.Reply{Signed: true, Limit: limit})
 		if lag > 0 {
 			d.Tick(woken)
 		}
@@ -102,13 +103,13 @@
 	d, woken := stalled(lastTick), lastTick.Add(4*time.Second)
 	d.applyUpstream(lastTick, conf.Upstream{ID: "u", Service: "app", Address: "a", Zone: "z", Slots: 8, Born: 1})
 	d.Tick(woken)
-	d.observeLimit(woken.Add(10*time.Millisecond), lastTick, "u", port.Reply{Signed: true})
+	d.observeStatements(woken.Add(10*time.Millisecond), relay.Exchange{Upstream: "u", Born: 1, SentAt: lastTick}, port.Reply{Signed: true})
 	limit, now := conf.NamedLimit{Named: true, PerSecond: 3}, woken
 	for now.Before(woken.Add(300 * time.Millisecond)) {
 		now = now.Add(tickInterval)
 		d.Tick(now)
 	}
-	d.observeLimit(now, woken.Add(200*time.Millisecond), "u", port.Reply{Signed: true, Limit: limit})
+	d.observeStatements(now, relay.Exchange{Upstream: "u", Born: 1, SentAt: woken.Add(200 * time.Millisecond)}, port.Reply{Signed: true, Limit: limit})
 	if diff := cmp.Diff(limit, d.fleet.Limit(now, "u")); diff != "" {
 		t.Errorf("limit (-want +got):\n%s", diff)
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -127,6 +127,24 @@
 	AgeMS    int
 }
 
+// Leaving is an incarnation of an upstream that says in its answers that it leaves.
+type Leaving struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream string
+	Born     int64
+}
+
+// ConcurrencyLimit limits the requests in flight at an upstream that tolerates few rejections a second, as of AgeMS
+// milliseconds ago.
+type ConcurrencyLimit struct {
+	_          struct{} `cbor:",toarray"`
+	Upstream   string
+	Born       int64
+	Rejections float64
+	Limit      float64
+	AgeMS      int
+}
+
 // Message is the content of one datagram. Long reports are split over several messages, of which the first carries the
 // other fields.
 type Message struct {
@@ -167,8 +185,10 @@
 	// Partitioned is set while the sender has lost most of its links to upstreams.
 	Partitioned bool `cbor:"23,keyasint,omitempty"`
 	// Unreachable asks whether other entries reach these upstreams, Contacts answers that.
-	Unreachable []Unreachable `cbor:"24,keyasint,omitempty"`
-	Contacts    []Contact     `cbor:"25,keyasint,omitempty"`
+	Unreachable       []Unreachable      `cbor:"24,keyasint,omitempty"`
+	Contacts          []Contact          `cbor:"25,keyasint,omitempty"`
+	Leaving           []Leaving          `cbor:"26,keyasint,omitempty"`
+	ConcurrencyLimits []ConcurrencyLimit `cbor:"27,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -306,7 +326,7 @@
 
 // size estimates the size of a message, counted in changes of parts.
 func size(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -80,6 +80,16 @@
 	Limit conf.NamedLimit
 	// LimitFault is why a limit of the answer can't be used, nil if there is no such limit.
 	LimitFault error
+	// RejectionLimit is how many rejections a second the upstream tolerates, if the answer says that it crashes beyond that.
+	RejectionLimit conf.NamedLimit
+	// RejectionLimitFault is why that number can't be used, nil if there is no such number.
+	RejectionLimitFault error
+	// Leaving reports that the upstream is about to leave.
+	Leaving bool
+	// RetryAfter is how long an upstream that rejected the request asks this entry to back off, 0 if it does not.
+	RetryAfter time.Duration
+	// RetryAfterFault is why that time can't be used, nil if there is no such time.
+	RetryAfterFault error
 }
 
 // Dialect translates the heads of requests and answers.
@@ -208,6 +218,20 @@
 	ErrOverRate = errors.Wrap(ErrRefused, "rate of calls exceeded")
 )
 
+// BackoffError means that an upstream refused a call and asks for no calls of this entry for a time. It wraps [ErrRefused].
+//
+//	var backoff *port.BackoffError
+//	if errors.As(err, &backoff) { pause(backoff.After) }
+type BackoffError struct{ After time.Duration }
+
+// Error returns the message of the error.
+func (e *BackoffError) Error() string {
+	return "call refused, with " + e.After.String() + " to back off"
+}
+
+// Unwrap returns [ErrRefused].
+func (e *BackoffError) Unwrap() error { return ErrRefused }
+
 // Store is the log that the daemons share with the operator and the upstreams.
 type Store interface {
 	// Snapshot reads the newest record of each key.
