--- a/core/place/concurrency_test.go
+++ b/core/place/concurrency_test.go
@@ -74,3 +74,42 @@
 		t.Errorf("requests sent at once without and with a rejection that left a limit of 4 (-want +got):\n%s", diff)
 	}
 }
+
+// TestLoadsOfUpstreamsListedLaterCount hears the load of another entry at an upstream before the upstream is listed here.
+func TestLoadsOfUpstreamsListedLaterCount(t *testing.T) {
+	got := map[string]int{}
+	load := place.PeerMsg{Peer: "other", Loads: []place.Load{{Upstream: "new", Requests: 15}}}
+	for name, last := range map[string]place.PeerMsg{
+		"reported once":      load,
+		"reported again":     load,
+		"reported gone":      {Peer: "other"},
+		"reported by nobody": {Peer: "another"},
+	} {
+		b, now := newBench(1, 100_000_000), start
+		u, _ := b.fleet.Get(engineID(0))
+		b.fleet.Update(now, fleet.RemovedMsg{ID: u.ID})
+		u.ID = "new"
+		if name != "reported by nobody" {
+			b.place.Update(now, load)
+		}
+		if name == "reported gone" {
+			b.place.Update(now, last)
+		}
+		b.fleet.Update(now, fleet.ListedMsg{Upstream: u})
+		b.fleet.Update(now, fleet.RejectionLimitMsg{ID: u.ID, Rejections: conf.NamedLimit{Named: true, PerSecond: 4}, At: now})
+		if name == "reported again" {
+			b.place.Update(now, last)
+		}
+		for n := range 20 {
+			got[name] += len(sends(b.place.Update(now, place.ArriveMsg{Need: need(place.Ticket(n+1), now, 100, "doc", time.Second)})))
+		}
+		b.place.Update(now, place.PeerMsg{Peer: "other"})
+		if inFlight := b.place.InFlight(now, u.ID); inFlight != got[name] {
+			t.Errorf("%s: %d requests in flight after the other entry's have ended, want %d", name, inFlight, got[name])
+		}
+	}
+	want := map[string]int{"reported once": 1, "reported again": 1, "reported gone": 16, "reported by nobody": 16}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("requests sent to an upstream with 16 slots, 15 of them taken by another entry (-want +got):\n%s", diff)
+	}
+}
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -31,11 +31,13 @@
 	limitedAt time.Time
 }
 
-// peer holds the newest loads reported by another entry. They are included in the others field of each load until they
-// expire.
+// peer holds the newest loads reported by another entry until they expire.
 type peer struct {
+	// loads are included in the others field of each load.
 	loads []Load
-	at    time.Time
+	// pending are those at upstreams that have no load here. Entries learn of new upstreams at different times.
+	pending []Load
+	at      time.Time
 }
 
 // add adds a peer's load to the sum if sign is 1, and subtracts it if sign is -1.
@@ -53,11 +55,25 @@
 		if _, known := m.fleet.Get(l.Upstream); known {
 			m.load(l.Upstream).add(l, 1)
 			p.loads = append(p.loads, l)
+		} else {
+			p.pending = append(p.pending, l)
 		}
 	}
 	m.peers[name] = p
 }
 
+// addPending includes the pending loads at an upstream in its load.
+func (p *peer) addPending(l *load) {
+	p.pending = slices.DeleteFunc(p.pending, func(o Load) bool {
+		if o.Upstream != l.own.Upstream {
+			return false
+		}
+		l.add(o, 1)
+		p.loads = append(p.loads, o)
+		return true
+	})
+}
+
 // dropPeer removes the loads of a peer.
 func (m *Model) dropPeer(name string) {
 	p, ok := m.peers[name]
@@ -106,6 +122,9 @@
 	if !ok {
 		l = &load{own: Load{Upstream: upstream}}
 		m.loads[upstream] = l
+		for _, p := range m.peers {
+			p.addPending(l)
+		}
 	}
 	return l
 }
@@ -193,11 +212,10 @@
 // InFlight returns how many requests all entries have under way at an upstream.
 func (m *Model) InFlight(now time.Time, upstream ident.UpstreamID) int {
 	m.expirePeers(now)
-	l, ok := m.loads[upstream]
-	if !ok {
+	if _, known := m.fleet.Get(upstream); !known {
 		return 0
 	}
-	return l.total(now).Requests
+	return m.load(upstream).total(now).Requests
 }
 
 // Waiting returns the number of queued requests.
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -80,6 +80,8 @@
 	clockKnown  bool
 	// concurrencyLimits holds the limits that are to be told.
 	concurrencyLimits []toldConcurrencyLimit
+	// early holds statements of incarnations that are not listed yet.
+	early []earlyStatement
 	// refusals holds when upstreams that may have crashed refused a connection.
 	refusals map[ident.UpstreamID]refusal
 	// peers chooses the entries to which requests are handed over.
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -387,6 +387,7 @@
 	}
 	d.seeRelease(now, u)
 	d.perform(d.fleet.Update(now, fleet.ListedMsg{Upstream: u}))
+	d.applyEarly(now, u.ID, u.Born)
 	if !known || old.Born != u.Born {
 		d.observeRecord(now, u)
 	}
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -265,13 +265,15 @@
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
 	for _, l := range m.ConcurrencyLimits {
-		d.applyConcurrencyLimit(now, arrived, l)
+		d.whenListed(now, l.Upstream, l.Born, func(now time.Time) { d.applyConcurrencyLimit(now, arrived, l) })
 	}
 	for _, l := range m.Leaving {
-		d.perform(d.fleet.Update(now, fleet.LeavingMsg{ID: ident.UpstreamID(l.Upstream), Born: l.Born, Heard: true}))
+		d.whenListed(now, l.Upstream, l.Born, func(now time.Time) {
+			d.perform(d.fleet.Update(now, fleet.LeavingMsg{ID: ident.UpstreamID(l.Upstream), Born: l.Born, Heard: true}))
+		})
 	}
 	for _, l := range m.Limits {
-		d.applyLimit(now, arrived, l)
+		d.whenListed(now, l.Upstream, l.Born, func(now time.Time) { d.applyLimit(now, arrived, l) })
 	}
 	for _, w := range m.Weights {
 		d.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(w.Upstream), Model: ident.ModelName(w.Model), Version: w.Version})
