Let the next follower of a holder go on where the last one left off

Cause: when an entry of a large fleet is lost, its holders change hands, and each new follower told all entries all that its holder keeps, over links of 10 Mbit/s, ahead of requests.

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -70,7 +70,9 @@
 	reports  map[string]*gossip.Report
 	// reportedAt holds the latest time at which each of the reports is known to be true.
 	reportedAt map[string]time.Time
-	weights    []gossip.Weights
+	// positions holds how far the changes of each holder were told.
+	positions map[string]position
+	weights   []gossip.Weights
 	// targets holds the newest announced version of each model's weights.
 	targets map[ident.ModelName]target
 	// ordered holds the upstreams that are carrying out load orders, by the entry that gave them.
@@ -151,7 +153,7 @@
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -33,6 +33,8 @@
 	maxInstantTakeover = 20
 	takeoverBurst      = 4
 	takeoverInterval   = time.Second
+	// positionTTL is how long it is remembered how far a holder's changes were told.
+	positionTTL = 10 * time.Second
 )
 
 // followers runs a follower for each holder of cached context that is assigned to this entry. Each holder is assigned to
@@ -86,7 +88,7 @@
 	for _, addr := range f.takeOver(clock.Now(), own) {
 		followCtx, stop := context.WithCancel(ctx)
 		f.running[addr] = stop
-		go (&follower{d: f.d, addr: addr, store: own[addr]}).run(followCtx)
+		go f.d.newFollower(clock.Now(), addr, own[addr]).run(followCtx)
 	}
 }
 
@@ -107,7 +109,7 @@
 	}
 	ids := mesh.IDs(alive)
 	self := d.mesh.Self().ID
-	if !slices.Contains(ids, self) {
+	if !slices.Contains(ids, self) || d.hearsTooFew(now) {
 		return own
 	}
 	for i := range set.Services() {
@@ -137,6 +139,37 @@
 	return backingOff
 }
 
+// hearsTooFew reports whether this entry has just started in a fleet that is large or may be. It would take over the holders of all entries
+// that it has not heard yet, whose reports would fill a narrow link when the entry has most to read. The lock is held.
+func (d *Controller) hearsTooFew(now time.Time) bool {
+	_, known := d.mesh.Sharers(now, rateMemory)
+	return !known && (d.announced == 0 || watch.Shared(d.announced))
+}
+
+// position is how far the entry that follows a holder has told its changes.
+type position struct {
+	boot, next int64
+	heardAt    time.Time
+}
+
+// recordPosition records how far the changes of a holder were told; the lock is held.
+func (d *Controller) recordPosition(now time.Time, r *gossip.Report) {
+	if r.Next > 0 {
+		d.positions[r.Holder] = position{r.Epoch, r.Next, now}
+	}
+}
+
+// position returns from where to go on following a holder, the zero value if that is its beginning.
+func (d *Controller) position(now time.Time, addr string) (p position) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.DeleteFunc(d.positions, func(_ string, p position) bool { return now.Sub(p.heardAt) >= positionTTL })
+	if !watch.Shared(len(d.mesh.Alive(now))) {
+		return position{}
+	}
+	return d.positions[addr]
+}
+
 // follower reads the changes of one holder.
 type follower struct {
 	d     *Daemon
@@ -145,6 +178,14 @@
 	boot  int64
 	next  int64
 	lost  bool
+	// goesOn is set until the first answer to a follower that goes on from where another entry was.
+	goesOn bool
+}
+
+// newFollower returns a follower that goes on where another entry left off, so that it does not tell all that the holder keeps anew.
+func (d *Daemon) newFollower(now time.Time, addr string, store bool) *follower {
+	p := d.controller.position(now, addr)
+	return &follower{d: d, addr: addr, store: store, boot: p.boot, next: p.next, goesOn: p.next > 0}
 }
 
 // run reads changes until the context ends, except from an engine that asks to back off.
@@ -188,6 +229,11 @@
 		f.lost = false
 		f.d.log.Info("holder_regained", "holder", f.addr, "incarnation", h.Boot)
 	}
+	if f.goesOn && h.Boot != f.boot {
+		f.goesOn, f.boot, f.next = false, 0, 0
+		return
+	}
+	f.goesOn = false
 	if !complete && f.boot != 0 && h.Boot != f.boot {
 		f.d.log.Info("holder_restarted", "holder", f.addr, "incarnation", h.Boot)
 		f.boot, f.next = h.Boot, 0
@@ -230,7 +276,7 @@
 		r = &gossip.Report{Holder: addr, Epoch: h.Boot}
 		d.reports[addr] = r
 	}
-	d.reportedAt[addr] = at
+	d.reportedAt[addr], r.Next = at, h.Next
 	msg := parts.ReportMsg{Holder: parts.Holder(addr), Epoch: h.Boot, At: at, Complete: complete}
 	for _, k := range h.Parts {
 		key := parts.NewKey(k.Salt, k.ID)
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -156,6 +156,7 @@
 	}
 	for _, r := range d.reports {
 		r.AgeMS = int(now.Sub(d.reportedAt[r.Holder]).Milliseconds())
+		d.recordPosition(now, r)
 		m.Reports = append(m.Reports, *r)
 	}
 	for _, l := range d.fleet.TakeLimits(now, maxLimits) {
@@ -256,6 +257,7 @@
 		d.index.Update(now, parts.PrefillingMsg{Holder: parts.Holder(r.Store), Key: parts.Key(r.Key), Tokens: r.Tokens})
 	}
 	for _, r := range m.Reports {
+		d.recordPosition(now, &r)
 		d.index.Update(now, reportMsg(arrived, r))
 	}
 	d.applyMarks(now, arrived, m.Era, m.Marks)
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -35,6 +35,9 @@
 	// AgeMS is how long before the message the holder is known to have been in this incarnation, in ms. It is sent in
 	// ReportAges, since entries of an earlier build don't read arrays with further elements.
 	AgeMS int `cbor:"-"`
+	// Next is the position at the holder up to which the entry that follows it has told all changes, 0 if more messages with
+	// changes come. It is sent in ReportNexts.
+	Next int64 `cbor:"-"`
 }
 
 // Save is a part that a store or an upstream is about to have.
@@ -182,6 +185,8 @@
 	Rollouts []Rollout `cbor:"21,keyasint,omitempty"`
 	// ReportAges holds the ages of Reports while they are sent.
 	ReportAges []int `cbor:"22,keyasint,omitempty"`
+	// ReportNexts holds the positions of Reports while they are sent.
+	ReportNexts []int64 `cbor:"28,keyasint,omitempty"`
 	// Partitioned is set while the sender has lost most of its links to upstreams.
 	Partitioned bool `cbor:"23,keyasint,omitempty"`
 	// Unreachable asks whether other entries reach these upstreams, Contacts answers that.
@@ -290,8 +295,13 @@
 				parts = append(parts, m.empty())
 				last = &parts[len(parts)-1]
 			}
-			last.Reports, last.ReportAges = append(last.Reports, chunk), append(last.ReportAges, chunk.AgeMS)
-			if r.Changes = r.Changes[n:]; len(r.Changes) == 0 {
+			r.Changes = r.Changes[n:]
+			if len(r.Changes) == 0 {
+				chunk.Next = r.Next
+			}
+			last.Reports = append(last.Reports, chunk)
+			last.ReportAges, last.ReportNexts = append(last.ReportAges, chunk.AgeMS), append(last.ReportNexts, chunk.Next)
+			if len(r.Changes) == 0 {
 				break
 			}
 		}
@@ -352,15 +362,18 @@
 			fail(errors.Wrap(err, "datagram"))
 			continue
 		}
-		m.applyAges()
+		m.completeReports()
 		handle(m)
 	}
 }
 
-// applyAges moves the ages of reports to the reports. Entries of an earlier build send none.
-func (m *Message) applyAges() {
+// completeReports moves the ages and positions of reports to the reports. Entries of an earlier build send none.
+func (m *Message) completeReports() {
 	for i := range min(len(m.Reports), len(m.ReportAges)) {
 		m.Reports[i].AgeMS = m.ReportAges[i]
 	}
-	m.ReportAges = nil
+	for i := range min(len(m.Reports), len(m.ReportNexts)) {
+		m.Reports[i].Next = m.ReportNexts[i]
+	}
+	m.ReportAges, m.ReportNexts = nil, nil
 }
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -42,7 +42,7 @@
 	if err := <-faults; err == nil {
 		t.Error("no error for bytes that are not a message")
 	}
-	want := gossip.Message{ID: "a", Heartbeat: true, Reports: []gossip.Report{{Holder: "h", Epoch: 1, AgeMS: 700}}, Loads: []gossip.Load{{Upstream: "u", Requests: 2}}}
+	want := gossip.Message{ID: "a", Heartbeat: true, Reports: []gossip.Report{{Holder: "h", Epoch: 1, AgeMS: 700, Next: 900}}, Loads: []gossip.Load{{Upstream: "u", Requests: 2}}}
 	for i := range 300 {
 		want.Reports[0].Changes = append(want.Reports[0].Changes, gossip.Change{Key: uint64(i), Tokens: i})
 	}
@@ -59,7 +59,10 @@
 				got.Loads = m.Loads
 			}
 			for _, r := range m.Reports {
-				got.Reports[0].AgeMS = r.AgeMS
+				if r.Next > 0 && got.Reports[0].Next > 0 {
+					t.Error("two parts tell the position")
+				}
+				got.Reports[0].AgeMS, got.Reports[0].Next = r.AgeMS, max(got.Reports[0].Next, r.Next)
 				got.Reports[0].Changes = append(got.Reports[0].Changes, r.Changes...)
 			}
 		case <-time.After(5 * time.Second):
