--- a/io/entry/transfer_test.go
+++ b/io/entry/transfer_test.go
@@ -194,24 +194,31 @@
 	}
 }
 
-// TestConcurrentExports sends new prompts to both entries and repeats each while its first answers end, so that exports
-// of one prompt run concurrently with each other and with imports of the same blocks.
+// TestConcurrentExports sends new prompts to both entries and repeats each while its first answers end, until exports
+// of one prompt have run concurrently with each other and with imports of the same blocks.
 func TestConcurrentExports(t *testing.T) {
-	const prompts, copies = 40, 3
+	const prompts, copies, rounds = 40, 3, 10
 	c, ctx := startStoreCluster(t, fastPrefill, fastLinks)
-	var pending sync.WaitGroup
-	for _, e := range c.Entries() {
-		for n := range copies {
-			pending.Go(func() {
-				for i := range prompts + n {
-					sendLongPrompt(ctx, t, e, bench.Token, longPrompt(max(0, i-n)), []ident.Version{"v1"})
-				}
-			})
+	var concurrent int64
+	for round := range rounds {
+		before := counterSum(c, "exports")
+		var pending sync.WaitGroup
+		for _, e := range c.Entries() {
+			for n := range copies {
+				pending.Go(func() {
+					for i := range prompts + n {
+						sendLongPrompt(ctx, t, e, bench.Token, longPrompt(round*prompts+max(0, i-n)), []ident.Version{"v1"})
+					}
+				})
+			}
+		}
+		pending.Wait()
+		if concurrent = counterSum(c, "exports") - before - prompts; concurrent > 0 && counterSum(c, "imports") > 0 {
+			break
 		}
 	}
-	pending.Wait()
-	if counterSum(c, "exports") <= prompts || counterSum(c, "imports") == 0 {
-		t.Errorf("%d exports and %d imports of %d prompts", counterSum(c, "exports"), counterSum(c, "imports"), prompts)
+	if concurrent <= 0 || counterSum(c, "imports") == 0 {
+		t.Errorf("%d more exports than prompts in the last round, %d imports", concurrent, counterSum(c, "imports"))
 	}
 	checkBlocks(t, c)
 }
