Do not count against a release what a lost link keeps back

Cause: an attempt under way at the new release counted as slow as soon as it was, the same at the old one only once it was answered. Breaks of the first second counted as well.

A slow attempt under way counts once its upstream has been reached since it was found to be slow, and one that broke off once the upstream was reached since, or after the 1.5 s in which the loss of a link becomes known; neither if the link is lost.

TestLostLinksSayNothingOfARelease failed in both of its cases before. Ruled out: that crashing or silent releases go unnoticed (TestCrashingReleaseIsRolledBack, and a silent kind in TestBadReleaseIsRolledBackWithinItsBound, passed before and pass now).

--- a/core/ramp/evidence.go
+++ b/core/ramp/evidence.go
@@ -51,6 +51,8 @@
 	// breakInterval is the time within which several attempts that break off at one upstream count once: an upstream that
 	// ends breaks all of them off.
 	breakInterval = time.Second
+	// lossNoticeTime is how long after an attempt broke off an entry knows whether that was the loss of its own link.
+	lossNoticeTime = 1500 * time.Millisecond
 	// maxCells bounds the routes in a report.
 	maxCells = 20
 )
@@ -76,7 +78,7 @@
 	if !known || a.first {
 		return
 	}
-	a.first = true
+	a.first, a.overdueAt = true, time.Time{}
 	m.timed(a, SlowFirst, a.firstPace(now), a.slowFirst)
 }
 
@@ -141,6 +143,8 @@
 			return
 		}
 		m.noteBreak(now, s, a.Upstream)
+		m.breaks = append(m.breaks, brokenAttempt{a, now})
+		return
 	case !msg.Failed:
 		if v, ok := a.wholePace(now); ok {
 			m.timed(a, SlowWhole, v, a.slowWhole)
@@ -159,25 +163,50 @@
 	s.brokeAt[upstream] = now
 }
 
-// countOverdue counts the attempts under way that are slow already.
-func (m *Model) countOverdue(now time.Time) {
+// countBreaks counts the attempts that broke off, unless this entry had lost its link: once the upstream has been reached since, or
+// when the loss would be known.
+func (m *Model) countBreaks(now time.Time, link func(ident.UpstreamID) Link) {
+	m.breaks = slices.DeleteFunc(m.breaks, func(b brokenAttempt) bool {
+		l := link(b.Upstream)
+		switch {
+		case l.Lost:
+			return true
+		case l.ContactAt.After(b.at) || now.Sub(b.at) >= lossNoticeTime:
+			m.count(b.attempt, Failed, true)
+			return true
+		}
+		return false
+	})
+}
+
+// countOverdue counts the attempts under way that are slow already, if their upstreams have been reached since. What a lost link
+// keeps back says nothing of a release.
+func (m *Model) countOverdue(now time.Time, link func(ident.UpstreamID) Link) {
 	for _, a := range m.attempts {
 		if a.run == nil || !a.isNew || a.Cold {
 			continue
 		}
 		s := m.service(a.Service)
-		if limit, ok := a.limit(s, false); ok && !a.first && !a.slowFirst && a.firstPace(now) > limit {
+		if limit, ok := a.limit(s, false); ok && !a.first && !a.slowFirst && a.firstPace(now) > limit && a.overdue(now, link) {
 			a.slowFirst = true
 			m.count(a, SlowFirst, true)
 		}
 		v, timed := a.wholePace(now)
-		if limit, ok := a.limit(s, true); ok && timed && !a.slowWhole && v > limit {
+		if limit, ok := a.limit(s, true); ok && timed && !a.slowWhole && v > limit && a.overdue(now, link) {
 			a.slowWhole = true
 			m.count(a, SlowWhole, true)
 		}
 	}
 }
 
+// overdue reports whether the upstream of a slow attempt was reached since the attempt was first found to be slow.
+func (a *attempt) overdue(now time.Time, link func(ident.UpstreamID) Link) bool {
+	if a.overdueAt.IsZero() {
+		a.overdueAt = now
+	}
+	return link(a.Upstream).ContactAt.After(a.overdueAt)
+}
+
 // hear applies what another entry tells.
 func (m *Model) hear(now time.Time, msg ReportMsg) (cmds []ident.Cmd) {
 	r := m.service(msg.Report.Service).run
--- a/core/ramp/messages.go
+++ b/core/ramp/messages.go
@@ -103,12 +103,22 @@
 	Old int
 }
 
+// Link describes the link of an entry to an upstream.
+type Link struct {
+	// ContactAt is when the newest request was sent, or connection opened, that the upstream has answered.
+	ContactAt time.Time
+	// Lost is set if other entries reach the upstream and this one does not.
+	Lost bool
+}
+
 // TickMsg triggers the periodic decisions.
 type TickMsg struct {
 	// Holds reports whether this entry decides.
 	Holds bool
 	// Entries lists the other entries that are alive.
 	Entries []string
+	// Link describes the link of this entry to an upstream.
+	Link func(id ident.UpstreamID) Link
 	// Pool describes the upstreams of a service for a target.
 	Pool func(service ident.ServiceName, target Release) Pool
 }
--- a/core/ramp/plan.go
+++ b/core/ramp/plan.go
@@ -65,7 +65,8 @@
 // tick judges the roll-outs and, if this entry decides, moves them on and has their states recorded.
 func (m *Model) tick(now time.Time, msg TickMsg) (cmds []ident.Cmd) {
 	m.entries = len(msg.Entries) + 1
-	m.countOverdue(now)
+	m.countBreaks(now, msg.Link)
+	m.countOverdue(now, msg.Link)
 	for _, r := range m.runs() {
 		if reason := r.judge.test(now); reason != nil && m.decide(r, RolledBack) {
 			cmds = append(cmds, r.verdictCmd(now, reason))
--- a/core/ramp/ramp.go
+++ b/core/ramp/ramp.go
@@ -31,6 +31,8 @@
 	// recorded holds the states in the store that were read at the start; it is nil before.
 	recorded map[ident.ServiceName]Recorded
 	attempts map[uint64]*attempt
+	// breaks holds the attempts that broke off and are not counted yet.
+	breaks []brokenAttempt
 	// entries is the number of entries that are alive, this one included.
 	entries int
 }
@@ -59,6 +61,14 @@
 	loaded bool
 	// first is set once the first byte has come, slowFirst and slowWhole once the attempt was counted as slow.
 	first, slowFirst, slowWhole bool
+	// overdueAt is when it was first found to be slow while it still waits for the first byte, or then for the last one; zero before.
+	overdueAt time.Time
+}
+
+// brokenAttempt is an attempt that broke off at a time.
+type brokenAttempt struct {
+	*attempt
+	at time.Time
 }
 
 // run is a roll-out.
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,6 +23,10 @@
 	// rollbackBound and badAnswers bound how long a release may get requests after its bad answers.
 	rollbackBound = 5 * time.Second
 	badAnswers    = 50
+	// upstreams is the number of upstreams of each release.
+	upstreams = 8
+	// lossKnownAfter is how long after the loss of its links an entry knows of it.
+	lossKnownAfter = 1500 * time.Millisecond
 )
 
 var (
@@ -74,10 +79,16 @@
 	loss float64
 	// perTick is the number of requests in each tick.
 	perTick int
+	// linkLostAt is when each entry lost its links to the upstreams, and breaks is set if its requests break off then; else they
+	// are left without an answer.
+	linkLostAt map[int]time.Time
+	breaks     bool
+	// crashes is set if the upstreams of the new release break off what fails there, and nobody reaches them after that.
+	crashes bool
 }
 
 func newFleet(seed uint64, entries int, answer release) *fleet {
-	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: start.Add(-5 * time.Second), answer: answer, cut: map[int]bool{}, perTick: normalLoad, inFlight: map[bool]int{}}
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: start.Add(-5 * time.Second), answer: answer, cut: map[int]bool{}, perTick: normalLoad, inFlight: map[bool]int{}, linkLostAt: map[int]time.Time{}}
 	for range entries {
 		f.entries = append(f.entries, f.newEntry())
 	}
@@ -140,11 +151,22 @@
 			others = append(others, fmt.Sprint(j))
 		}
 	}
-	return ramp.TickMsg{Holds: i == f.holder && !f.away, Entries: others, Pool: func(ident.ServiceName, ramp.Release) ramp.Pool {
+	return ramp.TickMsg{Holds: i == f.holder && !f.away, Entries: others, Link: func(id ident.UpstreamID) ramp.Link { return f.link(i, id) }, Pool: func(ident.ServiceName, ramp.Release) ramp.Pool {
 		return ramp.Pool{OldSlots: 100, NewSlots: 100, Old: 4, OldInFlight: f.inFlight[false]}
 	}}
 }
 
+// link describes the link of an entry to an upstream. A loss is known after a time.
+func (f *fleet) link(entry int, id ident.UpstreamID) ramp.Link {
+	if f.crashes && strings.HasPrefix(string(id), "v2") {
+		return ramp.Link{}
+	}
+	if at, lost := f.linkLostAt[entry]; lost {
+		return ramp.Link{ContactAt: at.Add(-tick), Lost: f.now.Sub(at) >= lossKnownAfter}
+	}
+	return ramp.Link{ContactAt: f.now.Add(-tick)}
+}
+
 func (f *fleet) perform(entry int, cmds []ident.Cmd) {
 	for _, cmd := range cmds {
 		if c, ok := cmd.(ramp.RecordCmd); ok {
@@ -203,7 +225,7 @@
 	})
 	f.inFlight[isNew]++
 	m.Update(f.now, ramp.SentMsg{Attempt: ramp.Attempt{
-		ID: f.next, Service: service, Route: route, Upstream: ident.UpstreamID(to), Release: to, Expected: normal, Output: 100,
+		ID: f.next, Service: service, Route: route, Upstream: ident.UpstreamID(fmt.Sprint(to, f.next%upstreams)), Release: to, Expected: normal, Output: 100,
 	}})
 }
 
@@ -211,6 +233,16 @@
 	var left []reply
 	for _, r := range f.due {
 		m := f.entries[r.entry]
+		if at, lost := f.linkLostAt[r.entry]; lost {
+			known := f.now.Sub(at) >= lossKnownAfter
+			if known || f.breaks {
+				m.Update(f.now, ramp.EndMsg{ID: r.id, Failed: !known, Broken: !known, Void: known})
+				f.inFlight[r.isNew]--
+			} else {
+				left = append(left, r)
+			}
+			continue
+		}
 		if !r.first && !f.now.Before(r.firstAt) {
 			r.first = true
 			m.Update(f.now, ramp.FirstByteMsg{ID: r.id})
@@ -219,7 +251,7 @@
 			left = append(left, r)
 			continue
 		}
-		m.Update(f.now, ramp.EndMsg{ID: r.id, Failed: r.failed})
+		m.Update(f.now, ramp.EndMsg{ID: r.id, Failed: r.failed, Broken: r.failed && f.crashes})
 		f.inFlight[r.isNew]--
 		if r.bad {
 			f.bad = append(f.bad, f.now)
@@ -281,6 +313,7 @@
 		sometimes(0.5, answer{1, true})),
 	"late_slow": when(func(age time.Duration, _ string, _ int) bool { return age > 7*time.Second },
 		sometimes(0.6, answer{factor: 4})),
+	"silent": sometimes(0.5, answer{factor: 500}),
 	"one_route": when(func(_ time.Duration, route string, _ int) bool { return route == "b" },
 		sometimes(0.6, answer{1, true})),
 	"one_route_slow": when(func(_ time.Duration, route string, _ int) bool { return route == "c" },
@@ -322,6 +355,42 @@
 	}
 }
 
+// TestLostLinksSayNothingOfARelease lets two entries of three lose their links while a good release is on test. Until that is known, their
+// requests get no answer or break off.
+func TestLostLinksSayNothingOfARelease(t *testing.T) {
+	for name, breaks := range map[string]bool{"silent": false, "breaks": true} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				lostAt := time.Duration(2+3*seed) * time.Second
+				f := newFleet(seed, 3, good)
+				f.perTick, f.holder, f.breaks = 3*normalLoad, 1, breaks
+				f.run(within, func(age time.Duration) {
+					if age == lostAt {
+						f.linkLostAt[0], f.linkLostAt[2] = f.now, f.now
+					}
+				})
+				f.check(t, ramp.StateDone)
+				if t.Failed() {
+					t.Fatalf("seed %d, links lost after %v", seed, lostAt)
+				}
+			}
+		})
+	}
+}
+
+// TestCrashingReleaseIsRolledBack rolls out a release whose upstreams crash.
+func TestCrashingReleaseIsRolledBack(t *testing.T) {
+	for seed := range uint64(seeds) {
+		f := newFleet(seed, 7, bad["fails"])
+		f.crashes = true
+		f.run(within+2*time.Second, nil)
+		f.check(t, ramp.StateRolledBack)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
 // TestManyEntriesWithFewRequests rolls out releases on so many entries that each of them sends a few requests alone.
 func TestManyEntriesWithFewRequests(t *testing.T) {
 	for kind, want := range map[string]ramp.State{"good": ramp.StateDone, "slow": ramp.StateRolledBack, "fails": ramp.StateRolledBack} {
--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -438,6 +438,15 @@
 	return ok && (s.contactAt.After(at) || after(s.heardAt, at))
 }
 
+// ContactAt returns when the newest request was sent, or connection opened, that an upstream has answered to this entry; zero if
+// there was none.
+func (m *Model) ContactAt(id ident.UpstreamID) (at time.Time) {
+	if s, ok := m.states[id]; ok {
+		at = s.contactAt
+	}
+	return at
+}
+
 // QueriedAt returns when the other entries were last asked about an upstream that this one can't reach, zero if they were not.
 func (m *Model) QueriedAt(id ident.UpstreamID) (at time.Time) {
 	if s, ok := m.states[id]; ok {
--- a/io/daemon/rollout.go
+++ b/io/daemon/rollout.go
@@ -113,7 +113,7 @@
 // tickRamp makes the periodic decisions and returns what is to be recorded; the lock is held.
 func (d *Controller) tickRamp(now time.Time, holds bool) (cmds []ident.Cmd) {
 	entries := slices.DeleteFunc(mesh.IDs(d.mesh.Alive(now)), func(id string) bool { return id == d.mesh.Self().ID })
-	all := d.ramp.Update(now, ramp.TickMsg{Holds: holds, Entries: entries, Pool: func(service ident.ServiceName, target ramp.Release) ramp.Pool {
+	all := d.ramp.Update(now, ramp.TickMsg{Holds: holds, Entries: entries, Link: d.linkOf, Pool: func(service ident.ServiceName, target ramp.Release) ramp.Pool {
 		return d.place.PoolOf(now, service, target)
 	}})
 	d.logRamp(all)
@@ -125,6 +125,11 @@
 
 var verdictNames = map[ramp.Verdict]ramp.State{ramp.Undecided: ramp.StateRunning, ramp.RolledBack: ramp.StateRolledBack, ramp.Done: ramp.StateDone}
 
+// linkOf describes the link to an upstream; the lock is held.
+func (d *Controller) linkOf(id ident.UpstreamID) ramp.Link {
+	return ramp.Link{ContactAt: d.reach.ContactAt(id), Lost: d.reach.Isolated(id)}
+}
+
 // logRamp logs the steps and verdicts of roll-outs, and tells the other entries soon; the lock is held.
 func (d *Controller) logRamp(cmds []ident.Cmd) {
 	for _, cmd := range cmds {
