--- a/io/daemon/reach_test.go
+++ b/io/daemon/reach_test.go
@@ -139,3 +139,36 @@
 		t.Errorf("duties by the number of entries (-want +got):\n%s", diff)
 	}
 }
+
+// TestEntriesThatLostTheirLinksKnowItThoughMostDid cuts all entries but the last one off from all upstreams, which each of them tries in turn.
+func TestEntriesThatLostTheirLinksKnowItThoughMostDid(t *testing.T) {
+	for _, entries := range []int{4, 5, 7, 12} {
+		for _, upstreams := range []int{3, 6, 13} {
+			now := time.Now()
+			fleet := newFleet(Settings{}, entries, now)
+			for i := range upstreams {
+				for _, d := range fleet {
+					d.applyUpstream(now, upstream(ident.UpstreamID(fmt.Sprint("u", i)), 1))
+				}
+			}
+			last := entries - 1
+			reaches := func(entry int, _ ident.UpstreamID) bool { return entry == last }
+			now = exchange(fleet, now, time.Second, func(int, ident.UpstreamID) bool { return true })
+			for n := range 24 {
+				for i, d := range fleet {
+					d.observeProbe(now, ident.UpstreamID(fmt.Sprint("u", (n+i)%upstreams)), now, i == last)
+				}
+				now = exchange(fleet, now, 100*time.Millisecond, reaches)
+			}
+			var got []int
+			for i, d := range fleet {
+				if !d.reach.Partitioned() {
+					got = append(got, i)
+				}
+			}
+			if diff := cmp.Diff([]int{last}, got); diff != "" {
+				t.Errorf("%d entries, %d upstreams: entries that count as connected (-want +got):\n%s", entries, upstreams, diff)
+			}
+		}
+	}
+}
