Hand requests over to entries with the same configuration

Cause: a request went to any entry that has its links, whatever configuration that one had.

Heartbeats tell the version. Requests go to peers with the same one; an entry without most of its links turns to newer ones and then to any, since its callers would not be served else. TestRequestsAreHandedOverToEntriesWithTheSameConfiguration: most cases fail if all peers are eligible.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -42,6 +42,8 @@
 	Boot int64
 	// Partitioned is set while the entry has lost most of its links to upstreams.
 	Partitioned bool
+	// Version is that of its configuration, 0 if it is not known.
+	Version int64
 }
 
 // HeartbeatMsg reports a message of another entry, which shows that it is alive.
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -166,6 +166,14 @@
 // Config implements [relay.Controller].
 func (d *Controller) Config() *conf.Set { return d.set.Load() }
 
+// configVersion returns the version of the configuration, 0 before there is one.
+func (d *Controller) configVersion() int64 {
+	if set := d.set.Load(); set != nil {
+		return set.Version()
+	}
+	return 0
+}
+
 // Place implements [relay.Controller].
 func (d *Controller) Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (decision relay.Decision, err error) {
 	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need, Avoid: avoid}, func(now time.Time) {
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -143,7 +143,7 @@
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot,
 		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
-		Partitioned: self.Partitioned,
+		Partitioned: self.Partitioned, Version: d.configVersion(),
 	}
 	d.shareReach(now, &m)
 	d.shareEvidence(now, len(alive), &m)
@@ -228,7 +228,7 @@
 	defer d.mu.Unlock()
 	self = d.mesh.Self()
 	return gossip.Message{
-		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned,
+		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned, Version: d.configVersion(),
 	}, self
 }
 
@@ -236,7 +236,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mesh.Update(now, mesh.HeartbeatMsg{Peer: mesh.Peer{
-		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), State: mesh.State(m.State), Boot: m.Boot, Partitioned: m.Partitioned,
+		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), State: mesh.State(m.State), Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version,
 	}})
 	if m.Heartbeat {
 		msg := place.PeerMsg{Peer: m.ID}
--- a/io/daemon/reach.go
+++ b/io/daemon/reach.go
@@ -171,8 +171,34 @@
 		return "", false
 	}
 	self := d.mesh.Self().ID
-	serving := slices.DeleteFunc(mesh.IDs(mesh.Connected(d.mesh.Serving(now))), func(id string) bool { return id == self })
-	return d.peers.Choose(now, serving, tried)
+	serving := slices.DeleteFunc(mesh.Connected(d.mesh.Serving(now)), func(p mesh.Peer) bool { return p.ID == self })
+	return d.peers.Choose(now, mesh.IDs(serving), append(d.ineligible(serving, lack, tried), tried...))
+}
+
+// ineligible returns those of the peers to which no request should be handed over. Callers must not see an older configuration than this
+// entry's, nor a newer one that its own answers then contradict. Unless there is no other way, requests go to peers with the same one. The
+// lock is held.
+func (d *Controller) ineligible(peers []mesh.Peer, lack relay.Lack, tried []string) (ids []string) {
+	own := d.configVersion()
+	var same, newer, older []string
+	for _, p := range peers {
+		switch {
+		case slices.Contains(tried, p.ID):
+		case p.Version == own || p.Version == 0:
+			same = append(same, p.ID)
+		case p.Version > own:
+			newer = append(newer, p.ID)
+		default:
+			older = append(older, p.ID)
+		}
+	}
+	switch {
+	case len(same) > 0 || lack < relay.LacksMost:
+		return append(newer, older...)
+	case len(newer) > 0:
+		return older
+	}
+	return nil
 }
 
 // ObservePeer implements [relay.Controller].
--- a/io/daemon/reach_test.go
+++ b/io/daemon/reach_test.go
@@ -172,3 +172,46 @@
 		}
 	}
 }
+
+// TestRequestsAreHandedOverToEntriesWithTheSameConfiguration lets an entry choose among peers with other versions of the configuration.
+func TestRequestsAreHandedOverToEntriesWithTheSameConfiguration(t *testing.T) {
+	cases := []struct {
+		name string
+		// versions are those of the other entries; the entry has version 5.
+		versions []int64
+		lack     relay.Lack
+		want     []string
+	}{
+		{"same", []int64{5, 5}, relay.LacksSome, []string{"entry-1", "entry-2"}},
+		{"some are behind", []int64{4, 5}, relay.LacksMost, []string{"entry-2"}},
+		{"some are ahead", []int64{6, 5}, relay.LacksMost, []string{"entry-2"}},
+		{"all are ahead", []int64{6, 6}, relay.LacksSome, nil},
+		{"all are ahead of one without links", []int64{6, 4}, relay.LacksMost, []string{"entry-1"}},
+		{"all are behind one without links", []int64{4, 4}, relay.LacksMost, []string{"entry-1", "entry-2"}},
+		{"earlier build", []int64{0, 4}, relay.LacksSome, []string{"entry-1"}},
+	}
+	for _, c := range cases {
+		now := time.Now()
+		fleet := newFleet(Settings{}, 3, now)
+		for i, version := range append([]int64{5}, c.versions...) {
+			if version > 0 {
+				fleet[i].applyConfig(conf.Data{Version: version})
+			}
+		}
+		exchange(fleet, now, 100*time.Millisecond, func(int, ident.UpstreamID) bool { return true })
+		d := fleet[0]
+		d.mu.Lock()
+		peers := slices.DeleteFunc(d.mesh.Serving(now), func(p mesh.Peer) bool { return p.ID == "entry-0" })
+		var got []string
+		for range 50 {
+			if id, ok := d.peers.Choose(now, mesh.IDs(peers), d.ineligible(peers, c.lack, nil)); ok && !slices.Contains(got, id) {
+				got = append(got, id)
+			}
+		}
+		d.mu.Unlock()
+		slices.Sort(got)
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: entries that get requests (-want +got):\n%s", c.name, diff)
+		}
+	}
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -189,6 +189,8 @@
 	ReportNexts []int64 `cbor:"28,keyasint,omitempty"`
 	// Partitioned is set while the sender has lost most of its links to upstreams.
 	Partitioned bool `cbor:"23,keyasint,omitempty"`
+	// Version is that of the sender's configuration. Entries of an earlier build don't tell it.
+	Version int64 `cbor:"29,keyasint,omitempty"`
 	// Unreachable asks whether other entries reach these upstreams, Contacts answers that.
 	Unreachable       []Unreachable      `cbor:"24,keyasint,omitempty"`
 	Contacts          []Contact          `cbor:"25,keyasint,omitempty"`
@@ -331,7 +333,7 @@
 
 // empty returns a message of the same sender without content.
 func (m Message) empty() Message {
-	return Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned}
+	return Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version}
 }
 
 // size estimates the size of a message, counted in changes of parts.
