--- a/core/node/journal.go
+++ b/core/node/journal.go
@@ -35,6 +35,7 @@
 		record.TypeOf[once.AskCmd](), record.TypeOf[once.AppendCmd](), record.TypeOf[once.SendCmd](),
 		record.TypeOf[once.AnswerCmd](),
 		record.TypeOf[sched.UpstreamsMsg](), record.TypeOf[sched.LoadMsg](), record.TypeOf[sched.UnreachableMsg](),
+		record.TypeOf[sched.CheckReachCmd](), record.TypeOf[sched.UnreachedMsg](),
 		record.TypeOf[sched.RulesMsg](), record.TypeOf[sched.ArriveMsg](), record.TypeOf[sched.FirstMsg](),
 		record.TypeOf[sched.EndMsg](), record.TypeOf[sched.FailMsg](), record.TypeOf[sched.GoneMsg](),
 		record.TypeOf[sched.TickMsg](), record.TypeOf[sched.WakeMsg](), record.TypeOf[sched.SendCmd](),
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -299,6 +299,15 @@
 	return m.confirm(now, upstream, func(l Loss) bool { return l.Boot != boot })
 }
 
+// AwaitsConfirmation reports whether an upstream has losses that are not confirmed yet.
+func (m *Model) AwaitsConfirmation(now time.Time, upstream ident.UpstreamID) bool {
+	return slices.ContainsFunc(m.pending[upstream], func(d Digest) bool {
+		return slices.ContainsFunc(m.claimsOf(d), func(c claim) bool {
+			return c.loss.Upstream == upstream && !c.confirmed && c.isPending(now)
+		})
+	})
+}
+
 // Unreachable records that an upstream no longer answers, which confirms its losses.
 func (m *Model) Unreachable(now time.Time, upstream ident.UpstreamID) []ident.Cmd {
 	return m.confirm(now, upstream, func(Loss) bool { return true })
--- a/core/sched/reports.go
+++ b/core/sched/reports.go
@@ -51,18 +51,3 @@
 	u.updateOthers(msg.Load)
 	return m.poison.ObserveBoot(now, msg.Upstream, msg.Load.BootID)
 }
-
-// handleUnreachable counts a missed probe, unless this entry lagged since the probe started.
-func (m *Model) handleUnreachable(now time.Time, msg UnreachableMsg) []ident.Cmd {
-	u, known := m.upstreams[msg.Upstream]
-	if !known || m.lag.laggedSince(now, now.Add(-msg.Waited)) {
-		return nil
-	}
-	u.misses++
-	u.restricted = true
-	if u.misses < unreachableMisses {
-		return nil
-	}
-	m.slots.SuspectReboot(now, msg.Upstream)
-	return m.poison.Unreachable(now, msg.Upstream)
-}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -113,6 +113,8 @@
 		return m.setLoad(now, msg)
 	case UnreachableMsg:
 		return m.handleUnreachable(now, msg)
+	case UnreachedMsg:
+		return m.handleUnreached(now, msg)
 	case RulesMsg:
 		m.setRules(msg)
 		m.updateClosed(now)
--- a/io/bench/entry.go
+++ b/io/bench/entry.go
@@ -24,6 +24,7 @@
 	Peer   string
 
 	daemon *entry.Daemon
+	links  *links
 	stop   context.CancelFunc
 	ended  chan struct{}
 	err    error
@@ -54,9 +55,9 @@
 	if err != nil {
 		return nil, err
 	}
-	e = &Entry{ID: id, ended: make(chan struct{}), resume: make(chan struct{})}
+	e = &Entry{ID: id, links: newLinks(), ended: make(chan struct{}), resume: make(chan struct{})}
 	started := make(chan roster.Member, 1)
-	e.daemon = entry.NewDaemon(settings, tokens, entry.WithLogger(c.logger), entry.WithGate(e.waitIfPaused),
+	e.daemon = entry.NewDaemon(settings, tokens, entry.WithLogger(c.logger), entry.WithGate(e.waitIfPaused), entry.WithUpstreamDialer(e.links.dial),
 		entry.WithCacheSecret([]byte(cacheSecret)), entry.WithStarted(func(m roster.Member) { started <- m }))
 	ctx, stop := context.WithCancel(c.ctx)
 	e.stop = stop
@@ -112,6 +113,12 @@
 	<-e.ended
 }
 
+// BreakLinks makes all connections of the entry to upstreams break off once a request has been sent, until RestoreLinks.
+func (e *Entry) BreakLinks() { e.links.broken.Store(true) }
+
+// RestoreLinks ends BreakLinks.
+func (e *Entry) RestoreLinks() { e.links.broken.Store(false) }
+
 // Pause suspends the entry's message loop until Resume.
 func (e *Entry) Pause() {
 	e.mu.Lock()
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -32,7 +32,8 @@
 
 // HTTPClient is a [Client] over HTTP.
 type HTTPClient struct {
-	pooled *http.Client
+	idlePerHost int
+	pooled      *http.Client
 	// fresh opens a connection for each request.
 	fresh *http.Client
 	// control fetches load reports.
@@ -45,6 +46,11 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// WithDialer sets the dialer of connections for requests.
+func WithDialer(dial DialFunc) Option {
+	return func(c *HTTPClient) { c.setDialer(dial) }
+}
+
 // WithControlDialer sets the dialer of connections for load reports.
 func WithControlDialer(dial DialFunc) Option {
 	return func(c *HTTPClient) {
@@ -54,10 +60,8 @@
 
 // NewHTTPClient returns a client that keeps up to idlePerHost idle connections per upstream.
 func NewHTTPClient(connectTimeout time.Duration, idlePerHost int, options ...Option) *HTTPClient {
-	dialer := &net.Dialer{Timeout: connectTimeout}
-	pooled := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerHost}
-	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}
-	c := &HTTPClient{pooled: withoutRedirects(pooled), fresh: withoutRedirects(fresh)}
+	c := &HTTPClient{idlePerHost: idlePerHost}
+	c.setDialer((&net.Dialer{Timeout: connectTimeout}).DialContext)
 	c.control = c.pooled
 	for _, o := range options {
 		o(c)
@@ -65,6 +69,11 @@
 	return c
 }
 
+func (c *HTTPClient) setDialer(dial DialFunc) {
+	c.pooled = withoutRedirects(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: c.idlePerHost})
+	c.fresh = withoutRedirects(&http.Transport{DialContext: dial, DisableKeepAlives: true})
+}
+
 // withoutRedirects returns a client that follows no redirects, as a redirect would send a call twice.
 func withoutRedirects(t http.RoundTripper) *http.Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/io/entry/confirm.go
+++ b/io/entry/confirm.go
@@ -37,15 +37,9 @@
 }
 
 func (c *confirmer) run(ctx context.Context) error {
-	var group errgroup.Group
-	group.SetLimit(maxConfirmations)
-	_ = c.queue.run(ctx, func(ctx context.Context, cmd sched.ConfirmCmd) {
-		group.Go(func() error {
-			(&confirmation{c, cmd}).run(ctx)
-			return nil
-		})
+	return c.queue.runConcurrently(ctx, maxConfirmations, func(ctx context.Context, cmd sched.ConfirmCmd) {
+		(&confirmation{c, cmd}).run(ctx)
 	})
-	return group.Wait()
 }
 
 // confirmation executes one command.
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -59,7 +59,9 @@
 	abortOnce sync.Once
 
 	engines *engine.HTTPClient
-	logs    logsvc.Service
+	// upstreamDial replaces what opens the connections of engines, nil for the default.
+	upstreamDial engine.DialFunc
+	logs         logsvc.Service
 	// control are the transports for the platform's services, and peerHTTP is the one for other entries.
 	control  []*http.Transport
 	peerHTTP *http.Transport
@@ -73,9 +75,10 @@
 	rosterFetcher   *rosterFetcher
 	positionFetcher *positionFetcher
 	// confirmer checks that the members have folded the verdicts that a suspected request waits for.
-	confirmer *confirmer
-	prober    *prober
-	peers     *peerSender
+	confirmer    *confirmer
+	reachChecker *reachChecker
+	prober       *prober
+	peers        *peerSender
 	// canceller stops abandoned attempts on their engines.
 	canceller *canceller
 	// cacheSecret is the HMAC key for values derived from an organisation's name or requests.
@@ -138,6 +141,9 @@
 	for _, o := range options {
 		o(d)
 	}
+	if dial := d.upstreamDial; dial != nil {
+		d.engines = engine.NewHTTPClient(connectTimeout, idleConnsPerUpstream, engine.WithDialer(dial), engine.WithControlDialer(dial))
+	}
 	d.log = d.log.With("entry", settings.Entry)
 	d.self = roster.Member{Entry: id, Incarnation: incarnation, Zone: ident.Zone(settings.Zone)}
 	d.appender = newAppender(d.logs, time.Duration(settings.LogTimeout), settings.AppendBatch, d.appendEvents(), d.log)
@@ -147,6 +153,7 @@
 	d.takeBackNotifier = newTakeBackNotifier(d)
 	d.positionFetcher = newPositionFetcher(d)
 	d.confirmer = newConfirmer(d)
+	d.reachChecker = newReachChecker(d)
 	d.canceller = newCanceller(d.engines)
 	d.stores = store.NewHTTPClient(connectTimeout)
 	d.cacheTransfer = newCacheTransfer(d, d.stores)
@@ -286,6 +293,7 @@
 	group.Go(func() error { return d.rosterFetcher.run(ctx) })
 	group.Go(func() error { return d.positionFetcher.run(ctx) })
 	group.Go(func() error { return d.confirmer.run(ctx) })
+	group.Go(func() error { return d.reachChecker.run(ctx) })
 	group.Go(func() error { return d.prober.run(ctx) })
 	group.Go(func() error { return d.canceller.run(ctx) })
 	group.Go(func() error { return d.cacheTransfer.run(ctx) })
--- a/io/entry/loop.go
+++ b/io/entry/loop.go
@@ -145,6 +145,8 @@
 		d.appendRecord(ctx, ledger.AppendCmd{Stream: ledger.StreamVerdict, Record: cmd.Record})
 	case sched.ConfirmCmd:
 		d.confirmer.enqueue(cmd)
+	case sched.CheckReachCmd:
+		d.reachChecker.enqueue(cmd)
 	case once.AskCmd:
 		d.positionFetcher.enqueue(cmd)
 	case roster.AppendCmd:
--- a/io/entry/options.go
+++ b/io/entry/options.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"cicadavalve/core/roster"
+	"cicadavalve/io/engine"
 )
 
 // Option sets one property of a [Daemon].
@@ -24,6 +25,11 @@
 	return func(d *Daemon) { d.started = started }
 }
 
+// WithUpstreamDialer sets what opens the connections to upstreams. Tests use it to cut them.
+func WithUpstreamDialer(dial engine.DialFunc) Option {
+	return func(d *Daemon) { d.upstreamDial = dial }
+}
+
 // WithCacheSecret sets the key for cache salts, request digests and the names of stored contexts. It must be the
 // same on every entry.
 func WithCacheSecret(secret []byte) Option {
--- a/io/entry/queue.go
+++ b/io/entry/queue.go
@@ -1,6 +1,10 @@
 package entry
 
-import "context"
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+)
 
 // queue is a bounded queue of jobs from the loop, which must not block, to one or more workers.
 type queue[T any] struct {
@@ -31,3 +35,16 @@
 		}
 	}
 }
+
+// runConcurrently executes up to n jobs at a time until the context ends, and then waits for those that run.
+func (q queue[T]) runConcurrently(ctx context.Context, n int, do func(ctx context.Context, job T)) error {
+	var group errgroup.Group
+	group.SetLimit(n)
+	_ = q.run(ctx, func(ctx context.Context, job T) {
+		group.Go(func() error {
+			do(ctx, job)
+			return nil
+		})
+	})
+	return group.Wait()
+}
--- a/io/entry/show.go
+++ b/io/entry/show.go
@@ -28,8 +28,10 @@
 	subjectSuspects  = "quarantine"
 	// subjectVerdictNext is the offset up to which this entry has folded the verdicts, for other entries.
 	subjectVerdictNext = "verdict_next"
-	subjectRecord      = "record"
-	subjectOrgs        = "organisations"
+	// subjectReach is whether an upstream answers a probe of this entry, for other entries.
+	subjectReach  = "reach"
+	subjectRecord = "record"
+	subjectOrgs   = "organisations"
 	// subjectRoster is the state of the roster's fold, for entries whose own fold is behind.
 	subjectRoster = "roster"
 )
@@ -71,6 +73,8 @@
 		return d.organisations(ctx)
 	case subjectRecord:
 		return inspectValue(ctx, d, func() record.Counts { return d.journal.journal.Counts() })
+	case subjectReach:
+		return d.reaches(ctx, ident.UpstreamID(argument))
 	case subjectLatency:
 		return d.latency(), nil
 	case SubjectWhy:
