--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/io/link"
 	"cicadavalve/io/relay"
 )
 
@@ -53,6 +54,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("attempts_failed_total{ending=%q}", ending)).Inc()
 }
 
+// CountEnd implements [relay.Meter].
+func (m *Meter) CountEnd(framing link.Framing) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("answers_total{framing=%q}", framing)).Inc()
+}
+
 // CountBlocked implements [relay.Meter].
 func (m *Meter) CountBlocked(reason relay.BlockReason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("requests_blocked_total{reason=%q}", reason)).Inc()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -126,6 +126,30 @@
 	watch *watch
 }
 
+// Framing is what marks the end of a body.
+type Framing string
+
+// The framings.
+const (
+	// ByLength bodies have a stated length, or none because of the method or the status.
+	ByLength Framing = "length"
+	// ByChunks bodies end with a last chunk.
+	ByChunks Framing = "chunks"
+	// ByConnection bodies end with their connection.
+	ByConnection Framing = "connection"
+)
+
+// framing returns what marks the end of the body of a response.
+func framing(response *http.Response) Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return ByChunks
+	case response.ContentLength < 0 && response.Body != http.NoBody:
+		return ByConnection
+	}
+	return ByLength
+}
+
 // Answer is the head of an answer and its body. The caller must call Close.
 type Answer struct {
 	Status int
@@ -133,6 +157,8 @@
 	Body   io.Reader
 	// Length is the length of the body in bytes, -1 if unknown.
 	Length int64
+	// Framing is what marks the end of the body.
+	Framing Framing
 	// Opened is set if a connection was opened for the exchange.
 	Opened      bool
 	pool        *Pool
@@ -240,7 +266,7 @@
 		}
 		return &Answer{
 			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
-			pool: p, conn: c, idleTimeout: idleTimeout(response),
+			Framing: framing(response), pool: p, conn: c, idleTimeout: idleTimeout(response),
 		}, nil
 	}
 	return nil, errors.Mark(errors.New("only answers to other requests received"), ErrGarbled)
@@ -294,20 +320,23 @@
 // Close ends the exchange. It keeps the connection if the request was written and the answer read completely, and
 // closes it otherwise.
 func (a *Answer) Close() {
-	stopped := a.stop()
-	written := false
-	select {
-	case <-a.writer.done:
-		written = a.writer.err == nil
-	default:
-	}
-	if !stopped || !written || !a.complete || a.idleTimeout <= 0 || a.conn.reader.Buffered() > 0 {
+	if stopped := a.stop(); !stopped || !a.Written() || !a.complete || a.idleTimeout <= 0 || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
 	}
 	a.pool.release(a.addr, a.conn, a.idleTimeout)
 }
 
+// Written reports whether the whole request has been written.
+func (a *Answer) Written() (ok bool) {
+	select {
+	case <-a.writer.done:
+		return a.writer.err == nil
+	default:
+		return false
+	}
+}
+
 // acquire returns an idle connection that is still usable, or a new one.
 func (p *Pool) acquire(ctx context.Context, addr string) (c *conn, err error) {
 	for {
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -205,7 +205,7 @@
 func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
 	x.held.release()
-	x.sentAt, x.progress = clock.Now(), gotNothing
+	x.sentAt, x.progress, x.answer, x.events = clock.Now(), gotNothing, nil, 0
 	sentAt := x.sentAt
 	silence := time.AfterFunc(max(minSilence, 2*cmd.Expected), func() { x.h.controller.ObserveSilence(u.ID, sentAt) })
 	answer, err := x.h.pool.Do(ctx, u.Address, x.request(cmd))
@@ -224,7 +224,7 @@
 		return result{ending: retry.Unknown}
 	}
 	defer answer.Close()
-	x.progress = gotHead
+	x.progress, x.answer = gotHead, answer
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
 	x.h.controller.ObserveReply(Exchange{Upstream: u.ID, Born: u.Born, SentAt: x.sentAt, Opened: answer.Opened}, reply)
 	switch {
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -106,7 +106,7 @@
 // the request was written.
 func (x *exchange) askPeer(ctx context.Context, peer string, counted bool) (res result, sent bool) {
 	x.held.release()
-	x.sentAt, x.progress = clock.Now(), gotNothing
+	x.sentAt, x.progress, x.answer, x.events = clock.Now(), gotNothing, nil, 0
 	handover := port.Handover{
 		By: x.h.self, Runs: x.history.Runs, Counted: counted, Timeout: clock.Until(x.deadline), LastEvent: x.lastEvent,
 	}
@@ -119,7 +119,7 @@
 		return result{}, !errors.Is(err, link.ErrNotSent)
 	}
 	defer answer.Close()
-	x.progress = gotHead
+	x.progress, x.answer = gotHead, answer
 	signed := x.h.dialect.Reply(answer.Status, answer.Header).Signed
 	if signed && x.route.Kind == conf.Stream && answer.Status < http.StatusMultipleChoices {
 		return x.relayStream(ctx, nil, answer), true
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -114,6 +114,8 @@
 	ObserveAnswer(class string, org ident.OrgID, status int, first, whole time.Duration)
 	// CountFailure counts an attempt that failed.
 	CountFailure(ending string)
+	// CountEnd counts an answer of an upstream by what marked its end.
+	CountEnd(framing link.Framing)
 	// CountBlocked counts a request that must not run, since it crashes upstreams or may.
 	CountBlocked(reason BlockReason)
 }
@@ -199,6 +201,10 @@
 	sentAt time.Time
 	// progress is what the upstream of the last attempt has sent.
 	progress progress
+	// answer is the last one whose head was read, nil if there was none.
+	answer *link.Answer
+	// events counts the events that were passed on of the last attempt.
+	events int
 	// keys are computed at the first use of [exchange.identify].
 	keys poison.Keys
 	// screening is the last result of [exchange.screen].
@@ -395,6 +401,10 @@
 		attrs = append(attrs, slog.Int64("weights", x.sent.Version), slog.Int("missing", x.sent.Missing), slog.Int("kept", x.sent.Cached),
 			slog.Int("fetched", x.sent.Fetched), slog.Int("again", x.sent.Recomputed), slog.String("from", fetchSources(x.sent.Fetch)))
 	}
+	if x.answer != nil {
+		attrs = append(attrs, slog.String("framing", string(x.answer.Framing)), slog.Bool("written", x.answer.Written()), slog.Int("events", x.events))
+		x.h.meter.CountEnd(x.answer.Framing)
+	}
 	if x.tally != nil {
 		attrs = append(attrs, slog.Int("closed", x.tally.Closed), slog.Int("limited", x.tally.Limited), slog.Int("full", x.tally.Full), slog.Int("open", x.tally.Open),
 			slog.Int("full_memory", x.tally.FullBy[place.Memory]), slog.Int("full_slots", x.tally.FullBy[place.Slots]),
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -93,6 +93,7 @@
 		x.committed = true
 	}
 	x.h.controller.FirstByte(x.need.Ticket)
+	x.events += bytes.Count(events, eventSeparator)
 	if id := lastEventID(events); id != "" {
 		x.lastEvent = id
 	}
