End an answer by its connection only if its request was received (ORDER)

What callers saw: a broken answer, framed as complete.

Cause: Linux reports the reset of a connection to one call. The body of a long request is written by a goroutine of its own while the answer is read; if the write meets the reset, the read that follows returns 0, the end of an answer without a length and without chunks. The error of the write was looked at only when the connection was to be kept.

The class: the end of a transport is taken for the end of a message. An answer now says what marks its end, and the end of the connection counts only if the request was written and acknowledged as a whole, which takes a second at most: a reset that the write met, one that no call has met yet (an upstream that ends while it receives closes its side first) and a write that hangs each leave the answer incomplete. Answers with a length or chunks don't ask the write.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -126,30 +126,6 @@
 	watch *watch
 }
 
-// Framing is what marks the end of a body.
-type Framing string
-
-// The framings.
-const (
-	// ByLength bodies have a stated length, or none because of the method or the status.
-	ByLength Framing = "length"
-	// ByChunks bodies end with a last chunk.
-	ByChunks Framing = "chunks"
-	// ByConnection bodies end with their connection.
-	ByConnection Framing = "connection"
-)
-
-// framing returns what marks the end of the body of a response.
-func framing(response *http.Response) Framing {
-	switch {
-	case len(response.TransferEncoding) > 0:
-		return ByChunks
-	case response.ContentLength < 0 && response.Body != http.NoBody:
-		return ByConnection
-	}
-	return ByLength
-}
-
 // Answer is the head of an answer and its body. The caller must call Close.
 type Answer struct {
 	Status int
@@ -292,9 +268,12 @@
 	return defaultIdleTimeout
 }
 
-// Read reads the body. The connection can be reused only after it has returned [io.EOF].
+// Read reads the body. It returns [io.EOF] only at the end of the answer. The connection can be reused only after that.
 func (a *Answer) Read(b []byte) (n int, err error) {
 	n, err = a.Body.Read(b)
+	if err == io.EOF && a.Framing == ByConnection && !a.complete {
+		err = a.confirmEnd()
+	}
 	if err == io.EOF {
 		a.complete = true
 	} else if err != nil {
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -97,6 +97,8 @@
 	if id := a.Header.Get("Request-Id"); a.Status < http.StatusOK || id != "" && id != "r" {
 		t.Fatalf("status %d, answer to %q", a.Status, id)
 	}
+	a.writer = &writer{conn: c, done: make(chan struct{})}
+	close(a.writer.done)
 	n, err := io.Copy(io.Discard, io.LimitReader(a, maxDrained))
 	if hasBody := a.Status != http.StatusNoContent && a.Status != http.StatusNotModified; err == nil && a.complete && hasBody && a.Length >= 0 && n != a.Length {
 		t.Fatalf("%d bytes of %d taken for the whole body", n, a.Length)
