--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -46,12 +46,13 @@
 			err, ended = errTornEvent, false
 		}
 		switch {
-		case ended && x.committed:
+		case ended && (x.events > 0 || x.mayBeEmpty(answer)):
+			x.commit(answer)
 			x.h.controller.End(x.need.Ticket, place.Good)
 			x.report(answer.Status, "answered", -1)
 			return result{done: true}
 		case ended:
-			x.cause = errors.New("stream without events")
+			x.cause = errors.New("stream without new events")
 			return result{ending: retry.Unknown}
 		case errors.Is(err, errNoMemory):
 			x.cause = err
@@ -64,6 +65,24 @@
 	}
 }
 
+// mayBeEmpty reports whether an answer without new events can be the rest of a stream: of one that the caller continues itself, if the
+// upstream has marked its end. Where this entry continues a stream, an empty rest does not tell one that had ended from an upstream
+// that lost it; the caller can tell by continuing it.
+func (x *exchange) mayBeEmpty(answer *link.Answer) (ok bool) {
+	return !x.committed && x.head.LastEvent != "" && answer.Framing != link.ByConnection
+}
+
+// commit sends the head of an answer to the caller unless one was sent before.
+func (x *exchange) commit(answer *link.Answer) {
+	if x.committed {
+		return
+	}
+	x.firstAt = clock.Now()
+	x.h.dialect.Return(x.w.Header(), answer.Header)
+	x.w.WriteHeader(answer.Status)
+	x.committed = true
+}
+
 // lastSeparator returns the end of the last separator of events, of which the last n bytes are new; -1 if none is among
 // those.
 func lastSeparator(events []byte, n int) (end int) {
@@ -86,12 +105,7 @@
 			return nil
 		}
 	}
-	if !x.committed {
-		x.firstAt = clock.Now()
-		x.h.dialect.Return(x.w.Header(), answer.Header)
-		x.w.WriteHeader(answer.Status)
-		x.committed = true
-	}
+	x.commit(answer)
 	x.h.controller.FirstByte(x.need.Ticket)
 	x.events += bytes.Count(events, eventSeparator)
 	if id := lastEventID(events); id != "" {
