--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -473,6 +473,12 @@
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
+	if !x.r.ProtoAtLeast(1, 1) {
+		// Without chunks, the answer would end as complete with an orderly close.
+		if err := resetOnClose(x.r); err != nil {
+			x.cause = errors.CombineErrors(x.cause, err)
+		}
+	}
 	x.report(abortedStatus, outcome, -1)
 	panic(http.ErrAbortHandler)
 }
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -1,11 +1,14 @@
 package relay
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadavalve/io/link"
 )
 
@@ -31,6 +34,7 @@
 	s.SetHeaderTimeout(defaultHeaderTimeout)
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeader,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*callerConn); ok {
 				conn.observe(state)
@@ -99,6 +103,22 @@
 	phase  atomic.Int32
 }
 
+// connKey is the key of a request's [callerConn] in its context.
+type connKey struct{}
+
+// resetOnClose makes the connection of a request end with a reset.
+func resetOnClose(r *http.Request) (err error) {
+	c, ok := r.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		return errors.New("connection of another server")
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.Newf("%T can't be reset", c.Conn)
+	}
+	return tcp.SetLinger(0)
+}
+
 // observe follows the state that the server reports.
 func (c *callerConn) observe(state http.ConnState) {
 	switch state {
