--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,16 +26,32 @@
 // eventSeparator ends each event of a stream.
 var eventSeparator = []byte("\n\n")
 
-// errTornEvent reports a stream that ended within an event.
-var errTornEvent = errors.New("stream ended within an event")
+// Errors of a stream.
+var (
+	// errTornEvent means that it ended within an event.
+	errTornEvent = errors.New("stream ended within an event")
+	// errMisplaced means that an upstream that is to continue it sent something else.
+	errMisplaced = errors.New("content that does not continue the stream")
+)
 
 // relayStream relays events as they arrive. It sends only complete events, so that another upstream can continue a
 // broken stream after the last one sent.
 func (x *exchange) relayStream(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
+	continued := x.committed
+	if continued && !x.continues(answer) {
+		x.cause = errors.Wrapf(errMisplaced, "content type %q", answer.Header.Get("Content-Type"))
+		return result{ending: retry.Unknown}
+	}
 	for {
 		n, err := x.held.readFrom(answer, maxEvent)
 		if end := lastSeparator(x.held.data, n); end >= 0 {
-			if writeErr := x.writeEvents(answer, x.held.data[:end]); writeErr != nil {
+			x.observeContent()
+			events, count, misplaced := newEvents(x.held.data[:end], x.lastEvent, continued)
+			x.events += count
+			if misplaced != nil {
+				err = misplaced
+			}
+			if writeErr := x.writeEvents(answer, events); writeErr != nil {
 				x.cause = errors.Wrap(writeErr, "write event to caller")
 				x.h.controller.End(x.need.Ticket, place.Cancelled)
 				x.abort("caller_left")
@@ -65,6 +82,14 @@
 	}
 }
 
+// observeContent records that the upstream began to answer, at its first complete event.
+func (x *exchange) observeContent() {
+	if x.progress != gotContent {
+		x.progress = gotContent
+		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
+	}
+}
+
 // mayBeEmpty reports whether an answer without new events can be the rest of a stream: of one that the caller continues itself, if the
 // upstream has marked its end. Where this entry continues a stream, an empty rest does not tell one that had ended from an upstream
 // that lost it; the caller can tell by continuing it.
@@ -93,21 +118,13 @@
 	return -1
 }
 
-// writeEvents sends complete events to the caller, except those sent by an earlier attempt.
+// writeEvents sends complete events to the caller.
 func (x *exchange) writeEvents(answer *link.Answer, events []byte) (err error) {
-	if x.progress != gotContent {
-		x.progress = gotContent
-		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
-	}
-	if x.lastEvent != "" {
-		events = eventsAfter(events, x.lastEvent)
-		if len(events) == 0 {
-			return nil
-		}
+	if len(events) == 0 {
+		return nil
 	}
 	x.commit(answer)
 	x.h.controller.FirstByte(x.need.Ticket)
-	x.events += bytes.Count(events, eventSeparator)
 	if id := lastEventID(events); id != "" {
 		x.lastEvent = id
 	}
@@ -117,22 +134,51 @@
 	return http.NewResponseController(x.w).Flush()
 }
 
-// eventsAfter drops the leading events whose id is at most the given one. It keeps everything from the first event on
-// whose id is not a number.
-func eventsAfter(events []byte, id string) []byte {
-	last, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return events
+// continues reports whether an answer has the kind of content of the stream that it is to continue.
+func (x *exchange) continues(answer *link.Answer) (ok bool) {
+	of := func(h http.Header) string {
+		kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+		return strings.ToLower(strings.TrimSpace(kind))
 	}
+	return of(answer.Header) == of(x.w.Header())
+}
+
+// newEvents drops the events that were sent before, in place, and counts the others. In a continued stream, it ends with errMisplaced
+// at anything but comments and events with a number, since that has no place there.
+func newEvents(events []byte, lastEvent string, continued bool) (added []byte, count int, err error) {
+	last, err := strconv.ParseInt(lastEvent, 10, 64)
+	hasLast := err == nil
+	added = events[:0]
 	for len(events) > 0 {
 		end := bytes.Index(events, eventSeparator) + len(eventSeparator)
-		n, err := strconv.ParseInt(eventID(events[:end]), 10, 64)
-		if err != nil || n > last {
-			return events
-		}
+		event := events[:end]
 		events = events[end:]
+		n, err := strconv.ParseInt(eventID(event), 10, 64)
+		switch {
+		case isComment(event):
+		case err == nil && hasLast && n <= last:
+			continue
+		case err != nil && continued:
+			return added, count, errMisplaced
+		default:
+			count++
+		}
+		if err == nil {
+			last, hasLast = n, true
+		}
+		added = append(added, event...)
+	}
+	return added, count, nil
+}
+
+// isComment reports whether an event consists of comments alone.
+func isComment(event []byte) (ok bool) {
+	for line := range bytes.Lines(event) {
+		if line[0] != ':' && line[0] != '\n' {
+			return false
+		}
 	}
-	return nil
+	return true
 }
 
 // eventID returns the id of one event, empty if it has none.
