--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -137,7 +137,7 @@
 func (x *exchange) mayRetry(res result) bool {
 	x.countAttempt(res.ending)
 	x.avoid = append(x.avoid, x.upstream)
-	return retry.May(x.route, res.ending, x.history) && !x.screen().Blocked &&
+	return x.canContinue() && retry.May(x.route, res.ending, x.history) && !x.screen().Blocked &&
 		(!res.ending.UsesBudget() || x.h.controller.AllowRetry(x.need.Service))
 }
 
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -134,6 +134,12 @@
 	return http.NewResponseController(x.w).Flush()
 }
 
+// canContinue reports whether another upstream may continue the stream: nothing was sent to the caller, or the events have numbers.
+func (x *exchange) canContinue() (ok bool) {
+	_, err := strconv.ParseInt(x.lastEvent, 10, 64)
+	return !x.committed || err == nil
+}
+
 // continues reports whether an answer has the kind of content of the stream that it is to continue.
 func (x *exchange) continues(answer *link.Answer) (ok bool) {
 	of := func(h http.Header) string {
