--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -34,6 +34,8 @@
 	// Objective is the time after Arrived within which the first byte is due.
 	Objective time.Duration
 	Deadline  time.Time
+	// Stream is set if the first byte of the answer shows that the request has begun.
+	Stream bool
 	// Spread, if not empty, makes the choice among upstreams with capacity depend on a hash of it alone, so that
 	// requests with different values are unlikely to meet on one.
 	Spread string
@@ -142,7 +144,7 @@
 	Ready time.Time
 }
 
-// TickMsg places or refuses the queued requests as of now.
+// TickMsg places, refuses and recalls requests as of now.
 type TickMsg struct{}
 
 // SendCmd sends a request to an upstream.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -53,6 +53,8 @@
 	fetchFrom  parts.Holder
 	fetchDelay time.Duration
 	answered   bool
+	// recalled is set once the request has been recalled.
+	recalled bool
 	// address and salt identify the upstream's cache entries for the prompt.
 	address parts.Holder
 	salt    string
@@ -95,10 +97,13 @@
 	ramp *ramp.Model
 }
 
-// namedVersion is a version of a model's weights and until when requests may start on older ones.
+// namedVersion is a version of a model's weights.
 type namedVersion struct {
 	version int64
-	until   time.Time
+	// until is until when requests may be sent to upstreams with older ones.
+	until time.Time
+	// end is when runs must no longer begin on older ones. It is after until.
+	end time.Time
 }
 
 // Option sets one property of a [Model].
@@ -149,35 +154,45 @@
 	if n := len(versions); n > 0 && msg.Version <= versions[n-1].version {
 		return
 	}
-	until := msg.Ready.Add(startupGrace)
+	until, end := msg.Ready.Add(startupGrace), msg.Ready.Add(disturbedTime)
 	if bound := msg.Since.Add(m.versionGrace - versionMargin); !msg.Since.IsZero() && bound.After(until) {
-		until = bound
+		until, end = bound, msg.Since.Add(m.versionGrace)
 	}
 	if len(versions) > maxVersions {
 		// What is older than a version that is dropped must not get more time by that.
 		oldest := &versions[len(versions)-maxVersions]
-		oldest.until = times.Earlier(oldest.until, versions[0].until)
+		oldest.until, oldest.end = times.Earlier(oldest.until, versions[0].until), times.Earlier(oldest.end, versions[0].end)
 	}
-	m.versions[msg.Model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{msg.Version, until})
+	m.versions[msg.Model] = append(versions[max(0, len(versions)-maxVersions):], namedVersion{msg.Version, until, end})
 }
 
 // maxVersions is how many older versions of a model are kept when a newer one is added.
 const maxVersions = 16
 
-// outdated reports whether a newer version than the given one is the target, and until when requests may start on the
-// given one.
+// outdated reports whether a newer version than the given one is the target, and until when requests may be sent to upstreams
+// with the given one.
 func (m *Model) outdated(model ident.ModelName, version int64) (until time.Time, outdated bool) {
+	newer, outdated := m.newer(model, version)
+	return newer.until, outdated
+}
+
+// newer returns the first target version after the given one; ok is false if there is none.
+func (m *Model) newer(model ident.ModelName, version int64) (newer namedVersion, ok bool) {
 	for _, n := range m.versions[model] {
 		if n.version > version {
-			return n.until, true
+			return n, true
 		}
 	}
-	return time.Time{}, false
+	return namedVersion{}, false
 }
 
-// startupGrace is how long after its start, or after the store last failed it, an entry may use older weights when it can't
-// tell how long they have been outdated. The platform measures a VM from three seconds after such a disturbance.
-const startupGrace = 2500 * time.Millisecond
+const (
+	// startupGrace is how long after its start, or after the store last failed it, an entry may send requests to older weights when it
+	// can't tell how long they have been outdated.
+	startupGrace = 2500 * time.Millisecond
+	// disturbedTime is how long after such a disturbance the platform does not measure a VM.
+	disturbedTime = 3 * time.Second
+)
 
 // Update applies a message and returns the resulting commands.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
@@ -205,7 +220,7 @@
 	case PeerMsg:
 		m.updatePeer(now, msg)
 	case TickMsg:
-		return m.placeQueued(now, "")
+		return append(m.recall(now), m.placeQueued(now, "")...)
 	case fleet.GoneCmd:
 		m.forgetUpstream(msg.ID)
 		delete(m.upstreams, msg.ID)
--- /dev/null
+++ b/core/place/recall.go
@@ -0,0 +1,59 @@
+package place
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"cicadavalve/core/ident"
+)
+
+const (
+	// recallMargin is how long before its run would begin too late a request is recalled: the upstream must have seen its connection
+	// close by then.
+	recallMargin = 300 * time.Millisecond
+	// recallWindow is for how long after that such requests are looked for. None is sent any more.
+	recallWindow = time.Second
+)
+
+// RecallCmd ends the exchange of a request that has waited at its upstream for so long that it would begin on weights that have been
+// outdated for too long.
+type RecallCmd struct {
+	Ticket   Ticket
+	Upstream ident.UpstreamID
+}
+
+// recall returns the commands that end the exchanges of requests that have not begun and may not begin any more. Only streams
+// show whether they have.
+func (m *Model) recall(now time.Time) (cmds []ident.Cmd) {
+	if !m.hasRecalls(now) {
+		return nil
+	}
+	for _, t := range slices.Sorted(maps.Keys(m.sent)) {
+		s := m.sent[t]
+		if s.answered || s.recalled || !s.need.Stream || len(s.chain) == 0 {
+			continue
+		}
+		u, listed := m.fleet.Get(s.upstream)
+		if !listed {
+			continue
+		}
+		if newer, outdated := m.newer(s.need.Model, u.Weights[s.need.Model]); outdated && !now.Before(newer.end.Add(-recallMargin)) {
+			s.recalled = true
+			cmds = append(cmds, RecallCmd{Ticket: t, Upstream: s.upstream})
+		}
+	}
+	return cmds
+}
+
+// hasRecalls reports whether the time has come to recall what waits on weights older than some version.
+func (m *Model) hasRecalls(now time.Time) (ok bool) {
+	for _, versions := range m.versions {
+		for _, n := range versions {
+			if since := now.Sub(n.end.Add(-recallMargin)); since >= 0 && since < recallWindow {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -58,6 +58,8 @@
 	upstreamsListed bool
 	// waiters holds the channel of each request that is waiting for a decision.
 	waiters map[place.Ticket]chan relay.Decision
+	// recalls ends the exchange of each request that is under way.
+	recalls map[place.Ticket]context.CancelCauseFunc
 	// budgets holds the retry budget of each service.
 	budgets map[ident.ServiceName]*retry.Window
 	// changed wakes the heartbeat after a request has been placed.
@@ -153,7 +155,7 @@
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
@@ -188,6 +190,20 @@
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
+// Attempt implements [relay.Controller].
+func (d *Controller) Attempt(ctx context.Context, ticket place.Ticket) (attempt context.Context, end func()) {
+	attempt, cancel := context.WithCancelCause(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recalls[ticket] = cancel
+	return attempt, func() {
+		cancel(nil)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.recalls, ticket)
+	}
+}
+
 // StillEligible implements [relay.Controller].
 func (d *Controller) StillEligible(ticket place.Ticket) bool {
 	d.mu.Lock()
@@ -236,6 +252,11 @@
 			d.wakeHeartbeat()
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
+		case place.RecallCmd:
+			if cancel, ok := d.recalls[cmd.Ticket]; ok {
+				cancel(relay.ErrRecalled)
+				d.log.Info("request_recalled", "ticket", cmd.Ticket, "upstream", cmd.Upstream)
+			}
 		case place.PanicCmd:
 			d.panics.Do(func() {
 				d.log.Error("decision_panicked", "ticket", cmd.Ticket, "cause", cmd.Cause, "stack", cmd.Stack)
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -35,6 +35,8 @@
 	// done is set if the request has ended and no other attempt may follow.
 	done   bool
 	ending retry.Ending
+	// recalled is set if the attempt failed because this entry gave it up; that says nothing of the upstream.
+	recalled bool
 	// failure is the upstream's answer, held back while another attempt may succeed; nil if there is none.
 	failure *failure
 }
@@ -111,14 +113,14 @@
 			return
 		}
 		if !mayRetry {
-			x.h.controller.End(x.need.Ticket, outcomes[res.ending])
+			x.h.controller.End(x.need.Ticket, res.outcome())
 			x.finish(res)
 			return
 		}
 		x.h.log.Info("request_sent_again", "request", x.head.ID, "upstream", x.upstream, "ending", endingNames[res.ending],
 			"cause", errorText(x.cause), "runs", x.history.Runs, "spared", x.history.NotRun)
 		msg := place.RetryMsg{
-			Ticket: x.need.Ticket, Outcome: outcomes[res.ending], Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
+			Ticket: x.need.Ticket, Outcome: res.outcome(), Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
 		}
 		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			switch {
@@ -150,6 +152,14 @@
 	retry.NotSent: place.Rejected, retry.NotRun: place.Rejected, retry.Unknown: place.Broken, retry.Failure: place.Failed,
 }
 
+// outcome returns what is reported to the placement.
+func (r result) outcome() place.Outcome {
+	if r.recalled {
+		return place.Cancelled
+	}
+	return outcomes[r.ending]
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -201,8 +211,19 @@
 	}
 }
 
-// attempt sends the request to one upstream and relays its answer, unless another attempt may do better.
-func (x *exchange) attempt(ctx context.Context, cmd *place.SendCmd) (res result) {
+// attempt sends the request to one upstream and relays its answer, unless another attempt may do better or it is recalled.
+func (x *exchange) attempt(parent context.Context, cmd *place.SendCmd) (res result) {
+	ctx, end := x.h.controller.Attempt(parent, x.need.Ticket)
+	defer end()
+	res = x.sendTo(ctx, cmd)
+	if !res.done && errors.Is(context.Cause(ctx), ErrRecalled) {
+		x.cause, res.recalled = ErrRecalled, true
+	}
+	return res
+}
+
+// sendTo makes one exchange with an upstream.
+func (x *exchange) sendTo(ctx context.Context, cmd *place.SendCmd) (res result) {
 	u := cmd.Upstream
 	x.held.release()
 	x.sentAt, x.progress, x.answer, x.events = clock.Now(), gotNothing, nil, 0
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -81,6 +81,9 @@
 	ObservePeer(id string, reached bool)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
+	// Attempt returns the context of an exchange with an upstream. It ends with [ErrRecalled] if the request must not begin there any more.
+	// The caller must call end.
+	Attempt(ctx context.Context, ticket place.Ticket) (attempt context.Context, end func())
 	// StillEligible reports whether the upstream that was chosen for a request may still run it.
 	StillEligible(ticket place.Ticket) bool
 	// AllowRetry takes a retry from the budget of a service and reports whether one was left.
@@ -97,6 +100,9 @@
 	ObserveBreak(b Break)
 }
 
+// ErrRecalled means that a request waited at its upstream for too long to begin there.
+var ErrRecalled = errors.New("request recalled before its run began")
+
 // Exchange is a request to an upstream that it has answered.
 type Exchange struct {
 	Upstream ident.UpstreamID
@@ -300,7 +306,7 @@
 	x.need = place.Need{
 		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
-		Counted: x.handed != nil && x.handed.Counted,
+		Counted: x.handed != nil && x.handed.Counted, Stream: route.Kind == conf.Stream,
 	}
 	return 0, ""
 }
