--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -81,6 +81,9 @@
 	ObservePeer(id string, reached bool)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
+	// Attempt returns the context of an exchange with an upstream. It ends with [ErrRecalled] if the request must not begin there any more.
+	// The caller must call end.
+	Attempt(ctx context.Context, ticket place.Ticket) (attempt context.Context, end func())
 	// StillEligible reports whether the upstream that was chosen for a request may still run it.
 	StillEligible(ticket place.Ticket) bool
 	// AllowRetry takes a retry from the budget of a service and reports whether one was left.
@@ -97,6 +100,9 @@
 	ObserveBreak(b Break)
 }
 
+// ErrRecalled means that a request waited at its upstream for too long to begin there.
+var ErrRecalled = errors.New("request recalled before its run began")
+
 // Exchange is a request to an upstream that it has answered.
 type Exchange struct {
 	Upstream ident.UpstreamID
@@ -114,6 +120,8 @@
 	ObserveAnswer(class string, org ident.OrgID, status int, first, whole time.Duration)
 	// CountFailure counts an attempt that failed.
 	CountFailure(ending string)
+	// CountEnd counts an answer of an upstream by what marked its end.
+	CountEnd(framing link.Framing)
 	// CountBlocked counts a request that must not run, since it crashes upstreams or may.
 	CountBlocked(reason BlockReason)
 }
@@ -199,6 +207,10 @@
 	sentAt time.Time
 	// progress is what the upstream of the last attempt has sent.
 	progress progress
+	// answer is the last one whose head was read, nil if there was none.
+	answer *link.Answer
+	// events counts the events that were passed on of the last attempt.
+	events int
 	// keys are computed at the first use of [exchange.identify].
 	keys poison.Keys
 	// screening is the last result of [exchange.screen].
@@ -294,7 +306,7 @@
 	x.need = place.Need{
 		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
-		Counted: x.handed != nil && x.handed.Counted,
+		Counted: x.handed != nil && x.handed.Counted, Stream: route.Kind == conf.Stream,
 	}
 	return 0, ""
 }
@@ -395,6 +407,10 @@
 		attrs = append(attrs, slog.Int64("weights", x.sent.Version), slog.Int("missing", x.sent.Missing), slog.Int("kept", x.sent.Cached),
 			slog.Int("fetched", x.sent.Fetched), slog.Int("again", x.sent.Recomputed), slog.String("from", fetchSources(x.sent.Fetch)))
 	}
+	if x.answer != nil {
+		attrs = append(attrs, slog.String("framing", string(x.answer.Framing)), slog.Bool("written", x.answer.Written()), slog.Int("events", x.events))
+		x.h.meter.CountEnd(x.answer.Framing)
+	}
 	if x.tally != nil {
 		attrs = append(attrs, slog.Int("closed", x.tally.Closed), slog.Int("limited", x.tally.Limited), slog.Int("full", x.tally.Full), slog.Int("open", x.tally.Open),
 			slog.Int("full_memory", x.tally.FullBy[place.Memory]), slog.Int("full_slots", x.tally.FullBy[place.Slots]),
@@ -463,6 +479,12 @@
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
+	if !x.r.ProtoAtLeast(1, 1) {
+		// Without chunks, the answer would end as complete with an orderly close.
+		if err := resetOnClose(x.r); err != nil {
+			x.cause = errors.CombineErrors(x.cause, err)
+		}
+	}
 	x.report(abortedStatus, outcome, -1)
 	panic(http.ErrAbortHandler)
 }
