--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"cicadavalve/core/sched"
+	"cicadavalve/io/link"
 )
 
 // Errors of an attempt; [Cause] maps each to a [sched.Cause].
@@ -70,8 +71,8 @@
 }
 
 func (c *HTTPClient) setDialer(dial DialFunc) {
-	c.pooled = withoutRedirects(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: c.idlePerHost})
-	c.fresh = withoutRedirects(&http.Transport{DialContext: dial, DisableKeepAlives: true})
+	c.pooled = withoutRedirects(link.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: c.idlePerHost}))
+	c.fresh = withoutRedirects(link.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}))
 }
 
 // withoutRedirects returns a client that follows no redirects, as a redirect would send a call twice.
--- a/io/link/end.go
+++ b/io/link/end.go
@@ -48,18 +48,18 @@
 // confirmEnd returns [io.EOF] if the end of the connection ends the answer. It does only if the upstream has received the whole
 // request: a reset is reported to a single call, which may be the write of the request, and an upstream that ends while it
 // receives the request may close its side in an orderly way first.
-func (a *Answer) confirmEnd() (err error) {
+func (w *writer) confirmEnd() (err error) {
 	defer func() {
 		if err != io.EOF {
 			err = errors.Mark(errors.Wrap(err, "connection ended before the request was received"), ErrBroken)
 		}
 	}()
 	deadline := clock.Now().Add(endTimeout)
-	if err := a.writer.wait(deadline); err != nil {
+	if err := w.wait(deadline); err != nil {
 		return err
 	}
 	for {
-		received, err := isReceived(a.conn.Conn)
+		received, err := isReceived(w.conn.Conn)
 		switch {
 		case err != nil:
 			return err
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -272,7 +272,7 @@
 func (a *Answer) Read(b []byte) (n int, err error) {
 	n, err = a.Body.Read(b)
 	if err == io.EOF && a.Framing == ByConnection && !a.complete {
-		err = a.confirmEnd()
+		err = a.writer.confirmEnd()
 	}
 	if err == io.EOF {
 		a.complete = true
