Take no empty body for the list of VMs or the end of a log

Read of the list returned no VMs, changed, so that all upstreams were gone; Read of the log returned an empty batch, which ends the log for a reader of all of it (io/audit).

--- a/io/logsvc/logsvc.go
+++ b/io/logsvc/logsvc.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -77,8 +78,12 @@
 	if err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case resp.StatusCode != http.StatusOK:
 		return errors.Mark(errors.Newf("status %d", resp.StatusCode), ErrUnavailable)
+	case into != nil && resp.ContentLength == 0:
+		// Sling decodes no empty body.
+		return errors.Mark(errors.Wrap(io.ErrUnexpectedEOF, "empty body"), ErrUnavailable)
 	}
 	return nil
 }
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -52,10 +53,13 @@
 	if err != nil {
 		return nil, false, err
 	}
-	switch resp.StatusCode {
-	case http.StatusNotModified:
+	switch {
+	case resp.StatusCode == http.StatusNotModified:
 		return c.last, false, nil
-	case http.StatusOK:
+	case resp.StatusCode == http.StatusOK && resp.ContentLength == 0:
+		// Sling decodes no empty body.
+		return nil, false, errors.Wrap(io.ErrUnexpectedEOF, "empty body")
+	case resp.StatusCode == http.StatusOK:
 		c.etag, c.last = resp.Header.Get("ETag"), reply.VMs
 		return reply.VMs, true, nil
 	}
