Confirm no lease by a page that ends before the topic does

The class of ORDER in the election of the holder: the end of a page of claims was taken for the end of the claims. A page may end between two records: by its size, or because its answer was cut off there without a length. If the entry's own claim was the last of such a page, the read confirmed its lease, though a newer claim of another entry followed, and both would give orders.

Read tells where the topic ends. The lease now hears only of reads that reached that; the rest is read next.

TestCutPageOfClaimsConfirmsNoLease failed before: the lease was held after 1 of 2 claims. Feeds were safe: they date what they know by the last read that reached the end (feed.step).

--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -186,6 +186,10 @@
 			u.lastClaim = &lease.Claim{Holder: c.Holder, Boot: c.Boot}
 		}
 	}
+	if batch.Next < batch.End {
+		// The rest may have a newer claim.
+		return
+	}
 	u.lease.Update(clock.Now(), lease.ReadMsg{Era: u.era, SentAt: sentAt, End: u.next, Last: u.lastClaim})
 }
 
