Take no answer of another entry without a marked end (ORDER)

The class of ORDER between entries: an answer that another entry passes on counted as whole when its connection ended in an orderly way, as that of an engine without a length may. Entries mark the ends of their answers by a length or a last chunk in all cases, so that an end of the connection alone is that of a process or of something on the way. The outcome of such a request is unknown now.

TestEarlyAnswerOfAPeerIsNeverComplete (resets before a long request was read) and TestBrokenAnswerBehindAPeerIsNeverComplete (broken at the engine, and on the link to the peer) were safe. TestUnframedAnswerArrivesOverAPeer: answers of engines without a mark arrive over a peer as before.

--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -8,6 +8,7 @@
 
 	"cicadavalve/core/conf"
 	"cicadavalve/core/place"
+	"cicadavalve/core/retry"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/link"
 	"cicadavalve/io/port"
@@ -120,6 +121,11 @@
 	}
 	defer answer.Close()
 	x.progress, x.answer = gotHead, answer
+	if answer.Framing == link.ByConnection {
+		// Entries mark the ends of their answers.
+		x.cause = errors.New("answer of an entry without a marked end")
+		return result{ending: retry.Unknown}, true
+	}
 	signed := x.h.dialect.Reply(answer.Status, answer.Header).Signed
 	if signed && x.route.Kind == conf.Stream && answer.Status < http.StatusMultipleChoices {
 		return x.relayStream(ctx, nil, answer), true
