State the lengths of replies to callers

The class of ORDER in io/caller: to a caller of HTTP/1.0 a reply of more than 2 KB had no length and ended with its connection, so that the reply of an entry whose process ended midway looked whole. Replies and refusals are held as a whole, so their lengths are known.

TestRepliesStateTheirLength failed before for calls and completions. Streams end with a marker, and were safe. TestCutCallIsNotRun: calls whose bodies break off were refused before, too.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"expvar"
@@ -202,8 +203,7 @@
 	if _, _, err := mime.ParseMediaType(reply.ContentType); err == nil {
 		w.Header().Set("Content-Type", reply.ContentType)
 	}
-	w.WriteHeader(reply.Status)
-	_, _ = w.Write(reply.Body)
+	writeBody(w, reply.Status, reply.Body)
 }
 
 func (s *Server) handleUnknownPath(w http.ResponseWriter, _ *http.Request) {
@@ -223,7 +223,17 @@
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
+	var raw bytes.Buffer
+	if err := json.NewEncoder(&raw).Encode(body); err != nil {
+		status = http.StatusInternalServerError
+	}
 	w.Header().Set("Content-Type", "application/json")
+	writeBody(w, status, raw.Bytes())
+}
+
+// writeBody writes a whole body with its length, without which it would end with the connection for callers of HTTP/1.0.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(body)
 }
