Compare whole answers in the load of cvlab

The load compared the text of streams with what the engine meant, but read nothing after their marker, and compared a reply's key and run alone, without the end of its body. It compares the whole reply now and reads each answer to its end.

Short texts and missing markers were noticed before.

--- a/io/fakes/app.go
+++ b/io/fakes/app.go
@@ -138,7 +138,7 @@
 	}
 	answer := AppReply{
 		Service: r.PathValue("service"), Path: r.PathValue("path"), Key: key, Run: n,
-		Receipt: fmt.Sprintf("%d bytes", len(body)),
+		Receipt: Receipt(len(body)),
 	}
 	a.storeFirstReply(answer)
 	reply(w, answer)
@@ -169,6 +169,9 @@
 	Receipt string `json:"receipt"`
 }
 
+// Receipt returns the receipt for a body of n bytes.
+func Receipt(n int) string { return fmt.Sprintf("%d bytes", n) }
+
 func (a *App) execute(key string, delay time.Duration) (n int) {
 	a.mu.Lock()
 	a.running++
--- a/io/load/client.go
+++ b/io/load/client.go
@@ -118,10 +118,13 @@
 	Error *caller.RefusalError `json:"error"`
 }
 
+// callPath is the path of calls within their service.
+const callPath = "new"
+
 func (r *Runner) request(ctx context.Context, it item, address string) (req *http.Request, err error) {
 	s := sling.New().Base("http://"+address).Set("Authorization", "Bearer "+r.tokens[it.org])
 	if it.key != "" {
-		s = s.Post("/v1/call/"+string(r.preset.Service)+"/new").Set("Idempotency-Key", it.key).
+		s = s.Post("/v1/call/"+string(r.preset.Service)+"/"+callPath).Set("Idempotency-Key", it.key).
 			Body(strings.NewReader(it.prompt))
 	} else {
 		s = s.Post("/v1/completions").BodyJSON(streamBody{it.stream.Model, it.prompt, it.stream.MaxTokens, true})
@@ -186,20 +189,20 @@
 func (o *outcome) readStream(body io.Reader, due time.Time) {
 	var text strings.Builder
 	var version ident.Version
-	last, finished := due, false
+	last, finished, done := due, false, false
 	for ev, err := range sse.Read(body, nil) {
 		if err != nil {
 			o.code = "broken"
 			return
 		}
-		if ev.Data == "[DONE]" {
-			o.elapsed = time.Since(due)
-			o.correct = finished && text.String() == expectedText(o.item, version)
-			if !o.correct {
-				o.code = "wrong_answer"
-			}
+		if done {
+			o.code = "wrong_answer"
 			return
 		}
+		if ev.Data == "[DONE]" {
+			done, o.elapsed = true, time.Since(due)
+			continue
+		}
 		var c chunk
 		if err := json.Unmarshal([]byte(ev.Data), &c); err != nil || c.Error != nil || len(c.Choices) == 0 {
 			o.code = "broken"
@@ -213,7 +216,13 @@
 		}
 		last = o.recordToken(last, due)
 	}
-	o.code = "broken"
+	o.correct = done && finished && text.String() == expectedText(o.item, version)
+	switch {
+	case !done:
+		o.code = "broken"
+	case !o.correct:
+		o.code = "wrong_answer"
+	}
 }
 
 // recordToken records the arrival of a token, and returns its time. last is the arrival of the previous token.
@@ -269,11 +278,15 @@
 		return o.notRun || o.code == "in_progress" || resp.StatusCode == http.StatusServiceUnavailable
 	}
 	var answer fakes.AppReply
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil || json.Unmarshal(raw, &answer) != nil {
 		o.code = "broken"
 		return true
 	}
-	o.correct = answer.Key == (once.Key{Org: it.org, Key: it.key}).Upstream() && answer.Run == 1
+	o.correct = answer == fakes.AppReply{
+		Service: string(r.preset.Service), Path: callPath, Key: once.Key{Org: it.org, Key: it.key}.Upstream(),
+		Run: 1, Receipt: fakes.Receipt(len(it.prompt)),
+	}
 	if !o.correct {
 		o.code = "wrong_answer"
 	}
