Report a log as read only if its end was reached

The folds of the entries were safe: they compare their position with the end that a batch states. A stream that has dropped all of its records ends at its first offset, as before.

--- a/io/audit/audit.go
+++ b/io/audit/audit.go
@@ -79,11 +79,19 @@
 			visit(one)
 		}
 		if next() == from {
-			return nil
+			return checkEnd(batch, from)
 		}
 	}
 }
 
+// checkEnd returns an error if an empty batch is not the end of its stream. The stream may have dropped all of its records.
+func checkEnd(batch ledger.BatchMsg, from int64) (err error) {
+	if len(batch.Entries) == 0 && batch.Next > max(from, batch.First) {
+		return errors.Newf("no records from offset %d on of %d", from, batch.Next)
+	}
+	return nil
+}
+
 // splitRecords splits a batch into one batch per record, so that no intermediate state is skipped.
 func splitRecords(batch ledger.BatchMsg) (batches []ledger.BatchMsg) {
 	for i := range batch.Entries {
@@ -122,9 +130,12 @@
 	next := int64(0)
 	for {
 		batch, err := r.logs.Read(ctx, record.StreamOf(entry), next, 0)
-		if err != nil || len(batch.Entries) == 0 {
+		if err != nil {
 			return segments, err
 		}
+		if len(batch.Entries) == 0 {
+			return segments, checkEnd(batch, next)
+		}
 		for _, e := range batch.Entries {
 			var s record.Segment
 			if err := json.Unmarshal(e.Record.Body, &s); err != nil {
