--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -184,7 +184,7 @@
 	loops := []func(context.Context){
 		newFeed(d, port.Operator, operatorWait, 0, operatorMaxAge).run,
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
-		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, (&verdicts{d: d}).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
+		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, newVerdicts(d).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
 	}
 	for range probers {
 		loops = append(loops, (&prober{d}).run)
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -55,6 +55,7 @@
 	listed   map[ident.UpstreamID]conf.Upstream
 	lost     bool
 	failures int
+	faults   *faultLog
 	// failedAt is when the last read was sent that failed by no fault of the entries, zero before the first.
 	failedAt time.Time
 }
@@ -62,7 +63,7 @@
 func newFeed(d *Daemon, topic port.Topic, wait, interval, maxAge time.Duration) *feed {
 	f := &feed{
 		d: d, topic: topic, wait: wait, watch: watch.NewModel(interval, maxAge), wake: make(chan struct{}, 1),
-		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{},
+		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{}, faults: newFaultLog(d.log, topic),
 	}
 	d.controller.feeds = append(d.controller.feeds, f)
 	return f
@@ -184,9 +185,7 @@
 		return err
 	}
 	f.recordSuccess()
-	for _, fault := range batch.Faults {
-		f.d.log.Warn("record_unreadable", "topic", f.topic, "error", fault)
-	}
+	f.faults.report(batch.Faults)
 	now := clock.Now()
 	if f.era() <= batch.Era {
 		f.updateWatch(batch.Era, nil)
--- a/io/daemon/rollout.go
+++ b/io/daemon/rollout.go
@@ -57,9 +57,7 @@
 		r.d.log.Warn("rollouts_not_loaded", "error", err)
 		return err
 	}
-	for _, fault := range batch.Faults {
-		r.d.log.Warn("record_unreadable", "topic", port.Rollouts, "error", fault)
-	}
+	newFaultLog(r.d.log, port.Rollouts).report(batch.Faults)
 	var msg ramp.StatesMsg
 	for _, event := range batch.Events {
 		if e, ok := event.(port.RolloutStateEvent); ok {
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -38,6 +38,11 @@
 	d *Daemon
 	// failing is set after a failed attempt, until one succeeds.
 	failing bool
+	faults  *faultLog
+}
+
+func newVerdicts(d *Daemon) *verdicts {
+	return &verdicts{d: d, faults: newFaultLog(d.log, port.Verdicts)}
 }
 
 // run loads the verdicts and then records new ones until the context ends. When the store has come back from a copy, it
@@ -102,9 +107,7 @@
 	if err != nil {
 		return false, 0, err
 	}
-	for _, fault := range batch.Faults {
-		v.d.log.Warn("record_unreadable", "topic", port.Verdicts, "error", fault)
-	}
+	v.faults.report(batch.Faults)
 	if hasSecret = v.d.controller.applyVerdicts(clock.Now(), batch.Events); hasSecret {
 		v.d.log.Info("verdicts_loaded", "count", len(batch.Events)-1)
 	}
