Follow an upstream whose record named an incarnation of the future

A record of another writer under the ID of a sound upstream, with an incarnation years ahead, made each of the upstream's own records an older one: its state, load of weights and address were never followed again until the process restarted, and if the odd record said that it drains, the upstream got no more requests (TestIncarnationOfTheFutureLocksNoUpstreamOut: three of its four cases failed before).

An incarnation that is more than an hour ahead of this entry's clock no longer makes others outdated. It is not rejected: an entry whose own clock is behind must still find its upstreams, and then takes the newest record.

Open: an odd incarnation that is later than the true one by less than that, under the same ID.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,6 +16,8 @@
 	// interval of the list, the maximum about a restart of an engine.
 	minPause = 400 * time.Millisecond
 	maxPause = 4 * time.Second
+	// maxClockError is how far the clocks of upstreams may be ahead of this entry's.
+	maxClockError = time.Hour
 	// assumedCold is how long an upstream counts as cold after repeated failures, unless a newer record differs.
 	assumedCold = 3 * time.Second
 )
@@ -199,7 +201,7 @@
 		u.Weights = map[ident.ModelName]int64{}
 	}
 	s, known := m.byID[u.ID]
-	if m.outdated(known, s, u) {
+	if m.outdated(now, known, s, u) {
 		return
 	}
 	if !known || s.Born != u.Born {
@@ -220,13 +222,19 @@
 	s.coldUntil, s.assumedColdUntil = now.Add(u.ColdLeft), time.Time{}
 }
 
-// outdated reports whether a record is of an older incarnation than the listed one, or of one that has departed.
-func (m *Model) outdated(known bool, s *state, u conf.Upstream) bool {
+// outdated reports whether a record is of an older incarnation than the listed one, or of one that has departed. An incarnation of the
+// future is none of the upstream, whose own records would all be outdated.
+func (m *Model) outdated(now time.Time, known bool, s *state, u conf.Upstream) bool {
 	if known {
-		return u.Born < s.Born
+		return u.Born < s.Born && !isFuture(now, s.Born)
 	}
 	left, ok := m.departed[u.ID]
-	return ok && u.Born <= left
+	return ok && u.Born <= left && !isFuture(now, left)
+}
+
+// isFuture reports whether an incarnation starts later than the clocks of upstreams can say.
+func isFuture(now time.Time, born int64) bool {
+	return time.UnixMilli(born).After(now.Add(maxClockError))
 }
 
 // remove removes an upstream. While the list is lost and within the grace period it only marks the record as lapsed.
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -64,6 +64,44 @@
 	}
 }
 
+// TestIncarnationOfTheFutureLocksNoUpstreamOut lists an upstream under an incarnation years ahead, draining or not, and removes it or
+// not, before its own record is written again.
+func TestIncarnationOfTheFutureLocksNoUpstreamOut(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		for _, removed := range []bool{false, true} {
+			m := fleet.NewModel()
+			odd := listed("a", start.AddDate(10, 0, 0).UnixMilli())
+			odd.Upstream.Draining = draining
+			born := start.Add(-time.Minute).UnixMilli()
+			m.Update(start, listed("a", born))
+			m.Update(start, odd)
+			if removed {
+				m.Update(start, fleet.RemovedMsg{ID: "a"})
+			}
+			m.Update(start, listed("a", born))
+			u, _ := m.Get("a")
+			if diff := cmp.Diff(born, u.Born); diff != "" || !m.Usable(start, "a") {
+				t.Errorf("draining %v, removed %v: usable %v, incarnation (-want +got):\n%s", draining, removed, m.Usable(start, "a"), diff)
+			}
+			m.Update(start, listed("a", born-1))
+			if u, _ := m.Get("a"); u.Born != born {
+				t.Errorf("draining %v, removed %v: an older incarnation has replaced it", draining, removed)
+			}
+		}
+	}
+}
+
+// TestFastClockMakesNoIncarnationOlder lists an upstream whose clock is ahead by less than the largest error, and an older record.
+func TestFastClockMakesNoIncarnationOlder(t *testing.T) {
+	m := fleet.NewModel()
+	born := start.Add(30 * time.Minute).UnixMilli()
+	m.Update(start, listed("a", born))
+	m.Update(start, listed("a", born-1))
+	if u, _ := m.Get("a"); u.Born != born {
+		t.Errorf("incarnation %d has replaced %d", u.Born, born)
+	}
+}
+
 // TestLapsedUpstreamsMayRegisterAgain lets two records lapse during an outage of the list; one upstream registers
 // again in time.
 func TestLapsedUpstreamsMayRegisterAgain(t *testing.T) {
