Pause all upstreams at an address that belongs to another one

Each refusal paused that copy alone, although it names the owner of the address.

Ruled out: kept context and its follower are kept by address, so that copies are followed once.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -105,8 +105,8 @@
 // AnsweredMsg reports an exchange that an upstream answered.
 type AnsweredMsg struct{ ID ident.UpstreamID }
 
-// AddressReusedMsg reports that the address of an upstream now belongs to another one.
-type AddressReusedMsg struct{ ID ident.UpstreamID }
+// AddressReusedMsg reports that the address of an upstream belongs to another one.
+type AddressReusedMsg struct{ ID, Owner ident.UpstreamID }
 
 // ColdMsg is an upstream's own report of how much longer it is cold.
 type ColdMsg struct {
@@ -166,9 +166,7 @@
 			s.failures, s.pausedUntil = 0, time.Time{}
 		}
 	case AddressReusedMsg:
-		if s := m.byID[msg.ID]; s != nil {
-			s.pausedUntil = now.Add(maxPause)
-		}
+		m.pauseOthers(now, msg)
 	case ColdMsg:
 		if s := m.byID[msg.ID]; s != nil {
 			s.coldUntil, s.assumedColdUntil = now.Add(msg.Left), time.Time{}
@@ -309,6 +307,19 @@
 	}
 }
 
+// pauseOthers withholds work from all upstreams at an address but its owner: there may be any number of copies of its record.
+func (m *Model) pauseOthers(now time.Time, msg AddressReusedMsg) {
+	reused := m.byID[msg.ID]
+	if reused == nil {
+		return
+	}
+	for id, s := range m.byID {
+		if s.Address == reused.Address && id != msg.Owner {
+			s.pausedUntil = now.Add(maxPause)
+		}
+	}
+}
+
 // Get returns the record of an upstream. ok is false if it isn't listed.
 func (m *Model) Get(id ident.UpstreamID) (u conf.Upstream, ok bool) {
 	s, ok := m.byID[id]
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// TestCopiesOfAnAddressPauseTogether finds another upstream at an address that several upstreams name.
+func TestCopiesOfAnAddressPauseTogether(t *testing.T) {
+	m := fleet.NewModel()
+	elsewhere := listed("elsewhere", 1)
+	elsewhere.Upstream.Address = "b"
+	m.Update(start, elsewhere)
+	for _, id := range []ident.UpstreamID{"owner", "copy1", "copy2"} {
+		m.Update(start, listed(id, 1))
+	}
+	m.Update(start, fleet.AddressReusedMsg{ID: "copy1", Owner: "owner"})
+	if diff := cmp.Diff([]bool{true, true, false, false}, usable(m, start, "elsewhere", "owner", "copy1", "copy2")); diff != "" {
+		t.Errorf("usable (-want +got):\n%s", diff)
+	}
+}
+
 // TestLapsedUpstreamsMayRegisterAgain lets two records lapse during an outage of the list; one upstream registers
 // again in time.
 func TestLapsedUpstreamsMayRegisterAgain(t *testing.T) {
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -376,7 +376,7 @@
 	}
 	switch {
 	case reply.Misdirected && reply.Upstream != "" && reply.Upstream != id:
-		d.fleet.Update(now, fleet.AddressReusedMsg{ID: id})
+		d.fleet.Update(now, fleet.AddressReusedMsg{ID: id, Owner: reply.Upstream})
 		d.log.Warn("upstream_address_moved", "upstream", id, "answered_by", reply.Upstream)
 		d.observeEnd(now, id)
 	case reply.NotRun:
