--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -359,16 +359,25 @@
 			fail(errors.Wrap(err, "receive datagram"))
 			continue
 		}
-		var m Message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
-			fail(errors.Wrap(err, "datagram"))
+		m, err := Decode(buffer[:n])
+		if err != nil {
+			fail(err)
 			continue
 		}
-		m.completeReports()
 		handle(m)
 	}
 }
 
+// Decode decodes one datagram.
+func Decode(datagram []byte) (m Message, err error) {
+	defer func() { err = errors.Wrap(err, "datagram") }()
+	if err := cbor.Unmarshal(datagram, &m); err != nil {
+		return m, err
+	}
+	m.completeReports()
+	return m, nil
+}
+
 // completeReports moves the ages and positions of reports to the reports. Entries of an earlier build send none.
 func (m *Message) completeReports() {
 	for i := range min(len(m.Reports), len(m.ReportAges)) {
