Tell other entries of the weights that have a target alone

The entry that gives orders told all models of an engine's report in its next heartbeat: a report of 901 models made a datagram of 377,892 bytes (TestOddRecordsOfEveryTopicAreDecided/long_report before this change), which UDP does not carry, so that the others heard nothing of this entry for as long as it asked that engine. Only versions of models with a target version are of use to them.

--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -229,12 +229,16 @@
 	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, AskedAt: askedAt, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
 }
 
-// applyWeights applies the weights that an engine reports.
+// applyWeights applies the weights that an engine reports, and has the other entries told of those that have a target version: an engine
+// may have any number of models, and a heartbeat is one datagram.
 func (d *Controller) applyWeights(upstream ident.UpstreamID, weights map[ident.ModelName]int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for model, version := range weights {
 		d.fleet.Update(clock.Now(), fleet.WeightsMsg{ID: upstream, Model: model, Version: version})
+		if _, named := d.targets[model]; !named {
+			continue
+		}
 		d.weights = append(d.weights, gossip.Weights{Upstream: string(upstream), Model: string(model), Version: version})
 	}
 }
--- a/io/daemon/record_fuzz_test.go
+++ b/io/daemon/record_fuzz_test.go
@@ -213,6 +213,19 @@
 // maxKey is the length of the longest key, in bytes.
 const maxKey = 255
 
+// longReport is that of an engine with many models of long names.
+func longReport() []byte {
+	models := []any{map[string]any{"name": "m", "version": 2}}
+	for i := range 900 {
+		models = append(models, map[string]any{"name": fmt.Sprint(strings.Repeat("n", 200), i), "version": 1})
+	}
+	b, err := json.Marshal(map[string]any{"busy": false, "seq": 1, "models": models, "boot_epoch": 5, "born": 1})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
 // maxDatagram is the largest that UDP carries, in bytes.
 const maxDatagram = 65_507
 
@@ -315,6 +328,11 @@
 	for _, key := range []string{"", "e1", "e2", "\xff", "a\r\nb", "\x00", strings.Repeat("k", maxKey)} {
 		t.Run(fmt.Sprintf("key %.8q", key), func(t *testing.T) { playRecords(t, key, soundBytes()) })
 	}
+	t.Run("long report", func(t *testing.T) {
+		values := soundBytes()
+		values[6] = longReport()
+		playRecords(t, "odd", values)
+	})
 	for i, sound := range soundValues {
 		for n, form := range oddForms(sound) {
 			values := soundBytes()
