Keep what an upstream said when a record under its ID is odd

An odd record under the ID of a sound upstream counted as its removal.

The record still names no upstream to use: it gets no work until its next record, and is dropped after 10 s without one.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -18,6 +18,9 @@
 	maxPause = 4 * time.Second
 	// maxClockError is how far the clocks of upstreams may be ahead of this entry's.
 	maxClockError = time.Hour
+	// unreadableTimeout is how long an upstream may take to register again after a record under its ID that can't be read: some
+	// heartbeats.
+	unreadableTimeout = 10 * time.Second
 	// assumedCold is how long an upstream counts as cold after repeated failures, unless a newer record differs.
 	assumedCold = 3 * time.Second
 )
@@ -34,6 +37,8 @@
 	failures int
 	// lapsedAt is when its record was removed during an outage of the list, zero while it is listed.
 	lapsedAt time.Time
+	// unreadableAt is when a record under its ID could not be read, zero since the last one that could.
+	unreadableAt time.Time
 	// orderedUntil is until when it carries out an order, rejectingUntil until when it is taken to reject further requests.
 	orderedUntil, rejectingUntil time.Time
 	// backoffUntil is until when it asks this entry to back off. It never decreases.
@@ -84,8 +89,16 @@
 // RemovedMsg reports a record that was removed.
 type RemovedMsg struct{ ID ident.UpstreamID }
 
+// UnreadableMsg reports a record under the ID of an upstream that names none to use. It may be of another writer; what is known of the
+// upstream counts again with its next record.
+type UnreadableMsg struct{ ID ident.UpstreamID }
+
 // SnapshotMsg is the complete list; upstreams missing from it were removed.
-type SnapshotMsg struct{ Upstreams []conf.Upstream }
+type SnapshotMsg struct {
+	Upstreams []conf.Upstream
+	// Unreadable lists those whose record can't be read.
+	Unreadable []ident.UpstreamID
+}
 
 // ListLostMsg reports that the list can't be read.
 type ListLostMsg struct{}
@@ -148,8 +161,10 @@
 		m.upsert(now, msg.Upstream)
 	case RemovedMsg:
 		return m.remove(now, msg.ID)
+	case UnreadableMsg:
+		m.suspend(now, msg.ID)
 	case SnapshotMsg:
-		return m.applySnapshot(now, msg.Upstreams)
+		return m.applySnapshot(now, msg)
 	case ListLostMsg:
 		m.graceUntil = now.Add(time.Hour)
 	case ListRestoredMsg:
@@ -216,7 +231,7 @@
 		m.byService = nil
 	}
 	u.Draining = u.Draining || known && s.Draining
-	s.Upstream, s.lapsedAt = u, time.Time{}
+	s.Upstream, s.lapsedAt, s.unreadableAt = u, time.Time{}, time.Time{}
 	s.coldUntil, s.assumedColdUntil = now.Add(u.ColdLeft), time.Time{}
 }
 
@@ -260,16 +275,27 @@
 	return GoneCmd{ID: id, Born: s.Born, Draining: s.Draining}
 }
 
+// suspend withholds work from an upstream until its next record.
+func (m *Model) suspend(now time.Time, id ident.UpstreamID) {
+	if s := m.byID[id]; s != nil && s.unreadableAt.IsZero() {
+		s.unreadableAt = now
+	}
+}
+
 // applySnapshot applies the listed records and removes the upstreams that aren't listed.
-func (m *Model) applySnapshot(now time.Time, listed []conf.Upstream) (cmds []ident.Cmd) {
+func (m *Model) applySnapshot(now time.Time, msg SnapshotMsg) (cmds []ident.Cmd) {
 	missing := map[ident.UpstreamID]bool{}
 	for id := range m.byID {
 		missing[id] = true
 	}
-	for _, u := range listed {
+	for _, u := range msg.Upstreams {
 		delete(missing, u.ID)
 		m.upsert(now, u)
 	}
+	for _, id := range msg.Unreadable {
+		delete(missing, id)
+		m.suspend(now, id)
+	}
 	for id := range missing {
 		cmds = append(cmds, m.remove(now, id)...)
 	}
@@ -277,13 +303,13 @@
 }
 
 // DropLapsed removes the upstreams whose records lapsed during an outage and that haven't registered again within the
-// grace period.
+// grace period, and those that haven't long after a record that can't be read.
 func (m *Model) DropLapsed(now time.Time) (cmds []ident.Cmd) {
 	if now.Before(m.graceUntil) {
 		return nil
 	}
 	for id, s := range m.byID {
-		if !s.lapsedAt.IsZero() {
+		if !s.lapsedAt.IsZero() || !s.unreadableAt.IsZero() && now.Sub(s.unreadableAt) >= unreadableTimeout {
 			cmds = append(cmds, m.drop(id))
 		}
 	}
@@ -361,7 +387,7 @@
 }
 
 func (m *Model) status(now time.Time, s *state) Status {
-	serves, paused, backoff := !s.Draining && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil), time.Duration(0)
+	serves, paused, backoff := !s.Draining && s.unreadableAt.IsZero() && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil), time.Duration(0)
 	if serves {
 		backoff = max(s.backoffUntil.Sub(now), 0)
 	}
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -117,6 +117,38 @@
 	}
 }
 
+// TestUnreadableRecordKeepsWhatUpstreamSaid writes a record that can't be read under the ID of an upstream that asks to back off, by a
+// read or a snapshot. The upstream gets no work until its own next record, and its back-off binds beyond that.
+func TestUnreadableRecordKeepsWhatUpstreamSaid(t *testing.T) {
+	for name, msg := range map[string]ident.Msg{"read": fleet.UnreadableMsg{ID: "a"}, "snapshot": fleet.SnapshotMsg{Unreadable: []ident.UpstreamID{"a"}}} {
+		m := fleet.NewModel()
+		m.Update(start, listed("a", 1))
+		m.Update(start, fleet.RejectedMsg{ID: "a", Born: 1, Backoff: 3 * time.Second})
+		cmds := m.Update(start.Add(time.Second), msg)
+		cmds = append(cmds, m.DropLapsed(start.Add(4*time.Second))...)
+		got := usable(m, start.Add(4*time.Second), "a")
+		m.Update(start.Add(2*time.Second), listed("a", 1))
+		for _, at := range []time.Duration{2, 4} {
+			got = append(got, usable(m, start.Add(at*time.Second), "a")...)
+		}
+		if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" || len(cmds) > 0 {
+			t.Errorf("%s: commands %v, usable before the next record, during the back-off and after it (-want +got):\n%s", name, cmds, diff)
+		}
+	}
+}
+
+// TestUpstreamWithoutReadableRecordIsDropped writes nothing after a record that can't be read.
+func TestUpstreamWithoutReadableRecordIsDropped(t *testing.T) {
+	m := fleet.NewModel()
+	m.Update(start, listed("a", 1))
+	m.Update(start, fleet.UnreadableMsg{ID: "a"})
+	m.Update(start.Add(5*time.Second), fleet.UnreadableMsg{ID: "a"})
+	got := [][]ident.Cmd{m.DropLapsed(start.Add(9 * time.Second)), m.DropLapsed(start.Add(11 * time.Second))}
+	if diff := cmp.Diff([][]ident.Cmd{nil, {fleet.GoneCmd{ID: "a", Born: 1}}}, got); diff != "" {
+		t.Errorf("commands (-want +got):\n%s", diff)
+	}
+}
+
 // TestLapsedUpstreamsMayRegisterAgain lets two records lapse during an outage of the list; one upstream registers
 // again in time.
 func TestLapsedUpstreamsMayRegisterAgain(t *testing.T) {
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -257,6 +257,10 @@
 			_, known := f.listed[e.ID]
 			changed = changed || known
 			delete(f.listed, e.ID)
+		case port.UpstreamUnreadableEvent:
+			_, known := f.listed[e.ID]
+			changed = changed || known
+			delete(f.listed, e.ID)
 		default:
 			changed = true
 		}
@@ -324,6 +328,8 @@
 			d.applyUpstream(now, e.Upstream)
 		case port.UpstreamGoneEvent:
 			d.perform(d.fleet.Update(now, fleet.RemovedMsg{ID: e.ID}))
+		case port.UpstreamUnreadableEvent:
+			d.perform(d.fleet.Update(now, fleet.UnreadableMsg{ID: e.ID}))
 		}
 	}
 	d.updateReadiness(now)
@@ -361,13 +367,17 @@
 
 func (d *Controller) applyUpstreamList(now time.Time, events []any) {
 	var listed []conf.Upstream
+	var unreadable []ident.UpstreamID
 	for _, event := range events {
-		if e, ok := event.(port.UpstreamEvent); ok {
+		switch e := event.(type) {
+		case port.UpstreamEvent:
 			listed = append(listed, e.Upstream)
+		case port.UpstreamUnreadableEvent:
+			unreadable = append(unreadable, e.ID)
 		}
 	}
-	d.log.Info("upstreams_listed", "count", len(listed))
-	d.perform(d.fleet.Update(now, fleet.SnapshotMsg{Upstreams: listed}))
+	d.log.Info("upstreams_listed", "count", len(listed), "unreadable", len(unreadable))
+	d.perform(d.fleet.Update(now, fleet.SnapshotMsg{Upstreams: listed, Unreadable: unreadable}))
 	for _, u := range listed {
 		d.seeRelease(now, u)
 		d.observeRecord(now, u)
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -164,9 +164,12 @@
 // UpstreamEvent is a listed upstream.
 type UpstreamEvent struct{ Upstream conf.Upstream }
 
-// UpstreamGoneEvent is the removal of an upstream, or a record that makes the upstream unusable.
+// UpstreamGoneEvent is the removal of an upstream.
 type UpstreamGoneEvent struct{ ID ident.UpstreamID }
 
+// UpstreamUnreadableEvent is a record under the ID of an upstream that names none to use.
+type UpstreamUnreadableEvent struct{ ID ident.UpstreamID }
+
 // EntryEvent is the address that a daemon has announced, as its id.
 type EntryEvent struct{ ID string }
 
