Notice lost links beside an upstream that nobody reaches

In a list of up to eight upstreams, one entry in it to which no connection can be opened kept every entry from ever finding out that it is cut off: it had to know all links as lost or reached, and this one stays neither. Such an entry stayed in the directory and took the duty of orders while it reached nothing (TestAddressesThatNobodyReachesAreNoLostLinks: with 1, 3 and 200 such records beside four sound ones the cut entry did not count as partitioned before).

An upstream that no entry has reached for 5 s since this one first failed is down, and no link of it any more. Once another entry reaches it, it counts as before.

Ruled out by the same test: such addresses make no entry partitioned or hand requests over by themselves, whether one or 200.

--- a/core/reach/reach.go
+++ b/core/reach/reach.go
@@ -53,10 +53,13 @@
 	// lostRatio is how many links must be lost for each that is not. A congested link loses some at any time, and the
 	// other entries would have to serve its callers over links of their own.
 	lostRatio = 3
+	// downAfter is how long no entry must have reached an upstream for it to be no link of this one: long enough to ask the others about all
+	// that fail.
+	downAfter = 5 * time.Second
 	// sweepInterval is the interval at which upstreams that are not listed are forgotten.
 	sweepInterval = 500 * time.Millisecond
-	// minLost is how many upstreams an entry must have lost to count as partitioned, unless there are fewer, and minTried how many
-	// must be known to be lost or reached.
+	// minLost is how many upstreams an entry must have lost to count as partitioned, unless there are fewer that are not down, and minTried
+	// how many must be known to be lost or reached.
 	minLost  = 2
 	minTried = doubtProbes
 )
@@ -368,7 +371,7 @@
 	if m.failing == 0 && !m.partitioned {
 		return nil
 	}
-	lost, reached := 0, 0
+	lost, reached, links := 0, 0, listed
 	for _, s := range m.states {
 		if s.isLost() && (m.lostSince.IsZero() || s.unopenedAt.Before(m.lostSince)) {
 			m.lostSince = s.unopenedAt
@@ -378,13 +381,15 @@
 		switch {
 		case s.isLost():
 			lost++
+		case !s.unopenedAt.IsZero() && now.Sub(s.unopenedAt) >= downAfter:
+			links--
 		case s.unopenedAt.IsZero() && m.contacted(now, s):
 			reached++
 		}
 	}
-	known := lost+reached >= min(minTried, listed)
+	known := lost+reached >= min(minTried, links)
 	m.settled = known && !IsMost(lost, reached)
-	if IsMost(lost, reached) && (m.partitioned || lost >= min(minLost, listed) && known) {
+	if IsMost(lost, reached) && (m.partitioned || lost >= min(minLost, links) && known) {
 		m.connectedSince = time.Time{}
 		if !m.partitioned {
 			m.partitioned = true
--- a/io/daemon/reach_test.go
+++ b/io/daemon/reach_test.go
@@ -215,3 +215,53 @@
 		}
 	}
 }
+
+// TestAddressesThatNobodyReachesAreNoLostLinks lists upstreams to which no entry can open a connection, beside a few that all reach. No
+// entry may take itself for cut off, or hand requests over, until one of them really is.
+func TestAddressesThatNobodyReachesAreNoLostLinks(t *testing.T) {
+	type view struct {
+		Partitioned bool
+		Lack        relay.Lack
+	}
+	for _, dead := range []int{1, 3, 200} {
+		now := time.Now()
+		fleet := newFleet(Settings{}, 3, now)
+		for _, d := range fleet {
+			for i := range 4 {
+				d.applyUpstream(now, upstream(ident.UpstreamID(fmt.Sprint("sound", i)), 1))
+			}
+			for i := range dead {
+				d.applyUpstream(now, upstream(ident.UpstreamID(fmt.Sprint("odd", i)), 1))
+			}
+		}
+		cut := false
+		reaches := func(entry int, id ident.UpstreamID) bool {
+			return strings.HasPrefix(string(id), "sound") && (entry > 0 || !cut)
+		}
+		// Requests try all upstreams four times a second.
+		use := func(d time.Duration) {
+			for end := now.Add(d); now.Before(end); now = exchange(fleet, now, 250*time.Millisecond, reaches) {
+				for i, from := range fleet {
+					for _, u := range from.fleet.All() {
+						from.observeProbe(now, u.ID, now, reaches(i, u.ID))
+					}
+				}
+			}
+		}
+		views := func() (all []view) {
+			for _, d := range fleet {
+				all = append(all, view{d.reach.Partitioned(), d.lack(now, "app")})
+			}
+			return all
+		}
+		use(5 * time.Second)
+		if diff := cmp.Diff([]view{{}, {}, {}}, views()); diff != "" {
+			t.Errorf("%d dead: the entries' view of their links (-want +got):\n%s", dead, diff)
+		}
+		cut = true
+		use(8 * time.Second)
+		if diff := cmp.Diff([]view{{true, relay.LacksMost}, {}, {}}, views()); diff != "" {
+			t.Errorf("%d dead: the entries' view once one of them is cut off (-want +got):\n%s", dead, diff)
+		}
+	}
+}
