--- a/io/daemon/faults_test.go
+++ b/io/daemon/faults_test.go
@@ -13,17 +13,19 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/go-cmp/cmp"
 
+	"cicadavalve/core/ident"
 	"cicadavalve/io/port"
 )
 
 // oddStore is a store with records that can't be read.
 type oddStore struct {
 	port.Store
+	events []any
 	faults []error
 }
 
 func (s *oddStore) Snapshot(context.Context, port.Topic) (batch port.Batch, err error) {
-	return port.Batch{Next: 5, Faults: s.faults}, nil
+	return port.Batch{Next: 5, Events: s.events, Faults: s.faults}, nil
 }
 
 // TestUnreadableRecordFillsNoLog reads the same unreadable records again and again, one of them with a text of a megabyte.
@@ -84,3 +86,25 @@
 		t.Errorf("log (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnreadableOrderEndsNoRollout reads the operator's records again: without the order of a roll-out, which ends it, and while one of
+// them can't be read, which may be that order.
+func TestUnreadableOrderEndsNoRollout(t *testing.T) {
+	for unreadable, want := range map[bool][]ident.ServiceName{true: {"app"}, false: nil} {
+		store := &oddStore{events: []any{port.RolloutEvent{Service: "app", Release: "v2", Within: time.Minute}}}
+		d := &Daemon{store: store, log: slog.New(slog.DiscardHandler), controller: newFleet(Settings{}, 1, time.Now())[0]}
+		f := newFeed(d, port.Operator, 0, 0, operatorMaxAge)
+		for range 2 {
+			if err := f.step(t.Context(), -1, 0); err != nil {
+				t.Fatal(err)
+			}
+			store.events = nil
+			if unreadable {
+				store.faults = []error{errors.New("unreadable")}
+			}
+		}
+		if diff := cmp.Diff(want, d.controller.ramp.Services()); diff != "" {
+			t.Errorf("unreadable %v: services with a roll-out (-want +got):\n%s", unreadable, diff)
+		}
+	}
+}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -194,7 +194,10 @@
 			// In a new era, orders that were lost are written again.
 			if f.topic == port.Operator && f.snapshotEra == batch.Era {
 				f.d.controller.takeBackZones(now, batch.Events)
-				f.d.controller.endRollouts(now, batch.Events)
+				// An order that can't be read ends none.
+				if len(batch.Faults) == 0 {
+					f.d.controller.endRollouts(now, batch.Events)
+				}
 			}
 			f.snapshotEra = batch.Era
 		}
