Convert estimated times alike on all architectures

Go leaves the result of a conversion out of range to the architecture: the largest duration on arm64, the smallest on x86-64; and the largest one plus the wait for a link overflows to a negative time.

Found by reading.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -10,6 +10,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/route"
+	"cicadavalve/core/times"
 )
 
 const (
@@ -173,7 +174,7 @@
 	slots := max(u.Slots, 1)
 	turns := 1 + max(0, float64(total.Requests+1-slots))/float64(slots)
 	first := service.call * turns * stats.slowdown
-	o.firstByte = time.Duration(first)
+	o.firstByte = times.Duration(first)
 	o.cost = first*(1+0.3*float64(total.Requests)/float64(slots)) + m.penalty(need, u, stats)
 	o.idle = total.Requests < slots/2
 }
@@ -202,7 +203,7 @@
 		return bound
 	}
 	first := service.firstByte(o.ahead+o.missing)*stats.slowdown + float64(o.fetchDelay)
-	o.firstByte = time.Duration(first)
+	o.firstByte = times.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.penalty(need, u, stats)
 	o.cost += service.perToken * (recomputeWeight*float64(o.recomputed) + fetchWeight*float64(o.fetched))
 	if _, outdated := m.outdated(need.Model, o.version); outdated {
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -11,6 +11,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/route"
+	"cicadavalve/core/times"
 )
 
 const (
@@ -84,7 +85,7 @@
 		}
 		wait += until.Sub(now)
 	}
-	return time.Duration(float64(transfer)*slowdown) + wait
+	return times.Duration(float64(transfer)*slowdown) + wait
 }
 
 // Transfers lists the holders from which this entry fetches parts, with the remaining time.
@@ -103,7 +104,7 @@
 	if bitsPerSecond <= 0 {
 		return 0
 	}
-	return time.Duration(float64(tokens) * float64(tokenSize) * bitsPerByte / bitsPerSecond * float64(time.Second))
+	return times.Duration(float64(tokens) * float64(tokenSize) * bitsPerByte / bitsPerSecond * float64(time.Second))
 }
 
 // origin is a holder from which a part can be fetched.
@@ -265,7 +266,7 @@
 			}
 			continue
 		}
-		prefill := time.Duration(perToken * float64(part.Tokens))
+		prefill := times.Duration(perToken * float64(part.Tokens))
 		if missing || best.fetchDelay > maxFetch || best.fetchDelay > fetchFactor*prefill+fetchAllowance {
 			missing = true
 			o.recomputed += part.Tokens
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -344,7 +344,7 @@
 // enqueue queues a request, or refuses it once its wait limit is reached.
 func (m *Model) enqueue(now time.Time, w *waiting, tally Tally, ahead *outlook) (cmds []ident.Cmd) {
 	if w.until.IsZero() {
-		w.until = now.Add(min(time.Duration(waitFactor*float64(w.need.Objective)), w.need.Deadline.Sub(now)/waitDivisor))
+		w.until = now.Add(min(times.Duration(waitFactor*float64(w.need.Objective)), w.need.Deadline.Sub(now)/waitDivisor))
 	}
 	if !now.Before(w.until) {
 		reason := NoUpstream
--- a/core/place/ramp.go
+++ b/core/place/ramp.go
@@ -7,6 +7,7 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/route"
+	"cicadavalve/core/times"
 )
 
 // WithRamp sets the model of roll-outs, which decides what upstreams of each software release may get.
@@ -64,7 +65,7 @@
 	if m.ramp == nil {
 		return
 	}
-	expected := time.Duration(float64(o.firstByte-o.fetchDelay)/m.upstreamStats(o.upstream.ID).slowdown) + o.fetchDelay
+	expected := times.Duration(float64(o.firstByte-o.fetchDelay)/m.upstreamStats(o.upstream.ID).slowdown) + o.fetchDelay
 	m.ramp.Update(now, ramp.SentMsg{Attempt: ramp.Attempt{
 		ID: uint64(need.Ticket), Service: need.Service, Route: need.Route, Upstream: o.upstream.ID, Release: o.upstream.Release,
 		Cold: m.fleet.Cold(now, o.upstream.ID), Expected: expected, Output: need.Output,
--- a/core/place/rate.go
+++ b/core/place/rate.go
@@ -8,6 +8,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/route"
+	"cicadavalve/core/times"
 )
 
 // All entries share the rate of requests to an upstream that is cold or names a limit itself. An equal part of it
@@ -68,7 +69,7 @@
 	q.perSecond = total / float64(users)
 	q.burst = max(1, min(burst, q.perSecond*namedBurst.Seconds()))
 	if limit.Named {
-		q.trialInterval = time.Duration(float64(users) / trialRate * float64(time.Second))
+		q.trialInterval = times.Duration(float64(users) / trialRate * float64(time.Second))
 	}
 	return q
 }
@@ -174,7 +175,7 @@
 			at = stats.returnsUntil
 		}
 		after = min(max(at.Sub(now), minRetryAfter), maxRetryAfter)
-		stats.returnsUntil = now.Add(after + time.Duration(float64(time.Second)/o.perSecond))
+		stats.returnsUntil = now.Add(after + times.Duration(float64(time.Second)/o.perSecond))
 	}
 	return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(after), Reason: Limited, Expected: expected, Tally: tally}}
 }
--- a/core/times/times.go
+++ b/core/times/times.go
@@ -1,7 +1,24 @@
-// Package times compares points in time.
+// Package times compares points in time and converts durations.
 package times
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// maxDuration bounds converted durations: two of them add up without overflow.
+const maxDuration = 1 << 62
+
+// Duration converts a number of ns, and one that is out of range to the nearest that is not: what the language's conversion makes of that
+// differs between architectures.
+//
+//	wait := times.Duration(tokens / perSecond * float64(time.Second))
+func Duration(ns float64) time.Duration {
+	if math.IsNaN(ns) {
+		return 0
+	}
+	return time.Duration(min(max(ns, -maxDuration), maxDuration))
+}
 
 // Earlier returns the earlier of two times.
 //
