Follow the weights of an upstream's own record after another writer's

The highest version of weights that any record of an incarnation named was kept.

Kept are now the versions that the incarnation reports itself, which is what its late records must not undo.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -48,6 +48,8 @@
 	leavingToldAt time.Time
 	// rejection is what its newest answer said of rejections.
 	rejection rejectionLimit
+	// reported holds the newest versions of weights that this incarnation itself reported.
+	reported map[ident.ModelName]int64
 	// isolated is set while only this entry can't reach it.
 	isolated bool
 	limit    limitState
@@ -199,8 +201,9 @@
 	case RejectedMsg:
 		m.applyRejection(now, msg)
 	case WeightsMsg:
-		if s := m.byID[msg.ID]; s != nil && s.Weights[msg.Model] < msg.Version {
-			s.Weights[msg.Model] = msg.Version
+		if s := m.byID[msg.ID]; s != nil && s.reported[msg.Model] < msg.Version {
+			s.reported[msg.Model] = msg.Version
+			s.Weights[msg.Model] = max(s.Weights[msg.Model], msg.Version)
 		}
 	case AvoidMsg:
 		m.avoided[msg.Zone] = msg.Avoided
@@ -208,7 +211,8 @@
 	return nil
 }
 
-// upsert applies a record, unless it is outdated. Draining and newer weights of the same incarnation are kept.
+// upsert applies a record, unless it is outdated. Draining and newer weights that the same incarnation has reported are kept: its records
+// are late. What an earlier record said of the weights is not, which may have been another writer's.
 func (m *Model) upsert(now time.Time, u conf.Upstream) {
 	if u.Weights == nil {
 		u.Weights = map[ident.ModelName]int64{}
@@ -218,14 +222,12 @@
 		return
 	}
 	if !known || s.Born != u.Born {
-		s = &state{}
+		s = &state{reported: map[ident.ModelName]int64{}}
 		m.byID[u.ID] = s
 		m.byService = nil
 	}
-	if known && s.Born == u.Born {
-		for name, v := range s.Weights {
-			u.Weights[name] = max(u.Weights[name], v)
-		}
+	for name, v := range s.reported {
+		u.Weights[name] = max(u.Weights[name], v)
 	}
 	if s.Service != u.Service {
 		m.byService = nil
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -149,6 +149,26 @@
 	}
 }
 
+// TestWeightsOfAnotherWriterDoNotStay lists an upstream with weights that it does not have, and then by its own record. Its reports count
+// beside its records, which are late.
+func TestWeightsOfAnotherWriterDoNotStay(t *testing.T) {
+	m := fleet.NewModel()
+	record := func(version int64) fleet.ListedMsg {
+		msg := listed("a", 1)
+		msg.Upstream.Weights = map[ident.ModelName]int64{"m": version}
+		return msg
+	}
+	var got []int64
+	for _, msg := range []ident.Msg{record(2), record(1 << 40), record(2), fleet.WeightsMsg{ID: "a", Model: "m", Version: 3}, record(2), record(4), fleet.WeightsMsg{ID: "a", Model: "m", Version: 3}} {
+		m.Update(start, msg)
+		u, _ := m.Get("a")
+		got = append(got, u.Weights["m"])
+	}
+	if diff := cmp.Diff([]int64{2, 1 << 40, 2, 3, 3, 4, 4}, got); diff != "" {
+		t.Errorf("weights after each message (-want +got):\n%s", diff)
+	}
+}
+
 // TestLapsedUpstreamsMayRegisterAgain lets two records lapse during an outage of the list; one upstream registers
 // again in time.
 func TestLapsedUpstreamsMayRegisterAgain(t *testing.T) {
