Hand requests over to entries that take them before earlier builds

Cause: entries of builds before hand-overs tell no version of their configuration, which counted as the same one, and refuse the connection. After three of them the entry took its own link to be at fault and handed nothing over any more.

Ruled out: the configuration (all had the same), and the entry that takes requests (it had all its links and served its own callers).

--- a/io/daemon/reach.go
+++ b/io/daemon/reach.go
@@ -176,16 +176,18 @@
 }
 
 // ineligible returns those of the peers to which no request should be handed over. Callers must not see an older configuration than this
-// entry's, nor a newer one that its own answers then contradict. Unless there is no other way, requests go to peers with the same one. The
-// lock is held.
+// entry's, nor a newer one that its own answers then contradict. Unless there is no other way, requests go to peers with the same one. An
+// entry that tells no version is of an earlier build, which may not take requests over. The lock is held.
 func (d *Controller) ineligible(peers []mesh.Peer, lack relay.Lack, tried []string) (ids []string) {
 	own := d.configVersion()
-	var same, newer, older []string
+	var same, untold, newer, older []string
 	for _, p := range peers {
 		switch {
 		case slices.Contains(tried, p.ID):
-		case p.Version == own || p.Version == 0:
+		case p.Version == own:
 			same = append(same, p.ID)
+		case p.Version == 0:
+			untold = append(untold, p.ID)
 		case p.Version > own:
 			newer = append(newer, p.ID)
 		default:
@@ -193,7 +195,9 @@
 		}
 	}
 	switch {
-	case len(same) > 0 || lack < relay.LacksMost:
+	case len(same) > 0:
+		return slices.Concat(untold, newer, older)
+	case len(untold) > 0 || lack < relay.LacksMost:
 		return append(newer, older...)
 	case len(newer) > 0:
 		return older
--- a/io/daemon/reach_test.go
+++ b/io/daemon/reach_test.go
@@ -189,6 +189,9 @@
 		{"all are ahead of one without links", []int64{6, 4}, relay.LacksMost, []string{"entry-1"}},
 		{"all are behind one without links", []int64{4, 4}, relay.LacksMost, []string{"entry-1", "entry-2"}},
 		{"earlier build", []int64{0, 4}, relay.LacksSome, []string{"entry-1"}},
+		{"earlier build beside the same", []int64{0, 5}, relay.LacksMost, []string{"entry-2"}},
+		{"earlier build beside one ahead", []int64{0, 6}, relay.LacksMost, []string{"entry-1"}},
+		{"earlier builds", []int64{0, 0}, relay.LacksMost, []string{"entry-1", "entry-2"}},
 	}
 	for _, c := range cases {
 		now := time.Now()
