Read what can be read of another build's datagrams

One element that another build writes in another form, such as an array with one element more, made an entry drop the whole datagram: the sender's life, loads, losses and limits with it. No build so far writes such a form, but an entry of this one beside a later one would take that for dead.

A datagram that can't be read as a whole is now read field by field, and lists element by element; elements beyond the known ones of an array are ignored. Fields that mean something else without those that are lost go with them: reports with their ages and positions, marks with their era. A heartbeat whose loads, transfers or orders can't be read replaces nothing. Without id, state or incarnation nothing counts.

Unknown keys and missing fields were read before as well.

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -346,7 +346,7 @@
 }
 
 // Run calls handle with each message that arrives, until the context ends. It calls fail with errors of receiving and
-// decoding.
+// decoding, also of parts of a message.
 func (s *Socket) Run(ctx context.Context, handle func(Message), fail func(error)) {
 	defer context.AfterFunc(ctx, func() { _ = s.conn.Close() })()
 	buffer := make([]byte, 64<<10)
@@ -359,12 +359,14 @@
 			fail(errors.Wrap(err, "receive datagram"))
 			continue
 		}
-		var m Message
-		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
-			fail(errors.Wrap(err, "datagram"))
+		m, fault, err := decode(buffer[:n])
+		if err != nil {
+			fail(err)
 			continue
 		}
-		m.completeReports()
+		if fault != nil {
+			fail(fault)
+		}
 		handle(m)
 	}
 }
