--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -57,8 +57,9 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		handover, err := h.dialect.Handover(r.Header)
 		if err != nil {
-			h.log.Debug("handover_unreadable", "error", err)
-			w.WriteHeader(http.StatusBadRequest)
+			h.log.Info("handover_unreadable", "error", err)
+			// The other entry passes this on. The request may have run there, and its caller did nothing wrong.
+			w.WriteHeader(http.StatusBadGateway)
 			return
 		}
 		h.serve(w, r, &handover)
