Ignore verdicts on roll-outs that this build doesn't know

A verdict above the known ones, as a later build may tell, ended the roll-out as if the new release were good: the old one got no more requests. It decides nothing now; the store has the state for those that know it.

TestUnknownVerdictDecidesNothing failed before: the old release was barred, the new one allowed.

--- a/core/ramp/evidence.go
+++ b/core/ramp/evidence.go
@@ -228,7 +228,7 @@
 	if msg.Report.Step > r.step && r.verdict == Undecided {
 		cmds = append(cmds, r.enter(now, min(msg.Report.Step, fullStep)))
 	}
-	if m.decide(r, msg.Report.Verdict) {
+	if msg.Report.Verdict.isKnown() && m.decide(r, msg.Report.Verdict) {
 		cmds = append(cmds, r.verdictCmd(now, nil))
 	}
 	return cmds
--- a/core/ramp/messages.go
+++ b/core/ramp/messages.go
@@ -22,6 +22,9 @@
 	Done
 )
 
+// isKnown reports whether the verdict is one of this build.
+func (v Verdict) isKnown() bool { return v >= Undecided && v <= Done }
+
 // State is a state of a roll-out as the operator reads it.
 type State string
 
--- a/core/ramp/ramp_test.go
+++ b/core/ramp/ramp_test.go
@@ -319,3 +319,18 @@
 		t.Errorf("allowed (-want +got):\n%s", diff)
 	}
 }
+
+// TestUnknownVerdictDecidesNothing hears a verdict that only a later build knows.
+func TestUnknownVerdictDecidesNothing(t *testing.T) {
+	m := ramp.NewModel(limits, rand.New(rand.NewPCG(1, 1)))
+	m.Update(start, ramp.StatesMsg{})
+	for _, r := range []ramp.Release{"v1", "v2"} {
+		m.See(start, service, r, start)
+	}
+	m.Update(start, ramp.OrderMsg{Service: service, Target: "v2", Within: within, Since: start})
+	m.Update(start, ramp.ReportMsg{Entry: "later", Report: ramp.Report{Service: service, Target: "v2", Verdict: ramp.Done + 1}})
+	got := map[ramp.Release]bool{"v1": m.Allows(start, service, "v1", false), "v2": m.Allows(start, service, "v2", false)}
+	if diff := cmp.Diff(map[ramp.Release]bool{"v1": true, "v2": false}, got); diff != "" || !m.Active() {
+		t.Errorf("goes on: %v; allowed (-want +got):\n%s", m.Active(), diff)
+	}
+}
