Keep a secret that only another build can read

An entry that could not decode the secret for digests of crashing requests took it to be missing and recorded a second one. Entries of the other build would have gone on under theirs until their next start, and known nothing of what the others found. One without a value was used as an empty secret.

The entry then tells crashing requests apart only if it already had a secret in use.

--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -151,16 +151,19 @@
 	return d.secret
 }
 
-// applyVerdicts applies the records of the topic and reports whether the secret is among them.
+// applyVerdicts applies the records of the topic and reports whether the secret is among them. One that can't be read is not replaced:
+// entries of another build use it.
 func (d *Controller) applyVerdicts(now time.Time, events []any) (hasSecret bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, event := range events {
 		switch e := event.(type) {
 		case port.SecretEvent:
-			d.useSecret(e.Secret)
-			d.updateReadiness(now)
 			hasSecret = true
+			if len(e.Secret) > 0 {
+				d.useSecret(e.Secret)
+				d.updateReadiness(now)
+			}
 		case port.QuarantineEvent:
 			d.applyQuarantine(now, e)
 		}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -176,7 +176,8 @@
 	Boot   int64
 }
 
-// SecretEvent is the secret under which all daemons compute the digests of requests.
+// SecretEvent is the secret under which all daemons compute the digests of requests. It is empty if another build recorded it in a form
+// that this one can't read.
 type SecretEvent struct{ Secret []byte }
 
 // QuarantineEvent is a request in quarantine. Body is the body of the daemons' own record.
