--- a/io/daemon/record_fuzz_test.go
+++ b/io/daemon/record_fuzz_test.go
@@ -232,8 +232,8 @@
 // checkDecodes checks that other entries can read datagrams.
 func checkDecodes(t *testing.T, datagrams [][]byte) {
 	for _, b := range datagrams {
-		if _, err := gossip.Decode(b); err != nil {
-			t.Errorf("other entries can't read a datagram: %v", err)
+		if _, fault, err := gossip.Decode(b); fault != nil || err != nil {
+			t.Errorf("other entries can't read a datagram: %v, left out: %v", err, fault)
 		}
 	}
 }
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -346,7 +346,7 @@
 }
 
 // Run calls handle with each message that arrives, until the context ends. It calls fail with errors of receiving and
-// decoding.
+// decoding, also of parts of a message.
 func (s *Socket) Run(ctx context.Context, handle func(Message), fail func(error)) {
 	defer context.AfterFunc(ctx, func() { _ = s.conn.Close() })()
 	buffer := make([]byte, 64<<10)
@@ -359,25 +359,18 @@
 			fail(errors.Wrap(err, "receive datagram"))
 			continue
 		}
-		m, err := Decode(buffer[:n])
+		m, fault, err := Decode(buffer[:n])
 		if err != nil {
 			fail(err)
 			continue
 		}
+		if fault != nil {
+			fail(fault)
+		}
 		handle(m)
 	}
 }
 
-// Decode decodes one datagram.
-func Decode(datagram []byte) (m Message, err error) {
-	defer func() { err = errors.Wrap(err, "datagram") }()
-	if err := cbor.Unmarshal(datagram, &m); err != nil {
-		return m, err
-	}
-	m.completeReports()
-	return m, nil
-}
-
 // completeReports moves the ages and positions of reports to the reports. Entries of an earlier build send none.
 func (m *Message) completeReports() {
 	for i := range min(len(m.Reports), len(m.ReportAges)) {
