--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -339,6 +339,7 @@
 	if answer.Length >= 0 {
 		x.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
+	x.markIncomplete()
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
 	_, err := x.w.Write(x.held.data)
@@ -351,6 +352,7 @@
 		x.h.controller.End(x.need.Ticket, place.Broken)
 		x.abort("answer_broken")
 	}
+	x.markComplete()
 	x.h.controller.End(x.need.Ticket, outcome)
 	x.report(answer.Status, "answered", -1)
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -473,15 +473,35 @@
 // abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
 // [http.ErrAbortHandler] and does not return.
 func (x *exchange) abort(outcome string) {
-	if !x.r.ProtoAtLeast(1, 1) {
-		// Without chunks, the answer would end as complete with an orderly close.
-		if err := resetOnClose(x.r); err != nil {
-			x.cause = errors.CombineErrors(x.cause, err)
-		}
-	}
+	x.markIncomplete()
 	x.report(abortedStatus, outcome, -1)
 	panic(http.ErrAbortHandler)
 }
 
+// markIncomplete makes the connection of an HTTP/1.0 caller end with a reset. Without chunks, the answer would end as complete with an
+// orderly close, such as the system's after a crash.
+func (x *exchange) markIncomplete() {
+	if x.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	if err := resetOnClose(x.r, true); err != nil {
+		x.cause = errors.CombineErrors(x.cause, err)
+	}
+}
+
+// markComplete takes markIncomplete back once the whole answer was sent.
+func (x *exchange) markComplete() {
+	if x.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	err := http.NewResponseController(x.w).Flush()
+	if err == nil {
+		err = resetOnClose(x.r, false)
+	}
+	if err != nil {
+		x.cause = errors.CombineErrors(x.cause, err)
+	}
+}
+
 // abortedStatus is the status that logs and metrics show for an aborted answer.
 const abortedStatus = 599
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -106,8 +106,8 @@
 // connKey is the key of a request's [callerConn] in its context.
 type connKey struct{}
 
-// resetOnClose makes the connection of a request end with a reset.
-func resetOnClose(r *http.Request) (err error) {
+// resetOnClose sets whether the connection of a request ends with a reset, also if this process is killed.
+func resetOnClose(r *http.Request, reset bool) (err error) {
 	c, ok := r.Context().Value(connKey{}).(*callerConn)
 	if !ok {
 		return errors.New("connection of another server")
@@ -116,7 +116,11 @@
 	if !ok {
 		return errors.Newf("%T can't be reset", c.Conn)
 	}
-	return tcp.SetLinger(0)
+	linger := -1 // The default: what was written is sent, and then the end.
+	if reset {
+		linger = 0
+	}
+	return tcp.SetLinger(linger)
 }
 
 // observe follows the state that the server reports.
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -65,6 +65,7 @@
 		switch {
 		case ended && (x.events > 0 || x.mayBeEmpty(answer)):
 			x.commit(answer)
+			x.markComplete()
 			x.h.controller.End(x.need.Ticket, place.Good)
 			x.report(answer.Status, "answered", -1)
 			return result{done: true}
@@ -103,6 +104,7 @@
 		return
 	}
 	x.firstAt = clock.Now()
+	x.markIncomplete()
 	x.h.dialect.Return(x.w.Header(), answer.Header)
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
