--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -16,6 +16,11 @@
 	// interval of the list, the maximum about a restart of an engine.
 	minPause = 400 * time.Millisecond
 	maxPause = 4 * time.Second
+	// maxClockError is how far the clocks of upstreams may be ahead of this entry's.
+	maxClockError = time.Hour
+	// unreadableTimeout is how long an upstream may take to register again after a record under its ID that can't be read: some
+	// heartbeats.
+	unreadableTimeout = 10 * time.Second
 	// assumedCold is how long an upstream counts as cold after repeated failures, unless a newer record differs.
 	assumedCold = 3 * time.Second
 )
@@ -32,6 +37,8 @@
 	failures int
 	// lapsedAt is when its record was removed during an outage of the list, zero while it is listed.
 	lapsedAt time.Time
+	// unreadableAt is when a record under its ID could not be read, zero since the last one that could.
+	unreadableAt time.Time
 	// orderedUntil is until when it carries out an order, rejectingUntil until when it is taken to reject further requests.
 	orderedUntil, rejectingUntil time.Time
 	// backoffUntil is until when it asks this entry to back off. It never decreases.
@@ -41,6 +48,8 @@
 	leavingToldAt time.Time
 	// rejection is what its newest answer said of rejections.
 	rejection rejectionLimit
+	// reported holds the newest versions of weights that this incarnation itself reported.
+	reported map[ident.ModelName]int64
 	// isolated is set while only this entry can't reach it.
 	isolated bool
 	limit    limitState
@@ -82,8 +91,16 @@
 // RemovedMsg reports a record that was removed.
 type RemovedMsg struct{ ID ident.UpstreamID }
 
+// UnreadableMsg reports a record under the ID of an upstream that names none to use. It may be of another writer; what is known of the
+// upstream counts again with its next record.
+type UnreadableMsg struct{ ID ident.UpstreamID }
+
 // SnapshotMsg is the complete list; upstreams missing from it were removed.
-type SnapshotMsg struct{ Upstreams []conf.Upstream }
+type SnapshotMsg struct {
+	Upstreams []conf.Upstream
+	// Unreadable lists those whose record can't be read.
+	Unreadable []ident.UpstreamID
+}
 
 // ListLostMsg reports that the list can't be read.
 type ListLostMsg struct{}
@@ -103,8 +120,8 @@
 // AnsweredMsg reports an exchange that an upstream answered.
 type AnsweredMsg struct{ ID ident.UpstreamID }
 
-// AddressReusedMsg reports that the address of an upstream now belongs to another one.
-type AddressReusedMsg struct{ ID ident.UpstreamID }
+// AddressReusedMsg reports that the address of an upstream belongs to another one.
+type AddressReusedMsg struct{ ID, Owner ident.UpstreamID }
 
 // ColdMsg is an upstream's own report of how much longer it is cold.
 type ColdMsg struct {
@@ -146,8 +163,10 @@
 		m.upsert(now, msg.Upstream)
 	case RemovedMsg:
 		return m.remove(now, msg.ID)
+	case UnreadableMsg:
+		m.suspend(now, msg.ID)
 	case SnapshotMsg:
-		return m.applySnapshot(now, msg.Upstreams)
+		return m.applySnapshot(now, msg)
 	case ListLostMsg:
 		m.graceUntil = now.Add(time.Hour)
 	case ListRestoredMsg:
@@ -164,9 +183,7 @@
 			s.failures, s.pausedUntil = 0, time.Time{}
 		}
 	case AddressReusedMsg:
-		if s := m.byID[msg.ID]; s != nil {
-			s.pausedUntil = now.Add(maxPause)
-		}
+		m.pauseOthers(now, msg)
 	case ColdMsg:
 		if s := m.byID[msg.ID]; s != nil {
 			s.coldUntil, s.assumedColdUntil = now.Add(msg.Left), time.Time{}
@@ -184,8 +201,9 @@
 	case RejectedMsg:
 		m.applyRejection(now, msg)
 	case WeightsMsg:
-		if s := m.byID[msg.ID]; s != nil && s.Weights[msg.Model] < msg.Version {
-			s.Weights[msg.Model] = msg.Version
+		if s := m.byID[msg.ID]; s != nil && s.reported[msg.Model] < msg.Version {
+			s.reported[msg.Model] = msg.Version
+			s.Weights[msg.Model] = max(s.Weights[msg.Model], msg.Version)
 		}
 	case AvoidMsg:
 		m.avoided[msg.Zone] = msg.Avoided
@@ -193,40 +211,45 @@
 	return nil
 }
 
-// upsert applies a record, unless it is outdated. Draining and newer weights of the same incarnation are kept.
+// upsert applies a record, unless it is outdated. Draining and newer weights that the same incarnation has reported are kept: its records
+// are late. What an earlier record said of the weights is not, which may have been another writer's.
 func (m *Model) upsert(now time.Time, u conf.Upstream) {
 	if u.Weights == nil {
 		u.Weights = map[ident.ModelName]int64{}
 	}
 	s, known := m.byID[u.ID]
-	if m.outdated(known, s, u) {
+	if m.outdated(now, known, s, u) {
 		return
 	}
 	if !known || s.Born != u.Born {
-		s = &state{}
+		s = &state{reported: map[ident.ModelName]int64{}}
 		m.byID[u.ID] = s
 		m.byService = nil
 	}
-	if known && s.Born == u.Born {
-		for name, v := range s.Weights {
-			u.Weights[name] = max(u.Weights[name], v)
-		}
+	for name, v := range s.reported {
+		u.Weights[name] = max(u.Weights[name], v)
 	}
 	if s.Service != u.Service {
 		m.byService = nil
 	}
 	u.Draining = u.Draining || known && s.Draining
-	s.Upstream, s.lapsedAt = u, time.Time{}
+	s.Upstream, s.lapsedAt, s.unreadableAt = u, time.Time{}, time.Time{}
 	s.coldUntil, s.assumedColdUntil = now.Add(u.ColdLeft), time.Time{}
 }
 
-// outdated reports whether a record is of an older incarnation than the listed one, or of one that has departed.
-func (m *Model) outdated(known bool, s *state, u conf.Upstream) bool {
+// outdated reports whether a record is of an older incarnation than the listed one, or of one that has departed. An incarnation of the
+// future is none of the upstream, whose own records would all be outdated.
+func (m *Model) outdated(now time.Time, known bool, s *state, u conf.Upstream) bool {
 	if known {
-		return u.Born < s.Born
+		return u.Born < s.Born && !isFuture(now, s.Born)
 	}
 	left, ok := m.departed[u.ID]
-	return ok && u.Born <= left
+	return ok && u.Born <= left && !isFuture(now, left)
+}
+
+// isFuture reports whether an incarnation starts later than the clocks of upstreams can say.
+func isFuture(now time.Time, born int64) bool {
+	return time.UnixMilli(born).After(now.Add(maxClockError))
 }
 
 // remove removes an upstream. While the list is lost and within the grace period it only marks the record as lapsed.
@@ -254,16 +277,27 @@
 	return GoneCmd{ID: id, Born: s.Born, Draining: s.Draining}
 }
 
+// suspend withholds work from an upstream until its next record.
+func (m *Model) suspend(now time.Time, id ident.UpstreamID) {
+	if s := m.byID[id]; s != nil && s.unreadableAt.IsZero() {
+		s.unreadableAt = now
+	}
+}
+
 // applySnapshot applies the listed records and removes the upstreams that aren't listed.
-func (m *Model) applySnapshot(now time.Time, listed []conf.Upstream) (cmds []ident.Cmd) {
+func (m *Model) applySnapshot(now time.Time, msg SnapshotMsg) (cmds []ident.Cmd) {
 	missing := map[ident.UpstreamID]bool{}
 	for id := range m.byID {
 		missing[id] = true
 	}
-	for _, u := range listed {
+	for _, u := range msg.Upstreams {
 		delete(missing, u.ID)
 		m.upsert(now, u)
 	}
+	for _, id := range msg.Unreadable {
+		delete(missing, id)
+		m.suspend(now, id)
+	}
 	for id := range missing {
 		cmds = append(cmds, m.remove(now, id)...)
 	}
@@ -271,13 +305,13 @@
 }
 
 // DropLapsed removes the upstreams whose records lapsed during an outage and that haven't registered again within the
-// grace period.
+// grace period, and those that haven't long after a record that can't be read.
 func (m *Model) DropLapsed(now time.Time) (cmds []ident.Cmd) {
 	if now.Before(m.graceUntil) {
 		return nil
 	}
 	for id, s := range m.byID {
-		if !s.lapsedAt.IsZero() {
+		if !s.lapsedAt.IsZero() || !s.unreadableAt.IsZero() && now.Sub(s.unreadableAt) >= unreadableTimeout {
 			cmds = append(cmds, m.drop(id))
 		}
 	}
@@ -301,6 +335,19 @@
 	}
 }
 
+// pauseOthers withholds work from all upstreams at an address but its owner: there may be any number of copies of its record.
+func (m *Model) pauseOthers(now time.Time, msg AddressReusedMsg) {
+	reused := m.byID[msg.ID]
+	if reused == nil {
+		return
+	}
+	for id, s := range m.byID {
+		if s.Address == reused.Address && id != msg.Owner {
+			s.pausedUntil = now.Add(maxPause)
+		}
+	}
+}
+
 // Get returns the record of an upstream. ok is false if it isn't listed.
 func (m *Model) Get(id ident.UpstreamID) (u conf.Upstream, ok bool) {
 	s, ok := m.byID[id]
@@ -342,7 +389,7 @@
 }
 
 func (m *Model) status(now time.Time, s *state) Status {
-	serves, paused, backoff := !s.Draining && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil), time.Duration(0)
+	serves, paused, backoff := !s.Draining && s.unreadableAt.IsZero() && !m.avoided[s.Zone] && !s.isolated, now.Before(s.pausedUntil), time.Duration(0)
 	if serves {
 		backoff = max(s.backoffUntil.Sub(now), 0)
 	}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -55,6 +55,7 @@
 	listed   map[ident.UpstreamID]conf.Upstream
 	lost     bool
 	failures int
+	faults   *faultLog
 	// failedAt is when the last read was sent that failed by no fault of the entries, zero before the first.
 	failedAt time.Time
 }
@@ -62,7 +63,7 @@
 func newFeed(d *Daemon, topic port.Topic, wait, interval, maxAge time.Duration) *feed {
 	f := &feed{
 		d: d, topic: topic, wait: wait, watch: watch.NewModel(interval, maxAge), wake: make(chan struct{}, 1),
-		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{},
+		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{}, faults: newFaultLog(d.log, topic),
 	}
 	d.controller.feeds = append(d.controller.feeds, f)
 	return f
@@ -184,9 +185,7 @@
 		return err
 	}
 	f.recordSuccess()
-	for _, fault := range batch.Faults {
-		f.d.log.Warn("record_unreadable", "topic", f.topic, "error", fault)
-	}
+	f.faults.report(batch.Faults)
 	now := clock.Now()
 	if f.era() <= batch.Era {
 		f.updateWatch(batch.Era, nil)
@@ -195,7 +194,10 @@
 			// In a new era, orders that were lost are written again.
 			if f.topic == port.Operator && f.snapshotEra == batch.Era {
 				f.d.controller.takeBackZones(now, batch.Events)
-				f.d.controller.endRollouts(now, batch.Events)
+				// An order that can't be read ends none.
+				if len(batch.Faults) == 0 {
+					f.d.controller.endRollouts(now, batch.Events)
+				}
 			}
 			f.snapshotEra = batch.Era
 		}
@@ -258,6 +260,10 @@
 			_, known := f.listed[e.ID]
 			changed = changed || known
 			delete(f.listed, e.ID)
+		case port.UpstreamUnreadableEvent:
+			_, known := f.listed[e.ID]
+			changed = changed || known
+			delete(f.listed, e.ID)
 		default:
 			changed = true
 		}
@@ -325,6 +331,8 @@
 			d.applyUpstream(now, e.Upstream)
 		case port.UpstreamGoneEvent:
 			d.perform(d.fleet.Update(now, fleet.RemovedMsg{ID: e.ID}))
+		case port.UpstreamUnreadableEvent:
+			d.perform(d.fleet.Update(now, fleet.UnreadableMsg{ID: e.ID}))
 		}
 	}
 	d.updateReadiness(now)
@@ -362,13 +370,17 @@
 
 func (d *Controller) applyUpstreamList(now time.Time, events []any) {
 	var listed []conf.Upstream
+	var unreadable []ident.UpstreamID
 	for _, event := range events {
-		if e, ok := event.(port.UpstreamEvent); ok {
+		switch e := event.(type) {
+		case port.UpstreamEvent:
 			listed = append(listed, e.Upstream)
+		case port.UpstreamUnreadableEvent:
+			unreadable = append(unreadable, e.ID)
 		}
 	}
-	d.log.Info("upstreams_listed", "count", len(listed))
-	d.perform(d.fleet.Update(now, fleet.SnapshotMsg{Upstreams: listed}))
+	d.log.Info("upstreams_listed", "count", len(listed), "unreadable", len(unreadable))
+	d.perform(d.fleet.Update(now, fleet.SnapshotMsg{Upstreams: listed, Unreadable: unreadable}))
 	for _, u := range listed {
 		d.seeRelease(now, u)
 		d.observeRecord(now, u)
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -164,9 +164,12 @@
 // UpstreamEvent is a listed upstream.
 type UpstreamEvent struct{ Upstream conf.Upstream }
 
-// UpstreamGoneEvent is the removal of an upstream, or a record that makes the upstream unusable.
+// UpstreamGoneEvent is the removal of an upstream.
 type UpstreamGoneEvent struct{ ID ident.UpstreamID }
 
+// UpstreamUnreadableEvent is a record under the ID of an upstream that names none to use.
+type UpstreamUnreadableEvent struct{ ID ident.UpstreamID }
+
 // EntryEvent is the address that a daemon has announced, as its id.
 type EntryEvent struct{ ID string }
 
@@ -176,7 +179,8 @@
 	Boot   int64
 }
 
-// SecretEvent is the secret under which all daemons compute the digests of requests.
+// SecretEvent is the secret under which all daemons compute the digests of requests. It is empty if another build recorded it in a form
+// that this one can't read.
 type SecretEvent struct{ Secret []byte }
 
 // QuarantineEvent is a request in quarantine. Body is the body of the daemons' own record.
