--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -191,6 +191,8 @@
 	committed bool
 	// lastEvent is the id of the last event sent to the caller, empty before the first.
 	lastEvent string
+	// numbers are those of the events sent to the caller.
+	numbers numbering
 	// firstAt is when a plain answer, or the first maxBuffered bytes of a longer one, had been read, or when a stream
 	// had its first complete event; zero before.
 	firstAt  time.Time
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -5,8 +5,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,48 +21,37 @@
 	maxEvent = 1 << 20
 )
 
-// eventSeparator ends each event of a stream.
-var eventSeparator = []byte("\n\n")
+// eventSeparators are what may end an event of a stream: a line end and an empty line.
+var eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 
-// Errors of a stream.
-var (
-	// errTornEvent means that it ended within an event.
-	errTornEvent = errors.New("stream ended within an event")
-	// errMisplaced means that an upstream that is to continue it sent something else.
-	errMisplaced = errors.New("content that does not continue the stream")
-)
+// errTornEvent means that a stream ended within an event.
+var errTornEvent = errors.New("stream ended within an event")
 
 // relayStream relays events as they arrive. It sends only complete events, so that another upstream can continue a
 // broken stream after the last one sent.
 func (x *exchange) relayStream(ctx context.Context, cmd *place.SendCmd, answer *link.Answer) (res result) {
-	continued := x.committed
-	if continued && !x.continues(answer) {
-		x.cause = errors.Wrapf(errMisplaced, "content type %q", answer.Header.Get("Content-Type"))
-		return result{ending: retry.Unknown}
+	var rest *continuation
+	if x.committed {
+		if !x.continues(answer) || !x.canContinue() {
+			x.cause = errors.Wrapf(errMisplaced, "content type %q after event %q", answer.Header.Get("Content-Type"), x.lastEvent)
+			return result{ending: retry.Unknown}
+		}
+		rest = newContinuation(x.lastEvent, x.numbers.gapless())
 	}
 	for {
 		n, err := x.held.readFrom(answer, maxEvent)
 		if end := lastSeparator(x.held.data, n); end >= 0 {
-			x.observeContent()
-			events, count, misplaced := newEvents(x.held.data[:end], x.lastEvent, continued)
-			x.events += count
-			if misplaced != nil {
+			if misplaced := x.relayEvents(answer, end, rest); misplaced != nil {
 				err = misplaced
 			}
-			if writeErr := x.writeEvents(answer, events); writeErr != nil {
-				x.cause = errors.Wrap(writeErr, "write event to caller")
-				x.h.controller.End(x.need.Ticket, place.Cancelled)
-				x.abort("caller_left")
-			}
-			x.held.drop(end)
 		}
 		ended := errors.Is(err, io.EOF)
-		if ended && len(x.held.data) > 0 {
+		if ended && !x.mayEndWith(x.held.data) {
 			err, ended = errTornEvent, false
 		}
 		switch {
 		case ended && (x.events > 0 || x.mayBeEmpty(answer)):
-			x.commit(answer)
+			x.write(answer, x.held.data)
 			x.markComplete()
 			x.h.controller.End(x.need.Ticket, place.Good)
 			x.report(answer.Status, "answered", -1)
@@ -72,7 +59,7 @@
 		case ended:
 			x.cause = errors.New("stream without new events")
 			return result{ending: retry.Unknown}
-		case errors.Is(err, errNoMemory):
+		case errors.Is(err, errNoMemory), errors.Is(err, errMisplaced):
 			x.cause = err
 			return result{ending: retry.Unknown}
 		case err != nil:
@@ -83,14 +70,42 @@
 	}
 }
 
-// observeContent records that the upstream began to answer, at its first complete event.
+// relayEvents passes on what is held back up to end, a separator. Before the first event it passes nothing on, so that comments alone
+// don't bind the request to an upstream.
+func (x *exchange) relayEvents(answer *link.Answer, end int, rest *continuation) (misplaced error) {
+	events, count := x.held.data[:end], 0
+	if rest == nil {
+		count = countEvents(events)
+	} else {
+		events, count, misplaced = rest.accept(events)
+	}
+	if count == 0 && !x.committed {
+		return misplaced
+	}
+	if count > 0 {
+		x.events += count
+		x.numbers.observe(events, count)
+		x.observeContent()
+	}
+	x.write(answer, events)
+	x.held.drop(end)
+	return misplaced
+}
+
+// observeContent records that the upstream has sent an event.
 func (x *exchange) observeContent() {
+	x.h.controller.FirstByte(x.need.Ticket)
 	if x.progress != gotContent {
 		x.progress = gotContent
 		x.h.controller.ObserveBegan(x.identify, x.trial.ID)
 	}
 }
 
+// mayEndWith reports whether a stream may end with what is held back: nothing, or comments alone before the first event.
+func (x *exchange) mayEndWith(held []byte) (ok bool) {
+	return len(held) == 0 || !x.committed && lastSeparator(held, len(held)) == len(held) && countEvents(held) == 0
+}
+
 // mayBeEmpty reports whether an answer without new events can be the rest of a stream: of one that the caller continues itself, if the
 // upstream has marked its end. Where this entry continues a stream, an empty rest does not tell one that had ended from an upstream
 // that lost it; the caller can tell by continuing it.
@@ -113,97 +128,43 @@
 // lastSeparator returns the end of the last separator of events, of which the last n bytes are new; -1 if none is among
 // those.
 func lastSeparator(events []byte, n int) (end int) {
-	start := max(0, len(events)-n-len(eventSeparator)+1)
-	if at := bytes.LastIndex(events[start:], eventSeparator); at >= 0 {
-		return start + at + len(eventSeparator)
-	}
-	return -1
-}
-
-// writeEvents sends complete events to the caller.
-func (x *exchange) writeEvents(answer *link.Answer, events []byte) (err error) {
-	if len(events) == 0 {
-		return nil
-	}
-	x.commit(answer)
-	x.h.controller.FirstByte(x.need.Ticket)
-	if id := lastEventID(events); id != "" {
-		x.lastEvent = id
-	}
-	if _, err := x.w.Write(events); err != nil {
-		return err
-	}
-	return http.NewResponseController(x.w).Flush()
-}
-
-// canContinue reports whether another upstream may continue the stream: nothing was sent to the caller, or the events have numbers.
-func (x *exchange) canContinue() (ok bool) {
-	_, err := strconv.ParseInt(x.lastEvent, 10, 64)
-	return !x.committed || err == nil
-}
-
-// continues reports whether an answer has the kind of content of the stream that it is to continue.
-func (x *exchange) continues(answer *link.Answer) (ok bool) {
-	of := func(h http.Header) string {
-		kind, _, _ := strings.Cut(h.Get("Content-Type"), ";")
-		return strings.ToLower(strings.TrimSpace(kind))
-	}
-	return of(answer.Header) == of(x.w.Header())
-}
-
-// newEvents drops the events that were sent before, in place, and counts the others. In a continued stream, it ends with errMisplaced
-// at anything but comments and events with a number, since that has no place there.
-func newEvents(events []byte, lastEvent string, continued bool) (added []byte, count int, err error) {
-	last, err := strconv.ParseInt(lastEvent, 10, 64)
-	hasLast := err == nil
-	added = events[:0]
-	for len(events) > 0 {
-		end := bytes.Index(events, eventSeparator) + len(eventSeparator)
-		event := events[:end]
-		events = events[end:]
-		n, err := strconv.ParseInt(eventID(event), 10, 64)
-		switch {
-		case isComment(event):
-		case err == nil && hasLast && n <= last:
-			continue
-		case err != nil && continued:
-			return added, count, errMisplaced
-		default:
-			count++
-		}
-		if err == nil {
-			last, hasLast = n, true
+	end = -1
+	for _, separator := range eventSeparators {
+		start := max(0, len(events)-n-len(separator)+1)
+		if at := bytes.LastIndex(events[start:], separator); at >= 0 {
+			end = max(end, start+at+len(separator))
 		}
-		added = append(added, event...)
 	}
-	return added, count, nil
+	return end
 }
 
-// isComment reports whether an event consists of comments alone.
-func isComment(event []byte) (ok bool) {
-	for line := range bytes.Lines(event) {
-		if line[0] != ':' && line[0] != '\n' {
-			return false
+// cutEvent splits complete events after the first one.
+func cutEvent(events []byte) (first, rest []byte) {
+	end := len(events)
+	for _, separator := range eventSeparators {
+		if at := bytes.Index(events, separator); at >= 0 {
+			end = min(end, at+len(separator))
 		}
 	}
-	return true
+	return events[:end], events[end:]
 }
 
-// eventID returns the id of one event, empty if it has none.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
-		}
+// write sends complete events to the caller. It does not return if the caller has left.
+func (x *exchange) write(answer *link.Answer, events []byte) {
+	x.commit(answer)
+	if len(events) == 0 {
+		return
 	}
-	return ""
-}
-
-// lastEventID returns the id of the last event that has one, empty if none has.
-func lastEventID(events []byte) (id string) {
-	at := bytes.LastIndex(events, []byte("\nid:"))
-	if at < 0 {
-		return eventID(events)
+	if id := lastEventID(events); id != "" {
+		x.lastEvent = id
+	}
+	_, err := x.w.Write(events)
+	if err == nil {
+		err = http.NewResponseController(x.w).Flush()
+	}
+	if err != nil {
+		x.cause = errors.Wrap(err, "write event to caller")
+		x.h.controller.End(x.need.Ticket, place.Cancelled)
+		x.abort("caller_left")
 	}
-	return eventID(events[at+1:])
 }
