--- a/io/link/link.go
+++ b/io/link/link.go
@@ -220,32 +220,48 @@
 	_, w.err = buffers.WriteTo(w.conn.Conn)
 }
 
+// readAnswer reads the head of the answer to a request, and discards interim answers and answers to other requests.
 func (p *Pool) readAnswer(c *conn, r Request) (a *Answer, err error) {
+	defer func() {
+		switch {
+		case err == nil:
+		case isNetwork(err):
+			err = errors.Mark(err, ErrBroken)
+		default:
+			err = errors.Mark(err, ErrGarbled)
+		}
+	}()
+	inStep := c.watch == nil
+	discarded := false
 	for range maxForeignAnswers {
 		c.source.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.source.end()
 		if err != nil {
-			if isNetwork(err) {
-				return nil, errors.Mark(err, ErrBroken)
-			}
-			return nil, errors.Mark(err, ErrGarbled)
+			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := response.Header.Get(r.IDHeader); r.IDHeader != "" && id != "" && id != r.ID {
-			if _, err := io.CopyN(io.Discard, response.Body, maxDrained); !errors.Is(err, io.EOF) {
-				return nil, errors.Mark(errors.New("answer to another request is too long to discard"), ErrGarbled)
+		identity := identify(response, r)
+		switch {
+		case identity == foreign, identity == anonymous && !inStep:
+			if err := discard(response); err != nil {
+				return nil, err
 			}
+			inStep, discarded = false, true
 			continue
 		}
-		return &Answer{
+		a = &Answer{
 			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
 			Framing: framing(response), pool: p, conn: c, idleTimeout: idleTimeout(response),
-		}, nil
+		}
+		if discarded || identity == anonymous {
+			a.idleTimeout = 0
+		}
+		return a, nil
 	}
-	return nil, errors.Mark(errors.New("only answers to other requests received"), ErrGarbled)
+	return nil, errors.New("only answers to other requests received")
 }
 
 // isNetwork reports whether an error means that the connection ended, rather than that the answer is malformed.
--- a/io/link/link_test.go
+++ b/io/link/link_test.go
@@ -76,14 +76,17 @@
 const maxRead = maxForeignAnswers * (maxHead + readBuffer + 3*maxDrained)
 
 // checkAnswer reads an answer out of bytes. It reports an answer to another request, one that is taken for complete with
-// another length than it states, and reads without a bound.
-func checkAnswer(t *testing.T, start, unit []byte) {
+// another length than it states, and reads without a bound. On a kept connection, only the id tells whose answer it is.
+func checkAnswer(t *testing.T, start, unit []byte, kept bool) {
 	t.Helper()
 	source := &endlessReader{start: start, unit: unit}
 	head := &headReader{Reader: source}
 	server, client := net.Pipe()
 	defer func() { _, _ = server.Close(), client.Close() }()
 	c := &conn{Conn: client, reader: bufio.NewReaderSize(head, readBuffer), source: head}
+	if kept {
+		c.watch = &watch{}
+	}
 	a, err := NewPool().readAnswer(c, Request{Method: http.MethodGet, IDHeader: "Request-Id", ID: "r"})
 	if source.read > maxRead+len(start) {
 		t.Fatalf("%d bytes were read", source.read)
@@ -94,7 +97,7 @@
 		}
 		return
 	}
-	if id := a.Header.Get("Request-Id"); a.Status < http.StatusOK || id != "" && id != "r" {
+	if id := a.Header.Get("Request-Id"); a.Status < http.StatusOK || id != "r" && (kept || id != "") {
 		t.Fatalf("status %d, answer to %q", a.Status, id)
 	}
 	a.writer = &writer{conn: c, done: make(chan struct{})}
@@ -117,5 +120,8 @@
 	} {
 		f.Add([]byte(seed[0]), []byte(seed[1]))
 	}
-	f.Fuzz(checkAnswer)
+	f.Fuzz(func(t *testing.T, start, unit []byte) {
+		checkAnswer(t, start, unit, false)
+		checkAnswer(t, start, unit, true)
+	})
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -192,7 +192,7 @@
 	case x.committed:
 		x.abort("stream_broken")
 	case res.failure != nil:
-		x.h.dialect.Return(x.w.Header(), res.failure.header)
+		x.returnHeader(res.failure.header)
 		x.writeAnswer(res.failure.status, res.failure.body, int64(len(res.failure.body)))
 	case x.history.Runs > 0:
 		x.refuse(http.StatusBadGateway, -1, "outcome_unknown")
@@ -305,7 +305,7 @@
 			return result{ending: retry.Failure, failure: &failure{answer.Status, answer.Header, x.held.data}}
 		}
 	}
-	x.h.dialect.Return(x.w.Header(), answer.Header)
+	x.returnHeader(answer.Header)
 	if whole {
 		x.h.controller.End(x.need.Ticket, outcome)
 		x.writeAnswer(answer.Status, x.held.data, int64(len(x.held.data)))
@@ -315,6 +315,16 @@
 	return result{done: true}
 }
 
+// returnHeader copies the header of an upstream's answer to that of the answer to the caller, with the id of the request: an entry that
+// hands requests over recognizes answers by it.
+func (x *exchange) returnHeader(from http.Header) {
+	to, name := x.w.Header(), x.h.dialect.IDHeader()
+	x.h.dialect.Return(to, from)
+	if to.Get(name) == "" {
+		to.Set(name, x.head.ID)
+	}
+}
+
 // writeAnswer sends a buffered answer to the caller and reports the request; a negative length is not sent.
 func (x *exchange) writeAnswer(status int, body []byte, length int64) {
 	if length >= 0 && bodyAllowed(x.r.Method, status) {
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -58,6 +58,7 @@
 		handover, err := h.dialect.Handover(r.Header)
 		if err != nil {
 			h.log.Debug("handover_unreadable", "error", err)
+			h.dialect.Refuse(w.Header(), r.Header.Get(h.dialect.IDHeader()), -1)
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -103,7 +103,7 @@
 		return
 	}
 	x.firstAt = clock.Now()
-	x.h.dialect.Return(x.w.Header(), answer.Header)
+	x.returnHeader(answer.Header)
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
 }
