--- a/io/link/identity.go
+++ b/io/link/identity.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"regexp"
 
 	"github.com/cockroachdb/errors"
 )
@@ -10,6 +11,9 @@
 // An upstream that is at fault may write an answer once more as the next request arrives on a kept connection. Only the id that answers
 // repeat tells whose it is.
 
+// errJoined means that an upstream broke an answer off within its head and went on with another one.
+var errJoined = errors.New("head of an answer goes on within another one")
+
 // identity is whose answer an id tells it is.
 type identity int
 
@@ -20,20 +24,48 @@
 	anonymous
 	// foreign answers have the id of another request.
 	foreign
+	// ambiguous answers have several ids.
+	ambiguous
 )
 
 // identify returns whose answer to a request a response is.
-func identify(response *http.Response, r Request) identity {
+func identify(response *http.Response, r Request) (i identity) {
 	if r.IDHeader == "" {
 		return own
 	}
-	switch response.Header.Get(r.IDHeader) {
-	case "":
+	ids := response.Header.Values(r.IDHeader)
+	for _, id := range ids {
+		switch {
+		case id != ids[0]:
+			return ambiguous
+		case id == "":
+			i = anonymous
+		case id != r.ID:
+			i = foreign
+		}
+	}
+	if len(ids) == 0 {
 		return anonymous
-	case r.ID:
-		return own
 	}
-	return foreign
+	return i
+}
+
+// statusLine matches the start of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+
+// isJoined reports whether the head of an answer begins within that of a response.
+func isJoined(response *http.Response) bool {
+	if statusLine.MatchString(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // discard reads the rest of an answer that belongs to no request. What follows it can't be found if its body has no end of its own.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -245,6 +245,8 @@
 		}
 		identity := identify(response, r)
 		switch {
+		case !inStep && isJoined(response), identity == ambiguous:
+			return nil, errJoined
 		case identity == foreign, identity == anonymous && !inStep:
 			if err := discard(response); err != nil {
 				return nil, err
