Send no two requests with one id on one connection (REFUSED, TWICE)

A rejection that an engine writes once more bears the right id if a later request has the id of the rejected one. Within one exchange that can't be: placement strictly avoids the upstreams that were tried. But a caller may use an id twice, a request may come back by another entry or as the rest of a stream, and two upstreams may follow each other at one address.

A collision costs a new connection.

TestConnectionNeverCarriesAnIDTwice failed before.

--- a/io/link/identity_test.go
+++ b/io/link/identity_test.go
@@ -218,3 +218,56 @@
 		t.Errorf("after an answer to another request (-want +got):\n%s", diff)
 	}
 }
+
+// TestConnectionNeverCarriesAnIDTwice has an upstream write its first answer of a connection once more before each further one, which is that
+// of a caller's earlier request with the same id.
+func TestConnectionNeverCarriesAnIDTwice(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	ran := map[string]int{}
+	addr := scriptedUpstream(t, func(n int, id string) (pieces []string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if n == 0 && id == "a" && ran[id] == 0 {
+			ran[id]++
+			return []string{reply(503, id, "rejected")}
+		}
+		ran[id]++
+		return []string{reply(503, "a", "rejected") + reply(200, id, "true")}
+	})
+	p := NewPool()
+	if got, want := ask(t, p, addr, "a"), (outcome{Status: 503, Body: "rejected", Opened: true}); got != want {
+		t.Fatalf("first outcome %+v, want %+v", got, want)
+	}
+	a, err := p.Do(t.Context(), addr, Request{
+		Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {"a"}}, IDHeader: "Request-Id", ID: "a",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	if !a.Opened {
+		t.Errorf("a request with an earlier id was sent on the connection of that one; status %d", a.Status)
+	}
+	if got := ask(t, p, addr, "b"); got.Opened || got.Status != http.StatusOK {
+		t.Errorf("outcome %+v of a request with another id", got)
+	}
+}
+
+// TestIDsAreRememberedUpToABound adds more ids than are kept.
+func TestIDsAreRememberedUpToABound(t *testing.T) {
+	t.Parallel()
+	var ring idRing
+	for i := range 3 * maxCarried {
+		ring.add(fmt.Sprint(i))
+	}
+	wrong := 0
+	for i := range 3 * maxCarried {
+		if ring.contains(fmt.Sprint(i)) != (i >= 2*maxCarried) {
+			wrong++
+		}
+	}
+	if wrong > 0 || len(ring.hashes) != maxCarried {
+		t.Errorf("%d ids misjudged, %d kept", wrong, len(ring.hashes))
+	}
+}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -1,8 +1,8 @@
 // Package link keeps connections to upstreams and exchanges one request at a time on each.
 //
 // It differs from net/http's Transport so that an upstream's faults don't reach a caller: an answer to another request
-// is discarded, a connection with bytes after a complete answer is closed, and the error reports whether any byte of
-// the request may have been sent.
+// is discarded, a connection with bytes after a complete answer is closed, no connection carries two requests with one
+// id, and the error reports whether any byte of the request may have been sent.
 package link
 
 import (
@@ -124,6 +124,8 @@
 	expiresAt time.Time
 	// watch is that of an idle connection, nil before it was idle.
 	watch *watch
+	// carried are the requests for which the connection was used.
+	carried idRing
 }
 
 // Answer is the head of an answer and its body. The caller must call Close.
@@ -149,7 +151,7 @@
 
 // Do sends a request and reads the head of its answer. The context bounds the whole exchange, including the body.
 func (p *Pool) Do(ctx context.Context, addr string, r Request) (a *Answer, err error) {
-	c, err := p.acquire(ctx, addr)
+	c, err := p.acquire(ctx, addr, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -334,14 +336,16 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquire(ctx context.Context, addr string) (c *conn, err error) {
+// acquire returns a connection for a request: an idle one that is still usable and carried none with the same id, or a
+// new one.
+func (p *Pool) acquire(ctx context.Context, addr, id string) (c *conn, err error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, id)
 		if c == nil {
 			break
 		}
 		if c.unwatch() && clock.Now().Before(c.expiresAt) {
+			c.carried.add(id)
 			return c, nil
 		}
 		_ = c.Close()
@@ -352,7 +356,9 @@
 	}
 	p.countOpened()
 	source := &headReader{Reader: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}, nil
+	c = &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}
+	c.carried.add(id)
+	return c, nil
 }
 
 func (p *Pool) countOpened() {
@@ -379,17 +385,19 @@
 	return errors.CombineErrors(controlErr, err)
 }
 
-func (p *Pool) pop(addr string) *conn {
+// pop takes out the connection that has been idle for the shortest time of those that carried no request with an id.
+func (p *Pool) pop(addr, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.carried.contains(id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			p.reused++
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	p.reused++
-	return c
+	return nil
 }
 
 func (p *Pool) release(addr string, c *conn, idleTimeout time.Duration) {
