--- a/io/link/link.go
+++ b/io/link/link.go
@@ -1,8 +1,8 @@
 // Package link keeps connections to upstreams and exchanges one request at a time on each.
 //
 // It differs from net/http's Transport so that an upstream's faults don't reach a caller: an answer to another request
-// is discarded, a connection with bytes after a complete answer is closed, and the error reports whether any byte of
-// the request may have been sent.
+// is discarded, a connection with bytes after a complete answer is closed, no connection carries two requests with one
+// id, and the error reports whether any byte of the request may have been sent.
 package link
 
 import (
@@ -124,6 +124,8 @@
 	expiresAt time.Time
 	// watch is that of an idle connection, nil before it was idle.
 	watch *watch
+	// carried are the requests for which the connection was used.
+	carried idRing
 }
 
 // Answer is the head of an answer and its body. The caller must call Close.
@@ -149,7 +151,7 @@
 
 // Do sends a request and reads the head of its answer. The context bounds the whole exchange, including the body.
 func (p *Pool) Do(ctx context.Context, addr string, r Request) (a *Answer, err error) {
-	c, err := p.acquire(ctx, addr)
+	c, err := p.acquire(ctx, addr, r.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -220,32 +222,50 @@
 	_, w.err = buffers.WriteTo(w.conn.Conn)
 }
 
+// readAnswer reads the head of the answer to a request, and discards interim answers and answers to other requests.
 func (p *Pool) readAnswer(c *conn, r Request) (a *Answer, err error) {
+	defer func() {
+		switch {
+		case err == nil:
+		case isNetwork(err):
+			err = errors.Mark(err, ErrBroken)
+		default:
+			err = errors.Mark(err, ErrGarbled)
+		}
+	}()
+	inStep := c.watch == nil
+	discarded := false
 	for range maxForeignAnswers {
 		c.source.begin()
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		c.source.end()
 		if err != nil {
-			if isNetwork(err) {
-				return nil, errors.Mark(err, ErrBroken)
-			}
-			return nil, errors.Mark(err, ErrGarbled)
+			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := response.Header.Get(r.IDHeader); r.IDHeader != "" && id != "" && id != r.ID {
-			if _, err := io.CopyN(io.Discard, response.Body, maxDrained); !errors.Is(err, io.EOF) {
-				return nil, errors.Mark(errors.New("answer to another request is too long to discard"), ErrGarbled)
+		identity := identify(response, r)
+		switch {
+		case !inStep && isJoined(response), identity == ambiguous:
+			return nil, errJoined
+		case identity == foreign, identity == anonymous && !inStep:
+			if err := discard(response); err != nil {
+				return nil, err
 			}
+			inStep, discarded = false, true
 			continue
 		}
-		return &Answer{
+		a = &Answer{
 			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
 			Framing: framing(response), pool: p, conn: c, idleTimeout: idleTimeout(response),
-		}, nil
+		}
+		if discarded || identity == anonymous {
+			a.idleTimeout = 0
+		}
+		return a, nil
 	}
-	return nil, errors.Mark(errors.New("only answers to other requests received"), ErrGarbled)
+	return nil, errors.New("only answers to other requests received")
 }
 
 // isNetwork reports whether an error means that the connection ended, rather than that the answer is malformed.
@@ -316,14 +336,16 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (p *Pool) acquire(ctx context.Context, addr string) (c *conn, err error) {
+// acquire returns a connection for a request: an idle one that is still usable and carried none with the same id, or a
+// new one.
+func (p *Pool) acquire(ctx context.Context, addr, id string) (c *conn, err error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, id)
 		if c == nil {
 			break
 		}
 		if c.unwatch() && clock.Now().Before(c.expiresAt) {
+			c.carried.add(id)
 			return c, nil
 		}
 		_ = c.Close()
@@ -334,7 +356,9 @@
 	}
 	p.countOpened()
 	source := &headReader{Reader: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}, nil
+	c = &conn{Conn: raw, reader: bufio.NewReaderSize(source, readBuffer), source: source}
+	c.carried.add(id)
+	return c, nil
 }
 
 func (p *Pool) countOpened() {
@@ -361,17 +385,19 @@
 	return errors.CombineErrors(controlErr, err)
 }
 
-func (p *Pool) pop(addr string) *conn {
+// pop takes out the connection that has been idle for the shortest time of those that carried no request with an id.
+func (p *Pool) pop(addr, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !c.carried.contains(id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			p.reused++
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	p.reused++
-	return c
+	return nil
 }
 
 func (p *Pool) release(addr string, c *conn, idleTimeout time.Duration) {
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -59,6 +59,7 @@
 		handover, err := h.dialect.Handover(r.Header)
 		if err != nil {
 			h.log.Info("handover_unreadable", "error", err)
+			h.dialect.Refuse(w.Header(), r.Header.Get(h.dialect.IDHeader()), -1)
 			// The other entry passes this on. The request may have run there, and its caller did nothing wrong.
 			w.WriteHeader(http.StatusBadGateway)
 			return
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -120,7 +120,7 @@
 	}
 	x.firstAt = clock.Now()
 	x.markIncomplete()
-	x.h.dialect.Return(x.w.Header(), answer.Header)
+	x.returnHeader(answer.Header)
 	x.w.WriteHeader(answer.Status)
 	x.committed = true
 }
