--- a/io/link/end.go
+++ b/io/link/end.go
@@ -50,7 +50,7 @@
 // receives the request may close its side in an orderly way first.
 func (w *writer) confirmEnd() (err error) {
 	defer func() {
-		if err != io.EOF {
+		if !errors.Is(err, io.EOF) {
 			err = errors.Mark(errors.Wrap(err, "connection ended before the request was received"), ErrBroken)
 		}
 	}()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -271,10 +271,10 @@
 // Read reads the body. It returns [io.EOF] only at the end of the answer. The connection can be reused only after that.
 func (a *Answer) Read(b []byte) (n int, err error) {
 	n, err = a.Body.Read(b)
-	if err == io.EOF && a.Framing == ByConnection && !a.complete {
+	if errors.Is(err, io.EOF) && a.Framing == ByConnection && !a.complete {
 		err = a.writer.confirmEnd()
 	}
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		a.complete = true
 	} else if err != nil {
 		a.err = err
--- a/io/link/transport.go
+++ b/io/link/transport.go
@@ -8,6 +8,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Transport is an [http.Transport] whose answers end by their connection only if their requests were received, as those of a
@@ -92,7 +94,7 @@
 // Read implements [net.Conn].
 func (c *endConn) Read(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
-	if w := c.ending.Load(); w != nil && err == io.EOF {
+	if w := c.ending.Load(); w != nil && errors.Is(err, io.EOF) {
 		err = w.confirmEnd()
 	}
 	return n, err
