--- a/io/link/end_test.go
+++ b/io/link/end_test.go
@@ -162,7 +162,7 @@
 			a := &Answer{Framing: c.framing, Body: http.NoBody, conn: w.conn, writer: w}
 			began := time.Now()
 			_, err := a.Read(make([]byte, 1))
-			if complete := err == io.EOF; complete != c.complete {
+			if complete := errors.Is(err, io.EOF); complete != c.complete {
 				t.Errorf("error %v, want complete %v", err, c.complete)
 			}
 			if c.err != nil && !c.complete && !errors.Is(err, c.err) {
--- a/io/load/client_test.go
+++ b/io/load/client_test.go
@@ -20,7 +20,7 @@
 
 // Read implements [io.Reader].
 func (r brokenReader) Read(b []byte) (n int, err error) {
-	if n, err = r.Reader.Read(b); err == io.EOF {
+	if n, err = r.Reader.Read(b); errors.Is(err, io.EOF) {
 		err = errors.New("connection reset")
 	}
 	return n, err
