Test odd records of every topic from the adapter's side

io may not import the platform, in tests neither: the test and the fuzz test of odd records move to platform, where they apply decoded records to the deciders, as the request fuzz does.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 	go test -run '^$$' -fuzz FuzzContent -fuzztime $(FUZZ_TIME) ./platform
 	go test -run '^$$' -fuzz FuzzHead -fuzztime $(FUZZ_TIME) ./platform
 	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x ./platform
-	go test -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x ./io/daemon
+	go test -run '^$$' -fuzz FuzzRecords -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x ./platform
 
 # soak runs the long randomised tests; each prints its seed.
 soak:
