Follow an incarnation that keeps writing its record

An odd record under the ID of a sound upstream, with an incarnation later than the true one but not years ahead, still made each of the upstream's own records an older one for ever.

Older incarnations are ignored since a write may be carried out seconds late. One that has written for 3 s, while the listed one has not, is no late write and becomes the listed one. A record of another incarnation than the one in use counts as a change, so that in fleets that share their reads the entries that are no readers see it again.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -21,6 +21,9 @@
 	// unreadableTimeout is how long an upstream may take to register again after a record under its ID that can't be read: some
 	// heartbeats.
 	unreadableTimeout = 10 * time.Second
+	// supersedeAfter is how long an older incarnation must write records beside a silent listed one to be the present one: longer than a
+	// write is late, and some heartbeats.
+	supersedeAfter = 3 * time.Second
 	// assumedCold is how long an upstream counts as cold after repeated failures, unless a newer record differs.
 	assumedCold = 3 * time.Second
 )
@@ -39,6 +42,9 @@
 	lapsedAt time.Time
 	// unreadableAt is when a record under its ID could not be read, zero since the last one that could.
 	unreadableAt time.Time
+	// olderBorn is an older incarnation that has written records since olderAt, when the listed one had last; zero if none has.
+	olderBorn int64
+	olderAt   time.Time
 	// orderedUntil is until when it carries out an order, rejectingUntil until when it is taken to reject further requests.
 	orderedUntil, rejectingUntil time.Time
 	// backoffUntil is until when it asks this entry to back off. It never decreases.
@@ -218,7 +224,7 @@
 		u.Weights = map[ident.ModelName]int64{}
 	}
 	s, known := m.byID[u.ID]
-	if m.outdated(now, known, s, u) {
+	if m.outdated(now, known, s, u) && (!known || !s.isSuperseded(now, u.Born)) {
 		return
 	}
 	if !known || s.Born != u.Born {
@@ -233,7 +239,7 @@
 		m.byService = nil
 	}
 	u.Draining = u.Draining || known && s.Draining
-	s.Upstream, s.lapsedAt, s.unreadableAt = u, time.Time{}, time.Time{}
+	s.Upstream, s.lapsedAt, s.unreadableAt, s.olderAt = u, time.Time{}, time.Time{}, time.Time{}
 	s.coldUntil, s.assumedColdUntil = now.Add(u.ColdLeft), time.Time{}
 }
 
@@ -247,6 +253,15 @@
 	return ok && u.Born <= left && !isFuture(now, left)
 }
 
+// isSuperseded notes a record of an older incarnation, and reports whether that one is the present one after all: the listed one was
+// another writer's.
+func (s *state) isSuperseded(now time.Time, born int64) bool {
+	if s.olderAt.IsZero() || s.olderBorn != born {
+		s.olderBorn, s.olderAt = born, now
+	}
+	return now.Sub(s.olderAt) >= supersedeAfter
+}
+
 // isFuture reports whether an incarnation starts later than the clocks of upstreams can say.
 func isFuture(now time.Time, born int64) bool {
 	return time.UnixMilli(born).After(now.Add(maxClockError))
--- a/core/fleet/fleet_test.go
+++ b/core/fleet/fleet_test.go
@@ -149,6 +149,32 @@
 	}
 }
 
+// TestIncarnationThatKeepsRegisteringIsFollowed writes records of an incarnation after one of a newer one, which writes no more, now and
+// then, or always. Late records of an incarnation that has ended come once or twice.
+func TestIncarnationThatKeepsRegisteringIsFollowed(t *testing.T) {
+	const heartbeat = 1200 * time.Millisecond
+	got := map[string]int64{}
+	for name, newer := range map[string]func(beat int) bool{
+		"silent": func(int) bool { return false }, "now and then": func(beat int) bool { return beat%3 == 2 }, "always": func(int) bool { return true },
+	} {
+		m := fleet.NewModel()
+		m.Update(start, listed("a", 5))
+		m.Update(start, listed("a", 9))
+		for beat := range 6 {
+			now := start.Add(time.Duration(beat) * heartbeat)
+			m.Update(now, listed("a", 5))
+			if newer(beat) {
+				m.Update(now, listed("a", 9))
+			}
+		}
+		u, _ := m.Get("a")
+		got[name] = u.Born
+	}
+	if diff := cmp.Diff(map[string]int64{"silent": 5, "now and then": 9, "always": 9}, got); diff != "" {
+		t.Errorf("incarnations (-want +got):\n%s", diff)
+	}
+}
+
 // TestWeightsOfAnotherWriterDoNotStay lists an upstream with weights that it does not have, and then by its own record. Its reports count
 // beside its records, which are late.
 func TestWeightsOfAnotherWriterDoNotStay(t *testing.T) {
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -248,13 +248,13 @@
 }
 
 // hasChanges reports whether records contain more than unchanged records of known upstreams. A record of an upstream
-// that is still cold always counts as a change.
+// that is still cold always counts as a change, as does one of another incarnation than the one in use.
 func (f *feed) hasChanges(batch port.Batch) (changed bool) {
 	for _, event := range batch.Events {
 		switch e := event.(type) {
 		case port.UpstreamEvent:
 			old, known := f.listed[e.Upstream.ID]
-			changed = changed || !known || e.Upstream.ColdLeft > 0 || !old.EqualExceptCold(e.Upstream)
+			changed = changed || !known || e.Upstream.ColdLeft > 0 || !old.EqualExceptCold(e.Upstream) || f.d.controller.usesOther(e.Upstream)
 			f.listed[e.Upstream.ID] = e.Upstream
 		case port.UpstreamGoneEvent:
 			_, known := f.listed[e.ID]
@@ -271,6 +271,14 @@
 	return changed
 }
 
+// usesOther reports whether another incarnation of a listed upstream is in use.
+func (d *Controller) usesOther(u conf.Upstream) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	used, known := d.fleet.Get(u.ID)
+	return known && used.Born != u.Born
+}
+
 func (f *feed) recordFailure(err error) {
 	f.failures++
 	if f.lost {
