--- a/io/link/end.go
+++ b/io/link/end.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -15,7 +16,7 @@
 )
 
 const (
-	// endTimeout bounds how long the rest of a request may take to be received once its upstream has ended the connection.
+	// endTimeout is how long an upstream that has ended its side of the connection may receive nothing more of the request.
 	endTimeout = time.Second
 	// endInterval is the interval at which that is looked at.
 	endInterval = 5 * time.Millisecond
@@ -47,60 +48,68 @@
 
 // confirmEnd returns [io.EOF] if the end of the connection ends the answer. It does only if the upstream has received the whole
 // request: a reset is reported to a single call, which may be the write of the request, and an upstream that ends while it
-// receives the request may close its side in an orderly way first.
+// receives the request may close its side in an orderly way first. The wait ends with the exchange, and after endTimeout without
+// progress.
 func (w *writer) confirmEnd() (err error) {
 	defer func() {
-		if !errors.Is(err, io.EOF) {
+		if err != io.EOF {
 			err = errors.Mark(errors.Wrap(err, "connection ended before the request was received"), ErrBroken)
 		}
 	}()
-	deadline := clock.Now().Add(endTimeout)
-	if err := w.wait(deadline); err != nil {
-		return err
-	}
+	ticker := time.NewTicker(endInterval)
+	defer ticker.Stop()
+	sent, progressAt := int64(-1), clock.Now()
 	for {
-		received, err := isReceived(w.conn.Conn)
-		switch {
-		case err != nil:
+		unacked, err := unreceived(w.conn.Conn)
+		if err != nil {
 			return err
-		case received:
-			return io.EOF
-		case !clock.Now().Before(deadline):
+		}
+		written := w.written.Load()
+		if received := written - int64(unacked); received != sent {
+			sent, progressAt = received, clock.Now()
+		}
+		select {
+		case <-w.done:
+			if w.err != nil {
+				return w.err
+			}
+			if unacked == 0 {
+				return io.EOF
+			}
+		default:
+		}
+		if clock.Since(progressAt) >= endTimeout {
 			return os.ErrDeadlineExceeded
 		}
-		time.Sleep(endInterval)
+		select {
+		case <-w.ended:
+			return context.Canceled
+		case <-ticker.C:
+		}
 	}
 }
 
-// wait waits for the end of the write, which it ends at a deadline, and returns its error.
-func (w *writer) wait(deadline time.Time) (err error) {
-	timer := time.AfterFunc(clock.Until(deadline), func() { _ = w.conn.SetWriteDeadline(pastDeadline) })
-	defer timer.Stop()
-	<-w.done
-	return w.err
-}
-
-// isReceived reports whether the other side has acknowledged all that was written. It returns the error of a reset that no call
-// has met yet. What is no socket counts as received.
-func isReceived(c net.Conn) (ok bool, err error) {
+// unreceived returns how many of the bytes that were written the other side has not acknowledged. It returns the error of a reset that
+// no call has met yet. What is no socket has none.
+func unreceived(c net.Conn) (n int, err error) {
 	raw, err := rawConn(c)
 	if err != nil {
-		return true, nil
+		return 0, nil
 	}
-	unsent, pending := 0, 0
+	pending := 0
 	controlErr := raw.Control(func(fd uintptr) {
 		if pending, err = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_ERROR); err == nil {
-			unsent, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+			n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
 		}
 	})
 	switch {
 	case pending != 0:
-		return false, os.NewSyscallError("read", syscall.Errno(pending))
+		return 0, os.NewSyscallError("read", syscall.Errno(pending))
 	case controlErr != nil:
-		return false, controlErr
+		return 0, controlErr
 	case err != nil:
 		// Systems without these calls report errors to reads and writes alone.
-		return true, nil
+		return 0, nil
 	}
-	return unsent == 0, nil
+	return n, nil
 }
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -61,8 +62,10 @@
 	// ErrBroken means that the connection ended before the head of an answer.
 	ErrBroken = errors.New("connection broken before the answer")
 	// ErrGarbled means that the upstream sent something other than an answer to the request.
-	ErrGarbled  = errors.New("answer is malformed")
-	errLongHead = errors.New("head of an answer exceeds the maximum size")
+	ErrGarbled = errors.New("answer is malformed")
+	// errOldFraming means that an answer of HTTP/1.0 has no length.
+	errOldFraming = errors.New("answer of HTTP/1.0 without a length")
+	errLongHead   = errors.New("head of an answer exceeds the maximum size")
 )
 
 // Request is a request to an upstream.
@@ -160,7 +163,7 @@
 		return nil, ErrWithdrawn
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
-	w := &writer{conn: c, head: head(r), body: r.Body, done: make(chan struct{})}
+	w := &writer{conn: c, head: head(r), body: r.Body, ended: ctx.Done(), done: make(chan struct{})}
 	w.start()
 	a, err = p.readAnswer(c, r)
 	if err != nil {
@@ -196,13 +199,22 @@
 	conn *conn
 	head []byte
 	body []byte
+	// written is the number of bytes that were written of a long request.
+	written atomic.Int64
+	// ended is closed when the exchange ends, nil if it does not by itself.
+	ended <-chan struct{}
+	// done is closed after the write; err is its error then.
 	done chan struct{}
 	err  error
 }
 
-// maxInlineBody is the longest body that is sent before the answer is read, in bytes: it fits a connection's send and
-// receive windows, so that the write does not block.
-const maxInlineBody = 8 << 10
+const (
+	// maxInlineBody is the longest body that is sent before the answer is read, in bytes: it fits a connection's send and
+	// receive windows, so that the write does not block.
+	maxInlineBody = 8 << 10
+	// writePiece is the size of the pieces in which a longer one is written, in bytes.
+	writePiece = 64 << 10
+)
 
 func (w *writer) start() {
 	if len(w.body) <= maxInlineBody {
@@ -218,8 +230,17 @@
 		_, w.err = w.conn.Write(append(w.head, w.body...))
 		return
 	}
-	buffers := net.Buffers{w.head, w.body}
-	_, w.err = buffers.WriteTo(w.conn.Conn)
+	first := min(len(w.body), writePiece)
+	buffers := net.Buffers{w.head, w.body[:first]}
+	n, err := buffers.WriteTo(w.conn.Conn)
+	w.written.Add(n)
+	for rest := w.body[first:]; err == nil && len(rest) > 0; {
+		var n int
+		n, err = w.conn.Write(rest[:min(len(rest), writePiece)])
+		w.written.Add(int64(n))
+		rest = rest[n:]
+	}
+	w.err = err
 }
 
 // readAnswer reads the head of the answer to a request, and discards interim answers and answers to other requests.
@@ -256,6 +277,10 @@
 			inStep, discarded = false, true
 			continue
 		}
+		if !response.ProtoAtLeast(1, 1) && framing(response) == ByConnection {
+			// The parser ignores chunks here, so that their sizes would be passed on as content.
+			return nil, errOldFraming
+		}
 		a = &Answer{
 			Status: response.StatusCode, Header: response.Header, Body: response.Body, Length: response.ContentLength,
 			Framing: framing(response), pool: p, conn: c, idleTimeout: idleTimeout(response),
@@ -290,8 +315,11 @@
 
 // Read reads the body. It returns [io.EOF] only at the end of the answer. The connection can be reused only after that.
 func (a *Answer) Read(b []byte) (n int, err error) {
+	if a.err != nil {
+		return 0, a.err
+	}
 	n, err = a.Body.Read(b)
-	if errors.Is(err, io.EOF) && a.Framing == ByConnection && !a.complete {
+	if err == io.EOF && a.Framing == ByConnection && !a.complete {
 		err = a.writer.confirmEnd()
 	}
 	if errors.Is(err, io.EOF) {
--- a/io/link/transport.go
+++ b/io/link/transport.go
@@ -32,7 +32,7 @@
 
 // RoundTrip implements [http.RoundTripper].
 func (t *Transport) RoundTrip(r *http.Request) (response *http.Response, err error) {
-	var s sending
+	s := sending{context: r.Context().Done()}
 	trace := &httptrace.ClientTrace{
 		GotConn:      func(i httptrace.GotConnInfo) { s.begin(i.Conn) },
 		WroteRequest: func(i httptrace.WroteRequestInfo) { s.end(i.Err) },
@@ -46,8 +46,10 @@
 
 // sending is the write of a request by an [http.Transport], which may begin anew on another connection.
 type sending struct {
-	mu   sync.Mutex
-	conn *endConn
+	// context is closed when the exchange ends.
+	context <-chan struct{}
+	mu      sync.Mutex
+	conn    *endConn
 	// writer is nil before the request has a connection.
 	writer *writer
 	ended  bool
@@ -61,7 +63,8 @@
 		return
 	}
 	s.conn.ending.Store(nil)
-	s.writer, s.ended = &writer{conn: &conn{Conn: s.conn.Conn}, done: make(chan struct{})}, false
+	s.writer, s.ended = &writer{conn: &conn{Conn: s.conn.Conn}, ended: s.context, done: make(chan struct{})}, false
+	s.conn.sending.Store(s.writer)
 }
 
 // end records the outcome of the write.
@@ -89,6 +92,17 @@
 	net.Conn
 	// ending is the write of the request whose answer ends with the connection, nil if there is none.
 	ending atomic.Pointer[writer]
+	// sending is the write of the last request.
+	sending atomic.Pointer[writer]
+}
+
+// Write implements [net.Conn].
+func (c *endConn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	if w := c.sending.Load(); w != nil {
+		w.written.Add(int64(n))
+	}
+	return n, err
 }
 
 // Read implements [net.Conn].
