--- a/core/place/place.go
+++ b/core/place/place.go
@@ -41,6 +41,8 @@
 	load *load
 	// chain is the prompt that the upstream runs, empty for a plain call.
 	chain []conf.Part
+	// model is what runs it, empty for a plain call.
+	model ident.ModelName
 	at    time.Time
 	rank  int
 	// backlog is the number of prompt tokens still to be prefilled.
@@ -455,7 +457,7 @@
 		l.limitedAt = now
 	}
 	s := &sent{
-		need: asked, upstream: u.ID, load: l, chain: need.Chain, at: now, rank: clampRank(need.Rank), backlog: o.missing,
+		need: asked, upstream: u.ID, load: l, chain: need.Chain, model: need.Model, at: now, rank: clampRank(need.Rank), backlog: o.missing,
 		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte,
 		fetchFrom: o.source, fetchDelay: o.fetchDelay, address: parts.Holder(u.Address), salt: o.salt,
 	}
--- a/core/place/recall.go
+++ b/core/place/recall.go
@@ -31,14 +31,14 @@
 	}
 	for _, t := range slices.Sorted(maps.Keys(m.sent)) {
 		s := m.sent[t]
-		if s.answered || s.recalled || !s.need.Stream || len(s.chain) == 0 {
+		if s.answered || s.recalled || !s.need.Stream || s.model == "" {
 			continue
 		}
 		u, listed := m.fleet.Get(s.upstream)
 		if !listed {
 			continue
 		}
-		if newer, outdated := m.newer(s.need.Model, u.Weights[s.need.Model]); outdated && !now.Before(newer.end.Add(-recallMargin)) {
+		if newer, outdated := m.newer(s.model, u.Weights[s.model]); outdated && !now.Before(newer.end.Add(-recallMargin)) {
 			s.recalled = true
 			cmds = append(cmds, RecallCmd{Ticket: t, Upstream: s.upstream})
 		}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -58,7 +58,7 @@
 	upstreamsListed bool
 	// waiters holds the channel of each request that is waiting for a decision.
 	waiters map[place.Ticket]chan relay.Decision
-	// recalls ends the exchange of each request that is under way.
+	// recalls ends the exchange of each request that is under way. It is nil for one that was recalled before its exchange began.
 	recalls map[place.Ticket]context.CancelCauseFunc
 	// budgets holds the retry budget of each service.
 	budgets map[ident.ServiceName]*retry.Window
@@ -195,6 +195,9 @@
 	attempt, cancel := context.WithCancelCause(ctx)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if end, known := d.recalls[ticket]; known && end == nil {
+		cancel(relay.ErrRecalled)
+	}
 	d.recalls[ticket] = cancel
 	return attempt, func() {
 		cancel(nil)
@@ -230,6 +233,7 @@
 	defer d.mu.Unlock()
 	before(now)
 	d.waiters[t] = ch
+	delete(d.recalls, t)
 	d.perform(d.place.Update(now, msg))
 	return ch
 }
@@ -239,6 +243,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.waiters, t)
+	delete(d.recalls, t)
 	d.place.Update(clock.Now(), place.WithdrawMsg{Ticket: t})
 	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: place.Cancelled}))
 }
@@ -253,9 +258,11 @@
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.RecallCmd:
-			if cancel, ok := d.recalls[cmd.Ticket]; ok {
+			d.log.Info("request_recalled", "ticket", cmd.Ticket, "upstream", cmd.Upstream)
+			if cancel := d.recalls[cmd.Ticket]; cancel != nil {
 				cancel(relay.ErrRecalled)
-				d.log.Info("request_recalled", "ticket", cmd.Ticket, "upstream", cmd.Upstream)
+			} else {
+				d.recalls[cmd.Ticket] = nil
 			}
 		case place.PanicCmd:
 			d.panics.Do(func() {
@@ -384,6 +391,7 @@
 func (d *Controller) End(t place.Ticket, outcome place.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.recalls, t)
 	d.perform(d.place.Update(clock.Now(), place.EndMsg{Ticket: t, Outcome: outcome}))
 }
 
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -105,7 +105,7 @@
 			x.expire(res.ending >= retry.Unknown || x.history.Runs > 0)
 			return
 		}
-		if res.ending == retry.NotSent && !errors.Is(x.cause, link.ErrWithdrawn) {
+		if res.ending == retry.NotSent && !res.recalled && !errors.Is(x.cause, link.ErrWithdrawn) {
 			x.unreached++
 		}
 		mayRetry := x.mayRetry(res)
