--- a/core/place/recall_test.go
+++ b/core/place/recall_test.go
@@ -8,7 +8,6 @@
 
 	"cicadavalve/core/conf"
 	"cicadavalve/core/fleet"
-	"cicadavalve/core/ident"
 	"cicadavalve/core/place"
 )
 
@@ -62,7 +61,7 @@
 // load has every engine report a version of the weights.
 func (b *bench) load(now time.Time, version int64) {
 	b.fleet.Scan(func(u *conf.Upstream) {
-		b.fleet.Update(now, fleet.WeightsMsg{ID: ident.UpstreamID(u.ID), Model: model, Version: version})
+		b.fleet.Update(now, fleet.WeightsMsg{ID: u.ID, Model: model, Version: version})
 	})
 }
 
--- a/io/link/end.go
+++ b/io/link/end.go
@@ -52,7 +52,7 @@
 // progress.
 func (w *writer) confirmEnd() (err error) {
 	defer func() {
-		if err != io.EOF {
+		if !errors.Is(err, io.EOF) {
 			err = errors.Mark(errors.Wrap(err, "connection ended before the request was received"), ErrBroken)
 		}
 	}()
--- a/io/link/end_wait_test.go
+++ b/io/link/end_wait_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // exchangeEarly sends a long request to an upstream that answers it early, without a length.
@@ -60,7 +62,7 @@
 				t.Fatal("the end was confirmed")
 			}
 			time.Sleep(endTimeout)
-			if _, err := a.Read(make([]byte, 1)); err == io.EOF {
+			if _, err := a.Read(make([]byte, 1)); errors.Is(err, io.EOF) {
 				t.Error("the next read reports a complete answer")
 			}
 		})
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -319,7 +319,7 @@
 		return 0, a.err
 	}
 	n, err = a.Body.Read(b)
-	if err == io.EOF && a.Framing == ByConnection && !a.complete {
+	if errors.Is(err, io.EOF) && a.Framing == ByConnection && !a.complete {
 		err = a.writer.confirmEnd()
 	}
 	if errors.Is(err, io.EOF) {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -73,10 +73,9 @@
 // relayEvents passes on what is held back up to end, a separator. Before the first event it passes nothing on, so that comments alone
 // don't bind the request to an upstream.
 func (x *exchange) relayEvents(answer *link.Answer, end int, rest *continuation) (misplaced error) {
-	events, count := x.held.data[:end], 0
-	if rest == nil {
-		count = countEvents(events)
-	} else {
+	events := x.held.data[:end]
+	count := countEvents(events)
+	if rest != nil {
 		events, count, misplaced = rest.accept(events)
 	}
 	if count == 0 && !x.committed {
