--- a/io/link/end_test.go
+++ b/io/link/end_test.go
@@ -78,19 +78,21 @@
 	time.Sleep(4 * endTimeout)
 }
 
-// TestResetAnswerIsNotComplete has an upstream answer a long request before it has read it. The reset that follows may reach the
-// write of the request instead of the read of the answer.
-func TestResetAnswerIsNotComplete(t *testing.T) {
-	t.Parallel()
-	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n"
+// earlyAnswer is an answer to a request of a size that ends in some way before the request was read.
+type earlyAnswer struct {
+	size   int
+	answer []string
+	finish func(*net.TCPConn)
+	// complete is whether the answer, of the content "onetwo", is.
+	complete bool
+	// count is how often it is played.
+	count int
+}
+
+// earlyAnswers returns answers that begin with a status line and headers.
+func earlyAnswers(head string) map[string]earlyAnswer {
 	plain := []string{head + "\r\n", "one", "two"}
-	cases := map[string]struct {
-		size     int
-		answer   []string
-		finish   func(*net.TCPConn)
-		complete bool
-		count    int
-	}{
+	return map[string]earlyAnswer{
 		"connection/reset":         {longBody, plain, reset, false, 20},
 		"connection/ends":          {longBody, plain, endAndReset, false, 5},
 		"connection/ends early":    {bufferedBody, plain, endAndReset, false, 5},
@@ -98,11 +100,20 @@
 		"connection/reads on":      {bufferedBody, plain, halfClose, true, 5},
 		"connection/stops reading": {longBody, plain, stopReading, false, 2},
 		"connection/stops early":   {bufferedBody, plain, stopReading, false, 2},
-		"length/reset":             {longBody, []string{head + "Content-Length: 6\r\n\r\n", "one", "two"}, reset, true, 20},
-		"chunks/reset":             {longBody, []string{head + "Transfer-Encoding: chunked\r\n\r\n", "3\r\none\r\n", "3\r\ntwo\r\n0\r\n\r\n"}, reset, true, 20},
+		"length/reads on":          {longBody, []string{head + "Content-Length: 6\r\n\r\n", "one", "two"}, halfClose, true, 5},
 		"length/cut":               {longBody, []string{head + "Content-Length: 7\r\n\r\n", "one", "two"}, reset, false, 20},
 		"chunks/cut":               {longBody, []string{head + "Transfer-Encoding: chunked\r\n\r\n", "3\r\none\r\n", "3\r\ntwo\r\n"}, reset, false, 20},
 	}
+}
+
+// TestResetAnswerIsNotComplete has an upstream answer a long request before it has read it. The reset that follows may reach the
+// write of the request instead of the read of the answer.
+func TestResetAnswerIsNotComplete(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n"
+	cases := earlyAnswers(head)
+	cases["length/reset"] = earlyAnswer{longBody, []string{head + "Content-Length: 6\r\n\r\n", "one", "two"}, reset, true, 20}
+	cases["chunks/reset"] = earlyAnswer{longBody, []string{head + "Transfer-Encoding: chunked\r\n\r\n", "3\r\none\r\n", "3\r\ntwo\r\n0\r\n\r\n"}, reset, true, 20}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/io/link/transport_test.go
+++ b/io/link/transport_test.go
@@ -13,27 +13,7 @@
 // TestTransportConfirmsEnds has an upstream answer a long request of an [http.Client] before it has read it.
 func TestTransportConfirmsEnds(t *testing.T) {
 	t.Parallel()
-	const head = "HTTP/1.1 200 OK\r\n"
-	plain := []string{head + "\r\n", "one", "two"}
-	cases := map[string]struct {
-		size     int
-		answer   []string
-		finish   func(*net.TCPConn)
-		complete bool
-		count    int
-	}{
-		"connection/reset":         {longBody, plain, reset, false, 20},
-		"connection/ends":          {longBody, plain, endAndReset, false, 5},
-		"connection/ends early":    {bufferedBody, plain, endAndReset, false, 5},
-		"connection/half closed":   {longBody, plain, halfClose, true, 5},
-		"connection/reads on":      {bufferedBody, plain, halfClose, true, 5},
-		"connection/stops reading": {longBody, plain, stopReading, false, 2},
-		"connection/stops early":   {bufferedBody, plain, stopReading, false, 2},
-		"length/reads on":          {longBody, []string{head + "Content-Length: 6\r\n\r\n", "one", "two"}, halfClose, true, 5},
-		"length/cut":               {longBody, []string{head + "Content-Length: 7\r\n\r\n", "one", "two"}, reset, false, 20},
-		"chunks/cut":               {longBody, []string{head + "Transfer-Encoding: chunked\r\n\r\n", "3\r\none\r\n", "3\r\ntwo\r\n"}, reset, false, 20},
-	}
-	for name, c := range cases {
+	for name, c := range earlyAnswers("HTTP/1.1 200 OK\r\n") {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			addr, wrong := earlyUpstream(t, c.answer, c.finish), 0
--- /dev/null
+++ b/io/relay/abort.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/place"
+	"cicadavalve/io/guard"
+)
+
+// confine ends a request whose handling has panicked: with the daemon's own answer, or with a closed connection if an
+// answer has begun. It must be deferred. A panic under the lock of the controller does not get here.
+func (x *exchange) confine() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if guard.IsAbort(p) {
+		panic(p)
+	}
+	x.h.panics.Do(func() {
+		x.h.log.Error("request_panicked", "request", x.head.ID, "cause", guard.Cause(p), "stack", guard.Stack())
+	})
+	x.h.controller.End(x.need.Ticket, place.Broken)
+	if x.committed {
+		x.abort("panicked")
+	}
+	x.refuse(http.StatusInternalServerError, -1, "panicked")
+}
+
+// abort reports the request and closes the connection, so that the caller sees an incomplete answer. It panics with
+// [http.ErrAbortHandler] and does not return.
+func (x *exchange) abort(outcome string) {
+	x.markIncomplete()
+	x.report(abortedStatus, outcome, -1)
+	panic(http.ErrAbortHandler)
+}
+
+// markIncomplete makes the connection of an HTTP/1.0 caller end with a reset. Without chunks, the answer would end as complete with an
+// orderly close, such as the system's after a crash.
+func (x *exchange) markIncomplete() {
+	if x.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	if err := resetOnClose(x.r, true); err != nil {
+		x.cause = errors.CombineErrors(x.cause, err)
+	}
+}
+
+// markComplete takes markIncomplete back once the whole answer was sent.
+func (x *exchange) markComplete() {
+	if x.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	err := http.NewResponseController(x.w).Flush()
+	if err == nil {
+		err = resetOnClose(x.r, false)
+	}
+	if err != nil {
+		x.cause = errors.CombineErrors(x.cause, err)
+	}
+}
+
+// abortedStatus is the status that logs and metrics show for an aborted answer.
+const abortedStatus = 599
