--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -233,7 +233,7 @@
 	u.reload.Update(clock.Now(), reload.StateMsg{Upstream: cmd.Upstream.ID, AskedAt: askedAt, Loading: state.Loading, Seq: state.Seq, Weights: state.Weights})
 }
 
-// applyWeights applies the weights that an engine reports, and has the other entries told of those that have a target version: an engine
+// applyWeights applies the weights that an engine reports, and reports those that have a target version to the other entries: an engine
 // may have any number of models, and a heartbeat is one datagram.
 func (d *Controller) applyWeights(upstream ident.UpstreamID, weights map[ident.ModelName]int64) {
 	d.mu.Lock()
--- a/io/daemon/reach.go
+++ b/io/daemon/reach.go
@@ -177,7 +177,7 @@
 
 // ineligible returns those of the peers to which no request should be handed over. Callers must not see an older configuration than this
 // entry's, nor a newer one that its own answers then contradict. Unless there is no other way, requests go to peers with the same one. An
-// entry that tells no version is of an earlier build, which may not take requests over. The lock is held.
+// entry that reports no version is of an earlier build, which may not take requests over. The lock is held.
 func (d *Controller) ineligible(peers []mesh.Peer, lack relay.Lack, tried []string) (ids []string) {
 	own := d.configVersion()
 	var same, untold, newer, older []string
--- a/io/gossip/decode.go
+++ b/io/gossip/decode.go
@@ -27,7 +27,7 @@
 // maxMoreElements is how many elements an array may have beyond those that are known.
 const maxMoreElements = 8
 
-// Decode decodes a datagram. A fault tells what of it was left out; m is not to be used if err is set.
+// Decode decodes a datagram. The fault names what was left out of it; m must not be used if err is set.
 func Decode(b []byte) (m Message, fault, err error) {
 	defer func() { err = errors.Wrap(err, "datagram") }()
 	if cbor.Unmarshal(b, &m) == nil {
@@ -154,7 +154,7 @@
 		d.message.Marks = nil
 	}
 	if d.hasLost(keyOrdered, keyLoads, keyLinks) {
-		// A heartbeat replaces what was told before.
+		// A heartbeat replaces what was reported before.
 		d.message.Heartbeat = false
 	}
 }
--- a/io/link/identity.go
+++ b/io/link/identity.go
@@ -9,12 +9,12 @@
 )
 
 // An upstream that is at fault may write an answer once more as the next request arrives on a kept connection. Only the id that answers
-// repeat tells whose it is.
+// repeat identifies it.
 
 // errJoined means that an upstream broke an answer off within its head and went on with another one.
 var errJoined = errors.New("head of an answer goes on within another one")
 
-// identity is whose answer an id tells it is.
+// identity is whose answer it is, by its id.
 type identity int
 
 const (
--- a/io/link/identity_test.go
+++ b/io/link/identity_test.go
@@ -122,7 +122,7 @@
 // TestAnswerOfNoRequestIsNotThatOfTheNext writes something in front of the answer to the second request of a connection.
 func TestAnswerOfNoRequestIsNotThatOfTheNext(t *testing.T) {
 	t.Parallel()
-	const rejection = "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n"
+	const rejection = "HTTP/1.1 503 X\r\nNot-Run: 1\r\n"
 	whole := outcome{Status: http.StatusOK, Body: "true"}
 	failed := func(kind string) outcome { return outcome{Err: kind} }
 	foreign := reply(503, "", "old")
@@ -136,7 +136,7 @@
 		"answer without id":              {[]string{reply(200, "", "old")}, whole},
 		"answer with its id":             {[]string{reply(200, "a", "old")}, whole},
 		"chunks":                         {[]string{rejection + "Transfer-Encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n"}, whole},
-		"interim":                        {[]string{"HTTP/1.1 103 X\r\nNot-Executed: 1\r\n\r\n"}, whole},
+		"interim":                        {[]string{"HTTP/1.1 103 X\r\nNot-Run: 1\r\n\r\n"}, whole},
 		"two":                            {[]string{foreign + foreign}, whole},
 		"three":                          {[]string{foreign + foreign + foreign}, failed("garbled")},
 		"pause after":                    {[]string{foreign, ""}, whole},
--- a/io/link/ring.go
+++ b/io/link/ring.go
@@ -9,7 +9,7 @@
 const maxCarried = 128
 
 // idRing holds the ids of the last requests of a connection. The zero value is empty. An answer to one of them that is written once more
-// could not be told from the answer to a later request with the same id.
+// could not be distinguished from the answer to a later request with the same id.
 type idRing struct {
 	hashes []uint64
 	// next is the position that is overwritten next once the ring is full.
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -77,7 +77,7 @@
 	return added, count, nil
 }
 
-// numbering tells whether the numbers of the events of a stream leave none out.
+// numbering records whether the numbers of the events of a stream leave none out.
 type numbering struct {
 	// last is the number of the last event, valid once there was one.
 	last int64
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -106,8 +106,8 @@
 }
 
 // mayBeEmpty reports whether an answer without new events can be the rest of a stream: of one that the caller continues itself, if the
-// upstream has marked its end. Where this entry continues a stream, an empty rest does not tell one that had ended from an upstream
-// that lost it; the caller can tell by continuing it.
+// upstream has marked its end. Where this entry continues a stream, an empty rest may also be that of an upstream that lost it; the
+// caller finds out by continuing it.
 func (x *exchange) mayBeEmpty(answer *link.Answer) (ok bool) {
 	return !x.committed && x.head.LastEvent != "" && answer.Framing != link.ByConnection
 }
