--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -269,7 +269,7 @@
 		i.d.log.Warn("entry_not_announced", "error", err)
 		return err
 	}
-	batch, err := i.d.store.Snapshot(ctx, port.Entries)
+	batch, err := i.d.store.Snapshot(ctx, port.Entries, slowCallTimeout)
 	if err != nil {
 		i.d.log.Warn("entries_not_read", "error", err)
 		return err
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -166,7 +166,7 @@
 	var batch port.Batch
 	sentAt, snapshot := clock.Now(), next < 0
 	if snapshot {
-		batch, err = f.d.store.Snapshot(ctx, f.topic)
+		batch, err = f.d.store.Snapshot(parent, f.topic, timeout)
 	} else {
 		batch, err = f.d.store.Read(ctx, f.topic, next, wait)
 	}
--- a/io/daemon/rollout.go
+++ b/io/daemon/rollout.go
@@ -52,7 +52,7 @@
 func (r *rollouts) load(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, rolloutsTimeout)
 	defer cancel()
-	batch, err := r.d.store.Snapshot(ctx, port.Rollouts)
+	batch, err := r.d.store.Snapshot(ctx, port.Rollouts, slowCallTimeout)
 	if err != nil {
 		r.d.log.Warn("rollouts_not_loaded", "error", err)
 		return err
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -103,7 +103,7 @@
 
 // read applies the verdicts in the store. It reports whether the secret is among them, and where the topic ends.
 func (v *verdicts) read(ctx context.Context) (hasSecret bool, end int64, err error) {
-	batch, err := v.d.store.Snapshot(ctx, port.Verdicts)
+	batch, err := v.d.store.Snapshot(ctx, port.Verdicts, slowCallTimeout)
 	if err != nil {
 		return false, 0, err
 	}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -238,8 +238,8 @@
 
 // Store is the log that the daemons share with the operator and the upstreams.
 type Store interface {
-	// Snapshot reads the newest record of each key.
-	Snapshot(ctx context.Context, topic Topic) (batch Batch, err error)
+	// Snapshot reads the newest record of each key, in pages. The timeout bounds each page, since there may be any number of them.
+	Snapshot(ctx context.Context, topic Topic, timeout time.Duration) (batch Batch, err error)
 	// Read reads records from an offset. If there are none yet, it waits at most the given time for the first. With
 	// ErrTrimmed the batch still holds Next and Era.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (batch Batch, err error)
