--- a/io/link/identity_test.go
+++ b/io/link/identity_test.go
@@ -195,10 +195,27 @@
 		if diff := cmp.Diff(want, ask(t, p, addr, id)); diff != "" {
 			t.Errorf("outcome (-want +got):\n%s", diff)
 		}
-		time.Sleep(30 * time.Millisecond)
+		awaitNoIdle(t, p, addr)
 	}
 }
 
+// awaitNoIdle waits until a pool has closed its idle connections to an address, for 10 s at most.
+func awaitNoIdle(t *testing.T, p *Pool, addr string) {
+	t.Helper()
+	idle := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return len(p.idle[addr])
+	}
+	for range 1000 {
+		if idle() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the connection is still idle")
+}
+
 // TestAnswerWithoutIDIsTakenOnANewConnectionOnly has an upstream never repeat ids.
 func TestAnswerWithoutIDIsTakenOnANewConnectionOnly(t *testing.T) {
 	t.Parallel()
