--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -48,6 +48,8 @@
 	maxAcceptShare = 0.4
 	// stopMargin is the part of the grace period that is reserved for the exit of the process.
 	stopMargin = 300 * time.Millisecond
+	// answerMargin is the part before it in which the requests that still run are answered.
+	answerMargin = 300 * time.Millisecond
 	// announceTimeout bounds the announcement of the entry's address and the read of the other entries.
 	announceTimeout = 2 * time.Second
 )
@@ -217,11 +219,13 @@
 }
 
 // leave drains the entry: it accepts requests for acceptPeriod and then waits for the running ones within the grace
-// period.
+// period. What still runs shortly before its end is answered then.
 func (d *Daemon) leave() {
 	d.log.Info("stopping", "grace", d.settings.Grace, "running", d.handler.Running())
 	d.controller.setState(mesh.Leaving)
-	d.handler.Leave()
+	left := d.settings.Grace - stopMargin - answerMargin
+	d.handler.Leave(clock.Now().Add(left))
+	defer time.AfterFunc(left, d.handler.End).Stop()
 	accepting := min(acceptPeriod, time.Duration(maxAcceptShare*float64(d.settings.Grace)))
 	time.Sleep(accepting)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Grace-accepting-stopMargin)
@@ -229,6 +233,7 @@
 	for _, server := range []*relay.Server{d.server, d.handovers} {
 		if err := server.HTTP().Shutdown(ctx); err != nil {
 			d.log.Warn("requests_cut", "running", d.handler.Running(), "error", err)
+			_ = server.HTTP().Close()
 		}
 	}
 	d.log.Info("stopped")
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -75,7 +75,7 @@
 	for {
 		switch {
 		case err != nil:
-			x.expire(x.history.Runs > 0)
+			x.expire(ctx, x.history.Runs > 0)
 			return
 		case d.Refuse != nil:
 			if !x.handOver(ctx, x.refusedLack(), true) {
@@ -102,7 +102,7 @@
 		x.h.meter.CountFailure(endingNames[res.ending])
 		if ctx.Err() != nil {
 			x.h.controller.End(x.need.Ticket, place.Cancelled)
-			x.expire(res.ending >= retry.Unknown || x.history.Runs > 0)
+			x.expire(ctx, res.ending >= retry.Unknown || x.history.Runs > 0)
 			return
 		}
 		if res.ending == retry.NotSent && !res.recalled && !errors.Is(x.cause, link.ErrWithdrawn) {
@@ -181,11 +181,14 @@
 	x.refuse(http.StatusServiceUnavailable, cmd.RetryAfter, string(cmd.Reason))
 }
 
-// expire ends a request whose caller has left or whose deadline has passed; ran is set if an upstream may have run it.
-func (x *exchange) expire(ran bool) {
+// expire ends a request whose context has ended: its caller has left, its deadline has passed, or the entry ends. ran is set if
+// an upstream may have run it.
+func (x *exchange) expire(ctx context.Context, ran bool) {
 	switch {
 	case x.r.Context().Err() != nil:
 		x.abort("caller_left")
+	case errors.Is(context.Cause(ctx), errStopped):
+		x.endAtStop(ran)
 	case x.committed:
 		x.abort("deadline")
 	case ran:
@@ -358,7 +361,7 @@
 			x.cause = errors.Wrap(err, "write answer to caller")
 		}
 	}
-	x.report(status, "answered", -1)
+	x.report(status, answered, -1)
 }
 
 func bodyAllowed(method string, status int) bool {
@@ -385,5 +388,5 @@
 	}
 	x.markComplete()
 	x.h.controller.End(x.need.Ticket, outcome)
-	x.report(answer.Status, "answered", -1)
+	x.report(answer.Status, answered, -1)
 }
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -95,7 +95,7 @@
 		switch {
 		case res.done:
 		case ctx.Err() != nil:
-			x.expire(true)
+			x.expire(ctx, true)
 		default:
 			x.history.Runs++
 			x.finish(res)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -137,8 +137,8 @@
 	tickets atomic.Uint64
 	// bodies is the memory of request bodies, and answers that of what is held back of answers.
 	bodies, answers memory
-	// leaving is set while answers ask callers to close their connections.
-	leaving atomic.Bool
+	// stop decides about requests while the entry stops.
+	stop *stop
 	// running counts the requests in flight.
 	running atomic.Int64
 	// panics bounds the log lines with the stacks of panics.
@@ -152,13 +152,10 @@
 ) *Handler {
 	return &Handler{
 		self: self, controller: controller, dialect: dialect, pool: pool, log: log, meter: meter, bodies: memory{max: maxBodies}, answers: memory{max: maxAnswers},
-		panics: rate.Sometimes{First: 1, Interval: panicInterval},
+		panics: rate.Sometimes{First: 1, Interval: panicInterval}, stop: newStop(),
 	}
 }
 
-// Leave makes all further answers ask callers to close their connections.
-func (h *Handler) Leave() { h.leaving.Store(true) }
-
 // Running returns the number of requests in flight.
 func (h *Handler) Running() int64 { return h.running.Load() }
 
@@ -232,7 +229,7 @@
 	}
 	defer x.held.release()
 	defer x.confine()
-	if h.leaving.Load() {
+	if h.stop.begun() {
 		w.Header().Set("Connection", "close")
 	}
 	set := h.controller.Config()
@@ -262,8 +259,14 @@
 		x.refuse(status, -1, reason)
 		return
 	}
+	if !h.stop.takes(clock.Now(), x) {
+		x.refuse(http.StatusServiceUnavailable, 0, "entry_stopping")
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), clock.Deadline(x.deadline))
 	defer cancel()
+	ctx, release := h.stop.bind(ctx)
+	defer release()
 	x.run(ctx)
 }
 
@@ -379,6 +382,9 @@
 	x.report(status, reason, retryAfter)
 }
 
+// answered is the outcome of requests whose answer was passed on completely.
+const answered = "answered"
+
 // report logs and counts the end of the request. A negative retryAfter is not logged.
 func (x *exchange) report(status int, outcome string, retryAfter time.Duration) {
 	whole := clock.Since(x.arrived)
@@ -434,6 +440,9 @@
 	if x.cause != nil {
 		attrs = append(attrs, slog.String("cause", x.cause.Error()))
 	}
+	if outcome == answered && x.route != nil {
+		x.h.stop.observe(clock.Now(), x.route.Name, whole)
+	}
 	x.h.log.LogAttrs(context.Background(), level, "request_ended", attrs...)
 	x.h.meter.ObserveAnswer(class, x.org, status, first, whole)
 }
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -54,7 +54,7 @@
 			x.write(answer, x.held.data)
 			x.markComplete()
 			x.h.controller.End(x.need.Ticket, place.Good)
-			x.report(answer.Status, "answered", -1)
+			x.report(answer.Status, answered, -1)
 			return result{done: true}
 		case ended:
 			x.cause = errors.New("stream without new events")
