Pass heartbeats of large fleets on through relays

Entries of a zone form cells of about the square root of the fleet. A heartbeat goes to one entry of each cell, which passes it on together with others. The three relays of a cell take turns. Heartbeats carry a number, and envelopes how long they were held, so that ages count from when a message was sent. Beyond 22 entries the interval grows with the number of entries and not with its square: 0.22 s of 90 entries (0.5 s before), 0.5 s from 174 on. Entries of older builds get heartbeats directly.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/times"
 )
 
 const (
@@ -44,10 +45,16 @@
 	Partitioned bool
 	// Version is that of its configuration, 0 if it is not known.
 	Version int64
+	// Relays is set if the entry passes heartbeats on to the other members of its cell.
+	Relays bool
 }
 
 // HeartbeatMsg reports a message of another entry, which shows that it is alive.
-type HeartbeatMsg struct{ Peer Peer }
+type HeartbeatMsg struct {
+	Peer Peer
+	// Number counts the heartbeats of the incarnation, 0 if the message has none.
+	Number int64
+}
 
 // StalledMsg reports that this entry has stood still and heard nothing.
 type StalledMsg struct {
@@ -61,12 +68,20 @@
 	// startedAt is when this entry started, or when it went on after it stood still soon after its start.
 	startedAt time.Time
 	peers     map[string]*peerState
+	// sorted holds the peers in the order of their ids.
+	sorted []*peerState
+	// nextSilent is the position in sorted of the entry that NextSilent returned last.
+	nextSilent int
+	// prunedAt is when peers were last removed.
+	prunedAt time.Time
 }
 
 // peerState is a peer with the time of its last heartbeat.
 type peerState struct {
 	Peer
 	lastSeen time.Time
+	// number is that of its newest heartbeat.
+	number int64
 }
 
 // NewModel returns a model that contains only the entry itself.
@@ -85,19 +100,54 @@
 	if !ok || heartbeat.Peer.ID == m.self.ID {
 		return nil
 	}
-	known := m.peers[heartbeat.Peer.ID]
-	if known != nil && known.Boot > heartbeat.Peer.Boot {
+	if m.Outdated(heartbeat) {
 		return nil
 	}
-	m.peers[heartbeat.Peer.ID] = &peerState{heartbeat.Peer, now}
-	for id, p := range m.peers {
-		if now.Sub(p.lastSeen) > retention {
-			delete(m.peers, id)
-		}
+	known := m.peers[heartbeat.Peer.ID]
+	if known == nil {
+		known = &peerState{}
+		m.insert(heartbeat.Peer.ID, known)
+	}
+	number := heartbeat.Number
+	if known.Boot == heartbeat.Peer.Boot {
+		number = max(number, known.number)
+	}
+	*known = peerState{heartbeat.Peer, times.Later(known.lastSeen, now), number}
+	if now.Sub(m.prunedAt) >= pruneInterval {
+		m.prune(now)
 	}
 	return nil
 }
 
+// Outdated reports whether a newer message of the same entry has arrived before: heartbeats that are passed on may overtake each other.
+func (m *Model) Outdated(msg HeartbeatMsg) (outdated bool) {
+	known := m.peers[msg.Peer.ID]
+	if known == nil {
+		return false
+	}
+	return known.Boot > msg.Peer.Boot || known.Boot == msg.Peer.Boot && msg.Number > 0 && msg.Number < known.number
+}
+
+// insert adds a peer that is not known.
+func (m *Model) insert(id string, p *peerState) {
+	at, _ := slices.BinarySearchFunc(m.sorted, id, func(p *peerState, id string) int { return cmp.Compare(p.ID, id) })
+	m.peers[id], m.sorted = p, slices.Insert(m.sorted, at, p)
+}
+
+// pruneInterval is the interval at which peers are removed whose retention is over.
+const pruneInterval = time.Minute
+
+func (m *Model) prune(now time.Time) {
+	m.prunedAt = now
+	m.sorted = slices.DeleteFunc(m.sorted, func(p *peerState) bool {
+		outdated := now.Sub(p.lastSeen) > retention
+		if outdated {
+			delete(m.peers, p.ID)
+		}
+		return outdated
+	})
+}
+
 // SetState sets the state that the entry announces.
 func (m *Model) SetState(state State) { m.self.State = state }
 
@@ -109,28 +159,35 @@
 
 // Alive returns the live entries including this one, sorted by ID.
 func (m *Model) Alive(now time.Time) (alive []Peer) {
-	alive = append(alive, m.self)
-	for _, p := range m.peers {
-		if now.Sub(p.lastSeen) < silenceTimeout {
-			alive = append(alive, p.Peer)
+	return m.list(func(p *peerState) bool { return now.Sub(p.lastSeen) < silenceTimeout })
+}
+
+// list returns this entry and the peers for which a condition holds, sorted by ID.
+func (m *Model) list(holds func(p *peerState) bool) (list []Peer) {
+	list = make([]Peer, 0, len(m.sorted)+1)
+	added := false
+	for _, p := range m.sorted {
+		if !added && p.ID > m.self.ID {
+			list, added = append(list, m.self), true
+		}
+		if holds(p) {
+			list = append(list, p.Peer)
 		}
 	}
-	slices.SortFunc(alive, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
-	return alive
+	if !added {
+		list = append(list, m.self)
+	}
+	return list
 }
 
 // Sharers returns the entries that may still use a part of a shared limit, including this one, sorted by ID. An entry
 // that has fallen silent may only be cut off, and counts for the memory given, unless it was leaving. Right after its own
 // start an entry has heard too little to tell, and known is false.
 func (m *Model) Sharers(now time.Time, memory time.Duration) (sharers []Peer, known bool) {
-	sharers = append(sharers, m.self)
-	for _, p := range m.peers {
+	sharers = m.list(func(p *peerState) bool {
 		silence := now.Sub(p.lastSeen)
-		if silence < silenceTimeout || silence < memory && p.State != Leaving {
-			sharers = append(sharers, p.Peer)
-		}
-	}
-	slices.SortFunc(sharers, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+		return silence < silenceTimeout || silence < memory && p.State != Leaving
+	})
 	return sharers, now.Sub(m.startedAt) >= silenceTimeout
 }
 
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -62,6 +62,10 @@
 	recalls map[place.Ticket]context.CancelCauseFunc
 	// budgets holds the retry budget of each service.
 	budgets map[ident.ServiceName]*retry.Window
+	// beats counts the heartbeats of this incarnation.
+	beats int64
+	// greetedAt holds when unknown entries were greeted lately.
+	greetedAt map[string]time.Time
 	// changed wakes the heartbeat after a request has been placed.
 	changed chan struct{}
 	// probes holds the upstreams to which a connection is to be opened.
@@ -149,8 +153,8 @@
 	roll := newRampModel(s, rng)
 	d := &Controller{
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
-		refusals: map[ident.UpstreamID]refusal{},
-		reach:    reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
+		refusals: map[ident.UpstreamID]refusal{}, greetedAt: map[string]time.Time{},
+		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -228,7 +228,8 @@
 	if len(d.refusals) == 0 {
 		return
 	}
-	delay := refusalDelay + 3*beatInterval(len(d.mesh.Alive(now)))
+	entries := len(d.mesh.Alive(now))
+	delay := refusalDelay + 3*(beatInterval(entries)+passDelay(entries))
 	for id, r := range d.refusals {
 		if queriedAt := d.reach.QueriedAt(id); r.queriedAt.IsZero() && !queriedAt.Before(r.at) {
 			r.queriedAt = queriedAt
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -67,6 +67,7 @@
 	self       mesh.Peer
 	controller *Controller
 	socket     *gossip.Socket
+	forwarder  *forwarder
 	duty       *duty
 	handler    *relay.Handler
 	server     *relay.Server
@@ -90,11 +91,12 @@
 
 // NewDaemon returns a daemon that [Daemon.Run] starts. Boot identifies the incarnation and must grow with each restart.
 func NewDaemon(s Settings, outside Adapters, log *slog.Logger, boot int64, options ...Option) *Daemon {
-	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, State: mesh.Starting, Boot: boot}
+	self := mesh.Peer{ID: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort)), Address: s.Front, Zone: s.Zone, State: mesh.Starting, Boot: boot, Relays: true}
 	d := &Daemon{
 		settings: s, log: log, outside: outside, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
 		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(link.WithDial(outside.Dial)), meter: NewMeter(),
 	}
+	d.forwarder = newForwarder(d)
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
@@ -186,7 +188,7 @@
 	loops := []func(context.Context){
 		newFeed(d, port.Operator, operatorWait, 0, operatorMaxAge).run,
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
-		beats.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, newVerdicts(d).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
+		beats.run, d.forwarder.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, newVerdicts(d).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
 	}
 	for range probers {
 		loops = append(loops, (&prober{d}).run)
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,6 +13,8 @@
 	"cicadavalve/core/mesh"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
+	"cicadavalve/core/times"
+	"cicadavalve/core/watch"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 )
@@ -20,9 +23,11 @@
 	// minBeatInterval is the shortest interval of heartbeats. If a load report arrives after the next request, other
 	// entries choose the same upstream, so changes are sent as soon as this interval allows.
 	minBeatInterval = 10 * time.Millisecond
-	// beatIntervalPerPair lengthens the interval with the square of the number of entries, so that the heartbeats that
-	// an entry receives per second fall as entries are added.
-	beatIntervalPerPair = 150 * time.Microsecond
+	// beatIntervalPerPair lengthens the interval with the square of the number of entries up to maxSquared, and
+	// beatIntervalPerEntry with the number of entries beyond that, so that an entry applies about 300 heartbeats a second.
+	beatIntervalPerPair  = 150 * time.Microsecond
+	beatIntervalPerEntry = 3300 * time.Microsecond
+	maxSquared           = 22
 	// idleBeatInterval is the interval without changes.
 	idleBeatInterval = 250 * time.Millisecond
 	// maxBeatInterval is the longest interval: three heartbeats fit the silence after which an entry counts as dead.
@@ -33,8 +38,10 @@
 	// sendBurst is the number of entries that are sent to at once: eight datagrams of a kilobyte take 7 ms on a
 	// 10 Mbit/s link.
 	sendBurst = 8
-	// sendShare is the fraction of the interval over which a heartbeat to more than sendBurst entries is spread.
+	// sendShare is the fraction of the interval over which a heartbeat to more than sendBurst entries is spread at most.
 	sendShare = 0.5
+	// maxSendGap bounds the pause between two groups of sendBurst datagrams.
+	maxSendGap = 20 * time.Millisecond
 	// orderedTTL is how long an upstream counts as carrying out an order after the last heartbeat that lists it, unless
 	// a later heartbeat of the same entry no longer does.
 	orderedTTL = 3 * maxBeatInterval
@@ -45,8 +52,13 @@
 	maxLeaving = 20
 	// maxLimits bounds the limits of upstreams that a heartbeat tells.
 	maxLimits = 20
-	// greetInterval is the interval at which heartbeats are also sent to the seeds.
+	// greetInterval is the interval at which heartbeats are also sent to the seeds and to entries that have fallen silent, and the
+	// shortest interval at which one unknown entry is greeted.
 	greetInterval = time.Second
+	// maxSilentGreeted bounds the entries that have fallen silent and are sent a heartbeat all the same.
+	maxSilentGreeted = 2
+	// peersEvery is the number of heartbeats of which one lists other entries in a large fleet.
+	peersEvery = 4
 )
 
 // heartbeat sends this entry's state to the other entries.
@@ -82,55 +94,85 @@
 
 // beatInterval is the interval of heartbeats with changes, for a number of entries.
 func beatInterval(entries int) time.Duration {
-	return min(max(minBeatInterval, time.Duration(entries*entries)*beatIntervalPerPair), maxBeatInterval)
+	squared := min(entries, maxSquared)
+	return min(max(minBeatInterval, time.Duration(squared*squared)*beatIntervalPerPair, time.Duration(max(entries-maxSquared, 0))*beatIntervalPerEntry), maxBeatInterval)
 }
 
 func (t *heartbeat) beat(ctx context.Context, now time.Time) (entries int) {
 	m, alive := t.d.controller.message(now)
 	m.HoldsLease, m.Ordered = t.d.duty.status(now)
-	to := alive
+	paths := t.d.controller.paths(now, m.Number)
 	if now.Sub(t.lastGreeting) >= greetInterval {
 		t.lastGreeting = now
-		to = unique(append(to, t.seeds...))
+		paths.Direct = append(paths.Direct, t.d.controller.absent(now, t.seeds)...)
 	}
-	t.send(ctx, to, m)
+	t.send(ctx, paths, len(alive), m)
 	return len(alive)
 }
 
-// send sends a message to entries in small groups and in random order: a narrow link drops the end of a burst of
-// datagrams, and the losses must not always hit the same entries.
-func (t *heartbeat) send(ctx context.Context, to []string, m gossip.Message) {
+// transmission is what is sent to one entry.
+type transmission struct {
+	to        string
+	datagrams [][]byte
+}
+
+// send sends a message in small groups and in random order: a narrow link drops the end of a burst of datagrams, and the
+// losses must not always hit the same entries.
+func (t *heartbeat) send(ctx context.Context, paths mesh.Paths, entries int, m gossip.Message) {
 	datagrams, err := gossip.Encode(m)
 	if err != nil {
 		t.d.log.Warn("heartbeat_not_encoded", "error", err)
 		return
 	}
-	rand.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	gap := time.Duration(float64(beatInterval(len(to))) * sendShare * sendBurst / float64(len(to)))
-	for group := range slices.Chunk(to, sendBurst) {
-		if err := t.d.socket.Write(group, datagrams); err != nil {
-			t.d.log.Debug("heartbeat_not_sent", "error", err)
+	var list []transmission
+	for _, id := range paths.Direct {
+		list = append(list, transmission{id, datagrams})
+	}
+	var passed []gossip.Passed
+	for _, b := range datagrams {
+		passed = append(passed, gossip.Passed{Content: b})
+	}
+	for _, hop := range paths.Relayed {
+		cell := &gossip.Cell{Zone: string(hop.Cell.Zone), Index: hop.Cell.Index, Count: hop.Cell.Count}
+		envelopes, err := gossip.EncodeEnvelopes(t.d.self.ID, cell, passed)
+		if err != nil {
+			t.d.log.Warn("envelope_not_encoded", "error", err)
+			continue
 		}
-		if len(to) <= sendBurst {
-			return
+		list = append(list, transmission{hop.Relay, envelopes})
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	gap := min(time.Duration(float64(beatInterval(entries))*sendShare*sendBurst/float64(max(len(list), 1))), maxSendGap)
+	for group := range slices.Chunk(list, sendBurst) {
+		for _, one := range group {
+			if err := t.d.socket.Write([]string{one.to}, one.datagrams); err != nil {
+				t.d.log.Debug("heartbeat_not_sent", "error", err)
+			}
 		}
-		select {
-		case <-ctx.Done():
+		if len(list) <= sendBurst {
 			return
-		case <-time.After(gap):
 		}
+		pause(ctx, gap)
 	}
 }
 
-func unique(ids []string) (once []string) {
-	seen := map[string]bool{}
-	for _, id := range ids {
-		if !seen[id] {
-			seen[id] = true
-			once = append(once, id)
+// paths returns the ways of this entry's heartbeat of a number.
+func (d *Controller) paths(now time.Time, number int64) mesh.Paths {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.mesh.Paths(now, number)
+}
+
+// absent returns the seeds that don't count as alive, and some of the entries that have fallen silent.
+func (d *Controller) absent(now time.Time, seeds []string) (ids []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range append(d.mesh.NextSilent(now, maxSilentGreeted), seeds...) {
+		if !d.mesh.IsAlive(now, id) && !slices.Contains(ids, id) {
+			ids = append(ids, id)
 		}
 	}
-	return once
+	return ids
 }
 
 // message returns the next heartbeat and the entries to send it to, and empties the queues of changes.
@@ -140,11 +182,15 @@
 	self := d.mesh.Self()
 	alive := d.mesh.Alive(now)
 	d.place.SetMembers(d.members(now, self, len(alive)))
+	d.beats++
 	m = gossip.Message{
-		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot,
-		Peers: d.randomPeers(mesh.IDs(alive)), Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
+		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Relays: self.Relays, Number: d.beats,
+		Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
 		Partitioned: self.Partitioned, Version: d.configVersion(),
 	}
+	if !watch.Shared(len(alive)) || d.beats%peersEvery == 0 {
+		m.Peers = d.randomPeers(mesh.IDs(alive))
+	}
 	d.shareReach(now, &m)
 	d.shareEvidence(now, len(alive), &m)
 	d.shareRollouts(now, &m)
@@ -196,23 +242,40 @@
 	return peers
 }
 
-// receive applies a message of another entry and greets the entries that it lists and this one does not know.
+// receive applies a message of another entry, or those of an envelope.
 func (d *Daemon) receive(m gossip.Message) {
+	if len(m.Passed) > 0 {
+		d.receiveEnvelope(m)
+		return
+	}
 	now := clock.Now()
+	d.receiveMessage(now, now, m)
+}
+
+// receiveMessage applies a message that its sender sent at the given time at the earliest, and greets the entries that it lists and this
+// one does not know.
+func (d *Daemon) receiveMessage(now, sentAt time.Time, m gossip.Message) {
 	if m.HoldsLease {
 		d.duty.update(lease.HolderMsg{Holder: m.ID})
 	}
-	d.controller.applyMessage(now, m)
+	d.controller.applyPassed(now, sentAt, m)
 	for _, id := range d.controller.unknown(now, m.Peers) {
 		d.greet(id)
 	}
 }
 
-// unknown returns those of the ids from which nothing was received lately.
+// unknown returns those of the ids from which nothing was received and that were not greeted lately.
 func (d *Controller) unknown(now time.Time, ids []string) (unknown []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return slices.DeleteFunc(ids, func(id string) bool { return d.mesh.IsAlive(now, id) })
+	maps.DeleteFunc(d.greetedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= greetInterval })
+	for _, id := range ids {
+		if _, greeted := d.greetedAt[id]; !greeted && !d.mesh.IsAlive(now, id) {
+			d.greetedAt[id] = now
+			unknown = append(unknown, id)
+		}
+	}
+	return unknown
 }
 
 // greet introduces this entry to another.
@@ -228,16 +291,26 @@
 	defer d.mu.Unlock()
 	self = d.mesh.Self()
 	return gossip.Message{
-		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned, Version: d.configVersion(),
+		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned, Version: d.configVersion(), Relays: self.Relays,
 	}, self
 }
 
-func (d *Controller) applyMessage(now time.Time, m gossip.Message) {
+// applyMessage applies a message that its sender has sent to this entry.
+func (d *Controller) applyMessage(now time.Time, m gossip.Message) { d.applyPassed(now, now, m) }
+
+// applyPassed applies a message that its sender sent at the given time at the earliest. A heartbeat that a newer one has overtaken
+// replaces nothing.
+func (d *Controller) applyPassed(now, sentAt time.Time, m gossip.Message) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.mesh.Update(now, mesh.HeartbeatMsg{Peer: mesh.Peer{
+	msg := mesh.HeartbeatMsg{Number: m.Number, Peer: mesh.Peer{
 		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), State: mesh.State(m.State), Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version,
-	}})
+		Relays: m.Relays,
+	}}
+	if d.mesh.Outdated(msg) {
+		m.Heartbeat = false
+	}
+	d.mesh.Update(sentAt, msg)
 	if m.Heartbeat {
 		msg := place.PeerMsg{Peer: m.ID}
 		for _, l := range m.Loads {
@@ -248,7 +321,7 @@
 		}
 		d.place.Update(now, msg)
 	}
-	arrived := d.stall.ArrivedSince(now)
+	arrived := times.Earlier(d.stall.ArrivedSince(now), sentAt)
 	d.hearReach(now, arrived, &m)
 	for _, s := range m.Saves {
 		d.index.Update(now, parts.SaveMsg{Store: parts.Holder(s.Store), Key: parts.Key(s.Key), Tokens: s.Tokens})
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -196,6 +196,14 @@
 	Contacts          []Contact          `cbor:"25,keyasint,omitempty"`
 	Leaving           []Leaving          `cbor:"26,keyasint,omitempty"`
 	ConcurrencyLimits []ConcurrencyLimit `cbor:"27,keyasint,omitempty"`
+	// Relays is set if the sender passes on what it gets in envelopes.
+	Relays bool `cbor:"30,keyasint,omitempty"`
+	// Number counts the heartbeats of the incarnation, 0 in other messages.
+	Number int64 `cbor:"31,keyasint,omitempty"`
+	// Passed is set in an envelope, which has no other fields but ID and Cell.
+	Passed []Passed `cbor:"32,keyasint,omitempty"`
+	// Cell is set if the receiver is to pass the messages on to the other members of the cell.
+	Cell *Cell `cbor:"33,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -333,7 +341,9 @@
 
 // empty returns a message of the same sender without content.
 func (m Message) empty() Message {
-	return Message{ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version}
+	return Message{
+		ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version, Relays: m.Relays, Number: m.Number,
+	}
 }
 
 // size estimates the size of a message, counted in changes of parts.
