Name entries of the caller's zone first, and let callers use all entries

Callers use 64 addresses of a directory's answer.

Now the entries of the caller's zone come first, then others, ranked by a hash of zone and caller.

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -468,10 +468,10 @@
 const addressTTL = time.Second
 
 // Addresses implements [port.Advice].
-func (d *Controller) Addresses(_ ident.Zone) (addresses []string, ttl time.Duration) {
+func (d *Controller) Addresses(caller string, zone ident.Zone, limit int) (addresses []string, ttl time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, p := range d.mesh.Serving(clock.Now()) {
+	for _, p := range d.mesh.Advise(clock.Now(), caller, zone, limit) {
 		addresses = append(addresses, p.Address)
 	}
 	return addresses, addressTTL
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -333,9 +333,9 @@
 type Advice interface {
 	// Ready reports whether the daemon accepts new connections.
 	Ready() bool
-	// Addresses lists the addresses to which callers of an availability zone may connect, and how long the list is
+	// Addresses lists at most limit addresses to which a caller in an availability zone may connect, and how long the list is
 	// valid.
-	Addresses(zone ident.Zone) (addresses []string, ttl time.Duration)
+	Addresses(caller string, zone ident.Zone, limit int) (addresses []string, ttl time.Duration)
 }
 
 // Add appends the event and the error of one decoded record. Both may be set: a faulty record can still make an
