Pass records of the store on to entries that don't read them

In fleets of more than eight entries four read a topic for all, and each change was then read by each other entry: a call each.

Marks carry the records of the last 1.5 intervals that changed something, and from which offset on these are all. An entry applies them in order.

--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -25,6 +26,8 @@
 	// matters tells for each number whether its record changes something, written when it was written.
 	matters []bool
 	written []time.Time
+	// long is set if records are too long to be passed on.
+	long bool
 }
 
 func (p *topic) append(now time.Time, matters bool) {
@@ -61,17 +64,58 @@
 		return
 	}
 	msg := watch.ReadMsg{Era: p.era, Next: int64(len(p.records)), At: now, Snapshot: e.Next() < 0}
-	for _, number := range p.records[max(e.Next(), 0):] {
+	from := max(e.Next(), 0)
+	for i, number := range p.records[from:] {
 		if p.matters[number] {
-			if !e.seen[number] && p.written[number].Before(e.KnownAt()) {
+			e.see(number, p)
+			msg.Changed = true
+			msg.Records = append(msg.Records, watch.Record{Offset: from + int64(i), Content: []byte(strconv.Itoa(number))})
+		}
+	}
+	if p.long {
+		msg.Records = nil
+	}
+	e.Update(msg)
+}
+
+// see notes a record that changes something.
+func (e *entry) see(number int, p *topic) {
+	if !e.seen[number] && p.written[number].Before(e.KnownAt()) {
+		e.tooOld = append(e.tooOld, number)
+	}
+	e.seen[number] = true
+}
+
+// hear applies the mark of another entry.
+func (e *entry) hear(mark watch.Mark, p *topic) {
+	known := e.Model.KnownAt()
+	for _, cmd := range e.Update(watch.MarkMsg{Mark: mark}) {
+		for _, r := range cmd.(watch.ApplyCmd).Records {
+			number, err := strconv.Atoi(string(r.Content))
+			if err != nil {
+				panic(err)
+			}
+			if !e.seen[number] && p.written[number].Before(known) {
 				e.tooOld = append(e.tooOld, number)
 			}
-			e.seen[number], msg.Changed = true, true
+			e.seen[number] = true
 		}
 	}
-	e.Update(msg)
 }
 
+// mark returns the mark that a reader announces.
+func (e *entry) mark(now time.Time) (mark watch.Mark, ok bool) {
+	mark, ok = e.OwnMark()
+	mark.From, mark.Records = e.Share(now.Add(-shareSpan), shareSize)
+	return mark, ok
+}
+
+// shareSpan and shareSize bound the records of a mark.
+const (
+	shareSpan = 600 * time.Millisecond
+	shareSize = 12
+)
+
 // TestEveryEntryReadsEveryChange lets entries read and announce marks of which some are lost, and checks that each
 // entry reads every record that changes something within the maximum age of a mark plus one heartbeat interval.
 func TestEveryEntryReadsEveryChange(t *testing.T) {
@@ -93,7 +137,7 @@
 		ids = append(ids, fmt.Sprint("entry", i))
 		entries = append(entries, newEntry(ids[i]))
 	}
-	p := &topic{}
+	p := &topic{long: rapid.Bool().Draw(t, "long")}
 	for tick := range 200 {
 		now := start.Add(time.Duration(tick) * step)
 		if restores && rapid.IntRange(0, 39).Draw(t, "restore") == 0 {
@@ -109,10 +153,10 @@
 			if tick%int(beat/step) != i%int(beat/step) {
 				continue
 			}
-			if mark, ok := e.OwnMark(); ok && watch.IsReader("topic", e.name, ids) {
+			if mark, ok := e.mark(now); ok && watch.IsReader("topic", e.name, ids) {
 				for _, other := range entries {
 					if other != e && rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
-						other.Update(watch.MarkMsg{Mark: mark})
+						other.hear(mark, p)
 					}
 				}
 			}
@@ -147,6 +191,54 @@
 	}
 }
 
+// TestChangesAreReadByReadersAlone counts the reads of 90 entries in ten seconds in which two records a second change something. Each
+// entry must have seen them all.
+func TestChangesAreReadByReadersAlone(t *testing.T) {
+	const count, seconds = 90, 10
+	var ids []string
+	var entries []*entry
+	for i := range count {
+		ids = append(ids, fmt.Sprint("entry", i))
+		entries = append(entries, newEntry(ids[i]))
+	}
+	p := &topic{}
+	for tick := range seconds * 20 {
+		now := start.Add(time.Duration(tick) * 50 * time.Millisecond)
+		p.append(now, tick%10 == 0 && tick < seconds*20-40)
+		for i, e := range entries {
+			isReader := watch.IsReader("topic", e.name, ids)
+			if !now.Before(e.Due(isReader)) {
+				e.read(now, p)
+			}
+			if mark, ok := e.mark(now); ok && isReader && tick%10 == i%10 {
+				for _, other := range entries {
+					if other != e {
+						other.hear(mark, p)
+					}
+				}
+			}
+		}
+	}
+	others := 0
+	for _, e := range entries {
+		if !watch.IsReader("topic", e.name, ids) {
+			others += e.reads
+		}
+		for number, matters := range p.matters {
+			if matters && !e.seen[number] {
+				t.Errorf("%s has not seen record %d", e.name, number)
+			}
+		}
+		if len(e.tooOld) > 0 {
+			t.Errorf("%s found records %v new, which are older than what it knew", e.name, e.tooOld)
+		}
+	}
+	// A snapshot and the first read after it are each entry's own.
+	if others > 3*count {
+		t.Errorf("%d reads by the %d entries that are no readers", others, count-4)
+	}
+}
+
 // TestNonReadersRarelyRead counts the reads of 90 entries in ten seconds in which no record changes anything.
 func TestNonReadersRarelyRead(t *testing.T) {
 	const count, seconds = 90, 10
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -54,6 +54,8 @@
 	restored []chan struct{}
 	// feeds are the readers of the topics of the store.
 	feeds []*feed
+	// decode decodes records that other entries have read.
+	decode func(topic port.Topic, content []byte) (event any, err error)
 	// upstreamsListed is set once a full list of the upstreams has been read.
 	upstreamsListed bool
 	// waiters holds the channel of each request that is waiting for a decision.
--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -199,7 +199,7 @@
 	}
 	d.Tick(now)
 	got := []bool{mayRun(now.Add(30 * time.Second))}
-	d.applyRecords(now, port.Operator, records{events: []any{port.VersionEvent{Model: "m", Version: 2}}, since: now})
+	d.applyEvents(now, &feed{topic: port.Operator}, records{events: []any{port.VersionEvent{Model: "m", Version: 2}}, since: now})
 	for _, after := range []time.Duration{time.Second, grace + time.Second} {
 		d.Tick(now.Add(after))
 		got = append(got, mayRun(now.Add(after+15*time.Second)))
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -96,7 +96,7 @@
 		settings: s, log: log, outside: outside, dialect: outside.Dialect, store: outside.Store, engines: outside.Engines, self: self,
 		controller: NewController(s, self, log, uint64(boot), options...), pool: link.NewPool(link.WithDial(outside.Dial)), meter: NewMeter(),
 	}
-	d.forwarder = newForwarder(d)
+	d.forwarder, d.controller.decode = newForwarder(d), outside.Store.Decode
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -15,7 +15,6 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/watch"
 	"cicadavalve/io/clock"
-	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
 )
 
@@ -56,6 +55,8 @@
 	lost     bool
 	failures int
 	faults   *faultLog
+	// sharedFaults reports those of records that other entries have read; the controller's lock guards it, listed and failedAt.
+	sharedFaults *faultLog
 	// failedAt is when the last read was sent that failed by no fault of the entries, zero before the first.
 	failedAt time.Time
 }
@@ -63,7 +64,7 @@
 func newFeed(d *Daemon, topic port.Topic, wait, interval, maxAge time.Duration) *feed {
 	f := &feed{
 		d: d, topic: topic, wait: wait, watch: watch.NewModel(interval, maxAge), wake: make(chan struct{}, 1),
-		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{}, faults: newFaultLog(d.log, topic),
+		snapshotEra: -1, listed: map[ident.UpstreamID]conf.Upstream{}, faults: newFaultLog(d.log, topic), sharedFaults: newFaultLog(d.log, topic),
 	}
 	d.controller.feeds = append(d.controller.feeds, f)
 	return f
@@ -122,40 +123,6 @@
 	return watch.IsReader(strconv.Itoa(int(topic)), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now)))
 }
 
-// marks lists the read positions of the topics that this entry reads for all, none if there are too few entries to
-// share the reads; the lock is held.
-func (d *Controller) marks(now time.Time, entries int) (marks []gossip.Mark) {
-	if !watch.Shared(entries) {
-		return nil
-	}
-	for _, f := range d.feeds {
-		if own, ok := f.watch.OwnMark(); ok && own.Era == d.era && d.isReader(now, f.topic) {
-			marks = append(marks, gossip.Mark{Topic: int(f.topic), Next: own.Next, Changed: own.Changed, AgeMS: int(now.Sub(own.At).Milliseconds())})
-		}
-	}
-	return marks
-}
-
-// applyMarks applies the read positions of another entry in an era of the store, which arrived at the given time at the
-// earliest, and wakes feeds that must catch up; the lock is held.
-func (d *Controller) applyMarks(now, arrived time.Time, era int64, marks []gossip.Mark) {
-	if len(marks) > 0 {
-		d.observeEra(now, era)
-	}
-	for _, mark := range marks {
-		for _, f := range d.feeds {
-			if int(f.topic) != mark.Topic {
-				continue
-			}
-			at := arrived.Add(-time.Duration(mark.AgeMS) * time.Millisecond)
-			f.watch.Update(watch.MarkMsg{Mark: watch.Mark{Era: era, Next: mark.Next, Changed: mark.Changed, At: at}})
-			if f.watch.Due(false).IsZero() {
-				signal(f.wake)
-			}
-		}
-	}
-}
-
 func (f *feed) step(parent context.Context, next int64, wait time.Duration) (err error) {
 	timeout := callTimeout
 	if f.failures > 0 {
@@ -178,7 +145,7 @@
 	if err != nil {
 		if parent.Err() == nil {
 			if !errors.Is(err, port.ErrOverRate) {
-				f.failedAt = sentAt
+				f.setFailedAt(sentAt)
 			}
 			f.recordFailure(err)
 		}
@@ -189,7 +156,7 @@
 	now := clock.Now()
 	if f.era() <= batch.Era {
 		f.updateWatch(batch.Era, nil)
-		f.d.controller.applyRecords(now, f.topic, records{events: batch.Events, snapshot: snapshot, since: f.knownAt(), failedAt: f.failedAt})
+		f.d.controller.applyRecords(now, f, records{events: batch.Events, snapshot: snapshot})
 		if snapshot {
 			// In a new era, orders that were lost are written again.
 			if f.topic == port.Operator && f.snapshotEra == batch.Era {
@@ -207,9 +174,8 @@
 			// What is still unread may be as old as what has just been read.
 			at = f.knownAt()
 		}
-		f.updateWatch(batch.Era, watch.ReadMsg{
-			Era: batch.Era, Next: batch.Next, At: at, Changed: f.hasChanges(batch), Snapshot: snapshot,
-		})
+		changed, shared := f.d.controller.changes(f, batch)
+		f.updateWatch(batch.Era, watch.ReadMsg{Era: batch.Era, Next: batch.Next, At: at, Changed: changed, Records: shared, Snapshot: snapshot})
 	}
 	return nil
 }
@@ -225,6 +191,12 @@
 	failedAt time.Time
 }
 
+func (f *feed) setFailedAt(at time.Time) {
+	f.d.controller.mu.Lock()
+	defer f.d.controller.mu.Unlock()
+	f.failedAt = at
+}
+
 // era returns the newest era of the store that is known.
 func (f *feed) era() int64 {
 	f.d.controller.mu.Lock()
@@ -247,38 +219,6 @@
 	f.watch.Update(msg)
 }
 
-// hasChanges reports whether records contain more than unchanged records of known upstreams. A record of an upstream
-// that is still cold always counts as a change, as does one of another incarnation than the one in use.
-func (f *feed) hasChanges(batch port.Batch) (changed bool) {
-	for _, event := range batch.Events {
-		switch e := event.(type) {
-		case port.UpstreamEvent:
-			old, known := f.listed[e.Upstream.ID]
-			changed = changed || !known || e.Upstream.ColdLeft > 0 || !old.EqualExceptCold(e.Upstream) || f.d.controller.usesOther(e.Upstream)
-			f.listed[e.Upstream.ID] = e.Upstream
-		case port.UpstreamGoneEvent:
-			_, known := f.listed[e.ID]
-			changed = changed || known
-			delete(f.listed, e.ID)
-		case port.UpstreamUnreadableEvent:
-			_, known := f.listed[e.ID]
-			changed = changed || known
-			delete(f.listed, e.ID)
-		default:
-			changed = true
-		}
-	}
-	return changed
-}
-
-// usesOther reports whether another incarnation of a listed upstream is in use.
-func (d *Controller) usesOther(u conf.Upstream) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	used, known := d.fleet.Get(u.ID)
-	return known && used.Born != u.Born
-}
-
 func (f *feed) recordFailure(err error) {
 	f.failures++
 	if f.lost {
@@ -316,11 +256,17 @@
 	d.perform(d.fleet.Update(clock.Now(), msg))
 }
 
-// applyRecords applies decoded records to the models.
-func (d *Controller) applyRecords(now time.Time, topic port.Topic, r records) {
+// applyRecords applies decoded records that this entry has read to the models.
+func (d *Controller) applyRecords(now time.Time, f *feed, r records) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if topic == port.Upstreams && r.snapshot {
+	r.since, r.failedAt = f.watch.KnownAt(), f.failedAt
+	d.applyEvents(now, f, r)
+}
+
+// applyEvents applies decoded records to the models; the lock is held.
+func (d *Controller) applyEvents(now time.Time, f *feed, r records) {
+	if f.topic == port.Upstreams && r.snapshot {
 		d.applyUpstreamList(now, r.events)
 		return
 	}
--- a/io/daemon/weights_test.go
+++ b/io/daemon/weights_test.go
@@ -21,7 +21,7 @@
 	now := time.Now()
 	d := newFleet(Settings{}, 1, now)[0]
 	d.applyUpstream(now, upstream("u", 1))
-	d.applyRecords(now, port.Operator, records{events: []any{port.VersionEvent{Model: "m", Version: 2}}})
+	d.applyEvents(now, &feed{topic: port.Operator}, records{events: []any{port.VersionEvent{Model: "m", Version: 2}}})
 	weights := map[ident.ModelName]int64{"m": 2}
 	for i := range 900 {
 		weights[ident.ModelName(fmt.Sprint(strings.Repeat("n", 200), i))] = 1
--- a/io/gossip/decode.go
+++ b/io/gossip/decode.go
@@ -19,9 +19,11 @@
 	keyLoads       = 10
 	keyReports     = 11
 	keyLinks       = 14
+	keyMarks       = 16
 	keyEra         = 20
 	keyReportAges  = 22
 	keyReportNexts = 28
+	keyShares      = 34
 )
 
 // maxMoreElements is how many elements an array may have beyond those that are known.
@@ -31,7 +33,7 @@
 func Decode(b []byte) (m Message, fault, err error) {
 	defer func() { err = errors.Wrap(err, "datagram") }()
 	if cbor.Unmarshal(b, &m) == nil {
-		m.completeReports()
+		m.complete()
 		return m, nil, nil
 	}
 	var fields map[any]cbor.RawMessage
@@ -53,7 +55,7 @@
 	for key, lost := range d.lost {
 		fault = errors.CombineErrors(fault, errors.Wrapf(lost, "datagram of %s: field %d", d.message.ID, key))
 	}
-	d.message.completeReports()
+	d.message.complete()
 	return d.message, fault, nil
 }
 
@@ -150,6 +152,9 @@
 		// They belong together by their order.
 		d.message.Reports, d.message.ReportAges, d.message.ReportNexts = nil, nil, nil
 	}
+	if d.hasLost(keyMarks, keyShares) {
+		d.message.Shares = nil
+	}
 	if d.hasLost(keyEra) {
 		d.message.Marks = nil
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -63,6 +64,22 @@
 	Next    int64
 	Changed int64
 	AgeMS   int
+	// Share is sent in Shares. It is nil if none was sent.
+	Share *Share `cbor:"-"`
+}
+
+// Share holds the records of a topic from an offset on that changed something, up to the mark to which it belongs.
+type Share struct {
+	_       struct{} `cbor:",toarray"`
+	From    int64
+	Records []Record
+}
+
+// Record is a record of a topic.
+type Record struct {
+	_       struct{} `cbor:",toarray"`
+	Offset  int64
+	Content []byte
 }
 
 // Limit is the limit of requests that the newest answer of an upstream at the sender names, or its end. AgeMS is how
@@ -204,6 +221,8 @@
 	Passed []Passed `cbor:"32,keyasint,omitempty"`
 	// Cell is set if the receiver is to pass the messages on to the other members of the cell.
 	Cell *Cell `cbor:"33,keyasint,omitempty"`
+	// Shares holds the records of Marks while they are sent.
+	Shares []Share `cbor:"34,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -293,9 +312,12 @@
 
 // split divides long reports over several messages. The first also carries all other fields of the message.
 func split(m Message) (parts []Message) {
-	reports, verdicts, losses, limits, rollouts := m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts
-	m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts = nil, nil, nil, nil, nil
+	reports, verdicts, losses, limits, rollouts, marks := m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts, m.Marks
+	m.Reports, m.Verdicts, m.Losses, m.Limits, m.Rollouts, m.Marks = nil, nil, nil, nil, nil, nil
 	parts = []Message{m}
+	for _, mark := range marks {
+		parts = addMark(parts, m, mark)
+	}
 	for _, r := range reports {
 		for {
 			n := min(len(r.Changes), maxChanges)
@@ -339,6 +361,48 @@
 	return parts
 }
 
+// maxShared bounds the records that are sent with one mark, in bytes, unless a single one is longer.
+const maxShared = 900
+
+// staleAge is the age of marks before the last of a topic: the topic went on beyond them.
+const staleAge = int(time.Hour / time.Millisecond)
+
+// addMark adds a mark with its records to the parts of a message, in as many marks as the records need. Without records, it goes into the
+// first part.
+func addMark(parts []Message, m Message, mark Mark) (longer []Message) {
+	if mark.Share == nil || len(mark.Share.Records) == 0 {
+		first := &parts[0]
+		first.Marks, first.Shares = append(first.Marks, mark), append(first.Shares, mark.share())
+		return parts
+	}
+	from, records := mark.Share.From, mark.Share.Records
+	for len(records) > 0 {
+		n, size := 0, 0
+		for n < len(records) {
+			if size += len(records[n].Content); n > 0 && size > maxShared {
+				break
+			}
+			n++
+		}
+		part, one := m.empty(), mark
+		part.Era = m.Era
+		if n < len(records) {
+			one.Next, one.Changed, one.AgeMS = records[n].Offset, records[n-1].Offset+1, staleAge
+		}
+		part.Marks, part.Shares = []Mark{one}, []Share{{From: from, Records: records[:n]}}
+		parts, from, records = append(parts, part), one.Next, records[n:]
+	}
+	return parts
+}
+
+// share returns the records of a mark; without any, those after its last change.
+func (m Mark) share() Share {
+	if m.Share == nil {
+		return Share{From: m.Changed}
+	}
+	return *m.Share
+}
+
 // empty returns a message of the same sender without content.
 func (m Message) empty() Message {
 	return Message{
@@ -381,8 +445,13 @@
 	}
 }
 
-// completeReports moves the ages and positions of reports to the reports. Entries of an earlier build send none.
-func (m *Message) completeReports() {
+// complete moves the ages and positions of reports to the reports, and the records of marks to the marks. Entries of an earlier build send
+// none.
+func (m *Message) complete() {
+	for i := range min(len(m.Marks), len(m.Shares)) {
+		m.Marks[i].Share = &m.Shares[i]
+	}
+	m.Shares = nil
 	for i := range min(len(m.Reports), len(m.ReportAges)) {
 		m.Reports[i].AgeMS = m.ReportAges[i]
 	}
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -195,6 +195,14 @@
 	Body   json.RawMessage
 }
 
+// Record is a record of a topic.
+type Record struct {
+	Offset  int64
+	Content []byte
+	// Event is nil if the record does not concern the daemon or can't be read.
+	Event any
+}
+
 // Batch holds consecutive decoded records.
 type Batch struct {
 	// Next is the offset of the next read; with ErrTrimmed, the first offset that is kept.
@@ -205,6 +213,8 @@
 	// Era counts how often the store has come back from a copy. Offsets of different eras don't compare.
 	Era    int64
 	Events []any
+	// Records are those that were read, with their events; none in a snapshot.
+	Records []Record
 	// Faults holds an error for each record that could not be decoded.
 	Faults []error
 }
@@ -243,6 +253,8 @@
 	// Read reads records from an offset. If there are none yet, it waits at most the given time for the first. With
 	// ErrTrimmed the batch still holds Next and Era.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (batch Batch, err error)
+	// Decode returns the event of a record's content, nil if it does not concern the daemon. Both results may be set, as in [Batch.Add].
+	Decode(topic Topic, content []byte) (event any, err error)
 	// Announce records the daemon's own address, which is its id.
 	Announce(ctx context.Context, id string) (err error)
 	// Claim appends a claim on the condition that the topic ends at an offset. It returns the offset of the claim and
