Save calls to the store when a large fleet starts

An entry of a large fleet reads for itself alone and does not stand for the duty until it has had the time to hear the others. Entries that all start for the first time look for the secret within a second of each other.

--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -326,10 +326,11 @@
 }
 
 // leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may. A
-// partitioned one reaches none that it could give orders to.
+// partitioned one reaches none that it could give orders to, and one that has just started does not know its rank.
 func (d *Controller) leaseCandidates() (ids []string, ready bool) {
+	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self := d.mesh.Self()
-	return mesh.IDs(d.mesh.Serving(clock.Now())), self.State == mesh.Ready && !self.Partitioned
+	return mesh.IDs(d.mesh.Serving(now)), self.State == mesh.Ready && !self.Partitioned && !d.hearsTooFew(now)
 }
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -25,6 +25,8 @@
 	Memory int64
 	// Files is the maximum number of open file descriptors.
 	Files int
+	// FirstStart is set if all entries start for the first time, so that the store holds nothing of theirs.
+	FirstStart bool
 	// Heartbeat is the interval at which upstreams register, 0 if it is not known.
 	Heartbeat time.Duration
 	// Grace is the grace period: the time from the stop signal until the process must have ended.
--- /dev/null
+++ b/io/daemon/share_test.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/watch"
+	"cicadavalve/io/gossip"
+	"cicadavalve/io/port"
+)
+
+// listStore is a store whose topic of upstreams has records; the content of each is the id of an upstream, with a dash if it drains.
+type listStore struct {
+	port.Store
+	records []string
+	reads   int
+}
+
+func (s *listStore) Snapshot(context.Context, port.Topic, time.Duration) (batch port.Batch, err error) {
+	s.reads++
+	return port.Batch{Next: int64(len(s.records))}, nil
+}
+
+func (s *listStore) Read(_ context.Context, topic port.Topic, from int64, _ time.Duration) (batch port.Batch, err error) {
+	s.reads++
+	batch = port.Batch{Next: from, End: int64(len(s.records))}
+	for _, content := range s.records[from:] {
+		event, err := s.Decode(topic, []byte(content))
+		batch.Add(event, err)
+		batch.Records = append(batch.Records, port.Record{Offset: batch.Next, Content: []byte(content), Event: event})
+		batch.Next++
+	}
+	return batch, nil
+}
+
+func (s *listStore) Decode(_ port.Topic, content []byte) (event any, err error) {
+	u := upstream(ident.UpstreamID(content[:1]), 1)
+	u.Draining = len(content) > 1
+	return port.UpstreamEvent{Upstream: u}, nil
+}
+
+// TestChangeReadByOneEntryReachesTheOthers lets one entry of a large fleet read records of the store and tell another one, in datagrams that are
+// encoded and decoded. The other must know the same upstreams without a read of its own, also if it learned of the first records before.
+func TestChangeReadByOneEntryReachesTheOthers(t *testing.T) {
+	now := time.Now()
+	log, store := slog.New(slog.DiscardHandler), &listStore{}
+	fleet := newFleet(Settings{}, 20, now)
+	var feeds []*feed
+	for _, d := range fleet {
+		d.decode, d.era, d.announced = store.Decode, 0, 1
+		f := newFeed(&Daemon{store: store, log: log, controller: d}, port.Upstreams, 0, 0, listMaxAge)
+		feeds = append(feeds, f)
+		for _, next := range []int64{-1, 0} {
+			if err := f.step(t.Context(), next, 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	reader := 0
+	for !fleet[reader].isReader(now, port.Upstreams) {
+		reader++
+	}
+	other := (reader + 1) % len(fleet)
+	known := func() (ids []string) {
+		for _, u := range fleet[other].fleet.All() {
+			if u.Draining {
+				ids = append(ids, string(u.ID)+" drains")
+			} else {
+				ids = append(ids, string(u.ID))
+			}
+		}
+		return ids
+	}
+	reads := store.reads
+	var got [][]string
+	for _, added := range [][]string{{"a", "b"}, {"c", "b-"}} {
+		store.records = append(store.records, added...)
+		_, _, next := fleet[reader].due(now, feeds[reader])
+		if err := feeds[reader].step(t.Context(), next, 0); err != nil {
+			t.Fatal(err)
+		}
+		m, _ := fleet[reader].message(time.Now())
+		datagrams, err := gossip.Encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, b := range datagrams {
+			part, _, err := gossip.Decode(b)
+			if err != nil {
+				t.Fatal(err)
+			}
+			fleet[other].applyMessage(time.Now(), part)
+		}
+		got = append(got, known())
+	}
+	if diff := cmp.Diff([][]string{{"a", "b"}, {"a", "b drains", "c"}}, got); diff != "" {
+		t.Errorf("upstreams that the other entry knows (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(reads+2, store.reads); diff != "" {
+		t.Errorf("calls to the store (-want +got):\n%s", diff)
+	}
+	if feeds[other].watch.Due(false).IsZero() {
+		t.Error("the other entry is to read at once")
+	}
+}
+
+// TestLongRecordIsReadByEachEntry lets a record change something that is too long to be passed on.
+func TestLongRecordIsReadByEachEntry(t *testing.T) {
+	d := newFleet(Settings{}, 1, time.Now())[0]
+	f := newFeed(&Daemon{log: slog.New(slog.DiscardHandler), controller: d}, port.Operator, 0, 0, operatorMaxAge)
+	short := port.Record{Offset: 1, Content: []byte("short"), Event: port.ZoneEvent{Zone: "z"}}
+	long := port.Record{Offset: 2, Content: make([]byte, maxSharedRecord+1), Event: port.ConfigEvent{Data: conf.Data{Version: 1}}}
+	changed, shared := d.changes(f, port.Batch{Records: []port.Record{short, long}})
+	if diff := cmp.Diff([]any{true, []watch.Record(nil)}, []any{changed, shared}); diff != "" {
+		t.Errorf("changed, passed on (-want +got):\n%s", diff)
+	}
+}
--- a/io/daemon/verdicts.go
+++ b/io/daemon/verdicts.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	mathrand "math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,9 @@
 	verdictRetryDelay = 500 * time.Millisecond
 	// maxWaitingVerdicts bounds the verdicts that wait for the store.
 	maxWaitingVerdicts = 256
+	// firstStartSpread is the time over which entries that all start for the first time look for the secret, so that few of them
+	// choose one at the same moment.
+	firstStartSpread = time.Second
 	// secretSize is the size of the secret for digests, in bytes.
 	secretSize = 32
 )
@@ -49,6 +53,9 @@
 // loads them again.
 func (v *verdicts) run(ctx context.Context) {
 	restored := v.d.controller.whenRestored()
+	if v.d.settings.FirstStart {
+		pause(ctx, mathrand.N(firstStartSpread))
+	}
 	retryUntilDone(ctx, verdictRetryDelay, v.load)
 	for {
 		select {
