Let no request wait for long behind a slow link

Cause: the transfers that wait at a link counted as long as configured, whatever its slowdown. An estimate fell by 15 % with each transfer that took as long as estimated and rose only if one took twice as long and 40 ms more, so that it settled well below the truth. And a fetch was bounded by the time that purging needs, not by its request.

Now transfers that wait are scaled by the slowdown; one that takes the expected time confirms it; a fetch may be longer than the prefill only within a quarter of the objective; and it is given up after half of the objective or three times the expected time to the first byte.

--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -19,10 +19,12 @@
 	crossZoneFactor = 2
 	// maxFetch is the longest fetch that a request waits for.
 	maxFetch = 400 * time.Millisecond
-	// slowdownStep and recoveryStep multiply a link's slowdown after each late and each timely transfer.
-	slowdownStep = 1.25
+	// slowdownStep and recoveryStep multiply a link's slowdown at most after a late transfer and after one that was faster than expected,
+	// by less than fasterShare of that time.
+	slowdownStep = 1.5
 	recoveryStep = 0.85
-	// lateMargin is how late a first byte must be, on top of the expected fetch delay, to count against the link.
+	fasterShare  = 0.9
+	// lateMargin is how late a first byte must be to count against the link.
 	lateMargin = 40 * time.Millisecond
 	// maxLinkSlowdown bounds the slowdown estimated for a link.
 	maxLinkSlowdown = 8
@@ -33,6 +35,28 @@
 	bitsPerByte    = 8
 )
 
+const (
+	// fetchShare is the fraction of its objective that a request waits for its fetches at least.
+	fetchShare = 0.5
+	// spareShare is the fraction of the objective up to which a fetch may take longer than the prefill.
+	spareShare = 0.25
+	// expectedFactor is how many times the expected time to the first byte it waits for them at least.
+	expectedFactor = 3
+)
+
+// fetchBound returns how long a request waits for its fetches. A link that is much slower than estimated must not hold it up for longer than
+// prefilling takes.
+func fetchBound(need *Need, expected time.Duration) time.Duration {
+	return max(times.Duration(fetchShare*float64(need.Objective)), expectedFactor*expected)
+}
+
+// fetchLimit returns how long the fetch of a part may take in place of its prefill: longer than that, since a prefill holds up all requests of an
+// engine, but only while that leaves the request most of its objective.
+func fetchLimit(need *Need, prefill time.Duration) time.Duration {
+	spare := times.Duration(spareShare * float64(need.Objective))
+	return min(fetchFactor*prefill, max(prefill, spare)) + fetchAllowance
+}
+
 // link holds the estimates for the link of a holder, over which parts are fetched.
 type link struct {
 	// slowdown is the ratio of actual to computed transfer durations.
@@ -60,12 +84,14 @@
 	l.busyUntil = l.busyUntil.Add(took)
 }
 
-// observe adjusts the slowdown by how much later than expected a first byte came. The engine may have caused a
-// single delay, so the estimate changes in small steps.
+// observe adjusts the slowdown by how much later than expected a first byte came. The engine may have caused a delay, so one up to
+// lateMargin counts for nothing and the estimate changes in steps. It falls only if the transfer was clearly faster than expected: one that
+// took the expected time confirms it.
 func (l *link) observe(now time.Time, late, expected time.Duration) {
-	if late > expected+lateMargin {
-		l.slowdown = min(l.slowdown*slowdownStep, maxLinkSlowdown)
-	} else {
+	switch over := late + expected - lateMargin; {
+	case over > expected && expected > 0:
+		l.slowdown = min(l.slowdown*min(float64(over)/float64(expected), slowdownStep), maxLinkSlowdown)
+	case float64(late+expected) < fasterShare*float64(expected):
 		l.slowdown = max(l.slowdown*recoveryStep, 1)
 	}
 	l.observedAt = now
@@ -73,10 +99,6 @@
 
 // fetchDelay returns how long it takes from now until a transfer ends that takes the given time on an idle link.
 func (l *link) fetchDelay(now time.Time, transfer time.Duration) time.Duration {
-	slowdown := l.slowdown
-	if idle := now.Sub(l.observedAt); idle > decayDelay {
-		slowdown = 1 + (slowdown-1)/(1+float64(idle-decayDelay)/float64(decayHalfLife))
-	}
 	wait := max(0, l.busyUntil.Sub(now))
 	for peer, until := range l.peersUntil {
 		if !until.After(now) {
@@ -85,7 +107,15 @@
 		}
 		wait += until.Sub(now)
 	}
-	return times.Duration(float64(transfer)*slowdown) + wait
+	return times.Duration(float64(transfer)*l.currentSlowdown(now)) + wait
+}
+
+// currentSlowdown returns the slowdown, closer to none the longer ago it was observed.
+func (l *link) currentSlowdown(now time.Time) (slowdown float64) {
+	if idle := now.Sub(l.observedAt); idle > decayDelay {
+		return 1 + (l.slowdown-1)/(1+float64(idle-decayDelay)/float64(decayHalfLife))
+	}
+	return l.slowdown
 }
 
 // Transfers lists the holders from which this entry fetches parts, with the remaining time.
@@ -267,7 +297,7 @@
 			continue
 		}
 		prefill := times.Duration(perToken * float64(part.Tokens))
-		if missing || best.fetchDelay > maxFetch || best.fetchDelay > fetchFactor*prefill+fetchAllowance {
+		if missing || best.fetchDelay > maxFetch || best.fetchDelay > fetchLimit(f.need, prefill) {
 			missing = true
 			o.recomputed += part.Tokens
 			continue
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -160,6 +160,8 @@
 	// Fetch and Save have an entry for each part of the chain, or none at all.
 	Fetch []conf.Source
 	Save  []conf.Source
+	// FetchWithin is how long after it is sent the parts must have been fetched that are not to be prefilled.
+	FetchWithin time.Duration
 	// Expected is the estimated time to the first byte.
 	Expected time.Duration
 	// Missing is how many prompt tokens the upstream has to prefill.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -466,10 +466,11 @@
 	cmd := SendCmd{
 		Ticket: need.Ticket, Upstream: u, Priority: clampRank(need.Rank), Model: need.Model, Version: o.version, Salt: o.salt,
 		Fetch: o.fetch, Expected: o.firstByte, Missing: o.missing,
-		Cached: o.cached, Fetched: o.fetched, Recomputed: o.recomputed,
+		Cached: o.cached, Fetched: o.fetched, Recomputed: o.recomputed, FetchWithin: fetchBound(need, o.firstByte),
 	}
 	for _, t := range o.transfers {
-		m.link(t.Holder).reserve(now, t.Left)
+		l := m.link(t.Holder)
+		l.reserve(now, times.Duration(float64(t.Left)*l.currentSlowdown(now)))
 	}
 	if len(need.Chain) > 0 {
 		cmd.Save, cmds = m.planSaves(now, need, o)
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -88,7 +88,7 @@
 
 // hear applies the mark of another entry.
 func (e *entry) hear(mark watch.Mark, p *topic) {
-	known := e.Model.KnownAt()
+	known := e.KnownAt()
 	for _, cmd := range e.Update(watch.MarkMsg{Mark: mark}) {
 		for _, r := range cmd.(watch.ApplyCmd).Records {
 			number, err := strconv.Atoi(string(r.Content))
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -370,13 +370,13 @@
 }
 
 // FetchDeadline implements [relay.Controller].
-func (d *Controller) FetchDeadline() time.Time {
+func (d *Controller) FetchDeadline(within time.Duration) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.clockKnown {
 		return time.Time{}
 	}
-	return monotonicNow().Add(d.clockOffset + purge.FetchTimeout)
+	return monotonicNow().Add(d.clockOffset + min(within, purge.FetchTimeout))
 }
 
 // processStart carries a monotonic reading, from which [monotonicNow] counts.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -271,7 +271,7 @@
 	values := port.ForwardValues{
 		ID: x.head.ID, Upstream: cmd.Upstream.ID, Timeout: clock.Until(x.deadline), Organisation: x.org, Priority: cmd.Priority,
 		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
-		FetchDeadline: x.h.controller.FetchDeadline(),
+		FetchDeadline: x.h.controller.FetchDeadline(cmd.FetchWithin),
 	}
 	return link.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -55,9 +55,9 @@
 	Config() *conf.Set
 	// Digester computes the digests by which all entries know a request. It is nil until the secret is known.
 	Digester() *poison.Digester
-	// FetchDeadline returns the deadline of transfers of parts that are decided now, on the engines' clock; zero if
+	// FetchDeadline returns the deadline of transfers of parts that are to end within a time, on the engines' clock; zero if
 	// that clock is not known yet.
-	FetchDeadline() time.Time
+	FetchDeadline(within time.Duration) time.Time
 	// Screen returns what is known about crashes of a request. It calls identify only if something is known of any.
 	Screen(identify func() poison.Keys) Screening
 	// BeginTrial opens the trial of the suspect keys of a request on an upstream; blocked is set if another trial is in the
