--- a/core/leave/leave.go
+++ b/core/leave/leave.go
@@ -69,7 +69,7 @@
 }
 
 // Takes reports whether a request may begin. While the entry stops, its answer must be expected before the end; without
-// any earlier answer of its route only its deadline tells when that is.
+// any earlier answer of its route only its deadline bounds when that is.
 func (m *Model) Takes(now time.Time, r Request) (ok bool) {
 	if m.endsAt.IsZero() || !r.Deadline.After(m.endsAt) {
 		return true
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -67,7 +67,7 @@
 	from := max(e.Next(), 0)
 	for i, number := range p.records[from:] {
 		if p.matters[number] {
-			e.see(number, p)
+			e.see(number, p, e.KnownAt())
 			msg.Changed = true
 			msg.Records = append(msg.Records, watch.Record{Offset: from + int64(i), Content: []byte(strconv.Itoa(number))})
 		}
@@ -78,16 +78,16 @@
 	e.Update(msg)
 }
 
-// see notes a record that changes something.
-func (e *entry) see(number int, p *topic) {
-	if !e.seen[number] && p.written[number].Before(e.KnownAt()) {
+// see notes a record that changes something, when the entry knew all changes as of a time.
+func (e *entry) see(number int, p *topic, known time.Time) {
+	if !e.seen[number] && p.written[number].Before(known) {
 		e.tooOld = append(e.tooOld, number)
 	}
 	e.seen[number] = true
 }
 
-// hear applies the mark of another entry.
-func (e *entry) hear(mark watch.Mark, p *topic) {
+// applyMark applies the mark of another entry.
+func (e *entry) applyMark(mark watch.Mark, p *topic) {
 	known := e.KnownAt()
 	for _, cmd := range e.Update(watch.MarkMsg{Mark: mark}) {
 		for _, r := range cmd.(watch.ApplyCmd).Records {
@@ -95,10 +95,7 @@
 			if err != nil {
 				panic(err)
 			}
-			if !e.seen[number] && p.written[number].Before(known) {
-				e.tooOld = append(e.tooOld, number)
-			}
-			e.seen[number] = true
+			e.see(number, p, known)
 		}
 	}
 }
@@ -156,7 +153,7 @@
 			if mark, ok := e.mark(now); ok && watch.IsReader("topic", e.name, ids) {
 				for _, other := range entries {
 					if other != e && rapid.IntRange(0, 3).Draw(t, "lost") > 0 {
-						other.hear(mark, p)
+						other.applyMark(mark, p)
 					}
 				}
 			}
@@ -213,7 +210,7 @@
 			if mark, ok := e.mark(now); ok && isReader && tick%10 == i%10 {
 				for _, other := range entries {
 					if other != e {
-						other.hear(mark, p)
+						other.applyMark(mark, p)
 					}
 				}
 			}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -118,8 +118,8 @@
 	return f.watch.Due(reader), wait, f.watch.Next()
 }
 
-// isReader reports whether this entry reads a topic on behalf of all entries; the lock is held. An entry that has not had the time to hear
-// the others of a large fleet reads for itself alone: else all that start together would read for each other.
+// isReader reports whether this entry reads a topic on behalf of all entries; the lock is held. An entry that can't have received
+// the heartbeats of a large fleet yet reads for itself alone: else all that start together would read for each other.
 func (d *Controller) isReader(now time.Time, topic port.Topic) bool {
 	if d.hearsTooFew(now) {
 		return false
--- a/io/daemon/share_test.go
+++ b/io/daemon/share_test.go
@@ -45,7 +45,7 @@
 	return port.UpstreamEvent{Upstream: u}, nil
 }
 
-// TestChangeReadByOneEntryReachesTheOthers lets one entry of a large fleet read records of the store and tell another one, in datagrams that are
+// TestChangeReadByOneEntryReachesTheOthers lets one entry of a large fleet read records of the store and send them to another one, in datagrams that are
 // encoded and decoded. The other must know the same upstreams without a read of its own, also if it learned of the first records before.
 func TestChangeReadByOneEntryReachesTheOthers(t *testing.T) {
 	now := time.Now()
--- a/io/link/head_cut_test.go
+++ b/io/link/head_cut_test.go
@@ -14,12 +14,12 @@
 
 // cutHeads are heads of answers, without the empty line that ends them.
 var cutHeads = map[string]string{
-	"length":  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 120\r\n",
-	"chunks":  "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n",
-	"neither": "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\n",
-	"folded":  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nX-Note: a\r\n b\r\n\tc\r\nContent-Length: 0\r\n",
-	"interim": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: s\r\nContent-Length: 0\r\n",
-	"bare":    "HTTP/1.1 200 OK\nRequest-Id: %s\nServer-Stamp: s\nContent-Length: 0\n",
+	"length":  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX-Signed: s\r\nContent-Length: 120\r\n",
+	"chunks":  "HTTP/1.1 200 OK\r\nX-Signed: s\r\nRequest-Id: %s\r\nTransfer-Encoding: chunked\r\n",
+	"neither": "HTTP/1.1 200 OK\r\nX-Signed: s\r\nContent-Type: text/event-stream\r\nRequest-Id: %s\r\n",
+	"folded":  "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX-Signed: s\r\nX-Note: a\r\n b\r\n\tc\r\nContent-Length: 0\r\n",
+	"interim": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX-Signed: s\r\nContent-Length: 0\r\n",
+	"bare":    "HTTP/1.1 200 OK\nRequest-Id: %s\nX-Signed: s\nContent-Length: 0\n",
 	"long":    "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nX-Long: " + strings.Repeat("x", readBuffer) + "\r\nContent-Length: 0\r\n",
 }
 
