Don't undo records that were passed on by an older read

While an entry waited for a read of the store, a newer record could arrive from another entry. The answer to the read was then applied after it: an upstream that was draining counted as ready again until its next record.

A read leaves out the records that marks have covered meanwhile, and applying it and moving on are one step. TestReadDoesNotUndoWhatWasPassedOn fails without that.

--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -157,33 +157,33 @@
 	}
 	f.recordSuccess()
 	f.faults.report(batch.Faults)
-	now := clock.Now()
-	if f.era() <= batch.Era {
-		f.updateWatch(batch.Era, nil)
-		f.d.controller.applyRecords(now, f, records{events: batch.Events, snapshot: snapshot})
-		if snapshot {
-			// In a new era, orders that were lost are written again.
-			if f.topic == port.Operator && f.snapshotEra == batch.Era {
-				f.d.controller.takeBackZones(now, batch.Events)
-				// An order that can't be read ends none.
-				if len(batch.Faults) == 0 {
-					f.d.controller.endRollouts(now, batch.Events)
-				}
-			}
-			f.snapshotEra = batch.Era
-		}
-		// A store that fails may end a wait in vain without a record that was written meanwhile.
-		at := sentAt
-		if batch.Next < batch.End {
-			// What is still unread may be as old as what has just been read.
-			at = f.knownAt()
-		}
-		changed, shared := f.d.controller.changes(f, batch)
-		f.updateWatch(batch.Era, watch.ReadMsg{Era: batch.Era, Next: batch.Next, At: at, Changed: changed, Records: shared, Snapshot: snapshot})
+	if snapshot {
+		f.applySnapshot(clock.Now(), sentAt, batch)
+	} else {
+		f.d.controller.applyRead(clock.Now(), sentAt, f, batch)
 	}
 	return nil
 }
 
+// applySnapshot applies the newest records of the topic, which were asked for at a time.
+func (f *feed) applySnapshot(now, sentAt time.Time, batch port.Batch) {
+	if f.era() > batch.Era {
+		return
+	}
+	f.updateWatch(batch.Era, nil)
+	f.d.controller.applyRecords(now, f, records{events: batch.Events, snapshot: true})
+	// In a new era, orders that were lost are written again.
+	if f.topic == port.Operator && f.snapshotEra == batch.Era {
+		f.d.controller.takeBackZones(now, batch.Events)
+		// An order that can't be read ends none.
+		if len(batch.Faults) == 0 {
+			f.d.controller.endRollouts(now, batch.Events)
+		}
+	}
+	f.snapshotEra = batch.Era
+	f.updateWatch(batch.Era, watch.ReadMsg{Era: batch.Era, Next: batch.Next, At: sentAt, Changed: f.d.controller.noteListed(f, batch.Events), Snapshot: true})
+}
+
 // records are the records of one read.
 type records struct {
 	events []any
--- a/io/daemon/share.go
+++ b/io/daemon/share.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"cicadavalve/core/conf"
@@ -94,18 +95,41 @@
 	d.applyEvents(now, f, r)
 }
 
-// changes reports whether records that were read contain more than unchanged records of known upstreams. It returns those that do, unless one
-// of them is too long to be passed on.
-func (d *Controller) changes(f *feed, batch port.Batch) (changed bool, shared []watch.Record) {
+// applyRead applies records that this entry has read, which were asked for at a time. It leaves out those that other entries have passed on
+// meanwhile: what was applied since may be newer.
+func (d *Controller) applyRead(now, sentAt time.Time, f *feed, batch port.Batch) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, event := range batch.Events {
-		if len(batch.Records) == 0 && d.isChange(f, event) {
-			changed = true
+	d.observeEra(now, batch.Era)
+	if d.era > batch.Era {
+		return
+	}
+	fresh := batch.Records
+	if f.watch.Era() == batch.Era {
+		fresh = slices.DeleteFunc(slices.Clone(fresh), func(r port.Record) bool { return r.Offset < f.watch.Next() })
+	}
+	r := records{since: f.watch.KnownAt(), failedAt: f.failedAt}
+	for _, record := range fresh {
+		if record.Event != nil {
+			r.events = append(r.events, record.Event)
 		}
 	}
+	d.applyEvents(now, f, r)
+	// A store that fails may end a wait in vain without a record that was written meanwhile.
+	at := sentAt
+	if batch.Next < batch.End {
+		// What is still unread may be as old as what has just been read.
+		at = f.watch.KnownAt()
+	}
+	changed, shared := d.changes(f, fresh)
+	f.watch.Update(watch.ReadMsg{Era: batch.Era, Next: batch.Next, At: at, Changed: changed, Records: shared})
+}
+
+// changes reports whether records that were read contain more than unchanged records of known upstreams. It returns those that do, unless one
+// of them is too long to be passed on. The lock is held.
+func (d *Controller) changes(f *feed, read []port.Record) (changed bool, shared []watch.Record) {
 	complete := true
-	for _, r := range batch.Records {
+	for _, r := range read {
 		if r.Event == nil || !d.isChange(f, r.Event) {
 			continue
 		}
@@ -119,6 +143,16 @@
 	return changed, shared
 }
 
+// noteListed remembers the events of a snapshot and reports whether any changes something.
+func (d *Controller) noteListed(f *feed, events []any) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, event := range events {
+		changed = d.isChange(f, event) || changed
+	}
+	return changed
+}
+
 // isChange reports whether the event of a record changes anything, and remembers it. A record of an upstream that is still cold always
 // does, as does one of another incarnation than the one in use; the lock is held.
 func (d *Controller) isChange(f *feed, event any) (changes bool) {
--- a/io/daemon/share_test.go
+++ b/io/daemon/share_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +21,8 @@
 	port.Store
 	records []string
 	reads   int
+	// onRead, if set, is called before a read returns what the topic held when it began.
+	onRead func()
 }
 
 func (s *listStore) Snapshot(context.Context, port.Topic, time.Duration) (batch port.Batch, err error) {
@@ -36,6 +39,9 @@
 		batch.Records = append(batch.Records, port.Record{Offset: batch.Next, Content: []byte(content), Event: event})
 		batch.Next++
 	}
+	if s.onRead != nil {
+		s.onRead()
+	}
 	return batch, nil
 }
 
@@ -75,6 +81,7 @@
 				ids = append(ids, string(u.ID))
 			}
 		}
+		slices.Sort(ids)
 		return ids
 	}
 	reads := store.reads
@@ -116,8 +123,36 @@
 	f := newFeed(&Daemon{log: slog.New(slog.DiscardHandler), controller: d}, port.Operator, 0, 0, operatorMaxAge)
 	short := port.Record{Offset: 1, Content: []byte("short"), Event: port.ZoneEvent{Zone: "z"}}
 	long := port.Record{Offset: 2, Content: make([]byte, maxSharedRecord+1), Event: port.ConfigEvent{Data: conf.Data{Version: 1}}}
-	changed, shared := d.changes(f, port.Batch{Records: []port.Record{short, long}})
+	changed, shared := d.changes(f, []port.Record{short, long})
 	if diff := cmp.Diff([]any{true, []watch.Record(nil)}, []any{changed, shared}); diff != "" {
 		t.Errorf("changed, passed on (-want +got):\n%s", diff)
 	}
 }
+
+// TestReadDoesNotUndoWhatWasPassedOn lets a newer record of an upstream arrive from another entry while this one reads an older one.
+func TestReadDoesNotUndoWhatWasPassedOn(t *testing.T) {
+	now := time.Now()
+	store := &listStore{}
+	fleet := newFleet(Settings{}, 20, now)
+	d := fleet[0]
+	d.decode, d.era, d.announced = store.Decode, 0, 1
+	f := newFeed(&Daemon{store: store, log: slog.New(slog.DiscardHandler), controller: d}, port.Upstreams, 0, 0, listMaxAge)
+	for _, next := range []int64{-1, 0} {
+		if err := f.step(t.Context(), next, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	store.records = []string{"a"}
+	store.onRead = func() {
+		d.applyMessage(time.Now(), gossip.Message{ID: "entry-1", State: 1, Boot: 1, Marks: []gossip.Mark{{
+			Topic: int(port.Upstreams), Next: 2, Changed: 2, Share: &gossip.Share{Records: []gossip.Record{{Offset: 0, Content: []byte("a")}, {Offset: 1, Content: []byte("a-")}}},
+		}}})
+	}
+	if err := f.step(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	u, known := d.fleet.Get("a")
+	if diff := cmp.Diff([]any{true, true, int64(2)}, []any{known, u.Draining, f.watch.Next()}); diff != "" {
+		t.Errorf("known, draining, next offset (-want +got):\n%s", diff)
+	}
+}
