--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -247,10 +247,14 @@
 	d.mesh.SetState(state)
 }
 
+// setAnnounced sets how many entries the store lists. That decides whether this one reads for all, so the feeds schedule their reads anew.
 func (d *Controller) setAnnounced(entries int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.announced = entries
+	for _, f := range d.feeds {
+		signal(f.wake)
+	}
 }
 
 // introduction announces the entry in the store and finds the other entries there.
--- a/io/daemon/share_test.go
+++ b/io/daemon/share_test.go
@@ -11,6 +11,7 @@
 
 	"cicadavalve/core/conf"
 	"cicadavalve/core/ident"
+	"cicadavalve/core/mesh"
 	"cicadavalve/core/watch"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/port"
@@ -156,3 +157,18 @@
 		t.Errorf("known, draining, next offset (-want +got):\n%s", diff)
 	}
 }
+
+// TestEntryThatStartsAloneReadsOnTime lets an entry read its first snapshot before it knows how many entries there are. Once it knows that it is
+// alone, it must read at its own interval, or it would not notice an outage of the store.
+func TestEntryThatStartsAloneReadsOnTime(t *testing.T) {
+	log, store := slog.New(slog.DiscardHandler), &staleStore{}
+	d := NewController(Settings{}, mesh.Peer{ID: "self", Boot: 1}, log, 1)
+	f := newFeed(&Daemon{store: store, log: log, controller: d}, port.Upstreams, 0, 50*time.Millisecond, time.Hour)
+	ctx, stop := context.WithTimeout(t.Context(), 600*time.Millisecond)
+	defer stop()
+	time.AfterFunc(100*time.Millisecond, func() { d.setAnnounced(1) })
+	f.run(ctx)
+	if got := store.reads.Load(); got < 3 {
+		t.Errorf("%d reads in half a second", got)
+	}
+}
