Let a trial of several parts in quarantine use up no retry of theirs

TestPartIsFoundAmongSharedOnes: 0 of 200 sound requests served, five entries, two documents, 6 in 100 messages lost. Printed at the failure: three parts (a first one that all share, a document and the bad one) came into quarantine by the same losses. A request with the first and the bad part and another document tried both again, since two are not the whole group, and crashed. That used up the only retry of the first part, so every sound request with it was refused for as long as the quarantine lasts (an hour).

Such a trial shows only that the part at fault is one of those tried. It no longer counts as a retry of any of them, and they become a group of their own, which is not tried together again; the next trial takes a member with parts of another group. Each such trial makes the group smaller, so their number is bounded by it.

--- a/core/poison/part.go
+++ b/core/poison/part.go
@@ -183,11 +183,17 @@
 // itself was on trial, the loss convicts no part of it: others with the part decide about that.
 func (m *Model) RecordBreak(now time.Time, b Break) (cmds []ident.Cmd) {
 	requestTried := b.Trial != "" && m.Granted(b.Keys.Request, b.Trial)
+	triedAgain := 0
+	for _, d := range b.Keys.Parts {
+		if b.Trial != "" && m.Granted(d, b.Trial) && m.Quarantined(d) {
+			triedAgain++
+		}
+	}
 	for _, d := range append([]Digest{b.Keys.Request}, m.accused(b.Keys.Parts, b.Loss)...) {
 		alone := b.Trial != "" && m.Granted(d, b.Trial) && (d == b.Keys.Request || !requestTried)
 		if alone {
 			t := m.trials[d]
-			t.broken = true
+			t.broken = triedAgain < 2
 			m.trials[d] = t
 		}
 		if b.Silent {
--- a/core/poison/part_test.go
+++ b/core/poison/part_test.go
@@ -197,6 +197,41 @@
 	}
 }
 
+// TestTrialOfSeveralPartsInQuarantineUsesUpNoRetry quarantines three parts that all crashed requests had, and has two of
+// them tried again together, one of which is at fault. The sound one must still be tried with the third, and both released.
+func TestTrialOfSeveralPartsInQuarantineUsesUpNoRetry(t *testing.T) {
+	f := newPartFleet(1, "bad")
+	type state struct{ Crashed, Quarantined int }
+	var got []state
+	look := func() {
+		quarantined, _ := f.entries[0].Counts()
+		got = append(got, state{f.crashed, quarantined})
+	}
+	for range 20 {
+		f.request(0, []string{"first", "bad", "document"})
+		f.pass(time.Second)
+	}
+	look()
+	for range 40 {
+		f.request(0, []string{"first", "bad", "other document"})
+		f.pass(time.Second)
+	}
+	look()
+	for range 20 {
+		f.request(0, []string{"first", "document"})
+		f.pass(time.Second)
+	}
+	look()
+	for range 40 {
+		f.request(0, []string{"first", "bad", "document"})
+		f.pass(time.Second)
+	}
+	look()
+	if diff := cmp.Diff([]state{{3, 3}, {4, 3}, {4, 1}, {5, 1}}, got); diff != "" {
+		t.Errorf("crashes and parts in quarantine: with all three, with two of them, with the sound ones, with all (-want +got):\n%s", diff)
+	}
+}
+
 // TestRepeatsOfOneRequestConvictThePartToo sends the same request with a part that crashes upstreams until it is in
 // quarantine, and then others with the part. These must not begin anew: the first one is on trial and decides.
 func TestRepeatsOfOneRequestConvictThePartToo(t *testing.T) {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -258,6 +258,9 @@
 
 // addClaim adds a loss and reports whether it adds evidence. Losses that are explained or released are ignored.
 func (m *Model) addClaim(d Digest, added claim) bool {
+	if q := m.quarantineOf(d); q != nil && added.alone {
+		q.trialLoss = added.loss
+	}
 	if m.isExplained(d, added.loss) || m.isReleased(d, []Loss{added.loss}) {
 		return false
 	}
--- a/core/poison/quarantine.go
+++ b/core/poison/quarantine.go
@@ -12,7 +12,8 @@
 	// losses are those that the request explains.
 	losses []Loss
 	since  time.Time
-	// trialLoss is the last of the losses that led to the quarantine, the same for parts that were tried together.
+	// trialLoss is the last loss on a trial, the same for parts that were tried together; before the first trial in
+	// quarantine, the last of the losses that led to it.
 	trialLoss Loss
 	// tried is how often a part in quarantine was tried again, triedAt when last, or when it was doubted, and lastTrial
 	// the id of the last such trial.
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -25,7 +25,8 @@
 	// ID is unique to the trial.
 	ID       string           `json:"id"`
 	Upstream ident.UpstreamID `json:"upstream"`
-	// Open is set in the end record of a trial in which no upstream was lost.
+	// Open is set in the end record of a trial that has shown nothing of this key by itself: no upstream was lost, or other
+	// parts in quarantine were tried with it.
 	Open bool `json:"open,omitempty"`
 	// Again is set if the key was in quarantine when the trial began.
 	Again bool `json:"again,omitempty"`
@@ -35,7 +36,8 @@
 type trial struct {
 	body  TrialBody
 	since time.Time
-	// broken is set if an upstream was lost in it; only the entry of the trial knows.
+	// broken is set if an upstream was lost in it, unless it tried several parts in quarantine; only the entry of the trial
+	// knows.
 	broken bool
 }
 
