Look at few entries to find out whether this one ranks first

followers.assign computed this entry's rank among all entries for each engine and store, to compare it with 0: 295 entries by 182 holders at each pass. IsAmong ends at the first entry that ranks before, some two on average.

--- a/core/place/concurrency.go
+++ b/core/place/concurrency.go
@@ -88,7 +88,7 @@
 		return true
 	}
 	part := limit / users
-	if route.Rank(string(u.ID), m.members.Self, m.members.Sharers) < limit%users {
+	if route.IsAmong(string(u.ID), m.members.Self, m.members.Sharers, limit%users) {
 		part++
 	}
 	return l.own.Requests < part && total < max(limit, 1)
--- a/core/place/rate.go
+++ b/core/place/rate.go
@@ -63,7 +63,7 @@
 		return quota{}
 	}
 	q = quota{bounded: true, burst: 1}
-	if len(m.members.Sharers) > users && route.Rank(string(u.ID), m.members.Self, m.members.Sharers) >= users {
+	if len(m.members.Sharers) > users && !route.IsAmong(string(u.ID), m.members.Self, m.members.Sharers, users) {
 		return q
 	}
 	q.perSecond = total / float64(users)
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -27,7 +27,7 @@
 
 // IsReader reports whether an entry is one of those that read a topic for all.
 func IsReader(topic, self string, entries []string) bool {
-	return !Shared(len(entries)) || route.Rank(topic, self, entries) < readerCount
+	return !Shared(len(entries)) || route.IsAmong(topic, self, entries, readerCount)
 }
 
 // Mark is the position up to which a topic has been read.
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -354,7 +354,7 @@
 
 // recordVerdict queues a verdict for the store. All entries learn of it, so one of them records it. The lock is held.
 func (d *Controller) recordVerdict(now time.Time, v verdict) {
-	if route.Rank(string(v.digest), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now))) != 0 {
+	if !route.IsAmong(string(v.digest), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now)), 1) {
 		return
 	}
 	select {
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -113,13 +113,13 @@
 		return own
 	}
 	for i := range set.Services() {
-		if s := set.Services()[i].Store; s != nil && route.Rank(s.Address, self, ids) == 0 {
+		if s := set.Services()[i].Store; s != nil && route.IsAmong(s.Address, self, ids, 1) {
 			own[s.Address] = true
 		}
 	}
 	for _, u := range d.fleet.All() {
 		s, ok := set.Service(u.Service)
-		if ok && s.Engine != nil && route.Rank(u.Address, self, ids) == 0 {
+		if ok && s.Engine != nil && route.IsAmong(u.Address, self, ids, 1) {
 			own[u.Address] = false
 		}
 	}
--- a/io/daemon/reach.go
+++ b/io/daemon/reach.go
@@ -145,7 +145,7 @@
 		for _, s := range m.Unreachable {
 			id, age := ident.UpstreamID(s.Upstream), time.Duration(max(s.AgeMS, 0))*time.Millisecond
 			since := arrived.Add(-age)
-			isFirst := route.Rank(s.Upstream, d.mesh.Self().ID, alive) < answerers
+			isFirst := route.IsAmong(s.Upstream, d.mesh.Self().ID, alive, answerers)
 			isLate := age >= answerDelay && (d.reach.Failing() == 0 || d.reach.ContactAt(id).After(since))
 			if _, listed := d.fleet.Get(id); !listed || !isFirst && !isLate {
 				continue
