Do less for each heartbeat and each tick

It goes over the links that the sender named before. With that the transfers of an entry that has fallen silent are forgotten with its loads; before, a killed one kept its links occupied until its last transfers would have ended, the case not_repeated of the new test.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -78,6 +78,8 @@
 	rejectionLimits map[ident.ServiceName]rejectionLimit
 	// graceUntil is until when upstreams whose records are removed are kept, since they may register again.
 	graceUntil time.Time
+	// doubtful is set while an upstream may have lapsed or have a record that can't be read.
+	doubtful bool
 }
 
 // NewModel returns a Model without upstreams.
@@ -275,7 +277,7 @@
 	}
 	if now.Before(m.graceUntil) {
 		if s.lapsedAt.IsZero() {
-			s.lapsedAt = now
+			s.lapsedAt, m.doubtful = now, true
 		}
 		return nil
 	}
@@ -295,7 +297,7 @@
 // suspend withholds work from an upstream until its next record.
 func (m *Model) suspend(now time.Time, id ident.UpstreamID) {
 	if s := m.byID[id]; s != nil && s.unreadableAt.IsZero() {
-		s.unreadableAt = now
+		s.unreadableAt, m.doubtful = now, true
 	}
 }
 
@@ -322,10 +324,12 @@
 // DropLapsed removes the upstreams whose records lapsed during an outage and that haven't registered again within the
 // grace period, and those that haven't long after a record that can't be read.
 func (m *Model) DropLapsed(now time.Time) (cmds []ident.Cmd) {
-	if now.Before(m.graceUntil) {
+	if !m.doubtful || now.Before(m.graceUntil) {
 		return nil
 	}
+	m.doubtful = false
 	for id, s := range m.byID {
+		m.doubtful = m.doubtful || !s.unreadableAt.IsZero()
 		if !s.lapsedAt.IsZero() || !s.unreadableAt.IsZero() && now.Sub(s.unreadableAt) >= unreadableTimeout {
 			cmds = append(cmds, m.drop(id))
 		}
--- a/core/place/load.go
+++ b/core/place/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/parts"
 )
 
 // peerLoadTTL is how long the loads reported by another entry are used: a few report intervals.
@@ -37,6 +38,8 @@
 	loads []Load
 	// pending are those at upstreams that have no load here. Entries learn of new upstreams at different times.
 	pending []Load
+	// holders are those whose links have transfers of the peer.
+	holders []parts.Holder
 	at      time.Time
 }
 
@@ -47,10 +50,10 @@
 	l.others.Memory += sign * o.Memory
 }
 
-// replacePeer replaces the loads of a peer with those that it reports now.
-func (m *Model) replacePeer(now time.Time, name string, loads []Load) {
+// replacePeer replaces the loads and transfers of a peer with the loads that it reports now.
+func (m *Model) replacePeer(now time.Time, name string, loads []Load) (p *peer) {
 	m.dropPeer(name)
-	p := &peer{at: now}
+	p = &peer{at: now}
 	for _, l := range loads {
 		if _, known := m.fleet.Get(l.Upstream); known {
 			m.load(l.Upstream).add(l, 1)
@@ -60,6 +63,7 @@
 		}
 	}
 	m.peers[name] = p
+	return p
 }
 
 // addPending includes the pending loads at an upstream in its load.
@@ -74,7 +78,7 @@
 	})
 }
 
-// dropPeer removes the loads of a peer.
+// dropPeer removes the loads and transfers of a peer.
 func (m *Model) dropPeer(name string) {
 	p, ok := m.peers[name]
 	if !ok {
@@ -86,6 +90,11 @@
 			l.add(o, -1)
 		}
 	}
+	for _, holder := range p.holders {
+		if l, known := m.links[holder]; known {
+			delete(l.peersUntil, name)
+		}
+	}
 	delete(m.peers, name)
 }
 
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -232,12 +232,10 @@
 
 // updatePeer replaces the loads and transfers of another entry.
 func (m *Model) updatePeer(now time.Time, msg PeerMsg) {
-	m.replacePeer(now, msg.Peer, msg.Loads)
-	for _, l := range m.links {
-		delete(l.peersUntil, msg.Peer)
-	}
+	p := m.replacePeer(now, msg.Peer, msg.Loads)
 	for _, t := range msg.Transfers {
 		m.link(t.Holder).peersUntil[msg.Peer] = now.Add(t.Left)
+		p.holders = append(p.holders, t.Holder)
 	}
 }
 
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -111,6 +111,40 @@
 	}
 }
 
+// TestReportReplacesTransfersOfPeer has another entry report a long transfer from the engine with the cached prompt, then, after it
+// has ended or after its reports have ceased, sends the prompt. Only the transfer still under way keeps it from being fetched.
+func TestReportReplacesTransfersOfPeer(t *testing.T) {
+	for name, c := range map[string]struct {
+		next  *place.PeerMsg
+		after time.Duration
+		want  bool
+	}{
+		"under way":    {nil, 0, false},
+		"ended":        {&place.PeerMsg{Peer: "other"}, 0, true},
+		"other's":      {&place.PeerMsg{Peer: "third"}, 0, false},
+		"not repeated": {nil, 1300 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(2, 200_000)
+			first := sends(b.place.Update(start, place.ArriveMsg{Need: need(1, start, 8000, "doc", 800*time.Millisecond)}))[0].Upstream.ID
+			b.place.Update(start, place.FirstByteMsg{Ticket: 1})
+			b.place.Update(start, place.EndMsg{Ticket: 1})
+			transfer := place.Transfer{Holder: parts.Holder(first), Left: 10 * time.Second}
+			b.place.Update(start, place.PeerMsg{Peer: "other", Transfers: []place.Transfer{transfer}})
+			if c.next != nil {
+				b.place.Update(start, *c.next)
+			}
+			now := start.Add(c.after)
+			b.place.Update(now, place.TickMsg{})
+			b.place.Update(now, place.PeerMsg{Peer: "full", Loads: []place.Load{{Upstream: first, Requests: 16, Backlog: 90_000}}})
+			second := sends(b.place.Update(now, place.ArriveMsg{Need: need(2, now, 8000, "doc", 800*time.Millisecond)}))
+			if got := len(second) == 1 && second[0].Fetched > 0; got != c.want {
+				t.Errorf("fetched: %t, want %t: %+v", got, c.want, second)
+			}
+		})
+	}
+}
+
 // TestCachedPartNamesStoreAsFallback sends a prompt of which the index has the first part at the engine and both shared
 // parts at a store. If the engine has evicted the first part, the second is useless unless the first is fetched too.
 func TestCachedPartNamesStoreAsFallback(t *testing.T) {
--- a/core/purge/purge.go
+++ b/core/purge/purge.go
@@ -90,6 +90,9 @@
 		clear(m.settledSince)
 	}
 	m.tickedAt = now
+	if len(m.targetVersions) == 0 {
+		return nil
+	}
 	behind := map[ident.ModelName]bool{}
 	m.fleet.Scan(func(u *conf.Upstream) {
 		for model, have := range u.Weights {
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -385,9 +385,12 @@
 // retry budget and, within maxVerdictWait of its start, the verdicts; the lock is held. It knows its part soon also
 // without the store.
 func (d *Controller) updateReadiness(now time.Time) {
+	if d.mesh.Self().State != mesh.Starting {
+		return
+	}
 	hasVerdicts := d.digester.Load() != nil || now.Sub(d.startedAt) >= maxVerdictWait
 	_, hasPart := d.countSharers(now)
-	if d.mesh.Self().State == mesh.Starting && d.upstreamsListed && d.set.Load() != nil && hasVerdicts && hasPart {
+	if d.upstreamsListed && d.set.Load() != nil && hasVerdicts && hasPart {
 		d.mesh.SetState(mesh.Ready)
 		d.log.Info("ready", "version", d.set.Load().Version())
 	}
