--- a/core/reload/reload.go
+++ b/core/reload/reload.go
@@ -17,8 +17,10 @@
 	// limit. More concurrent loads make each one slower.
 	maxLoadShare = 0.2
 	minLoadLimit = 2
-	// maxOutShare is the share of all engines that may be without new work at once, before or during a load.
-	maxOutShare = 0.4
+	// maxOutShare is the share of all engines that may be without new work at once, before or during a load. Those whose orders get an
+	// answer may be no more than maxTurnShare: the ones that load, and few that drain meanwhile.
+	maxOutShare  = 0.4
+	maxTurnShare = 0.25
 	// drainTimeout is how long an engine may drain its requests before it is ordered to load. Requests that last
 	// longer keep the old weights to their end.
 	drainTimeout = 800 * time.Millisecond
@@ -192,7 +194,10 @@
 }
 
 // isLoading reports whether an update counts as a load: not while it drains, nor while its orders get no answer.
-func (s *step) isLoading() bool { return s.phase != draining && (s.accepted || s.orders < 2) }
+func (s *step) isLoading() bool { return s.phase != draining && !s.isUnanswered() }
+
+// isUnanswered reports whether an order was given again and none is known to have been accepted.
+func (s *step) isUnanswered() bool { return !s.accepted && s.orders >= 2 }
 
 func (m *Model) applyState(msg StateMsg) {
 	s, ok := m.steps[msg.Upstream]
@@ -222,7 +227,7 @@
 	slices.SortFunc(all, func(a, b conf.Upstream) int {
 		return cmp.Or(cmp.Compare(m.aborted[a.ID], m.aborted[b.ID]), cmp.Compare(inFlight(a.ID), inFlight(b.ID)), cmp.Compare(a.ID, b.ID))
 	})
-	engines, loading, out := 0, 0, 0
+	engines, loading, out, unanswered := 0, 0, 0, 0
 	for _, u := range all {
 		if len(u.Weights) == 0 {
 			continue
@@ -248,6 +253,9 @@
 		if s.isLoading() {
 			loading++
 		}
+		if s.isUnanswered() {
+			unanswered++
+		}
 	}
 	for id := range m.steps {
 		if _, known := m.fleet.Get(id); !known {
@@ -255,7 +263,8 @@
 		}
 	}
 	maxLoads := max(minLoadLimit, int(maxLoadShare*float64(engines)))
-	maxOut := max(maxLoads, int(maxOutShare*float64(engines)))
+	maxTurn := max(maxLoads, int(maxTurnShare*float64(engines)))
+	maxOut := max(maxLoads, min(maxTurn+unanswered, int(maxOutShare*float64(engines))))
 	for _, u := range all {
 		s := m.steps[u.ID]
 		if s == nil {
--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -71,6 +71,45 @@
 	})
 }
 
+// TestEnginesWorkUntilTheirTurnComes has engines whose requests end 400 ms after the last new one load a version in turn. On average an engine
+// may be without new work for the time to drain, to load and to be asked for its state.
+func TestEnginesWorkUntilTheirTurnComes(t *testing.T) {
+	const tick, drain, load, query = 50 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, 250 * time.Millisecond
+	for _, n := range []int{10, 12, 40, 90, 160} {
+		now := time.Unix(1000, 0)
+		upstreams := fleet.NewModel()
+		engines := map[ident.UpstreamID]*engine{}
+		for i := range n {
+			id := ident.UpstreamID(fmt.Sprintf("e%03d", i))
+			engines[id] = &engine{version: 1}
+			upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
+		}
+		m := reload.NewModel(upstreams)
+		m.SetTargetVersion(now, model, 2)
+		outSince, out := map[ident.UpstreamID]time.Time{}, time.Duration(0)
+		inFlight := func(id ident.UpstreamID) int {
+			if since, isOut := outSince[id]; isOut && now.Sub(since) >= drain {
+				return 0
+			}
+			return 3
+		}
+		for ; m.Behind(); now = now.Add(tick) {
+			for _, cmd := range m.Update(now, reload.TickMsg{Holds: true, InFlight: inFlight}) {
+				perform(now, upstreams, m, engines, cmd, false)
+			}
+			for _, id := range m.Updating() {
+				if _, known := outSince[id]; !known {
+					outSince[id] = now
+				}
+				out += tick
+			}
+		}
+		if mean, most := out/time.Duration(n), drain+load+query; mean > most {
+			t.Errorf("%d engines were without new work for %v on average, at most %v wanted", n, mean, most)
+		}
+	}
+}
+
 // perform executes a command as an engine does; a lost order has no effect.
 func perform(now time.Time, upstreams *fleet.Model, m *reload.Model, engines map[ident.UpstreamID]*engine, cmd ident.Cmd, lost bool) {
 	switch cmd := cmd.(type) {
