Ask a store that fails less often

The delay doubles up to 600 ms, and is spread by a quarter so that those that failed together don't return together.

--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"time"
@@ -34,7 +35,7 @@
 	callTimeout = 700 * time.Millisecond
 	// slowCallTimeout replaces callTimeout after a failed call, so that a slow store can still be read.
 	slowCallTimeout = 2 * time.Second
-	// retryDelay is the delay after a failed call to the store.
+	// retryDelay is the delay after a failed announcement, and between reads of a store that is behind what other entries have read.
 	retryDelay = 150 * time.Millisecond
 )
 
@@ -78,7 +79,7 @@
 		delay := clock.Until(due)
 		if delay <= 0 {
 			if f.step(ctx, next, wait) != nil {
-				delay = retryDelay
+				delay = watch.RetryDelay(f.failures, rand.Float64())
 			} else if _, _, now := f.d.controller.due(clock.Now(), f); now == next {
 				// The store may be behind what other entries have read there.
 				pause(ctx, retryDelay-clock.Since(began))
