Tell entries that start what the holders keep

A follower reports what its holder keeps once, to the entries that it knows then; who starts later, or is heard later, learned only what changed. Entries that start together mostly don't know each other yet when the first reports go out.

When an entry hears a new incarnation of another one, it tells again what the holders that it follows keep, from its own index: 64 parts in a heartbeat, one round for all that start within a second, rounds at least 5 s apart, so that a narrow link carries it. Parts that went meanwhile are left out.

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -128,6 +128,12 @@
 	return known.Boot > msg.Peer.Boot || known.Boot == msg.Peer.Boot && msg.Number > 0 && msg.Number < known.number
 }
 
+// Knows reports whether an incarnation of an entry, or a later one, has been heard.
+func (m *Model) Knows(id string, boot int64) bool {
+	known := m.peers[id]
+	return id == m.self.ID || known != nil && known.Boot >= boot
+}
+
 // insert adds a peer that is not known.
 func (m *Model) insert(id string, p *peerState) {
 	at, _ := slices.BinarySearchFunc(m.sorted, id, func(p *peerState, id string) int { return cmp.Compare(p.ID, id) })
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -33,6 +33,8 @@
 	maxInstantTakeover = 20
 	takeoverBurst      = 4
 	takeoverInterval   = time.Second
+	// maxRetold bounds the parts that a heartbeat tells again.
+	maxRetold = 64
 	// positionTTL is how long it is remembered how far a holder's changes were told.
 	positionTTL = 10 * time.Second
 )
@@ -79,6 +81,7 @@
 
 func (f *followers) assign(ctx context.Context) {
 	own := f.d.controller.ownHolders(clock.Now())
+	defer f.d.controller.setFollowed(f.running)
 	for addr, stop := range f.running {
 		if _, still := own[addr]; !still {
 			stop()
@@ -92,6 +95,34 @@
 	}
 }
 
+// setFollowed sets the holders that this entry follows, by their addresses.
+func (d *Controller) setFollowed(running map[string]context.CancelFunc) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.followed = d.followed[:0]
+	for addr := range running {
+		d.followed = append(d.followed, parts.Holder(addr))
+	}
+}
+
+// retold adds parts to the reports of the next heartbeat that were reported before; the lock is held.
+func (d *Controller) retold(now time.Time) {
+	for _, msg := range d.retell.Next(now, d.followed, maxRetold) {
+		addr := string(msg.Holder)
+		r, ok := d.reports[addr]
+		if !ok {
+			r = &gossip.Report{Holder: addr, Epoch: msg.Epoch}
+			d.reports[addr], d.reportedAt[addr] = r, msg.At
+		}
+		if r.Epoch != msg.Epoch {
+			continue
+		}
+		for _, c := range msg.Changes {
+			r.Changes = append(r.Changes, gossip.Change{Key: uint64(c.Key), Tokens: c.Tokens})
+		}
+	}
+}
+
 // ownHolders returns the addresses of the holders that are assigned to this entry; the value is true for a store and
 // false for an engine.
 func (d *Controller) ownHolders(now time.Time) (own map[string]bool) {
