--- a/core/reload/reload_test.go
+++ b/core/reload/reload_test.go
@@ -25,6 +25,17 @@
 	pending      int64
 }
 
+// newEngines returns a number of engines with version 1, from "e000" on.
+func newEngines(now time.Time, n int) (upstreams *fleet.Model, engines map[ident.UpstreamID]*engine) {
+	upstreams, engines = fleet.NewModel(), map[ident.UpstreamID]*engine{}
+	for i := range n {
+		id := ident.UpstreamID(fmt.Sprintf("e%03d", i))
+		engines[id] = &engine{version: 1}
+		upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
+	}
+	return upstreams, engines
+}
+
 func (e *engine) finishLoad(now time.Time) {
 	if e.pending != 0 && !now.Before(e.loadingUntil) {
 		e.version, e.pending = e.pending, 0
@@ -40,13 +51,7 @@
 		n := rapid.IntRange(1, 20).Draw(t, "engines")
 		loss := rapid.SampledFrom([]float64{0, 0.3}).Draw(t, "loss")
 		now := time.Unix(1000, 0)
-		upstreams := fleet.NewModel()
-		engines := map[ident.UpstreamID]*engine{}
-		for i := range n {
-			id := ident.UpstreamID(fmt.Sprintf("e%02d", i))
-			engines[id] = &engine{version: 1}
-			upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
-		}
+		upstreams, engines := newEngines(now, n)
 		m := reload.NewModel(upstreams)
 		m.SetTargetVersion(now, model, 2)
 		end := now.Add(60 * time.Second)
@@ -77,13 +82,7 @@
 	const tick, drain, load, query = 50 * time.Millisecond, 400 * time.Millisecond, 700 * time.Millisecond, 250 * time.Millisecond
 	for _, n := range []int{10, 12, 40, 90, 160} {
 		now := time.Unix(1000, 0)
-		upstreams := fleet.NewModel()
-		engines := map[ident.UpstreamID]*engine{}
-		for i := range n {
-			id := ident.UpstreamID(fmt.Sprintf("e%03d", i))
-			engines[id] = &engine{version: 1}
-			upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
-		}
+		upstreams, engines := newEngines(now, n)
 		m := reload.NewModel(upstreams)
 		m.SetTargetVersion(now, model, 2)
 		outSince, out := map[ident.UpstreamID]time.Time{}, time.Duration(0)
@@ -212,19 +211,14 @@
 // ordered again soon, and the others be updated meanwhile.
 func TestUnansweredOrdersDontHoldUpTheOthers(t *testing.T) {
 	now := time.Unix(1000, 0)
-	upstreams, engines := fleet.NewModel(), map[ident.UpstreamID]*engine{}
-	for i := range 9 {
-		id := ident.UpstreamID(fmt.Sprintf("e%d", i))
-		engines[id] = &engine{version: 1}
-		upstreams.Update(now, fleet.ListedMsg{Upstream: conf.Upstream{ID: id, Slots: 8, Weights: map[ident.ModelName]int64{model: 1}}})
-	}
+	upstreams, engines := newEngines(now, 9)
 	m := reload.NewModel(upstreams)
 	m.SetTargetVersion(now, model, 2)
 	orders := map[ident.UpstreamID]int{}
 	for range 80 {
 		for _, cmd := range m.Update(now, reload.TickMsg{Holds: true, InFlight: func(ident.UpstreamID) int { return 0 }}) {
 			order, isOrder := cmd.(reload.OrderCmd)
-			lost := isOrder && order.Upstream.ID < "e3"
+			lost := isOrder && order.Upstream.ID < "e003"
 			perform(now, upstreams, m, engines, cmd, lost)
 			if isOrder {
 				orders[order.Upstream.ID]++
@@ -237,15 +231,15 @@
 	}
 	behind := 0
 	for id, e := range engines {
-		if e.version != 2 && id >= "e3" {
+		if e.version != 2 && id >= "e003" {
 			behind++
 		}
 	}
 	if behind > 0 {
 		t.Errorf("%d of 6 engines that answer are behind after 8 s", behind)
 	}
-	if orders["e0"] < 8 || orders["e8"] != 1 {
-		t.Errorf("%d orders to an engine without answers, %d to another one", orders["e0"], orders["e8"])
+	if orders["e000"] < 8 || orders["e008"] != 1 {
+		t.Errorf("%d orders to an engine without answers, %d to another one", orders["e000"], orders["e008"])
 	}
 }
 
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -52,6 +52,15 @@
 	tooOld []int
 }
 
+// newEntries returns a number of entries with their ids.
+func newEntries(count int) (ids []string, entries []*entry) {
+	for i := range count {
+		ids = append(ids, fmt.Sprint("entry", i))
+		entries = append(entries, newEntry(ids[i]))
+	}
+	return ids, entries
+}
+
 func newEntry(name string) *entry {
 	return &entry{Model: watch.NewModel(interval, maxAge), name: name, seen: map[int]bool{}}
 }
@@ -128,12 +137,7 @@
 func watchTopic(t *rapid.T, restores bool) {
 	const step, beat = 50 * time.Millisecond, 500 * time.Millisecond
 	count := rapid.IntRange(9, 20).Draw(t, "entries")
-	var ids []string
-	var entries []*entry
-	for i := range count {
-		ids = append(ids, fmt.Sprint("entry", i))
-		entries = append(entries, newEntry(ids[i]))
-	}
+	ids, entries := newEntries(count)
 	p := &topic{long: rapid.Bool().Draw(t, "long")}
 	for tick := range 200 {
 		now := start.Add(time.Duration(tick) * step)
@@ -192,12 +196,7 @@
 // entry must have seen them all.
 func TestChangesAreReadByReadersAlone(t *testing.T) {
 	const count, seconds = 90, 10
-	var ids []string
-	var entries []*entry
-	for i := range count {
-		ids = append(ids, fmt.Sprint("entry", i))
-		entries = append(entries, newEntry(ids[i]))
-	}
+	ids, entries := newEntries(count)
 	p := &topic{}
 	for tick := range seconds * 20 {
 		now := start.Add(time.Duration(tick) * 50 * time.Millisecond)
@@ -239,12 +238,7 @@
 // TestNonReadersRarelyRead counts the reads of 90 entries in ten seconds in which no record changes anything.
 func TestNonReadersRarelyRead(t *testing.T) {
 	const count, seconds = 90, 10
-	var ids []string
-	var entries []*entry
-	for i := range count {
-		ids = append(ids, fmt.Sprint("entry", i))
-		entries = append(entries, newEntry(ids[i]))
-	}
+	ids, entries := newEntries(count)
 	p := &topic{}
 	reads, readers := 0, 0
 	for tick := range seconds * 20 {
