Shorten a comment

The comment on the type that sends parts again explained the reason in a clause that could not be understood without the code. No code changes.

--- a/core/parts/retell.go
+++ b/core/parts/retell.go
@@ -14,7 +14,7 @@
 )
 
 // Retell tells again, in portions, what holders keep. An entry that starts has not received what was reported before, and
-// one that hears of it only then would have the parts of its prompts prefilled again. Its methods aren't safe for concurrent use.
+// would have those parts prefilled again. Its methods aren't safe for concurrent use.
 type Retell struct {
 	index *Index
 	// due is when the next round may begin, zero if no entry has started since the last one began.
