--- a/core/leave/leave.go
+++ b/core/leave/leave.go
@@ -35,7 +35,7 @@
 	Repeatable bool
 }
 
-// Model knows how long the answers of one entry take. Its methods aren't safe for concurrent use.
+// Model estimates how long the answers of one entry take. Its methods aren't safe for concurrent use.
 type Model struct {
 	// endsAt is when the entry ends what still runs, zero while it does not stop.
 	endsAt time.Time
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -128,8 +128,8 @@
 	return known.Boot > msg.Peer.Boot || known.Boot == msg.Peer.Boot && msg.Number > 0 && msg.Number < known.number
 }
 
-// Knows reports whether an incarnation of an entry, or a later one, has been heard.
-func (m *Model) Knows(id string, boot int64) bool {
+// HasReceived reports whether a message of an entry's incarnation, or of a later one, has been received.
+func (m *Model) HasReceived(id string, boot int64) bool {
 	known := m.peers[id]
 	return id == m.self.ID || known != nil && known.Boot >= boot
 }
--- a/core/parts/retell.go
+++ b/core/parts/resend.go
@@ -7,43 +7,43 @@
 )
 
 const (
-	// retellDelay is how long after an entry was first heard a round begins: entries that start together share one.
-	retellDelay = time.Second
-	// retellInterval is the least time between the beginnings of two rounds.
-	retellInterval = 5 * time.Second
+	// resendDelay is how long after the first heartbeat of an entry a round begins: entries that start together share one.
+	resendDelay = time.Second
+	// resendInterval is the minimum time between the starts of two rounds.
+	resendInterval = 5 * time.Second
 )
 
-// Retell tells again, in portions, what holders keep. An entry that starts has not received what was reported before, and
+// Resend reports the parts of holders again, a few at a time. An entry that starts has not received the earlier reports, and
 // would have those parts prefilled again. Its methods aren't safe for concurrent use.
-type Retell struct {
+type Resend struct {
 	index *Index
 	// due is when the next round may begin, zero if no entry has started since the last one began.
 	due     time.Time
 	begunAt time.Time
-	// left holds the keys of each holder that are still to be told in this round, at least one.
+	// left holds the keys that this round has yet to report of each holder, at least one.
 	left map[Holder][]Key
 }
 
-// NewRetell returns a Retell for the parts of an index.
+// NewResend returns a Resend for the parts of an index.
 //
-//	r := parts.NewRetell(index)
+//	r := parts.NewResend(index)
 //	r.Started(now)
 //	reports := r.Next(now, followed, 64)
-func NewRetell(index *Index) *Retell { return &Retell{index: index, left: map[Holder][]Key{}} }
+func NewResend(index *Index) *Resend { return &Resend{index: index, left: map[Holder][]Key{}} }
 
-// Started notes that an incarnation of another entry was heard for the first time.
-func (r *Retell) Started(now time.Time) {
+// Started schedules a round after the first heartbeat of another entry's incarnation, unless one is scheduled.
+func (r *Resend) Started(now time.Time) {
 	if !r.due.IsZero() {
 		return
 	}
-	r.due = now.Add(retellDelay)
-	if next := r.begunAt.Add(retellInterval); next.After(r.due) {
+	r.due = now.Add(resendDelay)
+	if next := r.begunAt.Add(resendInterval); next.After(r.due) {
 		r.due = next
 	}
 }
 
-// Next returns the next reports of the holders that this entry follows, with at most a number of parts in all.
-func (r *Retell) Next(now time.Time, followed []Holder, limit int) (reports []ReportMsg) {
+// Next returns the next reports of the holders that this entry follows, of at most limit parts in all.
+func (r *Resend) Next(now time.Time, followed []Holder, limit int) (reports []ReportMsg) {
 	if !r.due.IsZero() && !now.Before(r.due) && len(r.left) == 0 {
 		r.due, r.begunAt = time.Time{}, now
 		for _, holder := range followed {
@@ -69,8 +69,8 @@
 	return reports
 }
 
-// report returns what a holder still keeps of some parts, unless its incarnation is not known yet.
-func (r *Retell) report(holder Holder, keys []Key) (report ReportMsg, ok bool) {
+// report returns those of the parts that a holder still keeps. ok is false if there are none, or if its incarnation is unknown.
+func (r *Resend) report(holder Holder, keys []Key) (report ReportMsg, ok bool) {
 	h := r.index.holders[holder]
 	if h == nil || h.epoch == 0 {
 		return ReportMsg{}, false
--- a/core/parts/retell_test.go
+++ b/core/parts/resend_test.go
@@ -11,9 +11,9 @@
 	"cicadavalve/core/parts"
 )
 
-// TestEntryThatStartsIsToldWhatHoldersKeep follows two holders, hears that entries start, and applies what is told to the index of one
-// of them. Parts that change between two portions must be right there, too.
-func TestEntryThatStartsIsToldWhatHoldersKeep(t *testing.T) {
+// TestEntryThatStartsReceivesAllParts follows two holders while entries start, and applies the reports to the index of one of them.
+// It must not receive parts that were removed between two reports.
+func TestEntryThatStartsReceivesAllParts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	own, other := parts.NewIndex(), parts.NewIndex()
 	key := func(i int) parts.Key { return parts.NewKey("salt", fmt.Sprint(i)) }
@@ -26,7 +26,7 @@
 	report("engine", parts.Change{Key: key(1), Tokens: 16})
 	report("not followed", parts.Change{Key: key(1), Tokens: 16})
 	own.Update(now, parts.PrefilledMsg{Holder: "not reported yet", Salt: "salt", Chain: []conf.Part{{ID: "1", Tokens: 16}}})
-	r := parts.NewRetell(own)
+	r := parts.NewResend(own)
 	followed := []parts.Holder{"engine", "not reported yet", "store", "unknown"}
 	var sizes []int
 	beat := func() {
@@ -54,7 +54,7 @@
 		beat()
 	}
 	if diff := cmp.Diff([]int{0, 0, 0, 63, 64, 24, 0, 0, 0, 0, 0, 0, 0, 63}, sizes); diff != "" {
-		t.Errorf("parts told at each beat (-want +got):\n%s", diff)
+		t.Errorf("parts reported at each beat (-want +got):\n%s", diff)
 	}
 	missing := 0
 	for i := 1; i < 149; i++ {
@@ -68,6 +68,6 @@
 	}
 	got := knowledge{missing, other.View(now, "engine").Cached(key(1)), other.View(now, "not followed").Cached(key(1)), other.Epoch("store")}
 	if diff := cmp.Diff(knowledge{0, 16, 0, 7}, got); diff != "" {
-		t.Errorf("what the other entry knows (-want +got):\n%s", diff)
+		t.Errorf("index of the other entry (-want +got):\n%s", diff)
 	}
 }
--- a/core/poison/part.go
+++ b/core/poison/part.go
@@ -183,17 +183,12 @@
 // itself was on trial, the loss convicts no part of it: others with the part decide about that.
 func (m *Model) RecordBreak(now time.Time, b Break) (cmds []ident.Cmd) {
 	requestTried := b.Trial != "" && m.Granted(b.Keys.Request, b.Trial)
-	triedAgain := 0
-	for _, d := range b.Keys.Parts {
-		if b.Trial != "" && m.Granted(d, b.Trial) && m.Quarantined(d) {
-			triedAgain++
-		}
-	}
+	conclusive := m.countRetried(b) < 2
 	for _, d := range append([]Digest{b.Keys.Request}, m.accused(b.Keys.Parts, b.Loss)...) {
 		alone := b.Trial != "" && m.Granted(d, b.Trial) && (d == b.Keys.Request || !requestTried)
 		if alone {
 			t := m.trials[d]
-			t.broken = triedAgain < 2
+			t.broken = conclusive
 			m.trials[d] = t
 		}
 		if b.Silent {
@@ -205,6 +200,16 @@
 	return cmds
 }
 
+// countRetried returns how many parts in quarantine an attempt tried again.
+func (m *Model) countRetried(b Break) (count int) {
+	for _, d := range b.Keys.Parts {
+		if b.Trial != "" && m.Granted(d, b.Trial) && m.Quarantined(d) {
+			count++
+		}
+	}
+	return count
+}
+
 // accused returns those of the parts that a loss is recorded against.
 func (m *Model) accused(parts []Digest, loss Loss) (accused []Digest) {
 	count, _ := m.accusedBy.Get(loss)
--- a/core/poison/trial.go
+++ b/core/poison/trial.go
@@ -36,8 +36,8 @@
 type trial struct {
 	body  TrialBody
 	since time.Time
-	// broken is set if an upstream was lost in it, unless it tried several parts in quarantine; only the entry of the trial
-	// knows.
+	// broken is set if an upstream was lost in it, unless it tried several parts in quarantine. Only the entry that runs the trial
+	// sets it.
 	broken bool
 }
 
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -332,5 +332,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	self := d.mesh.Self()
-	return mesh.IDs(d.mesh.Serving(now)), self.State == mesh.Ready && !self.Partitioned && !d.hearsTooFew(now)
+	return mesh.IDs(d.mesh.Serving(now)), self.State == mesh.Ready && !self.Partitioned && !d.receivesTooFew(now)
 }
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -122,7 +122,7 @@
 // isReader reports whether this entry reads a topic on behalf of all entries; the lock is held. An entry that can't have received
 // the heartbeats of a large fleet yet reads for itself alone: else all that start together would read for each other.
 func (d *Controller) isReader(now time.Time, topic port.Topic) bool {
-	if d.hearsTooFew(now) {
+	if d.receivesTooFew(now) {
 		return false
 	}
 	return watch.IsReader(strconv.Itoa(int(topic)), d.mesh.Self().ID, mesh.IDs(d.mesh.Alive(now)))
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -33,8 +33,8 @@
 	maxInstantTakeover = 20
 	takeoverBurst      = 4
 	takeoverInterval   = time.Second
-	// maxRetold bounds the parts that a heartbeat tells again.
-	maxRetold = 64
+	// maxResent bounds the parts that a heartbeat reports again.
+	maxResent = 64
 	// positionTTL is how long it is remembered how far a holder's changes were told.
 	positionTTL = 10 * time.Second
 )
@@ -105,9 +105,9 @@
 	}
 }
 
-// retold adds parts to the reports of the next heartbeat that were reported before; the lock is held.
-func (d *Controller) retold(now time.Time) {
-	for _, msg := range d.retell.Next(now, d.followed, maxRetold) {
+// reportAgain adds parts to the reports of the next heartbeat that were reported before; the lock is held.
+func (d *Controller) reportAgain(now time.Time) {
+	for _, msg := range d.resend.Next(now, d.followed, maxResent) {
 		addr := string(msg.Holder)
 		r, ok := d.reports[addr]
 		if !ok {
@@ -140,7 +140,7 @@
 	}
 	ids := mesh.IDs(alive)
 	self := d.mesh.Self().ID
-	if !slices.Contains(ids, self) || d.hearsTooFew(now) {
+	if !slices.Contains(ids, self) || d.receivesTooFew(now) {
 		return own
 	}
 	for i := range set.Services() {
@@ -170,9 +170,9 @@
 	return backingOff
 }
 
-// hearsTooFew reports whether this entry has just started in a fleet that is large or may be. It would take over the holders of all entries
+// receivesTooFew reports whether this entry has just started in a fleet that is large or may be. It would take over the holders of all entries
 // that it has not heard yet, whose reports would fill a narrow link when the entry has most to read. The lock is held.
-func (d *Controller) hearsTooFew(now time.Time) bool {
+func (d *Controller) receivesTooFew(now time.Time) bool {
 	_, known := d.mesh.Sharers(now, rateMemory)
 	return !known && (d.announced == 0 || watch.Shared(d.announced))
 }
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -201,7 +201,7 @@
 	for _, t := range d.place.Transfers(now) {
 		m.Links = append(m.Links, gossip.Link{Holder: string(t.Holder), BusyMS: int(t.Left.Milliseconds())})
 	}
-	d.retold(now)
+	d.reportAgain(now)
 	for _, r := range d.reports {
 		r.AgeMS = int(now.Sub(d.reportedAt[r.Holder]).Milliseconds())
 		d.recordPosition(now, r)
@@ -312,8 +312,8 @@
 	if d.mesh.Outdated(msg) {
 		m.Heartbeat = false
 	}
-	if !d.mesh.Knows(m.ID, m.Boot) {
-		d.retell.Started(now)
+	if !d.mesh.HasReceived(m.ID, m.Boot) {
+		d.resend.Started(now)
 	}
 	d.mesh.Update(sentAt, msg)
 	if m.Heartbeat {
--- a/io/daemon/spread.go
+++ b/io/daemon/spread.go
@@ -16,7 +16,7 @@
 const (
 	// passShare is the fraction of the interval of heartbeats for which a relay gathers them before it passes them on.
 	passShare = 0.25
-	// maxHeld is how long a relay may hold a message. What is older says too little of its sender.
+	// maxHeld is how long a relay may hold a message. Older ones are dropped.
 	maxHeld = time.Second
 	// maxQueued bounds the messages that wait to be passed on: a few heartbeats of each entry of the largest fleet.
 	maxQueued = 4096
@@ -111,7 +111,7 @@
 	}
 }
 
-// receiveEnvelope applies the messages of an envelope and passes them on if it says so.
+// receiveEnvelope applies the messages of an envelope and passes them on if the envelope names a cell.
 func (d *Daemon) receiveEnvelope(envelope gossip.Message) {
 	now := clock.Now()
 	arrived := d.controller.arrivedSince(now)
