Leave the shared cache scope when an organisation is isolated

A request that waited was also sent in the scope of the configuration under which it had arrived.

Change: the shared scope depends on the set of isolated organisations, and is chosen when a request is placed. The holder of the duty frees unused scopes in managed stores once no entry uses others. Names are escaped in salts.

Failed before: TestIsolationLeavesTheSharedContext (salts "first/m/1" of the isolated organisation, "/m/1" of the other one, "/m/1" before).

--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -136,6 +136,9 @@
 	// byHost holds each host's routes, the longest prefix first.
 	byHost map[string][]*Route
 	byKey  map[string]*Organisation
+	byName map[ident.OrgID]*Organisation
+	// sharedScope is the cache scope of the organisations that are not isolated.
+	sharedScope string
 }
 
 // NewSet returns the indexed configuration.
@@ -143,7 +146,7 @@
 //	set := conf.NewSet(data)
 //	route, ok := set.Match("a.example", "/b/c")
 func NewSet(data Data) *Set {
-	s := &Set{data: data, services: map[ident.ServiceName]*Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}}
+	s := &Set{data: data, services: map[ident.ServiceName]*Service{}, byHost: map[string][]*Route{}, byKey: map[string]*Organisation{}, byName: map[ident.OrgID]*Organisation{}}
 	for i := range s.data.Services {
 		s.services[s.data.Services[i].Name] = &s.data.Services[i]
 	}
@@ -156,10 +159,12 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
 	for i := range s.data.Organisations {
+		s.byName[s.data.Organisations[i].Name] = &s.data.Organisations[i]
 		for _, key := range s.data.Organisations[i].Keys {
 			s.byKey[key] = &s.data.Organisations[i]
 		}
 	}
+	s.sharedScope = sharedScope(s.data.Organisations)
 	return s
 }
 
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -45,6 +45,8 @@
 	Partitioned bool
 	// Version is that of its configuration, 0 if it is not known.
 	Version int64
+	// Scope is the cache scope in which organisations share context there.
+	Scope string
 	// Relays is set if the entry passes heartbeats on to the other members of its cell.
 	Relays bool
 }
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -193,7 +193,7 @@
 	if p, ok := f.versions[version]; ok {
 		return p
 	}
-	p := &prompt{salt: Salt(f.need.CacheScope, f.need.Model, version), origins: make([][]origin, len(f.shared)), nearest: map[destination][]choice{}, prefilling: map[parts.Key]bool{}}
+	p := &prompt{salt: Salt(f.m.set.CacheScope(f.need.Org), f.need.Model, version), origins: make([][]origin, len(f.shared)), nearest: map[destination][]choice{}, prefilling: map[parts.Key]bool{}}
 	p.keys = parts.Keys(p.salt, f.shared)
 	f.versions[version] = p
 	for i, part := range f.shared {
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -21,9 +21,9 @@
 	Counted bool
 	// Sampled is set for requests that are to go to the release that is being rolled out.
 	Sampled bool
-	// CacheScope is the scope in which cached context is shared: the organisation if it is isolated, else empty.
-	CacheScope string
-	Model      ident.ModelName
+	// Org is the organisation whose request it is, empty if none is known. It decides with which requests cached context is shared.
+	Org   ident.OrgID
+	Model ident.ModelName
 	// Chain lists the parts of the prompt in order. The last one belongs to this request alone.
 	Chain []conf.Part
 	// Output is the maximum length of the answer, in tokens.
--- a/core/place/salt.go
+++ b/core/place/salt.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 
@@ -8,9 +9,9 @@
 )
 
 // Salt identifies the cached context that requests of one cache scope may share on one version of a model's weights;
-// see [Need].
+// see [conf.Set.CacheScope].
 func Salt(cacheScope string, model ident.ModelName, version int64) string {
-	return cacheScope + "/" + string(model) + "/" + strconv.FormatInt(version, 10)
+	return cacheScope + "/" + url.PathEscape(string(model)) + "/" + strconv.FormatInt(version, 10)
 }
 
 // ParseSalt returns the model and the version of a salt. ok is false if it is malformed.
@@ -20,5 +21,15 @@
 		return "", 0, false
 	}
 	version, err := strconv.ParseInt(fields[len(fields)-1], 10, 64)
-	return ident.ModelName(fields[len(fields)-2]), version, err == nil
+	if err != nil {
+		return "", 0, false
+	}
+	name, err := url.PathUnescape(fields[len(fields)-2])
+	return ident.ModelName(name), version, err == nil
+}
+
+// SaltScope returns the cache scope of a salt that [ParseSalt] accepts.
+func SaltScope(salt string) (cacheScope string) {
+	fields := strings.Split(salt, "/")
+	return strings.Join(fields[:max(len(fields)-2, 0)], "/")
 }
--- a/core/place/sample.go
+++ b/core/place/sample.go
@@ -68,7 +68,7 @@
 		return sample{all: true}
 	}
 	if last := len(find.shared) - 1; last >= 0 {
-		s.positions = topRanked(parts.NewKey(find.need.CacheScope, find.shared[last].ID), open, hashes, count-1)
+		s.positions = topRanked(parts.NewKey(m.set.CacheScope(find.need.Org), find.shared[last].ID), open, hashes, count-1)
 		s.holders = find.deepestHolders(newest)
 	}
 	for len(s.positions) < count {
--- a/core/purge/purge.go
+++ b/core/purge/purge.go
@@ -1,11 +1,12 @@
-// Package purge decides when stores free the context of outdated weights.
+// Package purge decides when stores free the context of outdated weights, and that in cache scopes that are no longer used.
 //
 // A part may be freed only once nothing reads it. Only an engine that still has the old weights transfers old
 // parts, and each transfer is bounded in time. So parts are freed once every engine has had newer weights for
-// longer than that bound.
+// longer than that bound, and those of an unused scope once every entry has had the newer configuration for as long.
 package purge
 
 import (
+	"maps"
 	"time"
 
 	"cicadavalve/core/conf"
@@ -32,10 +33,12 @@
 	Holds bool
 	// Stores are the stores to purge.
 	Stores []parts.Holder
+	// Behind reports whether an entry may use scopes of another configuration than this one's.
+	Behind func() bool
 }
 
-// DoneMsg reports that a purge succeeded.
-type DoneMsg struct{ Cmd FreeCmd }
+// DoneMsg reports that a purge succeeded. Cmd is a [FreeCmd] or a [FreeScopesCmd].
+type DoneMsg struct{ Cmd ident.Cmd }
 
 // FreeCmd requests that a store free the parts of a model whose weights are older than version Below.
 type FreeCmd struct {
@@ -44,15 +47,26 @@
 	Below int64
 }
 
+// FreeScopesCmd requests that a store free the parts in all cache scopes that are not used beside the shared scope Scope.
+type FreeScopesCmd struct {
+	Store parts.Holder
+	Scope string
+}
+
 // Model decides on purges for the entry that holds the duty. Its methods aren't safe for concurrent use.
 type Model struct {
 	fleet          *fleet.Model
 	targetVersions map[ident.ModelName]int64
 	// settledSince holds since when all engines are known to have had the target version of a model.
 	settledSince map[ident.ModelName]time.Time
-	tickedAt     time.Time
-	done         map[FreeCmd]bool
-	sentAt       map[FreeCmd]time.Time
+	// scope is the shared cache scope of the configuration, nil before the first one; scopeChanged is set once another one was seen.
+	scope        *string
+	scopeChanged bool
+	// scopeSettledSince is since when no entry is known to have a configuration with another scope; zero while one may.
+	scopeSettledSince time.Time
+	tickedAt          time.Time
+	done              map[ident.Cmd]bool
+	sentAt            map[ident.Cmd]time.Time
 }
 
 // NewModel returns a model that follows the engines of a fleet.
@@ -62,7 +76,7 @@
 func NewModel(upstreams *fleet.Model) *Model {
 	return &Model{
 		fleet: upstreams, targetVersions: map[ident.ModelName]int64{}, settledSince: map[ident.ModelName]time.Time{},
-		done: map[FreeCmd]bool{}, sentAt: map[FreeCmd]time.Time{},
+		done: map[ident.Cmd]bool{}, sentAt: map[ident.Cmd]time.Time{},
 	}
 }
 
@@ -74,10 +88,27 @@
 	}
 }
 
+// SetScope sets the shared cache scope of the configuration in force. Scopes of before the first call are not known, and keep their parts
+// until the weights change.
+func (m *Model) SetScope(scope string) {
+	if m.scope != nil && *m.scope == scope {
+		return
+	}
+	m.scopeChanged = m.scope != nil
+	m.scope, m.scopeSettledSince = &scope, time.Time{}
+	maps.DeleteFunc(m.done, func(cmd ident.Cmd, _ bool) bool {
+		_, scopes := cmd.(FreeScopesCmd)
+		return scopes
+	})
+}
+
 // Update applies one message and returns the commands that follow.
 func (m *Model) Update(now time.Time, msg ident.Msg) (cmds []ident.Cmd) {
 	switch msg := msg.(type) {
 	case DoneMsg:
+		if free, scopes := msg.Cmd.(FreeScopesCmd); scopes && (m.scope == nil || free.Scope != *m.scope) {
+			return nil
+		}
 		m.done[msg.Cmd] = true
 	case TickMsg:
 		return m.tick(now, msg)
@@ -88,10 +119,12 @@
 func (m *Model) tick(now time.Time, msg TickMsg) (cmds []ident.Cmd) {
 	if now.Sub(m.tickedAt) > maxTickGap {
 		clear(m.settledSince)
+		m.scopeSettledSince = time.Time{}
 	}
 	m.tickedAt = now
+	cmds = m.purgeScopes(now, msg)
 	if len(m.targetVersions) == 0 {
-		return nil
+		return cmds
 	}
 	behind := map[ident.ModelName]bool{}
 	m.fleet.Scan(func(u *conf.Upstream) {
@@ -111,12 +144,37 @@
 			continue
 		}
 		for _, store := range msg.Stores {
-			cmd := FreeCmd{store, model, version}
-			if !m.done[cmd] && now.Sub(m.sentAt[cmd]) >= retryInterval {
-				m.sentAt[cmd] = now
-				cmds = append(cmds, cmd)
-			}
+			cmds = append(cmds, m.send(now, FreeCmd{store, model, version})...)
 		}
 	}
 	return cmds
 }
+
+// purgeScopes returns the purges of unused scopes that are due.
+func (m *Model) purgeScopes(now time.Time, msg TickMsg) (cmds []ident.Cmd) {
+	switch {
+	case !m.scopeChanged:
+		return nil
+	case msg.Behind():
+		m.scopeSettledSince = time.Time{}
+		return nil
+	case m.scopeSettledSince.IsZero():
+		m.scopeSettledSince = now
+	}
+	if !msg.Holds || now.Sub(m.scopeSettledSince) < settleDelay {
+		return nil
+	}
+	for _, store := range msg.Stores {
+		cmds = append(cmds, m.send(now, FreeScopesCmd{store, *m.scope})...)
+	}
+	return cmds
+}
+
+// send returns a purge unless it is done or was sent lately.
+func (m *Model) send(now time.Time, cmd ident.Cmd) []ident.Cmd {
+	if m.done[cmd] || now.Sub(m.sentAt[cmd]) < retryInterval {
+		return nil
+	}
+	m.sentAt[cmd] = now
+	return []ident.Cmd{cmd}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -104,6 +104,7 @@
 	d.server = relay.NewServer(d.controller.guard.Handler(d.handler))
 	d.handovers = relay.NewServer(d.controller.guard.Handler(d.handler.Handovers()))
 	d.controller.onConfig = func(set *conf.Set) {
+		d.duty.setScope(set.SharedScope())
 		d.server.SetIdleTimeout(set.Limits().IdleTimeout)
 		d.server.SetHeaderTimeout(set.Limits().HeaderTimeout)
 	}
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -10,8 +10,6 @@
 	"cicadavalve/core/ident"
 	"cicadavalve/core/lease"
 	"cicadavalve/core/mesh"
-	"cicadavalve/core/parts"
-	"cicadavalve/core/place"
 	"cicadavalve/core/purge"
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/reload"
@@ -49,6 +47,13 @@
 	u.lease.Update(clock.Now(), msg)
 }
 
+// setScope sets the shared cache scope of a configuration that comes into force.
+func (u *duty) setScope(scope string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.purge.SetScope(scope)
+}
+
 // status returns for the heartbeat whether this entry has the newest claim of the lease, though it may still have to
 // wait before it gives orders, and the engines that load weights or are about to.
 func (u *duty) status(time.Time) (holds bool, ordered []string) {
@@ -127,7 +132,9 @@
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
 	cmds = append(cmds, u.d.controller.tickRamp(now, holds)...)
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
-	return append(cmds, u.purge.Update(now, purge.TickMsg{Holds: holds, Stores: u.d.controller.stores()})...)
+	return append(cmds, u.purge.Update(now, purge.TickMsg{
+		Holds: holds, Stores: u.d.controller.stores(), Behind: func() bool { return u.d.controller.usesOtherScopes(now) },
+	})...)
 }
 
 // task performs one command of the duty, which takes a call.
@@ -152,7 +159,9 @@
 	case reload.OrderCmd:
 		u.orderLoad(ctx, cmd)
 	case purge.FreeCmd:
-		u.freeParts(ctx, cmd)
+		u.freeOutdated(ctx, cmd)
+	case purge.FreeScopesCmd:
+		u.freeScopes(ctx, cmd)
 	case ramp.RecordCmd:
 		u.recordRollout(ctx, cmd)
 	}
@@ -287,54 +296,6 @@
 	}
 }
 
-// stores lists the managed stores of cached context, none without a configuration; the lock is held.
-func (d *Controller) stores() (stores []parts.Holder) {
-	set := d.set.Load()
-	if set == nil {
-		return nil
-	}
-	for i := range set.Services() {
-		if s := set.Services()[i].Store; s != nil && s.Managed {
-			stores = append(stores, parts.Holder(s.Address))
-		}
-	}
-	return stores
-}
-
-// maxFreed bounds the parts that one call frees.
-const maxFreed = 500
-
-// freeParts frees the parts in a store that were made with outdated weights, incomplete ones included.
-func (u *duty) freeParts(ctx context.Context, cmd purge.FreeCmd) {
-	addr := string(cmd.Store)
-	askedAt := clock.Now()
-	held, err := u.d.engines.List(ctx, addr)
-	if err != nil {
-		u.d.log.Info("store_not_listed", "store", addr, "error", err)
-		return
-	}
-	var outdated []port.PartState
-	for _, k := range append(held.Parts, held.Partial...) {
-		if model, version, ok := place.ParseSalt(k.Salt); ok && model == cmd.Model && version < cmd.Below {
-			outdated = append(outdated, port.PartState{Salt: k.Salt, ID: k.ID})
-		}
-	}
-	count := len(outdated)
-	for len(outdated) > 0 {
-		n := min(len(outdated), maxFreed)
-		if err := u.d.engines.Free(ctx, addr, held.Boot, outdated[:n]); err != nil {
-			u.d.log.Info("parts_not_freed", "store", addr, "count", n, "error", err)
-			return
-		}
-		u.d.controller.applyHoldings(askedAt, addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false)
-		outdated = outdated[n:]
-	}
-	u.d.log.Info("parts_freed", "store", addr, "model", cmd.Model, "below", cmd.Below, "count", count)
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.purge.Update(clock.Now(), purge.DoneMsg{Cmd: cmd})
-}
-
 // leaseCandidates lists the entries that may hold the lease; ready reports whether this entry may. A
 // partitioned one reaches none that it could give orders to, and one that has just started does not know its rank.
 func (d *Controller) leaseCandidates() (ids []string, ready bool) {
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -375,7 +375,7 @@
 	if d.onConfig != nil {
 		d.onConfig(set)
 	}
-	d.log.Info("configuration_in_force", "version", data.Version, "routes", len(data.Routes), "services", len(data.Services))
+	d.log.Info("configuration_in_force", "version", data.Version, "routes", len(data.Routes), "services", len(data.Services), "shared_scope", set.SharedScope())
 }
 
 // maxVerdictWait is how long an entry that is otherwise ready waits for the verdicts: it can't tell crashing requests
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -187,7 +187,7 @@
 	m = gossip.Message{
 		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Relays: self.Relays, Number: d.beats,
 		Heartbeat: true, Saves: d.saves, Prefills: d.prefills, Weights: d.weights, Marks: d.marks(now, len(alive)), Era: d.era,
-		Partitioned: self.Partitioned, Version: d.configVersion(),
+		Partitioned: self.Partitioned, Version: d.configVersion(), Scope: d.sharedScope(),
 	}
 	if !watch.Shared(len(alive)) || d.beats%peersEvery == 0 {
 		m.Peers = d.randomPeers(mesh.IDs(alive))
@@ -293,7 +293,7 @@
 	defer d.mu.Unlock()
 	self = d.mesh.Self()
 	return gossip.Message{
-		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned, Version: d.configVersion(), Relays: self.Relays,
+		ID: self.ID, Address: self.Address, Zone: string(self.Zone), State: int(self.State), Boot: self.Boot, Partitioned: self.Partitioned, Version: d.configVersion(), Relays: self.Relays, Scope: d.sharedScope(),
 	}, self
 }
 
@@ -307,7 +307,7 @@
 	defer d.mu.Unlock()
 	msg := mesh.HeartbeatMsg{Number: m.Number, Peer: mesh.Peer{
 		ID: m.ID, Address: m.Address, Zone: ident.Zone(m.Zone), State: mesh.State(m.State), Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version,
-		Relays: m.Relays,
+		Relays: m.Relays, Scope: m.Scope,
 	}}
 	if d.mesh.Outdated(msg) {
 		m.Heartbeat = false
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -223,6 +223,9 @@
 	Cell *Cell `cbor:"33,keyasint,omitempty"`
 	// Shares holds the records of Marks while they are sent.
 	Shares []Share `cbor:"34,keyasint,omitempty"`
+	// Scope is the cache scope in which organisations share context at the sender, if it isn't empty. Entries of an earlier build know the
+	// empty one alone.
+	Scope string `cbor:"35,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -168,9 +168,11 @@
 	head    port.Head
 	route   *conf.Route
 	org     ident.OrgID
-	need    place.Need
-	body    []byte
-	hasBody bool
+	// partScope is the organisation if it is isolated, else empty: parts of the same id in different scopes are different ones.
+	partScope string
+	need      place.Need
+	body      []byte
+	hasBody   bool
 	// deadline is when the timeout of the caller or the route ends, whichever is earlier.
 	deadline time.Time
 	history  retry.History
@@ -287,14 +289,13 @@
 	}
 	x.route = route
 	rank := route.Rank
-	cacheScope := ""
 	if org, known := set.Organisation(head.Key); known {
 		x.org = org.Name
 		if org.HasRank {
 			rank = org.Rank
 		}
 		if org.Isolated {
-			cacheScope = string(org.Name)
+			x.partScope = string(org.Name)
 		}
 	} else if set.HasOrganisations() && !route.Public {
 		return http.StatusUnauthorized, "unknown_key"
@@ -308,7 +309,7 @@
 	}
 	x.deadline = x.arrived.Add(timeout)
 	x.need = place.Need{
-		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, CacheScope: cacheScope, Model: head.Model, Chain: head.Chain,
+		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, Org: x.org, Model: head.Model, Chain: head.Chain,
 		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
 		Counted: x.handed != nil && x.handed.Counted, Stream: route.Kind == conf.Stream,
 	}
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -92,7 +92,7 @@
 	}
 	x.keys.Request = digester.Digest(x.org, x.r.Method, x.r.Host, target(x.r), string(x.body))
 	for _, part := range x.need.Shared() {
-		x.keys.Parts = append(x.keys.Parts, digester.Part(x.need.CacheScope, part.ID))
+		x.keys.Parts = append(x.keys.Parts, digester.Part(x.partScope, part.ID))
 	}
 	return x.keys
 }
