Bound the answers that the product's own mode reads

Cause: load reports, transfers, the VM list and the log were decoded from bodies without a bound, so that an upstream that sends a string without end had an entry keep all of it; heads had the 10 MiB of net/http, and an object of a KV store was cut without an error.

--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -31,6 +31,9 @@
 // maxReplyBytes bounds the reply of a plain service; a larger one is an error rather than truncated.
 const maxReplyBytes = 1 << 20
 
+// maxReportBytes bounds a load report and the outcome of an order.
+const maxReportBytes = 1 << 20
+
 // HTTPClient is a [Client] over HTTP.
 type HTTPClient struct {
 	idlePerHost int
@@ -55,7 +58,7 @@
 // WithControlDialer sets the dialer of connections for load reports.
 func WithControlDialer(dial DialFunc) Option {
 	return func(c *HTTPClient) {
-		c.control = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true}}
+		c.control = &http.Client{Transport: &http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: link.MaxHeader}}
 	}
 }
 
@@ -71,8 +74,8 @@
 }
 
 func (c *HTTPClient) setDialer(dial DialFunc) {
-	c.pooled = withoutRedirects(link.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: c.idlePerHost}))
-	c.fresh = withoutRedirects(link.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true}))
+	c.pooled = withoutRedirects(link.NewTransport(&http.Transport{DialContext: dial, MaxIdleConnsPerHost: c.idlePerHost, MaxResponseHeaderBytes: link.MaxHeader}))
+	c.fresh = withoutRedirects(link.NewTransport(&http.Transport{DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: link.MaxHeader}))
 }
 
 // withoutRedirects returns a client that follows no redirects, as a redirect would send a call twice.
@@ -176,6 +179,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return load, errors.Newf("status %d", resp.StatusCode)
 	}
+	link.LimitBody(resp, maxReportBytes)
 	err = json.NewDecoder(resp.Body).Decode(&load)
 	return load, err
 }
--- a/io/engine/kv.go
+++ b/io/engine/kv.go
@@ -9,6 +9,7 @@
 	"github.com/dghubble/sling"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/io/link"
 )
 
 // Fault is the reason why an engine did not transfer every block of an order.
@@ -108,5 +109,6 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Wrapf(ErrOrderRefused, "status %d", resp.StatusCode)
 	}
+	link.LimitBody(resp, maxReportBytes)
 	return json.NewDecoder(resp.Body).Decode(done)
 }
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -27,6 +27,7 @@
 	"cicadavalve/io/config"
 	"cicadavalve/io/engine"
 	"cicadavalve/io/guard"
+	"cicadavalve/io/link"
 	"cicadavalve/io/logsvc"
 	"cicadavalve/io/meter"
 	"cicadavalve/io/peer"
@@ -165,7 +166,7 @@
 
 // controlTransport returns a transport whose bytes are counted under the purpose.
 func controlTransport(m *meter.Meter, p meter.Purpose) *http.Transport {
-	return &http.Transport{DialContext: meter.NewDialer(m, p, connectTimeout).DialContext}
+	return &http.Transport{DialContext: meter.NewDialer(m, p, connectTimeout).DialContext, MaxResponseHeaderBytes: link.MaxHeader}
 }
 
 func slotTiming(s config.Settings) limit.Timing {
--- a/io/logsvc/logsvc.go
+++ b/io/logsvc/logsvc.go
@@ -11,6 +11,7 @@
 	"github.com/dghubble/sling"
 
 	"cicadavalve/core/ledger"
+	"cicadavalve/io/link"
 )
 
 // ErrUnavailable marks failed requests to the log service. The records of a failed append may have been added all
@@ -38,6 +39,9 @@
 	WaitMs int64         `url:"wait_ms"`
 }
 
+// maxAnswer bounds an answer of the service, in bytes: a thousand records, or a snapshot of the whole state.
+const maxAnswer = 64 << 20
+
 // Client is a [Service] over HTTP.
 type Client struct {
 	base   *sling.Sling
@@ -46,9 +50,7 @@
 
 // NewClient returns a client of the log service at a URL; a nil http.Client means [http.DefaultClient].
 func NewClient(url string, client *http.Client) *Client {
-	if client == nil {
-		client = http.DefaultClient
-	}
+	client = link.LimitClient(client, maxAnswer)
 	return &Client{base: sling.New().Base(url).Client(client).Set("User-Agent", ""), client: client}
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -22,6 +22,9 @@
 	once     peerpbconnect.OnceClient
 }
 
+// maxMessage bounds a message of another entry or an operator, in bytes: a snapshot of the whole state.
+const maxMessage = 64 << 20
+
 // NewClient returns a client of the entry at a peer address, host:port. It uses TLS if the transport of
 // client is a [TLSTransport].
 func NewClient(client *http.Client, address string) *Client {
@@ -29,11 +32,12 @@
 	if _, secured := client.Transport.(*TLSTransport); secured {
 		url = "https://" + address
 	}
+	limit := connect.WithReadMaxBytes(maxMessage)
 	return &Client{
 		address:  address,
-		operator: peerpbconnect.NewOperatorClient(client, url),
-		peer:     peerpbconnect.NewPeerClient(client, url),
-		once:     peerpbconnect.NewOnceClient(client, url),
+		operator: peerpbconnect.NewOperatorClient(client, url, limit),
+		peer:     peerpbconnect.NewPeerClient(client, url, limit),
+		once:     peerpbconnect.NewOnceClient(client, url, limit),
 	}
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -62,10 +62,10 @@
 // NewHandler returns an HTTP handler for all services of the protocol.
 func NewHandler(backend Backend) http.Handler {
 	mux := http.NewServeMux()
-	compress := connect.WithCompressMinBytes(minCompressedBytes)
-	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}, compress))
-	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}, compress))
-	mux.Handle(peerpbconnect.NewOnceHandler(&onceHandler{backend: backend}, compress))
+	compress, limit := connect.WithCompressMinBytes(minCompressedBytes), connect.WithReadMaxBytes(maxMessage)
+	mux.Handle(peerpbconnect.NewOperatorHandler(&handler{backend: backend}, compress, limit))
+	mux.Handle(peerpbconnect.NewPeerHandler(&peerHandler{backend: backend}, compress, limit))
+	mux.Handle(peerpbconnect.NewOnceHandler(&onceHandler{backend: backend}, compress, limit))
 	return mux
 }
 
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -14,6 +14,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+
+	"cicadavalve/io/link"
 )
 
 // Errors of a store.
@@ -54,7 +56,7 @@
 func NewHTTPClient(connectTimeout time.Duration) *HTTPClient {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	return &HTTPClient{client: &http.Client{
-		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerStore},
+		Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerStore, MaxResponseHeaderBytes: link.MaxHeader},
 	}}
 }
 
@@ -75,7 +77,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("status %d", resp.StatusCode)
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, maxObjectBytes))
+	link.LimitBody(resp, maxObjectBytes)
+	return io.ReadAll(resp.Body)
 }
 
 // Put implements [Store].
--- a/io/vmlist/vmlist.go
+++ b/io/vmlist/vmlist.go
@@ -10,6 +10,7 @@
 	"github.com/dghubble/sling"
 
 	"cicadavalve/core/sched"
+	"cicadavalve/io/link"
 )
 
 // List is the platform's list of VMs.
@@ -23,6 +24,9 @@
 	VMs []sched.Upstream `json:"vms"`
 }
 
+// maxAnswer bounds a list, in bytes: some thousand VMs of less than a kilobyte each.
+const maxAnswer = 8 << 20
+
 // Client is a [List] over HTTP. It uses conditional requests, so that an unchanged list is not sent twice. It is not
 // safe for concurrent use.
 type Client struct {
@@ -34,7 +38,7 @@
 
 // NewClient returns a client of the list at a URL.
 func NewClient(url string, client *http.Client) *Client {
-	return &Client{base: sling.New().Base(url).Client(client).Set("User-Agent", "")}
+	return &Client{base: sling.New().Base(url).Client(link.LimitClient(client, maxAnswer)).Set("User-Agent", "")}
 }
 
 // Read implements [List].
