Attribute a loss to the boot under which its request was sent

Cause: recordLoss took the boot that the upstream reported when an attempt broke off. If the report of the next boot came first, nothing confirmed the loss, so that a request that crashes upstreams stayed suspect and no rule released it (TestReleasedRequestRunsAgain). The daemon did not count a break after the next incarnation was listed.

Change: an attempt keeps its boot; a later one that is reported by then confirms the loss. The daemon counts such a break where the upstream had neither been removed nor was draining.

--- a/core/sched/attempt.go
+++ b/core/sched/attempt.go
@@ -34,7 +34,7 @@
 	r.backlogTokens = max(0, r.PromptTokens-m.prompts.cachedTokens(r.key, u))
 	u.candidate.Backlog += r.backlogTokens
 	r.attempt++
-	r.upstream = u.listed.ID
+	r.upstream, r.boot = u.listed.ID, u.load.BootID
 	r.sentAt, r.startBacklog, r.firstTokenAt = now, u.candidate.Backlog, time.Time{}
 	m.acquireSlot(now, r)
 	return m.newSendCmd(now, r, u)
@@ -97,7 +97,9 @@
 	r.firstTokenAt = now
 	if u, listed := m.upstreams[r.upstream]; listed {
 		u.settleBacklog(r)
-		m.prompts.add(r.key, u, r.PromptTokens)
+		if u.load.BootID == r.boot {
+			m.prompts.add(r.key, u, r.PromptTokens)
+		}
 	}
 }
 
--- a/core/sched/isolate.go
+++ b/core/sched/isolate.go
@@ -38,14 +38,19 @@
 }
 
 // recordLoss records a possible crash of a request's upstream after a broken connection. Silence does not
-// count as a crash: the upstream may only be busy.
+// count as a crash: the upstream may only be busy. The report of the next boot may arrive before the connection breaks; it then confirms
+// the loss at once.
 func (m *Model) recordLoss(now time.Time, r *request, cause Cause) []ident.Cmd {
 	u, known := m.upstreams[r.upstream]
 	if !known || cause != CauseBroken {
 		return nil
 	}
-	loss := poison.Loss{Upstream: r.upstream, Boot: u.load.BootID, OnTrial: m.onTrial(r)}
-	return m.poison.RecordLoss(now, r.sentAt, r.Digest, loss, r.isolated)
+	loss := poison.Loss{Upstream: r.upstream, Boot: r.boot, OnTrial: m.onTrial(r)}
+	cmds := m.poison.RecordLoss(now, r.sentAt, r.Digest, loss, r.isolated)
+	if u.load.BootID != r.boot {
+		cmds = append(cmds, m.poison.ObserveBoot(now, r.upstream, u.load.BootID)...)
+	}
+	return cmds
 }
 
 // sendIsolated reserves an upstream for a suspect request and sends it once no other request of this
--- a/core/sched/request.go
+++ b/core/sched/request.go
@@ -19,6 +19,8 @@
 	lagResends int
 	// upstream is the upstream of the current attempt; empty while there is none.
 	upstream ident.UpstreamID
+	// boot is the boot that the upstream had reported when the current attempt was sent.
+	boot ident.BootID
 	// sentAt is when the current attempt was sent.
 	sentAt time.Time
 	// key identifies the request's cached context; see [route.Key].
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -120,6 +120,8 @@
 	trials int
 	// vanished holds the last incarnation of upstreams that were removed without notice.
 	vanished *fifo.Map[ident.UpstreamID, int64]
+	// replaced holds the last incarnation of upstreams that were listed as a later one without having been removed or draining.
+	replaced *fifo.Map[ident.UpstreamID, int64]
 	// verdicts holds the quarantines that are to be recorded in the store.
 	verdicts chan verdict
 	// stall notices that the process stood still.
@@ -163,7 +165,7 @@
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
-		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
+		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, resend: parts.NewResend(index), reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
--- a/io/daemon/crash.go
+++ b/io/daemon/crash.go
@@ -139,18 +139,20 @@
 }
 
 // recordLoss records the loss of an upstream that broke an attempt off, or stayed silent. An upstream that is about to
-// leave, or has left the list, breaks its exchanges off without having crashed; it does not stay silent. The lock is
-// held.
+// leave, or has left the list, breaks its exchanges off without having crashed; it does not stay silent. One that is listed as its next
+// incarnation without having left has crashed, also if that is known before the break. The lock is held.
 func (d *Controller) recordLoss(now time.Time, b relay.Break) {
 	u, listed := d.fleet.Get(b.Upstream)
 	born, vanished := d.vanished.Get(b.Upstream)
+	restarted, replaced := d.replaced.Get(b.Upstream)
+	crashed := listed && u.Born > b.Born && replaced && restarted == b.Born
 	ended := listed && u.Born > b.Born || !listed && vanished && born == b.Born
 	lost := poison.Break{
 		Keys: poison.Keys{Request: b.Digest, Parts: b.Parts}, Loss: poison.Loss{Upstream: b.Upstream, Boot: bootID(b.Born)},
 		Started: b.SentAt, Trial: b.Trial, Silent: b.Silent,
 	}
 	switch {
-	case b.Silent && ended:
+	case b.Silent && ended, crashed:
 		d.poison.RecordBreak(now, lost)
 		if listed {
 			d.poison.ObserveBoot(now, b.Upstream, bootID(u.Born))
--- a/io/daemon/crash_test.go
+++ b/io/daemon/crash_test.go
@@ -57,6 +57,9 @@
 		"broken off and still there":        {listed, breakOff},
 		"broken off while draining":         {listed, draining, breakOff, gone},
 		"broken off after its removal":      {listed, gone, breakOff},
+		"broken off after its rebirth":      {listed, reborn, breakOff},
+		"broken off after draining, reborn": {listed, draining, reborn, breakOff},
+		"broken off after removal, reborn":  {listed, gone, reborn, breakOff},
 		"silent and removed":                {listed, silence, gone},
 		"silent and still there":            {listed, silence},
 		"silent until after its removal":    {listed, gone, silence},
@@ -65,7 +68,8 @@
 	}
 	want := map[string]bool{
 		"broken off and removed": true, "broken off and reborn": true, "broken off and refusing": true, "broken off and still there": false,
-		"broken off while draining": false, "broken off after its removal": false, "silent and removed": true, "silent and still there": false,
+		"broken off while draining": false, "broken off after its removal": false, "broken off after its rebirth": true,
+		"broken off after draining, reborn": false, "broken off after removal, reborn": false, "silent and removed": true, "silent and still there": false,
 		"silent until after its removal": true, "silent until after its rebirth": true, "silent after draining and removal": false,
 	}
 	got := map[string]bool{}
--- a/io/daemon/feeds.go
+++ b/io/daemon/feeds.go
@@ -356,6 +356,9 @@
 		d.log.Info("upstream_changed", "upstream", u.ID, "service", u.Service, "address", u.Address, "draining", u.Draining,
 			"cold_left", u.ColdLeft, "born", u.Born)
 	}
+	if known && old.Born < u.Born && !old.Draining {
+		d.replaced.Set(u.ID, old.Born)
+	}
 	d.seeRelease(now, u)
 	d.perform(d.fleet.Update(now, fleet.ListedMsg{Upstream: u}))
 	d.applyEarly(now, u.ID, u.Born)
