Keep the losses of a request that was lost on its own trial

Cause: a quarantine dropped the losses of all other requests with the same upstreams as explained, also those of the request at fault if one that callers send often was quarantined first.

Failed before: TestQuarantineOfAnotherRequestKeepsTheLossesOfATrial (the request at fault is clear).

--- a/core/poison/quarantine.go
+++ b/core/poison/quarantine.go
@@ -85,17 +85,26 @@
 // comes again may be in quarantine because of a part, so it explains none of a part's.
 func (by Digest) explains(d Digest) bool { return by.IsPart() || !d.IsPart() }
 
-// dropExplained drops the claims for losses that are attributed to a key in quarantine. Other parts that were lost as
-// often keep theirs: several may have been in all requests that were lost, and only one of them is at fault.
+// dropExplained drops the claims for losses that are attributed to a key in quarantine, unless they may be the other key's own.
 func (m *Model) dropExplained(by Digest, losses []Loss) {
 	for _, d := range m.claims.Keys() {
-		if !by.explains(d) || d.IsPart() && len(m.claimsOf(d)) >= max(len(losses), suspectAfter) {
+		if !by.explains(d) || m.isRival(d, losses) {
 			continue
 		}
 		m.dropClaimsIf(d, func(c claim) bool { return slices.Contains(losses, c.loss) })
 	}
 }
 
+// isRival reports whether a key may be at fault for losses that are attributed to another one. Parts that were lost as often may have been in
+// all requests that were lost, and only one of them is at fault. A request that was lost on its own trial may be the one that ended
+// upstreams on which the other one came too late, but was counted first.
+func (m *Model) isRival(d Digest, losses []Loss) bool {
+	if d.IsPart() {
+		return len(m.claimsOf(d)) >= max(len(losses), suspectAfter)
+	}
+	return slices.ContainsFunc(m.claimsOf(d), func(c claim) bool { return c.alone })
+}
+
 // expireQuarantines ends the quarantines that have lasted for the retention.
 func (m *Model) expireQuarantines(now time.Time) {
 	if m.retention == 0 {
