--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -66,8 +66,8 @@
 
 // TickMsg triggers the periodic decisions.
 type TickMsg struct {
-	// NeighbourSeen is when an entry in the availability zone of [Model.LastHolder], other than that one, was last heard from; zero if
-	// there is none.
+	// NeighbourSeen is when an entry in the availability zone of [Model.LastHolder], other than that one, last sent a heartbeat that arrived;
+	// zero if there is none.
 	NeighbourSeen time.Time
 }
 
@@ -101,8 +101,8 @@
 	holder     string
 	// neighbourSeen is that of the last tick, tickedAt when that was.
 	neighbourSeen, tickedAt time.Time
-	// pathLostAt is when this entry last could not have heard an announcement: nothing was heard from the zone of the last holder, or this
-	// entry itself stood still.
+	// pathLostAt is when an announcement could last have been missed: no heartbeat arrived from the zone of the last holder, or this entry
+	// itself stood still.
 	pathLostAt time.Time
 	// seenEnd is the highest end of the log among the reads that did not confirm an own claim, -1 before the first.
 	seenEnd int64
@@ -254,13 +254,13 @@
 		return now
 	case m.last != nil && *m.last == Claim{m.self, m.boot}:
 		return times.Later(now, m.actFrom)
-	case m.fenced && m.announced && m.last.Holder == m.holder && m.holderFailed():
+	case m.fenced && m.announced && m.last != nil && m.last.Holder == m.holder && m.holderFailed():
 		return times.Earlier(stopped, m.holderSeen.Add(m.term+checkTTL))
 	}
 	return stopped
 }
 
-// observePath records whether the announcements of the last holder could have been heard since the last tick.
+// observePath records whether an announcement of the last holder could have been missed since the last tick.
 func (m *Model) observePath(now, neighbourSeen time.Time) {
 	if now.Sub(m.tickedAt) > heartbeatInterval || now.Sub(neighbourSeen) > heartbeatInterval {
 		m.pathLostAt = now
@@ -268,8 +268,8 @@
 	m.tickedAt, m.neighbourSeen = now, neighbourSeen
 }
 
-// holderFailed reports whether the entry that announced itself last has fallen silent, while another one of its availability zone
-// has not and this entry heard that one all the time: the holder has failed or has lost its links.
+// holderFailed reports whether the entry that announced itself last has fallen silent, while heartbeats of another one of its availability
+// zone arrived all the time: the holder has failed or has lost its links.
 func (m *Model) holderFailed() bool {
 	return m.holderSeen.After(m.pathLostAt) && m.neighbourSeen.Sub(m.holderSeen) >= heartbeatInterval
 }
--- a/core/lease/zones_test.go
+++ b/core/lease/zones_test.go
@@ -149,8 +149,8 @@
 }
 
 // TestZonesApartKeepTheLeaseApart cuts pairs of zones from each other, while all reach the log, and also freezes, restarts and
-// isolates entries. Two holders that can't hear each other took the duty from one another every second and ordered the
-// same engines in turn.
+// isolates entries. Two holders that receive nothing of each other took the duty from one another every second and ordered
+// the same engines in turn.
 func TestZonesApartKeepTheLeaseApart(t *testing.T) {
 	for _, fenced := range []bool{false, true} {
 		t.Run(fmt.Sprintf("fenced %v", fenced), func(t *testing.T) {
@@ -203,7 +203,7 @@
 }
 
 // TestCutZonesClaimTheDutyOnce cuts two zones from each other again and again, for less time than an entry waits that has lost the duty.
-// Each cut may bring one claim. An entry took a claimant whose earlier announcements it had heard for one that it hears, and claimed again.
+// Each cut may bring one claim. An entry took a claimant whose earlier announcements it had received for a reachable one, and claimed again.
 func TestCutZonesClaimTheDutyOnce(t *testing.T) {
 	for seed := range uint64(20) {
 		s := newZoneSite(seed, true, 3, 2, 2)
@@ -223,17 +223,17 @@
 	}
 }
 
-// TestDutyIsVacantForALeaseAfterItsHolderFailed ends the holder and measures how long nobody gives orders. If another entry of its zone
-// is heard from, or outdated orders are not rejected, decides on whether the claim or the last announcement counts.
+// TestDutyIsVacantForALeaseAfterItsHolderFailed ends the holder and measures how long nobody gives orders. The wait counts from the last
+// announcement if heartbeats of its zone arrive and outdated orders are rejected, else from the claim.
 func TestDutyIsVacantForALeaseAfterItsHolderFailed(t *testing.T) {
 	for name, c := range map[string]struct {
 		fenced  bool
 		perZone []int
 		most    time.Duration
 	}{
-		"zone is heard from": {true, []int{2, 2, 2}, 3900 * time.Millisecond},
-		"zone is silent":     {true, []int{1, 1, 1}, 5500 * time.Millisecond},
-		"without fences":     {false, []int{2, 2, 2}, 5500 * time.Millisecond},
+		"zone is reachable": {true, []int{2, 2, 2}, 3900 * time.Millisecond},
+		"zone is silent":    {true, []int{1, 1, 1}, 5500 * time.Millisecond},
+		"without fences":    {false, []int{2, 2, 2}, 5500 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(20) {
@@ -276,6 +276,18 @@
 	}
 }
 
+// TestClaimThatExpiresWhileItIsReadCounts reads the claim of a holder that has announced itself, and then the same end of the log without it.
+func TestClaimThatExpiresWhileItIsReadCounts(t *testing.T) {
+	m, now := lease.NewModel("a", 1, term, true), time.Unix(1000, 0)
+	m.Update(now, lease.ReadMsg{SentAt: now, End: 7, Last: &lease.Claim{Holder: "b", Boot: 1}})
+	m.Update(now, lease.HolderMsg{Holder: "b"})
+	m.Update(now, lease.ReadMsg{SentAt: now, End: 7})
+	m.Update(now, lease.ClaimedMsg{SentAt: now, Won: true, Offset: 7})
+	if m.Holds(now) {
+		t.Error("the entry acts at once")
+	}
+}
+
 // TestRestartedHolderWaitsForItsPredecessor restarts an entry that has claimed the duty and not acted yet. Its own earlier claim doesn't
 // show that the holder before it has stopped.
 func TestRestartedHolderWaitsForItsPredecessor(t *testing.T) {
@@ -299,8 +311,8 @@
 	}
 }
 
-// TestAnnouncementRefutesTheFailureOfAHolder hears the previous holder again while its successor waits for less time, since the holder
-// seemed to have failed. It may have acted until it read the new claim.
+// TestAnnouncementRefutesTheFailureOfAHolder receives an announcement of the previous holder while its successor waits for less
+// time, since the holder seemed to have failed. It may have acted until it read the new claim.
 func TestAnnouncementRefutesTheFailureOfAHolder(t *testing.T) {
 	got := map[bool]time.Duration{}
 	for _, again := range []bool{false, true} {
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -205,8 +205,8 @@
 	return id == m.self.ID || ok && now.Sub(p.lastSeen) < silenceTimeout
 }
 
-// NeighbourSeen returns when an entry in the availability zone of an entry, other than that one, was last heard from; zero if there is
-// none.
+// NeighbourSeen returns when an entry in the availability zone of an entry, other than that one, last sent a heartbeat that arrived;
+// zero if there is none.
 func (m *Model) NeighbourSeen(id string) (at time.Time) {
 	p, ok := m.peers[id]
 	if !ok {
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// TestNeighbourSeen asks when another entry in the zone of an entry was last heard from.
+// TestNeighbourSeen asks when another entry in the zone of an entry last sent a heartbeat that arrived.
 func TestNeighbourSeen(t *testing.T) {
 	start := time.Unix(1000, 0)
 	m := mesh.NewModel(start, mesh.Peer{ID: "self", Zone: "z0"})
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -306,7 +306,7 @@
 	return mesh.IDs(d.mesh.Serving(now)), self.State == mesh.Ready && !self.Partitioned && !d.receivesTooFew(now)
 }
 
-// neighbourSeen returns when another entry in the availability zone of an entry was last heard from.
+// neighbourSeen returns when another entry in the availability zone of an entry last sent a heartbeat that arrived.
 func (d *Controller) neighbourSeen(id string) time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
