Send the cache scope in each datagram of a heartbeat

Cause: found on reading the change once more. A long heartbeat is split, and the datagrams after the first reset the sender's scope, so that the parts of unused scopes were not freed in busy fleets.

TestEachDatagramDescribesItsSender failed before (Scope "" for "*4").

--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -409,7 +409,7 @@
 // empty returns a message of the same sender without content.
 func (m Message) empty() Message {
 	return Message{
-		ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version, Relays: m.Relays, Number: m.Number,
+		ID: m.ID, Address: m.Address, Zone: m.Zone, State: m.State, Boot: m.Boot, Partitioned: m.Partitioned, Version: m.Version, Relays: m.Relays, Scope: m.Scope, Number: m.Number,
 	}
 }
 
--- a/io/gossip/gossip_test.go
+++ b/io/gossip/gossip_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
@@ -105,3 +106,31 @@
 		}
 	}
 }
+
+// TestEachDatagramDescribesItsSender splits a long message. Each datagram replaces what is known of its sender, so that one without the cache scope
+// made the sender an entry that shares context in another one.
+func TestEachDatagramDescribesItsSender(t *testing.T) {
+	m := gossip.Message{ID: "a", Address: "b", Zone: "z", State: 1, Boot: 2, Partitioned: true, Version: 3, Relays: true, Scope: "*4", Number: 5, Heartbeat: true}
+	want := m
+	m.Reports = []gossip.Report{{Holder: "h", Epoch: 1}}
+	for i := range 300 {
+		m.Reports[0].Changes = append(m.Reports[0].Changes, gossip.Change{Key: uint64(i), Tokens: i})
+	}
+	datagrams, err := gossip.Encode(m)
+	if err != nil || len(datagrams) < 2 {
+		t.Fatalf("%d datagrams, error %v", len(datagrams), err)
+	}
+	for i, b := range datagrams {
+		var got gossip.Message
+		if err := cbor.Unmarshal(b, &got); err != nil {
+			t.Fatal(err)
+		}
+		got = gossip.Message{
+			ID: got.ID, Address: got.Address, Zone: got.Zone, State: got.State, Boot: got.Boot, Partitioned: got.Partitioned, Version: got.Version,
+			Relays: got.Relays, Scope: got.Scope, Number: got.Number, Heartbeat: true,
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("datagram %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
