Read the duties at the provider and call it

The settings may name an interface of the provider with duties that one daemon performs at a time: reports of usage and the number of upstreams. Without it nothing changes.

--- a/cmd/cicadavalve/daemon.go
+++ b/cmd/cicadavalve/daemon.go
@@ -43,7 +43,7 @@
 const flushTimeout = 500 * time.Millisecond
 
 func runDaemon(ctx context.Context, path string) (err error) {
-	settings, storeAddress, err := platform.LoadSettings(path)
+	settings, addresses, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
 	}
@@ -54,12 +54,15 @@
 	flush := func() { logWriter.FlushWithin(flushTimeout) }
 	defer flush()
 	defer stopWriter()
-	client := platform.NewClient(storeAddress, link.Dial, platform.WithEngineMemory(int64(engineShare*float64(settings.Memory))))
+	client := platform.NewClient(addresses.Store, link.Dial, platform.WithEngineMemory(int64(engineShare*float64(settings.Memory))))
 	outside := daemon.Adapters{
 		Dialect: platform.Dialect{}, Store: client, Engines: client,
 		Ready: platform.NewReadyHandler, Dial: link.Dial,
 		Directory: func(a port.Advice) http.Handler { return platform.NewDirectoryHandler(a, log) },
 	}
+	if addresses.Provider != "" {
+		outside.Provider = platform.NewProvider(client, addresses.Provider)
+	}
 	checker := &settingsChecker{log: log, path: path, signals: make(chan os.Signal, 1)}
 	signal.Notify(checker.signals, syscall.SIGHUP)
 	go checker.run(writerCtx)
--- a/core/conf/conf.go
+++ b/core/conf/conf.go
@@ -99,6 +99,16 @@
 	Engine *Engine
 	// Store is nil unless the service is a store.
 	Store *Store
+	// Autoscale is nil unless the number of upstreams follows the demand.
+	Autoscale *Autoscale
+}
+
+// Autoscale bounds the number of upstreams that may be ordered for a service in each of its availability zones.
+type Autoscale struct {
+	// Min is at least 0, Max at least Min and at least 1.
+	Min, Max int
+	// Boot is how long after an order a new upstream begins to serve.
+	Boot time.Duration
 }
 
 // Organisation owns API keys.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -82,6 +82,8 @@
 	Dialect port.Dialect
 	Store   port.Store
 	Engines port.Engines
+	// Provider is nil without duties there.
+	Provider port.Provider
 	// Ready and Directory make the handlers that answer the platform's readiness probes and callers' queries for
 	// addresses.
 	Ready, Directory func(port.Advice) http.Handler
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -45,6 +45,13 @@
 	// ExposeShare and ExposeSlack bound the requests to a bad release while it is rolled out: a share of all requests to its
 	// service, and a number.
 	ExposeShare, ExposeSlack float64
+	// UsageWindow is the length of the windows for which usage is reported, 0 if none is. UsageDelay is how long after the end of a
+	// window its report is due.
+	UsageWindow, UsageDelay time.Duration
+	// Scaling is set if the daemons order the number of upstreams.
+	Scaling bool
+	// DutyRate is how many calls a second the provider takes from all daemons together, 0 if that is not known.
+	DutyRate float64
 }
 
 // portsNeeded is the number of internal ports: one for datagrams between daemons, one for metrics.
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -307,6 +307,32 @@
 	ErrBusy = errors.New("engine is busy or has accepted other orders")
 )
 
+// UsageReport states how many requests of each organisation began in a window.
+type UsageReport struct {
+	// Window is the number of the window: it begins that many times the length of a window after the Unix epoch.
+	Window int64
+	Counts map[ident.OrgID]int64
+	Holder string
+	Token  int64
+}
+
+// CapacityOrder orders the number of a service's upstreams in an availability zone.
+type CapacityOrder struct {
+	Service ident.ServiceName
+	Zone    ident.Zone
+	Count   int
+	Holder  string
+	Token   int64
+}
+
+// Provider bills the use of the upstreams and starts and stops them. Its calls return nil once they have been carried out, [ErrOutdated] if
+// the provider has seen a higher fencing token, and [ErrRefused] if nothing was done. A call with any other error may still be carried out,
+// after later ones.
+type Provider interface {
+	ReportUsage(ctx context.Context, report UsageReport) (err error)
+	OrderCapacity(ctx context.Context, order CapacityOrder) (err error)
+}
+
 // PartState is one part in the report of a holder; zero tokens mean that the holder no longer has it.
 type PartState struct {
 	Salt   string
