Tell other entries the newest state of cached parts, paced, after a start

Cause: after all entries have lost power, each follower told the whole history of its holder in one heartbeat. On links of 10 Mbit/s most of the datagrams were lost, and the round that repeats reports ended before any holder was followed.

Change: parts.Outbox keeps the newest state of each part and bounds a heartbeat in fleets that share their reads; the round waits until something is known; holders are followed once nine in ten of the listed entries were heard. The state line tells how many parts are known, request_ended the longest pause of a stream.

--- a/core/parts/parts.go
+++ b/core/parts/parts.go
@@ -256,6 +256,20 @@
 	return v.state.parts[key]
 }
 
+// Net returns the newest of the changes of each part, in their order, without those that remove a part which the holder is not known to have.
+func (v View) Net(changes []Change) (net []Change) {
+	last := make(map[Key]int, len(changes))
+	for i, c := range changes {
+		last[c.Key] = i
+	}
+	for i, c := range changes {
+		if last[c.Key] == i && (c.Tokens > 0 || v.Cached(c.Key) > 0) {
+			net = append(net, c)
+		}
+	}
+	return net
+}
+
 // Has reports whether a holder has all whole blocks of a part.
 func (x *Index) Has(holder Holder, key Key, tokens int) bool {
 	h, ok := x.holders[holder]
@@ -292,6 +306,14 @@
 	return saving && now.Sub(s.startedAt) < saveTimeout
 }
 
+// Count returns the number of holders and that of the parts that they are known to have, over all holders.
+func (x *Index) Count() (holders, parts int) {
+	for _, h := range x.holders {
+		parts += len(h.parts)
+	}
+	return len(x.holders), parts
+}
+
 // Used returns how many tokens of a store's capacity are used or reserved by saves. It drops saves that have timed out.
 func (x *Index) Used(now time.Time, store Holder) (tokens int) {
 	h, ok := x.holders[store]
--- a/core/parts/resend.go
+++ b/core/parts/resend.go
@@ -45,12 +45,7 @@
 // Next returns the next reports of the holders that this entry follows, of at most limit parts in all.
 func (r *Resend) Next(now time.Time, followed []Holder, limit int) (reports []ReportMsg) {
 	if !r.due.IsZero() && !now.Before(r.due) && len(r.left) == 0 {
-		r.due, r.begunAt = time.Time{}, now
-		for _, holder := range followed {
-			if h := r.index.holders[holder]; h != nil && len(h.parts) > 0 {
-				r.left[holder] = slices.Sorted(maps.Keys(h.parts))
-			}
-		}
+		r.begin(now, followed)
 	}
 	for _, holder := range slices.Sorted(maps.Keys(r.left)) {
 		if limit == 0 {
@@ -69,6 +64,19 @@
 	return reports
 }
 
+// begin begins a round, unless nothing is known of the followed holders yet: entries that have all just started would otherwise end the
+// round before there is anything to report.
+func (r *Resend) begin(now time.Time, followed []Holder) {
+	for _, holder := range followed {
+		if h := r.index.holders[holder]; h != nil && len(h.parts) > 0 {
+			r.left[holder] = slices.Sorted(maps.Keys(h.parts))
+		}
+	}
+	if len(r.left) > 0 {
+		r.due, r.begunAt = time.Time{}, now
+	}
+}
+
 // report returns those of the parts that a holder still keeps. ok is false if there are none, or if its incarnation is unknown.
 func (r *Resend) report(holder Holder, keys []Key) (report ReportMsg, ok bool) {
 	h := r.index.holders[holder]
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -72,15 +72,13 @@
 	changed chan struct{}
 	// probes holds the upstreams to which a connection is to be opened.
 	probes chan conf.Upstream
-	// saves, prefills, reports and weights are sent with the next heartbeat.
+	// saves, prefills and weights are sent with the next heartbeat, outbox with the next ones.
 	saves    []gossip.Save
 	prefills []gossip.Save
-	reports  map[string]*gossip.Report
+	outbox   *parts.Outbox
 	// followed lists the holders that this entry follows. resend reports their parts again to entries that start.
 	followed []parts.Holder
 	resend   *parts.Resend
-	// reportedAt holds the latest time at which each of the reports is known to be true.
-	reportedAt map[string]time.Time
 	// positions holds how far the changes of each holder were told.
 	positions map[string]position
 	weights   []gossip.Weights
@@ -166,7 +164,7 @@
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
-		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, resend: parts.NewResend(index), reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
+		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, outbox: parts.NewOutbox(), resend: parts.NewResend(index), positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
 	}
 	for _, o := range options {
 		o(d)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -345,10 +345,11 @@
 		}
 		busy += d.place.InFlight(now, u.ID)
 	}
+	holders, known := d.index.Count()
 	attrs := []any{
 		"version", set.Version(), "entries", len(d.mesh.Alive(now)), "serving", len(d.mesh.Serving(now)), "upstreams", len(d.fleet.All()),
 		"usable", usable, "cold", cold, "limited", limited, "busy", busy, "waiting", d.place.Waiting(),
-		"retry_allowance", d.retryAllowance(now),
+		"retry_allowance", d.retryAllowance(now), "holders", holders, "parts", known,
 	}
 	for _, s := range set.Services() {
 		if w, used := d.budgets[s.Name]; used && w.Retries(now) > 0 {
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -35,6 +36,9 @@
 	takeoverInterval   = time.Second
 	// maxResent bounds the parts that a heartbeat reports again.
 	maxResent = 64
+	// maxTold bounds the changes that a heartbeat reports in a large fleet: four datagrams, so that what all entries report after all of
+	// them have started does not exceed what narrow links and relays bear.
+	maxTold = 320
 	// positionTTL is how long it is remembered how far a holder's changes were told.
 	positionTTL = 10 * time.Second
 )
@@ -105,22 +109,25 @@
 	}
 }
 
-// reportAgain adds parts to the reports of the next heartbeat that were reported before; the lock is held.
-func (d *Controller) reportAgain(now time.Time) {
+// takeReports returns the reports of holders for the next heartbeat, with some of the parts that were reported before if an entry has
+// started; the lock is held.
+func (d *Controller) takeReports(now time.Time, entries int) (reports []gossip.Report) {
 	for _, msg := range d.resend.Next(now, d.followed, maxResent) {
-		addr := string(msg.Holder)
-		r, ok := d.reports[addr]
-		if !ok {
-			r = &gossip.Report{Holder: addr, Epoch: msg.Epoch}
-			d.reports[addr], d.reportedAt[addr] = r, msg.At
-		}
-		if r.Epoch != msg.Epoch {
-			continue
-		}
-		for _, c := range msg.Changes {
+		d.outbox.AddAgain(msg)
+	}
+	limit := math.MaxInt
+	if watch.Shared(entries) {
+		limit = maxTold
+	}
+	for _, notice := range d.outbox.Next(limit) {
+		r := gossip.Report{Holder: string(notice.Holder), Epoch: notice.Epoch, AgeMS: int(now.Sub(notice.At).Milliseconds()), Next: notice.Next}
+		for _, c := range notice.Changes {
 			r.Changes = append(r.Changes, gossip.Change{Key: uint64(c.Key), Tokens: c.Tokens})
 		}
+		d.recordPosition(now, &r)
+		reports = append(reports, r)
 	}
+	return reports
 }
 
 // ownHolders returns the addresses of the holders that are assigned to this entry; the value is true for a store and
@@ -174,9 +181,15 @@
 // that it has not heard yet, whose reports would fill a narrow link when the entry has most to read. The lock is held.
 func (d *Controller) receivesTooFew(now time.Time) bool {
 	_, known := d.mesh.Sharers(now, rateMemory)
-	return !known && (d.announced == 0 || watch.Shared(d.announced))
+	if known || d.announced > 0 && !watch.Shared(d.announced) {
+		return false
+	}
+	return d.announced == 0 || float64(len(d.mesh.Alive(now))) < heardShare*float64(d.announced)
 }
 
+// heardShare is the fraction of the announced entries from which an entry that starts must have received heartbeats to act as one of them.
+const heardShare = 0.9
+
 // position is how far the entry that follows a holder has told its changes.
 type position struct {
 	boot, next int64
@@ -273,16 +286,17 @@
 		} else {
 			f.d.controller.observeRestart(clock.Now(), f.addr)
 		}
-		f.d.controller.applyHoldings(at, f.addr, port.Holdings{Boot: h.Boot}, false)
+		f.d.controller.applyHoldings(at, f.addr, port.Holdings{Boot: h.Boot}, false, false)
 		return
 	}
+	whole := f.next == 0
 	f.boot, f.next = h.Boot, h.Next
 	if h.HasGap && f.store {
 		// The list is read again. Engines are not asked for theirs, which stalls them: their parts are hints.
 		f.d.log.Info("holder_changes_lost", "holder", f.addr, "incarnation", h.Boot)
 		f.boot = 0
 	}
-	f.d.controller.applyHoldings(at, f.addr, h, complete)
+	f.d.controller.applyHoldings(at, f.addr, h, complete, whole)
 }
 
 // asOf returns the latest time at which a holder is known to have been as an answer shows it. It is the time at which the
@@ -295,24 +309,20 @@
 }
 
 // applyHoldings applies the report of a holder, known to be true at the given time, and queues it for the next heartbeat. complete is set if it lists
-// everything that the holder keeps.
-func (d *Controller) applyHoldings(at time.Time, addr string, h port.Holdings, complete bool) {
+// everything that the holder keeps, whole if it has all changes that the holder remembers.
+func (d *Controller) applyHoldings(at time.Time, addr string, h port.Holdings, complete, whole bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !h.Clock.IsZero() {
 		d.clockOffset, d.clockKnown = h.Clock.Sub(monotonicNow()), true
 	}
-	r, ok := d.reports[addr]
-	if !ok || r.Epoch != h.Boot {
-		r = &gossip.Report{Holder: addr, Epoch: h.Boot}
-		d.reports[addr] = r
-	}
-	d.reportedAt[addr], r.Next = at, h.Next
 	msg := parts.ReportMsg{Holder: parts.Holder(addr), Epoch: h.Boot, At: at, Complete: complete}
 	for _, k := range h.Parts {
-		key := parts.NewKey(k.Salt, k.ID)
-		msg.Changes = append(msg.Changes, parts.Change{Key: key, Tokens: k.Tokens})
-		r.Changes = append(r.Changes, gossip.Change{Key: uint64(key), Tokens: k.Tokens})
+		msg.Changes = append(msg.Changes, parts.Change{Key: parts.NewKey(k.Salt, k.ID), Tokens: k.Tokens})
+	}
+	if whole {
+		msg.Changes = d.index.View(clock.Now(), msg.Holder).Net(msg.Changes)
 	}
 	d.index.Update(clock.Now(), msg)
+	d.outbox.Add(msg, h.Next)
 }
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -201,12 +201,7 @@
 	for _, t := range d.place.Transfers(now) {
 		m.Links = append(m.Links, gossip.Link{Holder: string(t.Holder), BusyMS: int(t.Left.Milliseconds())})
 	}
-	d.reportAgain(now)
-	for _, r := range d.reports {
-		r.AgeMS = int(now.Sub(d.reportedAt[r.Holder]).Milliseconds())
-		d.recordPosition(now, r)
-		m.Reports = append(m.Reports, *r)
-	}
+	m.Reports = d.takeReports(now, len(alive))
 	for _, l := range d.fleet.TakeLimits(now, maxLimits) {
 		m.Limits = append(m.Limits, gossip.Limit{
 			Upstream: string(l.ID), Born: l.Born, Named: l.Limit.Named, PerSecond: l.Limit.PerSecond, AgeMS: int(now.Sub(l.At).Milliseconds()),
@@ -217,8 +212,6 @@
 		m.Leaving = append(m.Leaving, gossip.Leaving{Upstream: string(l.ID), Born: l.Born})
 	}
 	d.saves, d.prefills, d.weights = nil, nil, nil
-	clear(d.reports)
-	clear(d.reportedAt)
 	return m, mesh.IDs(alive)
 }
 
--- a/io/daemon/late_test.go
+++ b/io/daemon/late_test.go
@@ -65,7 +65,7 @@
 func TestReportThatWaitedForAHeartbeatIsToldWithItsAge(t *testing.T) {
 	lastTick := time.Now()
 	d := stalled(lastTick)
-	d.applyHoldings(lastTick, "store", port.Holdings{Boot: 1}, false)
+	d.applyHoldings(lastTick, "store", port.Holdings{Boot: 1}, false, false)
 	m, _ := d.message(lastTick.Add(4 * time.Second))
 	var ages []int
 	for _, r := range m.Reports {
--- a/io/daemon/purge.go
+++ b/io/daemon/purge.go
@@ -80,7 +80,7 @@
 			u.d.log.Info("parts_not_freed", append(attrs, "count", n, "error", err)...)
 			return
 		}
-		u.d.controller.applyHoldings(askedAt, addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false)
+		u.d.controller.applyHoldings(askedAt, addr, port.Holdings{Boot: held.Boot, Parts: outdated[:n]}, false, false)
 		outdated = outdated[n:]
 	}
 	u.d.log.Info("parts_freed", append(attrs, "count", count)...)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -211,6 +211,9 @@
 	answer *link.Answer
 	// events counts the events that were passed on of the last attempt.
 	events int
+	// eventAt is when the last event arrived, gap the longest time between two events.
+	eventAt time.Time
+	gap     time.Duration
 	// keys are computed at the first use of [exchange.identify].
 	keys poison.Keys
 	// screening is the last result of [exchange.screen].
@@ -416,7 +419,7 @@
 			slog.Int("fetched", x.sent.Fetched), slog.Int("again", x.sent.Recomputed), slog.String("from", fetchSources(x.sent.Fetch)))
 	}
 	if x.answer != nil {
-		attrs = append(attrs, slog.String("framing", string(x.answer.Framing)), slog.Bool("written", x.answer.Written()), slog.Int("events", x.events))
+		attrs = append(attrs, slog.String("framing", string(x.answer.Framing)), slog.Bool("written", x.answer.Written()), slog.Int("events", x.events), slog.Duration("gap", x.gap))
 		x.h.meter.CountEnd(x.answer.Framing)
 	}
 	if x.tally != nil {
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -83,6 +84,7 @@
 	}
 	if count > 0 {
 		x.events += count
+		x.observeGap(clock.Now())
 		x.numbers.observe(events, count)
 		x.observeContent()
 	}
@@ -91,6 +93,14 @@
 	return misplaced
 }
 
+// observeGap records the time since the event before.
+func (x *exchange) observeGap(now time.Time) {
+	if !x.eventAt.IsZero() {
+		x.gap = max(x.gap, now.Sub(x.eventAt))
+	}
+	x.eventAt = now
+}
+
 // observeContent records that the upstream has sent an event.
 func (x *exchange) observeContent() {
 	x.h.controller.FirstByte(x.need.Ticket)
