Read the load of an upstream field by field

Server-Load was used only with exactly three fields, so that engines which state a fourth one (how long work takes, 100 is usual) stated no load at all, and negative numbers were taken as they were. Now two or more fields are read, each by itself. Fields that are missing, negative, above 2^20, no numbers, or no whole numbers where requests are counted, are named in LoadFault, which the daemon logs as it logs the other faults. If only one of running and waiting can be read, the other counts as 0: place uses their sum as a lower bound of the requests there. The values 0 and 1,000,000 of the fourth field are passed on; core/pace bounds them.

--- a/io/daemon/statement.go
+++ b/io/daemon/statement.go
@@ -17,7 +17,7 @@
 // observeStatements applies what the answer to a request says of its upstream beside its outcome; the lock is held. An answer that
 // may be of another upstream changes nothing.
 func (d *Controller) observeStatements(now time.Time, e relay.Exchange, reply port.Reply) {
-	if fault := errors.CombineErrors(errors.CombineErrors(reply.LimitFault, reply.RetryAfterFault), reply.RejectionLimitFault); fault != nil {
+	if fault := errors.Join(reply.LimitFault, reply.RetryAfterFault, reply.RejectionLimitFault, reply.LoadFault); fault != nil {
 		d.statementFaults.Do(func() { d.log.Warn("upstream_statement_unreadable", "upstream", e.Upstream, "error", fault) })
 	}
 	ofOther := reply.Upstream != "" && reply.Upstream != e.Upstream || reply.Misdirected && reply.Upstream == ""
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -71,9 +71,15 @@
 	Misdirected bool
 	// Upstream is the upstream that answered, empty if the answer does not state it.
 	Upstream ident.UpstreamID
-	// HasLoad reports that Running and Waiting, the requests at the upstream, are set.
+	// HasLoad reports that Running or Waiting, the requests at the upstream, is set. One that can't be read is 0.
 	HasLoad          bool
 	Running, Waiting int
+	// HasSlowdown reports that Slowdown is set: how long work takes at the upstream now, as a multiple of the usual time. It may be out
+	// of any sensible range.
+	HasSlowdown bool
+	Slowdown    float64
+	// LoadFault is why fields of the load can't be used, nil if there are no such fields.
+	LoadFault error
 	// Version is the version of the weights, 0 if the answer does not state it.
 	Version int64
 	// Limit is the limit that the answer names.
