Visit the upstreams of a service in the order of their ids

fleet.Each visited them in the order of a map when its list was built. The list is sorted only when it is built again, after a change of the upstreams.

Run: go test ./core/fleet ./core/place ./io/daemon.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -2,6 +2,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cicadavalve/core/conf"
@@ -393,14 +395,17 @@
 	LimitAge time.Duration
 }
 
-// Each calls visit with the record and the status of each upstream of a service, in no particular order. The record
-// must not be changed.
+// Each calls visit with the record and the status of each upstream of a service, in the order of their ids: callers that draw random
+// numbers meanwhile decide the same with the same seed. The record must not be changed.
 func (m *Model) Each(now time.Time, service ident.ServiceName, visit func(u *conf.Upstream, s Status)) {
 	if m.byService == nil {
 		m.byService = map[ident.ServiceName][]*state{}
 		for _, s := range m.byID {
 			m.byService[s.Service] = append(m.byService[s.Service], s)
 		}
+		for _, list := range m.byService {
+			slices.SortFunc(list, func(a, b *state) int { return cmp.Compare(a.ID, b.ID) })
+		}
 	}
 	for _, s := range m.byService[service] {
 		visit(&s.Upstream, m.status(now, s))
