Use the slowdown that upstreams state, and their long-term speed

Engines whose VMs do other work are 2.5 times slower for moments, and some are always slower than the rest. Place knew both only from its own times to the first byte, smoothed over ten samples and forgotten within seconds.

core/pace keeps for each upstream a long-term ratio, without the slowdown that the same answer states, and the stated slowdown, which decays with its age by a persistence that is measured from pairs of statements. place multiplies expected times by it where an upstream states the fourth field of its load; without it nothing changes. The head of an answer is told to place with its ticket, before the first byte.

Ruled out: statements outside of 0.25 to 5 as samples (one that always states 0 seemed twice as slow for seconds).

Run: go test ./core/pace ./core/place ./core/fleet ./io/daemon, make lint.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -173,7 +173,7 @@
 	total := l.total(now)
 	slots := max(u.Slots, 1)
 	turns := 1 + max(0, float64(total.Requests+1-slots))/float64(slots)
-	first := service.call * turns * stats.slowdown
+	first := service.call * turns * m.slowdown(now, u, stats)
 	o.firstByte = times.Duration(first)
 	o.cost = first*(1+0.3*float64(total.Requests)/float64(slots)) + m.penalty(need, u, stats)
 	o.idle = total.Requests < slots/2
@@ -202,7 +202,7 @@
 	if bound := m.bound(need, step, find.service, total, o); bound != Free {
 		return bound
 	}
-	first := service.firstByte(o.ahead+o.missing)*stats.slowdown + float64(o.fetchDelay)
+	first := service.firstByte(o.ahead+o.missing)*m.slowdown(now, u, stats) + float64(o.fetchDelay)
 	o.firstByte = times.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.penalty(need, u, stats)
 	o.cost += service.perToken * (recomputeWeight*float64(o.recomputed) + fetchWeight*float64(o.fetched))
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
+	"cicadavalve/core/pace"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/times"
@@ -37,6 +38,7 @@
 type sent struct {
 	need     Need
 	upstream ident.UpstreamID
+	born     int64
 	// load counts the request. It is no longer that of the upstream once the upstream has been removed.
 	load *load
 	// chain is the prompt that the upstream runs, empty for a plain call.
@@ -55,6 +57,10 @@
 	fetchFrom  parts.Holder
 	fetchDelay time.Duration
 	answered   bool
+	// headed is set once the head of the answer has arrived, slowdown is what it states of the upstream's pace, 0 if
+	// nothing that is plausible.
+	headed   bool
+	slowdown float64
 	// recalled is set once the request has been recalled.
 	recalled bool
 	// address and salt identify the upstream's cache entries for the prompt.
@@ -97,6 +103,8 @@
 	links map[parts.Holder]*link
 	// ramp decides about software releases; nil if there are no roll-outs.
 	ramp *ramp.Model
+	// pace holds the pace of upstreams that state their slowdown; nil if that is not used.
+	pace *pace.Model
 }
 
 // namedVersion is a version of a model's weights.
@@ -212,6 +220,8 @@
 		return m.placeQueued(now, m.end(now, msg))
 	case TargetMsg:
 		m.setTarget(msg)
+	case HeadMsg:
+		m.observeHead(now, msg)
 	case LoadMsg:
 		l := m.load(msg.Upstream)
 		l.reported, l.reportedAt = msg.Running+msg.Waiting, now
@@ -226,6 +236,9 @@
 	case fleet.GoneCmd:
 		m.forgetUpstream(msg.ID)
 		delete(m.upstreams, msg.ID)
+		if m.pace != nil {
+			m.pace.Update(now, pace.GoneMsg{Upstream: msg.ID})
+		}
 	}
 	return nil
 }
@@ -277,16 +290,18 @@
 	elapsed := now.Sub(s.at)
 	service, upstream := m.serviceStats(s.need.Service), m.upstreamStats(s.upstream)
 	if len(s.chain) == 0 {
-		service.observeCall(elapsed)
-		upstream.observe(now, float64(elapsed)/service.call)
+		ratio := float64(elapsed) / service.call
+		service.observeCall(m.usual(s, elapsed))
+		upstream.observe(now, m.samplePace(now, s, ratio))
 		return s.upstream
 	}
 	if s.fetchFrom != "" {
 		m.link(s.fetchFrom).observe(now, elapsed-s.expected, s.fetchDelay)
 		return s.upstream
 	}
-	upstream.observe(now, float64(elapsed)/service.firstByte(s.ahead))
-	service.observeFirstByte(elapsed, s.ahead)
+	ratio := float64(elapsed) / service.firstByte(s.ahead)
+	upstream.observe(now, m.samplePace(now, s, ratio))
+	service.observeFirstByte(m.usual(s, elapsed), s.ahead)
 	return s.upstream
 }
 
@@ -455,7 +470,7 @@
 		l.limitedAt = now
 	}
 	s := &sent{
-		need: asked, upstream: u.ID, load: l, chain: need.Chain, model: need.Model, at: now, rank: clampRank(need.Rank), backlog: o.missing,
+		need: asked, upstream: u.ID, born: u.Born, load: l, chain: need.Chain, model: need.Model, at: now, rank: clampRank(need.Rank), backlog: o.missing,
 		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte,
 		fetchFrom: o.source, fetchDelay: o.fetchDelay, address: parts.Holder(u.Address), salt: o.salt,
 	}
--- a/core/place/ramp.go
+++ b/core/place/ramp.go
@@ -65,7 +65,8 @@
 	if m.ramp == nil {
 		return
 	}
-	expected := times.Duration(float64(o.firstByte-o.fetchDelay)/m.upstreamStats(o.upstream.ID).slowdown) + o.fetchDelay
+	slowdown := m.slowdown(now, o.upstream, m.upstreamStats(o.upstream.ID))
+	expected := times.Duration(float64(o.firstByte-o.fetchDelay)/slowdown) + o.fetchDelay
 	m.ramp.Update(now, ramp.SentMsg{Attempt: ramp.Attempt{
 		ID: uint64(need.Ticket), Service: need.Service, Route: need.Route, Upstream: o.upstream.ID, Release: o.upstream.Release,
 		Cold: m.fleet.Cold(now, o.upstream.ID), Expected: expected, Output: need.Output,
--- a/core/place/stats.go
+++ b/core/place/stats.go
@@ -42,7 +42,7 @@
 
 // upstreamStats holds the moving averages of one upstream.
 type upstreamStats struct {
-	// slowdown is the ratio of the actual to the expected time to the first byte.
+	// slowdown is the ratio of the actual to the expected time to the first byte, without what the upstream's pace explains.
 	slowdown float64
 	// failureRate is the fraction of failed or broken answers.
 	failureRate float64
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -14,6 +14,7 @@
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/mesh"
+	"cicadavalve/core/pace"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/place"
 	"cicadavalve/core/poison"
@@ -45,6 +46,7 @@
 	fleet    *fleet.Model
 	index    *parts.Index
 	place    *place.Model
+	pace     *pace.Model
 	mesh     *mesh.Model
 	reach    *reach.Model
 	rng      *rand.Rand
@@ -157,12 +159,13 @@
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64, options ...Option) *Controller {
 	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), clock.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	roll := newRampModel(s, rng)
+	roll, speeds := newRampModel(s, rng), pace.NewModel()
 	d := &Controller{
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		refusals: map[ident.UpstreamID]refusal{}, greetedAt: map[string]time.Time{},
 		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
+		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds)),
+		pace:   speeds,
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/pace"
 	"cicadavalve/io/link"
 	"cicadavalve/io/relay"
 )
@@ -70,6 +71,13 @@
 	m.set.NewGauge("requests_with_losses", func() float64 { _, suspected := count(); return float64(suspected) })
 }
 
+// watchPace serves the pace of the upstreams, as summary returns it.
+func (m *Meter) watchPace(summary func() pace.Summary) {
+	m.set.NewGauge("upstreams_stating_slowdown", func() float64 { return float64(summary().Stating) })
+	m.set.NewGauge("upstreams_slow", func() float64 { return float64(summary().Slow) })
+	m.set.NewGauge("slowdown_persistence_seconds", func() float64 { return summary().Persistence.Seconds() })
+}
+
 // ServeHTTP implements [http.Handler].
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
--- a/io/daemon/statement.go
+++ b/io/daemon/statement.go
@@ -42,6 +42,7 @@
 	if reply.LimitFault == nil || reply.Limit.Named {
 		d.observeLimit(now, e, reply.Limit)
 	}
+	d.observePace(now, e, reply)
 }
 
 // observeLimit applies the limit that an answer names, or its end; the lock is held.
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -104,6 +104,7 @@
 
 // Exchange is a request to an upstream that it has answered.
 type Exchange struct {
+	Ticket   place.Ticket
 	Upstream ident.UpstreamID
 	// Born is the incarnation to which the request was sent.
 	Born   int64
