Count one crash of an upstream once while nobody had contact with it since

A proxy in front of a dead upstream accepts connections and resets them. An attempt that was sent after the first loss counted as a second one on the same incarnation, since the upstream may have restarted unseen.

RecordBreak now ignores a break for a key that has a loss on the same boot from before the attempt, unless an answer of the upstream to a request sent after the last known break is known, of this entry or heard of another one. A connection that was opened alone, and an answer without a stamp or instance, are no contact.

--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -104,6 +104,8 @@
 	// pendingUntil is when the last pending claim stops to count; sweptAt is when such claims were last dropped.
 	pendingUntil, sweptAt time.Time
 	quarantined           *fifo.Map[Digest, *quarantine]
+	// contacts holds when the newest request was sent that each upstream has answered, as far as it is known.
+	contacts *fifo.Map[ident.UpstreamID, time.Time]
 	// released holds the losses of each request that were released or disproved; they no longer count.
 	released *fifo.Map[Digest, []Loss]
 	// foldedReleases holds the ids of the folded releases, so that each is applied once.
@@ -144,6 +146,7 @@
 	m := &Model{
 		entry: entry, confirmTimeout: defaultConfirmTimeout, claims: fifo.NewMap[Digest, []claim](maxDigests),
 		pending: map[ident.UpstreamID][]Digest{}, quarantined: fifo.NewMap[Digest, *quarantine](maxDigests),
+		contacts: fifo.NewMap[ident.UpstreamID, time.Time](maxDigests),
 		released: fifo.NewMap[Digest, []Loss](maxDigests), accusedBy: fifo.NewMap[Loss, int](maxDigests), foldedReleases: map[string]bool{},
 		touched: map[Digest]bool{}, remembered: map[Digest]remembered{}, trials: map[Digest]trial{}, occupied: map[ident.UpstreamID]string{},
 	}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -414,6 +414,9 @@
 	if reply.Upstream == "" || reply.Upstream == id {
 		d.perform(d.reach.Update(now, reach.ContactMsg{ID: id, At: e.SentAt, Opened: e.Opened}))
 	}
+	if reply.Signed && reply.Upstream == "" || reply.Upstream == id {
+		d.poison.ObserveContact(id, e.SentAt)
+	}
 	switch {
 	case reply.Misdirected && reply.Upstream != "" && reply.Upstream != id:
 		d.fleet.Update(now, fleet.AddressReusedMsg{ID: id, Owner: reply.Upstream})
