Report the usage of organisations to the provider

The provider bills by reports of how many requests of each organisation began in each window of 5 s. Each entry counts the requests that upstreams begin to answer, on a clock that is the median of the entries' clocks, and sends its counters to the holder of the lease and to two other entries. The holder appends the counts of a window to the topic "usage" on the condition of where it ends, and only then reports them: the first record of a window is authoritative, so that two holders never report different counts. It also checkpoints open counters.

Off unless Settings.UsageWindow is set: no datagram, no store call, no call to the provider.

Ruled out: binding a report to the lease, as load orders are. The provider checks the token when it carries the call out and all holders report the same counts, so a late call does no harm, and a provider that takes a second would never be heard to accept.

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -135,6 +135,8 @@
 	panics rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
 	listLost bool
+	// onBegan, if set, is called with the organisation of each request that begins to run, while the lock is held.
+	onBegan func(ident.OrgID)
 	// onConfig, if set, is called with each configuration that comes into force.
 	onConfig func(*conf.Set)
 }
@@ -424,6 +426,7 @@
 		d.fleet.Update(now, fleet.AnsweredMsg{ID: id})
 	}
 	d.observeStatements(now, e, reply)
+	d.observeBegan(e, reply)
 	if reply.HasLoad {
 		d.place.Update(now, place.LoadMsg{Upstream: id, Running: reply.Running, Waiting: reply.Waiting})
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -75,6 +75,8 @@
 	handovers *relay.Server
 	pool      *link.Pool
 	meter     *Meter
+	// usage is nil unless usage is reported.
+	usage *usageReports
 }
 
 // Adapters holds the adapters to the outside systems.
@@ -105,6 +107,10 @@
 	d.handler = relay.NewHandler(self.ID, d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
 	d.server = relay.NewServer(d.controller.guard.Handler(d.handler))
 	d.handovers = relay.NewServer(d.controller.guard.Handler(d.handler.Handovers()))
+	if s.UsageWindow > 0 && outside.Provider != nil {
+		d.usage = newUsageReports(d, boot)
+		d.controller.onBegan = d.usage.began
+	}
 	d.controller.onConfig = func(set *conf.Set) {
 		d.duty.setScope(set.SharedScope())
 		d.server.SetIdleTimeout(set.Limits().IdleTimeout)
@@ -193,6 +199,9 @@
 		newFeed(d, port.Upstreams, 0, listInterval, listMaxAge).run,
 		beats.run, d.forwarder.run, newFollowers(d).run, d.duty.run, (&introduction{d: d, heartbeat: beats}).run, newVerdicts(d).run, (&rollouts{d: d}).run, (&inspector{d: d}).run, (&ticker{d: d}).run,
 	}
+	if d.usage != nil {
+		loops = append(loops, d.usage.run)
+	}
 	for range probers {
 		loops = append(loops, (&prober{d}).run)
 	}
@@ -241,6 +250,9 @@
 			_ = server.HTTP().Close()
 		}
 	}
+	if d.usage != nil {
+		d.usage.flush()
+	}
 	d.log.Info("stopped")
 }
 
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -261,6 +261,9 @@
 		d.duty.update(lease.HolderMsg{Holder: m.ID})
 	}
 	d.controller.applyPassed(now, sentAt, m)
+	if m.Usage != nil && d.usage != nil {
+		d.usage.receive(now, m)
+	}
 	for _, id := range d.controller.unknown(now, m.Peers) {
 		d.greet(id)
 	}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -226,6 +226,8 @@
 	// Scope is the cache scope in which organisations share context at the sender, if it isn't empty. Entries of an earlier build know the
 	// empty one alone.
 	Scope string `cbor:"35,keyasint,omitempty"`
+	// Usage is sent in datagrams of its own.
+	Usage *Usage `cbor:"36,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
--- a/io/port/port.go
+++ b/io/port/port.go
@@ -12,6 +12,7 @@
 
 	"cicadavalve/core/conf"
 	"cicadavalve/core/ident"
+	"cicadavalve/core/usage"
 )
 
 // Head is the decoded head of a caller's request.
@@ -92,6 +93,9 @@
 	RetryAfterFault error
 }
 
+// Began reports whether the answer shows that the upstream has begun to run the request.
+func (r Reply) Began() bool { return r.Signed && !r.NotRun && !r.Misdirected }
+
 // Dialect translates the heads of requests and answers.
 type Dialect interface {
 	// Head reads the head of a caller's request.
@@ -129,6 +133,8 @@
 	Verdicts
 	// Rollouts carries the states of roll-outs that the daemons have recorded.
 	Rollouts
+	// Usage carries the counts that are reported to the provider, and checkpoints of counters.
+	Usage
 )
 
 // ConfigEvent is an accepted configuration.
@@ -179,6 +185,9 @@
 	Boot   int64
 }
 
+// UsageEvent is a record of the counts of requests.
+type UsageEvent struct{ Record usage.Record }
+
 // SecretEvent is the secret under which all daemons compute the digests of requests. It is empty if another build recorded it in a form
 // that this one can't read.
 type SecretEvent struct{ Secret []byte }
@@ -269,6 +278,9 @@
 	RecordSuspect(ctx context.Context, digest string, body json.RawMessage) (err error)
 	// ReportRollout records the state of a rollout.
 	ReportRollout(ctx context.Context, service ident.ServiceName, release, state string) (err error)
+	// AppendUsage appends a record of counts on the condition that the topic of usage ends at an offset. It returns the offset of the
+	// record and the era of the store.
+	AppendUsage(ctx context.Context, at int64, record usage.Record) (offset, era int64, err error)
 }
 
 // State is the state that a model engine reports.
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -250,7 +250,10 @@
 	defer answer.Close()
 	x.progress, x.answer = gotHead, answer
 	reply := x.h.dialect.Reply(answer.Status, answer.Header)
-	x.h.controller.ObserveReply(Exchange{Upstream: u.ID, Born: u.Born, SentAt: x.sentAt, Opened: answer.Opened}, reply)
+	x.h.controller.ObserveReply(Exchange{
+		Upstream: u.ID, Born: u.Born, SentAt: x.sentAt, Opened: answer.Opened, Org: x.org, Began: x.began || x.beganElsewhere(),
+	}, reply)
+	x.began = x.began || reply.Began()
 	switch {
 	case reply.NotRun:
 		x.cause = errors.Newf("status %d", answer.Status)
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -105,6 +105,11 @@
 	return false
 }
 
+// beganElsewhere reports whether the entry that handed the request over had received the beginning of an answer to it.
+func (x *exchange) beganElsewhere() bool {
+	return x.handed != nil && x.handed.Runs > 0 && x.head.LastEvent != ""
+}
+
 // askPeer sends the request to another entry and relays its answer, the entry's own answers included. sent is false if no byte of
 // the request was written.
 func (x *exchange) askPeer(ctx context.Context, peer string, counted bool) (res result, sent bool) {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -110,6 +110,10 @@
 	SentAt time.Time
 	// Opened is set if a connection was opened for it.
 	Opened bool
+	// Org is the organisation whose request it is, empty if none is known.
+	Org ident.OrgID
+	// Began is set if the request has begun to run before, in an earlier exchange or at an entry that handed it over.
+	Began bool
 }
 
 // Meter counts the outcomes of requests and attempts.
@@ -187,6 +191,8 @@
 	held buffer
 	// committed is set once the head of an answer has been sent to the caller.
 	committed bool
+	// began is set once an upstream began to answer the request.
+	began bool
 	// lastEvent is the id of the last event sent to the caller, empty before the first.
 	lastEvent string
 	// numbers are those of the events sent to the caller.
