Keep a store that has come back from leading to two counts of a window

A process that starts after the store came back from a copy set the time from which windows are certain by its own clock. Where that clock was 3 s behind that of the former holder, a window whose record the copy lacked was recorded anew with other counts. A window's length is added now where the process can't tell when the store came back or its clock has not been voted on.

Failed calls to the store are repeated after 0.1 to 1 s, doubling, in place of a fixed delay: the store limits calls.

--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -87,5 +87,8 @@
 // Offset returns the difference between the wall clock of this entry at its last sample and the agreed time.
 func (c *Clock) Offset() time.Duration { return c.samples[c.self].offset - c.offset }
 
+// Voted reports whether the agreed time has followed enough clocks for one that is wrong to be outvoted.
+func (c *Clock) Voted() bool { return c.voted }
+
 // Samples returns the number of wall clocks that count.
 func (c *Clock) Samples() int { return len(c.samples) }
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -11,8 +11,10 @@
 const (
 	// checkpointInterval is the shortest time between two checkpoints.
 	checkpointInterval = time.Second
-	// storeRetryDelay is the delay after a call to the store that failed.
-	storeRetryDelay = 300 * time.Millisecond
+	// minStoreDelay and maxStoreDelay bound the delay after a call to the store that failed: it doubles with each, since calls to the store are
+	// limited in rate.
+	minStoreDelay = 100 * time.Millisecond
+	maxStoreDelay = time.Second
 	// minReportDelay and maxReportDelay bound the delay before a report is repeated.
 	minReportDelay = 250 * time.Millisecond
 	maxReportDelay = time.Second
@@ -58,10 +60,12 @@
 	hasEarlier bool
 	// certainFrom is the agreed time from which on windows must end to be recorded anew: a record of an earlier one may have been lost.
 	certainFrom time.Time
-	// pending is set while a call to the store is under way; the next one follows at storeAt at the earliest.
-	pending bool
-	storeAt time.Time
-	reports map[int64]*report
+	// pending is set while a call to the store is under way; the next one follows at storeAt at the earliest. storeFailures counts the calls
+	// that failed since the last append that was won.
+	pending       bool
+	storeAt       time.Time
+	storeFailures int
+	reports       map[int64]*report
 	// savedAt is when the last checkpoint was sent.
 	savedAt time.Time
 	// callAt is when the provider may be called again.
@@ -105,8 +109,11 @@
 		return era == r.era
 	}
 	if r.era >= 0 || era > 0 {
-		// A new process can't tell when the store came back.
 		r.certainFrom = t
+		if r.era < 0 || !m.clock.Voted() {
+			// A new process can't tell when the store came back, and its clock may be behind that of the holder whose records were lost.
+			r.certainFrom = t.Add(m.window)
+		}
 		r.next, r.caughtUp = -1, false
 		for _, one := range r.reports {
 			one.recorded = false
@@ -211,7 +218,7 @@
 	r, t := &m.reporter, m.clock.Time(now)
 	r.pending = false
 	if msg.Failed {
-		r.storeAt = now.Add(storeRetryDelay)
+		r.delayStore(now)
 		return
 	}
 	if before := r.era; !m.enter(t, msg.Era) || before >= 0 && before != r.era || msg.From != max(r.next, 0) {
@@ -311,14 +318,21 @@
 	if !msg.Won || !m.enter(m.clock.Time(now), msg.Era) || r.era != era || msg.Offset != r.next {
 		r.caughtUp = false
 		if !msg.Won {
-			r.storeAt = now.Add(storeRetryDelay / 3)
+			r.delayStore(now)
 		}
 		return
 	}
+	r.storeFailures = 0
 	r.next = msg.Offset + 1
 	m.applyRecord(msg.Record)
 }
 
+// delayStore puts the next call to the store off after one that failed.
+func (r *reporter) delayStore(now time.Time) {
+	r.storeAt = now.Add(min(minStoreDelay<<min(r.storeFailures, 8), maxStoreDelay))
+	r.storeFailures++
+}
+
 // calls returns the reports that are due, oldest first.
 func (m *Model) calls(now, t time.Time) (cmds []ident.Cmd) {
 	r := &m.reporter
