Decide the number of upstreams from the demand of all entries

The platform starts with a fixed number of engines per zone, while the load comes in waves and bursts and zones get lost. core/scale decides for the holder of the lease how many to order per service and zone, from the capacity in use at the peak of the last half minute, its growth over the boot time, and callers that wait or are refused, of which entries tell each other in field 38 of heartbeats. Off without Settings.Scaling or conf.Service.Autoscale.

--- /dev/null
+++ b/core/scale/scale_test.go
@@ -0,0 +1,283 @@
+package scale_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cicadavalve/core/conf"
+	"cicadavalve/core/ident"
+	"cicadavalve/core/scale"
+)
+
+// TestNumberFollowsDemand plays patterns of demand. It guards against callers that go on being refused after the first upstreams have booted
+// and warmed up, against orders that follow each wave up and down, and against upstreams that are kept for no one.
+func TestNumberFollowsDemand(t *testing.T) {
+	for name, c := range map[string]struct {
+		demand func(time.Duration) float64
+		// warm is until when callers may be refused: one lead after the demand first went beyond the upstreams.
+		warm time.Duration
+		// least and most bound the upstreams at the end, up and down the changes.
+		least, most, up, down int
+	}{
+		"steady":          {constant(34), 0, 60, 60, 0, 0},
+		"waves":           {waves(36, 0.3, 11*time.Second), 0, 78, 90, 8, 0},
+		"high waves":      {waves(40, 0.55, 13*time.Second), 15 * time.Second, 100, 120, 9, 0},
+		"bursts":          {bursts(36, 1.7, 3*time.Second, 25*time.Second), 35 * time.Second, 100, 120, 9, 0},
+		"twice the usual": {func(at time.Duration) float64 { return 32 + 40*min(max(at.Seconds()-40, 0)/20, 1) }, 0, 115, 120, 25, 0},
+		"too much":        {constant(200), 3 * time.Minute, 120, 120, 3, 0},
+		"one burst": {func(at time.Duration) float64 {
+			return 30 + 21*min(max(63-at.Seconds(), 0), 1)*min(max(at.Seconds()-60, 0), 1)
+		}, 0, 60, 100, 9, 15},
+		"little": {constant(10), 0, 51, 51, 0, 9},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlant(t, 20, c.demand)
+			p.run(c.warm)
+			before := p.refused
+			p.run(3 * time.Minute)
+			if refused := p.refused - before; refused > 0 {
+				t.Errorf("%.1f upstream seconds of demand were refused after %v", refused, c.warm)
+			}
+			if total := p.total(); total < c.least || total > c.most {
+				t.Errorf("%d upstreams at the end, want %d to %d", total, c.least, c.most)
+			}
+			if up, down := p.steps(); up > c.up || down > c.down {
+				t.Errorf("%d steps up and %d down, want at most %d and %d", up, down, c.up, c.down)
+			}
+			if t.Failed() {
+				p.logOrders()
+			}
+		})
+	}
+}
+
+func (p *plant) logOrders() {
+	for i, o := range p.orders {
+		p.t.Logf("%v %s: %d after %d, listed %d, %s", p.times[i], o.Zone, o.Count, o.Before, o.Listed, o.Reason)
+	}
+}
+
+// TestStepsDownAreRare lets the demand fall to a third. The upstreams must leave one at a time, the first long after the last step up: each
+// takes its cached context with it.
+func TestStepsDownAreRare(t *testing.T) {
+	p := newPlant(t, 20, func(at time.Duration) float64 {
+		if at < 20*time.Second {
+			return 55
+		}
+		return 20
+	})
+	p.run(3 * time.Minute)
+	last, lowered := time.Duration(0), 0
+	for i, o := range p.orders {
+		switch {
+		case o.Count > o.Before:
+			last = p.times[i]
+			continue
+		case o.Before-o.Count != 1:
+			t.Errorf("a step down of %d", o.Before-o.Count)
+		}
+		least := boot + cold
+		if lowered++; lowered == 1 {
+			least = 30 * time.Second
+		}
+		if after := p.times[i] - last; after < least {
+			t.Errorf("a step down %v after the last step, want at least %v", after, least)
+		}
+		last = p.times[i]
+	}
+	if lowered < 8 {
+		t.Errorf("%d steps down in 3 min", lowered)
+	}
+}
+
+// TestLostZoneIsMadeUpFor ends all upstreams of a zone. The others must get them at once, not when the lost zone's time to boot is over.
+func TestLostZoneIsMadeUpFor(t *testing.T) {
+	for name, earlier := range map[string]bool{"without an order before": false, "after orders": true} {
+		t.Run(name, func(t *testing.T) {
+			level := 36.0
+			if earlier {
+				level = 42
+			}
+			p := newPlant(t, 20, constant(level))
+			const lostAt = 40 * time.Second
+			p.run(lostAt)
+			n := len(p.orders)
+			p.lose("b")
+			p.run(lostAt + 2*time.Second)
+			got := map[ident.Zone]bool{}
+			for _, o := range p.orders[n:] {
+				got[o.Zone] = o.Count > o.Before
+			}
+			if diff := cmp.Diff(map[ident.Zone]bool{"a": true, "c": true}, got); diff != "" {
+				t.Errorf("zones with steps up within 2 s (-want +got):\n%s", diff)
+			}
+			p.run(lostAt + boot + cold + 3*time.Second)
+			before := p.refused
+			p.run(2 * time.Minute)
+			if p.refused > before {
+				t.Errorf("%.1f upstream seconds refused after the lead", p.refused-before)
+			}
+			if _, down := p.steps(); down > 0 {
+				t.Errorf("%d steps down while a zone is lost", down)
+			}
+		})
+	}
+}
+
+// TestColdUpstreamsAreNotOrderedAgain lets callers be refused while the ordered upstreams boot and are cold. The number must not grow with
+// each second of that.
+func TestColdUpstreamsAreNotOrderedAgain(t *testing.T) {
+	p := newPlant(t, 20, constant(62))
+	p.run(boot + cold)
+	if total := p.total(); total > 115 {
+		t.Errorf("%d upstreams for a demand of 62", total)
+		p.logOrders()
+	}
+}
+
+// TestOrdersOfUnknownOutcomeAreRepeated lets calls end without an answer. The same number must be sent again, at most once a second, until
+// the provider answers; only then another one.
+func TestOrdersOfUnknownOutcomeAreRepeated(t *testing.T) {
+	p := newPlant(t, 20, waves(50, 0.3, 11*time.Second))
+	calls := map[ident.Zone][]int{}
+	p.answer = func(cmd scale.OrderCmd) scale.Result {
+		calls[cmd.Zone] = append(calls[cmd.Zone], cmd.Count)
+		if len(calls[cmd.Zone]) < 4 {
+			return scale.Unknown
+		}
+		return scale.Accepted
+	}
+	p.run(30 * time.Second)
+	lastAt := map[ident.Zone]time.Duration{}
+	for i, o := range p.orders {
+		if at, ok := lastAt[o.Zone]; ok && p.times[i]-at < time.Second {
+			t.Errorf("%s: two orders within %v", o.Zone, p.times[i]-at)
+		}
+		lastAt[o.Zone] = p.times[i]
+	}
+	for zone, counts := range calls {
+		if len(counts) < 4 {
+			t.Fatalf("%s: %d calls", zone, len(counts))
+		}
+		same := []int{counts[0], counts[0], counts[0], counts[0]}
+		if diff := cmp.Diff(same, counts[:4]); diff != "" {
+			t.Errorf("%s: numbers (-want +got):\n%s", zone, diff)
+		}
+	}
+}
+
+// TestRefusedOrderIsNotInForce lets the provider refuse each first call. The number must not count as ordered.
+func TestRefusedOrderIsNotInForce(t *testing.T) {
+	p := newPlant(t, 20, constant(55))
+	refusing := func(scale.OrderCmd) bool { return p.now.Sub(start) >= 10*time.Second }
+	p.executes = refusing
+	p.answer = func(cmd scale.OrderCmd) scale.Result {
+		if refusing(cmd) {
+			return scale.Accepted
+		}
+		return scale.Refused
+	}
+	p.run(10 * time.Second)
+	for _, o := range p.orders {
+		if o.Before != 20 {
+			t.Errorf("a refused order counts: %+v", o)
+		}
+	}
+	p.run(12 * time.Second)
+	if total := p.total(); total < 90 {
+		t.Errorf("%d upstreams 2 s after the provider began to accept", total)
+	}
+}
+
+// TestLateOrderIsCorrected carries out an order of the last holder after those of the present one. The listed number must come back to the
+// wanted one, without a step down of many upstreams at once.
+func TestLateOrderIsCorrected(t *testing.T) {
+	for name, c := range map[string]struct{ late, least, most int }{
+		"of fewer": {17, 30, 36}, "of one more": {32, 30, 32}, "of many more": {40, 38, 40},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPlant(t, 20, constant(55))
+			p.run(20 * time.Second)
+			n := len(p.orders)
+			p.execute("a", c.late)
+			p.run(50 * time.Second)
+			if got := len(p.upstreams["a"]); got < c.least || got > c.most {
+				t.Errorf("%d upstreams in the end, want %d to %d", got, c.least, c.most)
+				p.logOrders()
+			}
+			for _, o := range p.orders[n:] {
+				if o.Zone == "a" && o.Listed-o.Count > 1 {
+					t.Errorf("an order ends %d upstreams", o.Listed-o.Count)
+				}
+			}
+		})
+	}
+}
+
+// TestNewHolderTakesTheListedNumber moves the lease while upstreams boot that the last holder ordered, and after all entries have started.
+// The new holder must order no fewer than are listed.
+func TestNewHolderTakesTheListedNumber(t *testing.T) {
+	p := newPlant(t, 20, constant(40))
+	p.holds = false
+	p.execute("a", 26)
+	p.run(4 * time.Second)
+	p.holds = true
+	p.run(34 * time.Second)
+	for _, o := range p.orders {
+		if o.Count < o.Listed {
+			t.Errorf("order of %d in %s after %d", o.Count, o.Zone, o.Before)
+		}
+	}
+	starting := newPlant(t, 20, constant(25))
+	for i := range starting.upstreams["a"] {
+		starting.upstreams["a"][i].listedAt = start.Add(time.Duration(i) * 400 * time.Millisecond)
+	}
+	starting.run(25 * time.Second)
+	if diff := cmp.Diff([]scale.OrderCmd(nil), starting.orders); diff != "" {
+		t.Errorf("orders while upstreams are listed one after the other (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnusableBoundsSendNothing sets bounds that contradict each other, names a zone without upstreams, and takes a zone out of service.
+// None may get an order; a fault is reported once.
+func TestUnusableBoundsSendNothing(t *testing.T) {
+	zones := []scale.ZoneState{
+		{Zone: "a", Listed: 2, Ready: 2, Busy: 2, Requests: 2 * slots, Callers: scale.Callers{Arrived: 100, Refused: 50}},
+		{Zone: "nowhere", Callers: scale.Callers{Arrived: 100, Refused: 50}},
+	}
+	avoided := []scale.ZoneState{zones[0]}
+	avoided[0].Avoided = true
+	for name, c := range map[string]struct {
+		bounds conf.Autoscale
+		zones  []scale.ZoneState
+		faults int
+		orders []ident.Zone
+	}{
+		"usable":                    {conf.Autoscale{Min: 1, Max: 4, Boot: boot}, zones, 0, []ident.Zone{"a"}},
+		"avoided":                   {conf.Autoscale{Min: 1, Max: 4, Boot: boot}, avoided, 0, nil},
+		"least above largest":       {conf.Autoscale{Min: 5, Max: 4, Boot: boot}, zones, 1, nil},
+		"negative":                  {conf.Autoscale{Min: -1, Max: 4, Boot: boot}, zones, 1, nil},
+		"largest below one":         {conf.Autoscale{Boot: boot}, zones, 1, nil},
+		"negative time until ready": {conf.Autoscale{Max: 4, Boot: -boot}, zones, 1, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, faults, orders := scale.NewModel(0), 0, []ident.Zone(nil)
+			for i := range 40 {
+				state := scale.ServiceState{Name: "llm", Bounds: c.bounds, Zones: c.zones}
+				for _, cmd := range m.Update(start.Add(time.Duration(i)*interval), scale.TickMsg{Holds: true, Services: []scale.ServiceState{state}}) {
+					switch cmd := cmd.(type) {
+					case scale.FaultCmd:
+						faults++
+					case scale.OrderCmd:
+						orders = append(orders, cmd.Zone)
+					}
+				}
+			}
+			if diff := cmp.Diff(c.orders, orders); diff != "" || faults != c.faults {
+				t.Errorf("%d faults, want %d; zones of orders (-want +got):\n%s", faults, c.faults, diff)
+			}
+		})
+	}
+}
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -135,6 +135,8 @@
 	panics rate.Sometimes
 	// listLost is set while the list of upstreams can't be read.
 	listLost bool
+	// scaling decides about the number of upstreams; nil unless the settings ask for it.
+	scaling *scaling
 	// onConfig, if set, is called with each configuration that comes into force.
 	onConfig func(*conf.Set)
 }
@@ -162,8 +164,8 @@
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		refusals: map[ident.UpstreamID]refusal{}, greetedAt: map[string]time.Time{},
 		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
-		ramp:   roll,
+		place: place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
+		ramp:  roll, scaling: newScaling(s, self.Zone),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, resend: parts.NewResend(index), reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
@@ -189,7 +191,9 @@
 
 // Place implements [relay.Controller].
 func (d *Controller) Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (decision relay.Decision, err error) {
+	defer func() { d.countRefusal(need.Service, need.Objective, decision) }()
 	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need, Avoid: avoid}, func(now time.Time) {
+		d.scaling.countArrival(now, need.Service)
 		if !need.Counted {
 			d.budget(need.Service).First(now)
 		}
@@ -198,6 +202,8 @@
 
 // Retry implements [relay.Controller].
 func (d *Controller) Retry(ctx context.Context, msg place.RetryMsg) (decision relay.Decision, err error) {
+	service, objective := d.scaledNeed(msg.Ticket)
+	defer func() { d.countRefusal(service, objective, decision) }()
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
--- a/io/daemon/duty.go
+++ b/io/daemon/duty.go
@@ -13,6 +13,7 @@
 	"cicadavalve/core/purge"
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/reload"
+	"cicadavalve/core/scale"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/guard"
@@ -131,6 +132,7 @@
 	}
 	cmds = u.reload.Update(now, reload.TickMsg{Holds: holds, InFlight: func(id ident.UpstreamID) int { return u.d.controller.place.InFlight(now, id) }})
 	cmds = append(cmds, u.d.controller.tickRamp(now, holds)...)
+	cmds = append(cmds, u.d.tickScaling(now, holds)...)
 	u.d.controller.setOrdered(now, u.d.self.ID, u.loading())
 	return append(cmds, u.purge.Update(now, purge.TickMsg{
 		Holds: holds, Stores: u.d.controller.stores(), Behind: func() bool { return u.d.controller.usesOtherScopes(now) },
@@ -164,6 +166,8 @@
 		u.freeScopes(ctx, cmd)
 	case ramp.RecordCmd:
 		u.recordRollout(ctx, cmd)
+	case scale.OrderCmd:
+		u.orderCapacity(ctx, cmd)
 	}
 }
 
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -195,6 +195,7 @@
 	d.shareReach(now, &m)
 	d.shareEvidence(now, len(alive), &m)
 	d.shareRollouts(now, &m)
+	d.shareCallers(now, &m)
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 	}
@@ -342,6 +343,7 @@
 	d.applyEvidence(now, &m)
 	d.hearRollouts(now, &m)
 	if m.Heartbeat {
+		d.hearCallers(sentAt, &m)
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
 	for _, l := range m.ConcurrencyLimits {
--- /dev/null
+++ b/io/daemon/scale.go
@@ -0,0 +1,156 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cicadavalve/core/ident"
+	"cicadavalve/core/lease"
+	"cicadavalve/core/place"
+	"cicadavalve/core/scale"
+	"cicadavalve/io/clock"
+	"cicadavalve/io/gossip"
+	"cicadavalve/io/port"
+	"cicadavalve/io/relay"
+)
+
+// scaling decides about the number of upstreams by the callers of all entries.
+type scaling struct {
+	callers *scale.Log
+	model   *scale.Model
+}
+
+// newScaling returns nil unless the settings ask for orders.
+func newScaling(s Settings, zone ident.Zone) *scaling {
+	if !s.Scaling {
+		return nil
+	}
+	return &scaling{scale.NewLog(zone), scale.NewModel(s.DutyRate)}
+}
+
+// countArrival counts a request, which is about to be placed.
+func (s *scaling) countArrival(now time.Time, service ident.ServiceName) {
+	if s != nil {
+		s.callers.Arrived(now, service)
+	}
+}
+
+// scaledNeed returns the service and the objective of a request that is to be sent again, for [Controller.countRefusal].
+func (d *Controller) scaledNeed(t place.Ticket) (service ident.ServiceName, objective time.Duration) {
+	if d.scaling == nil {
+		return "", 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.place.ServiceOf(t)
+}
+
+// countRefusal counts the refusal of a request with an objective, if more upstreams could have prevented it. A deadline that was too close
+// from the start is the caller's.
+func (d *Controller) countRefusal(service ident.ServiceName, objective time.Duration, decision relay.Decision) {
+	refused := decision.Refuse
+	if d.scaling == nil || refused == nil || service == "" || refused.Reason == place.BackingOff || refused.Reason == place.TooLate && refused.Expected < objective {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scaling.callers.Refused(clock.Now(), service)
+}
+
+// shareCallers adds to a heartbeat the callers of the services whose number of upstreams follows the demand; the lock is held.
+func (d *Controller) shareCallers(now time.Time, m *gossip.Message) {
+	set := d.set.Load()
+	if d.scaling == nil || set == nil {
+		return
+	}
+	for i := range set.Services() {
+		s := &set.Services()[i]
+		if s.Autoscale == nil {
+			continue
+		}
+		if c := d.scaling.callers.Own(now, s.Name, d.place.WaitingFor(s.Name)); c.Waiting > 0 || c.Arrived > 0 {
+			m.Callers = append(m.Callers, gossip.Callers{Service: string(c.Service), Waiting: c.Waiting, Arrived: c.Arrived, Refused: c.Refused})
+		}
+	}
+}
+
+// hearCallers applies the callers of another entry's heartbeat. Those of a partitioned one are refused for lack of links; the lock is held.
+func (d *Controller) hearCallers(sentAt time.Time, m *gossip.Message) {
+	if d.scaling == nil || m.ID == d.mesh.Self().ID {
+		return
+	}
+	var list []scale.Callers
+	for _, c := range m.Callers {
+		if !m.Partitioned {
+			list = append(list, scale.Callers{Service: ident.ServiceName(c.Service), Waiting: c.Waiting, Arrived: c.Arrived, Refused: c.Refused})
+		}
+	}
+	d.scaling.callers.Hear(sentAt, m.ID, ident.Zone(m.Zone), list)
+}
+
+// tickScaling decides about the number of upstreams and returns the orders; the lock of the controller is held.
+func (d *Daemon) tickScaling(now time.Time, holds bool) (orders []ident.Cmd) {
+	c := d.controller
+	set := c.set.Load()
+	if c.scaling == nil || set == nil || d.outside.Provider == nil {
+		return nil
+	}
+	states := scale.Survey(now, set, c.fleet, c.place, c.scaling.callers)
+	for _, cmd := range c.scaling.model.Update(now, scale.TickMsg{Holds: holds && c.upstreamsListed && !c.listLost, Services: states}) {
+		switch cmd := cmd.(type) {
+		case scale.FaultCmd:
+			d.log.Error("capacity_bounds_unusable", "version", set.Version(), "place", fmt.Sprintf("services[%s].autoscale", cmd.Service), "fault", cmd.Fault)
+		case scale.OrderCmd:
+			orders = append(orders, cmd)
+		}
+	}
+	for _, s := range c.scaling.model.Status() {
+		d.meter.setUpstreams(s)
+	}
+	return orders
+}
+
+// orderCapacity gives an order to the provider.
+func (u *duty) orderCapacity(ctx context.Context, cmd scale.OrderCmd) {
+	ctx, cancel, token, holds := u.leaseContext(ctx)
+	defer cancel()
+	outcome := scale.OutcomeMsg{Service: cmd.Service, Zone: cmd.Zone, Count: cmd.Count, Result: scale.Refused}
+	if !holds {
+		u.d.controller.applyOutcome(outcome)
+		return
+	}
+	err := u.d.outside.Provider.OrderCapacity(ctx, port.CapacityOrder{Service: cmd.Service, Zone: cmd.Zone, Count: cmd.Count, Holder: u.d.self.ID, Token: token})
+	u.d.log.Info("capacity_ordered", "service", cmd.Service, "zone", cmd.Zone, "count", cmd.Count, "before", cmd.Before, "listed", cmd.Listed, "ready", cmd.Ready,
+		"reason", cmd.Reason, "use", fmt.Sprintf("%.2f", cmd.Use), "waiting", cmd.Waiting, "refused", cmd.Refused, "token", token, "error", err)
+	switch {
+	case err == nil:
+		outcome.Result = scale.Accepted
+	case errors.Is(err, port.ErrOutdated):
+		u.update(lease.TokenOutdatedMsg{})
+	case !errors.Is(err, port.ErrRefused):
+		outcome.Result = scale.Unknown
+	}
+	u.d.meter.countOrder(outcome.Result)
+	u.d.controller.applyOutcome(outcome)
+}
+
+func (d *Controller) applyOutcome(outcome scale.OutcomeMsg) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.scaling.model.Update(clock.Now(), outcome)
+}
+
+// setUpstreams sets the gauges of the upstreams of a service in an availability zone.
+func (m *Meter) setUpstreams(s scale.Status) {
+	for name, value := range map[string]int{"ordered": s.Ordered, "listed": s.Listed, "ready": s.Ready} {
+		m.set.GetOrCreateGauge(fmt.Sprintf("upstreams_%s{service=%q,zone=%q}", name, s.Service, s.Zone), nil).Set(float64(value))
+	}
+}
+
+// countOrder counts an order by its outcome.
+func (m *Meter) countOrder(result scale.Result) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("capacity_orders_total{outcome=%q}", result)).Inc()
+}
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -226,6 +226,18 @@
 	// Scope is the cache scope in which organisations share context at the sender, if it isn't empty. Entries of an earlier build know the
 	// empty one alone.
 	Scope string `cbor:"35,keyasint,omitempty"`
+	// Callers lists the services whose callers wait at the sender or arrived lately, where the number of upstreams follows the demand.
+	// Entries of an earlier build tell none.
+	Callers []Callers `cbor:"38,keyasint,omitempty"`
+}
+
+// Callers counts the requests for a service that wait at the sender, and those that arrived and were refused there in the last second.
+type Callers struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Waiting int
+	Arrived int
+	Refused int
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -415,7 +427,7 @@
 
 // size estimates the size of a message, counted in changes of parts.
 func size(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits) + 2*len(m.Callers)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
