--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -137,7 +137,7 @@
 	if len(orders) > 0 {
 		return orders
 	}
-	if t, reason := s.lower(now, state, &sum, targets); t != nil {
+	if t, reason := s.lower(now, state, targets); t != nil {
 		orders = append(orders, t.order(state, &sum, t.zone.base()-1, reason))
 	}
 	return orders
@@ -172,15 +172,30 @@
 	return targets
 }
 
-// bound limits the target to the largest number and to the least step.
+// bound limits a raised target to the bounds and to the least step.
 func (t *target) bound(state *ServiceState) {
 	base := t.zone.base()
 	if t.count > base {
-		t.count = max(t.count, base+upstreams(minStep*float64(base), 1))
+		t.count = max(t.count, base+upstreams(minStep*float64(base), 1), state.Bounds.Min)
 	}
 	t.count = max(min(t.count, state.Bounds.Max), base)
 }
 
+// unknownZones reports the zones with callers in which no upstream of the service was ever listed: nothing is ordered there, since the
+// provider may not know them.
+func (s *service) unknownZones(now time.Time, state *ServiceState) (faults []ident.Cmd) {
+	for i := range state.Zones {
+		zs := &state.Zones[i]
+		z := s.zones[zs.Zone]
+		if z.known || z.reported || zs.Callers.Arrived == 0 || now.Sub(z.roseAt) < state.Bounds.Boot+bootMargin {
+			continue
+		}
+		z.reported = true
+		faults = append(faults, FaultCmd{Service: state.Name, Zone: zs.Zone, Fault: "no upstream of the service was ever listed in the zone"})
+	}
+	return faults
+}
+
 // cover raises the targets until they cover the need of the service as a whole: requests that arrive in one zone may be served in another.
 // Upstreams in zones where they are lost or kept from work don't count.
 func (s *service) cover(now time.Time, state *ServiceState, sum *summary, targets []*target) {
@@ -247,7 +262,7 @@
 
 // lower returns the zone that gives up an upstream, nil if none does: the one with the most to spare. Nothing is given up while any number
 // is not the ordered one, or any upstream is not ready.
-func (s *service) lower(now time.Time, state *ServiceState, sum *summary, targets []*target) (best *target, reason Reason) {
+func (s *service) lower(now time.Time, state *ServiceState, targets []*target) (best *target, reason Reason) {
 	if now.Sub(s.loweredAt) < state.lead() {
 		return nil, ""
 	}
--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -120,10 +120,12 @@
 	Waiting, Refused int
 }
 
-// FaultCmd reports bounds that can't be used, once for each change.
+// FaultCmd reports bounds that can't be used, once for each change, or a zone for which nothing can be ordered, once.
 type FaultCmd struct {
 	Service ident.ServiceName
-	Fault   string
+	// Zone is empty if the bounds can't be used.
+	Zone  ident.Zone
+	Fault string
 }
 
 // Status is the number of upstreams of a service in a zone.
@@ -210,7 +212,7 @@
 			s.raisedAt = now
 		}
 		if s.fault == "" {
-			orders = append(orders, s.plan(now, state)...)
+			orders, cmds = append(orders, s.plan(now, state)...), append(cmds, s.unknownZones(now, state)...)
 		}
 	}
 	for name := range m.services {
--- a/core/scale/zone.go
+++ b/core/scale/zone.go
@@ -4,8 +4,14 @@
 	"time"
 )
 
-// callTimeout is after how long the outcome of a call counts as unknown.
-const callTimeout = 5 * time.Second
+const (
+	// callTimeout is after how long the outcome of a call counts as unknown.
+	callTimeout = 5 * time.Second
+	// quickRepeats is how many orders without a known outcome are repeated after orderInterval; the interval then doubles up to maxDoublings
+	// times.
+	quickRepeats = 4
+	maxDoublings = 3
+)
 
 // zone is the state of one service in one availability zone.
 type zone struct {
@@ -32,6 +38,10 @@
 	}
 	// sending is set while a call is under way, and unknown while the outcome of an earlier one is not known.
 	sending, unknown bool
+	// unanswered counts the calls without a known outcome since the last one that had one.
+	unanswered int
+	// reported is set once it has been reported that callers use a zone that is not known.
+	reported bool
 	// differsAt is since when the listed number differs from the ordered one, zero if it doesn't.
 	differsAt time.Time
 	// stuck is set while orders did not bring the listed number up to the ordered one.
@@ -78,7 +88,7 @@
 
 // free reports whether an order may be given.
 func (z *zone) free(now time.Time) bool {
-	return z.known && !z.sending && now.Sub(z.sentAt) >= orderInterval
+	return z.known && !z.sending && now.Sub(z.sentAt) >= orderInterval<<min(max(z.unanswered-quickRepeats, 0), maxDoublings)
 }
 
 // settled reports whether the listed number can be taken for the present order.
@@ -126,12 +136,14 @@
 		return
 	}
 	z.sending = false
+	z.unanswered++
 	switch msg.Result {
 	case Accepted:
-		z.unknown = false
+		z.unknown, z.unanswered = false, 0
 	case Unknown:
 		z.unknown = true
 	case Refused:
+		z.unanswered = 0
 		if !z.unknown {
 			z.own, z.ordered = z.before.own, z.before.ordered
 		}
@@ -140,5 +152,5 @@
 
 // release forgets the orders of this entry, which no longer holds the lease.
 func (z *zone) release() {
-	z.own, z.sending, z.unknown, z.stuck, z.differsAt = false, false, false, false, time.Time{}
+	z.own, z.sending, z.unknown, z.stuck, z.unanswered, z.differsAt = false, false, false, false, 0, time.Time{}
 }
--- a/io/daemon/scale.go
+++ b/io/daemon/scale.go
@@ -102,7 +102,7 @@
 	for _, cmd := range c.scaling.model.Update(now, scale.TickMsg{Holds: holds && c.upstreamsListed && !c.listLost, Services: states}) {
 		switch cmd := cmd.(type) {
 		case scale.FaultCmd:
-			d.log.Error("capacity_bounds_unusable", "version", set.Version(), "place", fmt.Sprintf("services[%s].autoscale", cmd.Service), "fault", cmd.Fault)
+			d.log.Warn("capacity_not_ordered", "version", set.Version(), "place", fmt.Sprintf("services[%s].autoscale", cmd.Service), "zone", cmd.Zone, "fault", cmd.Fault)
 		case scale.OrderCmd:
 			orders = append(orders, cmd)
 		}
