--- a/core/scale/series.go
+++ b/core/scale/series.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -14,7 +15,7 @@
 	bucketsPerLead = 8
 	// minBucket keeps at least 32 s where that time is short.
 	minBucket = 500 * time.Millisecond
-	// minFilled is the share of the buckets of a span that must have samples for its mean to count.
+	// minFilled is the share of the buckets of a span that must have samples for its median to count.
 	minFilled = 0.7
 )
 
@@ -59,28 +60,30 @@
 	return peak
 }
 
-// growth returns by how much the mean of the last lead is above that of the lead before, 0 if it is not or if either is unknown. Waves of
-// about the length of a lead cancel out, which they would not in the slope of a few seconds.
+// growth returns by how much the median of the last lead is above that of the lead before, 0 if it is not or if either is unknown. Waves of
+// about the length of a lead cancel out, which they would not in the slope of a few seconds, and bursts of a few seconds don't count.
 func (s *series) growth(now time.Time, lead time.Duration) (growth float64) {
-	recent, known := s.mean(now, 0, lead)
-	before, knownBefore := s.mean(now, lead, 2*lead)
+	recent, known := s.median(now, 0, lead)
+	before, knownBefore := s.median(now, lead, 2*lead)
 	if !known || !knownBefore {
 		return 0
 	}
 	return max(recent-before, 0)
 }
 
-// mean returns the mean of the averages between two ages, from the later one on.
-func (s *series) mean(now time.Time, from, to time.Duration) (mean float64, known bool) {
-	sum, filled := 0.0, 0
+// median returns the median of the means of the buckets between two ages, from the later one on.
+func (s *series) median(now time.Time, from, to time.Duration) (median float64, known bool) {
+	var means [seriesSize]float64
+	n := 0
 	s.visit(now, from, to, func(b *bucket) {
-		sum += b.sum / float64(b.samples)
-		filled++
+		means[n] = b.sum / float64(b.samples)
+		n++
 	})
-	if filled == 0 || float64(filled) < minFilled*float64((to-from)/s.width) {
+	if n == 0 || float64(n) < minFilled*float64((to-from)/s.width) {
 		return 0, false
 	}
-	return sum / float64(filled), true
+	slices.Sort(means[:n])
+	return means[n/2], true
 }
 
 // visit calls f with the buckets of an age from one to another that have samples.
