--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -137,6 +137,8 @@
 	listLost bool
 	// onBegan, if set, is called with the organisation of each request that begins to run, while the lock is held.
 	onBegan func(ident.OrgID)
+	// scaling decides about the number of upstreams; nil unless the settings ask for it.
+	scaling *scaling
 	// onConfig, if set, is called with each configuration that comes into force.
 	onConfig func(*conf.Set)
 }
@@ -166,7 +168,7 @@
 		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
 		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds)),
 		pace:   speeds,
-		ramp:   roll,
+		ramp:   roll, scaling: newScaling(s, self.Zone),
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, outbox: parts.NewOutbox(), resend: parts.NewResend(index), positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
@@ -192,7 +194,9 @@
 
 // Place implements [relay.Controller].
 func (d *Controller) Place(ctx context.Context, need place.Need, avoid []ident.UpstreamID) (decision relay.Decision, err error) {
+	defer func() { d.countRefusal(need.Service, need.Objective, decision) }()
 	return d.await(ctx, need.Ticket, place.ArriveMsg{Need: need, Avoid: avoid}, func(now time.Time) {
+		d.scaling.countArrival(now, need.Service)
 		if !need.Counted {
 			d.budget(need.Service).First(now)
 		}
@@ -201,6 +205,8 @@
 
 // Retry implements [relay.Controller].
 func (d *Controller) Retry(ctx context.Context, msg place.RetryMsg) (decision relay.Decision, err error) {
+	service, objective := d.scaledNeed(msg.Ticket)
+	defer func() { d.countRefusal(service, objective, decision) }()
 	return d.await(ctx, msg.Ticket, msg, func(time.Time) {})
 }
 
