Queue and refuse by shares of organisations

An option of core/place; without it everything is decided as before. A request is refused at the first moment at which it is known to be late.

The exemption of upstreams with less than half of their slots in use from refusals does not hold with shares: with 64 slots, 32 prompts may be ahead, 1.5 s of prefill.

--- a/core/place/admit.go
+++ b/core/place/admit.go
@@ -31,12 +31,15 @@
 )
 
 // urgencyStep returns how many steps a request is below the highest urgency, at most maxStep. A request that has missed
-// its objective is one step lower.
+// its objective is one step lower, as is one of an organisation above its share.
 func (m *Model) urgencyStep(now time.Time, need *Need) (step int) {
 	step = need.Rank
 	if now.Sub(need.Arrived) > need.Objective {
 		step++
 	}
+	if m.shares != nil {
+		step = m.sharedStep(now, need, step)
+	}
 	return min(max(step, 0), maxStep)
 }
 
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -177,6 +177,8 @@
 	// RetryAfter is how long the caller should wait before it retries.
 	RetryAfter time.Duration
 	Reason     Reason
+	// Org is the organisation whose request it is; it is set if engine time is divided into shares.
+	Org ident.OrgID
 	// Expected is the estimated time to the first byte at the best upstream, 0 if no upstream could take the request.
 	Expected time.Duration
 	// Tally counts the upstreams considered.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -6,7 +6,6 @@
 package place
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -60,6 +59,8 @@
 	// address and salt identify the upstream's cache entries for the prompt.
 	address parts.Holder
 	salt    string
+	// engineTime is what was reported as given to the organisation.
+	engineTime time.Duration
 }
 
 // waiting is a request that is to be placed or queued.
@@ -67,6 +68,7 @@
 	need  Need
 	avoid []ident.UpstreamID
 	until time.Time
+	turn  turn
 }
 
 // Model places the requests of one entry. Its methods aren't safe for concurrent use.
@@ -97,6 +99,8 @@
 	links map[parts.Holder]*link
 	// ramp decides about software releases; nil if there are no roll-outs.
 	ramp *ramp.Model
+	// sharing divides engine time between organisations; its model is nil if nothing does.
+	sharing
 }
 
 // namedVersion is a version of a model's weights.
@@ -148,7 +152,10 @@
 }
 
 // SetMembers sets the entries.
-func (m *Model) SetMembers(members Members) { m.members = members }
+func (m *Model) SetMembers(members Members) {
+	m.members = members
+	m.setSharers()
+}
 
 // setTarget sets the target version of a model's weights; a version that is not newer than the last one is ignored.
 func (m *Model) setTarget(msg TargetMsg) {
@@ -201,6 +208,7 @@
 	switch msg := msg.(type) {
 	case ArriveMsg:
 		m.pick(now, &msg.Need)
+		m.noteOffered(now, &msg.Need)
 		return m.place(now, &waiting{need: msg.Need, avoid: msg.Avoid}, "")
 	case RetryMsg:
 		return m.retry(now, msg)
@@ -222,7 +230,7 @@
 	case PeerMsg:
 		m.updatePeer(now, msg)
 	case TickMsg:
-		return append(m.recall(now), m.placeQueued(now, "")...)
+		return append(append(m.tickShares(now), m.recall(now)...), m.placeQueued(now, "")...)
 	case fleet.GoneCmd:
 		m.forgetUpstream(msg.ID)
 		delete(m.upstreams, msg.ID)
@@ -270,6 +278,7 @@
 	}
 	s.answered = true
 	m.noteFirstByte(now, t)
+	m.noteServed(now, s)
 	if len(s.chain) > 0 {
 		m.index.Update(now, parts.PrefilledMsg{Holder: s.address, Salt: s.salt, Chain: shared(s.chain)})
 	}
@@ -308,6 +317,7 @@
 		outcome = Cancelled
 	}
 	m.noteOutcome(now, s, outcome)
+	m.noteUnused(now, s, outcome)
 	if outcome == Rejected || outcome == Cancelled {
 		return
 	}
@@ -338,19 +348,18 @@
 	}
 	queue := m.queue
 	m.queue = nil
-	failedTries := map[ident.ServiceName]int{}
-	slices.SortStableFunc(queue, func(a, b *waiting) int {
-		return cmp.Or(m.urgencyStep(now, &a.need)-m.urgencyStep(now, &b.need), a.need.Arrived.Add(a.need.Objective).Compare(b.need.Arrived.Add(b.need.Objective)))
-	})
+	failedTries := map[failureKey]int{}
+	m.sortQueue(now, queue)
 	for _, w := range queue {
-		if now.Before(w.until) && (failedTries[w.need.Service] >= maxFailedTries || freed != "" && w.need.Service != service) {
+		key := m.failureKey(now, w)
+		if now.Before(w.until) && (failedTries[key] >= maxFailedTries || freed != "" && w.need.Service != service) {
 			m.queue = append(m.queue, w)
 			continue
 		}
 		before := len(m.queue)
 		cmds = append(cmds, m.place(now, w, freed)...)
 		if len(m.queue) > before {
-			failedTries[w.need.Service]++
+			failedTries[key]++
 		}
 	}
 	return cmds
@@ -361,9 +370,10 @@
 	if w.until.IsZero() {
 		w.until = now.Add(min(times.Duration(waitFactor*float64(w.need.Objective)), w.need.Deadline.Sub(now)/waitDivisor))
 	}
-	if !now.Before(w.until) {
+	m.noteWaiting(now, w, tally)
+	if !now.Before(w.until) || m.hopeless(now, w, tally) {
 		reason := NoUpstream
-		if tally.Full > 0 {
+		if tally.Full > 0 || w.turn.held {
 			reason = Overloaded
 		}
 		return []ident.Cmd{RefuseCmd{Ticket: w.need.Ticket, RetryAfter: m.jitter(minRetryAfter), Reason: reason, Tally: tally}}
@@ -388,15 +398,14 @@
 	lateFactor = 2.5
 )
 
-// jitter adds up to half of the delay at random, so that refused callers don't retry at the same time.
-func (m *Model) jitter(after time.Duration) time.Duration {
-	return after + time.Duration(m.rng.Int64N(int64(after)/2+1))
-}
-
 // place sends, refuses or queues a request. If only isn't empty, it considers that upstream alone and doesn't refuse a
 // request that would be late there.
 func (m *Model) place(now time.Time, w *waiting, only ident.UpstreamID) (cmds []ident.Cmd) {
 	defer m.confine(w.need.Ticket, &cmds)
+	m.prioritise(now, w)
+	if w.turn.held = m.held(now, w); w.turn.held {
+		return m.refusal(now, w, m.enqueue(now, w, Tally{}, &outlook{others: true}))
+	}
 	need := m.served(&w.need)
 	best, tally, ahead := m.chooseRelease(now, need, w.avoid, only)
 	w.need.Sampled = need.Sampled
@@ -404,7 +413,7 @@
 		if only != "" {
 			ahead.others = true
 		}
-		return m.enqueue(now, w, tally, &ahead)
+		return m.refusal(now, w, m.enqueue(now, w, tally, &ahead))
 	}
 	switch {
 	case now.Add(best.firstByte).After(need.Deadline):
@@ -412,6 +421,7 @@
 	case m.late(now, need, best):
 		cmds = m.refuse(need, best, tally, Overloaded)
 	default:
+		m.noteMet(now, w)
 		return m.send(now, w.need, need, best)
 	}
 	if only != "" {
@@ -419,12 +429,12 @@
 		m.queue = append(m.queue, w)
 		return nil
 	}
-	return cmds
+	return m.refusal(now, w, cmds)
 }
 
 // late reports whether a request is expected to be much too late at an option that is busy.
 func (m *Model) late(now time.Time, need *Need, o *option) bool {
-	return float64(now.Sub(need.Arrived)+o.firstByte) > lateFactor*float64(need.Objective) && !o.idle
+	return float64(now.Sub(need.Arrived)+o.firstByte) > m.lateLimit(need, o.missing)*float64(need.Objective) && !m.unloaded(o)
 }
 
 // refuse returns the refusal of a request that is expected to be late at the best upstream.
@@ -475,5 +485,6 @@
 		cmds = append(cmds, m.announcePrefills(now, need, o)...)
 	}
 	m.noteSent(now, need, o)
+	m.noteGiven(now, s, need, o)
 	return append(cmds, cmd)
 }
