--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -21,6 +21,7 @@
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/reach"
 	"cicadavalve/core/retry"
+	"cicadavalve/core/share"
 	"cicadavalve/core/stall"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
@@ -137,6 +138,9 @@
 	listLost bool
 	// onConfig, if set, is called with each configuration that comes into force.
 	onConfig func(*conf.Set)
+	// shares divides engine time between organisations; nil if nothing does. onRefusal, if set, is called with each refusal.
+	shares    *share.Model
+	onRefusal func(place.RefuseCmd)
 }
 
 // Option sets one property of a [Controller].
@@ -157,13 +161,14 @@
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64, options ...Option) *Controller {
 	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), clock.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	roll := newRampModel(s, rng)
+	roll, shares := newRampModel(s, rng), newShares(s, rng)
 	d := &Controller{
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		refusals: map[ident.UpstreamID]refusal{}, greetedAt: map[string]time.Time{},
 		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
+		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithShares(shares)),
 		ramp:   roll,
+		shares: shares,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, resend: parts.NewResend(index), reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
@@ -266,7 +271,12 @@
 		case place.SendCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Send: &cmd})
 			d.wakeHeartbeat()
+		case share.RestrictedCmd:
+			d.log.Info("organisation_restricted", "organisation", cmd.Org, "restricted", cmd.Restricted, "excess", cmd.Excess)
 		case place.RefuseCmd:
+			if d.onRefusal != nil {
+				d.onRefusal(cmd)
+			}
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.RecallCmd:
 			d.log.Info("request_recalled", "ticket", cmd.Ticket, "upstream", cmd.Upstream)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -100,6 +100,10 @@
 	}
 	d.forwarder, d.controller.decode = newForwarder(d), outside.Store.Decode
 	d.meter.watchEvidence(d.controller.countEvidence)
+	if s.Shares {
+		d.meter.watchShares(d.controller.shareViews)
+		d.controller.onRefusal = d.meter.countRefusal
+	}
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(self.ID, d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -195,6 +195,7 @@
 	d.shareReach(now, &m)
 	d.shareEvidence(now, len(alive), &m)
 	d.shareRollouts(now, &m)
+	d.tellUses(now, &m)
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 	}
@@ -341,6 +342,7 @@
 	d.applyMarks(now, arrived, m.Era, m.Marks)
 	d.applyEvidence(now, &m)
 	d.hearRollouts(now, &m)
+	d.hearUses(now, &m)
 	if m.Heartbeat {
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -52,6 +52,8 @@
 	Scaling bool
 	// DutyRate is how many calls a second the provider takes from all daemons together, 0 if that is not known.
 	DutyRate float64
+	// Shares is set if engine time is divided between organisations while requests wait or are refused.
+	Shares bool
 }
 
 // portsNeeded is the number of internal ports: one for datagrams between daemons, one for metrics.
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -226,6 +226,9 @@
 	// Scope is the cache scope in which organisations share context at the sender, if it isn't empty. Entries of an earlier build know the
 	// empty one alone.
 	Scope string `cbor:"35,keyasint,omitempty"`
+	// Uses and Served are sent now and then by entries that divide engine time between organisations.
+	Uses   []OrgUse `cbor:"40,keyasint,omitempty"`
+	Served []Served `cbor:"41,keyasint,omitempty"`
 }
 
 // Weights is the version of the weights of a model that an engine has reported.
@@ -415,7 +418,7 @@
 
 // size estimates the size of a message, counted in changes of parts.
 func size(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits) + 2*len(m.Uses) + 2*len(m.Served)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
