--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -231,6 +231,9 @@
 	// Callers lists the services whose callers wait at the sender or arrived lately, where the number of upstreams follows the demand.
 	// Entries of an earlier build tell none.
 	Callers []Callers `cbor:"38,keyasint,omitempty"`
+	// Uses and Served are sent now and then by entries that divide engine time between organisations.
+	Uses   []OrgUse `cbor:"40,keyasint,omitempty"`
+	Served []Served `cbor:"41,keyasint,omitempty"`
 }
 
 // Callers counts the requests for a service that wait at the sender, and those that arrived and were refused there in the last second.
@@ -429,7 +432,7 @@
 
 // size estimates the size of a message, counted in changes of parts.
 func size(m Message) (n int) {
-	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits) + 2*len(m.Callers)
+	n = 2*len(m.Loads) + 2*len(m.Peers) + 2*len(m.Saves) + 2*len(m.Prefills) + 2*len(m.Ordered) + 2*len(m.Links) + 2*len(m.Weights) + 2*len(m.Marks) + 2*len(m.Unreachable) + 2*len(m.Contacts) + 2*len(m.Leaving) + 4*len(m.ConcurrencyLimits) + 2*len(m.Callers) + 2*len(m.Uses) + 2*len(m.Served)
 	for _, r := range m.Reports {
 		n += 3 + len(r.Changes)
 	}
