Ignore counters and records of usage that no entry can have made

A counter near the end of its range made sums overflow, and a record of a window far in the future kept the model from judging windows. The new tests failed before in the cases huge, future and last window of counters from datagrams (sums, kept groups); they pass now, with records that were removed before a holder read them and two records of one window.

--- a/core/usage/counts.go
+++ b/core/usage/counts.go
@@ -41,6 +41,9 @@
 // whole reports whether all counters of the group are known.
 func (g *Group) whole() bool { return g.Counts.Sum() >= g.Total }
 
+// maxCount bounds a counter, so that sums of wrong ones don't overflow: no entry begins as many requests in a window.
+const maxCount = 1 << 40
+
 // kept is a group with the sum of its counters that a checkpoint holds.
 type kept struct {
 	Group
@@ -63,9 +66,11 @@
 // merge raises counters to those of a group and returns by how much they grew. The result is the same in any order and with repetitions.
 func (t table) merge(g Group) (grown int64) {
 	known := t.get(g.key())
-	known.Total = max(known.Total, g.Total)
+	if g.Total <= maxCount {
+		known.Total = max(known.Total, g.Total)
+	}
 	for org, n := range g.Counts {
-		if before := known.Counts[org]; n > before {
+		if before := known.Counts[org]; n > before && n <= maxCount {
 			known.Counts[org] = n
 			grown += n - before
 		}
--- a/core/usage/direct_test.go
+++ b/core/usage/direct_test.go
@@ -1,6 +1,7 @@
 package usage
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -106,6 +107,9 @@
 		"kept":      {[]Record{{At: time.Unix(505, 0), Window: 100, Counts: Counts{"x": 2}}}, true, nil, Counts{"x": 2}},
 		"replaced":  {[]Record{{At: time.Unix(505, 0), Window: 100, Counts: Counts{"x": 3}}}, true, nil, nil},
 		"not known": {nil, false, nil, nil},
+		"two": {[]Record{
+			{At: time.Unix(505, 0), Window: 100, Counts: Counts{"x": 2}}, {At: time.Unix(506, 0), Window: 100, Counts: Counts{"x": 3}},
+		}, false, nil, Counts{"x": 2}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			d := newDriver("a", 100)
@@ -144,3 +148,53 @@
 		})
 	}
 }
+
+// TestImplausibleCountersAreIgnored sends counters that no entry can have. A sum that overflows would be reported, and windows far away
+// would fill the memory.
+func TestImplausibleCountersAreIgnored(t *testing.T) {
+	for name, g := range map[string]Group{
+		"negative": {"b", 1, 100, -1, Counts{"x": -5}}, "huge": {"b", 1, 100, math.MaxInt64, Counts{"x": math.MaxInt64}},
+		"past": {"b", 1, 1, 5, Counts{"x": 5}}, "future": {"b", 1, 1 << 40, 5, Counts{"x": 5}}, "last window": {"b", 1, math.MaxInt64, 5, Counts{"x": 5}},
+		"first window": {"b", 1, math.MinInt64, 5, Counts{"x": 5}}, "own": {"a", 1, 100, 5, Counts{"x": 5}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDriver("a", 100)
+			d.tick(time.Second)
+			d.model.Update(d.now, BeganMsg{"x"})
+			d.model.Update(d.now, PeerMsg{Entry: "b", Boot: 1, Through: math.MaxInt64, Groups: []Group{g}})
+			d.msg.Holds, d.msg.Token = true, 1
+			d.tick(200 * time.Millisecond)
+			d.model.Update(d.now, ReadMsg{Next: 2, End: 2, Records: []Record{{At: d.now, Groups: []Group{g}}, {At: d.now, Window: math.MaxInt64, Counts: Counts{"x": 5}}}})
+			if diff := cmp.Diff(Counts{"x": 1}, d.model.groups.sum(100)); diff != "" {
+				t.Errorf("counts (-want +got):\n%s", diff)
+			}
+			cmds := d.tick(20 * time.Second)
+			if report, ok := find[ReportCmd](cmds); ok {
+				t.Errorf("reported %v", report)
+			}
+			if n := len(d.model.groups) + len(d.model.through) + len(d.model.reporter.reports); n > 0 {
+				t.Errorf("%d groups, entries and reports are kept", n)
+			}
+		})
+	}
+}
+
+// TestRecordsThatWereRemovedMayHaveBeenOfAWindow lets records be removed that a holder has not read. The window that ended before must not
+// be recorded anew, the next one must.
+func TestRecordsThatWereRemovedMayHaveBeenOfAWindow(t *testing.T) {
+	d := newDriver("a", 100)
+	d.msg.Holds, d.msg.Token, d.msg.Alive = true, 1, []Member{{"a", 1}}
+	d.tick(time.Second)
+	d.model.Update(d.now, ReadMsg{Next: 3, End: 3, Records: []Record{{At: d.now}, {At: d.now}, {At: d.now}}})
+	d.msg.Holds = false
+	d.tick(5 * time.Second)
+	d.msg.Holds, d.msg.Token = true, 2
+	d.tick(200 * time.Millisecond)
+	d.model.Update(d.now, ReadMsg{From: 3, Trimmed: true, Next: 10})
+	d.tick(200 * time.Millisecond)
+	d.model.Update(d.now, ReadMsg{From: 10, Next: 10, End: 10})
+	cmd, ok := find[AppendCmd](d.tick(5 * time.Second))
+	if diff := cmp.Diff(int64(101), cmd.Record.Window); diff != "" || !ok {
+		t.Errorf("first window recorded (-want +got):\n%s", diff)
+	}
+}
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -20,6 +20,9 @@
 	maxReportDelay = time.Second
 	// reportMargin is how long before it is due a report is not begun any more: a call takes some ms.
 	reportMargin = 20 * time.Millisecond
+	// maxDistance is by how many windows a record may be of another time and still count. What is further away is no window of this
+	// configuration.
+	maxDistance = 1 << 20
 	// maxReporting bounds the calls to the provider that are under way.
 	maxReporting = 2
 	// clockMargin is by how much the clocks of two holders may differ when the age of a record is judged.
@@ -237,10 +240,15 @@
 	if m.missesOpen(t, msg) {
 		return
 	}
+	implausible := false
 	for _, record := range msg.Records {
+		if ahead := record.Window - m.number(t); record.Counts != nil && (ahead < -maxDistance || ahead > maxDistance) {
+			implausible = true
+			continue
+		}
 		m.applyRecord(record)
 	}
-	if msg.Faulty {
+	if msg.Faulty || implausible {
 		// The record that can't be read may be that of a window.
 		r.certainFrom = t
 	}
@@ -291,7 +299,7 @@
 	r.hasEarlier = r.hasEarlier || record.At.Before(m.start)
 	if record.Counts == nil {
 		for _, g := range record.Groups {
-			if g.Entry != m.self || g.Boot != m.boot {
+			if ahead := g.Window - m.number(record.At); (g.Entry != m.self || g.Boot != m.boot) && ahead >= -maxDistance && ahead <= maxDistance {
 				m.groups.merge(g)
 			}
 		}
@@ -345,7 +353,7 @@
 	for _, window := range slices.Sorted(maps.Keys(r.reports)) {
 		one := r.reports[window]
 		left := m.due(window).Sub(t)
-		if !one.recorded || one.contradicted || one.accepted || one.calling || now.Before(one.nextAt) || left <= reportMargin {
+		if !one.recorded || one.contradicted || one.accepted || one.calling || now.Before(one.nextAt) || left <= reportMargin || left > m.delay {
 			continue
 		}
 		if calling >= maxReporting || now.Before(r.callAt) {
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -25,6 +25,8 @@
 	changeRepeats = 2
 	// closedRepeats is the number of intervals after the end of a window in which all its counters are sent at each; later at every second.
 	closedRepeats = 3
+	// maxAhead is by how many windows the present window of another entry may be ahead: its clock is set by few others at first.
+	maxAhead = 2
 	// replicas is the number of entries that get the counters besides the holder.
 	replicas = 2
 	// minSettle is how long after its end a window is not recorded yet: clocks differ by a few ms, and the entries send at sendInterval.
@@ -159,13 +161,13 @@
 	}
 	t := m.clock.Time(now)
 	for _, g := range msg.Groups {
-		own := g.Entry == m.self && g.Boot == m.boot
-		if !own && m.due(g.Window).After(t) && g.Window <= m.number(t)+1 {
+		if own := g.Entry == m.self && g.Boot == m.boot; !own && g.Window >= m.firstOpen(t) && g.Window <= m.number(t)+maxAhead {
 			m.mergeCounted(g)
 		}
 	}
-	sender := Member{msg.Entry, msg.Boot}
-	m.through[sender] = max(m.through[sender], msg.Through)
+	if sender := (Member{msg.Entry, msg.Boot}); msg.Through > m.through[sender] && msg.Through <= m.number(t)+maxAhead {
+		m.through[sender] = msg.Through
+	}
 }
 
 // mergeCounted merges a group; the part that comes too late for the record of its window is counted.
