--- a/core/usage/direct_test.go
+++ b/core/usage/direct_test.go
@@ -140,7 +140,7 @@
 				t.Errorf("appended (-want +got):\n%s", diff)
 			}
 			d.model.Update(d.now, AppendedMsg{Won: true, Era: 1, Offset: end, Record: appended.Record})
-			cmds = append(d.cmds, d.tick(time.Second)...)
+			cmds = slices.Concat(d.cmds, d.tick(time.Second))
 			report, _ := find[ReportCmd](cmds)
 			if diff := cmp.Diff(c.reported, report.Counts); diff != "" {
 				t.Errorf("reported (-want +got):\n%s", diff)
--- a/io/gossip/usage.go
+++ b/io/gossip/usage.go
@@ -42,8 +42,11 @@
 	for _, g := range u.Groups {
 		rest := g
 		for first := true; first || len(rest.Orgs) > 0; first = false {
-			need := groupSize + len(g.Entry)
-			if room < need+counterSize || len(pieces) == 0 {
+			need, counter := groupSize+len(g.Entry), 0
+			if len(rest.Orgs) > 0 {
+				counter = counterSize + len(rest.Orgs[0])
+			}
+			if room < need+counter || len(pieces) == 0 {
 				pieces, room = append(pieces, nil), maxUsage
 			}
 			room -= need
