Order for callers only after 0.3 s, and not for a few refusals at idle upstreams

Two refusals in a second for limits or deadlines, or one batch in the queue, raised the number by a quarter, each boot time again. Refusals of less than a twentieth of the arrivals now count from a use of 0.4 on. A configuration without a boot time had the same number ordered each second while another one was listed; at least 4 s are assumed. 2,000 random sequences of TestOrdersKeepTheirRules pass.

--- a/core/scale/callers.go
+++ b/core/scale/callers.go
@@ -65,29 +65,29 @@
 	at   time.Time
 }
 
-// Log counts the callers of this entry and keeps what other entries tell of theirs. Its methods aren't safe for concurrent use.
-type Log struct {
+// Stats counts the callers of this entry and keeps what other entries tell of theirs. Its methods aren't safe for concurrent use.
+type Stats struct {
 	zone  ident.Zone
 	own   map[ident.ServiceName]*callers
 	peers map[string]report
 }
 
-// NewLog returns an empty log of an entry in an availability zone.
-func NewLog(zone ident.Zone) *Log {
-	return &Log{zone: zone, own: map[ident.ServiceName]*callers{}, peers: map[string]report{}}
+// NewStats returns the empty counts of an entry in an availability zone.
+func NewStats(zone ident.Zone) *Stats {
+	return &Stats{zone: zone, own: map[ident.ServiceName]*callers{}, peers: map[string]report{}}
 }
 
 // Arrived counts a request.
-func (l *Log) Arrived(now time.Time, service ident.ServiceName) {
+func (l *Stats) Arrived(now time.Time, service ident.ServiceName) {
 	l.callers(service).arrived.add(now)
 }
 
 // Refused counts the refusal of a request.
-func (l *Log) Refused(now time.Time, service ident.ServiceName) {
+func (l *Stats) Refused(now time.Time, service ident.ServiceName) {
 	l.callers(service).refused.add(now)
 }
 
-func (l *Log) callers(service ident.ServiceName) *callers {
+func (l *Stats) callers(service ident.ServiceName) *callers {
 	c, ok := l.own[service]
 	if !ok {
 		c = &callers{}
@@ -97,7 +97,7 @@
 }
 
 // Own returns the callers of a service at this entry, of which a number waits.
-func (l *Log) Own(now time.Time, service ident.ServiceName, waiting int) (own Callers) {
+func (l *Stats) Own(now time.Time, service ident.ServiceName, waiting int) (own Callers) {
 	own = Callers{Service: service, Waiting: waiting}
 	if c, known := l.own[service]; known {
 		own.Arrived, own.Refused = c.arrived.total(now), c.refused.total(now)
@@ -106,7 +106,7 @@
 }
 
 // Hear replaces what another entry in an availability zone tells. Negative numbers count as 0.
-func (l *Log) Hear(now time.Time, entry string, zone ident.Zone, list []Callers) {
+func (l *Stats) Hear(now time.Time, entry string, zone ident.Zone, list []Callers) {
 	if len(list) == 0 {
 		delete(l.peers, entry)
 		return
@@ -119,7 +119,7 @@
 }
 
 // Add adds the callers of a service by the availability zone of their entries; own are those at this one.
-func (l *Log) Add(now time.Time, own Callers, add func(zone ident.Zone, c Callers)) {
+func (l *Stats) Add(now time.Time, own Callers, add func(zone ident.Zone, c Callers)) {
 	add(l.zone, own)
 	for entry, r := range l.peers {
 		if now.Sub(r.at) >= reportTTL {
--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -11,8 +11,12 @@
 )
 
 const (
-	// minUse is the use below which refusals have other causes than too few upstreams.
-	minUse = 0.15
+	// minUse is the use below which a few refusals have other causes than too few upstreams, such as limits and deadlines. From manyRefused
+	// on, as a share of the arrivals, that is minManyUse: what fills the upstreams may not be seen.
+	minUse, minManyUse = 0.4, 0.15
+	manyRefused        = 0.05
+	// pressedTime is how long callers must have waited or been refused: batches of requests wait for some milliseconds.
+	pressedTime = 300 * time.Millisecond
 	// minWeight is the least part of the mean demand of all zones that a zone's callers count for.
 	minWeight = 0.1
 	// holdLeads is how many leads the peak of the demand is remembered at least.
@@ -62,7 +66,11 @@
 func (s *summary) pressed() bool {
 	waits := s.waiting >= minCallers && float64(s.waiting) >= waitingShare*float64(s.requests)
 	refuses := s.refused >= minCallers && float64(s.refused) >= refusedShare*float64(s.arrived)
-	return (waits || refuses) && s.use() >= minUse
+	least := minUse
+	if refuses && float64(s.refused) >= manyRefused*float64(s.arrived) {
+		least = minManyUse
+	}
+	return (waits || refuses) && s.use() >= least
 }
 
 // pressedNeed returns how many upstreams would serve the callers that wait or are refused as well.
@@ -101,8 +109,13 @@
 			z.observe(now, state.lead(), ZoneState{Zone: name, Avoided: z.state.Avoided})
 		}
 	}
-	if sum.pressed() {
-		s.raisedAt = now
+	if !sum.pressed() {
+		s.pressedAt = time.Time{}
+		return
+	}
+	s.raisedAt = now
+	if s.pressedAt.IsZero() {
+		s.pressedAt = now
 	}
 }
 
@@ -164,7 +177,7 @@
 		if need := upstreams(z.demand.peak(now, state.hold()), zoneUse); need > t.count {
 			t.count, t.reason = need, BusyZone
 		}
-		if state.Bounds.Min > t.count && now.Sub(z.roseAt) >= state.Bounds.Boot+bootMargin {
+		if state.Bounds.Min > t.count && now.Sub(z.roseAt) >= state.shown() {
 			t.count, t.reason = state.Bounds.Min, Below
 		}
 		t.bound(state)
@@ -187,7 +200,7 @@
 	for i := range state.Zones {
 		zs := &state.Zones[i]
 		z := s.zones[zs.Zone]
-		if z.known || z.reported || zs.Callers.Arrived == 0 || now.Sub(z.roseAt) < state.Bounds.Boot+bootMargin {
+		if z.known || z.reported || zs.Callers.Arrived == 0 || now.Sub(z.roseAt) < state.shown() {
 			continue
 		}
 		z.reported = true
@@ -200,7 +213,7 @@
 // Upstreams in zones where they are lost or kept from work don't count.
 func (s *service) cover(now time.Time, state *ServiceState, sum *summary, targets []*target) {
 	need, reason := upstreams(expected(now, &s.demand, state), targetUse), Busy
-	if sum.pressed() {
+	if !s.pressedAt.IsZero() && now.Sub(s.pressedAt) >= pressedTime {
 		if pressed := sum.pressedNeed(); pressed > need {
 			need, reason = pressed, Pressed
 		}
@@ -214,7 +227,7 @@
 		if t.count > t.zone.base() {
 			have += t.count
 		} else {
-			have += t.zone.coming(now, state.Bounds.Boot)
+			have += t.zone.coming(now, state.shown())
 		}
 	}
 	least := max(minWeight*weights/float64(max(len(targets), 1)), 1)
@@ -254,7 +267,7 @@
 	case t.count > max(z.base(), z.state.Listed) && !z.state.Avoided:
 		// More may be listed than were ordered last, and an order of fewer would end them.
 		return t.count, t.reason
-	case z.reconcile(now, state.Bounds.Boot):
+	case z.reconcile(now, state.shown()):
 		return z.ordered, Differs
 	}
 	return 0, ""
--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -45,8 +45,10 @@
 	settleTime = 2 * time.Second
 	// orderInterval is the shortest interval of two orders for one service and zone.
 	orderInterval = time.Second
-	// bootMargin is how much longer than the boot time an order may take to show in the list.
+	// bootMargin is how much longer than the boot time an order may take to show in the list, minBoot the least boot time assumed for
+	// that, if the configuration has a shorter one or none.
 	bootMargin = time.Second
+	minBoot    = 4 * time.Second
 	// rateShare is the part of the provider's rate that orders may take; usage reports need the rest.
 	rateShare = 0.6
 	// defaultRate is the rate of orders where that of the provider is not known, in calls a second.
@@ -150,6 +152,8 @@
 	zones  map[ident.Zone]*zone
 	// raisedAt is when the number was last raised, when callers last waited or were refused, or when this entry became the holder.
 	raisedAt time.Time
+	// pressedAt is since when callers wait or are refused, zero if they don't.
+	pressedAt time.Time
 	// loweredAt is when the number was last lowered.
 	loweredAt time.Time
 	// fault is the fault of the bounds that was reported last.
@@ -159,7 +163,7 @@
 // NewModel returns a model that gives at most a part of perSecond orders a second; 0 if the provider's rate is not known.
 //
 //	m := scale.NewModel(4)
-//	cmds := m.Update(now, scale.TickMsg{Holds: true, Services: scale.Survey(now, set, upstreams, requests, log)})
+//	cmds := m.Update(now, scale.TickMsg{Holds: true, Services: scale.Survey(now, set, upstreams, requests, stats)})
 func NewModel(perSecond float64) *Model {
 	limit := rate.Limit(rateShare * perSecond)
 	if perSecond <= 0 {
--- a/core/scale/scale_test.go
+++ b/core/scale/scale_test.go
@@ -176,13 +176,14 @@
 	}
 }
 
-// TestUnusableBoundsSendNothing sets bounds that contradict each other, has callers in a zone without upstreams, and takes a zone out of
-// service. None may get an order; a fault is reported once.
-func TestUnusableBoundsSendNothing(t *testing.T) {
+// TestNothingIsOrderedInVain sets bounds that contradict each other, has callers in a zone without upstreams, and takes a zone out of
+// service; or a few callers are refused while upstreams are idle. None may get an order; a fault is reported once.
+func TestNothingIsOrderedInVain(t *testing.T) {
 	zones := []scale.ZoneState{
 		{Zone: "a", Listed: 2, Ready: 2, Busy: 2, Requests: 2 * slots, Callers: scale.Callers{Arrived: 100, Refused: 50}},
 		{Zone: "nowhere", Callers: scale.Callers{Arrived: 100, Refused: 50}},
 	}
+	idle := []scale.ZoneState{{Zone: "a", Listed: 4, Ready: 4, Busy: 1, Requests: slots, Callers: scale.Callers{Arrived: 100, Refused: 2}}}
 	none, avoided := map[ident.Zone]int{}, []scale.ZoneState{zones[0]}
 	avoided[0].Avoided = true
 	for name, c := range map[string]struct {
@@ -193,6 +194,7 @@
 	}{
 		"usable":                    {conf.Autoscale{Min: 6, Max: 9, Boot: boot}, zones, 1, map[ident.Zone]int{"a": 6}},
 		"avoided":                   {conf.Autoscale{Min: 1, Max: 4, Boot: boot}, avoided, 0, none},
+		"idle":                      {conf.Autoscale{Min: 1, Max: 9, Boot: boot}, idle, 0, none},
 		"least above largest":       {conf.Autoscale{Min: 5, Max: 4, Boot: boot}, zones, 1, none},
 		"negative":                  {conf.Autoscale{Min: -1, Max: 4, Boot: boot}, zones, 1, none},
 		"largest below one":         {conf.Autoscale{Boot: boot}, zones, 1, none},
--- a/core/scale/survey.go
+++ b/core/scale/survey.go
@@ -29,7 +29,8 @@
 
 // ServiceState is the state of one service whose number of upstreams follows the demand.
 type ServiceState struct {
-	Name   ident.ServiceName
+	Name ident.ServiceName
+	// Bounds are those of the configuration.
 	Bounds conf.Autoscale
 	// Cold is how long a new upstream bears only a limited rate.
 	Cold time.Duration
@@ -39,7 +40,7 @@
 
 // Survey returns the state of the services whose number of upstreams follows the demand. Draining upstreams don't count as listed, but
 // their requests are part of the demand.
-func Survey(now time.Time, set *conf.Set, upstreams *fleet.Model, requests *place.Model, log *Log) (states []ServiceState) {
+func Survey(now time.Time, set *conf.Set, upstreams *fleet.Model, requests *place.Model, stats *Stats) (states []ServiceState) {
 	for i := range set.Services() {
 		service := &set.Services()[i]
 		if service.Autoscale == nil {
@@ -64,8 +65,8 @@
 				z.Ready++
 			}
 		})
-		own := log.Own(now, service.Name, requests.WaitingFor(service.Name))
-		log.Add(now, own, func(name ident.Zone, c Callers) {
+		own := stats.Own(now, service.Name, requests.WaitingFor(service.Name))
+		stats.Add(now, own, func(name ident.Zone, c Callers) {
 			z := at(name)
 			z.Callers.Waiting, z.Callers.Arrived, z.Callers.Refused = z.Callers.Waiting+c.Waiting, z.Callers.Arrived+c.Arrived, z.Callers.Refused+c.Refused
 		})
@@ -79,6 +80,9 @@
 	return states
 }
 
+// shown is how long after an order the listed number must be the ordered one.
+func (s *ServiceState) shown() time.Duration { return max(s.Bounds.Boot, minBoot) + bootMargin }
+
 // Check returns what is wrong with the bounds, empty if they can be used.
 func (s *ServiceState) Check() (fault string) {
 	switch b := s.Bounds; {
--- a/core/scale/zone.go
+++ b/core/scale/zone.go
@@ -79,8 +79,8 @@
 
 // coming returns how many upstreams there are or will be at the end of the boot time. Upstreams that are missing without an order under
 // way may have been lost.
-func (z *zone) coming(now time.Time, boot time.Duration) int {
-	if z.own && !z.stuck && now.Sub(z.sentAt) < boot+bootMargin {
+func (z *zone) coming(now time.Time, shown time.Duration) int {
+	if z.own && !z.stuck && now.Sub(z.sentAt) < shown {
 		return max(min(z.ordered, z.state.Listed+z.rise), z.state.Listed)
 	}
 	return z.state.Listed
@@ -104,8 +104,8 @@
 
 // reconcile returns whether the number has to be ordered again, since another one is listed although the boot time is over. A listed number
 // far above the ordered one is followed: ordering the lower one again would end many upstreams at once.
-func (z *zone) reconcile(now time.Time, boot time.Duration) (again bool) {
-	if !z.own || z.differsAt.IsZero() || now.Sub(z.differsAt) < boot+bootMargin || now.Sub(z.sentAt) < boot+bootMargin {
+func (z *zone) reconcile(now time.Time, shown time.Duration) (again bool) {
+	if !z.own || z.differsAt.IsZero() || now.Sub(z.differsAt) < shown || now.Sub(z.sentAt) < shown {
 		return false
 	}
 	if z.state.Listed > z.ordered+1 {
--- a/io/daemon/scale.go
+++ b/io/daemon/scale.go
@@ -19,7 +19,7 @@
 
 // scaling decides about the number of upstreams by the callers of all entries.
 type scaling struct {
-	callers *scale.Log
+	callers *scale.Stats
 	model   *scale.Model
 	// held is set if this entry held the lease at the last decision, which was at decidedAt.
 	held      bool
@@ -34,7 +34,7 @@
 	if !s.Scaling {
 		return nil
 	}
-	return &scaling{callers: scale.NewLog(zone), model: scale.NewModel(s.DutyRate)}
+	return &scaling{callers: scale.NewStats(zone), model: scale.NewModel(s.DutyRate)}
 }
 
 // countArrival counts a request, which is about to be placed.
