--- a/io/daemon/scale.go
+++ b/io/daemon/scale.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,14 @@
 	// held is set if this entry held the lease at the last decision, which was at decidedAt.
 	held      bool
 	decidedAt time.Time
+	// gauges holds the upstreams that have gauges.
+	gauges map[upstreamsKey]bool
+}
+
+// upstreamsKey names the upstreams of a service in an availability zone.
+type upstreamsKey struct {
+	service ident.ServiceName
+	zone    ident.Zone
 }
 
 // observeInterval is the interval at which entries without the lease observe the demand. Surveying hundreds of upstreams takes 0.1 ms.
@@ -34,7 +43,7 @@
 	if !s.Scaling {
 		return nil
 	}
-	return &scaling{callers: scale.NewStats(zone), model: scale.NewModel(s.DutyRate)}
+	return &scaling{callers: scale.NewStats(zone), model: scale.NewModel(s.DutyRate), gauges: map[upstreamsKey]bool{}}
 }
 
 // countArrival counts a request, which is about to be placed.
@@ -118,12 +127,26 @@
 			orders = append(orders, cmd)
 		}
 	}
-	for _, s := range c.scaling.model.Status() {
-		d.meter.setUpstreams(s)
-	}
+	c.scaling.setGauges(d.meter)
 	return orders
 }
 
+// setGauges sets the gauges of all services that are scaled, and removes those of others.
+func (s *scaling) setGauges(m *Meter) {
+	present := map[upstreamsKey]bool{}
+	for _, status := range s.model.Status() {
+		key := upstreamsKey{status.Service, status.Zone}
+		present[key], s.gauges[key] = true, true
+		m.setUpstreams(key, status)
+	}
+	maps.DeleteFunc(s.gauges, func(key upstreamsKey, _ bool) bool {
+		if !present[key] {
+			m.dropUpstreams(key)
+		}
+		return !present[key]
+	})
+}
+
 // orderCapacity gives an order to the provider.
 func (u *duty) orderCapacity(ctx context.Context, cmd scale.OrderCmd) {
 	ctx, cancel, token, holds := u.leaseContext(ctx)
@@ -154,10 +177,20 @@
 	d.scaling.model.Update(clock.Now(), outcome)
 }
 
-// setUpstreams sets the gauges of the upstreams of a service in an availability zone.
-func (m *Meter) setUpstreams(s scale.Status) {
-	for name, value := range map[string]int{"ordered": s.Ordered, "listed": s.Listed, "ready": s.Ready} {
-		m.set.GetOrCreateGauge(fmt.Sprintf("upstreams_%s{service=%q,zone=%q}", name, s.Service, s.Zone), nil).Set(float64(value))
+// gauge names a gauge of upstreams.
+func (k upstreamsKey) gauge(of string) string {
+	return fmt.Sprintf("upstreams_%s{service=%q,zone=%q}", of, k.service, k.zone)
+}
+
+func (m *Meter) setUpstreams(key upstreamsKey, s scale.Status) {
+	for of, value := range map[string]int{"ordered": s.Ordered, "listed": s.Listed, "ready": s.Ready} {
+		m.set.GetOrCreateGauge(key.gauge(of), nil).Set(float64(value))
+	}
+}
+
+func (m *Meter) dropUpstreams(key upstreamsKey) {
+	for _, of := range []string{"ordered", "listed", "ready"} {
+		m.set.UnregisterMetric(key.gauge(of))
 	}
 }
 
