Send requests whose first byte is overdue to another upstream

core/recall selects such requests from times alone; place asks it at each tick. A request is recalled once, if its route may run it again within max_attempts (retry.May), it would miss its objective even at the expected pace, and another upstream is expected to take less than two thirds of the rest and less than half of the time left. Nothing is recalled while all upstreams are full or requests are queued. The daemon takes the retry from the budget under the lock of the decision, before the exchange ends: with an empty budget the request goes on where it is. The relay does not charge it again. A request that waited for parts does not fetch from that holder again: it would wait for the same link.

It is on where an upstream of the service states its slowdown, and everywhere with [admission] recall = true in the settings file.

RecallCmd, RetryMsg and Need got fields; TestSettingsAreParsed reads one more setting, and the bench of the tests of place keeps its configuration.

Run: go test ./core/recall ./core/pace ./core/place ./core/fleet ./core/retry ./io/daemon; go test -run 'Settings|AreDecoded|Overdue|OldWeights|Comment' ./platform; make lint.

--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -207,14 +207,14 @@
 	engine := f.service.Engine
 	for i := range f.m.set.Services() {
 		s := f.m.set.Services()[i].Store
-		if s == nil || !f.m.index.Readable(f.now, parts.Holder(s.Address), key, tokens) {
+		if s == nil || parts.Holder(s.Address) == f.need.slowSource || !f.m.index.Readable(f.now, parts.Holder(s.Address), key, tokens) {
 			continue
 		}
 		near := transferDuration(tokens, engine.TokenSize, min(s.Link, engine.Link))
 		found = append(found, origin{parts.Holder(s.Address), s.Zone, near, s.Delay, true})
 	}
 	f.m.fleet.Each(f.now, f.need.Service, func(u *conf.Upstream, status fleet.Status) {
-		if status.Usable && u.Weights[f.need.Model] == version && f.m.index.Has(parts.Holder(u.Address), key, tokens) {
+		if status.Usable && parts.Holder(u.Address) != f.need.slowSource && u.Weights[f.need.Model] == version && f.m.index.Has(parts.Holder(u.Address), key, tokens) {
 			found = append(found, origin{parts.Holder(u.Address), u.Zone, transferDuration(tokens, engine.TokenSize, engine.Link), 0, false})
 		}
 	})
--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -36,6 +36,10 @@
 	Deadline  time.Time
 	// Stream is set if the first byte of the answer shows that the request has begun.
 	Stream bool
+	// Repeatable is set if the request may be sent to another upstream although this one may have begun to run it.
+	Repeatable bool
+	// slowSource is the holder from which a recalled request waited for parts, empty if it did not. It does not fetch from there again.
+	slowSource parts.Holder
 	// Spread, if not empty, makes the choice among upstreams with capacity depend on a hash of it alone, so that
 	// requests with different values are unlikely to meet on one.
 	Spread string
@@ -72,8 +76,10 @@
 	Outcome Outcome
 	// Avoid lists the upstreams to which it must not be sent.
 	Avoid []ident.UpstreamID
-	// Spread replaces that of the request's need.
-	Spread string
+	// Spread and Repeatable replace those of the request's need. A request that was recalled since it was overdue is not recalled
+	// again.
+	Spread     string
+	Repeatable bool
 }
 
 // WithdrawMsg removes a queued request whose caller has disconnected.
--- a/core/place/pace.go
+++ b/core/place/pace.go
@@ -74,3 +74,10 @@
 	m.pace.Update(now, pace.SampleMsg{Service: u.Service, Upstream: u.ID, Born: u.Born, Ratio: ratio, Slowdown: s.slowdown})
 	return unexplained
 }
+
+// forgetPace applies that an upstream was removed.
+func (m *Model) forgetPace(now time.Time, id ident.UpstreamID) {
+	if m.pace != nil {
+		m.pace.Update(now, pace.GoneMsg{Upstream: id})
+	}
+}
--- a/core/place/pace_test.go
+++ b/core/place/pace_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"cicadavalve/core/conf"
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
 	"cicadavalve/core/pace"
@@ -69,12 +68,7 @@
 	r := &replay{rng: rand.New(rand.NewPCG(3, seed)), objective: 300 * time.Millisecond}
 	for i := range replayEntries {
 		b := newBench(replayEngines, 1_000_000)
-		b.place = place.NewModel(b.fleet, b.index, rand.New(rand.NewPCG(5, uint64(i))), options()...)
-		b.place.SetConfig(conf.NewSet(conf.Data{
-			Services: []conf.Service{{Name: "llm", Engine: &conf.Engine{Slots: 16, Memory: 1_000_000, TokenSize: 20_000, Link: 300e9}}},
-			Routes:   []conf.Route{{Objective: r.objective, Shares: []conf.Share{{Service: "llm", Weight: 1}}}},
-		}))
-		b.place.SetMembers(place.Members{Self: fmt.Sprint(i), Sharers: []string{fmt.Sprint(i)}, Zone: "z", ReportInterval: 100 * time.Millisecond})
+		b.rebuild(uint64(i), place.Members{Self: fmt.Sprint(i), Sharers: []string{fmt.Sprint(i)}, Zone: "z", ReportInterval: 100 * time.Millisecond}, options()...)
 		r.entries = append(r.entries, b)
 	}
 	for i := range r.speed {
@@ -83,6 +77,13 @@
 	return r
 }
 
+// rebuild replaces the placement model by one with options, and a seed of its own.
+func (b *bench) rebuild(seed uint64, members place.Members, options ...place.Option) {
+	b.place = place.NewModel(b.fleet, b.index, rand.New(rand.NewPCG(5, seed)), options...)
+	b.place.SetConfig(b.set)
+	b.place.SetMembers(members)
+}
+
 // run plays from the start for a time, with a mean number of requests a second.
 func (r *replay) run(d time.Duration, perSecond float64) {
 	for now := start; now.Sub(start) < d; now = now.Add(replayStep) {
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -61,8 +61,11 @@
 	// nothing that is plausible.
 	headed   bool
 	slowdown float64
-	// recalled is set once the request has been recalled.
-	recalled bool
+	// recalled is set once the request has been recalled for its weights, overdue once it has since its first byte is overdue, and noted once
+	// it was applied that the first byte is late.
+	recalled, overdue, noted bool
+	// avoid lists the upstreams to which it must not be sent.
+	avoid []ident.UpstreamID
 	// address and salt identify the upstream's cache entries for the prompt.
 	address parts.Holder
 	salt    string
@@ -105,6 +108,8 @@
 	ramp *ramp.Model
 	// pace holds the pace of upstreams that state their slowdown; nil if that is not used.
 	pace *pace.Model
+	// recalls is set if overdue requests are recalled at services whose upstreams do not state their slowdown, too.
+	recalls bool
 }
 
 // namedVersion is a version of a model's weights.
@@ -232,13 +237,11 @@
 	case PeerMsg:
 		m.updatePeer(now, msg)
 	case TickMsg:
-		return append(m.recall(now), m.placeQueued(now, "")...)
+		return slices.Concat(m.recall(now), m.recallOverdue(now), m.placeQueued(now, ""))
 	case fleet.GoneCmd:
 		m.forgetUpstream(msg.ID)
 		delete(m.upstreams, msg.ID)
-		if m.pace != nil {
-			m.pace.Update(now, pace.GoneMsg{Upstream: msg.ID})
-		}
+		m.forgetPace(now, msg.ID)
 	}
 	return nil
 }
@@ -259,7 +262,7 @@
 		return []ident.Cmd{RefuseCmd{Ticket: msg.Ticket, RetryAfter: minRetryAfter, Reason: NoUpstream}}
 	}
 	need := s.need
-	need.Spread = msg.Spread
+	need.Spread, need.Repeatable, need.slowSource = msg.Spread, msg.Repeatable && !s.overdue, s.slowSource()
 	m.again(&need)
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
@@ -427,7 +430,9 @@
 	case m.late(now, need, best):
 		cmds = m.refuse(need, best, tally, Overloaded)
 	default:
-		return m.send(now, w.need, need, best)
+		cmds = m.send(now, w.need, need, best)
+		m.sent[need.Ticket].avoid = w.avoid
+		return cmds
 	}
 	if only != "" {
 		// Another upstream may still serve the request in time.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -24,6 +24,7 @@
 	fleet *fleet.Model
 	index *parts.Index
 	place *place.Model
+	set   *conf.Set
 }
 
 func newBench(engines int, memory int, stores ...conf.Store) *bench {
@@ -33,9 +34,10 @@
 	}
 	b := &bench{fleet: fleet.NewModel(), index: parts.NewIndex()}
 	b.place = place.NewModel(b.fleet, b.index, rand.New(rand.NewPCG(1, 1)))
-	b.place.SetConfig(conf.NewSet(conf.Data{Services: services, Routes: []conf.Route{
+	b.set = conf.NewSet(conf.Data{Services: services, Routes: []conf.Route{
 		{Objective: 300 * time.Millisecond, Shares: []conf.Share{{Service: "llm", Weight: 1}}},
-	}}))
+	}})
+	b.place.SetConfig(b.set)
 	b.place.SetMembers(place.Members{Self: "self", Sharers: []string{"self"}, Zone: "z"})
 	for i := range engines {
 		b.fleet.Update(start, fleet.ListedMsg{Upstream: conf.Upstream{
--- a/core/place/recall.go
+++ b/core/place/recall.go
@@ -17,10 +17,16 @@
 )
 
 // RecallCmd ends the exchange of a request that has waited at its upstream for so long that it would begin on weights that have been
-// outdated for too long.
+// outdated for too long, or whose first byte is overdue.
 type RecallCmd struct {
 	Ticket   Ticket
 	Upstream ident.UpstreamID
+	Service  ident.ServiceName
+	// Overdue is set if the first byte is overdue. The request must then only be recalled if the retry budget allows it to be sent again.
+	Overdue bool
+	// Waited is the time since it was sent, Expected the time to the first byte that was expected then, and Target the one that is
+	// expected at another upstream now. They are set if Overdue is.
+	Waited, Expected, Target time.Duration
 }
 
 // recall returns the commands that end the exchanges of requests that have not begun and may not begin any more. Only streams
@@ -40,7 +46,7 @@
 		}
 		if newer, outdated := m.newer(s.model, u.Weights[s.model]); outdated && !now.Before(newer.end.Add(-recallMargin)) {
 			s.recalled = true
-			cmds = append(cmds, RecallCmd{Ticket: t, Upstream: s.upstream})
+			cmds = append(cmds, RecallCmd{Ticket: t, Upstream: s.upstream, Service: s.need.Service})
 		}
 	}
 	return cmds
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -64,6 +64,7 @@
 	waiters map[place.Ticket]chan relay.Decision
 	// recalls ends the exchange of each request that is under way. It is nil for one that was recalled before its exchange began.
 	recalls map[place.Ticket]context.CancelCauseFunc
+	overdue recallCounts
 	// budgets holds the retry budget of each service.
 	budgets map[ident.ServiceName]*retry.Window
 	// beats counts the heartbeats of this incarnation.
@@ -164,7 +165,7 @@
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		refusals: map[ident.UpstreamID]refusal{}, greetedAt: map[string]time.Time{},
 		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds)),
+		place:  place.NewModel(upstreams, index, rng, placeOptions(s, roll, speeds)...),
 		pace:   speeds,
 		ramp:   roll,
 		stall:  stall.NewModel(stall.DefaultThreshold),
@@ -272,12 +273,7 @@
 		case place.RefuseCmd:
 			d.deliver(cmd.Ticket, relay.Decision{Refuse: &cmd})
 		case place.RecallCmd:
-			d.log.Info("request_recalled", "ticket", cmd.Ticket, "upstream", cmd.Upstream)
-			if cancel := d.recalls[cmd.Ticket]; cancel != nil {
-				cancel(relay.ErrRecalled)
-			} else {
-				d.recalls[cmd.Ticket] = nil
-			}
+			d.recallRequest(cmd)
 		case place.PanicCmd:
 			d.panics.Do(func() {
 				d.log.Error("decision_panicked", "ticket", cmd.Ticket, "cause", cmd.Cause, "stack", cmd.Stack)
@@ -346,9 +342,13 @@
 
 // AllowRetry implements [relay.Controller].
 func (d *Controller) AllowRetry(service ident.ServiceName) bool {
-	now := clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.withdrawRetry(clock.Now(), service)
+}
+
+// withdrawRetry is AllowRetry while the lock is held.
+func (d *Controller) withdrawRetry(now time.Time, service ident.ServiceName) bool {
 	w := d.budget(service)
 	w.SetAllowance(d.retryAllowance(now))
 	return w.Withdraw(now)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -101,6 +101,7 @@
 	d.forwarder, d.controller.decode = newForwarder(d), outside.Store.Decode
 	d.meter.watchEvidence(d.controller.countEvidence)
 	d.meter.watchPace(d.controller.paceSummary)
+	d.meter.watchRecalls(&d.controller.overdue)
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(self.ID, d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -78,6 +79,13 @@
 	m.set.NewGauge("slowdown_persistence_seconds", func() float64 { return summary().Persistence.Seconds() })
 }
 
+// watchRecalls serves how many overdue requests were recalled, and how many were not for want of retries.
+func (m *Meter) watchRecalls(counts *recallCounts) {
+	for allowed, count := range map[bool]*atomic.Int64{true: &counts.recalled, false: &counts.denied} {
+		m.set.NewGauge(fmt.Sprintf("requests_overdue_total{recalled=\"%t\"}", allowed), func() float64 { return float64(count.Load()) })
+	}
+}
+
 // ServeHTTP implements [http.Handler].
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	m.set.WritePrometheus(w)
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -50,6 +50,8 @@
 	UsageWindow, UsageDelay time.Duration
 	// Scaling is set if the daemons order the number of upstreams.
 	Scaling bool
+	// Recall is set if requests whose first byte is overdue are sent to another upstream, also where upstreams don't state their slowdown.
+	Recall bool
 	// DutyRate is how many calls a second the provider takes from all daemons together, 0 if that is not known.
 	DutyRate float64
 }
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -37,6 +37,8 @@
 	ending retry.Ending
 	// recalled is set if the attempt failed because this entry gave it up; that says nothing of the upstream.
 	recalled bool
+	// charged is set if the next attempt has been taken from the retry budget.
+	charged bool
 	// failure is the upstream's answer, held back while another attempt may succeed; nil if there is none.
 	failure *failure
 }
@@ -70,6 +72,7 @@
 	if x.handOver(ctx, LacksMost, false) {
 		return
 	}
+	x.need.Repeatable = x.mayRecall()
 	d, err := x.h.controller.Place(ctx, x.need, x.screening.Avoid)
 	var res result
 	for {
@@ -121,6 +124,7 @@
 			"cause", errorText(x.cause), "runs", x.history.Runs, "spared", x.history.NotRun)
 		msg := place.RetryMsg{
 			Ticket: x.need.Ticket, Outcome: res.outcome(), Avoid: slices.Concat(x.avoid, x.screening.Avoid), Spread: x.need.Spread,
+			Repeatable: x.mayRecall(),
 		}
 		if d, err = x.h.controller.Retry(ctx, msg); err == nil && d.Send == nil {
 			switch {
@@ -140,7 +144,15 @@
 	x.countAttempt(res.ending)
 	x.avoid = append(x.avoid, x.upstream)
 	return x.canContinue() && retry.May(x.route, res.ending, x.history) && !x.screen().Blocked &&
-		(!res.ending.UsesBudget() || x.h.controller.AllowRetry(x.need.Service))
+		(!res.ending.UsesBudget() || res.charged || x.h.controller.AllowRetry(x.need.Service))
+}
+
+// mayRecall reports whether the next attempt may be given up for another one although it may have run the request. Requests that are suspected
+// to crash upstreams stay where they are: what becomes of their upstream is evidence.
+func (x *exchange) mayRecall() bool {
+	history := x.history
+	history.Runs++
+	return x.canContinue() && len(x.screening.Trials) == 0 && retry.May(x.route, retry.Unknown, history)
 }
 
 var endingNames = map[retry.Ending]string{
@@ -219,8 +231,8 @@
 	ctx, end := x.h.controller.Attempt(parent, x.need.Ticket)
 	defer end()
 	res = x.sendTo(ctx, cmd)
-	if !res.done && errors.Is(context.Cause(ctx), ErrRecalled) {
-		x.cause, res.recalled = ErrRecalled, true
+	if cause := context.Cause(ctx); !res.done && errors.Is(cause, ErrRecalled) {
+		x.cause, res.recalled, res.charged = cause, true, errors.Is(cause, ErrOverdue)
 	}
 	return res
 }
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -80,7 +80,8 @@
 	ObservePeer(id string, reached bool)
 	// Retry places a request once more, avoiding the given upstreams.
 	Retry(ctx context.Context, msg place.RetryMsg) (d Decision, err error)
-	// Attempt returns the context of an exchange with an upstream. It ends with [ErrRecalled] if the request must not begin there any more.
+	// Attempt returns the context of an exchange with an upstream. It ends with [ErrRecalled] if the request must not begin there any more,
+	// and with [ErrOverdue] if it should be sent elsewhere.
 	// The caller must call end.
 	Attempt(ctx context.Context, ticket place.Ticket) (attempt context.Context, end func())
 	// StillEligible reports whether the upstream that was chosen for a request may still run it.
@@ -102,6 +103,9 @@
 // ErrRecalled means that a request waited at its upstream for too long to begin there.
 var ErrRecalled = errors.New("request recalled before its run began")
 
+// ErrOverdue is an [ErrRecalled] of a request that another upstream is expected to answer sooner. A retry has been taken from the budget for it.
+var ErrOverdue = errors.Wrap(ErrRecalled, "first byte overdue")
+
 // Exchange is a request to an upstream that it has answered.
 type Exchange struct {
 	Ticket   place.Ticket
--- a/io/relay/resume.go
+++ b/io/relay/resume.go
@@ -17,8 +17,13 @@
 
 // canContinue reports whether another upstream may continue the stream: nothing was sent to the caller, or the events have numbers.
 func (x *exchange) canContinue() (ok bool) {
-	_, err := strconv.ParseInt(x.lastEvent, 10, 64)
-	return !x.committed || err == nil
+	return !x.committed || isNumber(x.lastEvent)
+}
+
+// isNumber reports whether the id of an event is one that the rest of its stream can begin after.
+func isNumber(id string) (ok bool) {
+	_, err := strconv.ParseInt(id, 10, 64)
+	return err == nil
 }
 
 // continues reports whether an answer has the kind of content of the stream that it is to continue.
--- a/io/relay/screen.go
+++ b/io/relay/screen.go
@@ -151,9 +151,9 @@
 
 // reportBroken reports an attempt without a complete answer. If the context has ended, the caller or the deadline ended
 // the attempt, and it is reported only if the upstream had been silent for long. Another entry reports its own attempts; cmd is
-// nil then. What was recalled is no fault of the upstream.
+// nil then. What was recalled is no fault of the upstream; if its first byte was overdue, its attempt counts as one that the deadline ended.
 func (x *exchange) reportBroken(ctx context.Context, cmd *place.SendCmd, b Break) {
-	if cmd == nil || errors.Is(context.Cause(ctx), ErrRecalled) {
+	if cause := context.Cause(ctx); cmd == nil || errors.Is(cause, ErrRecalled) && !errors.Is(cause, ErrOverdue) {
 		return
 	}
 	age := clock.Since(x.sentAt)
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -41,8 +41,8 @@
 	for {
 		n, err := x.held.readFrom(answer, maxEvent)
 		if end := lastSeparator(x.held.data, n); end >= 0 {
-			if misplaced := x.relayEvents(answer, end, rest); misplaced != nil {
-				err = misplaced
+			if stopped := x.relayEvents(ctx, answer, end, rest); stopped != nil {
+				err = stopped
 			}
 		}
 		ended := errors.Is(err, io.EOF)
@@ -59,7 +59,7 @@
 		case ended:
 			x.cause = errors.New("stream without new events")
 			return result{ending: retry.Unknown}
-		case errors.Is(err, errNoMemory), errors.Is(err, errMisplaced):
+		case errors.Is(err, errNoMemory), errors.Is(err, errMisplaced), errors.Is(err, ErrOverdue):
 			x.cause = err
 			return result{ending: retry.Unknown}
 		case err != nil:
@@ -71,24 +71,29 @@
 }
 
 // relayEvents passes on what is held back up to end, a separator. Before the first event it passes nothing on, so that comments alone
-// don't bind the request to an upstream.
-func (x *exchange) relayEvents(answer *link.Answer, end int, rest *continuation) (misplaced error) {
+// don't bind the request to an upstream. A request that was recalled as overdue just before its first event is bound only if another upstream
+// can continue the stream: its exchange has ended.
+func (x *exchange) relayEvents(ctx context.Context, answer *link.Answer, end int, rest *continuation) (stopped error) {
 	events := x.held.data[:end]
 	count := countEvents(events)
 	if rest != nil {
-		events, count, misplaced = rest.accept(events)
+		events, count, stopped = rest.accept(events)
 	}
 	if count == 0 && !x.committed {
-		return misplaced
+		return stopped
 	}
 	if count > 0 {
+		x.observeContent()
+		// No such recall follows the first byte.
+		if cause := context.Cause(ctx); !x.committed && errors.Is(cause, ErrOverdue) && !isNumber(lastEventID(events)) {
+			return cause
+		}
 		x.events += count
 		x.numbers.observe(events, count)
-		x.observeContent()
 	}
 	x.write(answer, events)
 	x.held.drop(end)
-	return misplaced
+	return stopped
 }
 
 // observeContent records that the upstream has sent an event.
