Take no connection of another entry as contact with a dead upstream

Entries tell each other of contacts only where one asks, and these include connections that a probe opened. A proxy in front of a dead upstream accepts those as well.

--- a/core/poison/contact.go
+++ b/core/poison/contact.go
@@ -10,8 +10,8 @@
 // there after a loss break off as well, whatever they hold, so that one crash would count several times against the same
 // request. Only contact with the upstream after the loss shows that there was anything to crash.
 
-// ObserveContact records that an upstream has answered, to any entry, a request that was sent at a time. An opened
-// connection is no contact: a proxy may have accepted it. Contacts matter only while there are losses.
+// ObserveContact records that an upstream has answered a request that was sent at a time. An opened connection is no
+// contact, by this entry or another one: a proxy may have accepted it. Contacts matter only while there are losses.
 func (m *Model) ObserveContact(upstream ident.UpstreamID, sentAt time.Time) {
 	known, _ := m.contacts.Get(upstream)
 	if !sentAt.After(known) {
@@ -23,7 +23,7 @@
 }
 
 // isRepeat reports whether a break tells nothing new of a key: the key has a loss on the same boot from before the attempt
-// began, and nobody had contact with the upstream since the last break that was known by then.
+// began, and no contact with the upstream is known since the last break that was known by then.
 func (m *Model) isRepeat(d Digest, b Break) bool {
 	last, earlier := m.lastLoss(d, b)
 	if !earlier {
--- a/core/poison/part.go
+++ b/core/poison/part.go
@@ -181,7 +181,7 @@
 
 // RecordBreak records the loss of an upstream against each key that may be at fault, and publishes it. If the request
 // itself was on trial, the loss convicts no part of it: others with the part decide about that. It counts for nothing against
-// a key with a loss on the same boot if nobody had contact with the upstream since: see [Model.ObserveContact].
+// a key with a loss on the same boot if no contact with the upstream is known since: see [Model.ObserveContact].
 func (m *Model) RecordBreak(now time.Time, b Break) (cmds []ident.Cmd) {
 	requestTried := b.Trial != "" && m.Granted(b.Keys.Request, b.Trial)
 	conclusive := m.countRetried(b) < 2
--- a/io/daemon/reach.go
+++ b/io/daemon/reach.go
@@ -158,8 +158,6 @@
 		if _, listed := d.fleet.Get(ident.UpstreamID(c.Upstream)); listed {
 			at := arrived.Add(-time.Duration(max(c.AgeMS, 0)) * time.Millisecond)
 			d.perform(d.reach.Update(now, reach.HeardMsg{ID: ident.UpstreamID(c.Upstream), At: at}))
-			// It may have been a connection alone: then a repeated break counts.
-			d.poison.ObserveContact(ident.UpstreamID(c.Upstream), at)
 		}
 	}
 }
