Decide when leaving the availability zone pays, and how much may leave

A flat 4 ms for another zone sends about as many requests there as stay, though its own upstreams would serve them in time. core/zones keeps a price and a share for each service and other zone; core/place uses them in the place of the flat cost with place.WithZones, and decides as before without it.

The price is the measured extra delay and failures of the link and a part of the objective. The share that may leave for the waits rises in steps of 0.05 and falls by a fifth, with bounds apart. No request is refused for the share: what finds no room in its zone waits there as long as leaving costs and may then go anywhere; half of what would miss its objective may, too.

Ruled out: the price alone and a share computed from the loads at once (all entries see the same loads, as old as the last reports); see docs/design/zones.md.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -51,6 +51,14 @@
 	fetched    int
 	source     parts.Holder
 	fetchDelay time.Duration
+	// fetchZone is the zone of a holder in another zone than the upstream, empty if nothing is fetched across zones.
+	fetchZone ident.Zone
+	// crossed counts the tokens that are, crossing is the cost of that in ns. With nearOnly nothing is fetched across zones.
+	crossed  int
+	crossing float64
+	nearOnly bool
+	// forced is set if the own zone can't serve the request in time.
+	forced bool
 	// fetch and transfers hold the sources and transfers of the fetched parts; they are set for the chosen option only.
 	fetch     []conf.Source
 	transfers []Transfer
@@ -68,8 +76,11 @@
 }
 
 // choose scores the upstreams of a service and returns the best option, nil if none can take the request. In a large
-// fleet it scores a sample; if only isn't empty, it scores that upstream alone.
-func (m *Model) choose(now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID) (best *option, tally Tally, ahead outlook) {
+// fleet it scores a sample; if only isn't empty, it scores that upstream alone. Upstreams that the gate does not admit are chosen
+// only for the context that they have.
+func (m *Model) choose(
+	now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID, g gate,
+) (best *option, tally Tally, ahead outlook) {
 	service, ok := m.set.Service(need.Service)
 	if !ok {
 		return nil, tally, ahead
@@ -79,14 +90,19 @@
 	step := m.urgencyStep(now, need)
 	subset, position := sample{all: true}, -1
 	if only == "" && need.Spread == "" {
-		subset = m.sample(find)
+		subset = m.sample(find, g)
 	}
-	var chosen, candidate option
-	ties := 0
+	var admitted contender
+	var outside *contender
+	var candidate option
 	m.fleet.Each(now, need.Service, func(u *conf.Upstream, status fleet.Status) {
 		if position++; only != "" && u.ID != only || !subset.has(position, u) {
 			return
 		}
+		isAdmitted, tally, ahead := m.admits(g, u), &tally, &ahead
+		if !isAdmitted {
+			tally, ahead = &Tally{}, &outlook{}
+		}
 		if slices.Contains(avoid, u.ID) || !m.open(now, u, status, service, need) {
 			tally.Closed++
 			ahead.close(status)
@@ -120,19 +136,20 @@
 		case need.Spread != "":
 			candidate.cost = -float64(route.Weight(route.HashID(ident.UpstreamID(need.Spread)), route.HashID(u.ID)))
 		case m.mustTry(now, need, status, &candidate):
-			candidate.cost = math.Inf(-1)
-		}
-		tally.Open++
-		if best == nil || candidate.cost < best.cost {
-			ties = 0
+			candidate.cost, isAdmitted = math.Inf(-1), true
 		}
-		// Ties are broken at random. Otherwise the first upstream would get what all entries send at their start.
-		if best == nil || candidate.cost <= best.cost {
-			if ties++; m.rng.IntN(ties) == 0 {
-				chosen, best = candidate, &chosen
+		switch {
+		case isAdmitted:
+			tally.Open++
+			admitted.offer(m, &candidate)
+		case candidate.cached > 0:
+			if outside == nil {
+				outside = &contender{}
 			}
+			outside.offer(m, &candidate)
 		}
 	})
+	best = m.better(need, &admitted, outside)
 	if best != nil && len(find.shared) > 0 {
 		find.nameSources(best)
 	}
@@ -172,8 +189,7 @@
 	stats.decay(now)
 	total := l.total(now)
 	slots := max(u.Slots, 1)
-	turns := 1 + max(0, float64(total.Requests+1-slots))/float64(slots)
-	first := service.call * turns * stats.slowdown
+	first := service.call * turns(total.Requests, slots) * stats.slowdown
 	o.firstByte = times.Duration(first)
 	o.cost = first*(1+0.3*float64(total.Requests)/float64(slots)) + m.penalty(need, u, stats)
 	o.idle = total.Requests < slots/2
@@ -183,10 +199,7 @@
 func (m *Model) penalty(need *Need, u *conf.Upstream, stats *upstreamStats) (cost float64) {
 	excess := max(0, stats.failureRate-m.serviceStats(need.Service).failureRate)
 	cost = failureCost * float64(need.Objective) * excess
-	if u.Zone != m.members.Zone {
-		cost += float64(crossZoneCost)
-	}
-	return cost
+	return cost + m.leaveCost(need, u.Zone)
 }
 
 // scoreEngine scores a model engine. It returns the resource that the engine lacks for the request, Free if none.
@@ -197,6 +210,10 @@
 	total := l.total(now)
 	o.version, o.idle = u.Weights[need.Model], total.Requests < u.Slots/2
 	find.planFetch(o)
+	if o.crossing = m.crossingCost(need, o); o.crossing > service.perToken*float64(o.crossed) {
+		*o = option{upstream: u, quota: o.quota, version: o.version, idle: o.idle, nearOnly: true}
+		find.planFetch(o)
+	}
 	o.missing = find.tokens - o.cached - o.fetched
 	o.ahead = l.ahead(need.Rank)
 	if bound := m.bound(need, step, find.service, total, o); bound != Free {
@@ -205,7 +222,7 @@
 	first := service.firstByte(o.ahead+o.missing)*stats.slowdown + float64(o.fetchDelay)
 	o.firstByte = times.Duration(first)
 	o.cost = first*(1+float64(total.Requests)/float64(max(u.Slots, 1))) + m.penalty(need, u, stats)
-	o.cost += service.perToken * (recomputeWeight*float64(o.recomputed) + fetchWeight*float64(o.fetched))
+	o.cost += o.crossing + service.perToken*(recomputeWeight*float64(o.recomputed)+fetchWeight*float64(o.fetched))
 	if _, outdated := m.outdated(need.Model, o.version); outdated {
 		o.cost += oldWeightsCost * float64(need.Objective)
 	}
--- a/core/place/fetch.go
+++ b/core/place/fetch.go
@@ -247,6 +247,10 @@
 		if best.fetchDelay > o.fetchDelay {
 			o.fetchDelay, o.source = best.fetchDelay, best.holder
 		}
+		if best.zone != o.upstream.Zone {
+			o.fetchZone = best.zone
+			o.crossed += f.shared[i].Tokens - own.Cached(p.keys[i])
+		}
 	})
 }
 
@@ -289,7 +293,7 @@
 			continue
 		}
 		best, ok := f.nearest(p, i, parts.Holder(o.upstream.Address), o.upstream.Zone)
-		if !ok {
+		if !ok || o.nearOnly && best.zone != o.upstream.Zone {
 			missing = true
 			if f.isPrefilling(o.version, p, i) {
 				o.recomputed += part.Tokens
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -17,6 +17,7 @@
 	"cicadavalve/core/parts"
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/times"
+	"cicadavalve/core/zones"
 )
 
 // Members describes this entry and the other ones.
@@ -51,6 +52,8 @@
 	// ahead is how many tokens were to be prefilled before the first byte when it was sent, its own included.
 	ahead    int
 	expected time.Duration
+	// usual is what expected would be at an upstream of usual speed.
+	usual time.Duration
 	// fetchFrom is the holder of the slowest fetch, empty if nothing is fetched.
 	fetchFrom  parts.Holder
 	fetchDelay time.Duration
@@ -97,6 +100,9 @@
 	links map[parts.Holder]*link
 	// ramp decides about software releases; nil if there are no roll-outs.
 	ramp *ramp.Model
+	// zones decides about leaving the availability zone; nil if that has a fixed cost. It was last told of all zones at zonesAt.
+	zones   *zones.Model
+	zonesAt time.Time
 }
 
 // namedVersion is a version of a model's weights.
@@ -222,7 +228,7 @@
 	case PeerMsg:
 		m.updatePeer(now, msg)
 	case TickMsg:
-		return append(m.recall(now), m.placeQueued(now, "")...)
+		return slices.Concat(m.recall(now), m.observeZones(now), m.placeQueued(now, ""))
 	case fleet.GoneCmd:
 		m.forgetUpstream(msg.ID)
 		delete(m.upstreams, msg.ID)
@@ -275,6 +281,7 @@
 	}
 	s.load.finishPrefill(s)
 	elapsed := now.Sub(s.at)
+	m.noteDelay(now, s, elapsed)
 	service, upstream := m.serviceStats(s.need.Service), m.upstreamStats(s.upstream)
 	if len(s.chain) == 0 {
 		service.observeCall(elapsed)
@@ -308,6 +315,7 @@
 		outcome = Cancelled
 	}
 	m.noteOutcome(now, s, outcome)
+	m.noteLink(now, s, outcome)
 	if outcome == Rejected || outcome == Cancelled {
 		return
 	}
@@ -456,7 +464,7 @@
 	}
 	s := &sent{
 		need: asked, upstream: u.ID, load: l, chain: need.Chain, model: need.Model, at: now, rank: clampRank(need.Rank), backlog: o.missing,
-		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte,
+		memory: need.Tokens() + need.Output, ahead: o.ahead + o.missing, expected: o.firstByte, usual: m.usualFirstByte(o),
 		fetchFrom: o.source, fetchDelay: o.fetchDelay, address: parts.Holder(u.Address), salt: o.salt,
 	}
 	l.begin(s)
@@ -475,5 +483,6 @@
 		cmds = append(cmds, m.announcePrefills(now, need, o)...)
 	}
 	m.noteSent(now, need, o)
+	m.noteZone(now, need, o)
 	return append(cmds, cmd)
 }
--- a/core/place/ramp.go
+++ b/core/place/ramp.go
@@ -28,12 +28,12 @@
 	return m.ramp == nil || m.ramp.Allows(now, need.Service, u.Release, need.Sampled)
 }
 
-// chooseRelease is like choose for a request that may be a sample. A sample that no upstream can take in time becomes an
+// chooseRelease is like chooseZone for a request that may be a sample. A sample that no upstream can take in time becomes an
 // ordinary request; after the move to the new release samples wait for busy upstreams, as other requests do.
 func (m *Model) chooseRelease(
 	now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID,
 ) (best *option, tally Tally, ahead outlook) {
-	best, tally, ahead = m.choose(now, need, avoid, only)
+	best, tally, ahead = m.chooseZone(now, need, avoid, only)
 	if only != "" || !need.Sampled || best != nil && !m.lateSample(now, need, best) {
 		return best, tally, ahead
 	}
@@ -41,7 +41,7 @@
 		return best, tally, ahead
 	}
 	need.Sampled = false
-	return m.choose(now, need, avoid, only)
+	return m.chooseZone(now, need, avoid, only)
 }
 
 // lateSample reports whether a sample would be refused at its best upstream, though another release may serve it.
@@ -60,15 +60,19 @@
 	}
 }
 
+// usualFirstByte returns what the expected time to the first byte would be at an upstream of usual speed.
+func (m *Model) usualFirstByte(o *option) time.Duration {
+	return times.Duration(float64(o.firstByte-o.fetchDelay)/m.upstreamStats(o.upstream.ID).slowdown) + o.fetchDelay
+}
+
 // noteSent tells the model of roll-outs of an attempt.
 func (m *Model) noteSent(now time.Time, need *Need, o *option) {
 	if m.ramp == nil {
 		return
 	}
-	expected := times.Duration(float64(o.firstByte-o.fetchDelay)/m.upstreamStats(o.upstream.ID).slowdown) + o.fetchDelay
 	m.ramp.Update(now, ramp.SentMsg{Attempt: ramp.Attempt{
 		ID: uint64(need.Ticket), Service: need.Service, Route: need.Route, Upstream: o.upstream.ID, Release: o.upstream.Release,
-		Cold: m.fleet.Cold(now, o.upstream.ID), Expected: expected, Output: need.Output,
+		Cold: m.fleet.Cold(now, o.upstream.ID), Expected: m.usualFirstByte(o), Output: need.Output,
 	}})
 }
 
--- a/core/place/sample.go
+++ b/core/place/sample.go
@@ -45,8 +45,8 @@
 
 // sample chooses the upstreams to score. For a prompt it includes those that rendezvous hashing ranks first, so that
 // requests with the same prompt meet there from any entry, and the holders of its last cached part. At least one
-// upstream is chosen at random.
-func (m *Model) sample(find *finder) (s sample) {
+// upstream is chosen at random. Those that the gate does not admit are included only as holders.
+func (m *Model) sample(find *finder, g gate) (s sample) {
 	if m.members.ReportInterval <= freshLoadAge {
 		return sample{all: true}
 	}
@@ -54,7 +54,7 @@
 	var hashes []uint64
 	position, newest := 0, int64(0)
 	m.fleet.Each(find.now, find.need.Service, func(u *conf.Upstream, status fleet.Status) {
-		if m.open(find.now, u, status, find.service, find.need) && m.tokens(find.now, u.ID, m.quota(u, status.Cold, status.Limit)) >= 1 {
+		if m.admits(g, u) && m.open(find.now, u, status, find.service, find.need) && m.tokens(find.now, u.ID, m.quota(u, status.Cold, status.Limit)) >= 1 {
 			open, hashes = append(open, position), append(hashes, route.HashID(u.ID))
 		}
 		position, newest = position+1, max(newest, u.Weights[find.need.Model])
--- a/core/place/stats.go
+++ b/core/place/stats.go
@@ -34,6 +34,8 @@
 	perToken, fixed float64
 	// call is the duration of a plain call, in ns.
 	call float64
+	// usual is the number of prompt tokens that requests have to prefill.
+	usual float64
 	// failureRate is the fraction of failed or broken answers.
 	failureRate float64
 	// returnsUntil is when the last of the callers returns that were refused for the rate of requests.
