Let the settings ask for decisions about leaving the zone

[zones] leave = true in the settings file sets Settings.LeaveZone. Log lines zone_share_changed and zone_without_upstreams, shares in the state line, and metrics say how much leaves by service and zone, and why. Without it neither exists, and each other zone has the fixed cost.

--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -22,6 +22,7 @@
 	"cicadavalve/core/reach"
 	"cicadavalve/core/retry"
 	"cicadavalve/core/stall"
+	"cicadavalve/core/zones"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/gossip"
 	"cicadavalve/io/guard"
@@ -129,6 +130,8 @@
 	// ramp decides about software releases; rampToldAt is when its reports were last sent.
 	ramp       *ramp.Model
 	rampToldAt time.Time
+	// zones decides about leaving the availability zone; nil if the settings don't ask for it.
+	zones *zones.Model
 	// statementFaults bounds the log lines about statements of upstreams that can't be read.
 	statementFaults rate.Sometimes
 	// panics bounds the log lines with the stacks of panics.
@@ -157,13 +160,14 @@
 func NewController(s Settings, self mesh.Peer, log *slog.Logger, seed uint64, options ...Option) *Controller {
 	upstreams, index, now := fleet.NewModel(), parts.NewIndex(), clock.Now()
 	rng := rand.New(rand.NewPCG(seed, 0))
-	roll := newRampModel(s, rng)
+	roll, leave := newRampModel(s, rng), newZonesModel(s, self)
 	d := &Controller{
 		era: -1, log: log, guard: guard.New(log, func() {}), settings: s, rng: rng, fleet: upstreams, index: index, mesh: mesh.NewModel(now, self), startedAt: now,
 		refusals: map[ident.UpstreamID]refusal{}, greetedAt: map[string]time.Time{},
 		reach: reach.NewModel(), peers: reach.NewPeerModel(rng), probes: make(chan conf.Upstream, maxWaitingProbes),
-		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll)),
+		place:  place.NewModel(upstreams, index, rng, place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithZones(leave)),
 		ramp:   roll,
+		zones:  leave,
 		stall:  stall.NewModel(stall.DefaultThreshold),
 		poison: newPoisonModel(s, self), verdicts: make(chan verdict, maxWaitingVerdicts), vanished: fifo.NewMap[ident.UpstreamID, int64](maxVanished), replaced: fifo.NewMap[ident.UpstreamID, int64](maxVanished),
 		waiters: map[place.Ticket]chan relay.Decision{}, recalls: map[place.Ticket]context.CancelCauseFunc{}, budgets: map[ident.ServiceName]*retry.Window{}, reports: map[string]*gossip.Report{}, resend: parts.NewResend(index), reportedAt: map[string]time.Time{}, positions: map[string]position{}, panics: rate.Sometimes{First: 1, Interval: panicInterval}, statementFaults: rate.Sometimes{First: 1, Interval: statementFaultInterval}, changed: make(chan struct{}, 1), targets: map[ident.ModelName]target{}, ordered: map[string][]string{},
@@ -301,6 +305,8 @@
 		case stall.StalledCmd:
 			d.mesh.Update(cmd.From.Add(cmd.For), mesh.StalledMsg{From: cmd.From})
 			d.log.Warn("entry_stalled", "for", cmd.For)
+		case zones.ChangedCmd, zones.LostCmd:
+			d.logZones(cmd)
 		case place.ConcurrencyLimitCmd:
 			d.queueConcurrencyLimit(clock.Now(), cmd)
 		case fleet.RejectionLimitCmd:
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -100,6 +100,9 @@
 	}
 	d.forwarder, d.controller.decode = newForwarder(d), outside.Store.Decode
 	d.meter.watchEvidence(d.controller.countEvidence)
+	if s.LeaveZone {
+		d.meter.refresh = d.controller.writeZones
+	}
 	d.ready, d.advice = outside.Ready(d.controller), outside.Directory(d.controller)
 	d.duty = &duty{d: d, mu: d.controller.guard.NewMutex(), era: -1, lease: lease.NewModel(self.ID, boot, s.Lease, s.Fenced), reload: reload.NewModel(d.controller.fleet), purge: purge.NewModel(d.controller.fleet)}
 	d.handler = relay.NewHandler(self.ID, d.controller, d.dialect, d.pool, log, d.meter, int64(bodyShare*float64(s.Memory)), int64(answerShare*float64(s.Memory)))
@@ -360,5 +363,5 @@
 			attrs = append(attrs, "store_"+s.Address, fmt.Sprintf("%d/%d", d.index.Used(now, parts.Holder(s.Address)), s.Capacity))
 		}
 	}
-	d.log.Info("state", attrs...)
+	d.log.Info("state", append(attrs, d.zoneAttrs()...)...)
 }
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -21,6 +21,8 @@
 	// orgs holds the organisations that have counters of their own, at most maxSeries.
 	orgs map[ident.OrgID]bool
 	mu   chan struct{}
+	// refresh, if set, sets metrics to their present values before they are served.
+	refresh func(*metrics.Set)
 }
 
 // NewMeter returns a meter without metrics.
@@ -72,5 +74,8 @@
 
 // ServeHTTP implements [http.Handler].
 func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	if m.refresh != nil {
+		m.refresh(m.set)
+	}
 	m.set.WritePrometheus(w)
 }
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -50,6 +50,8 @@
 	UsageWindow, UsageDelay time.Duration
 	// Scaling is set if the daemons order the number of upstreams.
 	Scaling bool
+	// LeaveZone is set if the daemon decides by itself when leaving the availability zone pays. Otherwise that has a fixed cost.
+	LeaveZone bool
 	// DutyRate is how many calls a second the provider takes from all daemons together, 0 if that is not known.
 	DutyRate float64
 }
