Let reuse of context weigh more than the price of leaving

What another holder has counts twice in every choice, but counted once against the price, and a request that would use it stayed.

--- a/core/place/choose.go
+++ b/core/place/choose.go
@@ -210,7 +210,7 @@
 	total := l.total(now)
 	o.version, o.idle = u.Weights[need.Model], total.Requests < u.Slots/2
 	find.planFetch(o)
-	if o.crossing = m.crossingCost(need, o); o.crossing > service.perToken*float64(o.crossed) {
+	if o.crossing = m.crossingCost(need, o); o.crossing > (1+recomputeWeight)*service.perToken*float64(o.crossed) {
 		*o = option{upstream: u, quota: o.quota, version: o.version, idle: o.idle, nearOnly: true}
 		find.planFetch(o)
 	}
--- a/core/place/zones.go
+++ b/core/place/zones.go
@@ -119,7 +119,8 @@
 		return own
 	}
 	o := &outside.option
-	saved := m.serviceStats(need.Service).perToken*float64(own.missing-o.missing) + float64(own.fetchDelay-o.fetchDelay) + own.crossing - o.crossing
+	tokens := float64(own.missing-o.missing) + recomputeWeight*float64(own.recomputed-o.recomputed)
+	saved := m.serviceStats(need.Service).perToken*tokens + float64(own.fetchDelay-o.fetchDelay) + own.crossing - o.crossing
 	if saved > float64(m.zones.Price(need.Service, o.upstream.Zone)) {
 		return o
 	}
--- a/core/zones/zones.go
+++ b/core/zones/zones.go
@@ -33,7 +33,7 @@
 	// gain is how much sooner the first byte must come in the other zone for the share to rise.
 	gain = 0.1
 	// stayPrice is added to the price while no request leaves for the waits. Its part of the price falls as the share rises.
-	stayPrice = 0.05
+	stayPrice = 0.02
 	// failurePrice is the price of a link on which every request fails, in objectives.
 	failurePrice = 4
 )
