--- a/core/zones/zones.go
+++ b/core/zones/zones.go
@@ -41,7 +41,7 @@
 const (
 	// step is how much the shares of all other zones together rise at a time, fall the factor by which a share falls. A share
 	// below minShare ends.
-	step     = 0.05
+	step     = 0.1
 	fall     = 0.8
 	minShare = 0.01
 	// maxShare bounds the shares of all other zones together while the own zone has upstreams, so that its own state is still
