Log a zone without upstreams only where another zone has some

At the start, before the list of upstreams was read, each service would be logged as lost. A test of the daemon checks that operators see in the log and in the metrics that requests leave, and why.

--- a/core/zones/messages.go
+++ b/core/zones/messages.go
@@ -71,7 +71,8 @@
 	Status
 }
 
-// LostCmd reports that the own zone has no upstream of a service that may get work, so that all requests leave, or has one again.
+// LostCmd reports that the own zone has no upstream of a service that may get work while another one has, so that all requests leave, or that
+// this is over.
 type LostCmd struct {
 	Service ident.ServiceName
 	Lost    bool
@@ -103,7 +104,7 @@
 	Price, Delay time.Duration
 	// OwnFirstByte and FirstByte are the expected times to the first byte in the own and in that zone.
 	OwnFirstByte, FirstByte time.Duration
-	// Lost is set while the own zone has no upstream that may get work.
+	// Lost is set while the own zone has no upstream that may get work, and another one has.
 	Lost bool
 	// Cause is why the share rose or fell last, empty if it never did.
 	Cause Cause
--- a/core/zones/zones.go
+++ b/core/zones/zones.go
@@ -102,7 +102,7 @@
 	// pairs are sorted by zone.
 	pairs      []*pair
 	observedAt time.Time
-	// lost is set while the own zone has no upstream that may get work.
+	// lost is set while the own zone has no upstream that may get work, and another one has.
 	lost bool
 	// sent counts the requests by zone and reason.
 	sent map[destination]int
@@ -189,7 +189,7 @@
 	m.forget(now)
 	s := m.service(msg.Service)
 	s.see(now, m.zone, msg)
-	if lost := s.ownView.Usable == 0; lost != s.lost {
+	if lost := s.ownView.Usable == 0 && slices.ContainsFunc(s.pairs, func(p *pair) bool { return p.view.Usable > 0 }); lost != s.lost {
 		s.lost = lost
 		cmds = append(cmds, LostCmd{Service: msg.Service, Lost: lost})
 	}
@@ -374,7 +374,7 @@
 	return toll
 }
 
-// Lost reports whether the own zone has no upstream of a service that may get work.
+// Lost reports whether the own zone has no upstream of a service that may get work, and another one has.
 func (m *Model) Lost(name ident.ServiceName) bool {
 	s, known := m.services[name]
 	return known && s.lost
