--- a/core/place/share_test.go
+++ b/core/place/share_test.go
@@ -21,8 +21,8 @@
 	// shareCapacity is about how many requests of shareLoad the engines can prefill in a second.
 	shareCapacity = 100.0
 	// minFairness is the goal for the worst organisation relative to the best, at equal offered load.
-	minFairness = 0.8
-	shareReplayStep  = 5 * time.Millisecond
+	minFairness     = 0.8
+	shareReplayStep = 5 * time.Millisecond
 )
 
 // caller is a request with its caller's returns.
--- a/io/daemon/recall.go
+++ b/io/daemon/recall.go
@@ -7,13 +7,14 @@
 	"cicadavalve/core/place"
 	"cicadavalve/core/ramp"
 	"cicadavalve/core/share"
+	"cicadavalve/core/zones"
 	"cicadavalve/io/clock"
 	"cicadavalve/io/relay"
 )
 
 // placeOptions returns the options of the model that places requests.
-func placeOptions(s Settings, roll *ramp.Model, speeds *pace.Model, shares *share.Model) (options []place.Option) {
-	options = []place.Option{place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds), place.WithShares(shares)}
+func placeOptions(s Settings, roll *ramp.Model, speeds *pace.Model, shares *share.Model, leave *zones.Model) (options []place.Option) {
+	options = []place.Option{place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds), place.WithShares(shares), place.WithZones(leave)}
 	if s.Recall {
 		options = append(options, place.WithRecall())
 	}
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -52,6 +52,8 @@
 	Scaling bool
 	// Recall is set if requests whose first byte is overdue are sent to another upstream, also where upstreams don't state their slowdown.
 	Recall bool
+	// LeaveZone is set if the daemon decides by itself when leaving the availability zone pays. Otherwise that has a fixed cost.
+	LeaveZone bool
 	// DutyRate is how many calls a second the provider takes from all daemons together, 0 if that is not known.
 	DutyRate float64
 	// Shares is set if engine time is divided between organisations while requests wait or are refused.
