End contention soon after the last refusal

Unmet demand decayed as slowly as use (8 s), so that organisations were held back for some 24 s after nothing waited any more. It decays in 2 s now, and ends when a waiting caller leaves. Sums are made in one order, so that equal messages give equal decisions, and no two callers of one entry return at the same moment even if they are of different services.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -7,7 +7,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"cicadavalve/core/conf"
@@ -213,7 +212,7 @@
 	case RetryMsg:
 		return m.retry(now, msg)
 	case WithdrawMsg:
-		m.queue = slices.DeleteFunc(m.queue, func(w *waiting) bool { return w.need.Ticket == msg.Ticket })
+		m.withdraw(now, msg.Ticket)
 	case FirstByteMsg:
 		return m.placeQueued(now, m.firstByte(now, msg.Ticket))
 	case EndMsg:
--- a/core/place/share.go
+++ b/core/place/share.go
@@ -274,13 +274,24 @@
 	}
 }
 
-// noteMet takes back that a request was unmet, since it is sent.
+// noteMet takes back that a request was unmet, since it is sent or withdrawn.
 func (m *Model) noteMet(now time.Time, w *waiting) {
 	if m.shares != nil && !w.turn.unmetSince.IsZero() {
 		m.shares.Update(now, share.MetMsg{Org: w.need.Org, Time: w.turn.engineTime, Since: w.turn.unmetSince})
 	}
 }
 
+// withdraw removes a queued request. Nobody waits for its engine time any more.
+func (m *Model) withdraw(now time.Time, t Ticket) {
+	m.queue = slices.DeleteFunc(m.queue, func(w *waiting) bool {
+		if w.need.Ticket != t {
+			return false
+		}
+		m.noteMet(now, w)
+		return true
+	})
+}
+
 // noteGiven reports the engine time of a request that is sent. need is what it requires of its service now.
 func (m *Model) noteGiven(now time.Time, s *sent, need *Need, o *option) {
 	if m.shares == nil {
--- a/core/share/divide.go
+++ b/core/share/divide.go
@@ -20,12 +20,15 @@
 // times the level or than it wants, whichever is less, and what some don't want is lent to the others. The level is infinite
 // if everything wanted was given. It reorders the demands.
 func divide(demands []*demand) (level float64) {
+	// Sums are made in this order, so that equal demands always have the same level.
+	slices.SortFunc(demands, func(a, b *demand) int {
+		return cmp.Or(cmp.Compare(a.wanted/a.weight, b.wanted/b.weight), cmp.Compare(a.given, b.given), cmp.Compare(a.weight, b.weight))
+	})
 	capacity, weights := 0.0, 0.0
 	for _, d := range demands {
 		capacity += d.given
 		weights += d.weight
 	}
-	slices.SortFunc(demands, func(a, b *demand) int { return cmp.Compare(a.wanted/a.weight, b.wanted/b.weight) })
 	for _, d := range demands {
 		if level = capacity / weights; d.wanted > d.weight*level {
 			return level
--- a/core/share/report.go
+++ b/core/share/report.go
@@ -39,7 +39,7 @@
 // uses lists this entry's figures, the largest use first.
 func (m *Model) uses(now time.Time) (uses []Use) {
 	for org, a := range m.accounts {
-		u := Use{Org: org, Given: time.Duration(max(a.given.value(now, memory), 0)), Unmet: time.Duration(max(a.unmet.value(now, memory), 0))}
+		u := Use{Org: org, Given: time.Duration(max(a.given.value(now, memory), 0)), Unmet: time.Duration(max(a.unmet.value(now, unmetMemory), 0))}
 		if u.Given+u.Unmet >= time.Millisecond {
 			uses = append(uses, u)
 		}
@@ -104,7 +104,7 @@
 	for org, a := range m.accounts {
 		d := &a.demand
 		views = append(views, View{
-			Org: org, Used: d.given / float64(memory), Share: d.weight * m.level / float64(memory), Unmet: (d.wanted - d.given) / float64(memory),
+			Org: org, Used: d.given / float64(memory), Share: d.weight * m.level / float64(memory), Unmet: (d.wanted - d.given) / float64(unmetMemory),
 		})
 	}
 	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Org, b.Org) })
--- a/core/share/returns.go
+++ b/core/share/returns.go
@@ -113,10 +113,24 @@
 	if !found {
 		at = s.widest(earliest, latest)
 	}
+	for m.taken(at) {
+		at = at.Add(minSpacing)
+	}
 	s.insert(slot{at, r.Org})
 	return at.Sub(now)
 }
 
+// taken reports whether a caller of any service returns at about a time.
+func (m *Model) taken(at time.Time) bool {
+	for _, s := range m.services {
+		i, _ := slices.BinarySearchFunc(s.slots, at.Add(-minSpacing/2), func(a slot, t time.Time) int { return a.at.Compare(t) })
+		if i < len(s.slots) && s.slots[i].at.Sub(at) <= minSpacing/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // returnsLast reports whether an organisation gets slots after those of all others.
 func (m *Model) returnsLast(now time.Time, s *service, org ident.OrgID) bool {
 	own := 0
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -19,6 +19,8 @@
 	// memory is the time constant of the decaying sums of engine time. It is long against batches and the interval between reports,
 	// and shorter than waves of load (13 s), so that little of a share that was unused in a wave's trough is saved up for its peak.
 	memory = 8 * time.Second
+	// unmetMemory is that of unmet demand: soon after the last refusal nobody is held back any more.
+	unmetMemory = 2 * time.Second
 	// rateMemory is the time constant of the measured rates.
 	rateMemory = 4 * time.Second
 	// refreshInterval is the minimum interval at which shares are computed anew.
@@ -75,7 +77,7 @@
 	Service ident.ServiceName
 }
 
-// Use is what one entry gave to an organisation lately, and what it could not give: decaying sums with a time constant of 8 s.
+// Use is what one entry gave to an organisation lately, and what it could not give: decaying sums with time constants of 8 s and 2 s.
 type Use struct {
 	Org          ident.OrgID
 	Given, Unmet time.Duration
@@ -197,10 +199,10 @@
 			m.given.add(now, float64(msg.Time), memory)
 		}
 	case UnmetMsg:
-		m.account(msg.Org).unmet.add(now, float64(msg.Time), memory)
+		m.account(msg.Org).unmet.add(now, float64(msg.Time), unmetMemory)
 	case MetMsg:
 		unmet := decaying{sum: float64(msg.Time), at: msg.Since}
-		m.account(msg.Org).unmet.add(now, -unmet.value(now, memory), memory)
+		m.account(msg.Org).unmet.add(now, -unmet.value(now, unmetMemory), unmetMemory)
 	case OfferedMsg:
 		m.offer(now, msg)
 	case ServedMsg:
@@ -271,7 +273,7 @@
 	m.demands, m.contended = m.demands[:0], false
 	for org, a := range m.accounts {
 		given := max(a.given.value(now, memory), 0) + float64(a.others.Given)
-		unmet := max(a.unmet.value(now, memory), 0) + float64(a.others.Unmet)
+		unmet := max(a.unmet.value(now, unmetMemory), 0) + float64(a.others.Unmet)
 		if unmet < max(minUnmet*given, float64(minAccount)) {
 			unmet = 0
 		}
@@ -333,7 +335,8 @@
 
 // expirePeers drops figures that are too old.
 func (m *Model) expirePeers(now time.Time) {
-	for name, p := range m.peers {
+	for _, name := range slices.Sorted(maps.Keys(m.peers)) {
+		p := m.peers[name]
 		for org, t := range p.uses {
 			if now.Sub(t.at) > peerTTL {
 				m.replace(org, t.use, Use{})
@@ -355,7 +358,7 @@
 // forget drops the accounts of organisations without use.
 func (m *Model) forget(now time.Time) {
 	for org, a := range m.accounts {
-		if a.others == (Use{}) && !a.restricted && a.given.value(now, memory) < float64(minAccount) && a.unmet.value(now, memory) < float64(minAccount) {
+		if a.others == (Use{}) && !a.restricted && a.given.value(now, memory) < float64(minAccount) && a.unmet.value(now, unmetMemory) < float64(minAccount) {
 			delete(m.accounts, org)
 		}
 	}
--- a/io/gossip/uses.go
+++ b/io/gossip/uses.go
@@ -1,7 +1,7 @@
 package gossip
 
 // OrgUse is the engine time that the sender gave to an organisation lately and that it could not give, in milliseconds: decaying sums
-// with a time constant of 8 s.
+// with time constants of 8 s and 2 s.
 type OrgUse struct {
 	_       struct{} `cbor:",toarray"`
 	Org     string
