--- a/core/place/share_test.go
+++ b/core/place/share_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cicadavalve/core/conf"
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
@@ -267,3 +269,49 @@
 		})
 	}
 }
+
+// TestOrganisationBelowItsShareGoesFirst has a long prompt of a small organisation wait for memory, while short ones of an organisation above its
+// share would fit into what becomes free bit by bit. They may have it while the long one has time, and not after that.
+func TestOrganisationBelowItsShareGoesFirst(t *testing.T) {
+	b, s := newBench(1, 20_000), share.NewModel(rand.New(rand.NewPCG(1, 1)))
+	place.WithShares(s)(b.place)
+	request := func(ticket place.Ticket, now time.Time, org ident.OrgID, tokens int) []ident.Cmd {
+		n := need(ticket, now, tokens, fmt.Sprint("doc", ticket), 3*time.Second)
+		n.Org = org
+		return b.place.Update(now, place.ArriveMsg{Need: n})
+	}
+	s.Update(start, share.PeerMsg{Peer: "p", Uses: []share.Use{{Org: "large", Given: 40 * time.Second}, {Org: "small", Given: time.Second, Unmet: 9 * time.Second}}})
+	var got []string
+	note := func(what string, cmds []ident.Cmd) {
+		for _, sent := range sends(cmds) {
+			what += fmt.Sprint(" sends ", sent.Ticket)
+		}
+		for _, refused := range refusals(cmds) {
+			what += fmt.Sprint(" refuses ", refused.Ticket)
+		}
+		got = append(got, what)
+	}
+	for ticket := range place.Ticket(2) {
+		request(ticket, start, "other", 8000)
+		b.place.Update(start, place.FirstByteMsg{Ticket: ticket})
+	}
+	note("long prompt", request(2, start, "small", 12_000))
+	early, late := start.Add(100*time.Millisecond), start.Add(2*time.Second)
+	note("first end", b.place.Update(early, place.EndMsg{Ticket: 0}))
+	note("large early", request(3, early, "large", 500))
+	b.place.Update(early, place.FirstByteMsg{Ticket: 3})
+	note("large's end", b.place.Update(late, place.EndMsg{Ticket: 3}))
+	note("large late", request(4, late, "large", 500))
+	note("tick", b.place.Update(late.Add(25*time.Millisecond), place.TickMsg{}))
+	note("other late", request(5, late, "other", 500))
+	b.place.Update(late, place.FirstByteMsg{Ticket: 5})
+	note("other's end", b.place.Update(late, place.EndMsg{Ticket: 5}))
+	note("second end", b.place.Update(late.Add(50*time.Millisecond), place.EndMsg{Ticket: 1}))
+	note("objective over", b.place.Update(start.Add(3100*time.Millisecond), place.TickMsg{}))
+	want := []string{
+		"long prompt", "first end", "large early sends 3", "large's end", "large late", "tick", "other late sends 5", "other's end", "second end sends 2 sends 4", "objective over",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("decisions (-want +got):\n%s", diff)
+	}
+}
