Keep the limit of requests that were sent before

With shares, a request whose answer had begun and broke off after its objective was refused at once, where it goes on elsewhere without shares. It also isn't held or put back any more. Long prompts of routes that are served too rarely keep the limit too: what has work is always too late for them, so that they were refused for good.

Without the change TestRequestSentAgainKeepsItsLimit fails.

--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -21,6 +21,8 @@
 	Counted bool
 	// Sampled is set for requests that are to go to the release that is being rolled out.
 	Sampled bool
+	// Again is set for requests that were sent before.
+	Again bool
 	// Org is the organisation whose request it is, empty if none is known. It decides with which requests cached context is shared.
 	Org   ident.OrgID
 	Model ident.ModelName
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -253,7 +253,7 @@
 		return []ident.Cmd{RefuseCmd{Ticket: msg.Ticket, RetryAfter: minRetryAfter, Reason: NoUpstream}}
 	}
 	need := s.need
-	need.Spread = msg.Spread
+	need.Spread, need.Again = msg.Spread, true
 	m.again(&need)
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
@@ -433,7 +433,7 @@
 
 // late reports whether a request is expected to be much too late at an option that is busy.
 func (m *Model) late(now time.Time, need *Need, o *option) bool {
-	return float64(now.Sub(need.Arrived)+o.firstByte) > m.lateLimit(need, o.missing)*float64(need.Objective) && !m.unloaded(o)
+	return float64(now.Sub(need.Arrived)+o.firstByte) > m.lateLimit(now, need, o.missing)*float64(need.Objective) && !m.unloaded(need, o)
 }
 
 // refuse returns the refusal of a request that is expected to be late at the best upstream.
--- a/core/place/share.go
+++ b/core/place/share.go
@@ -16,6 +16,8 @@
 	// minKnownLate is the lowest expected time to the first byte, in objectives, from which on a request counts as late because such
 	// estimates were exceeded.
 	minKnownLate = 0.6
+	// longPart is the part of its objective from which on a request's own engine time counts as long.
+	longPart = 0.4
 	// maxExcess bounds the samples of by how much estimates were exceeded.
 	maxExcess = 3.0
 	// holdDivisor is the part of its time in the queue after which requests of organisations above their share wait for one of an
@@ -96,8 +98,11 @@
 }
 
 // sharedStep returns the step of urgency with regard to shares: organisations above theirs leave room to the others, and routes that are served
-// too rarely are admitted like the most urgent ones.
+// too rarely are admitted like urgent ones. What an organisation's requests took that were sent before would be lost if they now waited.
 func (m *Model) sharedStep(now time.Time, need *Need, step int) int {
+	if need.Again {
+		return step
+	}
 	above := m.shares.Steps(now, need.Org)
 	if above == 0 && m.shares.Starved(now, need.Route) {
 		return min(step, starvedStep)
@@ -129,7 +134,9 @@
 	if m.shares == nil {
 		return
 	}
-	w.turn.engineTime = m.estimateTime(m.served(&w.need))
+	if w.turn.engineTime == 0 {
+		w.turn.engineTime = m.estimateTime(m.served(&w.need))
+	}
 	w.turn.priority = m.shares.Prioritise(now, share.Request{
 		Org: w.need.Org, Route: w.need.Route, Rank: clampRank(w.need.Rank), Due: w.need.Arrived.Add(w.need.Objective),
 		Shortest: m.shortestObjective(&w.need), Time: w.turn.engineTime,
@@ -167,33 +174,32 @@
 // held reports whether a request must wait since its organisation is above its share and a request of one that is not waits for capacity
 // of the service. Otherwise short requests of the former would take what becomes free before there is enough for the latter.
 func (m *Model) held(now time.Time, w *waiting) bool {
-	return m.shares != nil && w.turn.priority.Above() && slices.ContainsFunc(m.queue, func(q *waiting) bool {
+	return m.shares != nil && !w.need.Again && w.turn.priority.Above() && slices.ContainsFunc(m.queue, func(q *waiting) bool {
 		return q.turn.short && !q.turn.priority.Above() && q.need.Service == w.need.Service && !now.Before(q.turn.holdsFrom)
 	})
 }
 
 // lateLimit returns the expected time to the first byte, in objectives, above which a request is refused that makes its upstream
 // prefill a number of prompt tokens.
-func (m *Model) lateLimit(need *Need, missing int) float64 {
+func (m *Model) lateLimit(now time.Time, need *Need, missing int) float64 {
 	if m.shares == nil {
 		return lateFactor
 	}
-	return m.knownLate(need, m.engineTime(need.Service, len(need.Chain) == 0, missing))
+	return m.knownLate(now, need, m.engineTime(need.Service, len(need.Chain) == 0, missing))
 }
 
 // unloaded reports whether an option is so little loaded that it gets requests whatever is expected, so that estimates which are too high are
 // corrected. With shares nothing may be ahead of the request there: half of an engine's slots can hold prompts that take seconds to prefill.
-func (m *Model) unloaded(o *option) bool {
-	if m.shares == nil {
-		return o.idle
-	}
-	return o.idle && o.ahead == 0
+func (m *Model) unloaded(need *Need, o *option) bool {
+	return o.idle && (m.shares == nil || need.Again || need.Objective <= 0 || o.ahead == 0)
 }
 
 // knownLate returns the expected time to the first byte, in objectives, from which on it is known that a request of an engine time can't be served
-// within its objective. One that would be late on an idle upstream as well has the limit without shares.
-func (m *Model) knownLate(need *Need, engineTime time.Duration) float64 {
-	if engineTime > need.Objective {
+// within its objective. These have the limit without shares: requests that were sent before, since their answers may have begun; those that
+// would be late on an idle upstream as well; and long ones of routes that are served too rarely, which may be late on any upstream with work.
+func (m *Model) knownLate(now time.Time, need *Need, engineTime time.Duration) float64 {
+	part := float64(engineTime) / float64(max(need.Objective, 1))
+	if need.Again || part > 1 || part > longPart && m.shares.Steps(now, need.Org) == 0 && m.shares.Starved(now, need.Route) {
 		return lateFactor
 	}
 	return min(max(1/m.cost(need.Service).excess, minKnownLate), 1)
@@ -202,10 +208,10 @@
 // hopeless reports whether it is known that a request which must wait for capacity can't be served within its objective or deadline: if
 // it took an upstream at once, or if those that go before it took what is forecast to become free until then.
 func (m *Model) hopeless(now time.Time, w *waiting, tally Tally) bool {
-	if m.shares == nil || tally.Full == 0 && !w.turn.held {
+	if m.shares == nil || w.need.Again || tally.Full == 0 && !w.turn.held {
 		return false
 	}
-	limit := times.Earlier(w.need.Arrived.Add(times.Duration(m.knownLate(&w.need, w.turn.engineTime)*float64(w.need.Objective))), w.need.Deadline)
+	limit := times.Earlier(w.need.Arrived.Add(times.Duration(m.knownLate(now, &w.need, w.turn.engineTime)*float64(w.need.Objective))), w.need.Deadline)
 	if now.Add(w.turn.engineTime).After(limit) {
 		return true
 	}
--- a/core/place/share_test.go
+++ b/core/place/share_test.go
@@ -315,3 +315,18 @@
 		t.Errorf("decisions (-want +got):\n%s", diff)
 	}
 }
+
+// TestRequestSentAgainKeepsItsLimit has an upstream break an answer off after the objective, while other prompts are ahead at the next one. An
+// answer that had begun was given up with shares, though it could go on.
+func TestRequestSentAgainKeepsItsLimit(t *testing.T) {
+	b := newBench(1, 200_000)
+	place.WithShares(share.NewModel(rand.New(rand.NewPCG(1, 1))))(b.place)
+	b.place.Update(start, place.ArriveMsg{Need: need(1, start, 1000, "doc", time.Second)})
+	b.place.Update(start.Add(time.Second/2), place.FirstByteMsg{Ticket: 1})
+	later := start.Add(3 * time.Second / 2)
+	b.place.Update(later, place.ArriveMsg{Need: need(2, later, 2000, "other", time.Second)})
+	got := len(sends(b.place.Update(later, place.RetryMsg{Ticket: 1, Outcome: place.Broken})))
+	if diff := cmp.Diff(1, got); diff != "" {
+		t.Errorf("sent again (-want +got):\n%s", diff)
+	}
+}
