--- a/core/place/place.go
+++ b/core/place/place.go
@@ -232,7 +232,7 @@
 	case RetryMsg:
 		return m.retry(now, msg)
 	case WithdrawMsg:
-		m.queue = slices.DeleteFunc(m.queue, func(w *waiting) bool { return w.need.Ticket == msg.Ticket })
+		m.withdraw(now, msg.Ticket)
 	case FirstByteMsg:
 		return m.placeQueued(now, m.firstByte(now, msg.Ticket))
 	case EndMsg:
@@ -276,7 +276,7 @@
 		return []ident.Cmd{RefuseCmd{Ticket: msg.Ticket, RetryAfter: minRetryAfter, Reason: NoUpstream}}
 	}
 	need := s.need
-	need.Spread, need.Repeatable, need.slowSource = msg.Spread, msg.Repeatable && !s.overdue, s.slowSource()
+	need.Spread, need.Again, need.Repeatable, need.slowSource = msg.Spread, true, msg.Repeatable && !s.overdue, s.slowSource()
 	m.again(&need)
 	m.recordOutcome(now, s, msg.Outcome)
 	m.release(msg.Ticket)
@@ -462,7 +462,7 @@
 
 // late reports whether a request is expected to be much too late at an option that is busy.
 func (m *Model) late(now time.Time, need *Need, o *option) bool {
-	return float64(now.Sub(need.Arrived)+o.firstByte) > m.lateLimit(need, o.missing)*float64(need.Objective) && !m.unloaded(o)
+	return float64(now.Sub(need.Arrived)+o.firstByte) > m.lateLimit(now, need, o.missing)*float64(need.Objective) && !m.unloaded(need, o)
 }
 
 // refuse returns the refusal of a request that is expected to be late at the best upstream.
