--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -180,3 +180,23 @@
 		}
 	}
 }
+
+// TestMissedWindowsAreStated takes the store away for longer than the delay. Each window that was not accepted must be stated as missed,
+// once, by the holder that follows.
+func TestMissedWindowsAreStated(t *testing.T) {
+	w := newWorld(t, 3, 4)
+	w.run(21 * time.Second)
+	w.storeDown = true
+	w.run(40 * time.Second)
+	w.storeDown = false
+	w.run(30 * time.Second)
+	missed := 0
+	for k := int64(1000 * time.Second / testWindow); time.Duration(k+1)*testWindow+testDelay < w.now; k++ {
+		if _, ok := w.accepted[k]; !ok {
+			missed++
+		}
+	}
+	if diff := cmp.Diff(missed, w.missed); diff != "" || missed < 4 {
+		t.Errorf("windows missed and stated (-want +got):\n%s", diff)
+	}
+}
