--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./core/rules
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME) ./io/config
 	go test -run '^$$' -fuzz FuzzBody -fuzztime $(FUZZ_TIME) ./io/caller
+	go test -run '^$$' -fuzz FuzzOrderOfEvents -fuzztime $(FUZZ_TIME) ./core/usage
 	go test -run '^$$' -fuzz FuzzContent -fuzztime $(FUZZ_TIME) ./platform
 	go test -run '^$$' -fuzz FuzzHead -fuzztime $(FUZZ_TIME) ./platform
 	go test -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x ./platform
