Report each window where the provider takes few calls

Half of a rate of 0.3 calls a second or less is too few for a window every 5 s, so that windows were missed for ever. Reports use up to two calls for each window then, within the rate. TestCallRate counts the calls to a provider that refuses all of them.

--- a/core/usage/direct_test.go
+++ b/core/usage/direct_test.go
@@ -198,3 +198,29 @@
 		t.Errorf("first window recorded (-want +got):\n%s", diff)
 	}
 }
+
+// TestCallRate counts the calls of a minute to a provider that refuses all. Too many would take those of other duties, and too few would miss
+// windows.
+func TestCallRate(t *testing.T) {
+	for name, c := range map[string]struct {
+		rate        float64
+		least, most int
+	}{"usual": {4, 60, 120}, "low": {0.5, 20, 30}, "very low": {0.1, 5, 7}, "not known": {0, 60, 300}} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 4, 1)
+			m := NewModel("entry-0", 1, testWindow, testDelay, w.rng, WithCallRate(c.rate))
+			w.entries[0].model, w.entries[0].boot = m, 1
+			w.run(20 * time.Second)
+			calls := 0
+			w.onReport = func(e *entry, cmd ReportCmd) (bool, time.Duration, bool) {
+				calls++
+				w.after(step, func() { w.update(e, e.boot, ReportedMsg{cmd.Window, Refused}) })
+				return false, 0, true
+			}
+			w.run(time.Minute)
+			if calls < c.least || calls > c.most {
+				t.Errorf("%d calls a minute, want %d to %d", calls, c.least, c.most)
+			}
+		})
+	}
+}
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -13,6 +13,7 @@
 
 	"cicadavalve/core/ident"
 	"cicadavalve/core/route"
+	"cicadavalve/core/times"
 )
 
 // OrgID is the id of an organisation.
@@ -63,11 +64,16 @@
 // Option sets one property of a [Model].
 type Option func(*Model)
 
-// WithCallRate bounds the calls to the provider, in calls a second; 0 leaves the default of 5.
+// rateShare is the fraction of the calls that the provider takes that usage reports use; the rest is left to other duties.
+const rateShare = 0.5
+
+// WithCallRate states how many calls a second the provider takes for all duties together; 0 leaves the default. Reports use half of them, or
+// as many more as two for each window need.
 func WithCallRate(perSecond float64) Option {
 	return func(m *Model) {
 		if perSecond > 0 {
-			m.callInterval = time.Duration(float64(time.Second) / perSecond)
+			each := float64(time.Second) / perSecond
+			m.callInterval = times.Duration(max(each, min(each/rateShare, float64(m.window/2))))
 		}
 	}
 }
--- a/io/daemon/usage.go
+++ b/io/daemon/usage.go
@@ -25,8 +25,6 @@
 	usageStoreTimeout = 1500 * time.Millisecond
 	// usageReportTimeout bounds a call to the provider. A repeated report does no harm, so a slow answer is not waited for any longer.
 	usageReportTimeout = 3 * time.Second
-	// usageRateShare is the fraction of the calls that the provider takes that usage reports may use; the rest is left to other duties.
-	usageRateShare = 0.5
 	// maxClockDelay is how long after its arrival a message still says what the sender's clock shows.
 	maxClockDelay = 20 * time.Millisecond
 )
@@ -45,7 +43,7 @@
 	s := d.settings
 	u := &usageReports{
 		d: d, mu: d.controller.guard.NewMutex(), faults: newFaultLog(d.log, port.Usage),
-		model: usage.NewModel(d.self.ID, boot, s.UsageWindow, s.UsageDelay, rand.New(rand.NewPCG(uint64(boot), 1)), usage.WithCallRate(usageRateShare*s.DutyRate)),
+		model: usage.NewModel(d.self.ID, boot, s.UsageWindow, s.UsageDelay, rand.New(rand.NewPCG(uint64(boot), 1)), usage.WithCallRate(s.DutyRate)),
 	}
 	u.meter = newUsageMeter(d.meter.set, u)
 	return u
