Keep the time from which windows are certain apart from the agreed clock

It was an agreed time. An entry that started with a clock a year ahead in an era above 0 recorded no window for a year, though the clock was corrected at once: 11 of 11 windows were missed in the new case of TestWindowsAreReportedDespiteFailures, one is missed now. Both that time and the start are kept in monotonic time, and the bound only rises: a later doubt with an earlier bound had lowered it.

--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cicadavalve/core/ident"
+	"cicadavalve/core/times"
 )
 
 const (
@@ -61,7 +62,7 @@
 	seeking, skipped, trimmed bool
 	// hasEarlier is set once a record was read that was written before this entry started: the fleet has reported before.
 	hasEarlier bool
-	// certainFrom is the agreed time from which on windows must end to be recorded anew: a record of an earlier one may have been lost.
+	// certainFrom is the monotonic time from which on windows must end to be recorded anew: a record of an earlier one may have been lost.
 	certainFrom time.Time
 	// pending is set while a call to the store is under way; the next one follows at storeAt at the earliest. storeFailures counts the calls
 	// that failed since the last append that was won.
@@ -106,17 +107,18 @@
 
 // enter discards what is known of the topic if an era is newer than the known one: the store has come back from a copy and may have lost
 // records. Reports that were recorded before are kept, to be recorded once more with the same counts.
-func (m *Model) enter(t time.Time, era int64) (current bool) {
+func (m *Model) enter(now time.Time, era int64) (current bool) {
 	r := &m.reporter
 	if era <= r.era {
 		return era == r.era
 	}
 	if r.era >= 0 || era > 0 {
-		r.certainFrom = t
+		from := now
 		if r.era < 0 || !m.clock.Voted() {
 			// A new process can't tell when the store came back, and its clock may be behind that of the holder whose records were lost.
-			r.certainFrom = t.Add(m.window)
+			from = now.Add(m.window)
 		}
+		r.doubtUntil(from)
 		r.next, r.caughtUp = -1, false
 		for _, one := range r.reports {
 			one.recorded = false
@@ -126,6 +128,9 @@
 	return true
 }
 
+// doubtUntil notes that windows that end until a monotonic time may have had a record that was lost.
+func (r *reporter) doubtUntil(at time.Time) { r.certainFrom = times.Later(r.certainFrom, at) }
+
 // report returns the calls that are due while this entry holds the lease.
 func (m *Model) report(now, t time.Time, msg TickMsg) (cmds []ident.Cmd) {
 	r := &m.reporter
@@ -208,12 +213,14 @@
 }
 
 // isCertain reports whether a window can't have had a record that was lost.
-func (m *Model) isCertain(window int64) bool { return m.end(window).After(m.reporter.certainFrom) }
+func (m *Model) isCertain(window int64) bool {
+	return m.end(window).After(m.clock.Time(m.reporter.certainFrom))
+}
 
 // isKnown reports whether this entry can have the counts of a window: it ran before the window ended, or it has heard of requests or of
 // earlier reports.
 func (m *Model) isKnown(window int64) bool {
-	return m.end(window).After(m.start) || m.reporter.hasEarlier || m.groups.has(window)
+	return m.end(window).After(m.clock.Time(m.start)) || m.reporter.hasEarlier || m.groups.has(window)
 }
 
 // applyRead applies records of the topic.
@@ -224,12 +231,12 @@
 		r.delayStore(now)
 		return
 	}
-	if before := r.era; !m.enter(t, msg.Era) || before >= 0 && before != r.era || msg.From != max(r.next, 0) {
+	if before := r.era; !m.enter(now, msg.Era) || before >= 0 && before != r.era || msg.From != max(r.next, 0) {
 		// The answer is of an earlier era, or the read was of offsets of an earlier one.
 		return
 	}
 	if msg.Trimmed {
-		m.applyTrimmed(t, msg)
+		m.applyTrimmed(now, msg)
 		return
 	}
 	if first := msg.End - r.lookback; r.seeking && first > msg.From {
@@ -237,7 +244,7 @@
 		return
 	}
 	r.seeking = false
-	if m.missesOpen(t, msg) {
+	if m.missesOpen(now, t, msg) {
 		return
 	}
 	implausible := false
@@ -250,13 +257,13 @@
 	}
 	if msg.Faulty || implausible {
 		// The record that can't be read may be that of a window.
-		r.certainFrom = t
+		r.doubtUntil(now)
 	}
 	r.next, r.caughtUp = msg.Next, msg.Next >= msg.End
 }
 
 // applyTrimmed goes on from the first record that is kept.
-func (m *Model) applyTrimmed(t time.Time, msg ReadMsg) {
+func (m *Model) applyTrimmed(now time.Time, msg ReadMsg) {
 	r := &m.reporter
 	switch {
 	case msg.Next == 0 && msg.From == 0:
@@ -266,13 +273,14 @@
 		r.next, r.trimmed = msg.Next, true
 	default:
 		// Records that this entry has not read were removed, or the topic ends before the known end.
-		r.next, r.caughtUp, r.certainFrom = msg.Next, false, t
+		r.next, r.caughtUp = msg.Next, false
+		r.doubtUntil(now)
 	}
 }
 
 // missesOpen reports whether the first records read are too new to be all that concern windows that may still be reported, so that the
 // read begins again further back. If there are no earlier ones, windows that may have had a record are not recorded anew.
-func (m *Model) missesOpen(t time.Time, msg ReadMsg) (misses bool) {
+func (m *Model) missesOpen(now, t time.Time, msg ReadMsg) (misses bool) {
 	r := &m.reporter
 	defer func() { r.skipped, r.trimmed = false, false }()
 	oldest := t
@@ -284,7 +292,7 @@
 	}
 	switch {
 	case r.trimmed:
-		r.certainFrom = oldest.Add(clockMargin)
+		r.doubtUntil(now.Add(min(oldest.Sub(t), 0) + clockMargin))
 	case r.skipped:
 		r.lookback *= lookbackFactor
 		r.next = -1
@@ -296,7 +304,7 @@
 // applyRecord applies one record of the present era. Of several records of a window the first one counts.
 func (m *Model) applyRecord(record Record) {
 	r := &m.reporter
-	r.hasEarlier = r.hasEarlier || record.At.Before(m.start)
+	r.hasEarlier = r.hasEarlier || record.At.Before(m.clock.Time(m.start))
 	if record.Counts == nil {
 		for _, g := range record.Groups {
 			if ahead := g.Window - m.number(record.At); (g.Entry != m.self || g.Boot != m.boot) && ahead >= -maxDistance && ahead <= maxDistance {
@@ -323,7 +331,7 @@
 	r := &m.reporter
 	r.pending = false
 	era := r.era
-	if !msg.Won || !m.enter(m.clock.Time(now), msg.Era) || r.era != era || msg.Offset != r.next {
+	if !msg.Won || !m.enter(now, msg.Era) || r.era != era || msg.Offset != r.next {
 		r.caughtUp = false
 		if !msg.Won {
 			r.delayStore(now)
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -45,7 +45,7 @@
 	callInterval  time.Duration
 	rng           *rand.Rand
 	clock         *Clock
-	// start is the agreed time of the first tick.
+	// start is the monotonic time of the first tick.
 	start  time.Time
 	groups table
 	// changed is when the own counters last grew, by window and organisation.
@@ -188,11 +188,11 @@
 	m.clock.Observe(now, m.self, msg.Wall)
 	t := m.clock.Time(now)
 	if !m.started() {
-		m.start = t
+		m.start = now
 	}
 	m.alive = msg.Alive
 	m.forget(t)
-	m.enter(t, msg.Era)
+	m.enter(now, msg.Era)
 	cmds = m.send(now, t, msg.Holder)
 	return append(cmds, m.report(now, t, msg)...)
 }
--- a/core/usage/usage_test.go
+++ b/core/usage/usage_test.go
@@ -48,6 +48,8 @@
 		"clock steps forward":             {fail: func(w *world) { w.entries[0].wall += 3 * time.Second }},
 		"clock steps back":                {fail: func(w *world) { w.entries[2].wall -= 3 * time.Second }, mend: func(w *world) { w.entries[2].wall += 3 * time.Second }},
 		"clock is wrong from the start":   {prepare: func(w *world) { w.entries[1].wall = 3 * time.Second }},
+		// In an era above 0 an entry that has just started can't tell when the store came back, so that the first window is not recorded.
+		"clock is a year ahead at the start": {prepare: func(w *world) { w.entries[0].wall, w.era = 365*24*time.Hour, 1 }, most: 1},
 		// What began after the last checkpoint is lost, and so is the part of the window before the return that no entry has seen.
 		"all lose power": {fail: func(w *world) {
 			for _, e := range w.entries {
