--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -186,7 +186,7 @@
 	return min(max(slowdown, minSlowdown), maxSlowdown)
 }
 
-// Plausible reports whether a slowdown that an upstream states can be right, so that a time to the first byte without it says something of the
+// Plausible reports whether a slowdown that an upstream states can be right, so that a time to the first byte without it is a sample of the
 // upstream's long-term speed.
 func Plausible(slowdown float64) bool { return slowdown >= minPlausible && slowdown <= maxSlowdown }
 
--- a/core/pace/persistence.go
+++ b/core/pace/persistence.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// deviation is the distance from the usual pace from which on a statement says something of how long slowdowns last.
+	// deviation is the distance from the usual pace from which on a statement is a sample of how long slowdowns last.
 	deviation = 0.2
 	// initialPersistence is the mean duration of a slowdown that is assumed at first: that of VMs which share a core.
 	initialPersistence = 600 * time.Millisecond
@@ -19,11 +19,11 @@
 	shareSmoothing = 0.02
 	// minPersistence and maxPersistence bound the estimate.
 	minPersistence, maxPersistence = 100 * time.Millisecond, 30 * time.Second
-	// informativeFactor is how many mean durations two statements may lie apart to say something of it, and minInformative how far they
+	// informativeFactor is how many mean durations two statements may lie apart to be a sample of it, and minInformative how far they
 	// may at least.
 	informativeFactor = 3
 	minInformative    = time.Second
-	// maxShare is the share of deviating statements above which those of an upstream say nothing of how long slowdowns last: one that
+	// maxShare is the share of deviating statements above which those of an upstream are no samples of how long slowdowns last: one that
 	// always states the same must not make the others' slowdowns seem to last.
 	maxShare = 0.6
 )
--- a/core/parts/outbox.go
+++ b/core/parts/outbox.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Outbox queues what the followed holders report until the other entries have been told. It keeps the newest state of each part
+// Outbox queues what the followed holders report until it has been sent to the other entries. It keeps the newest state of each part
 // alone: the history of a holder is many times as long as what it still has, and bursts of datagrams are lost on narrow links. Its
 // methods aren't safe for concurrent use.
 type Outbox struct {
@@ -15,12 +15,12 @@
 	last Holder
 }
 
-// queue holds the changes of one holder that were not told yet.
+// queue holds the changes of one holder that were not sent yet.
 type queue struct {
 	epoch int64
 	// at is the latest time at which the holder is known to have been in this incarnation.
 	at time.Time
-	// next is the position at the holder up to which its changes are queued or were told.
+	// next is the position at the holder up to which its changes are queued or were sent.
 	next int64
 	// fresh is set until a notice confirms the incarnation as of at.
 	fresh bool
@@ -32,7 +32,7 @@
 // Notice is a report for the other entries.
 type Notice struct {
 	ReportMsg
-	// Next is the position at the holder up to which all changes have been told, 0 if more notices with changes follow.
+	// Next is the position at the holder up to which all changes have been sent, 0 if more notices with changes follow.
 	Next int64
 }
 
@@ -59,7 +59,7 @@
 	}
 }
 
-// AddAgain queues parts that were told before, except those of another incarnation than the queued one and those with newer changes.
+// AddAgain queues parts that were sent before, except those of another incarnation than the queued one and those with newer changes.
 func (o *Outbox) AddAgain(msg ReportMsg) {
 	q, ok := o.queues[msg.Holder]
 	if !ok {
--- a/core/parts/outbox_test.go
+++ b/core/parts/outbox_test.go
@@ -10,10 +10,10 @@
 	"cicadavalve/core/parts"
 )
 
-// TestOutboxTellsNewestStateWithinLimit replays the first reports after all entries have started: long histories of several holders at
+// TestOutboxSendsNewestStateWithinLimit replays the first reports after all entries have started: long histories of several holders at
 // once, of which most is outdated. A notice must not exceed the limit, no holder may wait for all changes of another one, and the position
-// that a successor goes on from must not skip changes that were not told.
-func TestOutboxTellsNewestStateWithinLimit(t *testing.T) {
+// that a successor goes on from must not skip changes that were not sent.
+func TestOutboxSendsNewestStateWithinLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
 	key := func(i int) parts.Key { return parts.NewKey("salt", fmt.Sprint(i)) }
 	own, other, o := parts.NewIndex(), parts.NewIndex(), parts.NewOutbox()
@@ -28,24 +28,24 @@
 		own.Update(now, msg)
 		o.Add(msg, 2000)
 	}
-	type told struct {
+	type sent struct {
 		Changes int
 		Next    int64
 	}
-	var got []map[parts.Holder]told
+	var got []map[parts.Holder]sent
 	for range 5 {
-		beat := map[parts.Holder]told{}
+		beat := map[parts.Holder]sent{}
 		for _, n := range o.Next(8) {
-			beat[n.Holder] = told{len(n.Changes), n.Next}
+			beat[n.Holder] = sent{len(n.Changes), n.Next}
 			other.Update(now, n.ReportMsg)
 		}
 		got = append(got, beat)
 	}
-	want := []map[parts.Holder]told{
+	want := []map[parts.Holder]sent{
 		{"engine-1": {8, 0}, "engine-2": {0, 0}}, {"engine-2": {8, 0}}, {"engine-1": {2, 2000}, "engine-2": {2, 2000}}, {}, {},
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("changes told at each beat (-want +got):\n%s", diff)
+		t.Errorf("changes sent with each heartbeat (-want +got):\n%s", diff)
 	}
 	_, known := other.Count()
 	if diff := cmp.Diff(2*10, known); diff != "" {
@@ -87,13 +87,13 @@
 			got = append(got, n.Changes...)
 		}
 		if diff := cmp.Diff(c.want, got); diff != "" {
-			t.Errorf("%s: changes told (-want +got):\n%s", c.name, diff)
+			t.Errorf("%s: changes sent (-want +got):\n%s", c.name, diff)
 		}
 	}
 }
 
 // TestResendWaitsForKnowledge replays the start of all entries at once: a round of repeated reports must not end before the followed holders
-// have reported anything, or parts that were lost on the way are never told.
+// have reported anything, or parts that were lost on the way are never sent.
 func TestResendWaitsForKnowledge(t *testing.T) {
 	now := time.Unix(1000, 0)
 	index := parts.NewIndex()
--- a/core/place/pace_test.go
+++ b/core/place/pace_test.go
@@ -20,21 +20,21 @@
 	replayStep    = 5 * time.Millisecond
 	replayTokens  = 3000
 	restartAt     = 15 * time.Second
-	// learned is from when on requests count: until then the entries learn the pace.
-	learned = 10 * time.Second
+	// measured is from when on requests count: until then the entries measure the pace.
+	measured = 10 * time.Second
 )
 
-// replay plays requests of several entries at engines that prefill one prompt after the other. Entries learn the loads of the others every
+// replay plays requests of several entries at engines that prefill one prompt after the other. Entries receive the loads of the others every
 // 100 ms, and what an answer states of an engine's pace when they get it or, of the answers to others, up to 1 s later.
 type replay struct {
 	entries []*bench
 	rng     *rand.Rand
 	// speed is how many times longer than usual an engine always takes, slow whether it takes 2.5 times as long as that now.
-	speed  [replayEngines]float64
-	slow   [replayEngines]bool
-	queues [replayEngines][]*prompt
-	told   []tell
-	ticket place.Ticket
+	speed   [replayEngines]float64
+	slow    [replayEngines]bool
+	queues  [replayEngines][]*prompt
+	reports []report
+	ticket  place.Ticket
 	// slowFor is how long the second engine is slow in the middle, wrong what the last ones always state, and restarts whether the second
 	// one restarts in the middle.
 	slowFor   time.Duration
@@ -57,8 +57,8 @@
 	left   time.Duration
 }
 
-// tell is what an entry learns of an engine later.
-type tell struct {
+// report is a report of an engine that an entry receives later.
+type report struct {
 	at    time.Time
 	entry int
 	msg   place.HeadMsg
@@ -138,7 +138,7 @@
 	}
 	for other := range r.entries {
 		if other != p.entry {
-			r.told = append(r.told, tell{now.Add(time.Duration(r.rng.Int64N(int64(time.Second)))), other, head})
+			r.reports = append(r.reports, report{now.Add(time.Duration(r.rng.Int64N(int64(time.Second)))), other, head})
 		}
 	}
 	head.Ticket = p.ticket
@@ -146,7 +146,7 @@
 	r.send(now, p.entry, own.Update(now, head))
 	r.send(now, p.entry, own.Update(now, place.FirstByteMsg{Ticket: p.ticket}))
 	r.send(now, p.entry, own.Update(now, place.EndMsg{Ticket: p.ticket}))
-	if now.Sub(start) >= learned {
+	if now.Sub(start) >= measured {
 		r.all++
 		if now.Sub(p.sent) > r.objective {
 			r.late++
@@ -171,22 +171,22 @@
 			}
 		}
 	}
-	if n := len(refusals(cmds)); now.Sub(start) >= learned {
+	if n := len(refusals(cmds)); now.Sub(start) >= measured {
 		r.late, r.all = r.late+n, r.all+n
 	}
 }
 
-// exchange tells all entries the loads of the others, and what they learn late of the pace.
+// exchange sends all entries the loads of the others, and the reports of the pace that are due.
 func (r *replay) exchange(now time.Time) {
 	sum := 0
 	for _, n := range r.window {
 		sum += n
 	}
-	if now.Sub(start) >= learned && sum >= replayEngines {
+	if now.Sub(start) >= measured && sum >= replayEngines {
 		r.most = max(r.most, float64(slices.Max(r.window[:]))/float64(sum))
 	}
 	r.window = [replayEngines]int{}
-	r.told = slices.DeleteFunc(r.told, func(t tell) bool {
+	r.reports = slices.DeleteFunc(r.reports, func(t report) bool {
 		if t.at.After(now) {
 			return false
 		}
@@ -206,7 +206,7 @@
 }
 
 // TestStatedSlowdownsSpareRequests plays 30 s with and without the pace of the engines. Where it is used, no more requests may be late, and
-// fewer where slow engines say so. Old statements must not send the requests of all entries to the same engine, and wrong ones must
+// fewer where slow engines state it. Old statements must not send the requests of all entries to the same engine, and wrong ones must
 // do no harm.
 func TestStatedSlowdownsSpareRequests(t *testing.T) {
 	t.Parallel()
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -120,7 +120,7 @@
 	sharing
 	// recalls is set if overdue requests are recalled at services whose upstreams do not state their slowdown, too.
 	recalls bool
-	// zones decides about leaving the availability zone; nil if that has a fixed cost. It was last told of all zones at zonesAt.
+	// zones decides about leaving the availability zone; nil if that has a fixed cost. It last got the state of all zones at zonesAt.
 	zones   *zones.Model
 	zonesAt time.Time
 }
--- a/core/place/share_test.go
+++ b/core/place/share_test.go
@@ -82,7 +82,7 @@
 	r.at, r.due = slices.Insert(r.at, i, at), slices.Insert(r.due, i, f)
 }
 
-// perform carries out the commands of an entry. A refused caller waits as told, up to a third of its time, as long as it has returns left.
+// perform carries out the commands of an entry. A refused caller waits as stated, up to a third of its time, as long as it has returns left.
 func (r *shareReplay) perform(now time.Time, entry int, cmds []ident.Cmd, impatient func(ident.OrgID) bool) {
 	b := r.entries[entry]
 	for _, s := range sends(cmds) {
@@ -139,17 +139,17 @@
 			if n%20 != i {
 				continue
 			}
-			told := share.PeerMsg{Peer: fmt.Sprint("entry", i)}
+			msg := share.PeerMsg{Peer: fmt.Sprint("entry", i)}
 			if r.shares[i] != nil {
-				told.Uses, told.Rates = r.shares[i].Report(now)
+				msg.Uses, msg.Rates = r.shares[i].Report(now)
 			}
 			for j, other := range r.entries {
 				if j == i {
 					continue
 				}
-				other.place.Update(now, place.PeerMsg{Peer: told.Peer, Loads: b.place.Loads()})
+				other.place.Update(now, place.PeerMsg{Peer: msg.Peer, Loads: b.place.Loads()})
 				if r.shares[j] != nil {
-					r.shares[j].Update(now, told)
+					r.shares[j].Update(now, msg)
 				}
 			}
 		}
--- a/core/place/zones.go
+++ b/core/place/zones.go
@@ -150,7 +150,7 @@
 	return m.leaveCost(need, o.fetchZone)
 }
 
-// noteZone tells the model of zones where a request is sent, and why.
+// noteZone reports to the model of zones where a request is sent, and why.
 func (m *Model) noteZone(now time.Time, need *Need, o *option) {
 	if m.zones == nil {
 		return
@@ -172,8 +172,8 @@
 	m.zones.Update(now, zones.SentMsg{Service: need.Service, Zone: o.upstream.Zone, Reason: reason})
 }
 
-// noteDelay tells the model of zones how late a first byte came, compared with an upstream of the own zone at its usual speed.
-// What was fetched says more of the link of its holder.
+// noteDelay reports to the model of zones how late a first byte came, compared with an upstream of the own zone at its usual speed.
+// The first byte after a fetch depends on the link of the holder of what was fetched, so it does not count.
 func (m *Model) noteDelay(now time.Time, s *sent, elapsed time.Duration) {
 	u, listed := m.fleet.Get(s.upstream)
 	if m.zones == nil || !listed || s.fetchFrom != "" {
@@ -182,7 +182,7 @@
 	m.zones.Update(now, zones.AnswerMsg{Service: s.need.Service, Zone: u.Zone, Late: elapsed - s.usual})
 }
 
-// noteLink tells the model of zones how an attempt ended, if its link may be the reason.
+// noteLink reports to the model of zones how an attempt ended, if its link may be the reason.
 func (m *Model) noteLink(now time.Time, s *sent, outcome Outcome) {
 	if m.zones == nil || outcome == Rejected || outcome == Cancelled || outcome == Failed {
 		return
--- a/core/poison/contact.go
+++ b/core/poison/contact.go
@@ -22,7 +22,7 @@
 	m.contacts.Set(upstream, sentAt)
 }
 
-// isRepeat reports whether a break tells nothing new of a key: the key has a loss on the same boot from before the attempt
+// isRepeat reports whether a break is no new evidence about a key: the key has a loss on the same boot from before the attempt
 // began, and no contact with the upstream is known since the last break that was known by then.
 func (m *Model) isRepeat(d Digest, b Break) bool {
 	last, earlier := m.lastLoss(d, b)
--- a/core/scale/callers.go
+++ b/core/scale/callers.go
@@ -58,14 +58,14 @@
 // callers counts the callers of one service at this entry.
 type callers struct{ arrived, refused window }
 
-// report is what another entry told last.
+// report is what another entry sent last.
 type report struct {
 	zone ident.Zone
 	list []Callers
 	at   time.Time
 }
 
-// Stats counts the callers of this entry and keeps what other entries tell of theirs. Its methods aren't safe for concurrent use.
+// Stats counts the callers of this entry and keeps what other entries report of theirs. Its methods aren't safe for concurrent use.
 type Stats struct {
 	zone  ident.Zone
 	own   map[ident.ServiceName]*callers
@@ -105,8 +105,8 @@
 	return own
 }
 
-// Hear replaces what another entry in an availability zone tells. Negative numbers count as 0.
-func (l *Stats) Hear(now time.Time, entry string, zone ident.Zone, list []Callers) {
+// Receive replaces what another entry in an availability zone reported. Negative numbers count as 0.
+func (l *Stats) Receive(now time.Time, entry string, zone ident.Zone, list []Callers) {
 	if len(list) == 0 {
 		delete(l.peers, entry)
 		return
--- a/core/scale/plan.go
+++ b/core/scale/plan.go
@@ -248,7 +248,7 @@
 	}
 }
 
-// weight is the number of callers of the zone that want upstreams.
+// weight is the number of callers of the zone that need upstreams.
 func (z *zone) weight() float64 { return float64(z.state.Callers.Arrived + z.state.Callers.Waiting) }
 
 // weighs returns the callers for each upstream of the zone, one more included.
--- a/core/scale/scale_test.go
+++ b/core/scale/scale_test.go
@@ -106,7 +106,7 @@
 }
 
 // TestLateOrderIsCorrected carries out an order of the last holder after those of the present one. The listed number must come back to the
-// wanted one, without a step down of many upstreams at once.
+// decided one, without a step down of many upstreams at once.
 func TestLateOrderIsCorrected(t *testing.T) {
 	for name, c := range map[string]struct {
 		late, least, most int
@@ -206,8 +206,8 @@
 func TestReportsOfCallersExpire(t *testing.T) {
 	s, got := scale.NewStats("a"), map[ident.Zone]int{}
 	s.Arrived(start, "llm")
-	s.Hear(start, "other", "b", []scale.Callers{{Service: "llm", Waiting: 3}, {Service: "app", Waiting: 9}})
-	s.Hear(start, "faulty", "c", []scale.Callers{{Service: "llm", Waiting: -5}})
+	s.Receive(start, "other", "b", []scale.Callers{{Service: "llm", Waiting: 3}, {Service: "app", Waiting: 9}})
+	s.Receive(start, "faulty", "c", []scale.Callers{{Service: "llm", Waiting: -5}})
 	for _, after := range []time.Duration{time.Second / 2, 2 * time.Second} {
 		now := start.Add(after)
 		s.Add(now, s.Own(now, "llm", 0), func(zone ident.Zone, c scale.Callers) { got[zone] += c.Waiting + c.Arrived })
--- a/core/scale/zone.go
+++ b/core/scale/zone.go
@@ -130,7 +130,7 @@
 	}
 }
 
-// apply applies the outcome of the call that is under way. A refused call says nothing about an earlier one whose outcome is unknown.
+// apply applies the outcome of the call that is under way. A refused call leaves the outcome of an earlier one unknown.
 func (z *zone) apply(msg OutcomeMsg) {
 	if !z.sending || msg.Count != z.ordered {
 		return
--- a/core/share/divide.go
+++ b/core/share/divide.go
@@ -7,22 +7,22 @@
 	"time"
 )
 
-// demand is what one organisation got and wants, in ns of engine time.
+// demand is what one organisation got and requires, in ns of engine time.
 type demand struct {
 	given float64
-	// wanted is at least given.
-	wanted float64
+	// required is at least given.
+	required float64
 	// weight is positive.
 	weight float64
 }
 
 // divide divides the sum of what was given by weighted max-min fairness and returns its level: nobody is entitled to more than its weight
-// times the level or than it wants, whichever is less, and what some don't want is lent to the others. The level is infinite
-// if everything wanted was given. It reorders the demands.
+// times the level or than it requires, whichever is less, and what some don't require is lent to the others. The level is infinite
+// if everything required was given. It reorders the demands.
 func divide(demands []*demand) (level float64) {
 	// Sums are made in this order, so that equal demands always have the same level.
 	slices.SortFunc(demands, func(a, b *demand) int {
-		return cmp.Or(cmp.Compare(a.wanted/a.weight, b.wanted/b.weight), cmp.Compare(a.given, b.given), cmp.Compare(a.weight, b.weight))
+		return cmp.Or(cmp.Compare(a.required/a.weight, b.required/b.weight), cmp.Compare(a.given, b.given), cmp.Compare(a.weight, b.weight))
 	})
 	capacity, weights := 0.0, 0.0
 	for _, d := range demands {
@@ -30,10 +30,10 @@
 		weights += d.weight
 	}
 	for _, d := range demands {
-		if level = capacity / weights; d.wanted > d.weight*level {
+		if level = capacity / weights; d.required > d.weight*level {
 			return level
 		}
-		capacity -= d.wanted
+		capacity -= d.required
 		weights -= d.weight
 	}
 	return math.Inf(1)
--- a/core/share/report.go
+++ b/core/share/report.go
@@ -9,29 +9,29 @@
 )
 
 const (
-	// reportBytes bounds the organisations that a heartbeat tells, useBytes is what one takes beside its name.
+	// reportBytes bounds the organisations in a heartbeat, useBytes is what one takes beside its name.
 	reportBytes = 100
 	useBytes    = 9
 	// largestPart is the part of it for the organisations with the largest use; the others take turns in the rest.
 	largestPart = 0.5
-	// maxRates bounds the services that a heartbeat tells.
+	// maxRates bounds the services in a heartbeat.
 	maxRates = 4
 	// reportInterval is the interval of reports while requests wait or are refused, quietInterval that at other times.
 	reportInterval = 500 * time.Millisecond
 	quietInterval  = 2 * time.Second
 )
 
-// Report returns what is to be told to the other entries now, nothing if that was done lately: the organisations with the largest use and, in
+// Report returns what is to be sent to the other entries now, nothing if that was done lately: the organisations with the largest use and, in
 // turn, some of the others.
 func (m *Model) Report(now time.Time) (uses []Use, rates []Rate) {
 	interval := quietInterval
 	if m.Contended(now) {
 		interval = reportInterval
 	}
-	if now.Sub(m.toldAt) < interval {
+	if now.Sub(m.reportedAt) < interval {
 		return nil, nil
 	}
-	m.toldAt = now
+	m.reportedAt = now
 	m.turn++
 	return m.pickUses(m.uses(now)), m.rates(now)
 }
@@ -51,7 +51,7 @@
 }
 
 // pickUses returns as many as fit a report. The rest is in order of names, so that its turns go on while the use changes.
-func (m *Model) pickUses(uses []Use) (told []Use) {
+func (m *Model) pickUses(uses []Use) (picked []Use) {
 	left := reportBytes
 	size := func(u Use) int { return useBytes + len(u.Org) }
 	n := 0
@@ -59,16 +59,16 @@
 		left -= size(uses[n])
 		n++
 	}
-	told, rest := uses[:n:n], uses[n:]
+	picked, rest := uses[:n:n], uses[n:]
 	slices.SortFunc(rest, func(a, b Use) int { return cmp.Compare(a.Org, b.Org) })
 	for i := range rest {
 		u := rest[(i+m.turn*turnStep)%len(rest)]
 		if left -= size(u); left < 0 {
 			break
 		}
-		told = append(told, u)
+		picked = append(picked, u)
 	}
-	return told
+	return picked
 }
 
 // turnStep is by how many organisations the turns advance with each report: about as many as the rest of a report has room for.
@@ -104,7 +104,7 @@
 	for org, a := range m.accounts {
 		d := &a.demand
 		views = append(views, View{
-			Org: org, Used: d.given / float64(memory), Share: d.weight * m.level / float64(memory), Unmet: (d.wanted - d.given) / float64(unmetMemory),
+			Org: org, Used: d.given / float64(memory), Share: d.weight * m.level / float64(memory), Unmet: (d.required - d.given) / float64(unmetMemory),
 		})
 	}
 	slices.SortFunc(views, func(a, b View) int { return cmp.Compare(a.Org, b.Org) })
--- a/core/share/returns.go
+++ b/core/share/returns.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// minSpacing is the minimum time between two slots of one entry. Callers are told times in whole milliseconds.
+	// minSpacing is the minimum time between two slots of one entry. Callers are sent times in whole milliseconds.
 	minSpacing = 2 * time.Millisecond
 	// squeeze is how much closer than the freed capacity allows slots may be: the bound is twice its rate.
 	squeeze = 2
 	// earlyPart is the part of the window in which an organisation that is not above its share gets its slot, if need be by squeezing it in.
 	earlyPart = 0.5
-	// maxOrgSlots is the part of the slots beyond which an organisation gets later ones: its callers come back more often than they are told.
+	// maxOrgSlots is the part of the slots beyond which an organisation gets later ones: its callers come back more often than stated.
 	maxOrgSlots = 0.5
 	// fewSlots is the number of slots of one organisation for which that does not hold.
 	fewSlots = 2
@@ -60,7 +60,7 @@
 	// minRate is the part of the upstreams' capacity below which the forecast doesn't fall: after a time in which nothing was served the
 	// measured rate is low for a while.
 	minRate = 0.1
-	// askPause is the time without a question after which the measured rate says how little was asked for and not what can be served.
+	// askPause is the time without a question after which the measured rate is that of the requests and not what can be served.
 	askPause = 2 * rateMemory
 )
 
--- a/core/share/share.go
+++ b/core/share/share.go
@@ -1,7 +1,7 @@
 // Package share divides the engine time of a fleet between organisations by weighted max-min fairness, orders queued requests, and
 // gives refused callers times to come back.
 //
-// Each entry counts the engine time that it gives to each organisation and what it could not give. Entries tell each other these
+// Each entry counts the engine time that it gives to each organisation and what it could not give. Entries send each other these
 // figures, so that all judge by the use of the whole fleet. Nobody is held back while nothing waits and nothing is refused.
 package share
 
@@ -89,7 +89,7 @@
 	PerSecond float64
 }
 
-// PeerMsg carries figures of another entry. Organisations that it does not list keep the figures told before.
+// PeerMsg carries figures of another entry. Organisations that it does not list keep their last figures.
 type PeerMsg struct {
 	Peer  string
 	Uses  []Use
@@ -111,7 +111,7 @@
 type account struct {
 	// given and unmet are this entry's, in ns.
 	given, unmet decaying
-	// others is the sum of what the other entries told.
+	// others is the sum of what the other entries reported.
 	others Use
 	// demand is input and result of the last division.
 	demand demand
@@ -119,15 +119,15 @@
 	restricted bool
 }
 
-// peerFigures are those that another entry has told.
+// peerFigures are those that another entry has reported.
 type peerFigures struct {
-	uses map[ident.OrgID]told
+	uses map[ident.OrgID]figure
 	// rates are in requests a second.
-	rates map[ident.ServiceName]told
+	rates map[ident.ServiceName]figure
 }
 
-// told is a figure and when it was told.
-type told struct {
+// figure is what another entry reported, at its arrival.
+type figure struct {
 	use  Use
 	rate float64
 	at   time.Time
@@ -153,8 +153,8 @@
 	// demands is reused for each division.
 	demands     []*demand
 	refreshedAt time.Time
-	toldAt      time.Time
-	// turn counts reports, so that organisations with little use are told in turn.
+	reportedAt  time.Time
+	// turn counts reports, so that organisations with little use are reported in turn.
 	turn int
 }
 
@@ -278,7 +278,7 @@
 			unmet = 0
 		}
 		m.contended = m.contended || unmet > 0
-		a.demand = demand{given: given, wanted: given + unmet, weight: m.weight(org)}
+		a.demand = demand{given: given, required: given + unmet, weight: m.weight(org)}
 		m.demands = append(m.demands, &a.demand)
 	}
 	m.level = divide(m.demands)
@@ -300,30 +300,30 @@
 	return a
 }
 
-// updatePeer replaces the figures that another entry told before.
+// updatePeer replaces the figures that another entry reported before.
 func (m *Model) updatePeer(now time.Time, msg PeerMsg) {
 	p, ok := m.peers[msg.Peer]
 	if !ok {
-		p = &peerFigures{uses: map[ident.OrgID]told{}, rates: map[ident.ServiceName]told{}}
+		p = &peerFigures{uses: map[ident.OrgID]figure{}, rates: map[ident.ServiceName]figure{}}
 		m.peers[msg.Peer] = p
 	}
 	for _, u := range msg.Uses {
-		u.Given, u.Unmet = min(max(u.Given, 0), maxTold), min(max(u.Unmet, 0), maxTold)
+		u.Given, u.Unmet = min(max(u.Given, 0), maxReported), min(max(u.Unmet, 0), maxReported)
 		m.replace(u.Org, p.uses[u.Org].use, u)
-		p.uses[u.Org] = told{use: u, at: now}
+		p.uses[u.Org] = figure{use: u, at: now}
 	}
 	for _, r := range msg.Rates {
-		r.PerSecond = min(max(r.PerSecond, 0), maxToldRate)
+		r.PerSecond = min(max(r.PerSecond, 0), maxReportedRate)
 		m.service(r.Service).others += r.PerSecond - p.rates[r.Service].rate
-		p.rates[r.Service] = told{rate: r.PerSecond, at: now}
+		p.rates[r.Service] = figure{rate: r.PerSecond, at: now}
 	}
 }
 
 const (
-	// maxTold bounds the engine time that another entry may claim for one organisation, so that one wrong report doesn't hide all others.
-	maxTold = time.Hour
-	// maxToldRate bounds the rate that another entry may claim, in requests a second.
-	maxToldRate = 1e5
+	// maxReported bounds the engine time that another entry may claim for one organisation, so that one wrong report doesn't hide all others.
+	maxReported = time.Hour
+	// maxReportedRate bounds the rate that another entry may claim, in requests a second.
+	maxReportedRate = 1e5
 )
 
 // replace replaces a figure of another entry in the sum over all others.
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -18,21 +18,21 @@
 
 func newModel(seed uint64) *Model { return NewModel(rand.New(rand.NewPCG(seed, 1))) }
 
-// TestLevelIsMaxMinFair draws demands and checks what defines weighted max-min fairness: everything is divided, nobody gets more than it wants, and
-// who gets less than it wants gets no less for its weight than anybody else.
+// TestLevelIsMaxMinFair draws demands and checks what defines weighted max-min fairness: everything is divided, nobody gets more than it requires, and
+// who gets less than it requires gets no less for its weight than anybody else.
 func TestLevelIsMaxMinFair(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var demands []*demand
 		capacity := 0.0
 		for range rapid.IntRange(1, 30).Draw(t, "organisations") {
 			d := &demand{given: rapid.Float64Range(0, 100).Draw(t, "given"), weight: rapid.Float64Range(0.1, 5).Draw(t, "weight")}
-			d.wanted = d.given + max(0, rapid.Float64Range(-50, 100).Draw(t, "unmet"))
+			d.required = d.given + max(0, rapid.Float64Range(-50, 100).Draw(t, "unmet"))
 			capacity += d.given
 			demands = append(demands, d)
 		}
 		level, divided := divide(demands), 0.0
 		for _, d := range demands {
-			divided += min(d.wanted, d.weight*level)
+			divided += min(d.required, d.weight*level)
 		}
 		if math.Abs(divided-capacity) > 1e-6*(capacity+1) {
 			t.Fatalf("%g of %g is divided at level %g", divided, capacity, level)
@@ -48,7 +48,7 @@
 }
 
 // TestOnlyUseBeyondTheShareIsHeldBack lets other entries report use, waits and refusals. Figures that are missing or outdated must hold nobody
-// back, nor what an organisation borrowed while nobody else wanted it.
+// back, nor what an organisation borrowed while nobody else required it.
 func TestOnlyUseBeyondTheShareIsHeldBack(t *testing.T) {
 	large := PeerMsg{Peer: "p", Uses: []Use{{Org: "a", Given: 20 * time.Second}, {Org: "b", Given: 2 * time.Second}}}
 	hungry := PeerMsg{Peer: "q", Uses: []Use{{Org: "b", Given: time.Second, Unmet: 9 * time.Second}, {Org: "a", Unmet: time.Second}}}
@@ -191,10 +191,10 @@
 	}
 }
 
-// TestReportFitsHeartbeat has 24 organisations: a report stays small, and all of them are told within 4.5 s.
+// TestReportFitsHeartbeat has 24 organisations: a report stays small, and all of them are reported within 4.5 s.
 func TestReportFitsHeartbeat(t *testing.T) {
 	m := newModel(1)
-	told := map[ident.OrgID]bool{}
+	reported := map[ident.OrgID]bool{}
 	for n := range 9 {
 		now := start.Add(time.Duration(n) * reportInterval)
 		for i := range 24 {
@@ -206,7 +206,7 @@
 		size := 0
 		for _, u := range uses {
 			size += useBytes + len(u.Org)
-			told[u.Org] = true
+			reported[u.Org] = true
 		}
 		if size > reportBytes {
 			t.Errorf("report of %d bytes", size)
@@ -215,8 +215,8 @@
 			t.Error("reported twice within the interval")
 		}
 	}
-	if diff := cmp.Diff(24, len(told)); diff != "" {
-		t.Errorf("organisations told (-want +got):\n%s", diff)
+	if diff := cmp.Diff(24, len(reported)); diff != "" {
+		t.Errorf("organisations reported (-want +got):\n%s", diff)
 	}
 }
 
--- a/core/usage/clock.go
+++ b/core/usage/clock.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// sampleTTL is how long the wall clock of another entry counts after it was last heard.
+	// sampleTTL is how long the wall clock of another entry counts after it was last received.
 	sampleTTL = 30 * time.Second
 	// maxSlew bounds how fast the agreed offset follows, as a fraction of the time that passes: a difference of 100 ms is gone within 2 s, and
 	// a window is at most 5 % longer or shorter than it should be.
@@ -23,7 +23,7 @@
 	// offset is the agreed time minus the monotonic time, as of at; at is zero before the first sample.
 	offset time.Duration
 	at     time.Time
-	// voted is set once there were minVoters samples. Before that, the entry can't tell whether its own clock is right, and the offset
+	// voted is set once there were minVoters samples. Before that, it is not known whether the entry's own clock is right, and the offset
 	// follows at once.
 	voted bool
 }
--- a/core/usage/direct_test.go
+++ b/core/usage/direct_test.go
@@ -82,12 +82,12 @@
 			if c.after == c.before {
 				cmds = d.tick(4 * time.Second)
 			}
-			told := slices.ContainsFunc(cmds, func(cmd ident.Cmd) bool {
+			sent := slices.ContainsFunc(cmds, func(cmd ident.Cmd) bool {
 				s, ok := cmd.(SendCmd)
 				return ok && slices.Equal(s.To, []string{c.after}) && slices.ContainsFunc(s.Groups, func(g Group) bool { return cmp.Equal(gone, g) })
 			})
-			if !told {
-				t.Errorf("the holder was not told of %v in %v", gone, cmds)
+			if !sent {
+				t.Errorf("the holder was not sent %v in %v", gone, cmds)
 			}
 		})
 	}
--- a/core/usage/messages.go
+++ b/core/usage/messages.go
@@ -10,10 +10,10 @@
 	Entry string
 	Boot  int64
 	// Wall is what the sender's wall clock showed when it sent the message. It is zero if the message was delayed for longer than a network
-	// takes, so that it says nothing of the clock.
+	// takes, so that it can't be compared with this entry's clock.
 	Wall time.Time
 	// Through is the sender's present window: its counters of earlier windows don't grow any more, and Groups has the totals of those that
-	// may still be reported. It is 0 in a message that says nothing of that.
+	// may still be reported. It is 0 in a message without totals.
 	Through int64
 	Groups  []Group
 }
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -114,7 +114,7 @@
 	if r.era >= 0 || era > 0 {
 		r.certainFrom = t
 		if r.era < 0 || !m.clock.Voted() {
-			// A new process can't tell when the store came back, and its clock may be behind that of the holder whose records were lost.
+			// A new process does not know when the store came back, and its clock may be behind that of the holder whose records were lost.
 			r.certainFrom = t.Add(m.window)
 		}
 		r.next, r.caughtUp = -1, false
@@ -210,7 +210,7 @@
 // isCertain reports whether a window can't have had a record that was lost.
 func (m *Model) isCertain(window int64) bool { return m.end(window).After(m.reporter.certainFrom) }
 
-// isKnown reports whether this entry can have the counts of a window: it ran before the window ended, or it has heard of requests or of
+// isKnown reports whether this entry can have the counts of a window: it ran before the window ended, or it has received counters of requests or records of
 // earlier reports.
 func (m *Model) isKnown(window int64) bool {
 	return m.end(window).After(m.start) || m.reporter.hasEarlier || m.groups.has(window)
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -53,10 +53,10 @@
 	// through is the present window of other incarnations, as they have sent it.
 	through map[Member]int64
 	alive   []Member
-	// sentAt is when counters were last sent, sends counts that, and toldHolder is the holder to which everything has been sent.
+	// sentAt is when counters were last sent, sends counts that, and sentHolder is the holder to which everything has been sent.
 	sentAt     time.Time
 	sends      int
-	toldHolder string
+	sentHolder string
 	// reporter is the part of the holder.
 	reporter reporter
 }
@@ -221,8 +221,8 @@
 	}
 	own := m.dueGroups(now, t)
 	toHolder := own
-	if holder != m.toldHolder {
-		m.toldHolder = holder
+	if holder != m.sentHolder {
+		m.sentHolder = holder
 		toHolder = m.groups.list(func(k key) bool { return m.due(k.window).After(t) })
 	} else if holder != "" {
 		toHolder = append(slices.Clip(toHolder), m.orphans(t)...)
@@ -243,9 +243,9 @@
 func (m *Model) flush(now time.Time) (cmds []ident.Cmd) {
 	t := m.clock.Time(now)
 	groups := m.groups.list(func(k key) bool { return k.entry == m.self && k.boot == m.boot && m.due(k.window).After(t) })
-	to := m.replicas(m.toldHolder, m.others())
-	if m.toldHolder != "" {
-		to = append(to, m.toldHolder)
+	to := m.replicas(m.sentHolder, m.others())
+	if m.sentHolder != "" {
+		to = append(to, m.sentHolder)
 	}
 	if len(to) == 0 || len(groups) == 0 {
 		return nil
--- a/core/zones/zones.go
+++ b/core/zones/zones.go
@@ -69,7 +69,7 @@
 	retention = time.Minute
 )
 
-// link is what the answers from one zone tell of the way to it.
+// link is what the answers from one zone show of the way to it.
 type link struct {
 	// late is the average of how much later than expected the first bytes came, in ns.
 	late float64
@@ -89,9 +89,9 @@
 	view   View
 	// listedAt is when an upstream of the service was last listed there.
 	listedAt time.Time
-	// told is whether the last command said that requests leave.
-	told  bool
-	cause Cause
+	// leaves is whether the last command reported that requests leave.
+	leaves bool
+	cause  Cause
 }
 
 // service is the state of one service.
@@ -208,8 +208,8 @@
 		p.share += rise * float64(p.view.Free) / float64(max(free, 1))
 	}
 	for _, p := range s.pairs {
-		if p.told != (p.share > 0) {
-			p.told = p.share > 0
+		if p.leaves != (p.share > 0) {
+			p.leaves = p.share > 0
 			cmds = append(cmds, ChangedCmd{Service: msg.Service, Status: s.status(p)})
 		}
 	}
@@ -241,7 +241,7 @@
 	case p.view.Warm == 0:
 		p.fall(0, NoUpstream)
 	case s.lost, s.objective <= 0:
-		// All requests leave, or nothing says which waits matter.
+		// All requests leave, or there is no objective to compare waits with.
 		p.agreed = 0
 	case own < relieved*objective:
 		p.fall(fall, Relieved)
@@ -352,7 +352,7 @@
 	return float64(xxhash.Sum64(key[:])>>11) / (1 << 53)
 }
 
-// Spread returns a factor in (1/2, 1] for a ticket, by which waits of different requests are told apart.
+// Spread returns a factor in (1/2, 1] for a ticket, by which the waits of different requests differ.
 func (m *Model) Spread(ticket uint64) float64 { return 1 - m.hash(^ticket)/2 }
 
 // Half reports whether a ticket is in the half of all that may leave when the own zone is expected to serve them late.
--- a/io/daemon/fairness.go
+++ b/io/daemon/fairness.go
@@ -24,8 +24,8 @@
 	return share.NewModel(rng)
 }
 
-// tellUses adds to a heartbeat what organisations used here, if it is time to tell; the lock is held.
-func (d *Controller) tellUses(now time.Time, m *gossip.Message) {
+// addUses adds to a heartbeat what organisations used here, if a report is due; the lock is held.
+func (d *Controller) addUses(now time.Time, m *gossip.Message) {
 	if d.shares == nil {
 		return
 	}
@@ -38,15 +38,15 @@
 	}
 }
 
-// maxToldMS bounds what another entry may tell in milliseconds, so that it can be converted.
-const maxToldMS = int(24 * time.Hour / time.Millisecond)
+// maxReportedMS bounds what another entry may report in milliseconds, so that it can be converted.
+const maxReportedMS = int(24 * time.Hour / time.Millisecond)
 
-// hearUses applies what organisations used at another entry; the lock is held. A heartbeat that a newer one has overtaken tells nothing.
-func (d *Controller) hearUses(now time.Time, m *gossip.Message) {
+// applyUses applies what organisations used at another entry; the lock is held. A heartbeat that a newer one has overtaken is ignored.
+func (d *Controller) applyUses(now time.Time, m *gossip.Message) {
 	if d.shares == nil || !m.Heartbeat || len(m.Uses)+len(m.Served) == 0 {
 		return
 	}
-	millis := func(n int) time.Duration { return time.Duration(min(max(n, 0), maxToldMS)) * time.Millisecond }
+	millis := func(n int) time.Duration { return time.Duration(min(max(n, 0), maxReportedMS)) * time.Millisecond }
 	msg := share.PeerMsg{Peer: m.ID}
 	for _, u := range m.Uses {
 		msg.Uses = append(msg.Uses, share.Use{Org: ident.OrgID(u.Org), Given: millis(u.GivenMS), Unmet: millis(u.UnmetMS)})
--- a/io/daemon/fairness_test.go
+++ b/io/daemon/fairness_test.go
@@ -14,9 +14,9 @@
 	"cicadavalve/io/gossip"
 )
 
-// TestEntriesTellUse has one entry give engine time and another refuse. The second must learn from a datagram whom to hold back; entries whose
-// settings don't ask for shares tell nothing, and heed nothing that they are told.
-func TestEntriesTellUse(t *testing.T) {
+// TestEntriesReportUse has one entry give engine time and another refuse. The second must know from a datagram whom to hold back; entries whose
+// settings don't require shares report nothing, and ignore what they receive.
+func TestEntriesReportUse(t *testing.T) {
 	got := map[bool]int{}
 	for _, on := range []bool{false, true} {
 		now := clock.Now()
@@ -30,19 +30,19 @@
 			fleet[1].shares.Update(now, share.UnmetMsg{Org: "small", Time: 5 * time.Second})
 		}
 		m, _ := fleet[0].message(now)
-		if told := len(m.Uses) + len(m.Served); on != (told == 3) || !on && told > 0 {
-			t.Errorf("shares %v: %d figures told", on, told)
+		if sent := len(m.Uses) + len(m.Served); on != (sent == 3) || !on && sent > 0 {
+			t.Errorf("shares %v: %d figures sent", on, sent)
 		}
 		datagrams, err := gossip.Encode(m)
 		if err != nil {
 			t.Fatal(err)
 		}
-		heard, fault, err := gossip.Decode(datagrams[0])
+		received, fault, err := gossip.Decode(datagrams[0])
 		if err != nil || fault != nil {
 			t.Fatal(fault, err)
 		}
-		heard.Uses = append(heard.Uses, gossip.OrgUse{Org: "wrong", GivenMS: -1 << 62, UnmetMS: 1 << 62})
-		fleet[1].applyMessage(now, heard)
+		received.Uses = append(received.Uses, gossip.OrgUse{Org: "wrong", GivenMS: -1 << 62, UnmetMS: 1 << 62})
+		fleet[1].applyMessage(now, received)
 		if on {
 			got[on] = fleet[1].shares.Steps(now.Add(time.Second), "large")
 		}
--- a/io/daemon/follow.go
+++ b/io/daemon/follow.go
@@ -36,10 +36,10 @@
 	takeoverInterval   = time.Second
 	// maxResent bounds the parts that a heartbeat reports again.
 	maxResent = 64
-	// maxTold bounds the changes that a heartbeat reports in a large fleet: four datagrams, so that what all entries report after all of
+	// maxSent bounds the changes that a heartbeat reports in a large fleet: four datagrams, so that what all entries report after all of
 	// them have started does not exceed what narrow links and relays bear.
-	maxTold = 320
-	// positionTTL is how long it is remembered how far a holder's changes were told.
+	maxSent = 320
+	// positionTTL is how long it is remembered how far a holder's changes were sent.
 	positionTTL = 10 * time.Second
 )
 
@@ -117,7 +117,7 @@
 	}
 	limit := math.MaxInt
 	if watch.Shared(entries) {
-		limit = maxTold
+		limit = maxSent
 	}
 	for _, notice := range d.outbox.Next(limit) {
 		r := gossip.Report{Holder: string(notice.Holder), Epoch: notice.Epoch, AgeMS: int(now.Sub(notice.At).Milliseconds()), Next: notice.Next}
@@ -184,11 +184,11 @@
 	if known || d.announced > 0 && !watch.Shared(d.announced) {
 		return false
 	}
-	return d.announced == 0 || float64(len(d.mesh.Alive(now))) < heardShare*float64(d.announced)
+	return d.announced == 0 || float64(len(d.mesh.Alive(now))) < receivedShare*float64(d.announced)
 }
 
-// heardShare is the fraction of the announced entries from which an entry that starts must have received heartbeats to act as one of them.
-const heardShare = 0.9
+// receivedShare is the fraction of the announced entries from which an entry that starts must have received heartbeats to act as one of them.
+const receivedShare = 0.9
 
 // position is how far the entry that follows a holder has told its changes.
 type position struct {
--- a/io/daemon/heartbeat.go
+++ b/io/daemon/heartbeat.go
@@ -196,7 +196,7 @@
 	d.shareEvidence(now, len(alive), &m)
 	d.shareRollouts(now, &m)
 	d.shareCallers(now, &m)
-	d.tellUses(now, &m)
+	d.addUses(now, &m)
 	for _, l := range d.place.Loads() {
 		m.Loads = append(m.Loads, gossip.Load{Upstream: string(l.Upstream), Requests: l.Requests, Backlog: l.Backlog, Memory: l.Memory})
 	}
@@ -339,9 +339,9 @@
 	d.applyMarks(now, arrived, m.Era, m.Marks)
 	d.applyEvidence(now, &m)
 	d.hearRollouts(now, &m)
-	d.hearUses(now, &m)
+	d.applyUses(now, &m)
 	if m.Heartbeat {
-		d.hearCallers(sentAt, &m)
+		d.applyCallers(sentAt, &m)
 		d.setOrdered(now, m.ID, m.Ordered)
 	}
 	for _, l := range m.ConcurrencyLimits {
--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -81,7 +81,7 @@
 	m.set.NewGauge("slowdown_persistence_seconds", func() float64 { return summary().Persistence.Seconds() })
 }
 
-// watchRecalls serves how many overdue requests were recalled, and how many were not for want of retries.
+// watchRecalls serves how many overdue requests were recalled, and how many were not for lack of retries.
 func (m *Meter) watchRecalls(counts *recallCounts) {
 	for allowed, count := range map[bool]*atomic.Int64{true: &counts.recalled, false: &counts.denied} {
 		m.set.NewGauge(fmt.Sprintf("requests_overdue_total{recalled=\"%t\"}", allowed), func() float64 { return float64(count.Load()) })
--- a/io/daemon/scale.go
+++ b/io/daemon/scale.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// hearCallers applies the callers of another entry's heartbeat. Those of a partitioned one are refused for lack of links; the lock is held.
-func (d *Controller) hearCallers(sentAt time.Time, m *gossip.Message) {
+// applyCallers applies the callers of another entry's heartbeat. Those of a partitioned one are refused for lack of links; the lock is held.
+func (d *Controller) applyCallers(sentAt time.Time, m *gossip.Message) {
 	if d.scaling == nil || m.ID == d.mesh.Self().ID {
 		return
 	}
@@ -103,7 +103,7 @@
 			list = append(list, scale.Callers{Service: ident.ServiceName(c.Service), Waiting: c.Waiting, Arrived: c.Arrived, Refused: c.Refused})
 		}
 	}
-	d.scaling.callers.Hear(sentAt, m.ID, ident.Zone(m.Zone), list)
+	d.scaling.callers.Receive(sentAt, m.ID, ident.Zone(m.Zone), list)
 }
 
 // tickScaling decides about the number of upstreams and returns the orders; the lock of the controller is held.
--- a/io/daemon/scale_test.go
+++ b/io/daemon/scale_test.go
@@ -171,9 +171,9 @@
 	}
 }
 
-// TestHeartbeatTellsCallers counts an arrival and refusals of each kind. Those for which no upstream could help must not count, and
+// TestHeartbeatHasCallers counts an arrival and refusals of each kind. Those for which no upstream could help must not count, and
 // entries without scaling must send what they sent before.
-func TestHeartbeatTellsCallers(t *testing.T) {
+func TestHeartbeatHasCallers(t *testing.T) {
 	for name, c := range map[string]struct {
 		settings Settings
 		want     []gossip.Callers
--- a/io/daemon/statement_test.go
+++ b/io/daemon/statement_test.go
@@ -16,7 +16,7 @@
 	"cicadavalve/io/relay"
 )
 
-// TestUnreadableLoadIsLogged applies an answer with a load of which one field can't be read. The operator must learn which field it is.
+// TestUnreadableLoadIsLogged applies an answer with a load of which one field can't be read. The line must name the field.
 func TestUnreadableLoadIsLogged(t *testing.T) {
 	var out bytes.Buffer
 	d := NewController(Settings{}, mesh.Peer{ID: "entry-0"}, slog.New(slog.NewJSONHandler(&out, nil)), 1)
@@ -27,7 +27,7 @@
 }
 
 // TestSlowdownsOfAnswersAreUsed applies answers with and without a slowdown. What may be the answer of another upstream or of an earlier
-// incarnation must say nothing of this one's pace, and a field that can't be read must not end what was stated before.
+// incarnation must not change this one's pace, and a field that can't be read must not end what was stated before.
 func TestSlowdownsOfAnswersAreUsed(t *testing.T) {
 	stated := port.Reply{Signed: true, HasLoad: true, HasSlowdown: true, Slowdown: 2.5}
 	for name, c := range map[string]struct {
--- a/io/daemon/usage.go
+++ b/io/daemon/usage.go
@@ -25,7 +25,7 @@
 	usageStoreTimeout = 1500 * time.Millisecond
 	// usageReportTimeout bounds a call to the provider. A repeated report does no harm, so a slow answer is not waited for any longer.
 	usageReportTimeout = 3 * time.Second
-	// maxClockDelay is how long after its arrival a message still says what the sender's clock shows.
+	// maxClockDelay is how long after its arrival the clock in a message still counts as the sender's present one.
 	maxClockDelay = 20 * time.Millisecond
 )
 
--- a/io/gossip/gossip.go
+++ b/io/gossip/gossip.go
@@ -229,7 +229,7 @@
 	// Usage is sent in datagrams of its own.
 	Usage *Usage `cbor:"36,keyasint,omitempty"`
 	// Callers lists the services whose callers wait at the sender or arrived lately, where the number of upstreams follows the demand.
-	// Entries of an earlier build tell none.
+	// Entries of an earlier build send none.
 	Callers []Callers `cbor:"38,keyasint,omitempty"`
 	// Uses and Served are sent now and then by entries that divide engine time between organisations.
 	Uses   []OrgUse `cbor:"40,keyasint,omitempty"`
--- a/io/gossip/usage.go
+++ b/io/gossip/usage.go
@@ -6,7 +6,7 @@
 type Usage struct {
 	// WallUS is what the sender's wall clock showed when it sent the datagram, in µs since the Unix epoch.
 	WallUS int64 `cbor:"1,keyasint,omitempty"`
-	// Through is the present window of the sender, 0 if it is not told. Groups has the totals of the sender's earlier windows then.
+	// Through is the present window of the sender, 0 if it is not known. Groups has the totals of the sender's earlier windows then.
 	Through int64        `cbor:"2,keyasint,omitempty"`
 	Groups  []UsageGroup `cbor:"3,keyasint,omitempty"`
 }
@@ -86,7 +86,7 @@
 	return list
 }
 
-// Wall returns the time of WallUS, zero if it is not told.
+// Wall returns the time of WallUS, zero if it is not known.
 func (u *Usage) Wall() (wall time.Time) {
 	if u.WallUS == 0 {
 		return time.Time{}
