--- a/core/scale/scale.go
+++ b/core/scale/scale.go
@@ -49,8 +49,8 @@
 	// that, if the configuration has a shorter one or none.
 	bootMargin = time.Second
 	minBoot    = 4 * time.Second
-	// rateShare is the part of the provider's rate that orders may take; usage reports need the rest.
-	rateShare = 0.6
+	// rateShare is the part of the provider's rate that orders may take; usage reports take the rest.
+	rateShare = 0.5
 	// defaultRate is the rate of orders where that of the provider is not known, in calls a second.
 	defaultRate = 2
 )
--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -112,12 +112,13 @@
 		return era == r.era
 	}
 	if r.era >= 0 || era > 0 {
-		r.certainFrom = t
+		from := t
 		if r.era < 0 || !m.clock.Voted() {
 			// A new process does not know when the store came back, and its clock may be behind that of the holder whose records were lost.
-			r.certainFrom = t.Add(m.window)
+			from = t.Add(m.window)
 		}
-		r.next, r.caughtUp = -1, false
+		r.doubt(from)
+		r.readAgain()
 		for _, one := range r.reports {
 			one.recorded = false
 		}
@@ -126,6 +127,16 @@
 	return true
 }
 
+// doubt keeps windows that end by an agreed time from being recorded anew. An earlier doubt about later windows stays.
+func (r *reporter) doubt(until time.Time) {
+	if until.After(r.certainFrom) {
+		r.certainFrom = until
+	}
+}
+
+// readAgain requires that the topic be read again, from the first record that may concern an open window.
+func (r *reporter) readAgain() { r.next, r.caughtUp = -1, false }
+
 // report returns the calls that are due while this entry holds the lease.
 func (m *Model) report(now, t time.Time, msg TickMsg) (cmds []ident.Cmd) {
 	r := &m.reporter
@@ -250,7 +261,7 @@
 	}
 	if msg.Faulty || implausible {
 		// The record that can't be read may be that of a window.
-		r.certainFrom = t
+		r.doubt(t)
 	}
 	r.next, r.caughtUp = msg.Next, msg.Next >= msg.End
 }
@@ -266,7 +277,8 @@
 		r.next, r.trimmed = msg.Next, true
 	default:
 		// Records that this entry has not read were removed, or the topic ends before the known end.
-		r.next, r.caughtUp, r.certainFrom = msg.Next, false, t
+		r.next, r.caughtUp = msg.Next, false
+		r.doubt(t)
 	}
 }
 
@@ -284,7 +296,7 @@
 	}
 	switch {
 	case r.trimmed:
-		r.certainFrom = oldest.Add(clockMargin)
+		r.doubt(oldest.Add(clockMargin))
 	case r.skipped:
 		r.lookback *= lookbackFactor
 		r.next = -1
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -45,9 +45,9 @@
 	callInterval  time.Duration
 	rng           *rand.Rand
 	clock         *Clock
-	// start is the agreed time of the first tick.
-	start  time.Time
-	groups table
+	// start is the agreed time of the first tick, tickedAt that of the last one.
+	start, tickedAt time.Time
+	groups          table
 	// changed is when the own counters last grew, by window and organisation.
 	changed map[int64]map[OrgID]time.Time
 	// through is the present window of other incarnations, as they have sent it.
@@ -190,6 +190,11 @@
 	if !m.started() {
 		m.start = t
 	}
+	if t.Before(m.tickedAt) {
+		// Records of windows that are open again may have been dropped.
+		m.reporter.readAgain()
+	}
+	m.tickedAt = t
 	m.alive = msg.Alive
 	m.forget(t)
 	m.enter(t, msg.Era)
