--- a/core/usage/report.go
+++ b/core/usage/report.go
@@ -115,11 +115,11 @@
 	if r.era >= 0 || era > 0 {
 		from := now
 		if r.era < 0 || !m.clock.Voted() {
-			// A new process can't tell when the store came back, and its clock may be behind that of the holder whose records were lost.
+			// A new process does not know when the store came back, and its clock may be behind that of the holder whose records were lost.
 			from = now.Add(m.window)
 		}
 		r.doubtUntil(from)
-		r.next, r.caughtUp = -1, false
+		r.readAgain()
 		for _, one := range r.reports {
 			one.recorded = false
 		}
@@ -131,6 +131,9 @@
 // doubtUntil notes that windows that end until a monotonic time may have had a record that was lost.
 func (r *reporter) doubtUntil(at time.Time) { r.certainFrom = times.Later(r.certainFrom, at) }
 
+// readAgain requires that the topic be read again, from the first record that may concern an open window.
+func (r *reporter) readAgain() { r.next, r.caughtUp = -1, false }
+
 // report returns the calls that are due while this entry holds the lease.
 func (m *Model) report(now, t time.Time, msg TickMsg) (cmds []ident.Cmd) {
 	r := &m.reporter
@@ -217,7 +220,7 @@
 	return m.end(window).After(m.clock.Time(m.reporter.certainFrom))
 }
 
-// isKnown reports whether this entry can have the counts of a window: it ran before the window ended, or it has heard of requests or of
+// isKnown reports whether this entry can have the counts of a window: it ran before the window ended, or it has received counters of requests or records of
 // earlier reports.
 func (m *Model) isKnown(window int64) bool {
 	return m.end(window).After(m.clock.Time(m.start)) || m.reporter.hasEarlier || m.groups.has(window)
