--- a/core/pace/persistence.go
+++ b/core/pace/persistence.go
@@ -10,8 +10,8 @@
 	deviation = 0.2
 	// initialPersistence is the mean duration of a slowdown that is assumed at first: that of VMs which share a core.
 	initialPersistence = 600 * time.Millisecond
-	// initialEnds is how many ends of slowdowns that assumption is worth. It is never forgotten: the estimate of where a slowdown ended between
-	// two statements follows the mean, which without an anchor drifts to its bounds where statements are rare.
+	// initialEnds is how many ends of slowdowns that assumption is worth. They always count: the estimate of where a slowdown ended between
+	// two statements follows the mean, which otherwise moves to its bounds where statements are rare.
 	initialEnds = 5
 	// endMemory is after how many ends of slowdowns those before count for 1/e: fewer give an estimate that varies by more than a fifth.
 	endMemory = 40
--- a/core/share/share_test.go
+++ b/core/share/share_test.go
@@ -51,7 +51,7 @@
 // back, nor what an organisation borrowed while nobody else required it.
 func TestOnlyUseBeyondTheShareIsHeldBack(t *testing.T) {
 	large := PeerMsg{Peer: "p", Uses: []Use{{Org: "a", Given: 20 * time.Second}, {Org: "b", Given: 2 * time.Second}}}
-	hungry := PeerMsg{Peer: "q", Uses: []Use{{Org: "b", Given: time.Second, Unmet: 9 * time.Second}, {Org: "a", Unmet: time.Second}}}
+	unserved := PeerMsg{Peer: "q", Uses: []Use{{Org: "b", Given: time.Second, Unmet: 9 * time.Second}, {Org: "a", Unmet: time.Second}}}
 	for _, c := range []struct {
 		name    string
 		msgs    []ident.Msg
@@ -60,11 +60,11 @@
 		want    map[ident.OrgID]int
 	}{
 		{"nothing waits", []ident.Msg{large}, nil, 0, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
-		{"another waits", []ident.Msg{large, hungry}, nil, 0, map[ident.OrgID]int{"a": 3, "b": 0, "c": 0}},
+		{"another waits", []ident.Msg{large, unserved}, nil, 0, map[ident.OrgID]int{"a": 3, "b": 0, "c": 0}},
 		{"the large one alone waits", []ident.Msg{large, PeerMsg{Peer: "q", Uses: []Use{{Org: "a", Unmet: time.Second}}}}, nil, 0, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
-		{"its weight is large", []ident.Msg{large, hungry}, []Option{WithWeight("a", 8)}, 0, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
-		{"repeated reports", []ident.Msg{hungry, large, hungry, large}, nil, 0, map[ident.OrgID]int{"a": 3, "b": 0, "c": 0}},
-		{"the reporting entries have ended", []ident.Msg{large, hungry}, nil, peerTTL + 1, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
+		{"its weight is large", []ident.Msg{large, unserved}, []Option{WithWeight("a", 8)}, 0, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
+		{"repeated reports", []ident.Msg{unserved, large, unserved, large}, nil, 0, map[ident.OrgID]int{"a": 3, "b": 0, "c": 0}},
+		{"the reporting entries have ended", []ident.Msg{large, unserved}, nil, peerTTL + 1, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
 		{"unusable figures", []ident.Msg{large, PeerMsg{Peer: "q", Uses: []Use{{Org: "b", Given: -time.Hour, Unmet: math.MinInt64}}}}, nil, 0, map[ident.OrgID]int{"a": 0, "b": 0, "c": 0}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/zones/zones.go
+++ b/core/zones/zones.go
@@ -188,7 +188,7 @@
 func (m *Model) observe(now time.Time, msg ObserveMsg) (cmds []ident.Cmd) {
 	m.forget(now)
 	s := m.service(msg.Service)
-	s.see(now, m.zone, msg)
+	s.applyViews(now, m.zone, msg)
 	if lost := s.ownView.Usable == 0 && slices.ContainsFunc(s.pairs, func(p *pair) bool { return p.view.Usable > 0 }); lost != s.lost {
 		s.lost = lost
 		cmds = append(cmds, LostCmd{Service: msg.Service, Lost: lost})
@@ -216,8 +216,8 @@
 	return cmds
 }
 
-// see takes in the present views, and drops the zones that have not been listed for long and get nothing.
-func (s *service) see(now time.Time, own ident.Zone, msg ObserveMsg) {
+// applyViews applies the present views, and drops the zones that have not been listed for long and get nothing.
+func (s *service) applyViews(now time.Time, own ident.Zone, msg ObserveMsg) {
 	s.objective, s.observedAt, s.ownView = msg.Objective, now, View{Zone: own}
 	for _, p := range s.pairs {
 		p.view = View{Zone: p.zone}
--- a/io/daemon/repeat_test.go
+++ b/io/daemon/repeat_test.go
@@ -54,7 +54,7 @@
 			d.recordLoss(now.Add(-recent/2), relay.Break{Upstream: "u", Born: 1, Digest: "other", SentAt: now.Add(-recent)})
 		}, broke(0, -recent/4, relay.Break{})}, 1},
 		"next incarnation listed": {[]step{first, func(d *Controller, now time.Time) { d.applyUpstream(now, upstream("u", 2)) }, second}, 1},
-		"heard of by another entry": {[]step{func(d *Controller, now time.Time) {
+		"reported by another entry": {[]step{func(d *Controller, now time.Time) {
 			d.poison.ReceiveLoss(now.Add(-time.Second), poison.LossBody{Digest: "d", Loss: poison.Loss{Upstream: "u", Boot: "1"}})
 		}, second}, 1},
 		"recalled after a restart": {[]step{func(d *Controller, now time.Time) {
--- a/io/daemon/scale.go
+++ b/io/daemon/scale.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/ident"
-	"cicadavalve/core/lease"
 	"cicadavalve/core/place"
 	"cicadavalve/core/scale"
 	"cicadavalve/io/clock"
@@ -163,7 +162,7 @@
 	case err == nil:
 		outcome.Result = scale.Accepted
 	case errors.Is(err, port.ErrOutdated):
-		u.update(lease.TokenOutdatedMsg{})
+		u.giveUp(token)
 	case !errors.Is(err, port.ErrRefused):
 		outcome.Result = scale.Unknown
 	}
--- a/io/daemon/usage.go
+++ b/io/daemon/usage.go
@@ -128,6 +128,15 @@
 	return u.lease.Holds(now), u.lease.Token(), holder
 }
 
+// giveUp gives a token up that is outdated. A call may outlast the lease, and this entry may have a newer token by then.
+func (u *duty) giveUp(token int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.lease.Token() == token {
+		u.lease.Update(clock.Now(), lease.TokenOutdatedMsg{})
+	}
+}
+
 // send sends counters and the wall clock to entries.
 func (u *usageReports) send(cmd usage.SendCmd) {
 	header, self := u.d.controller.greeting()
@@ -248,7 +257,7 @@
 		}
 	case errors.Is(err, port.ErrOutdated):
 		msg.Outcome = usage.Outdated
-		u.d.duty.update(lease.TokenOutdatedMsg{})
+		u.d.duty.giveUp(cmd.Token)
 	case errors.Is(err, port.ErrRefused):
 		msg.Outcome = usage.Refused
 	}
--- a/io/daemon/usage_test.go
+++ b/io/daemon/usage_test.go
@@ -21,10 +21,15 @@
 	port.Provider
 	err            error
 	reports, wrote int
+	// during, if set, is called during a report.
+	during func()
 }
 
 func (o *usageOutside) ReportUsage(context.Context, port.UsageReport) (err error) {
 	o.reports++
+	if o.during != nil {
+		o.during()
+	}
 	return o.err
 }
 
@@ -73,3 +78,21 @@
 		})
 	}
 }
+
+// TestOutdatedCallKeepsANewerToken has this entry claim the lease again during a report under its earlier token. The answer that this token is
+// outdated must not end the lease under the new one.
+func TestOutdatedCallKeepsANewerToken(t *testing.T) {
+	now, outside := clock.Now(), &usageOutside{err: port.ErrOutdated}
+	controller := newFleet(Settings{}, 1, now)[0]
+	d := &Daemon{
+		outside: Adapters{Provider: outside}, log: slog.New(slog.DiscardHandler), controller: controller, meter: NewMeter(),
+		settings: Settings{UsageWindow: 5 * time.Second, UsageDelay: 10 * time.Second},
+	}
+	d.duty = &duty{d: d, mu: controller.guard.NewMutex(), lease: lease.NewModel("self", 1, 3*time.Second, true)}
+	d.duty.lease.Update(now, lease.ClaimedMsg{SentAt: now, Won: true})
+	outside.during = func() { d.duty.update(lease.ClaimedMsg{SentAt: now, Won: true, Offset: 4}) }
+	got := newUsageReports(d, 1).report(t.Context(), usage.ReportCmd{Window: 1, Token: 1, Deadline: now.Add(8 * time.Second)})
+	if token := d.duty.lease.Token(); got.Outcome != usage.Outdated || token <= 1 || !d.duty.lease.Holds(clock.Now()) {
+		t.Errorf("outcome %v, token %d, holds %v", got.Outcome, token, d.duty.lease.Holds(clock.Now()))
+	}
+}
