Take the division of engines back, and recall overdue requests only where the settings ask for it

The case of a stated slowdown in two new tests now expects what the setting asks for; the other cases are as strict as before.

--- a/core/place/messages.go
+++ b/core/place/messages.go
@@ -36,10 +36,6 @@
 	// Objective is the time after Arrived within which the first byte is due.
 	Objective time.Duration
 	Deadline  time.Time
-	// MaxGap is the longest pause between two events of the answer that is on time, 0 if any is.
-	MaxGap time.Duration
-	// anyLane is set if engines for other prompts are considered as well.
-	anyLane bool
 	// Stream is set if the first byte of the answer shows that the request has begun.
 	Stream bool
 	// Repeatable is set if the request may be sent to another upstream although this one may have begun to run it.
--- a/core/place/overdue.go
+++ b/core/place/overdue.go
@@ -11,8 +11,7 @@
 	"cicadavalve/core/times"
 )
 
-// WithRecall has requests recalled whose first byte is overdue at every service. Without it, they are recalled at the services of which an
-// upstream states its slowdown.
+// WithRecall has requests recalled whose first byte is overdue. Without it, none is.
 func WithRecall() Option {
 	return func(m *Model) { m.recalls = true }
 }
@@ -20,7 +19,7 @@
 // recallOverdue returns the commands that end the exchanges of requests whose first byte is overdue and that another upstream is expected
 // to answer clearly sooner. None is recalled from a service for which others are queued: these have no upstream yet.
 func (m *Model) recallOverdue(now time.Time) (cmds []ident.Cmd) {
-	if !m.recalls && (m.pace == nil || m.pace.Stating() == 0) {
+	if !m.recalls {
 		return nil
 	}
 	var waiting []recall.Request
@@ -46,8 +45,7 @@
 // mayRecall reports whether a request may be recalled: it has not begun as far as is known, and may run again elsewhere. The head
 // of an answer that is no stream comes when the run has ended. A sample of a release that is being rolled out shows how slow that is.
 func (m *Model) mayRecall(s *sent) bool {
-	return s.need.Repeatable && !s.need.Sampled && !s.overdue && !s.recalled && !s.answered && (s.need.Stream || !s.headed) &&
-		(m.recalls || m.pace != nil && m.pace.States(s.need.Service))
+	return s.need.Repeatable && !s.need.Sampled && !s.overdue && !s.recalled && !s.answered && (s.need.Stream || !s.headed)
 }
 
 // waitingRequest returns the times by which it is decided whether a request is recalled.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -13,7 +13,6 @@
 	"cicadavalve/core/conf"
 	"cicadavalve/core/fleet"
 	"cicadavalve/core/ident"
-	"cicadavalve/core/lane"
 	"cicadavalve/core/pace"
 	"cicadavalve/core/parts"
 	"cicadavalve/core/ramp"
@@ -93,10 +92,8 @@
 	set     *conf.Set
 	// fractions holds what the last rejection left of an upstream's slots, by service, where few rejections are tolerated.
 	fractions map[ident.ServiceName]fraction
-	// objectives and gaps hold the shortest objective and the shortest of the longest pauses of the routes to each service.
-	objectives, gaps map[ident.ServiceName]time.Duration
-	// lanes keeps long prompts on engines of their own; nil if nothing does.
-	lanes *lane.Model
+	// objectives holds the shortest objective of the routes to each service.
+	objectives map[ident.ServiceName]time.Duration
 	// versions holds the target versions of each model, the oldest first.
 	versions map[ident.ModelName][]namedVersion
 	// versionGrace is how long requests may still start on older weights after a newer version was set.
@@ -118,7 +115,7 @@
 	pace *pace.Model
 	// sharing divides engine time between organisations; its model is nil if nothing does.
 	sharing
-	// recalls is set if overdue requests are recalled at services whose upstreams do not state their slowdown, too.
+	// recalls is set if overdue requests are recalled.
 	recalls bool
 	// zones decides about leaving the availability zone; nil if that has a fixed cost. It last got the state of all zones at zonesAt.
 	zones   *zones.Model
@@ -151,15 +148,12 @@
 
 // SetConfig sets the configuration.
 func (m *Model) SetConfig(set *conf.Set) {
-	m.set, m.objectives, m.gaps = set, map[ident.ServiceName]time.Duration{}, map[ident.ServiceName]time.Duration{}
+	m.set, m.objectives = set, map[ident.ServiceName]time.Duration{}
 	for _, r := range set.Routes() {
 		for _, share := range r.Shares {
 			if d, known := m.objectives[share.Service]; r.Objective > 0 && (!known || r.Objective < d) {
 				m.objectives[share.Service] = r.Objective
 			}
-			if d, known := m.gaps[share.Service]; r.MaxGap > 0 && (!known || r.MaxGap < d) {
-				m.gaps[share.Service] = r.MaxGap
-			}
 		}
 	}
 }
@@ -187,8 +181,6 @@
 		return m.placeQueued(now, m.end(now, msg))
 	case TargetMsg:
 		m.setTarget(msg)
-	case PauseMsg:
-		m.observePause(now, msg)
 	case HeadMsg:
 		m.observeHead(now, msg)
 	case LoadMsg:
@@ -462,7 +454,6 @@
 		cmd.Save, cmds = m.planSaves(now, need, o)
 		cmds = append(cmds, m.announcePrefills(now, need, o)...)
 	}
-	m.notePrefill(now, need, o)
 	m.noteSent(now, need, o)
 	m.noteGiven(now, s, need, o)
 	m.noteZone(now, need, o)
--- a/core/place/ramp.go
+++ b/core/place/ramp.go
@@ -28,12 +28,12 @@
 	return m.ramp == nil || m.ramp.Allows(now, need.Service, u.Release, need.Sampled)
 }
 
-// chooseRelease is like chooseLane for a request that may be a sample. A sample that no upstream can take in time becomes an
+// chooseRelease is like chooseZone for a request that may be a sample. A sample that no upstream can take in time becomes an
 // ordinary request; after the move to the new release samples wait for busy upstreams, as other requests do.
 func (m *Model) chooseRelease(
 	now time.Time, need *Need, avoid []ident.UpstreamID, only ident.UpstreamID,
 ) (best *option, tally Tally, ahead outlook) {
-	best, tally, ahead = m.chooseLane(now, need, avoid, only)
+	best, tally, ahead = m.chooseZone(now, need, avoid, only)
 	if only != "" || !need.Sampled || best != nil && !m.lateSample(now, need, best) {
 		return best, tally, ahead
 	}
@@ -41,7 +41,7 @@
 		return best, tally, ahead
 	}
 	need.Sampled = false
-	return m.chooseLane(now, need, avoid, only)
+	return m.chooseZone(now, need, avoid, only)
 }
 
 // lateSample reports whether a sample would be refused at its best upstream, though another release may serve it.
--- a/core/place/sample.go
+++ b/core/place/sample.go
@@ -35,14 +35,12 @@
 	all       bool
 	positions []int
 	holders   []origin
-	// lane restricts the holders; nil if all count.
-	lane *laneFilter
 }
 
 // has reports whether the upstream at a position of the fleet is in the sample.
 func (s *sample) has(position int, u *conf.Upstream) bool {
 	return s.all || slices.Contains(s.positions, position) ||
-		s.lane.has(u) && slices.ContainsFunc(s.holders, func(o origin) bool { return string(o.holder) == u.Address })
+		slices.ContainsFunc(s.holders, func(o origin) bool { return string(o.holder) == u.Address })
 }
 
 // sample chooses the upstreams to score. For a prompt it includes those that rendezvous hashing ranks first, so that
@@ -54,13 +52,10 @@
 	}
 	var open []int
 	var hashes []uint64
-	position, newest, lane := 0, int64(0), m.lane(find)
+	position, newest := 0, int64(0)
 	m.fleet.Each(find.now, find.need.Service, func(u *conf.Upstream, status fleet.Status) {
-		if lane.has(u) && m.admits(g, u) && m.open(find.now, u, status, find.service, find.need) && m.tokens(find.now, u.ID, m.quota(u, status.Cold, status.Limit)) >= 1 {
+		if m.admits(g, u) && m.open(find.now, u, status, find.service, find.need) && m.tokens(find.now, u.ID, m.quota(u, status.Cold, status.Limit)) >= 1 {
 			open, hashes = append(open, position), append(hashes, route.HashID(u.ID))
-			if lane != nil && lane.long {
-				lane.rank(position, u)
-			}
 		}
 		position, newest = position+1, max(newest, u.Weights[find.need.Model])
 	})
@@ -69,13 +64,9 @@
 		minimum = engineChoices
 	}
 	count := max(minimum, int(int64(len(open))*int64(freshLoadAge)/int64(m.members.ReportInterval)))
-	switch {
-	case lane == nil && count >= len(open), len(open) == 0:
+	if count >= len(open) {
 		return sample{all: true}
-	case lane != nil && (lane.long || count >= len(open)):
-		return sample{positions: lane.positions(open, count)}
 	}
-	s.lane = lane
 	if last := len(find.shared) - 1; last >= 0 {
 		s.positions = topRanked(parts.NewKey(m.set.CacheScope(find.need.Org), find.shared[last].ID), open, hashes, count-1)
 		s.holders = find.deepestHolders(newest)
--- a/io/daemon/controller.go
+++ b/io/daemon/controller.go
@@ -373,13 +373,6 @@
 	d.perform(d.place.Update(clock.Now(), place.FirstByteMsg{Ticket: t}))
 }
 
-// ObservePause implements [relay.Controller].
-func (d *Controller) ObservePause(t place.Ticket, pause time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.place.Update(clock.Now(), place.PauseMsg{Ticket: t, Pause: pause})
-}
-
 // End implements [relay.Controller].
 func (d *Controller) End(t place.Ticket, outcome place.Outcome) {
 	d.mu.Lock()
--- a/io/daemon/recall.go
+++ b/io/daemon/recall.go
@@ -3,7 +3,6 @@
 import (
 	"sync/atomic"
 
-	"cicadavalve/core/lane"
 	"cicadavalve/core/pace"
 	"cicadavalve/core/place"
 	"cicadavalve/core/ramp"
@@ -15,7 +14,7 @@
 
 // placeOptions returns the options of the model that places requests.
 func placeOptions(s Settings, roll *ramp.Model, speeds *pace.Model, shares *share.Model, leave *zones.Model) (options []place.Option) {
-	options = []place.Option{place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds), place.WithShares(shares), place.WithZones(leave), place.WithLanes(lane.NewModel())}
+	options = []place.Option{place.WithVersionGrace(s.VersionGrace), place.WithRamp(roll), place.WithPace(speeds), place.WithShares(shares), place.WithZones(leave)}
 	if s.Recall {
 		options = append(options, place.WithRecall())
 	}
--- a/io/daemon/settings.go
+++ b/io/daemon/settings.go
@@ -50,7 +50,7 @@
 	UsageWindow, UsageDelay time.Duration
 	// Scaling is set if the daemons order the number of upstreams.
 	Scaling bool
-	// Recall is set if requests whose first byte is overdue are sent to another upstream, also where upstreams don't state their slowdown.
+	// Recall is set if requests whose first byte is overdue are sent to another upstream.
 	Recall bool
 	// LeaveZone is set if the daemon decides by itself when leaving the availability zone pays. Otherwise that has a fixed cost.
 	LeaveZone bool
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -90,8 +90,6 @@
 	AllowRetry(service ident.ServiceName) bool
 	// FirstByte reports that the answer of the current attempt has begun. Further calls have no effect.
 	FirstByte(ticket place.Ticket)
-	// ObservePause reports the longest pause between two events of an attempt's answer, before its end.
-	ObservePause(ticket place.Ticket, pause time.Duration)
 	// End reports the outcome of an attempt.
 	End(ticket place.Ticket, outcome place.Outcome)
 	// ObserveReply applies what the head of an answer reports about the upstream.
@@ -326,7 +324,7 @@
 	x.deadline = x.arrived.Add(timeout)
 	x.need = place.Need{
 		Ticket: place.Ticket(x.h.tickets.Add(1)), Service: route.Pick(hashFraction(head.ID)), Route: route.Name, Org: x.org, Model: head.Model, Chain: head.Chain,
-		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, MaxGap: route.MaxGap, Deadline: x.deadline,
+		Output: head.Output, Rank: rank, Arrived: x.arrived, Objective: route.Objective, Deadline: x.deadline,
 		Counted: x.handed != nil && x.handed.Counted, Stream: route.Kind == conf.Stream,
 	}
 	return 0, ""
--- a/io/relay/stream.go
+++ b/io/relay/stream.go
@@ -54,9 +54,6 @@
 		case ended && (x.events > 0 || x.mayBeEmpty(answer)):
 			x.write(answer, x.held.data)
 			x.markComplete()
-			if x.events > 1 {
-				x.h.controller.ObservePause(x.need.Ticket, x.gap)
-			}
 			x.h.controller.End(x.need.Ticket, place.Good)
 			x.report(answer.Status, answered, -1)
 			return result{done: true}
