--- a/io/daemon/meter.go
+++ b/io/daemon/meter.go
@@ -63,6 +63,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("answers_total{framing=%q}", framing)).Inc()
 }
 
+// CountAbandoned implements [relay.Meter].
+func (m *Meter) CountAbandoned(received bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("exchanges_abandoned_total{received=\"%t\"}", received)).Inc()
+}
+
 // CountBlocked implements [relay.Meter].
 func (m *Meter) CountBlocked(reason relay.BlockReason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("requests_blocked_total{reason=%q}", reason)).Inc()
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -68,6 +68,19 @@
 	errLongHead   = errors.New("head of an answer exceeds the maximum size")
 )
 
+// AbandonedError is the error of an exchange whose context ended before the head of an answer.
+type AbandonedError struct {
+	// Unacked is how much of the request the upstream had not acknowledged by then, in bytes.
+	Unacked int
+	cause   error
+}
+
+// Error implements [error].
+func (e *AbandonedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns what ended the exchange.
+func (e *AbandonedError) Unwrap() error { return e.cause }
+
 // Request is a request to an upstream.
 type Request struct {
 	Method string
@@ -168,10 +181,11 @@
 	a, err = p.readAnswer(c, r)
 	if err != nil {
 		stop()
-		_ = c.Close()
 		if ctx.Err() != nil {
-			return nil, errors.CombineErrors(ctx.Err(), err)
+			unacked, _ := unreceived(c.Conn)
+			err = &AbandonedError{Unacked: unacked, cause: errors.CombineErrors(ctx.Err(), err)}
 		}
+		_ = c.Close()
 		return nil, err
 	}
 	a.addr, a.stop, a.writer, a.Opened = addr, stop, w, c.watch == nil
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -130,6 +130,9 @@
 	CountFailure(ending string)
 	// CountEnd counts an answer of an upstream by what marked its end.
 	CountEnd(framing link.Framing)
+	// CountAbandoned counts an exchange that ended with its caller or its deadline before the head of an answer. Received is set if the
+	// upstream had acknowledged the request by then.
+	CountAbandoned(received bool)
 	// CountBlocked counts a request that must not run, since it crashes upstreams or may.
 	CountBlocked(reason BlockReason)
 }
@@ -433,6 +436,11 @@
 		attrs = append(attrs, slog.String("framing", string(x.answer.Framing)), slog.Bool("written", x.answer.Written()), slog.Int("events", x.events), slog.Duration("gap", x.gap))
 		x.h.meter.CountEnd(x.answer.Framing)
 	}
+	var abandoned *link.AbandonedError
+	if errors.As(x.cause, &abandoned) {
+		attrs = append(attrs, slog.Duration("attempt", clock.Since(x.sentAt)), slog.Int("unacked", abandoned.Unacked))
+		x.h.meter.CountAbandoned(abandoned.Unacked == 0)
+	}
 	if x.tally != nil {
 		attrs = append(attrs, slog.Int("closed", x.tally.Closed), slog.Int("limited", x.tally.Limited), slog.Int("full", x.tally.Full), slog.Int("open", x.tally.Open),
 			slog.Int("full_memory", x.tally.FullBy[place.Memory]), slog.Int("full_slots", x.tally.FullBy[place.Slots]),
