Send no request whose caller's connection has already ended

What callers saw: nothing, but engines got requests of callers that had left, over half a second later (GONE). Cause: between a decision and the first byte nothing looked at the caller. The end of its connection reaches the exchange through two goroutines of the server; a process that was starved or stood still has the request and that end at hand at the same time, and the exchange was faster. It was worst at entries to which requests are handed over. The pool also wrote on a connection that had opened, or had been idle, although the context had ended by then: the goroutine that would end it raced with the write. Why it works: right before the first byte, on each attempt and hand-over, the system itself is asked whether the connection of the caller has ended, and what was not awaited on arrival is not placed at all. That costs one recv call a send. A hand-over that was withdrawn counts as not sent. Looked at: callers' and entries' connections are served by the same code; requests with the body still unread end by its read.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -171,7 +171,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.Approve != nil && !r.Approve() {
+	if ctx.Err() != nil || r.Approve != nil && !r.Approve() {
 		_ = c.Close()
 		return nil, ErrWithdrawn
 	}
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -65,6 +65,10 @@
 // run makes attempts until the request is answered, refused, or out of time or retries.
 func (x *exchange) run(ctx context.Context) {
 	defer x.endTrial()
+	if !x.isAwaited() {
+		x.expire(ctx, false)
+		return
+	}
 	if s := x.screen(); s.Blocked {
 		x.refuseBlocked(result{})
 		return
@@ -197,7 +201,7 @@
 // an upstream may have run it.
 func (x *exchange) expire(ctx context.Context, ran bool) {
 	switch {
-	case x.r.Context().Err() != nil:
+	case x.r.Context().Err() != nil, errors.Is(context.Cause(ctx), errCallerLeft):
 		x.abort("caller_left")
 	case errors.Is(context.Cause(ctx), errStopped):
 		x.endAtStop(ran)
@@ -292,7 +296,7 @@
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
 		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
 		Approve: func() bool {
-			return clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket)
+			return x.isAwaited() && (clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket))
 		},
 	}
 }
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -120,11 +120,11 @@
 	}
 	answer, err := x.h.pool.Do(ctx, peer, link.Request{
 		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.HandOver(x.r.Header, handover),
-		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
+		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID, Approve: x.isAwaited,
 	})
 	if err != nil {
 		x.cause = err
-		return result{}, !errors.Is(err, link.ErrNotSent)
+		return result{}, !errors.Is(err, link.ErrNotSent) && !errors.Is(err, link.ErrWithdrawn)
 	}
 	defer answer.Close()
 	x.progress, x.answer = gotHead, answer
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -234,6 +234,20 @@
 	screening Screening
 	// trial is the trial of the current attempt; its ID is empty if the attempt is none.
 	trial Trial
+	// giveUp ends the exchange.
+	giveUp context.CancelCauseFunc
+}
+
+// errCallerLeft ends an exchange whose caller has ended its connection.
+var errCallerLeft = errors.New("caller left")
+
+// isAwaited reports whether the caller waits for an answer. If it does not, the exchange ends.
+func (x *exchange) isAwaited() (ok bool) {
+	if link.CallerLeft(x.r.Context()) {
+		x.giveUp(errCallerLeft)
+		return false
+	}
+	return true
 }
 
 // ServeHTTP implements [http.Handler].
@@ -286,6 +300,8 @@
 	defer cancel()
 	ctx, release := h.stop.bind(ctx)
 	defer release()
+	ctx, x.giveUp = context.WithCancelCause(ctx)
+	defer x.giveUp(nil)
 	x.run(ctx)
 }
 
--- a/io/relay/server.go
+++ b/io/relay/server.go
@@ -34,7 +34,12 @@
 	s.SetHeaderTimeout(defaultHeaderTimeout)
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeader,
-		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if own, ok := c.(*callerConn); ok {
+				ctx = link.WithCaller(ctx, own.Conn)
+			}
+			return context.WithValue(ctx, connKey{}, c)
+		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if conn, ok := c.(*callerConn); ok {
 				conn.observe(state)
