End an upstream's connection with its caller even while the answer is being written

What callers saw: nothing; engines went on with answers for callers that had left, until a second after the deadline. Cause: the end of an exchange's context only made the next read of the upstream fail. An exchange that is blocked in the write to its caller, who doesn't read and whose end has arrived, as behind a full link, reads nothing until that write fails: at the deadline and a second. Why it works: the end of the context closes the connection itself, whatever the exchange does. Looked at: the transport of the own mode closes connections from a goroutine of its own and does not wait for who reads.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -142,6 +142,17 @@
 	watch *watch
 	// carried are the requests for which the connection was used.
 	carried idRing
+	// unacked is how much of the last request was not acknowledged when the exchange was abandoned, in bytes.
+	unacked atomic.Int64
+}
+
+// abandon ends the connection of an exchange without waiting for the exchange, which may be blocked: while its answer is written to
+// a caller who doesn't read, for instance. Further calls have no effect.
+func (c *conn) abandon() {
+	if n, err := unreceived(c.Conn); err == nil && n > 0 {
+		c.unacked.Store(int64(n))
+	}
+	_ = c.Close()
 }
 
 // Answer is the head of an answer and its body. The caller must call Close.
@@ -175,17 +186,16 @@
 		_ = c.Close()
 		return nil, ErrWithdrawn
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(pastDeadline) })
+	stop := context.AfterFunc(ctx, c.abandon)
 	w := &writer{conn: c, head: head(r), body: r.Body, ended: ctx.Done(), done: make(chan struct{})}
 	w.start()
 	a, err = p.readAnswer(c, r)
 	if err != nil {
 		stop()
+		c.abandon()
 		if ctx.Err() != nil {
-			unacked, _ := unreceived(c.Conn)
-			err = &AbandonedError{Unacked: unacked, cause: errors.CombineErrors(ctx.Err(), err)}
+			err = &AbandonedError{Unacked: int(c.unacked.Load()), cause: errors.CombineErrors(ctx.Err(), err)}
 		}
-		_ = c.Close()
 		return nil, err
 	}
 	a.addr, a.stop, a.writer, a.Opened = addr, stop, w, c.watch == nil
