Drop what an upstream has not received of an abandoned request

What callers saw: nothing; engines got requests after their callers had left, and ran them (GONE). Cause: the connection of an abandoned exchange was closed in an orderly way. The system sends what is left of the request first and the end after it, so that behind a full link the cancellation arrives last and cancels nothing. Why it works: an abandoned connection with unacknowledged bytes is reset, which empties its send buffer; upstream or entry, the other side sees an error in place of the rest. Without such bytes the end stays orderly, since a lost reset is not repeated. Complete answers change nothing: no request that still has a caller loses a connection by this. Packets that have left the system can't be called back.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -149,10 +149,9 @@
 // abandon ends the connection of an exchange without waiting for the exchange, which may be blocked: while its answer is written to
 // a caller who doesn't read, for instance. Further calls have no effect.
 func (c *conn) abandon() {
-	if n, err := unreceived(c.Conn); err == nil && n > 0 {
+	if n := drop(c.Conn); n > 0 {
 		c.unacked.Store(int64(n))
 	}
-	_ = c.Close()
 }
 
 // Answer is the head of an answer and its body. The caller must call Close.
@@ -371,7 +370,12 @@
 // Close ends the exchange. It keeps the connection if the request was written and the answer read completely, and
 // closes it otherwise.
 func (a *Answer) Close() {
-	if stopped := a.stop(); !stopped || !a.Written() || !a.complete || a.idleTimeout <= 0 || a.conn.reader.Buffered() > 0 {
+	stopped := a.stop()
+	switch {
+	case !stopped, !a.complete:
+		a.conn.abandon()
+		return
+	case !a.Written(), a.idleTimeout <= 0, a.conn.reader.Buffered() > 0:
 		_ = a.conn.Close()
 		return
 	}
--- a/io/link/transport.go
+++ b/io/link/transport.go
@@ -105,6 +105,12 @@
 	return n, err
 }
 
+// Close implements [net.Conn]. A request that was not received by then has been abandoned.
+func (c *endConn) Close() error {
+	drop(c.Conn)
+	return nil
+}
+
 // Read implements [net.Conn].
 func (c *endConn) Read(b []byte) (n int, err error) {
 	n, err = c.Conn.Read(b)
