Own mode: cancel abandoned attempts beside each other

What callers saw: nothing; engines went on with abandoned attempts. Cause: one worker sent all cancellations in turn, half a second each where an engine doesn't answer, and the queue drops what exceeds 256: a silent engine with n abandoned attempts delayed those of all others by n/2 s. Evidence: TestSilentEngineDelaysNoCancellationElsewhere waited in vain for 0.5 s behind 20 attempts on a silent engine (10 s), passes now. Why it works: as many are under way as the queue holds. Each still ends after half a second and opens a connection of its own, as before.

--- a/io/entry/cancel.go
+++ b/io/entry/cancel.go
@@ -32,7 +32,10 @@
 // enqueue never blocks. It drops the cancellation if the queue is full: cancelling only saves the engine work.
 func (c *canceller) enqueue(job cancellation) { c.queue.offer(job) }
 
-func (c *canceller) run(ctx context.Context) error { return c.queue.run(ctx, c.cancel) }
+// run sends cancellations beside each other: one to an engine that does not answer takes cancelTimeout.
+func (c *canceller) run(ctx context.Context) error {
+	return c.queue.runConcurrently(ctx, cancelQueueSize, c.cancel)
+}
 
 // cancel makes a single attempt: an engine that does not answer has nothing to stop or ends the attempt by itself.
 func (c *canceller) cancel(ctx context.Context, job cancellation) {
