Own mode: send no request whose caller's connection has already ended

Why it works: completions and calls that are not once-only ask the system for the caller's connection before each attempt. Once-only calls go on after their callers have left, so that their outcomes are recorded, as before. Callers' connections with TLS are not looked into.

--- a/io/entry/call.go
+++ b/io/entry/call.go
@@ -15,6 +15,7 @@
 	"cicadavalve/core/sched"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/engine"
+	"cicadavalve/io/link"
 )
 
 // call is one caller's call of a plain service, owned by its HTTP handler.
@@ -183,8 +184,11 @@
 			case sched.RefuseCmd:
 				return reply, refusal(cmd)
 			case sched.SendCmd:
-				if c.once && c.expired(time.Now()) {
+				switch {
+				case c.once && c.expired(time.Now()):
 					return reply, errSendExpired
+				case !c.once && link.CallerLeft(ctx):
+					return reply, context.Canceled
 				}
 				if reply, ok := c.sendAttempt(ctx, cmd); ok {
 					return reply, nil
--- a/io/entry/complete.go
+++ b/io/entry/complete.go
@@ -16,6 +16,7 @@
 	"cicadavalve/core/sched"
 	"cicadavalve/io/caller"
 	"cicadavalve/io/engine"
+	"cicadavalve/io/link"
 	"cicadavalve/io/meter"
 )
 
@@ -100,6 +101,9 @@
 			case cache.ImportCmd:
 				c.pendingImport = cmd
 			case sched.SendCmd:
+				if link.CallerLeft(ctx) {
+					return context.Canceled
+				}
 				if done, err := c.runAttempt(ctx, cmd); done || err != nil {
 					return err
 				}
--- a/io/entry/daemon.go
+++ b/io/entry/daemon.go
@@ -323,7 +323,7 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &server{
-		http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols}, listener: listener,
+		http: &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, Protocols: protocols, ConnContext: link.WithCaller}, listener: listener,
 	}
 }
 
