--- a/io/link/abandon_test.go
+++ b/io/link/abandon_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"cicadavalve/io/link"
 )
 
@@ -27,6 +29,10 @@
 			if err == nil {
 				answer.Close()
 			}
+			var abandoned *link.AbandonedError
+			if !errors.As(err, &abandoned) || abandoned.Unacked == 0 {
+				t.Errorf("error %v without a number of unacknowledged bytes", err)
+			}
 		},
 		"transport": func(ctx context.Context, addr string) {
 			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/", bytes.NewReader(body))
--- a/io/link/end.go
+++ b/io/link/end.go
@@ -89,14 +89,13 @@
 	}
 }
 
-// drop closes a connection and discards what was written and not received, which an orderly end would follow. It returns how many bytes that
-// were. Without such bytes the end is orderly, since it is repeated if it gets lost, unlike a reset.
-func drop(c net.Conn) (unacked int) {
+// dropUnreceived makes the close of a connection discard what was written and not received, which an orderly end would follow. It returns how
+// many bytes that are. Without such bytes the end stays orderly, since it is repeated if it gets lost, unlike a reset.
+func dropUnreceived(c net.Conn) (unacked int) {
 	unacked, err := unreceived(c)
 	if tcp, ok := c.(*net.TCPConn); ok && (err != nil || unacked > 0) {
 		_ = tcp.SetLinger(0)
 	}
-	_ = c.Close()
 	return unacked
 }
 
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -149,9 +149,10 @@
 // abandon ends the connection of an exchange without waiting for the exchange, which may be blocked: while its answer is written to
 // a caller who doesn't read, for instance. Further calls have no effect.
 func (c *conn) abandon() {
-	if n := drop(c.Conn); n > 0 {
+	if n := dropUnreceived(c.Conn); n > 0 {
 		c.unacked.Store(int64(n))
 	}
+	_ = c.Close()
 }
 
 // Answer is the head of an answer and its body. The caller must call Close.
--- a/io/link/transport.go
+++ b/io/link/transport.go
@@ -107,8 +107,8 @@
 
 // Close implements [net.Conn]. A request that was not received by then has been abandoned.
 func (c *endConn) Close() error {
-	drop(c.Conn)
-	return nil
+	dropUnreceived(c.Conn)
+	return c.Conn.Close()
 }
 
 // Read implements [net.Conn].
