State the time that is left when a request is written, not when its connection begins to open

What callers saw: nothing; an engine was given up to 0.6 s more than was left, the time that a connection may take to open, and an entry to which a request was handed over likewise. Where a cancellation is lost, that time is what ends the work. Why it works: what is 20 ms old or older is stated anew right before the write, where the choice of the upstream is looked at again already.

--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -292,17 +293,26 @@
 		Version: cmd.Version, Salt: cmd.Salt, Fetch: cmd.Fetch, Save: cmd.Save, LastEvent: x.lastEvent, Model: cmd.Model != "",
 		FetchDeadline: x.h.controller.FetchDeadline(cmd.FetchWithin),
 	}
+	header := x.h.dialect.Forward(x.r.Header, values)
 	return link.Request{
-		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.Forward(x.r.Header, values),
+		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header,
 		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
 		Approve: func() bool {
-			return x.isAwaited() && (clock.Since(x.sentAt) < maxDecisionAge || x.h.controller.StillEligible(x.need.Ticket))
+			switch {
+			case !x.isAwaited():
+				return false
+			case clock.Since(x.sentAt) < maxDecisionAge:
+				return true
+			}
+			values.Timeout = clock.Until(x.deadline)
+			maps.Copy(header, x.h.dialect.Forward(x.r.Header, values))
+			return x.h.controller.StillEligible(x.need.Ticket)
 		},
 	}
 }
 
-// maxDecisionAge is the age from which on the choice of an upstream is checked again before the request is written. It can
-// be that old if the connection took long to open, or the process stood still.
+// maxDecisionAge is the age from which on the choice of an upstream is checked again before the request is written, and the time left is stated
+// anew. It can be that old if the connection took long to open, or the process stood still.
 const maxDecisionAge = 20 * time.Millisecond
 
 // minSilence is how long an upstream may leave a request unanswered before the link to it is in doubt.
--- a/io/relay/handover.go
+++ b/io/relay/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -118,9 +119,17 @@
 	handover := port.Handover{
 		By: x.h.self, Runs: x.history.Runs, Counted: counted, Timeout: clock.Until(x.deadline), LastEvent: x.lastEvent,
 	}
+	header := x.h.dialect.HandOver(x.r.Header, handover)
 	answer, err := x.h.pool.Do(ctx, peer, link.Request{
-		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: x.h.dialect.HandOver(x.r.Header, handover),
-		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID, Approve: x.isAwaited,
+		Method: x.r.Method, Target: target(x.r), Host: x.r.Host, Header: header,
+		Body: x.body, HasBody: x.hasBody, IDHeader: x.h.dialect.IDHeader(), ID: x.head.ID,
+		Approve: func() bool {
+			if clock.Since(x.sentAt) >= maxDecisionAge {
+				handover.Timeout = clock.Until(x.deadline)
+				maps.Copy(header, x.h.dialect.HandOver(x.r.Header, handover))
+			}
+			return x.isAwaited()
+		},
 	})
 	if err != nil {
 		x.cause = err
