--- a/io/link/end.go
+++ b/io/link/end.go
@@ -89,16 +89,6 @@
 	}
 }
 
-// dropUnreceived makes the close of a connection discard what was written and not received, which an orderly end would follow. It returns how
-// many bytes that are. Without such bytes the end stays orderly, since it is repeated if it gets lost, unlike a reset.
-func dropUnreceived(c net.Conn) (unacked int) {
-	unacked, err := unreceived(c)
-	if tcp, ok := c.(*net.TCPConn); ok && (err != nil || unacked > 0) {
-		_ = tcp.SetLinger(0)
-	}
-	return unacked
-}
-
 // unreceived returns how many of the bytes that were written the other side has not acknowledged. It returns the error of a reset that
 // no call has met yet. What is no socket has none.
 func unreceived(c net.Conn) (n int, err error) {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -68,19 +68,6 @@
 	errLongHead   = errors.New("head of an answer exceeds the maximum size")
 )
 
-// AbandonedError is the error of an exchange whose context ended before the head of an answer.
-type AbandonedError struct {
-	// Unacked is how much of the request the upstream had not acknowledged by then, in bytes.
-	Unacked int
-	cause   error
-}
-
-// Error implements [error].
-func (e *AbandonedError) Error() string { return e.cause.Error() }
-
-// Unwrap returns what ended the exchange.
-func (e *AbandonedError) Unwrap() error { return e.cause }
-
 // Request is a request to an upstream.
 type Request struct {
 	Method string
@@ -146,15 +133,6 @@
 	unacked atomic.Int64
 }
 
-// abandon ends the connection of an exchange without waiting for the exchange, which may be blocked: while its answer is written to
-// a caller who doesn't read, for instance. Further calls have no effect.
-func (c *conn) abandon() {
-	if n := dropUnreceived(c.Conn); n > 0 {
-		c.unacked.Store(int64(n))
-	}
-	_ = c.Close()
-}
-
 // Answer is the head of an answer and its body. The caller must call Close.
 type Answer struct {
 	Status int
--- a/io/relay/abort.go
+++ b/io/relay/abort.go
@@ -7,6 +7,7 @@
 
 	"cicadavalve/core/place"
 	"cicadavalve/io/guard"
+	"cicadavalve/io/link"
 )
 
 // confine ends a request whose handling has panicked: with the daemon's own answer, or with a closed connection if an
@@ -64,3 +65,15 @@
 
 // abortedStatus is the status that logs and metrics show for an aborted answer.
 const abortedStatus = 599
+
+// errCallerLeft ends an exchange whose caller has ended its connection.
+var errCallerLeft = errors.New("caller left")
+
+// isAwaited reports whether the caller waits for an answer. If it does not, the exchange ends.
+func (x *exchange) isAwaited() (ok bool) {
+	if link.CallerLeft(x.r.Context()) {
+		x.giveUp(errCallerLeft)
+		return false
+	}
+	return true
+}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -238,18 +238,6 @@
 	giveUp context.CancelCauseFunc
 }
 
-// errCallerLeft ends an exchange whose caller has ended its connection.
-var errCallerLeft = errors.New("caller left")
-
-// isAwaited reports whether the caller waits for an answer. If it does not, the exchange ends.
-func (x *exchange) isAwaited() (ok bool) {
-	if link.CallerLeft(x.r.Context()) {
-		x.giveUp(errCallerLeft)
-		return false
-	}
-	return true
-}
-
 // ServeHTTP implements [http.Handler].
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.serve(w, r, nil) }
 
