End a long answer with its caller at once, and not as its upstream's failure

What callers saw: nothing of their own; but a caller that left an answer of over 1 MB counted as an answer that its upstream broke off, against the version in a roll-out and against its zone, so that other callers were moved. The request kept its memory and its place among the running ones until a second after the deadline. Cause: relayLong took every error for the upstream's, also that of the write to a caller; and a write to a caller that has left and reads nothing is blocked until the deadline of writes. Why it works: the end of the caller's connection ends writes to it, and what fails after that is the caller's end. Looked at: streams and buffered answers were reported as cancelled already.

--- a/io/relay/abort.go
+++ b/io/relay/abort.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 
 	"cicadavalve/core/place"
+	"cicadavalve/io/clock"
 	"cicadavalve/io/guard"
 	"cicadavalve/io/link"
 )
@@ -69,6 +70,13 @@
 // errCallerLeft ends an exchange whose caller has ended its connection.
 var errCallerLeft = errors.New("caller left")
 
+// endWrites makes writes to a caller that has left fail, which would be blocked until the deadline if it reads nothing.
+func (x *exchange) endWrites() {
+	if err := http.NewResponseController(x.w).SetWriteDeadline(clock.Deadline(clock.Now())); err != nil {
+		x.h.log.Debug("write_deadline_not_set", "error", err)
+	}
+}
+
 // isAwaited reports whether the caller waits for an answer. If it does not, the exchange ends.
 func (x *exchange) isAwaited() (ok bool) {
 	if link.CallerLeft(x.r.Context()) {
--- a/io/relay/attempt.go
+++ b/io/relay/attempt.go
@@ -412,6 +412,10 @@
 	}
 	if err != nil {
 		x.cause = err
+		if x.r.Context().Err() != nil {
+			x.h.controller.End(x.need.Ticket, place.Cancelled)
+			x.abort("caller_left")
+		}
 		x.h.controller.End(x.need.Ticket, place.Broken)
 		x.abort("answer_broken")
 	}
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -290,6 +290,7 @@
 	defer release()
 	ctx, x.giveUp = context.WithCancelCause(ctx)
 	defer x.giveUp(nil)
+	defer context.AfterFunc(r.Context(), x.endWrites)()
 	x.run(ctx)
 }
 
