Move a test's version only once engines have started its first requests

Cause in the test: it starts 13 goroutines and applies the move at once. The test now waits until six of the first requests have started.

--- a/io/entry/answer_test.go
+++ b/io/entry/answer_test.go
@@ -113,6 +113,13 @@
 		}
 	}
 	e := c.Entries()[0]
+	startedOld := func() (n int) {
+		for _, e := range c.Engines() {
+			n += e.Stats().Started["v1"]
+		}
+		return n
+	}
+	before := startedOld()
 	seen := map[ident.Version]int{}
 	var mu sync.Mutex
 	var pending sync.WaitGroup
@@ -134,6 +141,9 @@
 			t.Errorf("%s: the answer is not the complete answer of one version: %s", prompt, a.Body)
 		})
 		if i == 12 {
+			if !bench.Wait(ctx, func() bool { return startedOld()-before >= 6 }) {
+				t.Fatal("the engines did not start the first requests")
+			}
 			moved := strings.Replace(testRules, "version v1", "version v2", 1)
 			if err := c.Apply(ctx, e, moved); err != nil {
 				t.Fatal(err)
