--- a/io/link/link.go
+++ b/io/link/link.go
@@ -81,7 +81,8 @@
 	// IDHeader names the header whose value the answer repeats; ID is that value.
 	IDHeader string
 	ID       string
-	// Approve, if set, reports whether the request is still to be sent. It is called right before the first byte is written.
+	// Approve, if set, reports whether the request is still to be sent. It is called right before the first byte is written, and may
+	// change the values of Header.
 	Approve func() bool
 }
 
