Keep the connections of a test of kept connections, and let it wait for its answers

Besides, its exchanges ended before their answers were read, so that no connection was ever kept and the second half of the test repeated the first.

--- a/io/link/head_cut_test.go
+++ b/io/link/head_cut_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -74,9 +75,10 @@
 				step = 97
 			}
 			pool, addr := NewPool(), l.Addr().String()
+			// An exchange whose context ends keeps no connection.
+			ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+			defer cancel()
 			do := func(id string) (a *Answer, err error) {
-				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
-				defer cancel()
 				return pool.Do(ctx, addr, Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{"Request-Id": {id}}, IDHeader: "Request-Id", ID: id})
 			}
 			for _, kept := range []bool{false, true} {
@@ -90,7 +92,7 @@
 							if err != nil {
 								t.Fatal(err)
 							}
-							if err := a.Discard(); err != nil {
+							if _, err := io.Copy(io.Discard, a); err != nil {
 								t.Fatal(err)
 							}
 							a.Close()
@@ -102,6 +104,9 @@
 					}
 				}
 			}
+			if _, reused := pool.Counts(); reused == 0 {
+				t.Error("no connection was kept")
+			}
 		})
 	}
 }
