--- a/review/lab2/engine.go
+++ b/review/lab2/engine.go
@@ -183,10 +183,9 @@
 		for f := range h.readers[k] {
 			f.freed = true
 		}
-		if have, ok := h.parts[k]; ok {
+		if _, ok := h.parts[k]; ok {
 			delete(h.parts, k)
 			h.note("-", k, 0)
-			_ = have
 		}
 		delete(h.partial, k)
 	}
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -1,7 +1,7 @@
 // Command lab2 plays one case of the review: it starts daemons as separate processes on loopback addresses, in front of stand-ins of the
 // platform's store, model engines and a store of kept context, offers requests and records what was sent, run and answered.
 //
-//	lab2 odd | restart
+//	lab2 odd FOLDER
 //
 // TROUBLE=0 leaves the disruption out. The status is 1 if a rule was broken, 0 if not, and 2 if the case could not run.
 package main
@@ -188,8 +188,8 @@
 form = "log"
 `
 
-// versionMS is the bound of the deployment within which runs begin on newer weights.
-var versionMS = 6000
+// versionMS is the bound of kf-graz within which runs begin on newer weights, in ms.
+const versionMS = 6000
 
 func (s *site) startEntry(i int, seeds string) {
 	host := s.host(1 + i)
@@ -317,7 +317,7 @@
 		fmt.Println("lab2 SCENARIO FOLDER")
 		os.Exit(2)
 	}
-	scenario, rule := map[string]func(){"odd": odd, "restart": restart}[os.Args[1]], map[string]string{"odd": "STALE", "restart": "MIXED"}[os.Args[1]]
+	scenario, rule := map[string]func(){"odd": odd}[os.Args[1]], map[string]string{"odd": "STALE"}[os.Args[1]]
 	if scenario == nil {
 		cannotRun("no scenario %q", os.Args[1])
 	}
@@ -361,34 +361,42 @@
 	}
 }
 
-// odd lets another writer write the entries of the engines without their models every two seconds, and names new weights.
+// odd lets another writer write the entries of the engines without their models every two seconds. Meanwhile new weights are named, and the
+// daemons are stopped and started in turn.
 func odd() {
 	s := newSite(3, 3)
 	s.awaitReady()
 	stop := make(chan struct{})
-	go s.offer(30, 12, stop)
+	go s.offer(45, 12, stop)
 	begun := time.Now()
 	if trouble {
 		go s.writeOdd(2*time.Second, stop)
 	}
 	rolled := make(chan struct{})
 	time.AfterFunc(time.Until(begun.Add(19*time.Second)), func() {
-		for _, e := range s.entries {
-			e.restart()
-			time.Sleep(500 * time.Millisecond)
+		for range rolls {
+			for _, e := range s.entries {
+				e.restart()
+				time.Sleep(500 * time.Millisecond)
+			}
 		}
 		close(rolled)
 	})
-	at(begun, 20)
-	note("named   weights 2")
-	s.store.put("keyed.op", "version/"+model, map[string]any{"model": model, "version": 2})
-	at(begun, 40)
+	for i, t := range []float64{20, 28, 36} {
+		at(begun, t)
+		note("named   weights %d", i+2)
+		s.store.put("keyed.op", "version/"+model, map[string]any{"model": model, "version": i + 2})
+	}
+	at(begun, 48)
 	<-rolled
 	close(stop)
 	time.Sleep(3 * time.Second)
 	s.summary()
 }
 
+// rolls is how often all daemons are stopped and started in turn.
+const rolls = 2
+
 // writeOdd writes the entry of each engine as another writer would that knows nothing of models.
 func (s *site) writeOdd(every time.Duration, stop <-chan struct{}) {
 	for {
@@ -405,34 +413,3 @@
 		}
 	}
 }
-
-// restart crashes an engine, names new weights meanwhile and starts the engine again with the weights that it had.
-func restart() {
-	versionMS = 10000
-	s := newSite(3, 6)
-	s.awaitReady()
-	stop := make(chan struct{})
-	go s.offer(30, 12, stop)
-	begun := time.Now()
-	version := 1
-	for cycle := range 5 {
-		t := 8 + 19*float64(cycle)
-		e := s.engines[cycle%len(s.engines)]
-		if trouble {
-			at(begun, t)
-			e.crash()
-		}
-		at(begun, t+4.5)
-		version++
-		note("named   weights %d", version)
-		s.store.put("keyed.op", "version/"+model, map[string]any{"model": model, "version": version})
-		if trouble {
-			at(begun, t+4.5+3.35+0.08*float64(cycle))
-			e.start(true)
-		}
-	}
-	at(begun, 8+19*5-2)
-	close(stop)
-	time.Sleep(3 * time.Second)
-	s.summary()
-}
