--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -94,7 +94,9 @@
 	ready   []string
 	entries []*entry
 	mu      sync.Mutex
-	status  map[string]int
+	// addresses is the newest answer of a directory.
+	addresses []string
+	status    map[string]int
 }
 
 // host returns a loopback address of this run.
@@ -268,6 +270,17 @@
 // offer sends requests at a rate until stop is closed: one in three a long prompt.
 func (s *site) offer(perSecond float64, subjects int, stop <-chan struct{}) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32, DisableCompression: true}, Timeout: 10 * time.Second}
+	s.resolve()
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Second):
+				s.resolve()
+			}
+		}
+	}()
 	for n := 0; ; n++ {
 		select {
 		case <-stop:
@@ -278,13 +291,45 @@
 	}
 }
 
+// resolve asks the directories in turn where to connect, as clients do; without an answer the last one stays in use.
+func (s *site) resolve() {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, i := range rand.Perm(len(s.entries)) {
+		response, err := client.Get("http://" + s.entries[i].host + ":8009/cicadavalve/resolve?name=pule25.example&region=steiermark&zone=zone-1")
+		if err != nil {
+			continue
+		}
+		var answer struct {
+			Addresses []string `json:"addresses"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		_ = response.Body.Close()
+		if err == nil && response.StatusCode == 200 && len(answer.Addresses) > 0 {
+			s.mu.Lock()
+			s.addresses = answer.Addresses
+			s.mu.Unlock()
+			return
+		}
+	}
+}
+
+// front returns one of the addresses at random.
+func (s *site) front() (addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.addresses) == 0 {
+		return s.fronts[0]
+	}
+	return s.addresses[rand.IntN(len(s.addresses))]
+}
+
 func (s *site) send(client *http.Client, n, subjects int) {
 	id, subject := fmt.Sprintf("%08x%08x", random(), n), rand.IntN(subjects)
 	path, prefix, count := "/plan/x", fmt.Sprintf("5c1e%02x:512,91bd%04x:8610,%08x:2870", subject%3, subject, random()), "11992,48"
 	if n%3 != 0 {
 		path, prefix, count = "/chat/x", fmt.Sprintf("77ab%02x:119,12cd%04x:531,%08x:177", subject%5, subject, random()), "827,36"
 	}
-	r, _ := http.NewRequest("POST", "http://"+s.fronts[rand.IntN(len(s.fronts))]+path, strings.NewReader("prompt "+id))
+	r, _ := http.NewRequest("POST", "http://"+s.front()+path, strings.NewReader("prompt "+id))
 	r.Host = "pule25.example"
 	for name, value := range map[string]string{
 		"Request-Id": id, "Model": model, "Token-Count": count, "Prompt-Prefix": prefix, "Deadline-Ms": "10000", "X-Api-Key": "key-1",
